--- /dev/null
+++ b/ragwortshelf/cli/__init__.py
@@ -0,0 +1,1 @@
+"""The command-line tool of operators and callers."""
--- /dev/null
+++ b/ragwortshelf/core/charging/__init__.py
@@ -0,0 +1,1 @@
+"""Usage folded into charges."""
--- /dev/null
+++ b/ragwortshelf/core/jobs/__init__.py
@@ -0,0 +1,1 @@
+"""The life of jobs: claims, leases, starts, recovery and outcomes."""
--- /dev/null
+++ b/ragwortshelf/core/membership/__init__.py
@@ -0,0 +1,1 @@
+"""Which instances live, and which of them serves which role."""
--- /dev/null
+++ b/ragwortshelf/core/model/__init__.py
@@ -0,0 +1,69 @@
+"""Value types shared by all parts of the core.
+
+Outcomes, the configuration and its shapes, jobs, requests, leases and usage reports
+are frozen data classes. They carry no behaviour beyond derived properties.
+"""
+
+from .configuration import (
+    NO_REVISION,
+    Adjacency,
+    Configuration,
+    DataCentre,
+    Organisation,
+    Rack,
+    Rule,
+    Shape,
+)
+from .decisions import Decision
+from .jobs import JobPhase, JobSpec, Priority
+from .leases import Grant, Lease, LeaseRequest, TaskState, WorkerState
+from .outcomes import (
+    Answered,
+    Completed,
+    Interrupted,
+    JobOutcome,
+    NotRun,
+    Reason,
+    RequestOutcome,
+    Unknown,
+    Unreachable,
+)
+from .platform import InstanceInfo, MemberState, MinionInfo, WorkerInfo
+from .requests import Request, RequestClass
+from .usage import UsageReport
+
+__all__ = [
+    "NO_REVISION",
+    "Adjacency",
+    "Configuration",
+    "DataCentre",
+    "Organisation",
+    "Rack",
+    "Rule",
+    "Shape",
+    "Decision",
+    "JobPhase",
+    "JobSpec",
+    "Priority",
+    "Grant",
+    "Lease",
+    "LeaseRequest",
+    "TaskState",
+    "WorkerState",
+    "Answered",
+    "Completed",
+    "Interrupted",
+    "JobOutcome",
+    "NotRun",
+    "Reason",
+    "RequestOutcome",
+    "Unknown",
+    "Unreachable",
+    "InstanceInfo",
+    "MemberState",
+    "MinionInfo",
+    "WorkerInfo",
+    "Request",
+    "RequestClass",
+    "UsageReport",
+]
--- /dev/null
+++ b/ragwortshelf/core/model/configuration.py
@@ -0,0 +1,108 @@
+"""The configuration that release notes fold into.
+
+A configuration is immutable and is identified by its ``revision``, which is the
+offset of the last release note that took effect. Two instances at the same revision
+hold equal configurations.
+"""
+
+from __future__ import annotations
+
+import enum
+from collections.abc import Mapping
+from dataclasses import dataclass, field
+
+__all__ = [
+    "Adjacency",
+    "Configuration",
+    "DataCentre",
+    "NO_REVISION",
+    "Organisation",
+    "Rack",
+    "Rule",
+    "Shape",
+]
+
+NO_REVISION = -1
+"""The revision of the empty configuration, before any release note."""
+
+
+class Adjacency(enum.StrEnum):
+    """How close the accelerators of a group have to be."""
+
+    WORKER = "worker"
+    RACK = "rack"
+    DATA_CENTRE = "data_centre"
+
+
+@dataclass(frozen=True, slots=True)
+class Shape:
+    """``count`` groups of ``accelerators`` accelerators each in one data centre."""
+
+    data_centre: str
+    accelerators: int
+    adjacency: Adjacency
+    count: int = 1
+
+
+@dataclass(frozen=True, slots=True)
+class Organisation:
+    """A customer with its guaranteed shapes.
+
+    ``weight`` sets its share in fair queues; ``quota_accelerators`` caps what it may
+    hold at once over all data centres, None being no cap. ``home_region`` is where
+    work that cannot be stopped and resumed may run.
+    """
+
+    name: str
+    weight: int = 1
+    guarantees: tuple[Shape, ...] = ()
+    quota_accelerators: int | None = None
+    home_region: str = ""
+
+
+@dataclass(frozen=True, slots=True)
+class Rack:
+    """Workers of equal size behind one switch."""
+
+    name: str
+    workers: tuple[str, ...]
+    accelerators_per_worker: int
+
+
+@dataclass(frozen=True, slots=True)
+class DataCentre:
+    """A data centre and the catalogue of its workers."""
+
+    name: str
+    region: str
+    racks: tuple[Rack, ...] = ()
+
+    @property
+    def accelerators(self) -> int:
+        """Number of accelerators that the catalogue lists."""
+        return sum(
+            len(rack.workers) * rack.accelerators_per_worker for rack in self.racks
+        )
+
+
+@dataclass(frozen=True, slots=True)
+class Rule:
+    """A named setting of the scheduler that operators change by release note."""
+
+    name: str
+    value: int | float | str | bool
+
+
+@dataclass(frozen=True, slots=True)
+class Configuration:
+    """What is in force at ``revision``."""
+
+    revision: int = NO_REVISION
+    organisations_by_name: Mapping[str, Organisation] = field(default_factory=dict)
+    data_centres_by_name: Mapping[str, DataCentre] = field(default_factory=dict)
+    rules_by_name: Mapping[str, Rule] = field(default_factory=dict)
+
+    def rule(self, name: str, default: int | float | str | bool):
+        """Return the value of the rule ``name``, or ``default`` if it is not set."""
+        rule = self.rules_by_name.get(name)
+        return default if rule is None else rule.value
--- /dev/null
+++ b/ragwortshelf/core/model/outcomes.py
@@ -0,0 +1,116 @@
+"""Outcomes of requests and jobs, and the reasons they carry.
+
+An outcome is a value. ``NotRun`` is returned only on proof that nothing ran;
+``Unknown`` and ``Interrupted`` say truthfully that something may have run.
+"""
+
+from __future__ import annotations
+
+import enum
+from dataclasses import dataclass
+
+__all__ = [
+    "Answered",
+    "Completed",
+    "Interrupted",
+    "JobOutcome",
+    "NotRun",
+    "Reason",
+    "RequestOutcome",
+    "Unknown",
+    "Unreachable",
+]
+
+
+class Reason(enum.StrEnum):
+    """Why an outcome is what it is; the value is the name on the wire."""
+
+    CANCELLED = "cancelled"
+    CAPACITY_WITHDRAWN = "capacity_withdrawn"
+    CONNECTION_LOST = "connection_lost"
+    DEADLINE_PASSED = "deadline_passed"
+    DEADLINE_UNREACHABLE = "deadline_unreachable"
+    DRAINING = "draining"
+    FAILS_EVERYWHERE = "fails_everywhere"
+    INSTANCE_LOST = "instance_lost"
+    INVALID = "invalid"
+    LOG_UNAVAILABLE = "log_unavailable"
+    MINION_FAILED = "minion_failed"
+    NEVER_FITS = "never_fits"
+    NO_ANSWER = "no_answer"
+    NO_CAPACITY = "no_capacity"
+    NO_MINION = "no_minion"
+    NOT_READY = "not_ready"
+    ORGANISATION_UNKNOWN = "organisation_unknown"
+    ORGANISATION_WITHDRAWN = "organisation_withdrawn"
+    OVER_QUOTA = "over_quota"
+    OWNER_UNREACHABLE = "owner_unreachable"
+    QUEUE_FULL = "queue_full"
+    RETRY_BUDGET_SPENT = "retry_budget_spent"
+    TASK_FAILED = "task_failed"
+    TASK_SUCCEEDED = "task_succeeded"
+    WORKER_LOST = "worker_lost"
+
+
+@dataclass(frozen=True, slots=True)
+class Answered:
+    """A whole answer of a minion to one request."""
+
+    status: int
+    headers: tuple[tuple[str, str], ...]
+    body: bytes
+
+
+@dataclass(frozen=True, slots=True)
+class NotRun:
+    """Proof that the request or job did not run.
+
+    ``retry_after_ms`` tells the caller when to come back; None means that a repeat
+    cannot help.
+    """
+
+    reason: Reason
+    detail: str = ""
+    retry_after_ms: int | None = None
+
+
+@dataclass(frozen=True, slots=True)
+class Unknown:
+    """A non-idempotent request that may have run and is never sent again."""
+
+    reason: Reason
+    detail: str = ""
+
+
+@dataclass(frozen=True, slots=True)
+class Completed:
+    """A job whose tasks all ended by themselves.
+
+    ``reason`` is ``TASK_SUCCEEDED``, ``TASK_FAILED`` or ``FAILS_EVERYWHERE``.
+    """
+
+    reason: Reason
+    detail: str = ""
+
+
+@dataclass(frozen=True, slots=True)
+class Interrupted:
+    """A job that started, or may have started, and did not complete."""
+
+    reason: Reason
+    detail: str = ""
+
+
+@dataclass(frozen=True, slots=True)
+class Unreachable:
+    """No usable answer came from an outside system.
+
+    ``may_have_applied`` is False only when the message provably was not sent.
+    """
+
+    detail: str
+    may_have_applied: bool = True
+
+
+RequestOutcome = Answered | NotRun | Unknown
+JobOutcome = Completed | NotRun | Interrupted
--- /dev/null
+++ b/ragwortshelf/core/placement/__init__.py
@@ -0,0 +1,1 @@
+"""Where gangs run: guarantees, order, packing, reclaim and quarantine."""
--- /dev/null
+++ b/ragwortshelf/core/releases/__init__.py
@@ -0,0 +1,1 @@
+"""Release notes and the configuration they fold into."""
--- /dev/null
+++ b/ragwortshelf/core/requests/__init__.py
@@ -0,0 +1,1 @@
+"""Routing, limits, retries and outcomes of requests."""
--- /dev/null
+++ b/ragwortshelf/core/streams/records.py
@@ -0,0 +1,188 @@
+"""Record types of each stream.
+
+A record states one fact; its offset orders it among the others. Records are keyed so
+that a second copy changes nothing: by job and attempt, by note id, or by the key of a
+usage report.
+"""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+
+from ..model import Grant, JobPhase, JobSpec, Reason, UsageReport
+from .codec import Undecodable, decode, encode
+
+__all__ = [
+    "JOBS_STREAM",
+    "RELEASES_STREAM",
+    "SNAPSHOTS_STREAM",
+    "USAGE_STREAM",
+    "AttemptClaimed",
+    "AttemptEnded",
+    "AttemptStarted",
+    "CancelRequested",
+    "JobAccepted",
+    "JobEnded",
+    "JobMoved",
+    "Record",
+    "ReleaseSubmitted",
+    "SnapshotChunk",
+    "UsageCorrected",
+    "UsageRecorded",
+    "decode_record",
+    "encode_record",
+]
+
+RELEASES_STREAM = "releases"
+JOBS_STREAM = "jobs"
+USAGE_STREAM = "usage"
+SNAPSHOTS_STREAM = "snapshots"
+
+
+@dataclass(frozen=True, slots=True)
+class ReleaseSubmitted:
+    """An operator's release note, whose verdict is the fold's at this offset.
+
+    ``note_json`` is the note as JSON text; ``note_id`` makes a repeat harmless.
+    """
+
+    note_id: str
+    author: str
+    note_json: str
+    submitted_wall_ms: int
+
+
+@dataclass(frozen=True, slots=True)
+class JobAccepted:
+    """A job that its submitter was, or is about to be, told is accepted."""
+
+    spec: JobSpec
+    accepted_by: str
+
+
+@dataclass(frozen=True, slots=True)
+class AttemptClaimed:
+    """Claims the right to start an attempt; the lowest offset of an attempt wins.
+
+    ``boot_ids`` are the boots that granted the leases, in the order of ``grants``.
+    """
+
+    job_id: str
+    attempt: int
+    holder: str
+    data_centre: str
+    grants: tuple[Grant, ...]
+    boot_ids: tuple[str, ...]
+    claimed_wall_ms: int
+
+
+@dataclass(frozen=True, slots=True)
+class AttemptStarted:
+    """All tasks of the claimed attempt run."""
+
+    job_id: str
+    attempt: int
+    started_wall_ms: int
+
+
+@dataclass(frozen=True, slots=True)
+class AttemptEnded:
+    """An attempt that will not run any more while its job goes on.
+
+    ``has_started`` False is proof that no task of it started. ``checkpoint`` is the
+    newest whole checkpoint of the group.
+    """
+
+    job_id: str
+    attempt: int
+    has_started: bool
+    reason: Reason
+    checkpoint: int
+    ended_wall_ms: int
+
+
+@dataclass(frozen=True, slots=True)
+class JobEnded:
+    """The final outcome of a job; the lowest offset wins."""
+
+    job_id: str
+    attempt: int
+    phase: JobPhase
+    reason: Reason
+    detail: str
+    ended_wall_ms: int
+
+
+@dataclass(frozen=True, slots=True)
+class JobMoved:
+    """Gives a job a new home data centre; the lowest offset of a ``move`` wins."""
+
+    job_id: str
+    move: int
+    to_data_centre: str
+    reason: Reason
+
+
+@dataclass(frozen=True, slots=True)
+class CancelRequested:
+    """The submitter or an operator wants the job stopped."""
+
+    job_id: str
+    requested_by: str
+
+
+@dataclass(frozen=True, slots=True)
+class UsageRecorded:
+    """Usage reports read from workers."""
+
+    reports: tuple[UsageReport, ...]
+
+
+@dataclass(frozen=True, slots=True)
+class UsageCorrected:
+    """A correction of an organisation's charge, in accelerator-milliseconds."""
+
+    correction_id: str
+    organisation: str
+    job_id: str
+    accelerator_ms: int
+    detail: str
+
+
+@dataclass(frozen=True, slots=True)
+class SnapshotChunk:
+    """One part of a snapshot of ``stream`` up to but excluding ``covers_offset``."""
+
+    stream: str
+    covers_offset: int
+    snapshot_id: str
+    index: int
+    total: int
+    data: bytes
+
+
+Record = (
+    ReleaseSubmitted
+    | JobAccepted
+    | AttemptClaimed
+    | AttemptStarted
+    | AttemptEnded
+    | JobEnded
+    | JobMoved
+    | CancelRequested
+    | UsageRecorded
+    | UsageCorrected
+    | SnapshotChunk
+)
+
+_TYPES_BY_NAME = {cls.__name__: cls for cls in Record.__args__}
+
+
+def encode_record(record: Record) -> bytes:
+    """Encode a record for the log."""
+    return encode(record)
+
+
+def decode_record(data: bytes) -> Record | Undecodable:
+    """Decode a record of the log, or return ``Undecodable``."""
+    return decode(data, _TYPES_BY_NAME)
--- /dev/null
+++ b/ragwortshelf/standins/__init__.py
@@ -0,0 +1,1 @@
+"""Small stand-ins for the log, the list, workers and minions, over HTTP."""
