--- a/ragwortshelf/net/interfaces.py
+++ b/ragwortshelf/net/interfaces.py
@@ -9,6 +9,7 @@
 
 import abc
 import enum
+from collections.abc import Awaitable, Callable
 from dataclasses import dataclass
 
 from ..core.model import (
@@ -34,6 +35,7 @@
     "Membership",
     "Minion",
     "NotSent",
+    "Peers",
     "Page",
     "RenewalAnswer",
     "Task",
@@ -245,3 +247,28 @@
     @abc.abstractmethod
     async def close(self) -> None:
         """Close the connection; safe at any time."""
+
+
+class Peers(abc.ABC):
+    """Links to the other instances, whatever data centre they are in.
+
+    Messages are frozen data classes that ``core.streams.codec`` can carry.
+    """
+
+    @abc.abstractmethod
+    async def call(
+        self, instance: str, message: object, *, deadline_ms: int
+    ) -> object | Unreachable:
+        """Send a message and return the peer's reply.
+
+        ``deadline_ms`` is on this process's monotonic clock, after which the answer
+        is ``Unreachable``.
+        """
+
+    @abc.abstractmethod
+    def handle(
+        self,
+        message_type: type,
+        handler: Callable[[str, object], Awaitable[object]],
+    ) -> None:
+        """Answer messages of a type with ``await handler(sender, message)``."""
