--- /dev/null
+++ b/ragwortshelf/daemon/api/requests.py
@@ -0,0 +1,175 @@
+"""Calls that pass requests on to the minions."""
+
+from __future__ import annotations
+
+from base64 import b64decode, b64encode
+from binascii import Error as Base64Error
+
+import trio
+
+from ...core.model import (
+    Answered,
+    NotRun,
+    Priority,
+    Reason,
+    Request,
+    RequestClass,
+    RequestOutcome,
+    Unknown,
+)
+from ...net.http_messages import HttpResponse, json_response
+from ..fields import FieldReader
+from .router import ApiCall, Router, error, field_faults
+
+__all__ = ["RequestApi", "not_run_response"]
+
+_IDS_MAX = 1000
+_DEADLINE_MAX_MS = 24 * 3600 * 1000
+_DEFAULT_DEADLINE_MS = 30_000
+_BODY_MAX_CHARACTERS = 2**30
+# Statuses of requests and jobs that were not run, where 503 does not say enough.
+_STATUS_BY_REASON = {
+    Reason.INVALID: 400,
+    Reason.NEVER_FITS: 422,
+    Reason.ORGANISATION_UNKNOWN: 403,
+    Reason.ORGANISATION_WITHDRAWN: 403,
+    Reason.OVER_QUOTA: 429,
+    Reason.QUEUE_FULL: 429,
+}
+
+
+def not_run_response(outcome: NotRun) -> HttpResponse:
+    """Say that nothing ran, and when to come back if that can help."""
+    status = _STATUS_BY_REASON.get(outcome.reason, 503)
+    fields = {
+        "outcome": "not_run",
+        "reason": outcome.reason.value,
+        "detail": outcome.detail,
+        "retry_after_ms": outcome.retry_after_ms,
+    }
+    headers = ()
+    if outcome.retry_after_ms is not None:
+        # The header counts whole seconds, rounded up.
+        headers = (("retry-after", str(-(-outcome.retry_after_ms // 1000))),)
+    return json_response(status, fields, headers)
+
+
+class RequestApi:
+    """Reserves request ids and submits requests to ``service``."""
+
+    def __init__(self, service):
+        self._service = service
+
+    def add_routes(self, router: Router) -> None:
+        """Add this subject's routes."""
+        router.add("POST", "/v1/request-ids", self._reserve)
+        router.add("POST", "/v1/requests", self._submit)
+
+    async def _reserve(self, call: ApiCall) -> HttpResponse:
+        reader = call.fields()
+        if isinstance(reader, HttpResponse):
+            return reader
+        count = reader.integer("count", 1, _IDS_MAX, default=1)
+        if faults := reader.finish():
+            return field_faults(faults)
+        return json_response(200, {"request_ids": self._service.reserve_ids(count)})
+
+    async def _submit(self, call: ApiCall) -> HttpResponse:
+        reader = call.fields()
+        if isinstance(reader, HttpResponse):
+            return reader
+        request = self._read_request(call, reader)
+        if isinstance(request, HttpResponse):
+            return request
+        if not call.principal.may_see(request.organisation):
+            return error(403, "forbidden", "this organisation is not yours")
+        outcome = await self._service.submit(request)
+        return _outcome_response(request.request_id, outcome)
+
+    def _read_request(
+        self, call: ApiCall, reader: FieldReader
+    ) -> Request | HttpResponse:
+        now_ms = int(trio.current_time() * 1000)
+        request_id = reader.text("request_id", default="")
+        timeout_ms = reader.integer(
+            "timeout_ms", 1, _DEADLINE_MAX_MS, default=_DEFAULT_DEADLINE_MS
+        )
+        headers = reader.mapping("headers", default={})
+        body = reader.text("body", default="", limit=_BODY_MAX_CHARACTERS)
+        body_base64 = reader.text("body_base64", default="", limit=_BODY_MAX_CHARACTERS)
+        fields = {
+            "organisation": reader.text(
+                "organisation", default=call.principal.organisation
+            ),
+            "is_idempotent": reader.boolean("idempotent", default=False),
+            "priority": reader.choice("priority", Priority, default=Priority.NORMAL),
+            "request_class": reader.choice(
+                "class", RequestClass, default=RequestClass.ORDINARY
+            ),
+            "method": reader.text("method", default="POST", limit=16),
+            "path": reader.text("path", default="/", limit=2048),
+        }
+        if faults := reader.finish():
+            return field_faults(faults)
+        if detail := _header_fault(headers, fields["method"], fields["path"]):
+            return error(400, "bad_fields", detail)
+        try:
+            payload = b64decode(body_base64, validate=True) or body.encode()
+        except (Base64Error, ValueError):
+            return error(400, "bad_fields", "body_base64: is not base64")
+        return Request(
+            request_id=request_id or self._service.reserve_ids(1)[0],
+            deadline_ms=now_ms + timeout_ms,
+            headers=tuple((name.lower(), value) for name, value in headers.items()),
+            body=payload,
+            **fields,
+        )
+
+
+def _header_fault(headers: dict, method: str, path: str) -> str:
+    """Return what is wrong with the head of the passed-on request, or nothing."""
+    if not (method.isascii() and method.isalpha()):
+        return "method: must be letters"
+    if not path.startswith("/") or not _is_printable(path) or " " in path:
+        return "path: must start with / and be printable, without spaces"
+    for name, value in headers.items():
+        if not isinstance(value, str) or not _is_printable(value):
+            return f"headers.{name}: must be printable text"
+        if not name or not all(c.isascii() and (c.isalnum() or c == "-") for c in name):
+            return "headers: names are letters, digits and -"
+    return ""
+
+
+def _is_printable(text: str) -> bool:
+    return (text.isascii() and text.isprintable()) or text == ""
+
+
+def _outcome_response(request_id: str, outcome: RequestOutcome) -> HttpResponse:
+    if isinstance(outcome, NotRun):
+        refused = not_run_response(outcome)
+        headers = (*refused.headers, ("x-request-id", request_id))
+        return HttpResponse(refused.status, headers, refused.body)
+    headers = (("x-request-id", request_id),)
+    if isinstance(outcome, Unknown):
+        fields = {
+            "outcome": "unknown",
+            "request_id": request_id,
+            "reason": outcome.reason.value,
+            "detail": outcome.detail,
+        }
+        return json_response(504, fields, headers)
+    return json_response(200, _answered_fields(request_id, outcome), headers)
+
+
+def _answered_fields(request_id: str, outcome: Answered) -> dict:
+    fields = {
+        "outcome": "answered",
+        "request_id": request_id,
+        "status": outcome.status,
+        "headers": dict(outcome.headers),
+    }
+    try:
+        fields["body"] = outcome.body.decode()
+    except UnicodeDecodeError:
+        fields["body_base64"] = b64encode(outcome.body).decode()
+    return fields
--- /dev/null
+++ b/ragwortshelf/daemon/api/router.py
@@ -0,0 +1,121 @@
+"""Finds the handler of a call by method and path."""
+
+from __future__ import annotations
+
+from collections.abc import Awaitable, Callable
+from dataclasses import dataclass
+
+from ...net.http_messages import (
+    HttpRequest,
+    HttpResponse,
+    Malformed,
+    json_response,
+    parse_json,
+)
+from ..access import Access, Principal
+from ..fields import FieldFault, FieldReader
+
+__all__ = ["ApiCall", "ApiHandler", "Router", "error", "field_faults"]
+
+
+@dataclass(frozen=True, slots=True)
+class ApiCall:
+    """One call with who makes it and the named parts of its path."""
+
+    request: HttpRequest
+    principal: Principal
+    parts: dict[str, str]
+
+    def fields(self) -> FieldReader | HttpResponse:
+        """Return a reader of the JSON body, or the response that refuses it."""
+        fields = parse_json(self.request.body or b"{}")
+        if isinstance(fields, Malformed):
+            return error(400, "bad_json", fields.detail)
+        return FieldReader(fields)
+
+
+ApiHandler = Callable[[ApiCall], Awaitable[HttpResponse]]
+
+
+def error(status: int, code: str, detail: str, **more) -> HttpResponse:
+    """Build an error response; ``code`` is stable, ``detail`` is for people."""
+    return json_response(status, {"error": code, "detail": detail, **more})
+
+
+def field_faults(faults: tuple[FieldFault, ...]) -> HttpResponse:
+    """Refuse a body, naming every fault of it."""
+    rows = [{"field": fault.field, "detail": fault.detail} for fault in faults]
+    detail = "; ".join(f"{fault.field}: {fault.detail}" for fault in faults)
+    return error(400, "bad_fields", detail, faults=rows)
+
+
+@dataclass(frozen=True, slots=True)
+class _Route:
+    method: str
+    segments: tuple[str, ...]
+    handler: ApiHandler
+    is_for_operators: bool
+    is_public: bool
+
+
+class Router:
+    """Routes with patterns such as ``/v1/jobs/{job_id}``."""
+
+    def __init__(self, access: Access):
+        self._access = access
+        self._routes: list[_Route] = []
+
+    def add(
+        self,
+        method: str,
+        pattern: str,
+        handler: ApiHandler,
+        *,
+        operators_only: bool = False,
+        is_public: bool = False,
+    ) -> None:
+        """Add a route; a public one needs no token."""
+        segments = tuple(pattern.split("/"))
+        route = _Route(method, segments, handler, operators_only, is_public)
+        self._routes.append(route)
+
+    async def handle(self, request: HttpRequest) -> HttpResponse:
+        """Answer one request, or say why not."""
+        segments = tuple(request.path.split("/"))
+        matches = [
+            (route, parts)
+            for route in self._routes
+            if (parts := _match(route.segments, segments)) is not None
+        ]
+        if not matches:
+            return error(404, "no_such_path", request.path)
+        for route, parts in matches:
+            if route.method == request.method:
+                return await self._call(route, parts, request)
+        allowed = ", ".join(sorted({route.method for route, _ in matches}))
+        refusal = error(405, "method_not_allowed", f"use {allowed}")
+        return HttpResponse(405, (*refusal.headers, ("allow", allowed)), refusal.body)
+
+    async def _call(self, route: _Route, parts, request) -> HttpResponse:
+        principal = self._access.identify(request)
+        if principal is None and route.is_public:
+            principal = Principal(is_operator=False)
+        if principal is None:
+            return error(401, "unauthorised", "send a known bearer token")
+        if route.is_for_operators and not principal.is_operator:
+            return error(403, "forbidden", "only operators may do this")
+        return await route.handler(ApiCall(request, principal, parts))
+
+
+def _match(pattern: tuple[str, ...], segments: tuple[str, ...]):
+    if len(pattern) != len(segments):
+        return None
+    parts = {}
+    for expected, segment in zip(pattern, segments, strict=True):
+        if expected.startswith("{"):
+            if not segment:
+                return None
+            parts[expected[1:-1]] = segment
+        elif expected != segment:
+            return None
+    return parts
--- /dev/null
+++ b/ragwortshelf/daemon/fields.py
@@ -0,0 +1,98 @@
+"""Checked reading of the fields of a JSON object that a caller sent."""
+
+from __future__ import annotations
+
+import enum
+from dataclasses import dataclass
+
+__all__ = ["FieldFault", "FieldReader"]
+
+_MISSING = object()
+
+
+@dataclass(frozen=True, slots=True)
+class FieldFault:
+    """One fault of one field."""
+
+    field: str
+    detail: str
+
+
+class FieldReader:
+    """Reads fields by name and type, collecting every fault.
+
+    Each reading method returns the field's value, its default, or, after a fault, a
+    value of the right type that must not be used.
+
+    >>> reader = FieldReader({"count": 2, "colour": 1})
+    >>> reader.integer("count", 1, 10)
+    2
+    >>> reader.finish()
+    (FieldFault(field='colour', detail='unknown field'),)
+    """
+
+    def __init__(self, fields: dict):
+        self._fields = fields
+        self._read: set[str] = set()
+        self._faults: list[FieldFault] = []
+
+    def text(self, name: str, default=_MISSING, *, limit: int = 256) -> str:
+        """Read a string of at most ``limit`` characters."""
+        value = self._take(name, default, str, "a string", "")
+        if isinstance(value, str) and len(value) > limit:
+            self._fault(name, f"longer than {limit} characters")
+        return value
+
+    def integer(self, name: str, low: int, high: int, default=_MISSING) -> int:
+        """Read a whole number from ``low`` to ``high``."""
+        value = self._take(name, default, int, "a whole number", low)
+        if value is not default and not low <= value <= high:
+            self._fault(name, f"must be from {low} to {high}")
+        return value
+
+    def boolean(self, name: str, default=_MISSING) -> bool:
+        """Read true or false."""
+        return self._take(name, default, bool, "true or false", False)
+
+    def choice(self, name: str, choices: type[enum.Enum], default=_MISSING):
+        """Read one of an enumeration's values, or names if they are numbers."""
+        by_text = {
+            m.value if isinstance(m.value, str) else m.name.lower(): m for m in choices
+        }
+        first = next(iter(by_text))
+        text = self._take(name, default, str, "a string", first)
+        if text is default:
+            return default
+        if text not in by_text:
+            self._fault(name, f"must be one of {', '.join(by_text)}")
+            return by_text[first]
+        return by_text[text]
+
+    def mapping(self, name: str, default=_MISSING) -> dict:
+        """Read a JSON object."""
+        return self._take(name, default, dict, "an object", {})
+
+    def finish(self) -> tuple[FieldFault, ...]:
+        """Return all faults, unknown fields among them."""
+        unknown = sorted(set(self._fields) - self._read)
+        return (
+            *self._faults,
+            *(FieldFault(name, "unknown field") for name in unknown),
+        )
+
+    def _take(self, name: str, default, expected: type, noun: str, fallback):
+        self._read.add(name)
+        value = self._fields.get(name, _MISSING)
+        if value is _MISSING or (value is None and default is not _MISSING):
+            if default is _MISSING:
+                self._fault(name, "is required")
+                return fallback
+            return default
+        # bool is a subclass of int, but true is no number.
+        if type(value) is not expected:
+            self._fault(name, f"must be {noun}")
+            return fallback
+        return value
+
+    def _fault(self, name: str, detail: str) -> None:
+        self._faults.append(FieldFault(name, detail))
--- /dev/null
+++ b/ragwortshelf/daemon/settings.py
@@ -0,0 +1,295 @@
+"""Settings of the daemon: flags that fall back to environment variables.
+
+``SETTINGS`` is the one table of them; the flags, the checks at start and the reference
+page are made from it. A flag ``--log_address`` falls back to the environment variable
+``RAGWORTSHELF_LOG_ADDRESS`` and then to its default.
+"""
+
+from __future__ import annotations
+
+import ipaddress
+from collections.abc import Callable, Mapping
+from dataclasses import dataclass
+
+from absl import flags
+
+__all__ = [
+    "SETTINGS",
+    "Setting",
+    "Settings",
+    "SettingsFault",
+    "define_flags",
+    "load_settings",
+    "reference_page",
+]
+
+ENVIRONMENT_PREFIX = "RAGWORTSHELF_"
+_MIN_TOKEN_CHARACTERS = 16
+
+
+@dataclass(frozen=True, slots=True)
+class SettingsFault:
+    """One fault of one setting, as a line for the operator."""
+
+    name: str
+    detail: str
+
+    def __str__(self) -> str:
+        variable = ENVIRONMENT_PREFIX + self.name.upper()
+        return f"--{self.name} (or {variable}): {self.detail}"
+
+
+@dataclass(frozen=True, slots=True)
+class Settings:
+    """Checked settings of one instance; see ``SETTINGS`` for each one's meaning."""
+
+    instance: str
+    data_centre: str
+    api_address: str
+    peer_address: str
+    log_address: str
+    list_address: str
+    operator_tokens: tuple[str, ...]
+    organisation_tokens: Mapping[str, str]
+    peer_secret: str
+    drain_deadline_ms: int
+    body_limit_bytes: int
+    header_limit_bytes: int
+    caller_connections: int
+    caller_read_timeout_ms: int
+    platform_timeout_ms: int
+    worker_timeout_ms: int
+    lease_ttl_ms: int
+    worker_poll_interval_ms: int
+    log_level: str
+
+    @property
+    def is_open(self) -> bool:
+        """Whether callers and operators are let in without a token."""
+        return not self.operator_tokens and not self.organisation_tokens
+
+
+@dataclass(frozen=True, slots=True)
+class Setting:
+    """One row of the table; ``parse`` raises ValueError with the fault."""
+
+    name: str
+    default: str
+    parse: Callable[[str], object]
+    help: str
+
+
+def _name(text: str) -> str:
+    if not text:
+        raise ValueError("is required")
+    if not all(c.isalnum() or c in "-_" for c in text) or len(text) > 64:
+        raise ValueError("use up to 64 letters, digits, - and _")
+    return text
+
+
+def _address(text: str) -> str:
+    if not text:
+        raise ValueError("is required")
+    host, _, port = text.rpartition(":")
+    try:
+        ipaddress.ip_address(host.strip("[]"))
+    except ValueError:
+        raise ValueError(f"{text!r} is not IP:port") from None
+    if not port.isdecimal() or not 0 <= int(port) <= 65535:
+        raise ValueError(f"{text!r} has no port from 0 to 65535")
+    return text
+
+
+def _token(text: str) -> str:
+    if len(text) < _MIN_TOKEN_CHARACTERS:
+        raise ValueError(f"a token needs {_MIN_TOKEN_CHARACTERS} characters or more")
+    return text
+
+
+def _tokens(text: str) -> tuple[str, ...]:
+    return tuple(_token(token) for token in text.split(",") if token)
+
+
+def _organisation_tokens(text: str) -> dict[str, str]:
+    """Parse ``organisation=token,…`` into organisation by token."""
+    organisation_by_token = {}
+    for entry in filter(None, text.split(",")):
+        organisation, sign, token = entry.partition("=")
+        if not organisation or not sign:
+            raise ValueError("use organisation=token,organisation=token")
+        if token in organisation_by_token:
+            raise ValueError("two organisations share a token")
+        organisation_by_token[_token(token)] = organisation
+    return organisation_by_token
+
+
+def _secret(text: str) -> str:
+    if not text:
+        raise ValueError("is required: all instances share one secret")
+    return _token(text)
+
+
+def _integer(low: int, high: int) -> Callable[[str], int]:
+    def parse(text: str) -> int:
+        if not text.isdecimal() or len(text) > 18:
+            raise ValueError(f"{text!r} is not a whole number")
+        value = int(text)
+        if not low <= value <= high:
+            raise ValueError(f"{value} is not from {low} to {high}")
+        return value
+
+    return parse
+
+
+def _level(text: str) -> str:
+    if text not in ("debug", "info", "warning", "error"):
+        raise ValueError("use debug, info, warning or error")
+    return text
+
+
+_DAY_MS = 86_400_000
+
+SETTINGS = (
+    Setting("instance", "", _name, "Name of this instance, unique in the platform."),
+    Setting("data_centre", "", _name, "Name of the data centre it runs in."),
+    Setting("api_address", "", _address, "IP:port for callers and operators."),
+    Setting("peer_address", "", _address, "IP:port for the other instances."),
+    Setting("log_address", "", _address, "IP:port of the platform's log."),
+    Setting("list_address", "", _address, "IP:port of the platform's instance list."),
+    Setting(
+        "operator_tokens",
+        "",
+        _tokens,
+        "Bearer tokens of operators, separated by commas.",
+    ),
+    Setting(
+        "organisation_tokens",
+        "",
+        _organisation_tokens,
+        "Bearer tokens of callers: organisation=token, separated by commas.",
+    ),
+    Setting("peer_secret", "", _secret, "Secret that all instances share."),
+    Setting(
+        "drain_deadline_ms",
+        "30000",
+        _integer(0, _DAY_MS),
+        "Milliseconds from SIGTERM until the process ends at the latest.",
+    ),
+    Setting(
+        "body_limit_bytes",
+        "1048576",
+        _integer(1024, 2**30),
+        "Largest body of a caller's request, in bytes.",
+    ),
+    Setting(
+        "header_limit_bytes",
+        "16384",
+        _integer(1024, 2**20),
+        "Largest head of a caller's request, in bytes.",
+    ),
+    Setting(
+        "caller_connections",
+        "1024",
+        _integer(1, 65536),
+        "Callers' connections open at once; more are closed.",
+    ),
+    Setting(
+        "caller_read_timeout_ms",
+        "10000",
+        _integer(100, _DAY_MS),
+        "Milliseconds in which a caller has to send a request.",
+    ),
+    Setting(
+        "platform_timeout_ms",
+        "5000",
+        _integer(100, _DAY_MS),
+        "Milliseconds until a call to the log or the list is given up.",
+    ),
+    Setting(
+        "worker_timeout_ms",
+        "1500",
+        _integer(50, _DAY_MS),
+        "Milliseconds until a call to a worker is given up.",
+    ),
+    Setting(
+        "lease_ttl_ms",
+        "15000",
+        _integer(1000, _DAY_MS),
+        "Time to live of a worker's lease, in milliseconds.",
+    ),
+    Setting(
+        "worker_poll_interval_ms",
+        "1000",
+        _integer(50, 60_000),
+        "Milliseconds between two looks at a worker with running tasks.",
+    ),
+    Setting("log_level", "info", _level, "debug, info, warning or error."),
+)
+
+
+def define_flags(values: flags.FlagValues) -> None:
+    """Define one string flag for each setting; they are checked together later."""
+    for setting in SETTINGS:
+        flags.DEFINE_string(setting.name, None, setting.help, flag_values=values)
+
+
+def load_settings(
+    values: flags.FlagValues, environment: Mapping[str, str]
+) -> Settings | tuple[SettingsFault, ...]:
+    """Check all settings together and return them, or every fault."""
+    parsed = {}
+    faults = []
+    for setting in SETTINGS:
+        text = values[setting.name].value
+        if text is None:
+            variable = ENVIRONMENT_PREFIX + setting.name.upper()
+            text = environment.get(variable, setting.default)
+        try:
+            parsed[setting.name] = setting.parse(text)
+        except ValueError as error:
+            faults.append(SettingsFault(setting.name, str(error)))
+    faults.extend(_cross_checks(parsed))
+    return tuple(faults) if faults else Settings(**parsed)
+
+
+def _cross_checks(parsed: Mapping[str, object]) -> list[SettingsFault]:
+    """Faults that only show when settings are compared."""
+    faults = []
+    if parsed.get("api_address") and _is_shared(parsed, "api_address", "peer_address"):
+        detail = "is the same as --api_address"
+        faults.append(SettingsFault("peer_address", detail))
+    ttl_ms, poll_ms = parsed.get("lease_ttl_ms"), parsed.get("worker_poll_interval_ms")
+    if ttl_ms and poll_ms and ttl_ms < 3 * poll_ms:
+        detail = "must be at least three times --worker_poll_interval_ms"
+        faults.append(SettingsFault("lease_ttl_ms", detail))
+    both = set(parsed.get("operator_tokens", ())) & set(
+        parsed.get("organisation_tokens", {})
+    )
+    if both:
+        detail = "an operator's token is also an organisation's"
+        faults.append(SettingsFault("organisation_tokens", detail))
+    return faults
+
+
+def _is_shared(parsed, first: str, second: str) -> bool:
+    address = parsed.get(first)
+    return address == parsed.get(second) and not str(address).endswith(":0")
+
+
+def reference_page() -> str:
+    """Return the reference page of all settings in Markdown."""
+    lines = [
+        "# Settings of ragwortshelfd",
+        "",
+        "This page is generated: `python -m ragwortshelf.daemon.settings_page`.",
+        "",
+        "| flag | environment variable | default | meaning |",
+        "| --- | --- | --- | --- |",
+    ]
+    for setting in SETTINGS:
+        default = f"`{setting.default}`" if setting.default else ""
+        variable = ENVIRONMENT_PREFIX + setting.name.upper()
+        lines.append(
+            f"| `--{setting.name}` | `{variable}` | {default} | {setting.help} |"
+        )
+    return "\n".join(lines) + "\n"
--- a/ragwortshelf/net/http_server.py
+++ b/ragwortshelf/net/http_server.py
@@ -180,10 +180,18 @@
                 if event is h11.NEED_DATA and not await self._receive():
                     return None
             if isinstance(event, h11.Request):
+                self._check_head(event)
                 return event
             return None
         raise _BadInput(408, "the request's headers took too long")
 
+    def _check_head(self, head: h11.Request) -> None:
+        # h11 bounds only what is incomplete; a whole head may come in one read.
+        size = len(head.target) + sum(len(k) + len(v) + 4 for k, v in head.headers)
+        if size > self._limits.header_bytes:
+            limit = self._limits.header_bytes
+            raise _BadInput(431, f"the head exceeds {limit} bytes")
+
     async def _read_body(self, head) -> bytes:
         declared = _content_length(head)
         if declared > self._limits.body_bytes:
--- /dev/null
+++ b/tests/net/test_http_server.py
@@ -0,0 +1,154 @@
+"""Bad, slow and hostile callers get an error or a closed connection."""
+
+import contextlib
+
+import pytest
+import trio
+
+from ragwortshelf.net.http_messages import HttpLimits, json_response, parse_json
+from ragwortshelf.net.http_server import HttpServer
+
+LIMITS = HttpLimits(
+    header_bytes=1024, body_bytes=100, read_timeout_ms=300, connections=4
+)
+
+
+@contextlib.asynccontextmanager
+async def serving(handler, limits=LIMITS):
+    listeners = await trio.open_tcp_listeners(0, host="127.0.0.1")
+    server = HttpServer(handler, limits)
+    async with trio.open_nursery() as nursery:
+        nursery.start_soon(server.serve, listeners)
+        yield server, listeners[0].socket.getsockname()
+        nursery.cancel_scope.cancel()
+
+
+async def echo(request):
+    return json_response(200, {"body": request.body.decode("latin-1")})
+
+
+async def exchange(address, data, *, eof=False):
+    stream = await trio.open_tcp_stream(*address)
+    async with stream:
+        await stream.send_all(data)
+        if eof:
+            await stream.send_eof()
+        received = b""
+        with trio.fail_after(20):
+            with contextlib.suppress(trio.BrokenResourceError):
+                while part := await stream.receive_some(65536):
+                    received += part
+        return received
+
+
+CLOSE = b"Connection: close\r\n"
+POST = b"POST / HTTP/1.1\r\nHost: x\r\n"
+
+
+@pytest.mark.parametrize(
+    ("data", "status"),
+    [
+        (POST + CLOSE + b"Content-Length: 2\r\n\r\nab", b"200"),
+        (POST + b"Content-Length: 101\r\n\r\n", b"413"),
+        (POST + b"Content-Length: " + b"9" * 400 + b"\r\n\r\n", b"4"),
+        (POST + b"Content-Length: -1\r\n\r\n", b"400"),
+        (b"GET / HTTP/1.1\r\nHost: x\r\nA: " + b"a" * 2000 + b"\r\n\r\n", b"431"),
+        (b"GET / HTTP/1.1\r\nHost: x\r\nContent-Length: 5\r\n\r\n", b"408"),
+        (b"GET / HTTP/1.1\r\nHo", b"408"),
+        (b"\x00\xff garbage\r\n\r\n", b"400"),
+        (
+            POST + b"Transfer-Encoding: chunked\r\n\r\n"
+            + b"40\r\n" + b"a" * 64 + b"\r\n40\r\n" + b"a" * 64 + b"\r\n0\r\n\r\n",
+            b"413",
+        ),
+    ],
+)  # fmt: skip
+async def test_bad_input_gets_a_status(data, status):
+    async with serving(echo) as (_, address):
+        answer = await exchange(address, data)
+        assert answer.startswith(b"HTTP/1.1 " + status)
+        # The server goes on serving others.
+        good = b"GET / HTTP/1.1\r\nHost: x\r\n" + CLOSE + b"\r\n"
+        assert (await exchange(address, good)).startswith(b"HTTP/1.1 200")
+
+
+async def test_pipelined_requests_are_answered_in_order():
+    one = POST + b"Content-Length: 1\r\n\r\n1"
+    two = b"POST / HTTP/1.1\r\nHost: x\r\n" + CLOSE + b"Content-Length: 1\r\n\r\n2"
+    async with serving(echo) as (_, address):
+        answer = await exchange(address, one + two)
+    assert answer.count(b"HTTP/1.1 200") == 2
+    assert answer.index(b'"1"') < answer.index(b'"2"')
+
+
+async def test_a_handler_that_raises_gives_500():
+    async def fail(request):
+        raise RuntimeError("broken")
+
+    data = b"GET / HTTP/1.1\r\nHost: x\r\n" + CLOSE + b"\r\n"
+    async with serving(fail) as (_, address):
+        assert (await exchange(address, data)).startswith(b"HTTP/1.1 500")
+
+
+async def test_a_caller_that_disconnects_cancels_its_handler():
+    started = trio.Event()
+    cancelled = trio.Event()
+
+    async def wait(request):
+        started.set()
+        try:
+            await trio.sleep_forever()
+        finally:
+            cancelled.set()
+
+    async with serving(wait) as (_, address):
+        stream = await trio.open_tcp_stream(*address)
+        await stream.send_all(b"GET / HTTP/1.1\r\nHost: x\r\n\r\n")
+        await started.wait()
+        await stream.aclose()
+        with trio.fail_after(20):
+            await cancelled.wait()
+
+
+async def test_connections_beyond_the_limit_are_closed():
+    async with serving(echo) as (server, address):
+        streams = [await trio.open_tcp_stream(*address) for _ in range(5)]
+        with trio.fail_after(20):
+            with contextlib.suppress(trio.BrokenResourceError):
+                assert await streams[4].receive_some(1) == b""
+        assert server.connections_max == 4
+        for stream in streams:
+            await stream.aclose()
+
+
+async def test_a_drain_finishes_what_runs_and_closes_what_is_idle():
+    release = trio.Event()
+    started = trio.Event()
+
+    async def wait(request):
+        started.set()
+        await release.wait()
+        return json_response(200, {})
+
+    listeners = await trio.open_tcp_listeners(0, host="127.0.0.1")
+    address = listeners[0].socket.getsockname()
+    server = HttpServer(wait, LIMITS)
+    async with trio.open_nursery() as nursery:
+        nursery.start_soon(server.serve, listeners)
+        idle = await trio.open_tcp_stream(*address)
+        busy = await trio.open_tcp_stream(*address)
+        await busy.send_all(b"GET / HTTP/1.1\r\nHost: x\r\n\r\n")
+        await started.wait()
+        server.drain()
+        assert await idle.receive_some(1) == b""
+        release.set()
+        assert (await busy.receive_some(100)).startswith(b"HTTP/1.1 200")
+        await idle.aclose()
+        await busy.aclose()
+
+
+@pytest.mark.parametrize(
+    "body", [b"{", b"[]", b'{"a": NaN}', b"[" * 100_000, b'{"a": ' + b"9" * 5000 + b"}"]
+)
+def test_what_is_no_json_object_is_malformed(body):
+    assert hasattr(parse_json(body), "detail")
