Add release notes, the table of rules and the fold of notes

Cause: operators change the configuration by notes that have to mean the same on every instance. Change: a checked format, a pure fold with verdicts, a packing check of the guarantees, and withdrawals listed in the configuration. Conclusion: an interface to build on.

--- a/ragwortshelf/core/model/__init__.py
+++ b/ragwortshelf/core/model/__init__.py
@@ -13,6 +13,7 @@
     Rack,
     Rule,
     Shape,
+    Withdrawal,
 )
 from .decisions import Decision
 from .jobs import JobPhase, JobSpec, Priority
@@ -41,6 +42,7 @@
     "Rack",
     "Rule",
     "Shape",
+    "Withdrawal",
     "Decision",
     "JobPhase",
     "JobSpec",
--- a/ragwortshelf/core/model/configuration.py
+++ b/ragwortshelf/core/model/configuration.py
@@ -20,6 +20,7 @@
     "Rack",
     "Rule",
     "Shape",
+    "Withdrawal",
 ]
 
 NO_REVISION = -1
@@ -93,14 +94,41 @@
     value: int | float | str | bool
 
 
+@dataclass(frozen=True, slots=True)
+class Withdrawal:
+    """What becomes of the work of an organisation or data centre that was withdrawn.
+
+    ``waiting`` and ``running`` say whether its jobs are still served: ``finish`` lets
+    them go on to their end, ``refuse`` ends waiting jobs as not run and ``stop`` stops
+    running ones. ``late_charges`` says whether usage that is reported afterwards is
+    still charged (``charge``) or kept apart as waived (``waive``).
+    """
+
+    name: str
+    waiting: str
+    running: str
+    late_charges: str = "charge"
+    revision: int = NO_REVISION
+
+
 @dataclass(frozen=True, slots=True)
 class Configuration:
-    """What is in force at ``revision``."""
+    """What is in force at ``revision``.
+
+    The withdrawals of the newest names that were withdrawn and not added again stay
+    listed, since jobs and charges outlive an organisation or data centre.
+    """
 
     revision: int = NO_REVISION
     organisations_by_name: Mapping[str, Organisation] = field(default_factory=dict)
     data_centres_by_name: Mapping[str, DataCentre] = field(default_factory=dict)
     rules_by_name: Mapping[str, Rule] = field(default_factory=dict)
+    withdrawn_organisations_by_name: Mapping[str, Withdrawal] = field(
+        default_factory=dict
+    )
+    withdrawn_data_centres_by_name: Mapping[str, Withdrawal] = field(
+        default_factory=dict
+    )
 
     def rule(self, name: str, default: int | float | str | bool):
         """Return the value of the rule ``name``, or ``default`` if it is not set."""
--- /dev/null
+++ b/ragwortshelf/core/releases/apply.py
@@ -0,0 +1,189 @@
+"""Application of one well-formed note to a configuration, whole or not at all."""
+
+from __future__ import annotations
+
+import dataclasses
+
+from ..model import (
+    Configuration,
+    DataCentre,
+    Organisation,
+    Rule,
+    Withdrawal,
+)
+from .note import UNCHANGED, Changes, Fault, ReleaseNote
+from .packing import packing_fault
+
+__all__ = ["MAX_WITHDRAWALS_LISTED", "apply_note"]
+
+MAX_WITHDRAWALS_LISTED = 1_024
+"""Withdrawals of each kind that a configuration lists; older ones are dropped."""
+
+
+def apply_note(
+    configuration: Configuration, revision: int, note: ReleaseNote
+) -> Configuration | tuple[Fault, ...]:
+    """Return the configuration at ``revision``, or every fault of the note.
+
+    The faults are those that depend on the configuration: names that exist or do not,
+    and promises that could not be kept.
+    """
+    faults = []
+    organisations_by_name = _changed(
+        faults, "organisations", configuration.organisations_by_name, note.organisations
+    )
+    data_centres_by_name = _changed(
+        faults, "data_centres", configuration.data_centres_by_name, note.data_centres
+    )
+    rules_by_name = _changed(faults, "rules", configuration.rules_by_name, note.rules)
+    if faults:
+        return tuple(faults)
+    result = Configuration(
+        revision,
+        organisations_by_name,
+        data_centres_by_name,
+        rules_by_name,
+        _withdrawn(
+            configuration.withdrawn_organisations_by_name, revision, note.organisations
+        ),
+        _withdrawn(
+            configuration.withdrawn_data_centres_by_name, revision, note.data_centres
+        ),
+    )
+    faults.extend(_catalogue_faults(result, note))
+    faults.extend(_organisation_faults(result, note))
+    if not faults:
+        faults.extend(_promise_faults(configuration, result, note))
+    return tuple(faults) if faults else result
+
+
+def _changed(faults, kind, objects_by_name, changes: Changes):
+    """Return the objects after the changes; names in order make equal snapshots."""
+    result = dict(objects_by_name)
+    for name, added in changes.added_by_name.items():
+        if name in objects_by_name:
+            faults.append(Fault(f"{kind}.added.{name}", "exists already"))
+        result[name] = added
+    for name, change in changes.changed_by_name.items():
+        if name not in objects_by_name:
+            faults.append(Fault(f"{kind}.changed.{name}", "does not exist"))
+            continue
+        result[name] = _with_change(objects_by_name[name], change)
+    for name in changes.withdrawn_by_name:
+        if result.pop(name, None) is None:
+            faults.append(Fault(f"{kind}.withdrawn.{name}", "does not exist"))
+    return dict(sorted(result.items()))
+
+
+def _with_change(current: Organisation | DataCentre | Rule, change):
+    if isinstance(change, Rule):
+        return change
+    fields = {
+        field.name: getattr(change, field.name) for field in dataclasses.fields(change)
+    }
+    set_fields = {k: v for k, v in fields.items() if v is not UNCHANGED}
+    return dataclasses.replace(current, **set_fields)
+
+
+def _withdrawn(withdrawn_by_name, revision, changes: Changes):
+    result: dict[str, Withdrawal] = {
+        name: withdrawal
+        for name, withdrawal in withdrawn_by_name.items()
+        if name not in changes.added_by_name
+    }
+    for name, withdrawal in changes.withdrawn_by_name.items():
+        result[name] = dataclasses.replace(withdrawal, revision=revision)
+    while len(result) > MAX_WITHDRAWALS_LISTED:
+        del result[next(iter(result))]
+    return result
+
+
+def _path(changes: Changes, kind, name):
+    """Path of an object in the note, or of its kind if the note leaves it alone."""
+    for key, names in (
+        ("added", changes.added_by_name),
+        ("changed", changes.changed_by_name),
+    ):
+        if name in names:
+            return f"{kind}.{key}.{name}"
+    return kind
+
+
+def _catalogue_faults(result, note):
+    """Workers that two data centres list."""
+    if not note.data_centres.names():
+        return
+    owner_by_worker = {}
+    for data_centre in result.data_centres_by_name.values():
+        for rack in data_centre.racks:
+            for worker in rack.workers:
+                owner = owner_by_worker.setdefault(worker, data_centre.name)
+                if owner != data_centre.name:
+                    path = _path(note.data_centres, "data_centres", data_centre.name)
+                    if path == "data_centres":
+                        path = _path(note.data_centres, "data_centres", owner)
+                    yield Fault(f"{path}.racks", f"{owner} lists {worker} too")
+
+
+def _organisation_faults(result, note):
+    regions = {item.region for item in result.data_centres_by_name.values()}
+    names = result.organisations_by_name
+    if not note.data_centres.names():
+        names = (*note.organisations.added_by_name, *note.organisations.changed_by_name)
+    for name in names:
+        organisation = result.organisations_by_name[name]
+        path = _path(note.organisations, "organisations", name)
+        owner = "" if path != "organisations" else f"{name}: "
+        if organisation.home_region and organisation.home_region not in regions:
+            yield Fault(f"{path}.home_region", f"{owner}no data centre is there")
+        guaranteed = sum(s.accelerators * s.count for s in organisation.guarantees)
+        quota = organisation.quota_accelerators
+        if quota is not None and quota < guaranteed:
+            yield Fault(
+                f"{path}.quota_accelerators",
+                f"{owner}is below the {guaranteed} accelerators guaranteed",
+            )
+        for index, shape in enumerate(organisation.guarantees):
+            if shape.data_centre not in result.data_centres_by_name:
+                yield Fault(
+                    f"{path}.guarantees[{index}].data_centre",
+                    f"{owner}{shape.data_centre} does not exist",
+                )
+
+
+def _promise_faults(before, after, note):
+    """Data centres whose guaranteed shapes no longer fit, if they may have changed."""
+    for name in _affected_data_centres(before, after, note):
+        shapes = [
+            shape
+            for organisation in after.organisations_by_name.values()
+            for shape in organisation.guarantees
+            if shape.data_centre == name
+        ]
+        detail = packing_fault(after.data_centres_by_name[name], shapes)
+        if detail is not None:
+            yield Fault(_promise_path(note, after, name), f"{name}: {detail}")
+
+
+def _affected_data_centres(before, after, note):
+    names = {
+        *note.data_centres.added_by_name,
+        *note.data_centres.changed_by_name,
+    }
+    for organisation_name in note.organisations.names():
+        for configuration in (before, after):
+            organisation = configuration.organisations_by_name.get(organisation_name)
+            if organisation is not None:
+                names.update(shape.data_centre for shape in organisation.guarantees)
+    return sorted(names & set(after.data_centres_by_name))
+
+
+def _promise_path(note, after, data_centre_name):
+    """The first guarantee of the note there, else the data centre that it changes."""
+    changes = note.organisations
+    for name in (*changes.added_by_name, *changes.changed_by_name):
+        for shape in after.organisations_by_name[name].guarantees:
+            if shape.data_centre == data_centre_name:
+                path = _path(changes, "organisations", name)
+                return f"{path}.guarantees"
+    return _path(note.data_centres, "data_centres", data_centre_name)
--- /dev/null
+++ b/ragwortshelf/core/releases/fold.py
@@ -0,0 +1,189 @@
+"""The fold of release notes: a pure function with the same verdict everywhere.
+
+A note takes effect whole or not at all. Its verdict depends on nothing but the records
+before it in the stream, so that every instance gives the same one.
+"""
+
+from __future__ import annotations
+
+import dataclasses
+import hashlib
+
+from ..model import NO_REVISION
+from ..streams.records import ReleaseSubmitted
+from .apply import apply_note
+from .note import Fault, ReleaseNote, touched_objects
+from .parse import parse_note, unsupported_format
+from .state import (
+    Accepted,
+    Conflict,
+    Duplicate,
+    Halted,
+    LastChange,
+    NoteEntry,
+    RefusalReason,
+    Refused,
+    ReleaseState,
+    Verdict,
+)
+
+__all__ = ["MAX_NOTES_KEPT", "MAX_WITHDRAWN_KEPT", "fold"]
+
+MAX_NOTES_KEPT = 2_048
+"""Judged notes that the state remembers, over three days at 640 notes a day."""
+
+MAX_WITHDRAWN_KEPT = 4_096
+"""Withdrawn names whose last change the state remembers."""
+
+
+def fold(
+    state: ReleaseState, offset: int, record: ReleaseSubmitted
+) -> tuple[ReleaseState, Verdict]:
+    """Fold one record and return the next state with the record's verdict.
+
+    An offset below ``state.next_offset`` was folded before and changes nothing.
+    """
+    if state.is_halted:
+        return state, Halted(state.halted_format)
+    entry = state.entry_by_note_id.get(record.note_id)
+    if offset < state.next_offset:
+        return state, _verdict_again(state, offset, record)
+    digest = _digest(record)
+    advanced = dataclasses.replace(state, next_offset=offset + 1)
+    if entry is not None:
+        if entry.digest == digest:
+            return advanced, Duplicate(entry.offset)
+        return advanced, Refused(RefusalReason.NOTE_ID_REUSED)
+    newer_format = unsupported_format(record.note_json)
+    if newer_format is not None:
+        halted = dataclasses.replace(state, halted_format=newer_format)
+        return halted, Halted(newer_format)
+    return _judge_first(advanced, offset, record, digest)
+
+
+def _verdict_again(state, offset, record):
+    entry = state.entry_by_note_id.get(record.note_id)
+    if entry is None:
+        return Refused(RefusalReason.TOO_OLD)
+    return entry.verdict if entry.offset == offset else Duplicate(entry.offset)
+
+
+def _digest(record):
+    text = record.note_json.encode("utf-8", "surrogatepass")
+    return hashlib.sha256(text).digest()[:16]
+
+
+def _judge_first(state, offset, record, digest):
+    note = parse_note(record.note_json, "json")
+    configuration = state.configuration
+    if isinstance(note, ReleaseNote):
+        refusal = _refusal_by_state(state, record, note)
+    else:
+        refusal = Refused(RefusalReason.INVALID, faults=note)
+    if refusal is None:
+        applied = apply_note(configuration, offset, note)
+        if isinstance(applied, tuple):
+            refusal = Refused(RefusalReason.INVALID, faults=applied)
+        else:
+            configuration = applied
+    is_note = isinstance(note, ReleaseNote)
+    entry = NoteEntry(
+        record.note_id,
+        record.author,
+        note.purpose if is_note else "",
+        offset,
+        note.against_revision if is_note else NO_REVISION,
+        digest,
+        record.submitted_wall_ms,
+        touched_objects(note) if is_note else (),
+        accepted=refusal is None,
+        refusal=refusal,
+    )
+    state = _remember(state, entry)
+    if refusal is not None:
+        return state, refusal
+    state = dataclasses.replace(state, configuration=configuration)
+    return _record_changes(state, entry), Accepted(offset)
+
+
+def _refusal_by_state(state, record, note):
+    faults = []
+    if note.note_id != record.note_id:
+        faults.append(Fault("note_id", "differs from the record's"))
+    if note.author != record.author:
+        faults.append(Fault("author", "differs from the record's"))
+    revision = state.configuration.revision
+    if note.against_revision > revision:
+        faults.append(
+            Fault("against_revision", f"is past the revision in force, {revision}")
+        )
+    if faults:
+        return Refused(RefusalReason.INVALID, faults=tuple(faults))
+    if state.oldest_revision > note.against_revision != revision:
+        fault = Fault("against_revision", f"is below {state.oldest_revision}")
+        return Refused(RefusalReason.TOO_OLD, faults=(fault,))
+    conflicts = _conflicts(state, note)
+    return Refused(RefusalReason.CONFLICT, conflicts=conflicts) if conflicts else None
+
+
+def _conflicts(state, note):
+    conflicts = []
+    for name in touched_objects(note):
+        last = state.last_change_by_object.get(name)
+        if last is not None and last.revision > note.against_revision:
+            conflicts.append(Conflict(name, last.revision, last.author, last.note_id))
+    return tuple(conflicts)
+
+
+def _remember(state, entry):
+    """Add an entry; forgetting one raises the revision that notes have to name.
+
+    A repeat of a forgotten note names the same revision as its first copy. If that
+    revision is still in force, nothing changed since and the verdict is the same; if
+    it is not, the repeat is refused as too old. So a repeat never changes anything.
+    """
+    entry_by_note_id = dict(state.entry_by_note_id)
+    entry_by_note_id[entry.note_id] = entry
+    oldest = state.oldest_revision
+    while len(entry_by_note_id) > MAX_NOTES_KEPT:
+        forgotten = entry_by_note_id.pop(next(iter(entry_by_note_id)))
+        # A note that named a later revision than its own offset tells nothing.
+        against = min(forgotten.against_revision, forgotten.offset)
+        oldest = max(oldest, against + 1)
+    return dataclasses.replace(
+        state, entry_by_note_id=entry_by_note_id, oldest_revision=oldest
+    )
+
+
+def _record_changes(state, entry):
+    last_change = LastChange(entry.offset, entry.author, entry.note_id)
+    last_change_by_object = dict(state.last_change_by_object)
+    for name in entry.touched:
+        # The order of the mapping is that of the last changes.
+        last_change_by_object.pop(name, None)
+        last_change_by_object[name] = last_change
+    oldest = _forget_withdrawn(state, last_change_by_object)
+    return dataclasses.replace(
+        state, last_change_by_object=last_change_by_object, oldest_revision=oldest
+    )
+
+
+def _forget_withdrawn(state, last_change_by_object):
+    """Drop the oldest changes of names that exist no more, beyond the bound."""
+    oldest = state.oldest_revision
+    live = _live_objects(state.configuration)
+    excess = len(last_change_by_object) - len(live) - MAX_WITHDRAWN_KEPT
+    if excess <= 0:
+        return oldest
+    withdrawn = [name for name in last_change_by_object if name not in live]
+    for name in withdrawn[:excess]:
+        oldest = max(oldest, last_change_by_object.pop(name).revision)
+    return oldest
+
+
+def _live_objects(configuration):
+    return {
+        *(f"organisations.{name}" for name in configuration.organisations_by_name),
+        *(f"data_centres.{name}" for name in configuration.data_centres_by_name),
+        *(f"rules.{name}" for name in configuration.rules_by_name),
+    }
--- /dev/null
+++ b/ragwortshelf/core/releases/rules.py
@@ -0,0 +1,136 @@
+"""The rules that operators may set, with the type and bounds of each.
+
+Code that obeys a rule reads it with ``configuration.rule(name, default)`` and passes
+``RULES_BY_NAME[name].default``.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Mapping
+from dataclasses import dataclass
+
+from ..model import Configuration
+
+__all__ = ["RULES_BY_NAME", "RuleSpec", "rule_fault", "rule_value"]
+
+
+@dataclass(frozen=True, slots=True)
+class RuleSpec:
+    """Type, bounds and default of one rule.
+
+    ``minimum`` and ``maximum`` bound numbers, inclusively; ``choices`` lists the
+    values of a text rule.
+    """
+
+    name: str
+    type: type
+    default: int | float | str | bool
+    purpose: str
+    minimum: float | None = None
+    maximum: float | None = None
+    choices: tuple[str, ...] = ()
+
+
+_DAY_MS = 86_400_000
+
+_RULES = (
+    RuleSpec(
+        "reclaim_grace_ms",
+        int,
+        30_000,
+        "Time that borrowed work gets to write a checkpoint before it is stopped.",
+        0,
+        _DAY_MS,
+    ),
+    RuleSpec(
+        "fragmentation_weight",
+        float,
+        1.0,
+        "Weight of keeping workers and racks whole in the score of a placement.",
+        0,
+        1_000,
+    ),
+    RuleSpec(
+        "completion_weight",
+        float,
+        1.0,
+        "Weight of an early completion in the score of a placement.",
+        0,
+        1_000,
+    ),
+    RuleSpec(
+        "overtime_factor",
+        float,
+        4.0,
+        "Multiple of its declared run time after which a job is overdue.",
+        1,
+        1_000,
+    ),
+    RuleSpec(
+        "overtime_action",
+        str,
+        "report",
+        "What is done with an overdue job.",
+        choices=("report", "throttle", "stop"),
+    ),
+    RuleSpec(
+        "retry_budget",
+        float,
+        0.2,
+        "Retries that requests may make, as a share of first attempts.",
+        0,
+        1,
+    ),
+    RuleSpec(
+        "queue_limit",
+        int,
+        1_000,
+        "Requests that one organisation may have waiting at one instance.",
+        1,
+        100_000,
+    ),
+    RuleSpec(
+        "job_queue_limit",
+        int,
+        1_000,
+        "Jobs that one organisation may have waiting in one data centre.",
+        1,
+        100_000,
+    ),
+    RuleSpec(
+        "job_attempts",
+        int,
+        5,
+        "Attempts that an idempotent job may make.",
+        1,
+        100,
+    ),
+)
+
+RULES_BY_NAME: Mapping[str, RuleSpec] = {spec.name: spec for spec in _RULES}
+
+
+def rule_fault(name: str, value: object) -> str | None:
+    """Return what is wrong with the value of a rule, or None.
+
+    >>> rule_fault("retry_budget", 3.0)
+    'must be from 0 to 1'
+    """
+    spec = RULES_BY_NAME.get(name)
+    if spec is None:
+        return "unknown rule"
+    if spec.type is float and type(value) is int:
+        value = float(value)
+    if type(value) is not spec.type:
+        return f"expected {spec.type.__name__}"
+    if spec.choices and value not in spec.choices:
+        return f"must be one of {', '.join(spec.choices)}"
+    # A comparison with NaN is false, which refuses it too.
+    if spec.minimum is not None and not spec.minimum <= value <= spec.maximum:
+        return f"must be from {spec.minimum:g} to {spec.maximum:g}"
+    return None
+
+
+def rule_value(configuration: Configuration, name: str) -> int | float | str | bool:
+    """Return the value in force of a rule of the table, or its default."""
+    return configuration.rule(name, RULES_BY_NAME[name].default)
--- /dev/null
+++ b/ragwortshelf/core/releases/views.py
@@ -0,0 +1,58 @@
+"""Plain views of the configuration and of verdicts for the API, as JSON values."""
+
+from __future__ import annotations
+
+from ..model import Configuration
+from ..streams.codec import plain
+from .state import Accepted, Duplicate, Halted, NoteEntry, Refused, Verdict
+
+__all__ = ["configuration_to_json", "entry_to_json", "verdict_to_json"]
+
+
+def configuration_to_json(configuration: Configuration) -> dict:
+    """Return the configuration as JSON values, keyed as a note is."""
+    return {
+        "revision": configuration.revision,
+        "organisations": _by_name(configuration.organisations_by_name),
+        "data_centres": _by_name(configuration.data_centres_by_name),
+        "rules": {
+            name: rule.value for name, rule in configuration.rules_by_name.items()
+        },
+        "withdrawn": {
+            "organisations": _by_name(configuration.withdrawn_organisations_by_name),
+            "data_centres": _by_name(configuration.withdrawn_data_centres_by_name),
+        },
+    }
+
+
+def verdict_to_json(verdict: Verdict) -> dict:
+    """Return a verdict as JSON values; ``verdict`` names its kind.
+
+    >>> verdict_to_json(Accepted(7))
+    {'verdict': 'accepted', 'revision': 7}
+    """
+    kind_by_type = {
+        Accepted: "accepted",
+        Refused: "refused",
+        Duplicate: "duplicate",
+        Halted: "halted",
+    }
+    return {"verdict": kind_by_type[type(verdict)], **plain(verdict)}
+
+
+def entry_to_json(entry: NoteEntry) -> dict:
+    """Return a judged note as JSON values for the history."""
+    return {
+        "note_id": entry.note_id,
+        "author": entry.author,
+        "purpose": entry.purpose,
+        "offset": entry.offset,
+        "against_revision": entry.against_revision,
+        "submitted_wall_ms": entry.submitted_wall_ms,
+        "touched": list(entry.touched),
+        **verdict_to_json(entry.verdict),
+    }
+
+
+def _by_name(objects_by_name):
+    return {name: plain(item) for name, item in objects_by_name.items()}
--- a/ragwortshelf/core/streams/codec.py
+++ b/ragwortshelf/core/streams/codec.py
@@ -17,7 +17,7 @@
 
 import cbor2
 
-__all__ = ["Undecodable", "decode", "encode"]
+__all__ = ["Undecodable", "decode", "encode", "plain"]
 
 _TYPE_KEY = "@"
 _VERSION_KEY = "#"
@@ -37,7 +37,7 @@
     >>> decode(encode(Grant("w1", (0, 1))), {"Grant": Grant})
     Grant(worker='w1', accelerators=(0, 1))
     """
-    fields = _plain(message)
+    fields = plain(message)
     fields[_TYPE_KEY] = type(message).__name__
     fields[_VERSION_KEY] = getattr(type(message), "VERSION", 1)
     return cbor2.dumps(fields)
@@ -76,17 +76,16 @@
     return {name: hints[name] for name in _field_names(cls)}
 
 
-def _plain(value):
+def plain(value):
+    """Return a value of the supported types as maps, lists and scalars."""
     if isinstance(value, enum.Enum):
         return value.value
     if dataclasses.is_dataclass(value):
-        return {
-            name: _plain(getattr(value, name)) for name in _field_names(type(value))
-        }
+        return {name: plain(getattr(value, name)) for name in _field_names(type(value))}
     if isinstance(value, tuple | list):
-        return [_plain(item) for item in value]
+        return [plain(item) for item in value]
     if isinstance(value, Mapping):
-        return {key: _plain(item) for key, item in value.items()}
+        return {key: plain(item) for key, item in value.items()}
     return value
 
 
