--- /dev/null
+++ b/ragwortshelf/standins/deployment.py
@@ -0,0 +1,191 @@
+"""A deployment file turned into the processes that make it up.
+
+The file lists data centres with their instances, racks of workers and minions; see
+``deployments/agency/deployment.toml``. Addresses are dealt out on loopback from a base
+port.
+"""
+
+from __future__ import annotations
+
+import itertools
+import sys
+import tomllib
+from collections.abc import Mapping
+from dataclasses import dataclass, field
+from pathlib import Path
+
+__all__ = ["Deployment", "ProcessSpec"]
+
+_HOST = "127.0.0.1"
+
+
+@dataclass(frozen=True, slots=True)
+class ProcessSpec:
+    """One process: its command line and the environment added to the parent's."""
+
+    name: str
+    arguments: tuple[str, ...]
+    environment: Mapping[str, str] = field(default_factory=dict)
+
+
+class Deployment:
+    """Addresses, the member list and the processes of one deployment."""
+
+    def __init__(self, fields: dict, *, port_base: int, secret: str):
+        self._fields = fields
+        self._secret = secret
+        self._ports = itertools.count(port_base)
+        self.data_centres = tuple(fields["data_centres"])
+        self.log_address = self._next_address()
+        self.list_address = self._next_address()
+        self.address_by_minion = self._deal(
+            minion for dc in self._centres() for minion in dc["minions"]
+        )
+        self.address_by_worker = self._deal(
+            worker
+            for dc in self._centres()
+            for workers in dc["racks"].values()
+            for worker in workers
+        )
+        names = [name for dc in self._centres() for name in dc["instances"]]
+        self.api_address_by_instance = self._deal(names)
+        self.peer_address_by_instance = self._deal(names)
+
+    @classmethod
+    def load(
+        cls, path: Path, *, port_base: int | None = None, secret: str = "s" * 16
+    ) -> Deployment:
+        """Read a deployment file; the port base defaults to the file's."""
+        fields = tomllib.loads(path.read_text())
+        return cls(fields, port_base=port_base or fields["port_base"], secret=secret)
+
+    def instances_of(self, data_centre: str) -> tuple[str, ...]:
+        """Names of the instances in one data centre."""
+        return tuple(self._fields["data_centres"][data_centre]["instances"])
+
+    def members(self) -> dict:
+        """Return the true list of instances, workers and minions."""
+        return {
+            "instances": list(self._instance_rows()),
+            "workers": list(self._worker_rows()),
+            "minions": list(self._minion_rows()),
+        }
+
+    def platform_processes(self, members_file: Path) -> list[ProcessSpec]:
+        """Processes of the log, the list, the workers and the minions."""
+        specs = [
+            _stand_in("log", "log", "--address", self.log_address),
+            _stand_in(
+                "list",
+                "instance_list",
+                "--address",
+                self.list_address,
+                "--members",
+                str(members_file),
+            ),
+        ]
+        for name, centre in self._fields["data_centres"].items():
+            specs.append(self._minion_process(name, centre))
+            for rack, workers in centre["racks"].items():
+                specs.append(self._worker_process(name, rack, workers))
+        return specs
+
+    def instance_process(self, instance: str, **settings: str) -> ProcessSpec:
+        """Process of one instance; ``settings`` are added to its environment."""
+        (data_centre,) = (
+            dc for dc in self.data_centres if instance in self.instances_of(dc)
+        )
+        values = {
+            "instance": instance,
+            "data_centre": data_centre,
+            "api_address": self.api_address_by_instance[instance],
+            "peer_address": self.peer_address_by_instance[instance],
+            "log_address": self.log_address,
+            "list_address": self.list_address,
+            "peer_secret": self._secret,
+            **settings,
+        }
+        environment = {
+            f"RAGWORTSHELF_{key.upper()}": value for key, value in values.items()
+        }
+        arguments = (sys.executable, "-m", "ragwortshelf.daemon.main")
+        return ProcessSpec(instance, arguments, environment)
+
+    def _centres(self):
+        return self._fields["data_centres"].values()
+
+    def _next_address(self) -> str:
+        return f"{_HOST}:{next(self._ports)}"
+
+    def _deal(self, names) -> dict[str, str]:
+        return {name: self._next_address() for name in names}
+
+    def _instance_rows(self):
+        for data_centre in self.data_centres:
+            for name in self.instances_of(data_centre):
+                yield {
+                    "name": name,
+                    "data_centre": data_centre,
+                    "api_address": self.api_address_by_instance[name],
+                    "peer_address": self.peer_address_by_instance[name],
+                    "state": "live",
+                }
+
+    def _worker_rows(self):
+        for data_centre, centre in self._fields["data_centres"].items():
+            for rack, workers in centre["racks"].items():
+                for name in workers:
+                    yield {
+                        "name": name,
+                        "data_centre": data_centre,
+                        "rack": rack,
+                        "address": self.address_by_worker[name],
+                        "accelerators": self._fields["worker"]["accelerators"],
+                        "state": "live",
+                    }
+
+    def _minion_rows(self):
+        for data_centre, centre in self._fields["data_centres"].items():
+            for name in centre["minions"]:
+                yield {
+                    "name": name,
+                    "data_centre": data_centre,
+                    "endpoint": self.address_by_minion[name],
+                    **self._fields["minion"],
+                    "state": "live",
+                }
+
+    def _minion_process(self, data_centre: str, centre: dict) -> ProcessSpec:
+        entries = [
+            f"{name}@{self.address_by_minion[name]}" for name in centre["minions"]
+        ]
+        return _stand_in(
+            f"{data_centre}-minions",
+            "minion",
+            "--minions",
+            ",".join(entries),
+            *_options(self._fields["minion"]),
+        )
+
+    def _worker_process(self, data_centre: str, rack: str, workers) -> ProcessSpec:
+        entries = [f"{name}@{self.address_by_worker[name]}" for name in workers]
+        return _stand_in(
+            f"{rack}-workers",
+            "worker",
+            "--workers",
+            ",".join(entries),
+            "--data_centre",
+            data_centre,
+            "--rack",
+            rack,
+            *_options(self._fields["worker"]),
+        )
+
+
+def _stand_in(name: str, module: str, *arguments: str) -> ProcessSpec:
+    command = (sys.executable, "-m", f"ragwortshelf.standins.{module}", *arguments)
+    return ProcessSpec(name, command)
+
+
+def _options(fields: dict) -> list[str]:
+    return [word for key, value in fields.items() for word in (f"--{key}", str(value))]
--- /dev/null
+++ b/ragwortshelf/standins/launcher.py
@@ -0,0 +1,144 @@
+"""Starts and ends the processes of a deployment, for the quick start and tests.
+
+Nothing of the product uses this: a process of the product starts no other process.
+"""
+
+from __future__ import annotations
+
+import json
+import os
+import signal
+import subprocess
+import time
+from pathlib import Path
+from urllib.error import URLError
+from urllib.request import Request, urlopen
+
+from .deployment import Deployment, ProcessSpec
+
+__all__ = ["Launcher", "call"]
+
+_END_TIMEOUT_S = 40.0
+_POLL_S = 0.05
+
+
+def call(
+    address: str, method: str, path: str, fields: dict | None = None, *, token: str = ""
+) -> tuple[int, dict]:
+    """Make one JSON call and return its status and object; -1 if unreachable."""
+    data = None if fields is None else json.dumps(fields).encode()
+    request = Request(f"http://{address}{path}", data=data, method=method)
+    if token:
+        request.add_header("authorization", f"Bearer {token}")
+    try:
+        with urlopen(request, timeout=60) as response:
+            return response.status, _object(response.read())
+    except URLError as error:
+        if not hasattr(error, "code"):
+            return -1, {}
+        return error.code, _object(error.read())
+    except OSError:
+        return -1, {}
+
+
+def _object(body: bytes) -> dict:
+    try:
+        return json.loads(body)
+    except ValueError:
+        return {"text": body.decode(errors="replace")}
+
+
+class Launcher:
+    """Runs processes with their output in files under ``directory``.
+
+    Use it as a context manager: leaving it ends every process that it started.
+    """
+
+    def __init__(self, deployment: Deployment, directory: Path):
+        self.deployment = deployment
+        self.directory = directory
+        self.process_by_name: dict[str, subprocess.Popen] = {}
+
+    def __enter__(self) -> Launcher:
+        return self
+
+    def __exit__(self, *_) -> None:
+        for name in list(self.process_by_name):
+            self.kill(name)
+
+    def start_platform(self) -> None:
+        """Start the stand-ins and wait until each answers."""
+        members_file = self.directory / "members.json"
+        members_file.write_text(json.dumps(self.deployment.members()))
+        for spec in self.deployment.platform_processes(members_file):
+            self.start(spec)
+        deployment = self.deployment
+        for address in (
+            deployment.log_address,
+            deployment.list_address,
+            *deployment.address_by_minion.values(),
+            *deployment.address_by_worker.values(),
+        ):
+            self.wait_until(
+                lambda address=address: call(address, "GET", "/faults")[0] == 200,
+                f"the stand-in at {address}",
+            )
+
+    def start_instance(self, name: str, **settings: str) -> None:
+        """Start one instance without waiting for it."""
+        self.start(self.deployment.instance_process(name, **settings))
+
+    def start(self, spec: ProcessSpec) -> None:
+        """Start one process."""
+        with (self.directory / f"{spec.name}.log").open("ab") as output:
+            self.process_by_name[spec.name] = subprocess.Popen(
+                spec.arguments,
+                env={**os.environ, **spec.environment},
+                stdout=output,
+                stderr=output,
+                stdin=subprocess.DEVNULL,
+            )
+
+    def kill(self, name: str) -> None:
+        """End a process at once."""
+        process = self.process_by_name.pop(name)
+        process.kill()
+        process.wait()
+
+    def terminate(self, name: str) -> int:
+        """Ask a process to stop and return its exit status."""
+        process = self.process_by_name.pop(name)
+        process.terminate()
+        try:
+            return process.wait(_END_TIMEOUT_S)
+        except subprocess.TimeoutExpired:
+            process.kill()
+            return process.wait()
+
+    def pause(self, name: str) -> None:
+        """Freeze a process."""
+        self.process_by_name[name].send_signal(signal.SIGSTOP)
+
+    def resume(self, name: str) -> None:
+        """Let a frozen process go on."""
+        self.process_by_name[name].send_signal(signal.SIGCONT)
+
+    def output(self, name: str) -> str:
+        """Return what a process has written so far."""
+        return (self.directory / f"{name}.log").read_text(errors="replace")
+
+    def wait_until(self, condition, what: str, *, timeout_s: float = 60.0):
+        """Return the condition's first true value, or raise TimeoutError."""
+        deadline_s = time.monotonic() + timeout_s
+        while time.monotonic() < deadline_s:
+            if value := condition():
+                return value
+            time.sleep(_POLL_S)
+        raise TimeoutError(f"waited {timeout_s:g} s in vain for {what}")
+
+    def wait_ready(self, name: str) -> None:
+        """Wait until an instance serves calls."""
+        address = self.deployment.api_address_by_instance[name]
+        self.wait_until(
+            lambda: call(address, "GET", "/readyz")[0] == 200, f"{name} to be ready"
+        )
