--- /dev/null
+++ b/ragwortshelf/cli/commands/__init__.py
@@ -0,0 +1,20 @@
+"""Commands of the tool, one module a subject.
+
+A command is a coroutine that takes a ``Context`` and the words after its name and
+returns an ``ExitStatus`` or a ``CommandFailure``.
+"""
+
+from .context import Command, Context
+from .jobs import JOB_COMMANDS
+from .operations import OPERATION_COMMANDS
+from .releases import RELEASE_COMMANDS
+from .requests import REQUEST_COMMANDS
+
+__all__ = ["COMMANDS", "Command", "Context"]
+
+COMMANDS: tuple[Command, ...] = (
+    *RELEASE_COMMANDS,
+    *JOB_COMMANDS,
+    *REQUEST_COMMANDS,
+    *OPERATION_COMMANDS,
+)
--- /dev/null
+++ b/ragwortshelf/cli/commands/context.py
@@ -0,0 +1,50 @@
+"""What every command works with."""
+
+from __future__ import annotations
+
+from collections.abc import Awaitable, Callable
+from dataclasses import dataclass
+
+from absl import flags
+
+from ..client import ApiClient, Reply
+from ..output import Output
+from ..status import CommandFailure, ExitStatus
+
+__all__ = ["Command", "Context", "refusal"]
+
+
+@dataclass(frozen=True, slots=True)
+class Context:
+    """Client, output and parsed flags."""
+
+    client: ApiClient
+    output: Output
+    flags: flags.FlagValues
+
+
+@dataclass(frozen=True, slots=True)
+class Command:
+    """One command: its words, the names of its arguments, and what runs it."""
+
+    words: tuple[str, ...]
+    arguments: tuple[str, ...]
+    help: str
+    run: Callable[..., Awaitable[ExitStatus | CommandFailure]]
+
+
+def refusal(reply: Reply) -> CommandFailure:
+    """Return the failure that a refused call stands for."""
+    fields = reply.fields
+    reason = fields.get("reason") or fields.get("error") or str(reply.status)
+    detail = f"{fields.get('outcome', 'refused')}: {reason}"
+    if fields.get("detail"):
+        detail += f": {fields['detail']}"
+    next_step = ""
+    if fields.get("retry_after_ms") is not None:
+        next_step = f"try again in {fields['retry_after_ms']} ms"
+    status = ExitStatus.REFUSED
+    if fields.get("outcome") == "unknown":
+        status = ExitStatus.UNKNOWN_OUTCOME
+        next_step = "it may have run; ask again only with the same request id"
+    return CommandFailure(status, detail, next_step)
--- /dev/null
+++ b/ragwortshelf/cli/main.py
@@ -0,0 +1,139 @@
+"""Entry point of the command-line tool."""
+
+from __future__ import annotations
+
+import os
+import sys
+
+import trio
+from absl import flags
+
+from .client import ApiClient
+from .commands import COMMANDS, Command, Context
+from .output import Output
+from .status import CommandFailure, ExitStatus
+
+__all__ = ["main", "run"]
+
+_DEFAULT_SERVERS = "127.0.0.1:8000"
+
+
+def define_flags(values: flags.FlagValues) -> None:
+    """Define the flags of all commands."""
+    text, number, switch = _definers(values)
+    text("servers", None, "Instances to call, IP:port, tried in order.")
+    text("token", None, "Bearer token.")
+    switch("json", False, "Print JSON.")
+    text("organisation", None, "Organisation to act for.")
+    number("timeout_ms", 60_000, "Milliseconds to wait for an outcome.", 1)
+    text("priority", None, "urgent, normal or low.")
+    switch("idempotent", False, "Whether running twice does no harm.")
+    number("accelerators", 1, "job submit: size of the whole group.", 1)
+    text("adjacency", None, "job submit: worker, rack or data_centre.")
+    text("kind", None, "job submit: kind of job, for learning its size.")
+    text("home_data_centre", None, "job submit: where to run it.")
+    text("job_key", None, "job submit: key under which a repeat is the same job.")
+    switch("checkpointable", False, "job submit: whether it can be resumed.")
+    number("tasks", None, "job submit: number of processes.", 1)
+    number("declared_run_ms", None, "job submit: expected run time.", 0)
+    number("declared_memory_bytes", None, "job submit: expected memory.", 0)
+    number("deadline_in_ms", None, "job submit: milliseconds from now.", 1)
+    text("command", None, "job submit: what the workers run.")
+    number("limit", 50, "job list: rows at most.", 1)
+    text("request_id", None, "request send: a reserved id, to repeat a request.")
+    text("class", None, "request send: quick, ordinary or long.")
+    text("method", None, "request send: HTTP method.")
+    text("body", None, "request send: body; - reads standard input.")
+    flags.DEFINE_multi_string(
+        "header", [], "request send: NAME=VALUE.", flag_values=values
+    )
+    switch("release", False, "worker quarantine: take it back into use.")
+
+
+def _definers(values: flags.FlagValues):
+    def text(name, default, help_text):
+        flags.DEFINE_string(name, default, help_text, flag_values=values)
+
+    def number(name, default, help_text, low):
+        flags.DEFINE_integer(
+            name, default, help_text, lower_bound=low, flag_values=values
+        )
+
+    def switch(name, default, help_text):
+        flags.DEFINE_boolean(name, default, help_text, flag_values=values)
+
+    return text, number, switch
+
+
+def main(arguments: list[str], environment=os.environ, output=None) -> int:
+    """Run one command and return the exit status."""
+    values = flags.FlagValues()
+    define_flags(values)
+    flags.DEFINE_boolean("help", False, "Show this help.", flag_values=values)
+    values.set_gnu_getopt(True)
+    try:
+        words = values(arguments)[1:]
+    except flags.Error as error:
+        (output or Output(as_json=False)).failure(str(error), "ragwortshelf --help")
+        return ExitStatus.USAGE
+    output = output or Output(as_json=values.json)
+    if values.help or not words:
+        print(_usage(values))
+        return ExitStatus.SUCCESS if values.help else ExitStatus.USAGE
+    return _run_words(words, values, environment, output)
+
+
+def _run_words(words, values, environment, output) -> int:
+    command = _find(words)
+    if command is None:
+        output.failure(f"no command {' '.join(words)!r}", "ragwortshelf --help")
+        return ExitStatus.USAGE
+    arguments = words[len(command.words) :]
+    if len(arguments) != len(command.arguments):
+        wanted = " ".join((*command.words, *command.arguments))
+        output.failure(f"usage: ragwortshelf {wanted}", "ragwortshelf --help")
+        return ExitStatus.USAGE
+    if any("=" not in header for header in values.header):
+        output.failure("--header takes NAME=VALUE")
+        return ExitStatus.USAGE
+    context = Context(_client(values, environment), output, values)
+    result = trio.run(command.run, context, *arguments)
+    if isinstance(result, CommandFailure):
+        output.failure(result.detail, result.next_step)
+        return result.status
+    return result
+
+
+def _client(values, environment) -> ApiClient:
+    servers = values.servers or environment.get(
+        "RAGWORTSHELF_SERVERS", _DEFAULT_SERVERS
+    )
+    token = values.token or environment.get("RAGWORTSHELF_TOKEN", "")
+    return ApiClient(tuple(servers.split(",")), token, values.organisation or "")
+
+
+def _find(words: list[str]) -> Command | None:
+    for command in COMMANDS:
+        if tuple(words[: len(command.words)]) == command.words:
+            return command
+    return None
+
+
+def _usage(values: flags.FlagValues) -> str:
+    lines = ["usage: ragwortshelf COMMAND [--flag=value …]", "", "commands:"]
+    for command in COMMANDS:
+        line = " ".join((*command.words, *command.arguments))
+        lines.append(f"  {line:<26}{command.help}")
+    lines += ["", "exit statuses:"]
+    lines += [f"  {status.value}  {status.name.lower()}" for status in ExitStatus]
+    lines += ["", "flags:", values.main_module_help() or values.get_help()]
+    return "\n".join(lines)
+
+
+def run() -> None:
+    """Entry point of the console script."""
+    sys.exit(main(sys.argv))
+
+
+if __name__ == "__main__":
+    run()
