--- /dev/null
+++ b/ragwortshelf/core/membership/machine.py
@@ -0,0 +1,398 @@
+"""The machine that turns list and heartbeats into a view, links and heartbeats."""
+
+from __future__ import annotations
+
+import dataclasses
+import random
+from collections.abc import Mapping
+
+from ..model import InstanceInfo, MemberState
+from .links import LinkTable
+from .liveness import Evidence, Liveness
+from .messages import (
+    Action,
+    Beat,
+    CloseLink,
+    DrainStarted,
+    Entry,
+    Event,
+    Heartbeat,
+    HeartbeatReceived,
+    LinkClosed,
+    LinkFailed,
+    LinkOpened,
+    ListFetched,
+    MembersChanged,
+    OpenLink,
+    Profile,
+    Published,
+    SendHeartbeat,
+    Tick,
+)
+from .plan import surplus_peers, wanted_peers
+from .shared import SharedState
+from .timing import (
+    FORGET_AFTER_MS,
+    JOIN_DELAY_MS,
+    PAUSE_AFTER_MS,
+    RETRY_UNLISTED_MS,
+)
+from .view import Member, MemberStatus, View
+
+__all__ = ["MembershipMachine"]
+
+
+class MembershipMachine:
+    """Membership as one instance sees it; deterministic, and without input or output.
+
+    ``incarnation`` must be higher at each start of the instance. Feed events through
+    `handle` and carry out the actions that it returns, in order.
+
+    >>> from ragwortshelf.core.model import InstanceInfo
+    >>> own = InstanceInfo("a", "dc1", "127.0.0.1:1", "127.0.0.1:2")
+    >>> machine = MembershipMachine(own, 1, random.Random(1))
+    >>> for now_ms in range(0, 4000, 1000):
+    ...     actions = machine.handle(Tick(), now_ms)
+    >>> machine.is_placer()
+    True
+    """
+
+    def __init__(self, instance: InstanceInfo, incarnation: int, rng: random.Random):
+        if incarnation < 1:
+            raise ValueError("incarnations start at 1")
+        self._instance = instance
+        self._incarnation = incarnation
+        self._links = LinkTable(rng)
+        self._liveness = Liveness()
+        self._evidence = Evidence()
+        self._shared = SharedState()
+        self._shared.merge_profile(Profile(instance, incarnation, 1))
+        self._listed_by_name: dict[str, InstanceInfo] = {}
+        self._no_route_since_by_data_centre: dict[str, int] = {}
+        self._sequence = 0
+        self._entry_version = 0
+        self._is_draining = False
+        self._is_superseded = False
+        self._eligible_from_ms: int | None = None
+        self._last_tick_ms: int | None = None
+        self._view = View(instance.name)
+
+    @property
+    def view(self) -> View:
+        """The view after the last event."""
+        return self._view
+
+    @property
+    def is_superseded(self) -> bool:
+        """Whether a newer incarnation of this instance is known: this one must end."""
+        return self._is_superseded
+
+    def is_placer(self) -> bool:
+        """Whether this instance is the placer of its data centre in its own view.
+
+        Claim the role only while `is_current` holds as well.
+        """
+        return self._view.placer_of(self._instance.data_centre) == self._instance.name
+
+    def is_current(self, now_ms: int) -> bool:
+        """Whether this instance may act in a role at this moment.
+
+        It must not have been paused, and peers of its data centre must be known to have
+        heard it lately, unless all of them are dead to it.
+        """
+        if self._is_superseded or self._last_tick_ms is None:
+            return False
+        if now_ms - self._last_tick_ms > PAUSE_AFTER_MS:
+            return False
+        if self._eligible_from_ms is None or now_ms < self._eligible_from_ms:
+            return False
+        return self._evidence.is_valid(now_ms) or self._is_alone()
+
+    def values(self, key: str) -> Mapping[str, bytes]:
+        """Return what members share under ``key``, by name; the dead keep theirs."""
+        return self._shared.values(key)
+
+    def route_to(self, name: str) -> str | None:
+        """Return the directly connected peer to pass a message for ``name`` to."""
+        if self._links.to(name) is not None:
+            return name
+        member = self._view.members_by_name.get(name)
+        if member is None:
+            return None
+        data_centre = member.instance.data_centre
+        if data_centre == self._instance.data_centre:
+            return self._first_linked(self._mates())
+        through = self._first_linked(self._view.data_centre(data_centre))
+        if through is not None:
+            return through
+        return self._first_linked(
+            mate for mate in self._mates() if data_centre in self._routes_of(mate)
+        )
+
+    def handle(self, event: Event, now_ms: int) -> tuple[Action, ...]:
+        """Take one event into account and return what to do, in order."""
+        actions: list[Action] = []
+        match event:
+            case Tick():
+                self._tick(now_ms, actions)
+            case HeartbeatReceived(connection_id, heartbeat):
+                self._receive(connection_id, heartbeat, now_ms, actions)
+            case ListFetched(instances):
+                self._take_list(instances, now_ms)
+            case LinkOpened(peer, connection_id):
+                self._open(peer, connection_id, now_ms, actions)
+            case LinkClosed(peer, connection_id):
+                self._links.note_closed(peer, connection_id, now_ms)
+                self._shared.forget_connection(connection_id)
+            case LinkFailed(peer):
+                self._note_failed(peer, now_ms)
+            case DrainStarted():
+                self._is_draining = True
+                self._update_profile(now_ms)
+                self._send_all(actions)
+            case Published(key, value):
+                self._publish(key, value)
+        self._update_view(now_ms, actions)
+        return tuple(actions)
+
+    def _tick(self, now_ms: int, actions: list[Action]) -> None:
+        self._note_pause(now_ms)
+        self._last_tick_ms = now_ms
+        self._sequence += 1
+        self._evidence.note_sent(self._sequence, now_ms)
+        for link in self._links.silent(now_ms):
+            self._close(link.peer, link.connection_id, now_ms, actions)
+        self._forget_lost(now_ms)
+        self._update_profile(now_ms)
+        self._update_view(now_ms, actions)
+        self._plan_links(now_ms, actions)
+        self._send_all(actions)
+
+    def _note_pause(self, now_ms: int) -> None:
+        """After a start or a pause, learn what the others do before taking a role."""
+        if self._last_tick_ms is None or now_ms - self._last_tick_ms > PAUSE_AFTER_MS:
+            self._eligible_from_ms = now_ms + JOIN_DELAY_MS
+            self._liveness.restart_waiting(now_ms)
+            self._links.restart_waiting(now_ms)
+
+    def _receive(
+        self,
+        connection_id: str,
+        heartbeat: Heartbeat,
+        now_ms: int,
+        actions: list[Action],
+    ) -> None:
+        sender = heartbeat.sender
+        if not self._links.owns(connection_id, sender):
+            return
+        if heartbeat.incarnation < self._liveness.incarnation(sender):
+            self._close(sender, connection_id, now_ms, actions)
+            return
+        self._links.to(sender).heard_ms = now_ms
+        for profile in heartbeat.profiles:
+            if profile.instance.name != self._instance.name:
+                self._shared.merge_profile(profile)
+        for beat in heartbeat.beats:
+            self._take_beat(beat, now_ms)
+        for entry in heartbeat.entries:
+            if entry.owner != self._instance.name:
+                self._shared.merge_entry(entry)
+        if self._lacks_profile(heartbeat.beats):
+            self._close(sender, connection_id, now_ms, actions)
+
+    def _take_beat(self, beat: Beat, now_ms: int) -> None:
+        if beat.name != self._instance.name:
+            self._liveness.note_beat(beat, now_ms)
+        elif beat.incarnation > self._incarnation:
+            self._is_superseded = True
+        elif beat.incarnation == self._incarnation:
+            self._evidence.note_echo(beat.sequence)
+
+    def _lacks_profile(self, beats: tuple[Beat, ...]) -> bool:
+        """Whether this side forgot what the connection has carried before."""
+        return any(self._shared.profile(beat.name) is None for beat in beats)
+
+    def _take_list(self, instances: tuple[InstanceInfo, ...], now_ms: int) -> None:
+        self._listed_by_name = {
+            info.name: info for info in instances if info.name != self._instance.name
+        }
+        for name in self._listed_by_name:
+            self._liveness.note_listed(name, now_ms)
+
+    def _open(
+        self, peer: str, connection_id: str, now_ms: int, actions: list[Action]
+    ) -> None:
+        replaced = self._links.note_opened(peer, connection_id, now_ms)
+        if replaced is not None:
+            self._shared.forget_connection(replaced.connection_id)
+            actions.append(CloseLink(peer, replaced.connection_id))
+        self._update_profile(now_ms)
+        self._send(peer, connection_id, actions)
+
+    def _close(
+        self, peer: str, connection_id: str, now_ms: int, actions: list[Action]
+    ) -> None:
+        self._links.note_closed(peer, connection_id, now_ms)
+        self._shared.forget_connection(connection_id)
+        actions.append(CloseLink(peer, connection_id))
+
+    def _note_failed(self, peer: str, now_ms: int) -> None:
+        least_ms = 0 if peer in self._listed_by_name else RETRY_UNLISTED_MS
+        self._links.note_failed(peer, now_ms, least_ms=least_ms)
+
+    def _plan_links(self, now_ms: int, actions: list[Action]) -> None:
+        for peer in surplus_peers(self._view, self._links):
+            self._close(peer, self._links.to(peer).connection_id, now_ms, actions)
+        self._update_profile(now_ms)
+        for peer in wanted_peers(
+            self._view, self._links, lambda dc: self._no_route_ms(dc, now_ms), now_ms
+        ):
+            if self._links.may_open(peer, now_ms):
+                self._links.note_opening(peer, now_ms)
+                actions.append(OpenLink(self._view.members_by_name[peer].instance))
+
+    def _no_route_ms(self, data_centre: str, now_ms: int) -> int:
+        if any(data_centre in self._routes_of(mate) for mate in self._mates()):
+            self._no_route_since_by_data_centre.pop(data_centre, None)
+            return 0
+        since_ms = self._no_route_since_by_data_centre.setdefault(data_centre, now_ms)
+        return now_ms - since_ms
+
+    def _send_all(self, actions: list[Action]) -> None:
+        for link in self._links.links:
+            self._send(link.peer, link.connection_id, actions)
+
+    def _send(self, peer: str, connection_id: str, actions: list[Action]) -> None:
+        names = self._names_for(peer)
+        beats = [Beat(self._instance.name, self._incarnation, self._sequence)]
+        beats += [beat for beat in map(self._liveness.beat, names) if beat is not None]
+        profiles, entries = self._shared.take_unsent(
+            connection_id, (self._instance.name, *names)
+        )
+        heartbeat = Heartbeat(
+            self._instance.name, self._incarnation, tuple(beats), profiles, entries
+        )
+        actions.append(SendHeartbeat(peer, connection_id, heartbeat))
+
+    def _names_for(self, peer: str) -> tuple[str, ...]:
+        """Members, but for this one, that the connection to ``peer`` tells of.
+
+        Another data centre hears of this one alone. Peers of the own data centre also
+        hear of the data centres that this instance has a connection to.
+        """
+        data_centres = {self._instance.data_centre}
+        if self._data_centre_of(peer) in (None, self._instance.data_centre):
+            data_centres.update(self._own_routes())
+        return tuple(
+            name
+            for name, member in self._view.members_by_name.items()
+            if name != self._instance.name
+            and member.instance.data_centre in data_centres
+            and member.status is not MemberStatus.DEAD
+            and self._shared.profile(name) is not None
+        )
+
+    def _publish(self, key: str, value: bytes) -> None:
+        self._entry_version += 1
+        self._shared.merge_entry(
+            Entry(
+                self._instance.name, self._incarnation, key, self._entry_version, value
+            )
+        )
+
+    def _update_profile(self, now_ms: int) -> None:
+        known = self._shared.profile(self._instance.name)
+        changed = dataclasses.replace(
+            known,
+            is_eligible=self._eligible_from_ms is not None
+            and now_ms >= self._eligible_from_ms,
+            is_draining=self._is_draining,
+            routes=self._own_routes(),
+        )
+        if changed != known:
+            self._shared.merge_profile(
+                dataclasses.replace(changed, version=known.version + 1)
+            )
+
+    def _update_view(self, now_ms: int, actions: list[Action]) -> None:
+        names = {*self._listed_by_name, *self._view.members_by_name}
+        names.update(link.peer for link in self._links.links)
+        members_by_name = {}
+        for name in sorted({*names, *self._shared.names()}):
+            member = self._member(name, now_ms)
+            if member is not None:
+                members_by_name[name] = member
+        if members_by_name != self._view.members_by_name:
+            self._view = View(self._instance.name, members_by_name)
+            actions.append(MembersChanged(self._view))
+
+    def _member(self, name: str, now_ms: int) -> Member | None:
+        profile = self._shared.profile(name)
+        listed = self._listed_by_name.get(name)
+        if name == self._instance.name:
+            return Member(
+                self._instance,
+                self._incarnation,
+                MemberStatus.ALIVE,
+                profile.is_eligible,
+                profile.is_draining,
+                profile.routes,
+            )
+        instance = profile.instance if profile is not None else listed
+        if instance is None:
+            known = self._view.members_by_name.get(name)
+            instance = None if known is None else known.instance
+        if instance is None or not self._liveness.knows(name):
+            return None
+        is_remote = instance.data_centre != self._instance.data_centre
+        is_leaving = listed is not None and listed.state is MemberState.LEAVING
+        return Member(
+            instance,
+            self._liveness.incarnation(name),
+            self._liveness.status(name, now_ms, is_remote=is_remote),
+            profile is not None and profile.is_eligible,
+            is_leaving or (profile is not None and profile.is_draining),
+            () if profile is None else profile.routes,
+        )
+
+    def _forget_lost(self, now_ms: int) -> None:
+        for name in tuple(self._view.members_by_name):
+            if name == self._instance.name or name in self._listed_by_name:
+                continue
+            if self._links.to(name) is not None:
+                continue
+            if self._liveness.silent_ms(name, now_ms) >= FORGET_AFTER_MS:
+                self._liveness.forget(name)
+                self._shared.forget_member(name)
+                self._links.forget(name)
+
+    def _is_alone(self) -> bool:
+        """Whether no other member of the data centre is anything but dead."""
+        names = self._view.names_alive(self._instance.data_centre)
+        return names in ((), (self._instance.name,))
+
+    def _mates(self) -> tuple[str, ...]:
+        """Return the other members of the data centre, the reachable ones first."""
+        members = self._view.data_centre(self._instance.data_centre)
+        order = list(MemberStatus)
+        return tuple(
+            sorted(
+                (name for name in members if name != self._instance.name),
+                key=lambda name: (order.index(members[name].status), name),
+            )
+        )
+
+    def _routes_of(self, name: str) -> tuple[str, ...]:
+        member = self._view.members_by_name[name]
+        return () if member.status is MemberStatus.DEAD else member.routes
+
+    def _own_routes(self) -> tuple[str, ...]:
+        data_centres = {self._data_centre_of(link.peer) for link in self._links.links}
+        return tuple(sorted(data_centres - {None, self._instance.data_centre}))
+
+    def _data_centre_of(self, name: str) -> str | None:
+        member = self._view.members_by_name.get(name)
+        return None if member is None else member.instance.data_centre
+
+    def _first_linked(self, names) -> str | None:
+        return next((name for name in names if self._links.to(name) is not None), None)
