--- /dev/null
+++ b/ragwortshelf/daemon/api/jobs.py
@@ -0,0 +1,192 @@
+"""Calls about jobs."""
+
+from __future__ import annotations
+
+import time
+
+import trio
+
+from ...core.jobs import JobEntry
+from ...core.model import (
+    Adjacency,
+    JobSpec,
+    NotRun,
+    Priority,
+    Unknown,
+)
+from ...net.http_messages import HttpResponse, json_response
+from ..fields import FieldReader
+from .requests import not_run_response
+from .router import ApiCall, Router, error, field_faults
+
+__all__ = ["JobApi", "job_fields"]
+
+_ACCELERATORS_MAX = 1_000_000
+_TASKS_MAX = 100_000
+_DURATION_MAX_MS = 366 * 86_400_000
+_MEMORY_MAX_BYTES = 2**60
+_COMMAND_MAX_CHARACTERS = 16 * 1024
+_WAIT_MAX_MS = 30_000
+_ROWS_MAX = 1_000
+
+
+def job_fields(entry: JobEntry) -> dict:
+    """Return a job as the interface shows it."""
+    spec = entry.spec
+    grants = entry.claim.grants if entry.claim and entry.is_open else ()
+    fields = {
+        "job_id": spec.job_id,
+        "organisation": spec.organisation,
+        "phase": entry.phase.value,
+        "is_final": entry.phase.is_final,
+        "reason": entry.ended.reason.value if entry.ended else None,
+        "detail": entry.ended.detail if entry.ended else None,
+        "attempt": entry.attempt,
+        "home_data_centre": entry.home_data_centre,
+        "grants": [
+            {"worker": grant.worker, "accelerators": list(grant.accelerators)}
+            for grant in grants
+        ],
+        "accelerators": spec.accelerators,
+        "adjacency": spec.adjacency.value,
+        "priority": spec.priority.name.lower(),
+        "idempotent": spec.is_idempotent,
+        "checkpointable": spec.is_checkpointable,
+        "is_cancel_requested": entry.is_cancel_requested,
+        "checkpoint": entry.checkpoint,
+        "submitted_wall_ms": spec.submitted_wall_ms,
+        "started_wall_ms": entry.started_wall_ms or None,
+        "ended_wall_ms": entry.ended.ended_wall_ms if entry.ended else None,
+    }
+    return fields
+
+
+class JobApi:
+    """Submits, shows and cancels jobs.
+
+    ``front`` accepts and cancels jobs, and reads the book of all jobs.
+    """
+
+    def __init__(self, front):
+        self._front = front
+
+    def add_routes(self, router: Router) -> None:
+        """Add this subject's routes."""
+        router.add("POST", "/v1/jobs", self._submit)
+        router.add("GET", "/v1/jobs", self._list)
+        router.add("GET", "/v1/jobs/{job_id}", self._show)
+        router.add("DELETE", "/v1/jobs/{job_id}", self._cancel)
+        router.add("GET", "/v1/jobs/{job_id}/explanation", self._explain)
+
+    async def _submit(self, call: ApiCall) -> HttpResponse:
+        reader = call.fields()
+        if isinstance(reader, HttpResponse):
+            return reader
+        job_key = reader.text("job_key", default="", limit=64)
+        spec = _read_spec(call, reader)
+        if faults := reader.finish():
+            return field_faults(faults)
+        if not call.principal.may_see(spec.organisation):
+            return error(403, "forbidden", "this organisation is not yours")
+        if job_key and not all(c.isalnum() or c in "-_" for c in job_key):
+            return error(400, "bad_fields", "job_key: use letters, digits, - and _")
+        outcome = await self._front.submit(spec, job_key)
+        if isinstance(outcome, NotRun):
+            return not_run_response(outcome)
+        if isinstance(outcome, Unknown):
+            return _unknown(outcome)
+        return json_response(202, job_fields(outcome))
+
+    async def _list(self, call: ApiCall) -> HttpResponse:
+        query = call.request.query
+        organisation = query.get("organisation") or call.principal.organisation
+        if organisation and not call.principal.may_see(organisation):
+            return error(403, "forbidden", "this organisation is not yours")
+        if not organisation and not call.principal.is_operator:
+            return error(400, "bad_fields", "organisation: is required")
+        limit = _query_integer(query, "limit", 100, _ROWS_MAX)
+        if isinstance(limit, HttpResponse):
+            return limit
+        entries = self._front.newest_jobs(organisation, query.get("phase"), limit)
+        return json_response(200, {"jobs": [job_fields(entry) for entry in entries]})
+
+    async def _show(self, call: ApiCall) -> HttpResponse:
+        wait_ms = _query_integer(call.request.query, "wait_ms", 0, _WAIT_MAX_MS)
+        if isinstance(wait_ms, HttpResponse):
+            return wait_ms
+        entry = await self._find(call)
+        if isinstance(entry, HttpResponse):
+            return entry
+        with trio.move_on_after(wait_ms / 1000):
+            await self._front.wait_final(entry.spec.job_id)
+        return json_response(200, job_fields(self._front.get(entry.spec.job_id)))
+
+    async def _cancel(self, call: ApiCall) -> HttpResponse:
+        entry = await self._find(call)
+        if isinstance(entry, HttpResponse):
+            return entry
+        by = call.principal.organisation or "operator"
+        outcome = await self._front.cancel(entry.spec.job_id, by)
+        if isinstance(outcome, NotRun):
+            return not_run_response(outcome)
+        if isinstance(outcome, Unknown):
+            return _unknown(outcome)
+        return json_response(202, job_fields(outcome))
+
+    async def _explain(self, call: ApiCall) -> HttpResponse:
+        entry = await self._find(call)
+        if isinstance(entry, HttpResponse):
+            return entry
+        return json_response(200, await self._front.explain(entry))
+
+    async def _find(self, call: ApiCall) -> JobEntry | HttpResponse:
+        """Return the job, hiding those of other organisations as unknown."""
+        job_id = call.parts["job_id"]
+        entry = self._front.get(job_id)
+        if entry is None or not call.principal.may_see(entry.spec.organisation):
+            return error(404, "no_such_job", job_id)
+        return entry
+
+
+def _read_spec(call: ApiCall, reader: FieldReader) -> JobSpec:
+    now_ms = time.time_ns() // 1_000_000
+    deadline_in_ms = reader.integer("deadline_in_ms", 1, _DURATION_MAX_MS, default=None)
+    return JobSpec(
+        job_id="",
+        organisation=reader.text("organisation", default=call.principal.organisation),
+        home_data_centre=reader.text("home_data_centre", default="", limit=64),
+        accelerators=reader.integer("accelerators", 1, _ACCELERATORS_MAX),
+        adjacency=reader.choice("adjacency", Adjacency, default=Adjacency.DATA_CENTRE),
+        kind=reader.text("kind", default="default", limit=64),
+        priority=reader.choice("priority", Priority, default=Priority.NORMAL),
+        is_idempotent=reader.boolean("idempotent", default=False),
+        is_checkpointable=reader.boolean("checkpointable", default=False),
+        tasks=reader.integer("tasks", 1, _TASKS_MAX, default=1),
+        declared_run_ms=reader.integer(
+            "declared_run_ms", 0, _DURATION_MAX_MS, default=0
+        ),
+        declared_memory_bytes=reader.integer(
+            "declared_memory_bytes", 0, _MEMORY_MAX_BYTES, default=0
+        ),
+        submitted_wall_ms=now_ms,
+        deadline_wall_ms=None if deadline_in_ms is None else now_ms + deadline_in_ms,
+        command=reader.text("command", default="", limit=_COMMAND_MAX_CHARACTERS),
+    )
+
+
+def _query_integer(query, name: str, default: int, high: int) -> int | HttpResponse:
+    text = query.get(name)
+    if text is None:
+        return default
+    if not (text.isascii() and text.isdecimal()) or len(text) > 12 or int(text) > high:
+        return error(400, "bad_fields", f"{name}: must be from 0 to {high}")
+    return int(text)
+
+
+def _unknown(outcome: Unknown) -> HttpResponse:
+    fields = {
+        "outcome": "unknown",
+        "reason": outcome.reason.value,
+        "detail": outcome.detail,
+    }
+    return json_response(504, fields)
--- /dev/null
+++ b/ragwortshelf/daemon/node.py
@@ -0,0 +1,279 @@
+"""One entry instance: its services, wired together.
+
+The services know nothing of each other; the node passes what one learns to those that
+need it.
+"""
+
+from __future__ import annotations
+
+import random
+import time
+
+import trio
+from absl import logging
+
+from ..core.charging import ChargeBook
+from ..core.jobs import JobBook
+from ..core.membership import View
+from ..core.model import (
+    NO_REVISION,
+    Configuration,
+    InstanceInfo,
+    Request,
+    RequestOutcome,
+    Unreachable,
+)
+from ..core.streams import JOBS_STREAM, RELEASES_STREAM, USAGE_STREAM
+from ..net.instance_list import HttpInstanceList
+from ..net.interfaces import InstanceList, Membership
+from ..net.log import HttpLog
+from ..net.minions import open_minion
+from ..net.peers import PeerNetwork
+from .dispatcher import RequestService
+from .folds import BookFold
+from .job_front import JobFront
+from .logs import log_decision, log_event
+from .membership import MembershipService, new_incarnation
+from .metrics import Metrics
+from .peer_messages import Revision, StateRequested, StreamState
+from .settings import Settings
+from .streams import StreamService
+from .streams_releases import ReleaseFold
+
+__all__ = ["Node"]
+
+_REVISION_KEY = "revision"
+_PUBLISH_INTERVAL_S = 5.0
+_PEER_STATE_RETRY_S = 1.0
+_PEER_STATE_TIMEOUT_MS = 5_000
+
+
+class _TimedList(InstanceList):
+    """Remembers when the list was last asked, which answers cannot say."""
+
+    def __init__(self, inner: InstanceList):
+        self._inner = inner
+        self.asked_ms = 0
+
+    async def fetch(self) -> Membership | Unreachable:
+        self.asked_ms = _now_ms()
+        return await self._inner.fetch()
+
+
+class Node:
+    """All services of one instance and what flows between them."""
+
+    def __init__(self, settings: Settings):
+        self.settings = settings
+        self.incarnation = new_incarnation()
+        self.metrics = Metrics()
+        self.is_draining = False
+        rng = random.Random()
+        self.info = InstanceInfo(
+            settings.instance,
+            settings.data_centre,
+            settings.api_address,
+            settings.peer_address,
+        )
+        self.network = PeerNetwork(
+            self.info, self.incarnation, settings.peer_secret.encode()
+        )
+        self._list = _TimedList(
+            HttpInstanceList(
+                settings.list_address, timeout_ms=settings.platform_timeout_ms
+            )
+        )
+        self.membership = MembershipService(
+            self.info, self.incarnation, self._list, self.network, rng
+        )
+        self._build_streams(rng)
+        self.requests = RequestService(
+            settings.instance,
+            self.incarnation,
+            settings.data_centre,
+            open_minion,
+            self.network,
+            log_decision,
+            rng,
+            observer=self._observe_request,
+        )
+        self.front = JobFront(self)
+        self._since_wall_ms = 0
+        self._confirmed_wall_ms = 0
+        self._connect()
+
+    def _build_streams(self, rng: random.Random) -> None:
+        settings = self.settings
+        self.releases = ReleaseFold()
+        self.jobs = JobBook()
+        self.charges = ChargeBook()
+        folds = {
+            RELEASES_STREAM: self.releases,
+            JOBS_STREAM: BookFold(self.jobs),
+            USAGE_STREAM: BookFold(self.charges),
+        }
+        log = HttpLog(settings.log_address, timeout_ms=settings.platform_timeout_ms)
+        self.streams = StreamService(log, settings.instance, folds, rng)
+
+    def _connect(self) -> None:
+        """Let each service hear what it needs of the others."""
+        self._in_force = NO_REVISION
+        self.membership.register(Revision)
+        self.membership.on_list(self._list_fetched)
+        self.membership.on_change(self._members_changed)
+        self.streams.on_record(RELEASES_STREAM, lambda *_: self._bring_into_force())
+        self.streams.on_restored(RELEASES_STREAM, lambda _: self._bring_into_force())
+        self.network.handle(StateRequested, self._give_state)
+        self.metrics.gauge("requests_waiting", self.requests.waiting)
+        self.metrics.gauge("revision", lambda: self.configuration.revision)
+        self.metrics.gauge("jobs_active", lambda: self.jobs.active_count)
+
+    @property
+    def configuration(self) -> Configuration:
+        """The configuration in force here."""
+        return self.releases.configuration
+
+    def deadline_ms(self, timeout_ms: int) -> int:
+        """Return the monotonic time ``timeout_ms`` from now."""
+        return _now_ms() + timeout_ms
+
+    def unready_reason(self) -> str:
+        """Return why callers should not come here, or nothing."""
+        if self.is_draining:
+            return "draining"
+        if self.membership.is_superseded:
+            return "a newer incarnation of this instance runs"
+        if self.configuration.revision == NO_REVISION and not self._is_empty_platform():
+            return "no configuration yet"
+        return ""
+
+    def _is_empty_platform(self) -> bool:
+        """Whether the log was read to its end and holds no configuration."""
+        return self.streams.is_caught_up(RELEASES_STREAM)
+
+    async def run(
+        self, *, task_status: trio.TaskStatus[None] = trio.TASK_STATUS_IGNORED
+    ) -> None:
+        """Run all services until cancelled."""
+        async with trio.open_nursery() as nursery:
+            await nursery.start(self.network.run)
+            nursery.start_soon(self.membership.run)
+            nursery.start_soon(self.streams.run)
+            await nursery.start(self.requests.run)
+            nursery.start_soon(self.front.run)
+            nursery.start_soon(self._publish_revision)
+            nursery.start_soon(self._take_state_from_peer)
+            task_status.started()
+
+    async def drain(self) -> None:
+        """Refuse new work, finish or hand over what runs, and give up roles."""
+        self.is_draining = True
+        log_event("draining")
+        self.membership.set_draining()
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(self.requests.drain)
+            nursery.start_soon(self.front.drain)
+
+    def revision_rows(self) -> list[dict]:
+        """Return each known instance's revision in force and its age."""
+        wall_ms = _wall_ms()
+        shared = dict(self.membership.peer_state(_REVISION_KEY))
+        shared[self.info.name] = self._revision()
+        rows = []
+        for name, member in sorted(self.membership.view.members_by_name.items()):
+            revision = shared.get(name)
+            is_known = isinstance(revision, Revision)
+            rows.append(
+                {
+                    "instance": name,
+                    "data_centre": member.instance.data_centre,
+                    "revision": revision.revision if is_known else None,
+                    "in_force_since_wall_ms": (
+                        revision.since_wall_ms if is_known else None
+                    ),
+                    "age_ms": (
+                        max(0, wall_ms - revision.confirmed_wall_ms)
+                        if is_known
+                        else None
+                    ),
+                    "is_reachable": member.status == "alive",
+                }
+            )
+        return rows
+
+    def _observe_request(
+        self, request: Request, outcome: RequestOutcome, elapsed_ms: int
+    ) -> None:
+        kind = type(outcome).__name__.lower()
+        labels = {"organisation": request.organisation, "outcome": kind}
+        self.metrics.count("requests_total", **labels)
+        self.metrics.observe_ms(
+            "request_ms", elapsed_ms, request_class=request.request_class.value
+        )
+
+    def _list_fetched(self, members: Membership) -> None:
+        self.requests.set_minions(members.minions)
+        self.requests.set_instances(members.instances, asked_ms=self._list.asked_ms)
+        self.front.set_workers(members.workers)
+
+    def _members_changed(self, view: View) -> None:
+        live = sum(member.status == "alive" for member in view.members_by_name.values())
+        self.streams.set_instances(max(1, live))
+        self.front.members_changed()
+
+    def _bring_into_force(self) -> None:
+        configuration = self.configuration
+        if configuration.revision <= self._in_force:
+            return
+        self._in_force = configuration.revision
+        self._since_wall_ms = _wall_ms()
+        log_event("configuration in force", revision=configuration.revision)
+        self.requests.set_configuration(configuration)
+        self.front.set_configuration(configuration)
+        self.membership.publish(_REVISION_KEY, self._revision())
+
+    def _revision(self) -> Revision:
+        if self.streams.is_log_up() and self.streams.is_caught_up(RELEASES_STREAM):
+            self._confirmed_wall_ms = _wall_ms()
+        return Revision(
+            self.configuration.revision, self._since_wall_ms, self._confirmed_wall_ms
+        )
+
+    async def _publish_revision(self) -> None:
+        while True:
+            self.membership.publish(_REVISION_KEY, self._revision())
+            await trio.sleep(_PUBLISH_INTERVAL_S)
+
+    async def _give_state(self, sender: str, message: StateRequested) -> StreamState:
+        if self.configuration.revision == NO_REVISION:
+            return StreamState(b"")
+        return StreamState(self.streams.state_for_peer())
+
+    async def _take_state_from_peer(self) -> None:
+        """Ask peers for their state until the log or one of them has given it."""
+        while not self.streams.is_caught_up():
+            await trio.sleep(_PEER_STATE_RETRY_S)
+            if self.streams.is_log_up() or self.configuration.revision != NO_REVISION:
+                continue
+            for peer in self.membership.view.members_by_name:
+                if peer != self.info.name and await self._adopt_state_of(peer):
+                    break
+
+    async def _adopt_state_of(self, peer: str) -> bool:
+        answer = await self.network.call(
+            peer, StateRequested(), deadline_ms=self.deadline_ms(_PEER_STATE_TIMEOUT_MS)
+        )
+        if not isinstance(answer, StreamState) or not answer.data:
+            return False
+        moved = self.streams.adopt_from_peer(answer.data)
+        if moved:
+            logging.info("took the state of %s over from %s", ", ".join(moved), peer)
+        return bool(moved)
+
+
+def _now_ms() -> int:
+    return int(trio.current_time() * 1000)
+
+
+def _wall_ms() -> int:
+    return time.time_ns() // 1_000_000
--- a/ragwortshelf/net/http_server.py
+++ b/ragwortshelf/net/http_server.py
@@ -60,6 +60,7 @@
         self._connections: set[_Connection] = set()
         self._accept_scopes: list[trio.CancelScope] = []
         self._is_draining = False
+        self._connection_closed = trio.Event()
         self.accepted = 0
         self.connections_max = 0
 
@@ -77,6 +78,11 @@
         for connection in list(self._connections):
             connection.drain()
 
+    async def wait_idle(self) -> None:
+        """Return once no connection is open, after ``drain``."""
+        while self._connections:
+            await self._connection_closed.wait()
+
     async def _accept(self, listener, nursery) -> None:
         with trio.CancelScope() as scope:
             self._accept_scopes.append(scope)
@@ -109,6 +115,8 @@
             logging.exception("connection handler failed")
         finally:
             self._connections.discard(connection)
+            self._connection_closed.set()
+            self._connection_closed = trio.Event()
             await trio.aclose_forcefully(stream)
 
 
