--- /dev/null
+++ b/ragwortshelf/daemon/job_front.py
@@ -0,0 +1,410 @@
+"""Jobs as callers and operators see them, at any instance of the platform.
+
+The front accepts jobs into the log, or, while the log is out, hands them to the placer
+of its own data centre. Questions about workers and decisions go to the placer of the
+data centre they are about.
+"""
+
+from __future__ import annotations
+
+import heapq
+import itertools
+import time
+from collections.abc import Iterable
+from dataclasses import replace
+from typing import TYPE_CHECKING
+
+import trio
+
+from ..core.jobs import JobBook, JobEntry, admit, job_id
+from ..core.model import (
+    Configuration,
+    JobSpec,
+    NotRun,
+    Reason,
+    Unknown,
+    Unreachable,
+    UsageReport,
+    WorkerInfo,
+)
+from ..core.placement import Scheduler
+from ..core.streams import (
+    JOBS_STREAM,
+    USAGE_STREAM,
+    CancelRequested,
+    Record,
+    UsageRecorded,
+)
+from ..net.interfaces import Appended
+from ..net.workers import HttpWorker
+from .logs import log_decision
+from .peer_messages import (
+    Acknowledged,
+    ExplainJob,
+    Explanation,
+    JobAnswer,
+    ListWorkers,
+    PlaceOffLog,
+    Quarantine,
+    WorkerRow,
+    WorkerTable,
+)
+from .placer import PlacerService
+
+if TYPE_CHECKING:
+    from .node import Node
+
+__all__ = ["JobFront"]
+
+_APPEND_TIMEOUT_MS = 5_000
+_PEER_TIMEOUT_MS = 5_000
+_READ_BACK_TIMEOUT_MS = 5_000
+_ROLE_CHECK_S = 0.2
+_DRAIN_CHECK_S = 0.05
+_RETRY_AFTER_MS = 2_000
+
+
+class JobFront:
+    """Accepts, shows and cancels jobs, and runs this instance's placer."""
+
+    def __init__(self, node: Node):
+        self._node = node
+        self._numbers = itertools.count(1)
+        self._changed = trio.Event()
+        data_centre = node.settings.data_centre
+        self._holder = f"{node.settings.instance}.{node.incarnation}"
+        self.book = JobBook()
+        self.placer = PlacerService(
+            data_centre,
+            self._holder,
+            lambda info: HttpWorker(
+                info.address, timeout_ms=node.settings.worker_timeout_ms
+            ),
+            self._append_job_record,
+            Scheduler(data_centre),
+            log_decision,
+            book=self.book,
+            record_usage=self._record_usage,
+        )
+        node.network.handle(ExplainJob, self._on_explain)
+        node.network.handle(ListWorkers, self._on_list_workers)
+        node.network.handle(Quarantine, self._on_quarantine)
+        node.network.handle(PlaceOffLog, self._on_place_off_log)
+
+    # What the node tells
+
+    def deliver(self, offset: int, record: Record) -> None:
+        """Take the next record of the jobs stream."""
+        self.placer.deliver(offset, record)
+        self._notify()
+
+    def restored(self) -> None:
+        """Hear that the book was replaced by a newer one."""
+        self.placer.set_role(False)
+        self._notify()
+
+    def set_workers(self, workers: Iterable[WorkerInfo]) -> None:
+        """Take in the workers of all data centres from the list."""
+        data_centre = self._node.settings.data_centre
+        mine = [info for info in workers if info.data_centre == data_centre]
+        # A list that lost every worker is more likely wrong than true.
+        if mine:
+            self.placer.set_workers(mine)
+
+    def set_configuration(self, configuration: Configuration) -> None:
+        """Put a configuration in force."""
+        self.placer.set_configuration(configuration)
+
+    async def run(self) -> None:
+        """Run the placer and keep its role up to date."""
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(self.placer.run)
+            while True:
+                self._update_role()
+                await trio.sleep(_ROLE_CHECK_S)
+
+    async def drain(self) -> None:
+        """Finish placements that are half made, then give up the role."""
+        while self.placer.machine.is_placer and not self.placer.machine.is_idle:
+            await trio.sleep(_DRAIN_CHECK_S)
+        self.placer.set_role(False)
+
+    # Callers
+
+    async def submit(
+        self, spec: JobSpec, job_key: str = ""
+    ) -> JobEntry | NotRun | Unknown:
+        """Accept a job, or say why not.
+
+        ``job_key`` makes a repeated submission the same job. It needs the log, since
+        only the log tells a repeat at another instance.
+        """
+        if self._node.is_draining:
+            return NotRun(Reason.DRAINING, "ask another instance", _RETRY_AFTER_MS)
+        if self._node.unready_reason():
+            return NotRun(Reason.NOT_READY, "no configuration yet", _RETRY_AFTER_MS)
+        is_log_up = self._node.streams.is_log_up()
+        if not is_log_up:
+            return await self._submit_off_log(spec, job_key)
+        if job_key:
+            spec = replace(spec, job_id=f"{spec.organisation}.key.{job_key}")
+            known = self.book.get(spec.job_id)
+            if known is not None:
+                return known
+        else:
+            spec = replace(spec, job_id=self._next_job_id())
+        return await self._admit_and_submit(spec, is_log_up=True)
+
+    async def cancel(
+        self, job_id_: str, requested_by: str
+    ) -> JobEntry | NotRun | Unknown:
+        """Ask for a job to be stopped."""
+        entry = self.get(job_id_)
+        if entry.phase.is_final:
+            return entry
+        answer = await self._append(JOBS_STREAM, CancelRequested(job_id_, requested_by))
+        if isinstance(answer, Unreachable):
+            if answer.may_have_applied:
+                return Unknown(Reason.LOG_UNAVAILABLE, answer.detail)
+            return NotRun(Reason.LOG_UNAVAILABLE, answer.detail, _RETRY_AFTER_MS)
+        await self._node.streams.wait_for(
+            JOBS_STREAM,
+            answer.first_offset,
+            self._node.deadline_ms(_READ_BACK_TIMEOUT_MS),
+        )
+        return self.get(job_id_)
+
+    def get(self, job_id_: str) -> JobEntry | None:
+        """Return a job by its id."""
+        return self.placer.machine.entry(job_id_)
+
+    def newest_jobs(
+        self, organisation: str, phase: str | None, limit: int
+    ) -> list[JobEntry]:
+        """Return the newest jobs of an organisation, or of all if it is empty."""
+        if organisation:
+            entries: Iterable[JobEntry] = self.book.of_organisation(organisation)
+        else:
+            entries = self.book.all()
+        if phase:
+            entries = (entry for entry in entries if entry.phase.value == phase)
+        return heapq.nlargest(
+            limit, entries, key=lambda entry: entry.spec.submitted_wall_ms
+        )
+
+    async def wait_final(self, job_id_: str) -> None:
+        """Return once the job has its outcome, for as long as it is remembered."""
+        while (entry := self.get(job_id_)) is not None and not entry.phase.is_final:
+            await self._changed.wait()
+
+    async def explain(self, entry: JobEntry) -> dict:
+        """Say why a job waits or where it was put, as its placer knows."""
+        fields = {"job_id": entry.spec.job_id, "phase": entry.phase.value}
+        if entry.ended is not None:
+            detail = entry.ended.detail or entry.ended.reason.value
+            return {**fields, "choice": "ended", "reason": detail}
+        answer = await self._ask_placer(
+            entry.home_data_centre, ExplainJob(entry.spec.job_id)
+        )
+        if not isinstance(answer, Explanation) or answer.decision is None:
+            detail = f"the placer of {entry.home_data_centre} gave no answer"
+            return {**fields, "choice": None, "reason": detail}
+        decision = answer.decision
+        return {
+            **fields,
+            "choice": decision.choice,
+            "reason": decision.reason,
+            "passed_over": list(decision.passed_over),
+        }
+
+    def usage_fields(self, organisation: str) -> dict:
+        """Return an organisation's charge."""
+        charge = self._node.charges.charge_of(organisation)
+        return {
+            "organisation": organisation,
+            "ran_accelerator_ms": charge.ran_accelerator_ms,
+            "wasted_accelerator_ms": charge.wasted_accelerator_ms,
+            "corrected_accelerator_ms": charge.corrected_accelerator_ms,
+        }
+
+    # Operators
+
+    async def worker_tables(self) -> list[WorkerTable]:
+        """Ask the placer of each data centre for its workers."""
+        names = sorted(self._node.configuration.data_centres_by_name)
+        table_by_name = {}
+
+        async def ask(name: str) -> None:
+            answer = await self._ask_placer(name, ListWorkers())
+            if isinstance(answer, WorkerTable):
+                table_by_name[name] = answer
+
+        async with trio.open_nursery() as nursery:
+            for name in names:
+                nursery.start_soon(ask, name)
+        return [table_by_name[name] for name in names if name in table_by_name]
+
+    async def quarantine(self, worker: str, is_quarantined: bool) -> bool:
+        """Take a worker out of use, or back; False if its placer did not answer."""
+        for name, centre in self._node.configuration.data_centres_by_name.items():
+            if any(worker in rack.workers for rack in centre.racks):
+                answer = await self._ask_placer(
+                    name, Quarantine(worker, is_quarantined)
+                )
+                return isinstance(answer, Acknowledged) and answer.is_done
+        return False
+
+    # Peers
+
+    async def _ask_placer(self, data_centre: str, message: object):
+        placer = self._node.membership.view.placer_of(data_centre)
+        if placer is None:
+            return Unreachable("no placer", may_have_applied=False)
+        if placer == self._node.settings.instance:
+            return await self._handler_of(message)("", message)
+        return await self._node.network.call(
+            placer, message, deadline_ms=self._node.deadline_ms(_PEER_TIMEOUT_MS)
+        )
+
+    def _handler_of(self, message: object):
+        return {
+            ExplainJob: self._on_explain,
+            ListWorkers: self._on_list_workers,
+            Quarantine: self._on_quarantine,
+            PlaceOffLog: self._on_place_off_log,
+        }[type(message)]
+
+    async def _on_explain(self, sender: str, message: ExplainJob) -> Explanation:
+        return Explanation(self.placer.explain(message.job_id))
+
+    async def _on_list_workers(self, sender: str, message: ListWorkers) -> WorkerTable:
+        data_centre = self._node.settings.data_centre
+        rows = tuple(
+            WorkerRow(
+                worker.worker,
+                data_centre,
+                worker.rack,
+                worker.accelerators,
+                worker.free,
+                worker.state,
+                worker.detail,
+            )
+            for worker in self.placer.workers()
+        )
+        shortfalls = tuple(
+            f"{status.organisation}: {status.shape.accelerators} accelerators in one "
+            f"{status.shape.adjacency.value} of {data_centre}: {status.detail}"
+            for status in self.placer.guarantees()
+            if not status.is_met
+        )
+        return WorkerTable(rows, shortfalls)
+
+    async def _on_quarantine(self, sender: str, message: Quarantine) -> Acknowledged:
+        if not self.placer.machine.is_placer:
+            return Acknowledged(False)
+        self.placer.set_quarantine(message.worker, message.is_quarantined)
+        return Acknowledged(True)
+
+    async def _on_place_off_log(self, sender: str, message: PlaceOffLog) -> JobAnswer:
+        if not self.placer.machine.is_placer:
+            return _refused(NotRun(Reason.NOT_READY, "not the placer", _RETRY_AFTER_MS))
+        spec = replace(message.spec, job_id=self._next_job_id())
+        outcome = await self._admit_and_submit(spec, is_log_up=False)
+        if isinstance(outcome, NotRun):
+            return _refused(outcome)
+        return JobAnswer(True, detail=spec.job_id)
+
+    # Submission
+
+    def _next_job_id(self) -> str:
+        node = self._node
+        number = next(self._numbers)
+        return job_id(node.settings.instance, str(node.incarnation), number)
+
+    async def _submit_off_log(
+        self, spec: JobSpec, job_key: str
+    ) -> JobEntry | NotRun | Unknown:
+        if job_key:
+            detail = "a job with a key needs the log, which is out"
+            return NotRun(Reason.LOG_UNAVAILABLE, detail, _RETRY_AFTER_MS)
+        answer = await self._ask_placer(
+            self._node.settings.data_centre, PlaceOffLog(spec)
+        )
+        if isinstance(answer, Unreachable):
+            if answer.may_have_applied:
+                return Unknown(Reason.LOG_UNAVAILABLE, "the placer gave no answer")
+            return NotRun(Reason.LOG_UNAVAILABLE, answer.detail, _RETRY_AFTER_MS)
+        if not answer.is_accepted:
+            return NotRun(Reason(answer.reason), answer.detail, answer.retry_after_ms)
+        accepted = replace(
+            spec,
+            job_id=answer.detail,
+            home_data_centre=self._node.settings.data_centre,
+        )
+        return self.get(accepted.job_id) or JobEntry(
+            accepted, "", accepted.home_data_centre
+        )
+
+    async def _admit_and_submit(
+        self, spec: JobSpec, *, is_log_up: bool
+    ) -> JobEntry | NotRun | Unknown:
+        admitted = admit(
+            spec,
+            self._node.configuration,
+            self.book,
+            is_log_up,
+            time.time_ns() // 1_000_000,
+            data_centre=self._node.settings.data_centre,
+        )
+        if isinstance(admitted, NotRun):
+            return admitted
+        refusal = await self.placer.submit(admitted)
+        if refusal is not None:
+            return refusal
+        entry = await self._read_back(admitted)
+        return entry or JobEntry(admitted, self._holder, admitted.home_data_centre)
+
+    async def _read_back(self, spec: JobSpec) -> JobEntry | None:
+        with trio.move_on_after(_READ_BACK_TIMEOUT_MS / 1000):
+            while (entry := self.get(spec.job_id)) is None:
+                await self._changed.wait()
+            return entry
+        return None
+
+    # Streams and role
+
+    async def _append(self, stream: str, record: Record) -> Appended | Unreachable:
+        answer = await self._node.streams.append(
+            stream, record, deadline_ms=self._node.deadline_ms(_APPEND_TIMEOUT_MS)
+        )
+        if isinstance(answer, NotRun):
+            return Unreachable(answer.detail, may_have_applied=False)
+        return answer
+
+    async def _append_job_record(self, record: Record) -> Appended | Unreachable:
+        return await self._append(JOBS_STREAM, record)
+
+    async def _record_usage(self, reports: tuple[UsageReport, ...]) -> bool:
+        answer = await self._append(USAGE_STREAM, UsageRecorded(reports))
+        return isinstance(answer, Appended)
+
+    def _update_role(self) -> None:
+        streams = self._node.streams
+        self.placer.set_log_reachable(
+            streams.is_log_up(), streams.is_caught_up(JOBS_STREAM)
+        )
+        is_placer = self._node.membership.is_placer() and not self._node.is_draining
+        if is_placer != self.placer.machine.is_placer and not (
+            self._node.is_draining and not self.placer.machine.is_idle
+        ):
+            self.placer.set_role(is_placer)
+
+    def _notify(self) -> None:
+        self._changed.set()
+        self._changed = trio.Event()
+
+
+def _refused(outcome: NotRun) -> JobAnswer:
+    return JobAnswer(
+        False, outcome.reason.value, outcome.detail, outcome.retry_after_ms
+    )
--- a/ragwortshelf/daemon/node.py
+++ b/ragwortshelf/daemon/node.py
@@ -13,7 +13,6 @@
 from absl import logging
 
 from ..core.charging import ChargeBook
-from ..core.jobs import JobBook
 from ..core.membership import View
 from ..core.model import (
     NO_REVISION,
@@ -86,6 +85,7 @@
         self.membership = MembershipService(
             self.info, self.incarnation, self._list, self.network, rng
         )
+        self.front = JobFront(self)
         self._build_streams(rng)
         self.requests = RequestService(
             settings.instance,
@@ -97,7 +97,6 @@
             rng,
             observer=self._observe_request,
         )
-        self.front = JobFront(self)
         self._since_wall_ms = 0
         self._confirmed_wall_ms = 0
         self._connect()
@@ -105,11 +104,10 @@
     def _build_streams(self, rng: random.Random) -> None:
         settings = self.settings
         self.releases = ReleaseFold()
-        self.jobs = JobBook()
         self.charges = ChargeBook()
         folds = {
             RELEASES_STREAM: self.releases,
-            JOBS_STREAM: BookFold(self.jobs),
+            JOBS_STREAM: BookFold(self.front.book, self.front.deliver),
             USAGE_STREAM: BookFold(self.charges),
         }
         log = HttpLog(settings.log_address, timeout_ms=settings.platform_timeout_ms)
@@ -123,10 +121,11 @@
         self.membership.on_change(self._members_changed)
         self.streams.on_record(RELEASES_STREAM, lambda *_: self._bring_into_force())
         self.streams.on_restored(RELEASES_STREAM, lambda _: self._bring_into_force())
+        self.streams.on_restored(JOBS_STREAM, lambda _: self.front.restored())
         self.network.handle(StateRequested, self._give_state)
         self.metrics.gauge("requests_waiting", self.requests.waiting)
         self.metrics.gauge("revision", lambda: self.configuration.revision)
-        self.metrics.gauge("jobs_active", lambda: self.jobs.active_count)
+        self.metrics.gauge("jobs_active", lambda: self.front.book.active_count)
 
     @property
     def configuration(self) -> Configuration:
@@ -219,7 +218,6 @@
     def _members_changed(self, view: View) -> None:
         live = sum(member.status == "alive" for member in view.members_by_name.values())
         self.streams.set_instances(max(1, live))
-        self.front.members_changed()
 
     def _bring_into_force(self) -> None:
         configuration = self.configuration
