Add the job book, gangs and the placer

Cause: jobs need one truthful outcome each and gangs all or nothing. Change: fold of the jobs stream, one machine per attempt and per data centre, and a trio service that carries out the actions.

--- a/ragwortshelf/core/jobs/__init__.py
+++ b/ragwortshelf/core/jobs/__init__.py
@@ -1,1 +1,89 @@
-"""The life of jobs: claims, leases, starts, recovery and outcomes."""
+"""Jobs: their life in the log, and the machine that runs them as gangs on workers.
+
+`JobBook` folds the jobs stream, so that every instance tells the same truth of every
+job. `PlacerMachine` is one data centre's placer: it takes events and returns actions.
+`Gang` is one attempt, from its leases to the proof of how it ended.
+"""
+
+from .actions import (
+    AcquireLease,
+    Action,
+    AnswerSubmission,
+    AppendRecord,
+    CommandTask,
+    FenceJob,
+    GangCommand,
+    LogDecision,
+    ObserveWorker,
+    ReleaseLease,
+    RenewLeases,
+    StartTask,
+)
+from .admission import admit, job_id
+from .book import BookSnapshot, JobBook
+from .entry import JobEntry
+from .events import (
+    AppendAnswered,
+    CommandAnswered,
+    ConfigurationChanged,
+    Event,
+    FenceAnswered,
+    JobSubmittedOffLog,
+    LeaseAnswered,
+    LogReachable,
+    Proof,
+    RecordRead,
+    RenewAnswered,
+    RoleChanged,
+    StartAnswered,
+    Tick,
+    UsageObserved,
+    Verdict,
+    WorkerObserved,
+    WorkersListed,
+    WorkerUnreachable,
+)
+from .gang import Gang, Stage
+from .placer import PlacerMachine
+
+__all__ = [
+    "AcquireLease",
+    "Action",
+    "AnswerSubmission",
+    "AppendAnswered",
+    "AppendRecord",
+    "BookSnapshot",
+    "CommandAnswered",
+    "CommandTask",
+    "ConfigurationChanged",
+    "Event",
+    "FenceAnswered",
+    "FenceJob",
+    "Gang",
+    "GangCommand",
+    "JobBook",
+    "JobEntry",
+    "JobSubmittedOffLog",
+    "LeaseAnswered",
+    "LogDecision",
+    "LogReachable",
+    "ObserveWorker",
+    "PlacerMachine",
+    "Proof",
+    "RecordRead",
+    "ReleaseLease",
+    "RenewAnswered",
+    "RenewLeases",
+    "RoleChanged",
+    "Stage",
+    "StartAnswered",
+    "StartTask",
+    "Tick",
+    "UsageObserved",
+    "Verdict",
+    "WorkerObserved",
+    "WorkerUnreachable",
+    "WorkersListed",
+    "admit",
+    "job_id",
+]
--- /dev/null
+++ b/ragwortshelf/core/jobs/book.py
@@ -0,0 +1,246 @@
+"""Fold of the jobs stream: every instance that reads it knows every job's truth."""
+
+from __future__ import annotations
+
+from collections.abc import Iterator
+from dataclasses import dataclass, replace
+
+from ..charging.ranges import IntegerRanges
+from ..model import JobPhase, Reason
+from ..streams import (
+    AttemptClaimed,
+    AttemptEnded,
+    AttemptStarted,
+    CancelRequested,
+    JobAccepted,
+    JobEnded,
+    JobMoved,
+    Record,
+    decode,
+    encode,
+)
+from .entry import JobEntry
+
+__all__ = ["BookSnapshot", "JobBook"]
+
+ENDED_JOBS_KEPT = 50_000
+SUBMITTERS_KEPT = 20_000
+REASONS_WITHOUT_LOSS = frozenset({Reason.RECLAIMED})
+
+
+@dataclass(frozen=True, slots=True)
+class ForgottenJobs:
+    """Numbers of ended and forgotten jobs that one incarnation accepted."""
+
+    prefix: str
+    ranges: tuple[tuple[int, int], ...]
+
+
+@dataclass(frozen=True, slots=True)
+class BookSnapshot:
+    """All that a `JobBook` holds, in an order that keeps its behaviour."""
+
+    entries: tuple[JobEntry, ...]
+    ended_ids: tuple[str, ...]
+    forgotten: tuple[ForgottenJobs, ...]
+
+
+class JobBook:
+    """Jobs by id, as the records up to the last applied offset tell it.
+
+    Only the order of records decides, so all instances agree. A claim wins if the job
+    is waiting, its home is the claim's data centre and the attempt is new; a record
+    about an attempt counts only while that attempt is the newest. The first outcome
+    is final. A second copy of any record changes nothing.
+
+    The newest ``ended_kept`` ended jobs stay readable. Of older ones only the numbers
+    in their ids stay, as ranges, so that a late copy of `JobAccepted` cannot make
+    them run again.
+    """
+
+    def __init__(self, *, ended_kept: int = ENDED_JOBS_KEPT) -> None:
+        self._ended_kept = ended_kept
+        self._entry_by_id: dict[str, JobEntry] = {}
+        self._active_ids: dict[str, None] = {}
+        self._ended_ids: dict[str, None] = {}
+        self._forgotten_by_prefix: dict[str, IntegerRanges] = {}
+
+    def get(self, job_id: str) -> JobEntry | None:
+        """Return what is known of the job, or None if it is unknown or forgotten."""
+        return self._entry_by_id.get(job_id)
+
+    def active(self) -> Iterator[JobEntry]:
+        """Iterate over jobs without an outcome, oldest first."""
+        return (self._entry_by_id[job_id] for job_id in self._active_ids)
+
+    def of_organisation(self, organisation: str) -> tuple[JobEntry, ...]:
+        """Return the organisation's jobs that are still readable."""
+        return tuple(
+            entry
+            for entry in self._entry_by_id.values()
+            if entry.spec.organisation == organisation
+        )
+
+    @property
+    def active_count(self) -> int:
+        """Number of jobs without an outcome."""
+        return len(self._active_ids)
+
+    def has_ended(self, job_id: str) -> bool:
+        """Whether the job has its outcome, also if it is forgotten."""
+        return job_id in self._ended_ids or self._is_forgotten(job_id)
+
+    def apply(self, record: Record) -> JobEntry | None:
+        """Apply the next record of the stream; return the changed job, if any."""
+        if isinstance(record, JobAccepted):
+            return self._accept(record)
+        job_id = getattr(record, "job_id", None)
+        entry = self._entry_by_id.get(job_id)
+        if entry is None or entry.phase.is_final:
+            return None
+        changed = _changed(entry, record)
+        if changed is None:
+            return None
+        self._entry_by_id[job_id] = changed
+        if changed.phase.is_final:
+            self._end(job_id)
+        return changed
+
+    def to_snapshot(self) -> BookSnapshot:
+        """Return everything that the book holds."""
+        return BookSnapshot(
+            tuple(self._entry_by_id.values()),
+            tuple(self._ended_ids),
+            tuple(
+                ForgottenJobs(prefix, ranges.to_tuple())
+                for prefix, ranges in self._forgotten_by_prefix.items()
+            ),
+        )
+
+    @classmethod
+    def from_snapshot(
+        cls, snapshot: BookSnapshot, *, ended_kept: int = ENDED_JOBS_KEPT
+    ) -> JobBook:
+        """Return a book that goes on where ``snapshot`` was taken."""
+        book = cls(ended_kept=ended_kept)
+        book._load(snapshot)
+        return book
+
+    def snapshot(self) -> bytes:
+        """Return `to_snapshot` as bytes."""
+        return encode(self.to_snapshot())
+
+    def restore(self, data: bytes) -> None:
+        """Replace the contents by those of ``snapshot`` bytes.
+
+        Raises `ValueError` if the bytes are no snapshot of a book.
+        """
+        snapshot = decode(data, {"BookSnapshot": BookSnapshot})
+        if not isinstance(snapshot, BookSnapshot):
+            raise ValueError(snapshot.detail)
+        self._load(snapshot)
+
+    def _load(self, snapshot: BookSnapshot) -> None:
+        self._entry_by_id = {entry.spec.job_id: entry for entry in snapshot.entries}
+        self._ended_ids = dict.fromkeys(snapshot.ended_ids)
+        self._active_ids = {
+            job_id: None
+            for job_id, entry in self._entry_by_id.items()
+            if not entry.phase.is_final
+        }
+        self._forgotten_by_prefix = {
+            item.prefix: IntegerRanges(item.ranges) for item in snapshot.forgotten
+        }
+
+    def _accept(self, record: JobAccepted) -> JobEntry | None:
+        job_id = record.spec.job_id
+        if job_id in self._entry_by_id or self._is_forgotten(job_id):
+            return None
+        entry = JobEntry(record.spec, record.accepted_by, record.spec.home_data_centre)
+        if record.claim is not None:
+            entry = _claimed(entry, record.claim) or entry
+        self._entry_by_id[job_id] = entry
+        self._active_ids[job_id] = None
+        return entry
+
+    def _end(self, job_id: str) -> None:
+        del self._active_ids[job_id]
+        self._ended_ids[job_id] = None
+        while len(self._ended_ids) > self._ended_kept:
+            oldest = next(iter(self._ended_ids))
+            del self._ended_ids[oldest]
+            del self._entry_by_id[oldest]
+            self._forget(oldest)
+
+    def _forget(self, job_id: str) -> None:
+        prefix, _, number = job_id.rpartition(".")
+        if not number.isdecimal():
+            return
+        self._forgotten_by_prefix.setdefault(prefix, IntegerRanges()).add(int(number))
+        while len(self._forgotten_by_prefix) > SUBMITTERS_KEPT:
+            del self._forgotten_by_prefix[next(iter(self._forgotten_by_prefix))]
+
+    def _is_forgotten(self, job_id: str) -> bool:
+        prefix, _, number = job_id.rpartition(".")
+        ranges = self._forgotten_by_prefix.get(prefix)
+        return ranges is not None and number.isdecimal() and int(number) in ranges
+
+
+def _changed(entry: JobEntry, record: Record) -> JobEntry | None:
+    """Return the job after ``record``, or None if the record changes nothing."""
+    if isinstance(record, AttemptClaimed):
+        return _claimed(entry, record)
+    if isinstance(record, CancelRequested):
+        if entry.is_cancel_requested:
+            return None
+        return replace(entry, is_cancel_requested=True)
+    if isinstance(record, JobMoved):
+        if record.move != entry.moves + 1 or entry.is_open:
+            return None
+        return replace(entry, moves=record.move, home_data_centre=record.to_data_centre)
+    if record.attempt != entry.attempt:
+        return None
+    if isinstance(record, AttemptStarted):
+        if not entry.is_open or entry.phase is JobPhase.STARTED:
+            return None
+        return replace(
+            entry, phase=JobPhase.STARTED, started_wall_ms=record.started_wall_ms
+        )
+    if isinstance(record, AttemptEnded):
+        return _attempt_ended(entry, record)
+    if isinstance(record, JobEnded):
+        return replace(entry, phase=record.phase, is_open=False, ended=record)
+    return None
+
+
+def _claimed(entry: JobEntry, record: AttemptClaimed) -> JobEntry | None:
+    if not entry.is_waiting or record.attempt <= entry.attempt:
+        return None
+    if record.data_centre != entry.home_data_centre:
+        return None
+    return replace(
+        entry,
+        phase=JobPhase.LEASED,
+        attempt=record.attempt,
+        claim=record,
+        is_open=True,
+    )
+
+
+def _attempt_ended(entry: JobEntry, record: AttemptEnded) -> JobEntry | None:
+    if not entry.is_open:
+        return None
+    is_loss = record.has_started and record.reason not in REASONS_WITHOUT_LOSS
+    failed_workers = entry.failed_workers
+    if record.reason is Reason.TASK_FAILED:
+        workers = {grant.worker for grant in entry.claim.grants}
+        failed_workers = tuple(sorted(workers.union(failed_workers)))
+    return replace(
+        entry,
+        phase=JobPhase.ACCEPTED,
+        is_open=False,
+        has_started=entry.has_started or record.has_started,
+        checkpoint=max(entry.checkpoint, record.checkpoint),
+        attempts_lost=entry.attempts_lost + is_loss,
+        failed_workers=failed_workers,
+    )
--- /dev/null
+++ b/ragwortshelf/core/jobs/entry.py
@@ -0,0 +1,61 @@
+"""What the log says about one job."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+
+from ..model import (
+    Completed,
+    Interrupted,
+    JobOutcome,
+    JobPhase,
+    JobSpec,
+    NotRun,
+)
+from ..streams import AttemptClaimed, JobEnded
+
+__all__ = ["JobEntry"]
+
+
+@dataclass(frozen=True, slots=True)
+class JobEntry:
+    """The fold of all records of one job.
+
+    ``attempt`` is the newest claimed attempt, 0 being none, and ``claim`` its claim.
+    ``is_open`` says that this attempt may still start or run. ``has_started`` tells
+    whether an attempt that ended may have started a task. ``attempts_lost`` counts
+    started attempts that ended without completing, reclaims left out.
+    ``failed_workers`` are the workers of attempts whose tasks failed.
+    """
+
+    spec: JobSpec
+    accepted_by: str
+    home_data_centre: str
+    phase: JobPhase = JobPhase.ACCEPTED
+    moves: int = 0
+    attempt: int = 0
+    claim: AttemptClaimed | None = None
+    is_open: bool = False
+    has_started: bool = False
+    checkpoint: int = 0
+    attempts_lost: int = 0
+    failed_workers: tuple[str, ...] = ()
+    is_cancel_requested: bool = False
+    started_wall_ms: int = 0
+    ended: JobEnded | None = None
+
+    @property
+    def is_waiting(self) -> bool:
+        """Whether a new attempt may be claimed."""
+        return not self.is_open and not self.phase.is_final
+
+    @property
+    def outcome(self) -> JobOutcome | None:
+        """The final outcome, or None while the job goes on."""
+        if self.ended is None:
+            return None
+        if self.ended.phase is JobPhase.COMPLETED:
+            return Completed(self.ended.reason, self.ended.detail)
+        if self.ended.phase is JobPhase.NOT_RUN:
+            return NotRun(self.ended.reason, self.ended.detail)
+        return Interrupted(self.ended.reason, self.ended.detail)
--- a/ragwortshelf/core/streams/records.py
+++ b/ragwortshelf/core/streams/records.py
@@ -54,10 +54,16 @@
 
 @dataclass(frozen=True, slots=True)
 class JobAccepted:
-    """A job that its submitter was, or is about to be, told is accepted."""
+    """A job that its submitter was, or is about to be, told is accepted.
+
+    ``claim`` is set if the job was accepted and placed while the log was down: the
+    record then accepts the job and claims its first attempt in one step, so that
+    nobody can claim in between.
+    """
 
     spec: JobSpec
     accepted_by: str
+    claim: AttemptClaimed | None = None
 
 
 @dataclass(frozen=True, slots=True)
--- /dev/null
+++ b/ragwortshelf/daemon/placer.py
@@ -0,0 +1,307 @@
+"""Runs the placer machine of one data centre over its workers and the log."""
+
+from __future__ import annotations
+
+import time
+from collections.abc import Awaitable, Callable
+
+import trio
+
+from ..core.jobs import (
+    AnswerSubmission,
+    AppendAnswered,
+    AppendRecord,
+    ConfigurationChanged,
+    Event,
+    JobBook,
+    JobSubmittedOffLog,
+    LogDecision,
+    LogReachable,
+    ObserveWorker,
+    PlacerMachine,
+    RecordRead,
+    RoleChanged,
+    Tick,
+    UsageObserved,
+    Verdict,
+    WorkerObserved,
+    WorkersListed,
+    WorkerUnreachable,
+)
+from ..core.model import (
+    Configuration,
+    Decision,
+    JobSpec,
+    NotRun,
+    Reason,
+    Unknown,
+    Unreachable,
+    UsageReport,
+    WorkerInfo,
+)
+from ..core.placement import Scheduler
+from ..core.streams import JobAccepted, Record
+from ..net.interfaces import Appended, Worker
+from .placer_calls import call_worker
+
+__all__ = ["PlacerService"]
+
+TICK_EVERY_MS = 50
+OBSERVE_EVERY_MS = 500
+USAGE_EVERY_MS = 2_000
+USAGE_PAGE_REPORTS = 1_000
+CALLS_AT_ONCE = 64
+CALLS_AT_ONCE_PER_WORKER = 4
+SUBMIT_TIMEOUT_MS = 5_000
+SUBMIT_RETRY_MS = 250
+RETRY_AFTER_MS = 2_000
+
+Append = Callable[[Record], Awaitable[Appended | Unreachable]]
+RecordUsage = Callable[[tuple[UsageReport, ...]], Awaitable[bool]]
+
+
+async def _discard_usage(reports: tuple[UsageReport, ...]) -> bool:
+    return True
+
+
+class PlacerService:
+    """One instance's placer; it works on workers only while it has the role.
+
+    ``holder`` names instance and incarnation. ``append`` puts a record into the jobs
+    stream; what is in the stream comes back in order through `deliver`.
+    ``record_usage`` stores reports and returns whether they are stored; a page is
+    read again until they are.
+    """
+
+    def __init__(
+        self,
+        data_centre: str,
+        holder: str,
+        worker_factory: Callable[[WorkerInfo], Worker],
+        append: Append,
+        scheduler: Scheduler,
+        log_decision: Callable[[Decision], None],
+        *,
+        book: JobBook | None = None,
+        record_usage: RecordUsage = _discard_usage,
+        wall_s: Callable[[], float] = time.time,
+    ) -> None:
+        self.machine = PlacerMachine(data_centre, holder, scheduler, book)
+        self._worker_factory = worker_factory
+        self._append = append
+        self._log_decision = log_decision
+        self._record_usage = record_usage
+        self._wall_s = wall_s
+        self._nursery: trio.Nursery | None = None
+        self._unsent: list = []
+        self._info_by_name: dict[str, WorkerInfo] = {}
+        self._worker_by_name: dict[str, Worker] = {}
+        self._scope_by_name: dict[str, trio.CancelScope] = {}
+        self._limiter_by_name: dict[str, trio.CapacityLimiter] = {}
+        self._wanted_by_name: dict[str, trio.Event] = {}
+        self._limiter = trio.CapacityLimiter(CALLS_AT_ONCE)
+        self._submission_by_id: dict[str, trio.Event] = {}
+        self._refusal_by_id: dict[str, NotRun | None] = {}
+
+    @property
+    def book(self) -> JobBook:
+        """All jobs as the delivered records tell them."""
+        return self.machine.book
+
+    async def run(self) -> None:
+        """Work until cancelled."""
+        async with trio.open_nursery() as nursery:
+            self._nursery = nursery
+            for info in self._info_by_name.values():
+                self._watch(info)
+            unsent, self._unsent = self._unsent, []
+            for action in unsent:
+                self._carry_out(action)
+            while True:
+                self._handle(Tick(int(self._wall_s() * 1000)))
+                await trio.sleep(TICK_EVERY_MS / 1000)
+
+    def deliver(self, offset: int, record: Record) -> None:
+        """Take the next record of the jobs stream."""
+        self._handle(RecordRead(offset, record))
+
+    def set_log_reachable(self, is_up: bool, is_current: bool = True) -> None:
+        """Tell whether the log answers and whether all of it was delivered."""
+        self._handle(LogReachable(is_up, is_current))
+
+    def set_configuration(self, configuration: Configuration) -> None:
+        """Put a configuration in force."""
+        self._handle(ConfigurationChanged(configuration))
+
+    def set_role(self, is_placer: bool) -> None:
+        """Say whether this instance is the placer of its data centre."""
+        self._handle(RoleChanged(is_placer))
+
+    def set_workers(self, workers: list[WorkerInfo]) -> None:
+        """Take over the instance list's workers of this data centre."""
+        info_by_name = {info.name: info for info in workers}
+        for name, info in list(self._info_by_name.items()):
+            if name in info_by_name and info_by_name[name].address == info.address:
+                continue
+            del self._worker_by_name[name]
+            scope = self._scope_by_name.pop(name, None)
+            if scope is not None:
+                scope.cancel()
+        for name, info in info_by_name.items():
+            if name not in self._worker_by_name:
+                self._worker_by_name[name] = self._worker_factory(info)
+                self._limiter_by_name[name] = trio.CapacityLimiter(
+                    CALLS_AT_ONCE_PER_WORKER
+                )
+                self._wanted_by_name[name] = trio.Event()
+                if self._nursery is not None:
+                    self._watch(info)
+        self._info_by_name = info_by_name
+        self._handle(WorkersListed(tuple(workers)))
+
+    async def submit(self, spec: JobSpec) -> NotRun | Unknown | None:
+        """Accept an admitted job: None is accepted.
+
+        ``Unknown`` says that the log did not answer in time, so that the job may be
+        accepted all the same; its id tells later.
+        """
+        if not self.machine.is_log_up:
+            return await self._submit_off_log(spec)
+        record = JobAccepted(spec, self.machine.holder)
+        deadline_s = trio.current_time() + SUBMIT_TIMEOUT_MS / 1000
+        may_be_in = False
+        while True:
+            answer = await self._append(record)
+            if isinstance(answer, Appended):
+                return None
+            may_be_in = may_be_in or answer.may_have_applied
+            if not may_be_in:
+                detail = "the log takes no records"
+                return NotRun(Reason.LOG_UNAVAILABLE, detail, RETRY_AFTER_MS)
+            if self.book.get(spec.job_id) is not None:
+                return None
+            if trio.current_time() >= deadline_s:
+                return Unknown(Reason.LOG_UNAVAILABLE, "the log does not answer")
+            await trio.sleep(SUBMIT_RETRY_MS / 1000)
+
+    async def _submit_off_log(self, spec: JobSpec) -> NotRun | None:
+        answered = trio.Event()
+        self._submission_by_id[spec.job_id] = answered
+        self._handle(JobSubmittedOffLog(spec))
+        await answered.wait()
+        return self._refusal_by_id.pop(spec.job_id)
+
+    def _now_ms(self) -> int:
+        return int(trio.current_time() * 1000)
+
+    def _handle(self, event: Event) -> None:
+        for action in self.machine.handle(event, self._now_ms()):
+            self._carry_out(action)
+
+    def _carry_out(self, action) -> None:
+        if isinstance(action, LogDecision):
+            self._log_decision(action.decision)
+        elif isinstance(action, AnswerSubmission):
+            answered = self._submission_by_id.pop(action.job_id, None)
+            if answered is not None:
+                self._refusal_by_id[action.job_id] = action.refusal
+                answered.set()
+        elif isinstance(action, ObserveWorker):
+            wanted = self._wanted_by_name.get(action.worker)
+            if wanted is not None:
+                wanted.set()
+        elif self._nursery is None:
+            self._unsent.append(action)
+        elif isinstance(action, AppendRecord):
+            self._nursery.start_soon(self._append_record, action)
+        else:
+            self._nursery.start_soon(self._call, action)
+
+    async def _append_record(self, action: AppendRecord) -> None:
+        answer = await self._append(action.record)
+        if isinstance(answer, Appended):
+            verdict = Verdict.APPLIED
+        else:
+            is_unsure = answer.may_have_applied
+            verdict = Verdict.NO_ANSWER if is_unsure else Verdict.DENIED
+        self._handle(AppendAnswered(action, verdict))
+
+    async def _call(self, action) -> None:
+        worker = self._worker_by_name.get(action.worker)
+        if worker is None:
+            worker = _GONE
+            answered = await call_worker(worker, action)
+        else:
+            async with self._limiter_by_name[action.worker], self._limiter:
+                answered = await call_worker(worker, action)
+        if answered is not None:
+            self._handle(answered)
+
+    def _watch(self, info: WorkerInfo) -> None:
+        scope = trio.CancelScope()
+        self._scope_by_name[info.name] = scope
+        self._nursery.start_soon(self._watch_worker, info.name, scope)
+
+    async def _watch_worker(self, name: str, scope: trio.CancelScope) -> None:
+        worker = self._worker_by_name[name]
+        cursor = 0
+        next_usage_ms = 0
+        with scope:
+            while True:
+                if self.machine.is_placer:
+                    await self._observe(name, worker)
+                    if self._now_ms() >= next_usage_ms:
+                        cursor = await self._read_usage(worker, cursor)
+                        next_usage_ms = self._now_ms() + USAGE_EVERY_MS
+                with trio.move_on_after(OBSERVE_EVERY_MS / 1000):
+                    await self._wanted_by_name[name].wait()
+                self._wanted_by_name[name] = trio.Event()
+
+    async def _observe(self, name: str, worker: Worker) -> None:
+        async with self._limiter:
+            asked_ms = self._now_ms()
+            report = await worker.describe()
+        if isinstance(report, Unreachable):
+            self._handle(WorkerUnreachable(name))
+        else:
+            self._handle(WorkerObserved(report, asked_ms))
+
+    async def _read_usage(self, worker: Worker, cursor: int) -> int:
+        """Store the next page; return the cursor to go on from."""
+        page = await worker.usage(cursor, limit=USAGE_PAGE_REPORTS)
+        if isinstance(page, Unreachable) or not page.reports:
+            return cursor
+        self._handle(UsageObserved(page.reports))
+        return page.cursor if await self._record_usage(page.reports) else cursor
+
+
+class _GoneWorker(Worker):
+    """Stands for a worker that the instance list shows no more."""
+
+    async def describe(self):
+        return _GONE_ANSWER
+
+    async def acquire(self, request):
+        return _GONE_ANSWER
+
+    async def renew(self, lease_ids, ttl_ms):
+        return _GONE_ANSWER
+
+    async def release(self, lease_id):
+        return _GONE_ANSWER
+
+    async def fence(self, job_id, attempt):
+        return _GONE_ANSWER
+
+    async def start(self, task):
+        return _GONE_ANSWER
+
+    async def command(self, lease_id, command):
+        return _GONE_ANSWER
+
+    async def usage(self, cursor, *, limit):
+        return _GONE_ANSWER
+
+
+_GONE = _GoneWorker()
+_GONE_ANSWER = Unreachable("the worker is not listed", may_have_applied=False)
