Test membership under faults in virtual time; honour 'leaving' of oneself

Cause: an instance that the platform's list calls leaving still named itself the placer in its own view, found by tests/core/membership/test_membership_faults.py. Change: its own profile now says draining while the list says leaving; the join of list and profiles moved to roster.py.

--- /dev/null
+++ b/benchmarks/__init__.py
@@ -0,0 +1,1 @@
+"""Benchmarks; each runs as ``python -m benchmarks.NAME --seed 1``."""
--- /dev/null
+++ b/benchmarks/control_network.py
@@ -0,0 +1,253 @@
+"""A network of membership machines in virtual time, with faults.
+
+Messages are encoded and decoded as on the wire. A connection whose direction is cut
+while something is sent stays silent in that direction for good, also after the cut is
+over, which is the worst that a connection may do; new ones work.
+"""
+
+from __future__ import annotations
+
+import heapq
+import itertools
+import random
+import time
+from collections.abc import Callable, Iterable
+from dataclasses import dataclass, field
+
+from ragwortshelf.core.membership import (
+    HEARTBEAT_INTERVAL_MS,
+    CloseLink,
+    Event,
+    HeartbeatReceived,
+    LinkClosed,
+    LinkFailed,
+    LinkOpened,
+    ListFetched,
+    MembershipMachine,
+    OpenLink,
+    SendHeartbeat,
+    Tick,
+)
+from ragwortshelf.core.model import InstanceInfo
+from ragwortshelf.core.streams.codec import encode
+from ragwortshelf.net.peer_frames import decode_frame
+
+__all__ = ["VirtualNetwork", "VirtualNode", "instances"]
+
+LIST_INTERVAL_MS = 2_000
+OPEN_TIMEOUT_MS = 2_500
+
+
+def instances(data_centres: int, per_data_centre: int) -> tuple[InstanceInfo, ...]:
+    """Name instances ``dc1-1``, ``dc1-2`` and so on."""
+    return tuple(
+        InstanceInfo(
+            f"dc{number}-{index}",
+            f"dc{number}",
+            f"10.0.{number}.{index}:8080",
+            f"10.0.{number}.{index}:8081",
+        )
+        for number in range(1, data_centres + 1)
+        for index in range(1, per_data_centre + 1)
+    )
+
+
+@dataclass(eq=False)
+class VirtualNode:
+    """One instance; ``cpu_s`` is the process time of its machine and codec."""
+
+    machine: MembershipMachine
+    info: InstanceInfo
+    incarnation: int
+    is_up: bool = True
+    is_paused: bool = False
+    bytes_sent: int = 0
+    frames_sent: int = 0
+    cpu_s: float = 0.0
+    deferred: list[Event] = field(default_factory=list)
+    views_changed: int = 0
+
+
+@dataclass(eq=False)
+class _Connection:
+    ends: tuple[VirtualNode, VirtualNode]
+    is_open: bool = True
+    silent_from: set[str] = field(default_factory=set)
+
+
+class VirtualNetwork:
+    """Instances, the links between them and the platform's list."""
+
+    def __init__(self, seed: int, *, latency_ms: int = 1):
+        self.now_ms = 0
+        self.latency_ms = latency_ms
+        self.rng = random.Random(seed)
+        self.node_by_name: dict[str, VirtualNode] = {}
+        self.listed: tuple[InstanceInfo, ...] | None = ()
+        self.is_cut: Callable[[VirtualNode, VirtualNode], bool] = lambda a, b: False
+        self._connection_by_id: dict[str, _Connection] = {}
+        self._numbers = itertools.count(1)
+        self._agenda: list[tuple[int, int, Callable[[], None]]] = []
+
+    def after(self, delay_ms: int, action: Callable[[], None]) -> None:
+        """Run ``action`` at ``delay_ms`` from now."""
+        entry = (self.now_ms + delay_ms, next(self._numbers), action)
+        heapq.heappush(self._agenda, entry)
+
+    def run(self, duration_ms: int) -> None:
+        """Let virtual time pass."""
+        until_ms = self.now_ms + duration_ms
+        while self._agenda and self._agenda[0][0] <= until_ms:
+            self.now_ms, _, action = heapq.heappop(self._agenda)
+            action()
+        self.now_ms = until_ms
+
+    def run_until(self, condition: Callable[[], bool], limit_ms: int) -> int | None:
+        """Return the time until ``condition``, looked at each 50 ms, or None."""
+        start_ms = self.now_ms
+        while not condition():
+            if self.now_ms - start_ms >= limit_ms:
+                return None
+            self.run(50)
+        return self.now_ms - start_ms
+
+    def start_all(self, infos: Iterable[InstanceInfo]) -> None:
+        """Start instances and put them on the list."""
+        infos = tuple(infos)
+        self.listed = (*(self.listed or ()), *infos)
+        for info in infos:
+            self.start(info)
+
+    def start(self, info: InstanceInfo, incarnation: int = 1) -> VirtualNode:
+        """Start an instance; one of that name that still runs is a second one."""
+        machine = MembershipMachine(
+            info, incarnation, random.Random(self.rng.getrandbits(64))
+        )
+        node = VirtualNode(machine, info, incarnation)
+        self.node_by_name[info.name] = node
+        self.after(self.rng.randrange(HEARTBEAT_INTERVAL_MS), lambda: self._tick(node))
+        self.after(self.rng.randrange(500), lambda: self._poll(node))
+        return node
+
+    def stop(self, node: VirtualNode) -> None:
+        """End an instance's process; its connections are reset."""
+        node.is_up = False
+        for connection_id, connection in tuple(self._connection_by_id.items()):
+            if node in connection.ends:
+                self._reset(connection_id)
+
+    def pause(self, node: VirtualNode) -> None:
+        """Stop an instance in its tracks; what comes in waits."""
+        node.is_paused = True
+
+    def wake(self, node: VirtualNode) -> None:
+        """Let a paused instance go on."""
+        node.is_paused = False
+        events, node.deferred = node.deferred, []
+        for event in events:
+            self.feed(node, event)
+
+    def silence(self, one: str, other: str) -> None:
+        """Make the open connections between two instances silent for good."""
+        for connection in self._connection_by_id.values():
+            if {node.info.name for node in connection.ends} == {one, other}:
+                connection.silent_from |= {one, other}
+
+    def placers(self, data_centre: str) -> tuple[str, ...]:
+        """Return the instances that claim to be the placer of their data centre."""
+        return tuple(
+            name
+            for name, node in self.node_by_name.items()
+            if node.info.data_centre == data_centre
+            and node.is_up
+            and not node.is_paused
+            and node.machine.is_placer()
+            and node.machine.is_current(self.now_ms)
+        )
+
+    def feed(self, node: VirtualNode, event: Event) -> None:
+        """Give an event to an instance and carry out its actions."""
+        if not node.is_up:
+            return
+        if node.is_paused:
+            node.deferred.append(event)
+            return
+        begun_s = time.process_time()
+        actions = node.machine.handle(event, self.now_ms)
+        node.cpu_s += time.process_time() - begun_s
+        for action in actions:
+            self._carry_out(node, action)
+
+    def _tick(self, node: VirtualNode) -> None:
+        if not node.is_up:
+            return
+        if not node.is_paused:
+            self.feed(node, Tick())
+        self.after(HEARTBEAT_INTERVAL_MS, lambda: self._tick(node))
+
+    def _poll(self, node: VirtualNode) -> None:
+        if not node.is_up:
+            return
+        if self.listed is not None and not node.is_paused:
+            self.feed(node, ListFetched(self.listed))
+        self.after(LIST_INTERVAL_MS, lambda: self._poll(node))
+
+    def _carry_out(self, node: VirtualNode, action) -> None:
+        match action:
+            case SendHeartbeat(_, connection_id, heartbeat):
+                self._send(node, connection_id, heartbeat)
+            case OpenLink(peer):
+                self._open(node, peer.name)
+            case CloseLink(_, connection_id):
+                self._reset(connection_id)
+            case _:
+                node.views_changed += 1
+
+    def _open(self, node: VirtualNode, peer_name: str) -> None:
+        peer = self.node_by_name.get(peer_name)
+        if peer is None or not peer.is_up:
+            self._later(node, LinkFailed(peer_name), 2 * self.latency_ms)
+        elif peer.is_paused or self.is_cut(node, peer) or self.is_cut(peer, node):
+            self._later(node, LinkFailed(peer_name), OPEN_TIMEOUT_MS)
+        else:
+            connection_id = f"{node.info.name}/{next(self._numbers)}"
+            self._connection_by_id[connection_id] = _Connection((node, peer))
+            name = node.info.name
+            self._later(peer, LinkOpened(name, connection_id), self.latency_ms)
+            self._later(node, LinkOpened(peer_name, connection_id), 2 * self.latency_ms)
+
+    def _send(self, node: VirtualNode, connection_id: str, heartbeat) -> None:
+        connection = self._connection_by_id.get(connection_id)
+        if connection is None:
+            return
+        begun_s = time.process_time()
+        data = encode(heartbeat)
+        node.cpu_s += time.process_time() - begun_s
+        node.bytes_sent += len(data)
+        node.frames_sent += 1
+        one, other = connection.ends
+        peer = other if node is one else one
+        if self.is_cut(node, peer):
+            connection.silent_from.add(node.info.name)
+        if node.info.name in connection.silent_from:
+            return
+        self.after(self.latency_ms, lambda: self._deliver(peer, connection_id, data))
+
+    def _deliver(self, node: VirtualNode, connection_id: str, data: bytes) -> None:
+        if connection_id not in self._connection_by_id or not node.is_up:
+            return
+        begun_s = time.process_time()
+        heartbeat = decode_frame(data)
+        node.cpu_s += time.process_time() - begun_s
+        self.feed(node, HeartbeatReceived(connection_id, heartbeat))
+
+    def _reset(self, connection_id: str) -> None:
+        connection = self._connection_by_id.pop(connection_id, None)
+        if connection is None:
+            return
+        one, other = connection.ends
+        self._later(one, LinkClosed(other.info.name, connection_id), self.latency_ms)
+        self._later(other, LinkClosed(one.info.name, connection_id), self.latency_ms)
+
+    def _later(self, node: VirtualNode, event: Event, delay_ms: int) -> None:
+        self.after(delay_ms, lambda: self.feed(node, event))
--- a/ragwortshelf/core/membership/liveness.py
+++ b/ragwortshelf/core/membership/liveness.py
@@ -34,8 +34,8 @@
     def __init__(self):
         self._heard_by_name: dict[str, _Heard] = {}
 
-    def note_listed(self, name: str, now_ms: int) -> None:
-        """Start to wait for the first beat of a listed member."""
+    def expect(self, name: str, now_ms: int) -> None:
+        """Start to wait for the first beat of a member, if it is not known yet."""
         self._heard_by_name.setdefault(name, _Heard(0, 0, now_ms))
 
     def note_beat(self, beat: Beat, now_ms: int) -> bool:
--- a/ragwortshelf/core/membership/machine.py
+++ b/ragwortshelf/core/membership/machine.py
@@ -6,7 +6,7 @@
 import random
 from collections.abc import Mapping
 
-from ..model import InstanceInfo, MemberState
+from ..model import InstanceInfo
 from .links import LinkTable
 from .liveness import Evidence, Liveness
 from .messages import (
@@ -30,6 +30,7 @@
     Tick,
 )
 from .plan import surplus_peers, wanted_peers
+from .roster import Roster
 from .shared import SharedState
 from .timing import (
     FORGET_AFTER_MS,
@@ -37,7 +38,7 @@
     PAUSE_AFTER_MS,
     RETRY_UNLISTED_MS,
 )
-from .view import Member, MemberStatus, View
+from .view import MemberStatus, View
 
 __all__ = ["MembershipMachine"]
 
@@ -67,7 +68,7 @@
         self._evidence = Evidence()
         self._shared = SharedState()
         self._shared.merge_profile(Profile(instance, incarnation, 1))
-        self._listed_by_name: dict[str, InstanceInfo] = {}
+        self._roster = Roster(instance, self._liveness, self._shared)
         self._no_route_since_by_data_centre: dict[str, int] = {}
         self._sequence = 0
         self._entry_version = 0
@@ -138,7 +139,8 @@
             case HeartbeatReceived(connection_id, heartbeat):
                 self._receive(connection_id, heartbeat, now_ms, actions)
             case ListFetched(instances):
-                self._take_list(instances, now_ms)
+                self._roster.take_list(instances, now_ms)
+                self._update_profile(now_ms)
             case LinkOpened(peer, connection_id):
                 self._open(peer, connection_id, now_ms, actions)
             case LinkClosed(peer, connection_id):
@@ -191,6 +193,7 @@
         self._links.to(sender).heard_ms = now_ms
         for profile in heartbeat.profiles:
             if profile.instance.name != self._instance.name:
+                self._liveness.expect(profile.instance.name, now_ms)
                 self._shared.merge_profile(profile)
         for beat in heartbeat.beats:
             self._take_beat(beat, now_ms)
@@ -212,13 +215,6 @@
         """Whether this side forgot what the connection has carried before."""
         return any(self._shared.profile(beat.name) is None for beat in beats)
 
-    def _take_list(self, instances: tuple[InstanceInfo, ...], now_ms: int) -> None:
-        self._listed_by_name = {
-            info.name: info for info in instances if info.name != self._instance.name
-        }
-        for name in self._listed_by_name:
-            self._liveness.note_listed(name, now_ms)
-
     def _open(
         self, peer: str, connection_id: str, now_ms: int, actions: list[Action]
     ) -> None:
@@ -237,7 +233,7 @@
         actions.append(CloseLink(peer, connection_id))
 
     def _note_failed(self, peer: str, now_ms: int) -> None:
-        least_ms = 0 if peer in self._listed_by_name else RETRY_UNLISTED_MS
+        least_ms = 0 if self._roster.is_listed(peer) else RETRY_UNLISTED_MS
         self._links.note_failed(peer, now_ms, least_ms=least_ms)
 
     def _plan_links(self, now_ms: int, actions: list[Action]) -> None:
@@ -306,7 +302,8 @@
             known,
             is_eligible=self._eligible_from_ms is not None
             and now_ms >= self._eligible_from_ms,
-            is_draining=self._is_draining,
+            is_draining=self._is_draining
+            or self._roster.is_listed_leaving(self._instance.name),
             routes=self._own_routes(),
         )
         if changed != known:
@@ -315,55 +312,19 @@
             )
 
     def _update_view(self, now_ms: int, actions: list[Action]) -> None:
-        names = {*self._listed_by_name, *self._view.members_by_name}
-        names.update(link.peer for link in self._links.links)
-        members_by_name = {}
-        for name in sorted({*names, *self._shared.names()}):
-            member = self._member(name, now_ms)
-            if member is not None:
-                members_by_name[name] = member
+        members_by_name = self._roster.members_by_name(now_ms)
         if members_by_name != self._view.members_by_name:
             self._view = View(self._instance.name, members_by_name)
             actions.append(MembersChanged(self._view))
 
-    def _member(self, name: str, now_ms: int) -> Member | None:
-        profile = self._shared.profile(name)
-        listed = self._listed_by_name.get(name)
-        if name == self._instance.name:
-            return Member(
-                self._instance,
-                self._incarnation,
-                MemberStatus.ALIVE,
-                profile.is_eligible,
-                profile.is_draining,
-                profile.routes,
-            )
-        instance = profile.instance if profile is not None else listed
-        if instance is None:
-            known = self._view.members_by_name.get(name)
-            instance = None if known is None else known.instance
-        if instance is None or not self._liveness.knows(name):
-            return None
-        is_remote = instance.data_centre != self._instance.data_centre
-        is_leaving = listed is not None and listed.state is MemberState.LEAVING
-        return Member(
-            instance,
-            self._liveness.incarnation(name),
-            self._liveness.status(name, now_ms, is_remote=is_remote),
-            profile is not None and profile.is_eligible,
-            is_leaving or (profile is not None and profile.is_draining),
-            () if profile is None else profile.routes,
-        )
-
     def _forget_lost(self, now_ms: int) -> None:
         for name in tuple(self._view.members_by_name):
-            if name == self._instance.name or name in self._listed_by_name:
+            if name == self._instance.name or self._roster.is_listed(name):
                 continue
             if self._links.to(name) is not None:
                 continue
             if self._liveness.silent_ms(name, now_ms) >= FORGET_AFTER_MS:
-                self._liveness.forget(name)
-                self._shared.forget_member(name)
+                self._roster.forget(name)
                 self._links.forget(name)
 
     def _is_alone(self) -> bool:
--- /dev/null
+++ b/tests/core/membership/test_membership_faults.py
@@ -0,0 +1,286 @@
+"""Faults of the network, the list and the instances, in virtual time."""
+
+from __future__ import annotations
+
+import dataclasses
+import random
+
+import pytest
+
+from benchmarks.control_network import VirtualNetwork, instances
+from ragwortshelf.core.membership import (
+    DrainStarted,
+    HeartbeatReceived,
+    LinkOpened,
+    MembershipMachine,
+    MemberStatus,
+    OpenLink,
+    Published,
+    SendHeartbeat,
+    Tick,
+)
+from ragwortshelf.core.membership.timing import DEAD_AFTER_MS, RELAY_ALLOWANCE_MS
+from ragwortshelf.core.model import MemberState
+
+SETTLE_MS = 10_000
+# A cut link is found silent, opened again after the longest wait, and its first
+# heartbeat is relayed once.
+HEAL_MS = 8_000
+REMOTE_DEAD_MS = DEAD_AFTER_MS + RELAY_ALLOWANCE_MS + 2_000
+
+
+def running(data_centres=3, per_data_centre=2, seed=1):
+    network = VirtualNetwork(seed)
+    network.start_all(instances(data_centres, per_data_centre))
+    network.run(SETTLE_MS)
+    return network
+
+
+def statuses(network, name):
+    members = network.node_by_name[name].machine.view.members_by_name
+    return {member: entry.status for member, entry in members.items()}
+
+
+def everybody_alive(network):
+    return all(
+        set(statuses(network, name).values()) == {MemberStatus.ALIVE}
+        and len(statuses(network, name)) == len(network.node_by_name)
+        for name in network.node_by_name
+    )
+
+
+@pytest.mark.parametrize(("data_centres", "size"), [(1, 1), (1, 3), (3, 2), (6, 4)])
+def test_everybody_finds_everybody_and_one_placer_a_data_centre(data_centres, size):
+    network = running(data_centres, size)
+    assert everybody_alive(network)
+    for number in range(1, data_centres + 1):
+        assert len(network.placers(f"dc{number}")) == 1
+    between = {
+        tuple(sorted((one.info.data_centre, other.info.data_centre)))
+        for connection in network._connection_by_id.values()
+        for one, other in [connection.ends]
+    }
+    expected_pairs = data_centres * (data_centres - 1) // 2
+    within = size * (size - 1) // 2 * data_centres
+    assert len([pair for pair in between if pair[0] != pair[1]]) == expected_pairs
+    assert len(network._connection_by_id) == expected_pairs + within
+
+
+@pytest.mark.parametrize("listed", [(), None], ids=["empty", "unreachable"])
+def test_list_that_vanishes_changes_nothing(listed):
+    network = running()
+    before = {dc: network.placers(dc) for dc in ("dc1", "dc2", "dc3")}
+    network.listed = listed
+    network.run(60_000)
+    assert everybody_alive(network)
+    assert {dc: network.placers(dc) for dc in before} == before
+
+
+def test_instance_missing_from_a_lagging_list_is_found_by_its_own_connecting():
+    network = running()
+    newcomer = instances(1, 3)[2]
+    listed = network.listed
+    network.start(newcomer)
+    assert network.listed == listed
+    assert network.run_until(lambda: everybody_alive(network), 15_000) is not None
+
+
+def test_dead_instance_still_on_the_list_loses_its_role_after_suspicion():
+    network = running()
+    (placer,) = network.placers("dc1")
+    (other,) = {"dc1-1", "dc1-2"} - {placer}
+    network.stop(network.node_by_name[placer])
+    network.run(DEAD_AFTER_MS - 1_000)
+    assert statuses(network, other)[placer] is MemberStatus.SUSPECTED
+    assert network.placers("dc1") == ()
+    network.run(3_000)
+    assert statuses(network, other)[placer] is MemberStatus.DEAD
+    assert network.placers("dc1") == (other,)
+
+
+def test_restart_is_a_new_incarnation_and_the_old_one_is_refused():
+    network = running()
+    old = network.node_by_name["dc1-1"]
+    network.feed(old, Published("load", b"old"))
+    network.run(3_000)
+    network.pause(old)
+    new = network.start(old.info, incarnation=2)
+    network.feed(new, Published("load", b"new"))
+    network.run(SETTLE_MS)
+    network.wake(old)
+    network.run(SETTLE_MS)
+    assert old.machine.is_superseded and not new.machine.is_superseded
+    assert not old.machine.is_current(network.now_ms)
+    for name in ("dc1-2", "dc2-1"):
+        machine = network.node_by_name[name].machine
+        assert machine.view.members_by_name["dc1-1"].incarnation == 2
+        assert machine.values("load") == {"dc1-1": b"new"}
+
+
+def test_one_way_partition_with_a_third_that_hears_both_keeps_one_placer():
+    network = running(1, 3)
+    (placer,) = network.placers("dc1")
+    deaf = next(name for name in network.node_by_name if name != placer)
+    network.is_cut = lambda a, b: (a.info.name, b.info.name) == (placer, deaf)
+    for _ in range(30):
+        network.run(1_000)
+        assert network.placers("dc1") == (placer,)
+        assert statuses(network, deaf)[placer] is not MemberStatus.DEAD
+    route = network.node_by_name[deaf].machine.route_to(placer)
+    assert route not in (placer, None)
+
+
+def test_one_way_partition_of_two_moves_the_role_and_back():
+    network = running(1, 2)
+    (placer,) = network.placers("dc1")
+    (other,) = set(network.node_by_name) - {placer}
+    network.is_cut = lambda a, b: a.info.name == placer
+    network.run(DEAD_AFTER_MS + 2_000)
+    assert other in network.placers("dc1")
+    network.is_cut = lambda a, b: False
+    network.run(HEAL_MS)
+    assert network.placers("dc1") == (placer,)
+
+
+def test_paused_instance_claims_nothing_before_it_has_learned_again():
+    network = running(1, 2)
+    (placer,) = network.placers("dc1")
+    (other,) = set(network.node_by_name) - {placer}
+    node = network.node_by_name[placer]
+    network.pause(node)
+    network.run(20_000)
+    assert network.placers("dc1") == (other,)
+    node.is_paused = False
+    assert not node.machine.is_current(network.now_ms)
+    network.wake(node)
+    for _ in range(100):
+        network.run(100)
+        assert network.placers("dc1") in ((placer,), (other,), ())
+    assert network.placers("dc1") == (placer,)
+
+
+def test_silent_link_is_found_and_replaced_without_a_death():
+    network = running(2, 1)
+    network.silence("dc1-1", "dc2-1")
+    for _ in range(100):
+        network.run(100)
+        assert statuses(network, "dc1-1")["dc2-1"] is not MemberStatus.DEAD
+    assert everybody_alive(network)
+
+
+def test_data_centre_cut_off_keeps_a_placer_and_heals():
+    network = running(3, 2)
+    before = network.placers("dc1")
+    network.is_cut = lambda a, b: (
+        (a.info.data_centre == "dc1") != (b.info.data_centre == "dc1")
+    )
+    network.run(REMOTE_DEAD_MS)
+    assert network.placers("dc1") == before
+    assert statuses(network, "dc1-1")["dc2-1"] is MemberStatus.DEAD
+    assert statuses(network, "dc2-1")["dc3-1"] is MemberStatus.ALIVE
+    network.is_cut = lambda a, b: False
+    assert network.run_until(lambda: everybody_alive(network), HEAL_MS) is not None
+    assert network.placers("dc1") == before
+
+
+def test_two_placers_of_split_views_are_one_soon_after_healing():
+    network = running(1, 4)
+    halves = {"dc1-1", "dc1-2"}
+    network.is_cut = lambda a, b: (a.info.name in halves) != (b.info.name in halves)
+    network.run(20_000)
+    assert len(network.placers("dc1")) == 2
+    network.is_cut = lambda a, b: False
+    healed = network.run_until(lambda: len(network.placers("dc1")) == 1, HEAL_MS)
+    assert healed is not None
+    network.run(SETTLE_MS)
+    assert len(network.placers("dc1")) == 1
+
+
+def test_draining_instance_is_no_placer_from_then_on():
+    network = running(1, 3)
+    (placer,) = network.placers("dc1")
+    network.feed(network.node_by_name[placer], DrainStarted())
+    network.run(100)
+    assert len(network.placers("dc1")) == 1
+    assert network.placers("dc1") != (placer,)
+
+
+def test_leaving_on_the_list_counts_as_draining():
+    network = running(1, 3)
+    (placer,) = network.placers("dc1")
+    network.listed = tuple(
+        dataclasses.replace(info, state=MemberState.LEAVING)
+        if info.name == placer
+        else info
+        for info in network.listed
+    )
+    network.run(4_000)
+    views = [node.machine.view for node in network.node_by_name.values()]
+    assert all(view.placer_of("dc1") != placer for view in views)
+
+
+def test_shared_state_reaches_other_data_centres_and_survives_lost_links():
+    network = running(2, 3)
+    for name, node in network.node_by_name.items():
+        network.feed(node, Published("load", name.encode()))
+    network.run(4_000)
+    expected = {name: name.encode() for name in network.node_by_name}
+    for node in network.node_by_name.values():
+        assert node.machine.values("load") == expected
+    for one in network.node_by_name:
+        for other in network.node_by_name:
+            network.silence(one, other)
+    network.feed(network.node_by_name["dc1-1"], Published("load", b"newer"))
+    network.run(HEAL_MS)
+    for node in network.node_by_name.values():
+        assert node.machine.values("load")["dc1-1"] == b"newer"
+
+
+def _heartbeats(actions):
+    return [a.heartbeat for a in actions if isinstance(a, SendHeartbeat)]
+
+
+def test_state_goes_once_over_a_connection_and_whole_over_the_next():
+    own, peer = instances(1, 2)
+    machine = MembershipMachine(own, 1, random.Random(1))
+    machine.handle(Tick(), 0)
+    machine.handle(Published("load", b"1"), 0)
+    (first,) = _heartbeats(machine.handle(LinkOpened(peer.name, "c1"), 10))
+    (second,) = _heartbeats(machine.handle(Tick(), 1_000))
+    (renewed,) = _heartbeats(machine.handle(LinkOpened(peer.name, "c2"), 1_500))
+    assert [entry.value for entry in first.entries] == [b"1"]
+    assert (second.profiles, second.entries) == ((), ())
+    assert renewed.entries == first.entries
+    assert [profile.instance for profile in renewed.profiles] == [own]
+
+
+def test_heartbeat_of_a_replaced_connection_is_ignored():
+    own, peer = instances(1, 2)
+    machine = MembershipMachine(own, 1, random.Random(1))
+    machine.handle(Tick(), 0)
+    other = MembershipMachine(peer, 1, random.Random(2))
+    other.handle(Tick(), 0)
+    (heartbeat,) = _heartbeats(other.handle(LinkOpened(own.name, "c1"), 10))
+    machine.handle(LinkOpened(peer.name, "c1"), 10)
+    machine.handle(LinkOpened(peer.name, "c2"), 20)
+    machine.handle(HeartbeatReceived("c1", heartbeat), 30)
+    assert peer.name not in machine.view.members_by_name
+    machine.handle(HeartbeatReceived("c2", heartbeat), 30)
+    assert machine.view.members_by_name[peer.name].status is MemberStatus.ALIVE
+
+
+def test_lost_peer_is_tried_again_with_growing_waits():
+    network = running(1, 2)
+    node = network.node_by_name["dc1-1"]
+    network.stop(network.node_by_name["dc1-2"])
+    attempts = []
+    carry_out = network._carry_out
+
+    def watch(of, action):
+        if of is node and isinstance(action, OpenLink):
+            attempts.append(network.now_ms)
+        carry_out(of, action)
+
+    network._carry_out = watch
+    network.run(60_000)
+    assert 20 <= len(attempts) <= 60
--- /dev/null
+++ b/tests/core/membership/test_rendezvous.py
@@ -0,0 +1,29 @@
+"""Rendezvous hashing moves as little as possible."""
+
+from __future__ import annotations
+
+from collections import Counter
+
+from hypothesis import given
+from hypothesis import strategies as st
+
+from ragwortshelf.core.membership import rendezvous
+
+names = st.sets(st.text(min_size=1, max_size=5), min_size=2, max_size=8)
+
+
+@given(st.text(), names, st.data())
+def test_only_keys_of_the_one_that_leaves_move(key, candidates, data):
+    gone = data.draw(st.sampled_from(sorted(candidates)))
+    before = rendezvous(key, candidates)
+    after = rendezvous(key, candidates - {gone})
+    assert after == tuple(name for name in before if name != gone)
+
+
+def test_order_is_stable_across_processes_and_spreads_keys():
+    assert rendezvous("placer/dc1", ["a", "b", "c"]) == ORDER
+    firsts = Counter(rendezvous(f"worker/{n}", "abcdef")[0] for n in range(6_000))
+    assert all(800 < count < 1_200 for count in firsts.values())
+
+
+ORDER = ("a", "c", "b")
