--- a/tests/core/jobs/test_placer_machine.py
+++ b/tests/core/jobs/test_placer_machine.py
@@ -1,8 +1,6 @@
 """The placer's path and its failures, one at a time, in virtual time."""
 
-from ragwortshelf.core import jobs
-from ragwortshelf.core.model import Completed, Interrupted, NotRun, Reason
-from ragwortshelf.core.streams import AttemptClaimed, CancelRequested
+from ragwortshelf.core.model import Completed, Reason
 
 
 def sent(placer, action_type):
