--- a/ragwortshelf/daemon/job_front.py
+++ b/ragwortshelf/daemon/job_front.py
@@ -74,6 +74,7 @@
         data_centre = node.settings.data_centre
         self._holder = f"{node.settings.instance}.{node.incarnation}"
         self.book = JobBook()
+        self._scheduler = Scheduler(data_centre)
         self.placer = PlacerService(
             data_centre,
             self._holder,
@@ -81,7 +82,7 @@
                 info.address, timeout_ms=node.settings.worker_timeout_ms
             ),
             self._append_job_record,
-            Scheduler(data_centre),
+            self._scheduler,
             log_decision,
             book=self.book,
             record_usage=self._record_usage,
@@ -275,7 +276,7 @@
         }[type(message)]
 
     async def _on_explain(self, sender: str, message: ExplainJob) -> Explanation:
-        return Explanation(self.placer.explain(message.job_id))
+        return Explanation(self._scheduler.explain(message.job_id))
 
     async def _on_list_workers(self, sender: str, message: ListWorkers) -> WorkerTable:
         data_centre = self._node.settings.data_centre
@@ -285,16 +286,16 @@
                 data_centre,
                 worker.rack,
                 worker.accelerators,
-                worker.free,
-                worker.state,
-                worker.detail,
+                worker.free_accelerators,
+                worker.condition.value,
+                worker.reason,
             )
-            for worker in self.placer.workers()
+            for worker in self._scheduler.workers()
         )
         shortfalls = tuple(
             f"{status.organisation}: {status.shape.accelerators} accelerators in one "
             f"{status.shape.adjacency.value} of {data_centre}: {status.detail}"
-            for status in self.placer.guarantees()
+            for status in self._scheduler.guarantees()
             if not status.is_met
         )
         return WorkerTable(rows, shortfalls)
@@ -302,7 +303,9 @@
     async def _on_quarantine(self, sender: str, message: Quarantine) -> Acknowledged:
         if not self.placer.machine.is_placer:
             return Acknowledged(False)
-        self.placer.set_quarantine(message.worker, message.is_quarantined)
+        self._scheduler.set_quarantine(
+            message.worker, message.is_quarantined, self._node.deadline_ms(0)
+        )
         return Acknowledged(True)
 
     async def _on_place_off_log(self, sender: str, message: PlaceOffLog) -> JobAnswer:
--- a/ragwortshelf/daemon/node.py
+++ b/ragwortshelf/daemon/node.py
@@ -178,27 +178,15 @@
         wall_ms = _wall_ms()
         shared = dict(self.membership.peer_state(_REVISION_KEY))
         shared[self.info.name] = self._revision()
-        rows = []
-        for name, member in sorted(self.membership.view.members_by_name.items()):
-            revision = shared.get(name)
-            is_known = isinstance(revision, Revision)
-            rows.append(
-                {
-                    "instance": name,
-                    "data_centre": member.instance.data_centre,
-                    "revision": revision.revision if is_known else None,
-                    "in_force_since_wall_ms": (
-                        revision.since_wall_ms if is_known else None
-                    ),
-                    "age_ms": (
-                        max(0, wall_ms - revision.confirmed_wall_ms)
-                        if is_known
-                        else None
-                    ),
-                    "is_reachable": member.status == "alive",
-                }
-            )
-        return rows
+        return [
+            {
+                "instance": name,
+                "data_centre": member.instance.data_centre,
+                "is_reachable": member.status == "alive",
+                **_revision_fields(shared.get(name), wall_ms),
+            }
+            for name, member in sorted(self.membership.view.members_by_name.items())
+        ]
 
     def _observe_request(
         self, request: Request, outcome: RequestOutcome, elapsed_ms: int
@@ -269,6 +257,17 @@
         return bool(moved)
 
 
+def _revision_fields(revision: object, wall_ms: int) -> dict:
+    """Return a revision and its age, with None for what is not known."""
+    if not isinstance(revision, Revision) or revision.revision == NO_REVISION:
+        return {"revision": None, "in_force_since_wall_ms": None, "age_ms": None}
+    return {
+        "revision": revision.revision,
+        "in_force_since_wall_ms": revision.since_wall_ms,
+        "age_ms": max(0, wall_ms - revision.confirmed_wall_ms),
+    }
+
+
 def _now_ms() -> int:
     return int(trio.current_time() * 1000)
 
