--- a/ragwortshelf/standins/deployment.py
+++ b/ragwortshelf/standins/deployment.py
@@ -10,7 +10,7 @@
 import itertools
 import sys
 import tomllib
-from collections.abc import Mapping
+from collections.abc import Iterable, Mapping
 from dataclasses import dataclass, field
 from pathlib import Path
 
@@ -31,10 +31,16 @@
 class Deployment:
     """Addresses, the member list and the processes of one deployment."""
 
-    def __init__(self, fields: dict, *, port_base: int, secret: str):
+    def __init__(
+        self,
+        fields: dict,
+        *,
+        ports: Iterable[int] | None = None,
+        secret: str = "s" * 16,
+    ):
         self._fields = fields
         self._secret = secret
-        self._ports = itertools.count(port_base)
+        self._ports = iter(ports or itertools.count(fields["port_base"]))
         self.data_centres = tuple(fields["data_centres"])
         self.log_address = self._next_address()
         self.list_address = self._next_address()
@@ -52,12 +58,9 @@
         self.peer_address_by_instance = self._deal(names)
 
     @classmethod
-    def load(
-        cls, path: Path, *, port_base: int | None = None, secret: str = "s" * 16
-    ) -> Deployment:
-        """Read a deployment file; the port base defaults to the file's."""
-        fields = tomllib.loads(path.read_text())
-        return cls(fields, port_base=port_base or fields["port_base"], secret=secret)
+    def load(cls, path: Path, *, ports: Iterable[int] | None = None) -> Deployment:
+        """Read a deployment file; the ports default to those from its base port on."""
+        return cls(tomllib.loads(path.read_text()), ports=ports)
 
     def instances_of(self, data_centre: str) -> tuple[str, ...]:
         """Names of the instances in one data centre."""
--- a/ragwortshelf/standins/launcher.py
+++ b/ragwortshelf/standins/launcher.py
@@ -8,6 +8,7 @@
 import json
 import os
 import signal
+import socket
 import subprocess
 import time
 from pathlib import Path
@@ -16,7 +17,7 @@
 
 from .deployment import Deployment, ProcessSpec
 
-__all__ = ["Launcher", "call"]
+__all__ = ["Launcher", "call", "free_ports"]
 
 _END_TIMEOUT_S = 40.0
 _POLL_S = 0.05
@@ -48,6 +49,18 @@
         return {"text": body.decode(errors="replace")}
 
 
+def free_ports(count: int) -> list[int]:
+    """Return ports of loopback that nothing listens on now."""
+    sockets = [socket.socket() for _ in range(count)]
+    try:
+        for each in sockets:
+            each.bind(("127.0.0.1", 0))
+        return [each.getsockname()[1] for each in sockets]
+    finally:
+        for each in sockets:
+            each.close()
+
+
 class Launcher:
     """Runs processes with their output in files under ``directory``.
 
