Measure what control costs a node

Cause: the budget of 11 KB/s and 4.6% of a core a node had no figures. Change: python -m benchmarks.control prints the bytes of shared state by three ways of passing it on, and bytes and CPU a node with slopes.

--- /dev/null
+++ b/benchmarks/control.py
@@ -0,0 +1,28 @@
+"""Measures control: time to in force, and bytes and processor time a node.
+
+Run ``python -m benchmarks.control --seed 1``; each line of output is a JSON object.
+"""
+
+from __future__ import annotations
+
+import itertools
+import json
+
+from absl import app, flags
+
+from .control_cost import measure_cost
+from .control_sharing import measure_sharing
+
+_SEED = flags.DEFINE_integer("seed", 1, "Seed of all randomness.")
+
+
+def main(argv: list[str]) -> None:
+    """Print all measures."""
+    del argv
+    seed = _SEED.value
+    for line in itertools.chain(measure_sharing(seed), measure_cost(seed)):
+        print(json.dumps(line), flush=True)
+
+
+if __name__ == "__main__":
+    app.run(main)
--- /dev/null
+++ b/benchmarks/control_cost.py
@@ -0,0 +1,115 @@
+"""Bytes and processor time of control a node, and how they grow.
+
+Instances run in virtual time with their real encoding; workers are counted by
+`control_workers`. Bytes are those sent and received, with the headers of websockets,
+IP and TCP. Processor time is that of the machine, the codec and HTTP, without sockets.
+"""
+
+from __future__ import annotations
+
+import dataclasses
+from collections.abc import Iterator
+
+from .control_network import VirtualNetwork, instances
+from .control_sharing import SIZES, Size, publish_load
+from .control_workers import PACKET_BYTES, worker_cost
+
+__all__ = ["measure_cost"]
+
+WARM_UP_MS = 15_000
+MEASURED_MS = 20_000
+FRAME_HEADER_BYTES = 8
+
+BUDGET_BYTES_PER_S = 11_000
+BUDGET_CPU_PERCENT = 4.6
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class _NodeCost:
+    bytes_per_s: float
+    cpu_percent: float
+
+
+def measure_cost(seed: int) -> Iterator[dict]:
+    """Yield the cost at each size, then the slopes at the larger one."""
+    for size in SIZES:
+        yield from _at_size(size, seed)
+    yield from _slopes(SIZES[-1], seed)
+
+
+def _at_size(size: Size, seed: int) -> Iterator[dict]:
+    peers = _peer_cost(size, seed)
+    worker = worker_cost(size)
+    share = size.workers / size.instances
+    at_placer = size.workers / size.data_centres
+    for spread, workers in (("mean", share), ("placer", at_placer)):
+        total_bytes = peers.bytes_per_s + worker.bytes_per_s * workers
+        total_cpu = peers.cpu_percent + worker.cpu_s_per_s * workers * 100
+        yield {
+            "measure": "control_a_node",
+            "size": size.name,
+            "node": spread,
+            "workers": round(workers, 1),
+            "peers_bytes_per_s": round(peers.bytes_per_s),
+            "workers_bytes_per_s": round(worker.bytes_per_s * workers),
+            "bytes_per_s": round(total_bytes),
+            "peers_cpu_percent": round(peers.cpu_percent, 2),
+            "workers_cpu_percent": round(worker.cpu_s_per_s * workers * 100, 2),
+            "cpu_percent": round(total_cpu, 2),
+            "is_within_bytes_budget": total_bytes <= BUDGET_BYTES_PER_S,
+            "is_within_cpu_budget": total_cpu <= BUDGET_CPU_PERCENT,
+        }
+
+
+def _slopes(size: Size, seed: int) -> Iterator[dict]:
+    base = _peer_cost(size, seed)
+    fewer_instances = dataclasses.replace(size, instances_per_data_centre=2)
+    fewer_organisations = dataclasses.replace(size, organisations=40)
+    worker = worker_cost(size)
+    yield _slope(
+        "instance",
+        base,
+        _peer_cost(fewer_instances, seed),
+        size.instances - fewer_instances.instances,
+    )
+    yield _slope(
+        "organisation",
+        base,
+        _peer_cost(fewer_organisations, seed),
+        size.organisations - fewer_organisations.organisations,
+    )
+    yield {
+        "measure": "slope",
+        "per": "worker",
+        "bytes_per_s": round(worker.bytes_per_s, 1),
+        "cpu_percent": round(worker.cpu_s_per_s * 100, 4),
+    }
+
+
+def _slope(per: str, more: _NodeCost, fewer: _NodeCost, count: int) -> dict:
+    return {
+        "measure": "slope",
+        "per": per,
+        "bytes_per_s": round((more.bytes_per_s - fewer.bytes_per_s) / count, 1),
+        "cpu_percent": round((more.cpu_percent - fewer.cpu_percent) / count, 4),
+    }
+
+
+def _peer_cost(size: Size, seed: int) -> _NodeCost:
+    """Return the mean over the nodes."""
+    network = VirtualNetwork(seed)
+    network.start_all(instances(size.data_centres, size.instances_per_data_centre))
+    nodes = tuple(network.node_by_name.values())
+    for node in nodes:
+        publish_load(network, node, size)
+    network.run(WARM_UP_MS)
+    for node in nodes:
+        node.bytes_sent = node.bytes_received = node.frames_sent = 0
+        node.cpu_s = 0.0
+    network.run(MEASURED_MS)
+    seconds = MEASURED_MS / 1000 * len(nodes)
+    frames = 2 * sum(node.frames_sent for node in nodes)
+    payload = sum(node.bytes_sent + node.bytes_received for node in nodes)
+    total = payload + frames * (PACKET_BYTES + FRAME_HEADER_BYTES)
+    cpu_s = sum(node.cpu_s for node in nodes)
+    return _NodeCost(total / seconds, cpu_s / seconds * 100)
--- a/benchmarks/control_network.py
+++ b/benchmarks/control_network.py
@@ -18,6 +18,7 @@
     HEARTBEAT_INTERVAL_MS,
     CloseLink,
     Event,
+    Heartbeat,
     HeartbeatReceived,
     LinkClosed,
     LinkFailed,
@@ -62,6 +63,7 @@
     is_up: bool = True
     is_paused: bool = False
     bytes_sent: int = 0
+    bytes_received: int = 0
     frames_sent: int = 0
     cpu_s: float = 0.0
     deferred: list[Event] = field(default_factory=list)
@@ -84,6 +86,7 @@
         self.rng = random.Random(seed)
         self.node_by_name: dict[str, VirtualNode] = {}
         self.listed: tuple[InstanceInfo, ...] | None = ()
+        self.on_heartbeat: Callable[[Heartbeat], None] = lambda heartbeat: None
         self.is_cut: Callable[[VirtualNode, VirtualNode], bool] = lambda a, b: False
         self._connection_by_id: dict[str, _Connection] = {}
         self._numbers = itertools.count(1)
@@ -220,6 +223,7 @@
         connection = self._connection_by_id.get(connection_id)
         if connection is None:
             return
+        self.on_heartbeat(heartbeat)
         begun_s = time.process_time()
         data = encode(heartbeat)
         node.cpu_s += time.process_time() - begun_s
@@ -236,6 +240,7 @@
     def _deliver(self, node: VirtualNode, connection_id: str, data: bytes) -> None:
         if connection_id not in self._connection_by_id or not node.is_up:
             return
+        node.bytes_received += len(data)
         begun_s = time.process_time()
         heartbeat = decode_frame(data)
         node.cpu_s += time.process_time() - begun_s
--- /dev/null
+++ b/benchmarks/control_sharing.py
@@ -0,0 +1,176 @@
+"""Bytes of the state that instances share, by three ways to pass it on.
+
+``changes`` sends an entry over a connection once, which the machine does. ``push``
+repeats all state in each heartbeat. ``digest`` names every entry's version in each
+heartbeat, and what differs is fetched with a request. All three are counted over the
+same run, from the encoded sizes.
+"""
+
+from __future__ import annotations
+
+import dataclasses
+from collections.abc import Iterator
+from dataclasses import dataclass
+
+from ragwortshelf.core.membership import Entry, Heartbeat, Profile, Published
+from ragwortshelf.core.streams.codec import encode
+
+from .control_network import VirtualNetwork, VirtualNode, instances
+
+__all__ = ["SIZES", "Size", "measure_sharing", "publish_load"]
+
+WARM_UP_MS = 15_000
+MEASURED_MS = 60_000
+LOAD_EVERY_MS = 1_000
+QUEUES_EVERY_MS = 5_000
+REVISION_EVERY_MS = 5_000
+MINIONS_PER_DATA_CENTRE = 8
+
+
+@dataclass(frozen=True, slots=True)
+class Size:
+    """One deployment; the larger one assumes four instances in each data centre."""
+
+    name: str
+    data_centres: int
+    instances_per_data_centre: int
+    workers: int
+    organisations: int
+    leases_per_worker: int
+
+    @property
+    def instances(self) -> int:
+        """Instances of all data centres."""
+        return self.data_centres * self.instances_per_data_centre
+
+
+SIZES = (
+    Size("today", 3, 2, workers=24, organisations=4, leases_per_worker=4),
+    Size("two_years", 6, 4, workers=830, organisations=390, leases_per_worker=2),
+)
+
+
+@dataclass(frozen=True, slots=True)
+class _Load:
+    free_slots: int
+    waiting: int
+    in_flight_by_minion: dict[str, int]
+
+
+@dataclass(frozen=True, slots=True)
+class _Queues:
+    waiting_by_organisation: dict[str, int]
+
+
+@dataclass(frozen=True, slots=True)
+class _Revision:
+    revision: int
+    read_wall_ms: int
+
+
+@dataclass(frozen=True, slots=True)
+class _Version:
+    owner: str
+    key: str
+    version: int
+
+
+@dataclass(frozen=True, slots=True)
+class _Digest:
+    versions: tuple[_Version, ...]
+
+
+@dataclass(frozen=True, slots=True)
+class _Fetch:
+    owner_keys: tuple[str, ...]
+
+
+def publish_load(network: VirtualNetwork, node: VirtualNode, size: Size) -> None:
+    """Let an instance share its load, its queues and its revision at their rates.
+
+    One organisation in ten waits at an instance at a time.
+    """
+    rng = network.rng
+    waiting = max(1, size.organisations // 10)
+
+    def load() -> None:
+        in_flight = {
+            f"minion-{index}": rng.randrange(8)
+            for index in range(MINIONS_PER_DATA_CENTRE)
+        }
+        _publish("load", _Load(rng.randrange(64), rng.randrange(100), in_flight))
+        network.after(LOAD_EVERY_MS, load)
+
+    def queues() -> None:
+        names = rng.sample(range(size.organisations), waiting)
+        by_name = {f"organisation-{n}": rng.randrange(100) for n in names}
+        _publish("queues", _Queues(by_name))
+        network.after(QUEUES_EVERY_MS, queues)
+
+    def revision() -> None:
+        _publish("revision", _Revision(1_000, 1_800_000_000_000 + network.now_ms))
+        network.after(REVISION_EVERY_MS, revision)
+
+    def _publish(key, value) -> None:
+        network.feed(node, Published(key, encode(value)))
+
+    for step in (load, queues, revision):
+        network.after(rng.randrange(1_000), step)
+
+
+class _Counter:
+    """Counts what each way would send, for each heartbeat that the machines send."""
+
+    def __init__(self):
+        self.bytes_by_way = dict.fromkeys(("changes", "push", "digest"), 0)
+        self._profile_by_name: dict[str, Profile] = {}
+        self._entry_by_key: dict[tuple[str, str], Entry] = {}
+
+    def count(self, heartbeat: Heartbeat) -> None:
+        for profile in heartbeat.profiles:
+            self._profile_by_name[profile.instance.name] = profile
+        for entry in heartbeat.entries:
+            self._entry_by_key[entry.owner, entry.key] = entry
+        names = [beat.name for beat in heartbeat.beats]
+        entries = tuple(
+            entry for (owner, _), entry in self._entry_by_key.items() if owner in names
+        )
+        profiles = tuple(self._profile_by_name[name] for name in names)
+        whole = dataclasses.replace(heartbeat, profiles=profiles, entries=entries)
+        self.bytes_by_way["changes"] += len(encode(heartbeat))
+        self.bytes_by_way["push"] += len(encode(whole))
+        self.bytes_by_way["digest"] += self._digest_bytes(heartbeat, entries)
+
+    def _digest_bytes(self, heartbeat: Heartbeat, entries: tuple[Entry, ...]) -> int:
+        bare = dataclasses.replace(heartbeat, profiles=(), entries=())
+        versions = tuple(_Version(e.owner, e.key, e.version) for e in entries)
+        count = len(encode(bare)) + len(encode(_Digest(versions)))
+        if heartbeat.entries or heartbeat.profiles:
+            wanted = tuple(f"{e.owner}/{e.key}" for e in heartbeat.entries)
+            answer = dataclasses.replace(heartbeat, beats=())
+            count += len(encode(_Fetch(wanted))) + len(encode(answer))
+        return count
+
+
+def measure_sharing(seed: int) -> Iterator[dict]:
+    """Yield the bytes a second that a node sends, by size and way."""
+    for size in SIZES:
+        network = VirtualNetwork(seed)
+        network.start_all(instances(size.data_centres, size.instances_per_data_centre))
+        for node in network.node_by_name.values():
+            publish_load(network, node, size)
+        counter = _Counter()
+        network.on_heartbeat = counter.count
+        network.run(WARM_UP_MS)
+        counter.bytes_by_way = dict.fromkeys(counter.bytes_by_way, 0)
+        network.run(MEASURED_MS)
+        seconds = MEASURED_MS / 1000
+        yield {
+            "measure": "shared_state",
+            "size": size.name,
+            "instances": size.instances,
+            "bytes_per_s_sent_by_way": {
+                way: round(count / seconds / size.instances)
+                for way, count in counter.bytes_by_way.items()
+            },
+        }
--- /dev/null
+++ b/benchmarks/control_workers.py
@@ -0,0 +1,127 @@
+"""Bytes and processor time of watching workers, from real encoded messages.
+
+For each worker the placer reads its state, renews its leases in one message and reads
+usage, each at the interval that the daemon goes by. The messages are the standard HTTP
+of docs/standins.md.
+"""
+
+from __future__ import annotations
+
+import base64
+import json
+import time
+from dataclasses import dataclass
+
+import h11
+
+from ragwortshelf.core.jobs.gang import RENEW_EVERY_MS
+from ragwortshelf.core.model import JobSpec
+from ragwortshelf.core.streams.codec import encode
+from ragwortshelf.daemon.placer import OBSERVE_EVERY_MS, USAGE_EVERY_MS
+
+from .control_sharing import Size
+
+__all__ = ["PACKET_BYTES", "WorkerCost", "worker_cost"]
+
+PACKET_BYTES = 52
+"""Headers of IP and TCP in front of each message."""
+
+REPEATS = 200
+
+
+@dataclass(frozen=True, slots=True)
+class WorkerCost:
+    """What one worker costs its placer, both directions together."""
+
+    bytes_per_s: float
+    cpu_s_per_s: float
+
+
+def worker_cost(size: Size) -> WorkerCost:
+    """Measure a worker with as many leases as the size gives each."""
+    total_bytes = 0.0
+    total_cpu_s = 0.0
+    for method, target, body, answer, every_ms in _exchanges(size):
+        count, cpu_s = _exchange(method, target, body, answer)
+        total_bytes += count * 1000 / every_ms
+        total_cpu_s += cpu_s * 1000 / every_ms
+    return WorkerCost(total_bytes, total_cpu_s)
+
+
+def _exchanges(size: Size):
+    leases = [_lease(index) for index in range(size.leases_per_worker)]
+    ids = [f"{lease['job_id']}:1:worker-100" for lease in leases]
+    state = {
+        "worker": "worker-100",
+        "boot_id": "b" * 32,
+        "data_centre": "dc1",
+        "rack": "rack-10",
+        "accelerators": 8,
+        "cores": 32,
+        "memory_bytes": 64 << 30,
+        "leases": leases,
+    }
+    renewed = {"renewed": ids, "lost": [], "boot_id": "b" * 32}
+    usage = {"reports": [], "cursor": 100_000}
+    yield "GET", "/state", None, state, OBSERVE_EVERY_MS
+    yield (
+        "POST",
+        "/renewals",
+        {"lease_ids": ids, "ttl_ms": 15_000},
+        renewed,
+        RENEW_EVERY_MS,
+    )
+    yield "GET", "/usage?cursor=100000&limit=1000", None, usage, USAGE_EVERY_MS
+
+
+def _lease(index: int) -> dict:
+    spec = JobSpec(f"job-{index:032d}", "organisation-100", "dc1", 8, tasks=8)
+    return {
+        "job_id": spec.job_id,
+        "attempt": 1,
+        "holder": "instance-1/1800000000000",
+        "accelerators": [index],
+        "remaining_ms": 12_000,
+        "label": base64.b64encode(encode(spec)).decode(),
+        "task_state": "running",
+        "has_started": True,
+        "checkpoint": 3,
+        "is_live": True,
+    }
+
+
+def _exchange(method, target, body, answer) -> tuple[int, float]:
+    """Return the bytes of both directions and this side's processor seconds."""
+    payload = json.dumps(answer).encode()
+    response = (
+        b"HTTP/1.1 200 OK\r\ncontent-type: application/json\r\n"
+        b"content-length: %d\r\n\r\n" % len(payload)
+    ) + payload
+    connection = h11.Connection(h11.CLIENT)
+    sent = 0
+    begun_s = time.process_time()
+    for _ in range(REPEATS):
+        data = b"" if body is None else json.dumps(body).encode()
+        headers = [("host", "10.0.1.100:8000"), ("content-length", str(len(data)))]
+        request = connection.send(
+            h11.Request(method=method, target=target, headers=headers)
+        )
+        if data:
+            request += connection.send(h11.Data(data=data))
+        request += connection.send(h11.EndOfMessage())
+        sent = len(request)
+        _read(connection, response)
+        connection.start_next_cycle()
+    cpu_s = (time.process_time() - begun_s) / REPEATS
+    return sent + len(response) + 2 * PACKET_BYTES, cpu_s
+
+
+def _read(connection: h11.Connection, response: bytes) -> object:
+    connection.receive_data(response)
+    parts = []
+    while True:
+        event = connection.next_event()
+        if isinstance(event, h11.Data):
+            parts.append(bytes(event.data))
+        elif isinstance(event, h11.EndOfMessage):
+            return json.loads(b"".join(parts))
