Keep a witness for every guarantee; order, reclaim, reserve and quarantine

Cause: first fit gave guarantees away. Change: home regions, the witness, claims, tiers, reservations, moves and quarantine.

--- /dev/null
+++ b/ragwortshelf/core/placement/decider.py
@@ -0,0 +1,316 @@
+"""One round of decisions: urgent, then guaranteed, then borrowed work.
+
+Within a tier the organisation with the least held accelerators for its weight goes
+first, with an allowance for waiting. Jobs that are alike share one search: if the
+oldest of them does not fit, none does.
+"""
+
+from __future__ import annotations
+
+import enum
+import heapq
+
+from ..model import Decision, Grant, Priority, Reason
+from .actions import Action, Move, Place, Probe, Reclaim, Reject
+from .admission import fits_catalogue
+from .blocked import BlockedGroups
+from .ledger import ActiveJob, ActiveState, accelerators_of
+from .placer import Found, Placer
+from .policy import JobView
+from .reservations import Reservations
+from .state import State
+from .waiting import GroupKey, WaitingGroup, WaitingJob
+
+__all__ = ["Decider", "grants_text"]
+
+AGEING_MS = 600_000  # waiting so long halves an organisation's counted share
+DEFAULT_RECLAIM_GRACE_MS = 2_000
+
+
+class _Tier(enum.IntEnum):
+    URGENT = 0
+    GUARANTEED = 1
+    BORROWED = 2
+
+
+class Decider:
+    """Runs rounds over the state; keeps reservations between them."""
+
+    def __init__(self, state: State) -> None:
+        self._state = state
+        self.reservations = Reservations()
+        self._blocked = BlockedGroups(state, self.reservations)
+        self._unchecked: dict[str, None] = {}
+        self._actions: list[Action] = []
+
+    def check_admission(self, job_id: str) -> None:
+        """Check in the next round whether the waiting job can run at all."""
+        self._unchecked[job_id] = None
+
+    def check_all_admissions(self) -> None:
+        """Check every waiting job again, after a change of configuration."""
+        self._unchecked.update(dict.fromkeys(self._state.waiting.job_by_id))
+
+    def next_wakeup_ms(self) -> int | None:
+        """Return when a blocked group may be helped without any event."""
+        return self._blocked.next_wakeup_ms
+
+    def round(self, now_ms: int) -> tuple[Action, ...]:
+        """Return the actions that are due now, and count them as taken."""
+        self._actions = []
+        self._finish_pending(now_ms)
+        self._reject_impossible()
+        self._state.has_changed = False
+        for tier in _Tier:
+            self._run_tier(tier, now_ms)
+        for waiting, found, is_move in self._blocked.help(now_ms):
+            self._carry_out(waiting, found, now_ms, is_move)
+        for worker in self._state.quarantine.due_probes(now_ms):
+            line = Decision("probe_worker", worker, "probe", "quarantine interval over")
+            self._actions.append(Probe(worker, line))
+        return tuple(self._actions)
+
+    def _finish_pending(self, now_ms: int) -> None:
+        ledger = self._state.ledger
+        for job in list(ledger.pending_by_id.values()):
+            is_permitted = all(
+                self._state.permits(job.spec, worker, index)
+                for worker, index in accelerators_of(job.grants)
+            )
+            if is_permitted and ledger.is_whole(job) and self._is_obtainable(job):
+                ledger.mark_held(job)
+                if not job.claim:
+                    self._state.choose_claim(job)
+                self._emit_place(job, "reclaimed accelerators are free")
+            elif (
+                not (is_permitted and self._is_obtainable(job))
+                or now_ms >= job.pending_deadline_ms
+            ):
+                ledger.release(job.spec.job_id)
+                self._state.waiting.add(
+                    WaitingJob(
+                        job.spec,
+                        job.waiting_since_ms,
+                        job.checkpoint,
+                        GroupKey.of(
+                            job.spec, self._state.run_times.expected_ms(job.spec)
+                        ),
+                        "accelerators to be reclaimed were lost or late",
+                    )
+                )
+
+    def _is_obtainable(self, job: ActiveJob) -> bool:
+        workers = self._state.pool.workers_by_name
+        return all(
+            grant.worker in workers and workers[grant.worker].is_open
+            for grant in job.grants
+        )
+
+    def _reject_impossible(self) -> None:
+        state = self._state
+        unchecked, self._unchecked = self._unchecked, {}
+        verdict_by_group: dict[tuple[str, GroupKey], bool] = {}
+        for job_id in unchecked:
+            waiting = state.waiting.job_by_id.get(job_id)
+            if waiting is None:
+                continue
+            if state.quarantine.fails_everywhere(job_id):
+                detail = "it failed on several workers on which other work succeeds"
+                self._reject(waiting, Reason.FAILS_EVERYWHERE, detail)
+                continue
+            group = (waiting.spec.organisation, waiting.key)
+            if group not in verdict_by_group:
+                fits = fits_catalogue(waiting.spec, state.configuration)
+                verdict_by_group[group] = fits
+            if not verdict_by_group[group]:
+                detail = "no configured data centre can hold its group"
+                self._reject(waiting, Reason.NEVER_FITS, detail)
+
+    def _reject(self, waiting: WaitingJob, reason: Reason, detail: str) -> None:
+        spec = waiting.spec
+        self._state.waiting.discard(spec.job_id)
+        line = Decision(
+            "place_job", spec.job_id, "reject", detail, organisation=spec.organisation
+        )
+        self._actions.append(Reject(spec.job_id, reason, detail, line))
+
+    def _run_tier(self, tier: _Tier, now_ms: int) -> None:
+        state = self._state
+        queue = []
+        for name in state.waiting.groups_by_organisation:
+            groups = self._ordered_groups(tier, name, now_ms)
+            if groups:
+                queue.append((self._share(name, now_ms), name, groups))
+        heapq.heapify(queue)
+        failed: set[tuple[str, GroupKey]] = set()
+        while queue:
+            _, name, groups = heapq.heappop(queue)
+            if self._place_one(tier, name, groups, failed, now_ms) and groups:
+                heapq.heappush(queue, (self._share(name, now_ms), name, groups))
+
+    def _share(self, organisation: str, now_ms: int) -> float:
+        state = self._state
+        entry = state.configuration.organisations_by_name.get(organisation)
+        weight = max(1, entry.weight) if entry is not None else 1
+        held = state.ledger.held_by_organisation.get(organisation, 0)
+        groups = state.waiting.groups_by_organisation[organisation].values()
+        oldest_ms = min(group.head.since_ms for group in groups)
+        return held / weight / (1 + max(0, now_ms - oldest_ms) / AGEING_MS)
+
+    def _ordered_groups(
+        self, tier: _Tier, organisation: str, now_ms: int
+    ) -> list[tuple[tuple, int, WaitingGroup]]:
+        """Return the organisation's groups as a heap, the most urgent first."""
+        groups = self._state.waiting.groups_by_organisation[organisation].values()
+        ordered = [
+            (self._group_order(group, now_ms), number, group)
+            for number, group in enumerate(groups)
+            if tier is not _Tier.URGENT or group.key.priority is Priority.URGENT
+        ]
+        heapq.heapify(ordered)
+        return ordered
+
+    def _place_one(
+        self,
+        tier: _Tier,
+        organisation: str,
+        groups: list[tuple[tuple, int, WaitingGroup]],
+        failed: set[tuple[str, GroupKey]],
+        now_ms: int,
+    ) -> bool:
+        """Place one job of the groups; drop those groups of which none fits."""
+        while groups:
+            _, number, group = groups[0]
+            search = self._search_key(tier, organisation, group)
+            if search not in failed and self._try(tier, group.head, now_ms):
+                if group.job_by_id:
+                    order = self._group_order(group, now_ms)
+                    heapq.heapreplace(groups, (order, number, group))
+                else:
+                    heapq.heappop(groups)
+                return True
+            failed.add(search)
+            heapq.heappop(groups)
+        return False
+
+    def _search_key(
+        self, tier: _Tier, organisation: str, group: WaitingGroup
+    ) -> tuple[str, GroupKey]:
+        """Return what a failed search answers for; borrowing is alike for all."""
+        is_for_all = (
+            tier is _Tier.BORROWED
+            and group.key.is_reclaimable
+            and not self.reservations.is_any
+            and not self._state.over_quota(organisation, group.key.accelerators)
+        )
+        return ("" if is_for_all else organisation, group.key.search_key)
+
+    def _group_order(self, group: WaitingGroup, now_ms: int) -> tuple:
+        """Return a key that sorts the group to be served first lowest."""
+        head = group.head
+        reservation = self.reservations.by_organisation.get(head.spec.organisation)
+        is_reserved = reservation is not None and (
+            reservation.spec.job_id == head.spec.job_id
+        )
+        view = JobView(
+            head.spec.accelerators,
+            max(0, now_ms - head.since_ms),
+            group.key.expected_run_ms,
+            head.spec.priority,
+        )
+        urgency = self._state.policy.urgency(view)
+        return (head.spec.priority, not is_reserved, -urgency, head.since_ms)
+
+    def _try(self, tier: _Tier, waiting: WaitingJob, now_ms: int) -> bool:
+        spec = waiting.spec
+        if self._state.over_quota(spec.organisation, spec.accelerators):
+            waiting.reason = "its organisation would exceed its quota"
+            return False
+        placer = Placer(self._state, self.reservations, spec, now_ms)
+        found: Found | str = "borrows only after all guaranteed work"
+        if tier is not _Tier.BORROWED:
+            found = placer.within_guarantee()
+        if isinstance(found, str) and tier is not _Tier.GUARANTEED:
+            found = placer.beyond_guarantee()
+        if isinstance(found, str):
+            waiting.reason = found
+            return False
+        self._carry_out(waiting, found, now_ms, False)
+        return True
+
+    def _carry_out(
+        self, waiting: WaitingJob, found: Found, now_ms: int, is_move: bool
+    ) -> None:
+        state = self._state
+        spec = waiting.spec
+        state.waiting.discard(spec.job_id)
+        self.reservations_of(spec.organisation, spec.job_id)
+        grace_ms = int(
+            state.configuration.rule("reclaim_grace_ms", DEFAULT_RECLAIM_GRACE_MS)
+        )
+        job = ActiveJob(
+            spec,
+            ActiveState.PENDING if found.victims else ActiveState.HELD,
+            found.grants,
+            waiting_since_ms=waiting.since_ms,
+            checkpoint=waiting.checkpoint,
+            # Stops are due by the grace; twice that allows for a lagging answer.
+            pending_deadline_ms=now_ms + 4 * grace_ms,
+        )
+        state.ledger.add(job)
+        state.ledger.set_claim(job, found.claim)
+        if not found.victims:
+            self._emit_place(job, found.reason, found.passed_over)
+            return
+        for victim in found.victims:
+            if victim.reclaim_deadline_ms is None:
+                victim.reclaim_deadline_ms = now_ms + grace_ms
+                self._emit_reclaim(victim, job, is_move, now_ms)
+
+    def reservations_of(self, organisation: str, job_id: str) -> None:
+        """Give up the reservation that is for this job."""
+        reservation = self.reservations.by_organisation.get(organisation)
+        if reservation is not None and reservation.spec.job_id == job_id:
+            self.reservations.drop(organisation)
+
+    def _emit_place(
+        self, job: ActiveJob, reason: str, passed_over: tuple[str, ...] = ()
+    ) -> None:
+        spec = job.spec
+        line = Decision(
+            "place_job",
+            spec.job_id,
+            grants_text(job.grants),
+            reason + ("; borrowed" if job.is_borrowed else "; guaranteed"),
+            passed_over,
+            spec.organisation,
+        )
+        self._actions.append(
+            Place(spec, job.grants, job.is_borrowed, line, job.checkpoint)
+        )
+
+    def _emit_reclaim(
+        self, victim: ActiveJob, job: ActiveJob, is_move: bool, now_ms: int
+    ) -> None:
+        lost = victim.lost_accelerator_ms(now_ms)
+        line = Decision(
+            "move_job" if is_move else "reclaim_job",
+            victim.spec.job_id,
+            f"stop by {victim.reclaim_deadline_ms} ms",
+            f"for {job.spec.job_id} on {grants_text(job.grants)}; "
+            f"{lost} accelerator-ms since its checkpoint",
+            organisation=victim.spec.organisation,
+        )
+        action = Move if is_move else Reclaim
+        self._actions.append(
+            action(
+                victim.spec.job_id, job.spec.job_id, victim.reclaim_deadline_ms, line
+            )
+        )
+
+
+def grants_text(grants: tuple[Grant, ...]) -> str:
+    """Return the grants as ``worker:0,1+worker:2``."""
+    return "+".join(
+        f"{grant.worker}:{','.join(map(str, grant.accelerators))}" for grant in grants
+    )
--- /dev/null
+++ b/ragwortshelf/core/placement/placer.py
@@ -0,0 +1,293 @@
+"""Finds accelerators for one waiting job, within its guarantee or beyond it."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from dataclasses import dataclass
+
+from ..model import Adjacency, Grant, JobSpec, Priority
+from .ledger import ActiveJob
+from .packing import find_group
+from .pool import PoolRack, PoolWorker
+from .reservations import Reservations
+from .state import State
+from .victims import ReclaimPlan, plan_reclaim
+
+__all__ = ["Found", "Placer"]
+
+Indices = Callable[[PoolWorker], list[int]]
+
+
+@dataclass(frozen=True, slots=True)
+class Found:
+    """Where a job goes, what it claims, and who has to leave first."""
+
+    grants: tuple[Grant, ...]
+    claim: tuple[Grant, ...]
+    reason: str
+    passed_over: tuple[str, ...] = ()
+    victims: tuple[ActiveJob, ...] = ()
+
+
+class Placer:
+    """Searches over the state as it is at ``now_ms``; it changes nothing."""
+
+    def __init__(
+        self, state: State, reservations: Reservations, spec: JobSpec, now_ms: int
+    ) -> None:
+        self._state = state
+        self._reservations = reservations
+        self._spec = spec
+        self._now_ms = now_ms
+        self._avoided = state.quarantine.failed_workers(spec.job_id)
+        regions = state.witness.accelerators_by_organisation
+        self._region = regions.get(spec.organisation, {})
+
+    def within_guarantee(self) -> Found | str:
+        """Return a place under the organisation's guarantee, or why there is none."""
+        spec = self._spec
+        if not self._region:
+            return "nothing is promised here"
+        inside = self._find(self._free_inside)
+        if inside is not None:
+            return Found(inside, inside, "free in the organisation's region")
+        claim = self._find(self._claimable)
+        if claim is None:
+            return "the guarantee is in use by the organisation itself"
+        passed_over = ["region: not free"]
+        if spec.is_reclaimable:
+            outside = self._find(self._free_outside)
+            if outside is not None:
+                return Found(
+                    outside, claim, "free outside the region", tuple(passed_over)
+                )
+            passed_over.append("outside the region: does not fit")
+        plan = self._cheapest_reclaim()
+        if plan is None:
+            return "placed work on the region has not started yet"
+        stands_inside = all(
+            index in self._region.get(grant.worker, ())
+            for grant in plan.grants
+            for index in grant.accelerators
+        )
+        return Found(
+            plan.grants,
+            plan.grants if stands_inside else claim,
+            f"reclaims at a cost of {plan.cost_ms} accelerator-ms",
+            tuple(passed_over),
+            plan.victims,
+        )
+
+    def beyond_guarantee(self) -> Found | str:
+        """Return free accelerators that the organisation may borrow, or why none."""
+        spec = self._spec
+        if spec.is_reclaimable:
+            grants = self._find(self._free_to_borrow)
+        else:
+            grants = self._find(self._free_for_unstoppable)
+        if grants is None:
+            return self._why_blocked()
+        claim = () if spec.is_reclaimable else self.part_in_region(grants)
+        return Found(grants, claim, "tightest fit among free accelerators")
+
+    def permitted(self, worker: PoolWorker, index: int) -> bool:
+        """Return whether the job may ever use the accelerator as things stand."""
+        if not worker.is_open or worker.name in self._avoided:
+            return False
+        return self._state.permits(self._spec, worker.name, index)
+
+    def _find(self, indices: Indices) -> tuple[Grant, ...] | None:
+        spec = self._spec
+        parts = find_group(
+            self._state.pool,
+            lambda worker: len(indices(worker)),
+            spec.accelerators,
+            spec.adjacency,
+            self._state.policy,
+            self._racks(indices),
+        )
+        if parts is None:
+            return None
+        return tuple(
+            Grant(worker.name, tuple(indices(worker)[:count]))
+            for worker, count in parts
+        )
+
+    def _racks(self, indices: Indices) -> list[PoolRack]:
+        """Leave out racks that cannot help, which saves looking at their workers."""
+        pool = self._state.pool
+        if indices in (self._claimable, self._free_inside):
+            names = {
+                pool.workers_by_name[worker].rack.name: None
+                for worker in self._region
+                if worker in pool.workers_by_name
+            }
+            return [pool.racks_by_name[name] for name in names]
+        least = self._spec.accelerators
+        if self._spec.adjacency is Adjacency.DATA_CENTRE:
+            least = 1
+        return [r for r in pool.racks_by_name.values() if r.open_free >= least]
+
+    def _may_receive(self, worker: PoolWorker) -> bool:
+        return worker.name not in self._avoided and self._state.may_receive(
+            worker, self._now_ms
+        )
+
+    def _free_inside(self, worker: PoolWorker) -> list[int]:
+        if worker.free == 0 or not self._may_receive(worker):
+            return []
+        return [
+            index
+            for index in self._region.get(worker.name, ())
+            if worker.holder_by_index[index] is None
+            and self._is_unclaimed(worker.name, index)
+        ]
+
+    def _claimable(self, worker: PoolWorker) -> list[int]:
+        if not self._may_receive(worker):
+            return []
+        return [
+            index
+            for index in self._region.get(worker.name, ())
+            if self._is_unclaimed(worker.name, index)
+            and self._holder_that_may_leave(worker, index, True) is not None
+        ]
+
+    def _free_outside(self, worker: PoolWorker) -> list[int]:
+        if worker.open_free == 0 or not self._may_receive(worker):
+            return []
+        region = self._region.get(worker.name, ())
+        return [
+            index
+            for index in worker.free_indices()
+            if index not in region
+            and not self._reservations.blocks(self._spec, worker.name, index, True)
+        ]
+
+    def _free_to_borrow(self, worker: PoolWorker) -> list[int]:
+        if worker.open_free == 0 or not self._may_receive(worker):
+            return []
+        free = worker.free_indices()
+        if not self._reservations.is_any:
+            return free
+        return [
+            index
+            for index in free
+            if not self._reservations.blocks(self._spec, worker.name, index, False)
+        ]
+
+    def _free_for_unstoppable(self, worker: PoolWorker) -> list[int]:
+        if worker.open_free == 0 or not self._may_receive(worker):
+            return []
+        return [
+            index
+            for index in worker.free_indices()
+            if self.permitted(worker, index)
+            and self._is_unclaimed(worker.name, index)
+            and not self._reservations.blocks(self._spec, worker.name, index, True)
+        ]
+
+    def _is_unclaimed(self, worker: str, index: int) -> bool:
+        """Return whether the job may claim the accelerator.
+
+        Urgent work takes claims over from the organisation's own other work, if that
+        can be stopped.
+        """
+        is_urgent = self._spec.priority is Priority.URGENT
+        if not is_urgent and self._reservations.blocks(self._spec, worker, index, True):
+            return False
+        ledger = self._state.ledger
+        claimant = ledger.claimant_by_accelerator.get((worker, index))
+        if claimant is None:
+            return True
+        job = ledger.job_by_id[claimant]
+        return (
+            is_urgent
+            and job.can_be_stopped
+            and job.spec.priority is not Priority.URGENT
+        )
+
+    def _holder_that_may_leave(
+        self, worker: PoolWorker, index: int, is_inside: bool
+    ) -> str | None:
+        """Return "" for a free accelerator, a reclaimable holder, or None."""
+        holder = worker.holder_by_index[index]
+        if holder is None:
+            return ""
+        ledger = self._state.ledger
+        if (worker.name, index) in ledger.target_by_accelerator:
+            return None
+        job = ledger.job_by_id.get(holder)
+        if job is None or not job.can_be_stopped:
+            return None
+        if is_inside:
+            return holder
+        if job.claim or job.spec.priority <= self._spec.priority is Priority.URGENT:
+            return None
+        return holder
+
+    def _cheapest_reclaim(self) -> ReclaimPlan | None:
+        inside = self._plan(self._usable_inside, set(self._region))
+        outside = None
+        if self._spec.is_reclaimable:
+            outside = self._plan(self._usable_outside)
+        plans = [plan for plan in (inside, outside) if plan is not None]
+        return min(plans, key=lambda plan: plan.cost_ms, default=None)
+
+    def _plan(
+        self,
+        usable: Callable[[PoolWorker, int], str | None],
+        within: set[str] | None = None,
+    ) -> ReclaimPlan | None:
+        return plan_reclaim(
+            self._state.pool,
+            usable,
+            self._state.ledger.job_by_id,
+            self._spec.accelerators,
+            self._spec.adjacency,
+            self._now_ms,
+            within,
+        )
+
+    def _usable_inside(self, worker: PoolWorker, index: int) -> str | None:
+        region = self._region.get(worker.name)
+        if region is None or index not in region or not self._may_receive(worker):
+            return None
+        if not self._is_unclaimed(worker.name, index):
+            return None
+        return self._holder_that_may_leave(worker, index, True)
+
+    def _usable_outside(self, worker: PoolWorker, index: int) -> str | None:
+        if index in self._region.get(worker.name, ()):
+            return None
+        if not self._may_receive(worker):
+            return None
+        if self._reservations.blocks(self._spec, worker.name, index, True):
+            return None
+        return self._holder_that_may_leave(worker, index, False)
+
+    def part_in_region(self, grants: tuple[Grant, ...]) -> tuple[Grant, ...]:
+        """Return what to claim of grants that were found without a claim.
+
+        Work that cannot be stopped claims all it stands on in its region; other work
+        claims only a place that lies in the region as a whole.
+        """
+        parts = []
+        for grant in grants:
+            region = self._region.get(grant.worker, ())
+            indices = tuple(i for i in grant.accelerators if i in region)
+            if indices:
+                parts.append(Grant(grant.worker, indices))
+        count = sum(len(grant.accelerators) for grant in parts)
+        if self._spec.is_reclaimable and count < self._spec.accelerators:
+            return ()
+        return tuple(parts)
+
+    def _why_blocked(self) -> str:
+        spec = self._spec
+        free = self._state.pool.open_free
+        if free < spec.accelerators:
+            return f"{free} accelerators are free, {spec.accelerators} are needed"
+        if not spec.is_reclaimable:
+            return "it cannot be stopped, and too little is free where it may run"
+        return f"{free} free accelerators are not adjacent by {spec.adjacency}"
--- a/ragwortshelf/core/placement/scheduler.py
+++ b/ragwortshelf/core/placement/scheduler.py
@@ -2,84 +2,171 @@
 
 from __future__ import annotations
 
-from ..model import Configuration, Decision, Grant, JobSpec, Reason
-from .actions import Action, GuaranteeStatus, Place, Reject, WorkerStatus
-from .actions import WorkerCondition as Condition
-from .admission import fits_catalogue
-from .packing import find_group
+from ..model import Configuration, Decision, Grant, JobSpec
+from .actions import Action, GuaranteeStatus, WorkerCondition, WorkerStatus
+from .decider import Decider, grants_text
+from .ledger import ActiveJob, ActiveState
 from .policy import PlacementPolicy, WeightedPolicy
-from .pool import Pool, PoolWorker
+from .quarantine import Verdict
+from .state import State
+from .waiting import GroupKey, WaitingJob
 
 __all__ = ["Scheduler"]
 
 BACKOFF_MS = 1_000
+REPEATED_BACKOFF_MAX_MS = 30_000
 
 
 class Scheduler:
-    """Places the jobs of one data centre."""
+    """Places the jobs of one data centre; deterministic, and cheap for each event.
+
+    Report events with the methods below, then call `decide` and carry out what it
+    returns. The caller stores no placement state of its own: a new scheduler that is
+    told of workers, running jobs and waiting jobs continues where another ended. ::
+
+        scheduler = Scheduler("ankara-1")
+        scheduler.set_configuration(configuration, now_ms)
+        scheduler.set_worker("w1", "rack-1", 8, now_ms)
+        scheduler.add_waiting(spec, now_ms)
+        for action in scheduler.decide(now_ms):
+            ...
+    """
 
     def __init__(self, data_centre: str, policy: PlacementPolicy | None = None) -> None:
         self.data_centre = data_centre
-        self._base_policy = policy or WeightedPolicy()
-        self._policy = self._base_policy
-        self._configuration = Configuration()
-        self._pool = Pool()
-        self._waiting_by_id: dict[str, JobSpec] = {}
-        self._checkpoint_by_id: dict[str, int] = {}
-        self._grants_by_id: dict[str, tuple[Grant, ...]] = {}
-        self._avoid_until_by_worker: dict[str, int] = {}
+        self._state = State(data_centre, policy or WeightedPolicy())
+        self._decider = Decider(self._state)
+        self._failures_by_worker: dict[str, int] = {}
 
     def set_configuration(
         self, configuration: Configuration, now_ms: int
     ) -> tuple[Decision, ...]:
-        self._configuration = configuration
-        self._policy = self._base_policy.configured(configuration)
-        return ()
+        """Bring a configuration into force; return how the guarantees changed."""
+        self._state.set_configuration(configuration)
+        self._decider.check_all_admissions()
+        self._state.refresh_witness()
+        return self.take_guarantee_lines()
+
+    def take_guarantee_lines(self) -> tuple[Decision, ...]:
+        """Return a line for each guarantee that became short or obtainable."""
+        lines = tuple(self._state.guarantee_lines)
+        self._state.guarantee_lines.clear()
+        return lines
 
     def set_worker(
         self, worker: str, rack: str, accelerators: int, now_ms: int
     ) -> None:
-        self._pool.set_worker(worker, rack, accelerators)
+        """Add a worker; a worker of another size or rack is replaced."""
+        self._state.pool.set_worker(worker, rack, accelerators)
+        self._state.ledger.hold_again(worker)
+        self._mark_witness_stale()
+        self._state.refresh_worker(worker)
 
     def set_worker_usable(
         self, worker: str, is_usable: bool, reason: str, now_ms: int
     ) -> None:
-        self._pool.set_open(worker, is_usable)
+        """Open the worker for jobs, or close it with the reason; jobs on it stay."""
+        if is_usable:
+            self._state.unusable_reason_by_worker.pop(worker, None)
+        else:
+            self._state.unusable_reason_by_worker[worker] = reason
+        self._state.refresh_worker(worker)
 
     def remove_worker(self, worker: str, now_ms: int) -> None:
-        self._pool.remove_worker(worker)
+        """Forget a worker that was lost; its jobs stay until `remove` is called."""
+        self._state.pool.remove_worker(worker)
+        self._state.quarantine.forget_worker(worker)
+        self._state.unusable_reason_by_worker.pop(worker, None)
+        self._state.backoff_until_by_worker.pop(worker, None)
+        self._failures_by_worker.pop(worker, None)
+        self._mark_witness_stale()
 
     def set_foreign_lease(
         self, worker: str, accelerators: tuple[int, ...], job_id: str
     ) -> None:
-        self._pool.hold(f"foreign:{job_id}", (Grant(worker, accelerators),))
+        """Count accelerators as held by a job that is not known here."""
+        key = f"foreign:{worker}:{job_id}"
+        self._state.ledger.release(key)
+        spec = JobSpec(key, "", self.data_centre, len(accelerators))
+        grants = (Grant(worker, accelerators),)
+        job = ActiveJob(spec, ActiveState.RUNNING, grants, is_foreign=True)
+        self._state.ledger.add(job)
+        self._mark_witness_stale()
 
     def clear_foreign_lease(self, worker: str, job_id: str) -> None:
-        everything = tuple(range(self._pool.workers_by_name[worker].size))
-        self._pool.release(f"foreign:{job_id}", (Grant(worker, everything),))
+        """Free what `set_foreign_lease` counted as held."""
+        self._state.ledger.release(f"foreign:{worker}:{job_id}")
+        self._mark_witness_stale()
+
+    def set_held_elsewhere(self, organisation: str, accelerators: int) -> None:
+        """Tell what an organisation holds in other data centres, for its quota."""
+        self._state.held_elsewhere_by_organisation[organisation] = accelerators
+        self._state.has_changed = True
 
     def add_waiting(self, spec: JobSpec, now_ms: int, checkpoint: int = 0) -> None:
-        self._waiting_by_id[spec.job_id] = spec
-        self._checkpoint_by_id[spec.job_id] = checkpoint
+        """Let the job wait for a place; it goes on from ``checkpoint``."""
+        if spec.job_id in self._state.ledger.job_by_id:
+            return
+        is_special = bool(self._state.quarantine.failed_workers(spec.job_id))
+        expected_ms = self._state.run_times.expected_ms(spec)
+        key = GroupKey.of(spec, expected_ms, is_special)
+        self._state.waiting.add(WaitingJob(spec, now_ms, checkpoint, key))
+        self._decider.check_admission(spec.job_id)
+        self._state.has_changed = True
 
     def set_running(
         self, spec: JobSpec, grants: tuple[Grant, ...], now_ms: int
     ) -> None:
-        self._waiting_by_id.pop(spec.job_id, None)
-        self._grants_by_id[spec.job_id] = grants
-        self._pool.hold(spec.job_id, grants)
+        """Count the job as running, whether placed here or adopted from workers."""
+        state = self._state
+        state.waiting.discard(spec.job_id)
+        known = state.ledger.job_by_id.get(spec.job_id)
+        if known is not None and known.grants == grants:
+            if known.state is ActiveState.HELD:
+                known.state = ActiveState.RUNNING
+                known.started_ms = known.saved_ms = now_ms
+            state.has_changed = True
+            return
+        state.ledger.release(spec.job_id)
+        job = ActiveJob(spec, ActiveState.RUNNING, grants, now_ms, now_ms, now_ms)
+        state.ledger.add(job)
+        state.choose_claim(job)
+        self._mark_witness_stale()
 
     def checkpointed(self, job_id: str, now_ms: int) -> None:
-        pass
+        """Note that the job would lose nothing if it were stopped now."""
+        job = self._state.ledger.job_by_id.get(job_id)
+        if job is not None:
+            job.saved_ms = now_ms
 
     def remove(self, job_id: str, now_ms: int) -> None:
-        self._waiting_by_id.pop(job_id, None)
-        self._checkpoint_by_id.pop(job_id, None)
-        self._pool.release(job_id, self._grants_by_id.pop(job_id, ()))
+        """Forget a job that ended, was cancelled, was stopped or has moved away."""
+        state = self._state
+        if state.waiting.discard(job_id) is not None:
+            return
+        job = state.ledger.release(job_id)
+        if job is None:
+            return
+        state.has_changed = True
+        if state.witness.shortage_by_unit:
+            state.is_witness_stale = True
 
     def placement_failed(self, job_id: str, worker: str, now_ms: int) -> None:
-        self._avoid_until_by_worker[worker] = now_ms + BACKOFF_MS
-        self._pool.release(job_id, self._grants_by_id.pop(job_id, ()))
+        """Let a placed job wait again; the worker gets nothing for a while."""
+        state = self._state
+        job = state.ledger.release(job_id)
+        if job is not None:
+            expected_ms = state.run_times.expected_ms(job.spec)
+            key = GroupKey.of(job.spec, expected_ms)
+            since_ms = job.waiting_since_ms
+            waiting = WaitingJob(job.spec, since_ms, job.checkpoint, key)
+            state.waiting.add(waiting)
+        if worker in state.pool.workers_by_name:
+            failures = self._failures_by_worker.get(worker, 0)
+            self._failures_by_worker[worker] = failures + 1
+            delay_ms = min(BACKOFF_MS << min(failures, 10), REPEATED_BACKOFF_MAX_MS)
+            state.backoff_until_by_worker[worker] = now_ms + delay_ms
+        state.has_changed = True
 
     def task_ended(
         self,
@@ -89,64 +176,119 @@
         succeeded: bool,
         now_ms: int,
     ) -> None:
-        pass
+        """Learn from the end of a job's tasks on its workers; call before `remove`."""
+        state = self._state
+        job = state.ledger.job_by_id.get(job_id)
+        if succeeded and job is not None:
+            state.run_times.learn(job.spec, now_ms - job.started_ms)
+        for worker in state.quarantine.ended(job_id, kind, workers, succeeded, now_ms):
+            state.refresh_worker(worker)
+        if succeeded:
+            state.quarantine.forget_job(job_id)
+            for worker in workers:
+                self._failures_by_worker.pop(worker, None)
+
+    def forget(self, job_id: str) -> None:
+        """Drop the failures of a job that has its final outcome."""
+        self._state.quarantine.forget_job(job_id)
 
     def probe_ended(self, worker: str, succeeded: bool, now_ms: int) -> None:
-        pass
+        """Take the answer to a `Probe`."""
+        self._state.quarantine.probe_ended(worker, succeeded, now_ms)
+        self._state.refresh_worker(worker)
 
     def set_quarantine(self, worker: str, is_quarantined: bool, now_ms: int) -> None:
-        self._pool.set_open(worker, not is_quarantined)
+        """Quarantine or release the worker on an operator's word."""
+        self._state.quarantine.set(worker, is_quarantined)
+        self._state.refresh_worker(worker)
 
     def decide(self, now_ms: int) -> tuple[Action, ...]:
-        def capacity(worker: PoolWorker) -> int:
-            until_ms = self._avoid_until_by_worker.get(worker.name, 0)
-            return worker.open_free if until_ms <= now_ms else 0
-
-        actions: list[Action] = []
-        for job_id, spec in list(self._waiting_by_id.items()):
-            if job_id in self._grants_by_id:
-                continue
-            if not fits_catalogue(spec, self._configuration):
-                detail = "fits no configured capacity"
-                line = Decision("place_job", job_id, "reject", detail)
-                del self._waiting_by_id[job_id]
-                actions.append(Reject(job_id, Reason.NEVER_FITS, detail, line))
-                continue
-            parts = find_group(
-                self._pool, capacity, spec.accelerators, spec.adjacency, self._policy
-            )
-            if parts is None:
-                continue
-            grants = tuple(
-                Grant(worker.name, tuple(worker.free_indices()[:count]))
-                for worker, count in parts
-            )
-            self._pool.hold(job_id, grants)
-            self._grants_by_id[job_id] = grants
-            line = Decision("place_job", job_id, str(grants), "first fit")
-            checkpoint = self._checkpoint_by_id.get(job_id, 0)
-            actions.append(Place(spec, grants, False, line, checkpoint))
-        return tuple(actions)
+        """Return what is to be done now; nothing is repeated in a later call."""
+        state = self._state
+        state.refresh_witness()
+        wakeup_ms = self.next_wakeup_ms(now_ms)
+        if not state.has_changed and (wakeup_ms is None or wakeup_ms > now_ms):
+            return ()
+        for worker, until_ms in list(state.backoff_until_by_worker.items()):
+            if until_ms <= now_ms:
+                del state.backoff_until_by_worker[worker]
+        return self._decider.round(now_ms)
 
     def next_wakeup_ms(self, now_ms: int) -> int | None:
-        later = [t for t in self._avoid_until_by_worker.values() if t > now_ms]
-        return min(later, default=None)
+        """Return when `decide` is due without any event, None if it is not."""
+        state = self._state
+        times = [
+            state.quarantine.next_probe_ms(),
+            self._decider.next_wakeup_ms() if state.waiting.job_by_id else None,
+            min(state.backoff_until_by_worker.values(), default=None),
+            min(
+                (j.pending_deadline_ms for j in state.ledger.pending_by_id.values()),
+                default=None,
+            ),
+        ]
+        return min((time for time in times if time is not None), default=None)
 
     def explain(self, job_id: str) -> Decision:
-        choice = "placed" if job_id in self._grants_by_id else "wait"
-        return Decision("place_job", job_id, choice, "")
+        """Return where the job is, or why it waits."""
+        waiting = self._state.waiting.job_by_id.get(job_id)
+        if waiting is not None:
+            name = waiting.spec.organisation
+            return Decision(
+                "place_job", job_id, "wait", waiting.reason, organisation=name
+            )
+        job = self._state.ledger.job_by_id.get(job_id)
+        if job is None:
+            return Decision("place_job", job_id, "unknown", "no such job is known here")
+        share = "borrowed" if job.is_borrowed else "guaranteed"
+        return Decision(
+            "place_job",
+            job_id,
+            grants_text(job.grants),
+            f"{job.state.value}, {share}",
+            organisation=job.spec.organisation,
+        )
 
     def guarantees(self) -> tuple[GuaranteeStatus, ...]:
-        return ()
+        """Return for each promised group whether it can be had at once."""
+        self._state.refresh_witness()
+        witness = self._state.witness
+        met = [
+            GuaranteeStatus(unit.organisation, unit.shape, True)
+            for unit in witness.grants_by_unit
+        ]
+        short = [
+            GuaranteeStatus(unit.organisation, unit.shape, False, detail)
+            for unit, detail in witness.shortage_by_unit.items()
+        ]
+        return tuple(met + short)
 
     def workers(self) -> tuple[WorkerStatus, ...]:
+        """Return every worker with its condition."""
         return tuple(
             WorkerStatus(
                 worker.name,
                 worker.rack.name,
                 worker.size,
                 worker.free,
-                Condition.USABLE if worker.is_open else Condition.UNUSABLE,
+                *self._condition(worker.name),
             )
-            for worker in self._pool.workers_by_name.values()
+            for worker in self._state.pool.workers_by_name.values()
         )
+
+    def _condition(self, worker: str) -> tuple[WorkerCondition, str]:
+        state = self._state
+        reason = state.unusable_reason_by_worker.get(worker)
+        if reason is not None:
+            return WorkerCondition.UNUSABLE, reason
+        verdict = state.quarantine.verdict(worker)
+        if verdict is Verdict.QUARANTINED:
+            return WorkerCondition.QUARANTINED, "failed what it started"
+        if verdict is Verdict.PROBING:
+            return WorkerCondition.PROBING, "waits for the answer to a probe"
+        if worker in state.backoff_until_by_worker:
+            return WorkerCondition.BACKING_OFF, "refused a lease or was not reached"
+        return WorkerCondition.USABLE, ""
+
+    def _mark_witness_stale(self) -> None:
+        self._state.is_witness_stale = True
+        self._state.has_changed = True
--- /dev/null
+++ b/ragwortshelf/core/placement/state.py
@@ -0,0 +1,224 @@
+"""Everything the scheduler knows of one data centre, and the witness derived of it."""
+
+from __future__ import annotations
+
+from ..model import Configuration, Decision, Grant, JobSpec
+from .ledger import ActiveJob, ActiveState, Ledger, accelerators_of
+from .packing import find_group
+from .policy import PlacementPolicy
+from .pool import Pool, PoolWorker
+from .quarantine import Quarantine, Verdict
+from .regions import HomeRegions, Witness, find_witness, home_regions
+from .runtimes import RunTimes
+from .shapes import ShapeUnit
+from .waiting import WaitingJobs
+
+__all__ = ["State"]
+
+
+class State:
+    """The mutable state that events change and decisions read.
+
+    ``has_changed`` says that something may be possible now that was not at the last
+    decision; ``is_witness_stale`` that the witness has to be searched again.
+    """
+
+    def __init__(self, data_centre: str, policy: PlacementPolicy) -> None:
+        self.data_centre = data_centre
+        self.policy = policy
+        self.configuration = Configuration()
+        self.pool = Pool()
+        self.ledger = Ledger(self.pool)
+        self.waiting = WaitingJobs()
+        self.quarantine = Quarantine()
+        self.run_times = RunTimes()
+        self.home = HomeRegions({})
+        self.witness = Witness({}, {})
+        self.unusable_reason_by_worker: dict[str, str] = {}
+        self.backoff_until_by_worker: dict[str, int] = {}
+        self.held_elsewhere_by_organisation: dict[str, int] = {}
+        self.guarantee_lines: list[Decision] = []
+        self.is_witness_stale = True
+        self.has_changed = True
+
+    def set_configuration(self, configuration: Configuration) -> None:
+        """Bring the configuration, its weights and its home regions into force."""
+        self.configuration = configuration
+        self.policy = self.policy.configured(configuration)
+        self.home = home_regions(configuration, self.data_centre)
+        self.is_witness_stale = True
+        self.has_changed = True
+
+    def refresh_worker(self, worker: str) -> None:
+        """Open or close the worker after its usability or quarantine has changed."""
+        is_open = (
+            worker not in self.unusable_reason_by_worker
+            and not self.quarantine.is_closed(worker)
+        )
+        if self.pool.set_open(worker, is_open):
+            self.is_witness_stale = True
+        self.has_changed = True
+
+    def may_receive(self, worker: PoolWorker, now_ms: int) -> bool:
+        """Return whether a new job may be placed on the worker now."""
+        if not worker.is_open:
+            return False
+        if self.backoff_until_by_worker.get(worker.name, 0) > now_ms:
+            return False
+        is_suspect = self.quarantine.verdict(worker.name) is Verdict.SUSPECT
+        return not is_suspect or worker.free == worker.size
+
+    def refresh_witness(self) -> None:
+        """Search the witness again if needed, and note a line for each change of it."""
+        if not self.is_witness_stale:
+            return
+        self.is_witness_stale = False
+        workers = [
+            (worker.name, worker.rack.name, worker.size)
+            for worker in self.pool.workers_by_name.values()
+        ]
+        before = self.witness
+        self.witness = find_witness(
+            self.home, workers, self._availability, self._obstacle
+        )
+        if self.witness.grants_by_unit != before.grants_by_unit:
+            self._rebuild_claims()
+            self.has_changed = True
+        self.guarantee_lines.extend(_witness_lines(before, self.witness))
+
+    def over_quota(self, organisation: str, accelerators: int) -> bool:
+        """Return whether so many more would exceed the organisation's quota."""
+        entry = self.configuration.organisations_by_name.get(organisation)
+        if entry is None or entry.quota_accelerators is None:
+            return False
+        held = self.ledger.held_by_organisation.get(organisation, 0)
+        held += self.held_elsewhere_by_organisation.get(organisation, 0)
+        return held + accelerators > entry.quota_accelerators
+
+    def permits(self, spec: JobSpec, worker: str, index: int) -> bool:
+        """Return whether the job may stand on the accelerator as regions are now.
+
+        Work that cannot be stopped stays on what is promised to its organisation or
+        to nobody, by the home regions and by the witness.
+        """
+        if spec.is_reclaimable:
+            return True
+        allowed = (None, spec.organisation)
+        return (
+            self.home.owner_by_accelerator.get((worker, index)) in allowed
+            and self.witness.owner_by_accelerator.get((worker, index)) in allowed
+        )
+
+    def choose_claim(self, job: ActiveJob) -> None:
+        """Give a job that is active already the claim that fits it, if there is one."""
+        owner = self.witness.owner_by_accelerator
+        name = job.spec.organisation
+        standing = [a for a in accelerators_of(job.grants) if owner.get(a) == name]
+        claimants = self.ledger.claimant_by_accelerator
+        is_whole = len(standing) == job.spec.accelerators
+        if standing and (is_whole or not job.spec.is_reclaimable):
+            if not any(a in claimants for a in standing):
+                self.ledger.set_claim(job, to_grants(standing))
+        elif not standing:
+            self._claim_elsewhere(job)
+
+    def _claim_elsewhere(self, job: ActiveJob) -> None:
+        """Claim a free part of the region for a job that runs outside of it."""
+        regions = self.witness.accelerators_by_organisation
+        region = regions.get(job.spec.organisation, {})
+
+        def unclaimed(worker: PoolWorker) -> list[int]:
+            return [
+                index
+                for index in region.get(worker.name, ())
+                if (worker.name, index) not in self.ledger.claimant_by_accelerator
+                and self._availability(worker.name, index) == ""
+            ]
+
+        parts = find_group(
+            self.pool,
+            lambda worker: len(unclaimed(worker)),
+            job.spec.accelerators,
+            job.spec.adjacency,
+            self.policy,
+        )
+        if parts is not None and job.spec.is_reclaimable:
+            claim = [(w.name, i) for w, count in parts for i in unclaimed(w)[:count]]
+            self.ledger.set_claim(job, to_grants(claim))
+
+    def _availability(self, worker_name: str, index: int) -> str | None:
+        worker = self.pool.workers_by_name.get(worker_name)
+        if worker is None or not worker.is_open or index >= worker.size:
+            return None
+        holder = worker.holder_by_index[index]
+        if holder is None:
+            return ""
+        job = self.ledger.job_by_id.get(holder)
+        if job is None or job.is_foreign:
+            return None
+        may_leave = job.spec.is_reclaimable or job.state is ActiveState.PENDING
+        return "" if may_leave else job.spec.organisation
+
+    def _obstacle(self, unit: ShapeUnit, grants: tuple[Grant, ...]) -> str:
+        if not grants:
+            return "the catalogue of workers cannot hold all promised shapes"
+        causes: dict[str, None] = {}
+        for worker_name, index in accelerators_of(grants):
+            if self._availability(worker_name, index) in ("", unit.organisation):
+                continue
+            worker = self.pool.workers_by_name.get(worker_name)
+            if worker is None:
+                causes[f"worker {worker_name} is missing"] = None
+            elif not worker.is_open:
+                reason = self.unusable_reason_by_worker.get(worker_name, "quarantined")
+                causes[f"worker {worker_name} is closed: {reason}"] = None
+            else:
+                holder = worker.holder_by_index[index]
+                causes[f"{holder} on {worker_name} cannot be stopped"] = None
+        if not causes:
+            return "no adjacent accelerators are left beside the other shapes"
+        return ", ".join(causes) + "; no other adjacent accelerators are obtainable"
+
+    def _rebuild_claims(self) -> None:
+        jobs = list(self.ledger.job_by_id.values())
+        had_claim = {job.spec.job_id for job in jobs if job.claim}
+        for job in jobs:
+            self.ledger.set_claim(job, ())
+        # Work that cannot be stopped comes first: its place cannot change.
+        for job in sorted(jobs, key=lambda j: (j.spec.is_reclaimable, j.started_ms)):
+            if job.is_foreign or job.state is ActiveState.PENDING:
+                continue
+            if job.spec.job_id in had_claim or not job.spec.is_reclaimable:
+                self.choose_claim(job)
+
+
+def to_grants(accelerators: list[tuple[str, int]]) -> tuple[Grant, ...]:
+    """Return the accelerators as one grant a worker."""
+    indices_by_worker: dict[str, list[int]] = {}
+    for worker, index in accelerators:
+        indices_by_worker.setdefault(worker, []).append(index)
+    return tuple(
+        Grant(worker, tuple(sorted(indices)))
+        for worker, indices in indices_by_worker.items()
+    )
+
+
+def _witness_lines(before: Witness, after: Witness) -> tuple[Decision, ...]:
+    lines = []
+    for unit, detail in after.shortage_by_unit.items():
+        if before.shortage_by_unit.get(unit) != detail:
+            lines.append(_line(unit, "short", detail))
+    for unit in before.shortage_by_unit:
+        if unit in after.grants_by_unit:
+            lines.append(_line(unit, "met", "accelerators are obtainable again"))
+    return tuple(lines)
+
+
+def _line(unit: ShapeUnit, choice: str, reason: str) -> Decision:
+    shape = unit.shape
+    subject = (
+        f"{unit.organisation}/{shape.accelerators}/{shape.adjacency}/{unit.number}"
+    )
+    return Decision(
+        "guarantee", subject, choice, reason, organisation=unit.organisation
+    )
--- /dev/null
+++ b/ragwortshelf/core/placement/victims.py
@@ -0,0 +1,127 @@
+"""Chooses whose accelerators to reclaim for a group: least lost work, least scatter."""
+
+from __future__ import annotations
+
+from collections.abc import Callable, Collection, Iterable
+from dataclasses import dataclass
+
+from ..model import Adjacency, Grant
+from .ledger import Accelerator, ActiveJob
+from .pool import Pool, PoolWorker
+
+__all__ = ["ReclaimPlan", "Usable", "plan_reclaim"]
+
+STOP_COST_MS = 2_000  # a stop and a restart, for each accelerator of the job
+SCATTER_COST_MS = 1_000  # for each accelerator left free beside the group
+
+# Says of an accelerator: None if it may not be used, "" if it is free, else its holder.
+Usable = Callable[[PoolWorker, int], str | None]
+
+
+@dataclass(frozen=True, slots=True)
+class ReclaimPlan:
+    """Accelerators for a group, and the jobs that have to leave them."""
+
+    grants: tuple[Grant, ...]
+    victims: tuple[ActiveJob, ...]
+    cost_ms: int
+
+
+def plan_reclaim(
+    pool: Pool,
+    usable: Usable,
+    job_by_id: dict[str, ActiveJob],
+    accelerators: int,
+    adjacency: Adjacency,
+    now_ms: int,
+    within: Collection[str] | None = None,
+) -> ReclaimPlan | None:
+    """Return the cheapest plan over all workers, racks or the whole data centre.
+
+    ``within`` names the workers to look at, all of them by default.
+    """
+    names = pool.workers_by_name if within is None else within
+    workers_looked_at = [
+        pool.workers_by_name[name]
+        for name in sorted(names)
+        if name in pool.workers_by_name
+    ]
+    best: ReclaimPlan | None = None
+    for workers in _domains(workers_looked_at, adjacency):
+        holder_by_accelerator: dict[Accelerator, str] = {}
+        for worker in workers:
+            for index in range(worker.size):
+                holder = usable(worker, index)
+                if holder is not None:
+                    holder_by_accelerator[worker.name, index] = holder
+        if len(holder_by_accelerator) < accelerators:
+            continue
+        plan = _plan(holder_by_accelerator, job_by_id, accelerators, now_ms)
+        if best is None or plan.cost_ms < best.cost_ms:
+            best = plan
+    return best
+
+
+def _domains(
+    workers: list[PoolWorker], adjacency: Adjacency
+) -> Iterable[list[PoolWorker]]:
+    if adjacency is Adjacency.WORKER:
+        return [[worker] for worker in workers]
+    if adjacency is Adjacency.DATA_CENTRE:
+        return [workers]
+    workers_by_rack: dict[str, list[PoolWorker]] = {}
+    for worker in workers:
+        workers_by_rack.setdefault(worker.rack.name, []).append(worker)
+    return workers_by_rack.values()
+
+
+def _plan(
+    holder_by_accelerator: dict[Accelerator, str],
+    job_by_id: dict[str, ActiveJob],
+    accelerators: int,
+    now_ms: int,
+) -> ReclaimPlan:
+    places_by_holder: dict[str, list[Accelerator]] = {}
+    for accelerator, holder in holder_by_accelerator.items():
+        places_by_holder.setdefault(holder, []).append(accelerator)
+    free = places_by_holder.pop("", [])
+
+    def cost(holder: str) -> int:
+        job = job_by_id[holder]
+        if job.reclaim_deadline_ms is not None:
+            return 0  # it leaves anyway
+        stop = STOP_COST_MS * job.spec.accelerators
+        return job.lost_accelerator_ms(now_ms) + stop
+
+    by_cost = sorted(
+        places_by_holder, key=lambda h: (cost(h) / len(places_by_holder[h]), h)
+    )
+    chosen: list[str] = []
+    available = len(free)
+    for holder in by_cost:
+        if available >= accelerators:
+            break
+        chosen.append(holder)
+        available += len(places_by_holder[holder])
+    # An earlier, cheaper choice may be superfluous beside a later, larger one.
+    for holder in sorted(chosen, key=cost, reverse=True):
+        if available - len(places_by_holder[holder]) >= accelerators:
+            chosen.remove(holder)
+            available -= len(places_by_holder[holder])
+    places = free + [p for holder in chosen for p in places_by_holder[holder]]
+    # Reclaimed accelerators are used before free ones, which others may use now.
+    used = places[len(places) - accelerators :]
+    victims = tuple(job_by_id[holder] for holder in chosen)
+    scatter = (len(places) - accelerators) * SCATTER_COST_MS
+    total = sum(cost(holder) for holder in chosen) + scatter
+    return ReclaimPlan(_to_grants(used), victims, total)
+
+
+def _to_grants(accelerators: Iterable[Accelerator]) -> tuple[Grant, ...]:
+    indices_by_worker: dict[str, list[int]] = {}
+    for worker, index in accelerators:
+        indices_by_worker.setdefault(worker, []).append(index)
+    return tuple(
+        Grant(worker, tuple(sorted(indices)))
+        for worker, indices in sorted(indices_by_worker.items())
+    )
