Move smaller work more readily, and compare places inside and outside the region

Cause: whole workers were broken by jobs that went to their own region first; moves waited for 5 s and looked at one group. Change: tightest of both, several moves a look.

--- a/ragwortshelf/core/placement/blocked.py
+++ b/ragwortshelf/core/placement/blocked.py
@@ -2,22 +2,27 @@
 
 from __future__ import annotations
 
+import heapq
+from collections.abc import Iterator
+
 from ..model import JobSpec
 from .ledger import accelerators_of
 from .placer import Found, Placer
 from .pool import PoolWorker
 from .reservations import Reservation, Reservations
 from .state import State
-from .victims import plan_reclaim
-from .waiting import WaitingJob
+from .victims import STOP_COST_MS, plan_reclaim
+from .waiting import GroupKey, WaitingJob
 
 __all__ = ["BlockedGroups"]
 
 DEFAULT_RESERVATION_AFTER_MS = 30_000
 RESERVATION_RENEWAL_MS = 120_000
 RESERVED_ORGANISATIONS_MAX = 8
-MOVE_AFTER_MS = 5_000
-MOVE_PAUSE_MS = 10_000
+HEADS_PER_LOOK_MAX = 8
+MOVE_AFTER_MS = 1_000
+MOVED_JOB_MIN_RUN_MS = 5_000
+UNSAVED_RISK = 0.1  # share of stops whose last checkpoint does not become whole
 MIN_GROUP_ACCELERATORS = 2
 LOOK_INTERVAL_MS = 500
 
@@ -33,39 +38,40 @@
     def __init__(self, state: State, reservations: Reservations) -> None:
         self._state = state
         self._reservations = reservations
-        self._next_move_ms = 0
         self._next_look_ms = 0
         self.next_wakeup_ms: int | None = None
 
-    def help(self, now_ms: int) -> list[tuple[WaitingJob, Found, bool]]:
-        """Return (job, where it goes, whether by a move) for groups helped now."""
+    def help(self, now_ms: int) -> Iterator[tuple[WaitingJob, Found, bool]]:
+        """Yield (job, where it goes, whether by a move) for groups helped now.
+
+        The caller carries out each before it asks for the next.
+        """
+        if now_ms < self._next_look_ms:
+            self.next_wakeup_ms = self._next_look_ms
+            return
+        self._next_look_ms = now_ms + LOOK_INTERVAL_MS
+        self.next_wakeup_ms = None
         after_ms = int(
             self._state.configuration.rule(
                 "reservation_after_ms", DEFAULT_RESERVATION_AFTER_MS
             )
         )
-        if now_ms < self._next_look_ms:
-            self.next_wakeup_ms = self._next_look_ms
-            return []
-        self._next_look_ms = now_ms + LOOK_INTERVAL_MS
-        helped: list[tuple[WaitingJob, Found, bool]] = []
-        self.next_wakeup_ms = None
-        for waiting in self._oldest_groups():
+        self._drop_outdated()
+        for waiting in self._oldest_heads():
             waited_ms = now_ms - waiting.since_ms
             placer = Placer(self._state, self._reservations, waiting.spec, now_ms)
             found = None
-            if waited_ms >= MOVE_AFTER_MS and now_ms >= self._next_move_ms:
+            if waited_ms >= MOVE_AFTER_MS:
                 found = self._move(waiting, placer, now_ms)
-            if found is not None and not helped:
-                self._next_move_ms = now_ms + MOVE_PAUSE_MS
-                helped.append((waiting, found, True))
+            if found is not None:
+                yield waiting, found, True
                 continue
-            if waited_ms >= after_ms:
+            if waited_ms >= after_ms and self._may_reserve(waiting.spec):
                 found = self._reserve(waiting.spec, placer, now_ms)
-                if found is not None and not helped:
-                    helped.append((waiting, found, False))
+                if found is not None:
+                    yield waiting, found, False
+                    continue
             self._wake_at(self._next_look(waiting, after_ms, now_ms))
-        return helped
 
     def _next_look(self, waiting: WaitingJob, after_ms: int, now_ms: int) -> int:
         """Return when the job should be looked at again if no event comes."""
@@ -80,40 +86,60 @@
         if self.next_wakeup_ms is None or at_ms < self.next_wakeup_ms:
             self.next_wakeup_ms = at_ms
 
-    def _oldest_groups(self) -> list[WaitingJob]:
-        """Return the oldest waiting group of each organisation, the oldest first."""
-        oldest = []
+    def _oldest_heads(self) -> list[WaitingJob]:
+        """Return the job that has waited longest for each search that failed.
+
+        There are few different searches, and only the oldest heads are looked at.
+        """
+        head_by_search: dict[tuple[str, GroupKey], WaitingJob] = {}
         for name, groups in self._state.waiting.groups_by_organisation.items():
-            heads = [
-                group.head
-                for group in groups.values()
-                if group.key.accelerators >= MIN_GROUP_ACCELERATORS
-                and not self._state.over_quota(name, group.key.accelerators)
-            ]
-            if heads:
-                oldest.append(
-                    min(heads, key=lambda h: (h.since_ms, -h.spec.accelerators))
-                )
-        names = {waiting.spec.organisation: waiting for waiting in oldest}
+            for group in groups.values():
+                if self._state.over_quota(name, group.key.accelerators):
+                    continue
+                key = (name, group.key.search_key)
+                known = head_by_search.get(key)
+                if known is None or group.head.since_ms < known.since_ms:
+                    head_by_search[key] = group.head
+        return heapq.nsmallest(
+            HEADS_PER_LOOK_MAX,
+            head_by_search.values(),
+            key=lambda head: (head.since_ms, -head.spec.accelerators, head.spec.job_id),
+        )
+
+    def _drop_outdated(self) -> None:
+        """Give up reservations for jobs that no longer wait."""
+        waiting = self._state.waiting.job_by_id
         for name, reservation in list(self._reservations.by_organisation.items()):
-            job_id = reservation.spec.job_id
-            if name not in names or job_id not in self._state.waiting.job_by_id:
+            if reservation.spec.job_id not in waiting:
                 self._reservations.drop(name)
-        oldest.sort(key=lambda waiting: (waiting.since_ms, waiting.spec.job_id))
-        return oldest[:RESERVED_ORGANISATIONS_MAX]
+
+    def _may_reserve(self, spec: JobSpec) -> bool:
+        """Return whether the job has its organisation's reservation or may get it."""
+        if spec.accelerators < MIN_GROUP_ACCELERATORS:
+            return False
+        known = self._reservations.by_organisation.get(spec.organisation)
+        if known is not None:
+            return known.spec.job_id == spec.job_id
+        return len(self._reservations.by_organisation) < RESERVED_ORGANISATIONS_MAX
 
     def _move(self, waiting: WaitingJob, placer: Placer, now_ms: int) -> Found | None:
         state = self._state
         spec = waiting.spec
-        if not state.policy.defragments or state.pool.open_free < spec.accelerators:
+        free = state.pool.open_free + state.free_elsewhere
+        if not state.policy.defragments or free < spec.accelerators:
             return None
 
+        largest = max(1, spec.accelerators // 2)
+
         def usable(worker: PoolWorker, index: int) -> str | None:
             if not placer.permitted(worker, index):
                 return None
             if self._reservations.blocks(spec, worker.name, index, True):
                 return None
-            return self._smaller_holder(spec, worker, index, spec.accelerators // 2)
+            holder = self._smaller_holder(spec, worker, index, largest)
+            if holder and self._has_just_started(holder, now_ms):
+                return None
+            return holder
 
         plan = plan_reclaim(
             state.pool,
@@ -126,8 +152,10 @@
         if plan is None or not plan.victims:
             return None
         moved = sum(victim.spec.accelerators for victim in plan.victims)
+        unsaved = sum(victim.lost_accelerator_ms(now_ms) for victim in plan.victims)
+        cost = STOP_COST_MS * moved + UNSAVED_RISK * unsaved
         gain = (now_ms - waiting.since_ms) * spec.accelerators
-        if moved > spec.accelerators // 2 or plan.cost_ms > gain:
+        if moved > largest or cost > state.policy.move_gain_weight * gain:
             return None
         claim = placer.part_in_region(plan.grants)
         reason = f"moves {moved} accelerators of smaller work that fits elsewhere"
@@ -172,6 +200,10 @@
         reason = "nothing lasting is left on its reserved accelerators"
         return Found(plan.grants, claim, reason, victims=plan.victims)
 
+    def _has_just_started(self, job_id: str, now_ms: int) -> bool:
+        started_ms = self._state.ledger.job_by_id[job_id].started_ms
+        return now_ms - started_ms < MOVED_JOB_MIN_RUN_MS
+
     def _smaller_holder(
         self, spec: JobSpec, worker: PoolWorker, index: int, largest: int
     ) -> str | None:
--- a/ragwortshelf/core/placement/packing.py
+++ b/ragwortshelf/core/placement/packing.py
@@ -54,7 +54,8 @@
             room = capacity(worker)
             if room < accelerators:
                 continue
-            score = policy.place_score(room, accelerators, worker.size)
+            free = max(room, worker.open_free)
+            score = policy.place_score(free, accelerators, worker.size)
             key = (score, rack.open_free, worker.name)
             if best_key is None or key < best_key:
                 best, best_key = worker, key
--- a/ragwortshelf/core/placement/placer.py
+++ b/ragwortshelf/core/placement/placer.py
@@ -45,23 +45,15 @@
 
     def within_guarantee(self) -> Found | str:
         """Return a place under the organisation's guarantee, or why there is none."""
-        spec = self._spec
         if not self._region:
             return "nothing is promised here"
-        inside = self._find(self._free_inside)
-        if inside is not None:
-            return Found(inside, inside, "free in the organisation's region")
         claim = self._find(self._claimable)
         if claim is None:
             return "the guarantee is in use by the organisation itself"
-        passed_over = ["region: not free"]
-        if spec.is_reclaimable:
-            outside = self._find(self._free_outside)
-            if outside is not None:
-                return Found(
-                    outside, claim, "free outside the region", tuple(passed_over)
-                )
-            passed_over.append("outside the region: does not fit")
+        free = self._tightest(claim)
+        if free is not None:
+            return free
+        passed_over = ("free accelerators: they do not fit",)
         plan = self._cheapest_reclaim()
         if plan is None:
             return "placed work on the region has not started yet"
@@ -74,10 +66,40 @@
             plan.grants,
             plan.grants if stands_inside else claim,
             f"reclaims at a cost of {plan.cost_ms} accelerator-ms",
-            tuple(passed_over),
+            passed_over,
             plan.victims,
         )
 
+    def cost(self, grants: tuple[Grant, ...]) -> float:
+        """Return the scores of the workers that the grants would break, summed."""
+        workers = self._state.pool.workers_by_name
+        return sum(
+            self._state.policy.place_score(
+                workers[grant.worker].free,
+                len(grant.accelerators),
+                workers[grant.worker].size,
+            )
+            for grant in grants
+        )
+
+    def _tightest(self, claim: tuple[Grant, ...]) -> Found | None:
+        """Return the better of a free place inside the region and one outside.
+
+        A place across the border is left out, since a job with a claim has to claim
+        everything that it stands on in the region.
+        """
+        inside = self._find(self._free_inside)
+        outside = None
+        if self._spec.is_reclaimable:
+            outside = self._find(self._free_outside)
+        if inside is None and outside is None:
+            return None
+        if inside is not None and (
+            outside is None or self.cost(inside) <= self.cost(outside)
+        ):
+            return Found(inside, inside, "free in the organisation's region")
+        return Found(outside, claim, "free outside the organisation's region")
+
     def beyond_guarantee(self) -> Found | str:
         """Return free accelerators that the organisation may borrow, or why none."""
         spec = self._spec
--- a/ragwortshelf/core/placement/policy.py
+++ b/ragwortshelf/core/placement/policy.py
@@ -50,8 +50,13 @@
 
     @property
     @abc.abstractmethod
+    def move_gain_weight(self) -> float:
+        """Return how much a moved job may cost for the waiting that it ends."""
+
+    @property
     def defragments(self) -> bool:
         """Whether checkpointable jobs may be moved to join free accelerators."""
+        return self.move_gain_weight > 0
 
 
 @dataclass(frozen=True, slots=True)
@@ -86,6 +91,6 @@
         return left / size + self.fragmentation_weight * breaks_whole
 
     @property
-    def defragments(self) -> bool:
-        """Whether fragmentation has any weight."""
-        return self.fragmentation_weight > 0
+    def move_gain_weight(self) -> float:
+        """Return the weight of fragmentation."""
+        return self.fragmentation_weight
--- a/ragwortshelf/core/placement/scheduler.py
+++ b/ragwortshelf/core/placement/scheduler.py
@@ -104,6 +104,10 @@
         self._state.held_elsewhere_by_organisation[organisation] = accelerators
         self._state.has_changed = True
 
+    def set_free_elsewhere(self, accelerators: int) -> None:
+        """Tell how many accelerators other data centres could take moved jobs on."""
+        self._state.free_elsewhere = accelerators
+
     def add_waiting(self, spec: JobSpec, now_ms: int, checkpoint: int = 0) -> None:
         """Let the job wait for a place; it goes on from ``checkpoint``."""
         if spec.job_id in self._state.ledger.job_by_id:
@@ -229,16 +233,19 @@
         ]
         return min((time for time in times if time is not None), default=None)
 
-    def can_place(self, spec: JobSpec, now_ms: int) -> bool:
-        """Return whether the job would start at once if it waited here."""
+    def placement_cost(self, spec: JobSpec, now_ms: int) -> float | None:
+        """Return how much the job would break here, None if it cannot start at once.
+
+        It lets several data centres be compared for one job: 0 is an exact fit.
+        """
         if self._state.over_quota(spec.organisation, spec.accelerators):
-            return False
+            return None
         self._state.refresh_witness()
         placer = Placer(self._state, self._decider.reservations, spec, now_ms)
         found = placer.within_guarantee()
-        if isinstance(found, Found) and not found.victims:
-            return True
-        return isinstance(placer.beyond_guarantee(), Found)
+        if isinstance(found, str) or found.victims:
+            found = placer.beyond_guarantee()
+        return None if isinstance(found, str) else placer.cost(found.grants)
 
     def fits_guarantee(self, spec: JobSpec, now_ms: int) -> bool:
         """Return whether the organisation's unused guarantee here covers the job."""
--- a/ragwortshelf/core/placement/state.py
+++ b/ragwortshelf/core/placement/state.py
@@ -38,6 +38,7 @@
         self.backoff_until_by_worker: dict[str, int] = {}
         self.held_elsewhere_by_organisation: dict[str, int] = {}
         self.guarantee_lines: list[Decision] = []
+        self.free_elsewhere = 0
         self.is_witness_stale = True
         self.has_changed = True
 
