Gather scattered accelerators by small moves; urgent work reclaims in its fair share

Cause: 5 to 7 workers were broken while something waited. Change: one small move a second that raises the sum of squares of free accelerators; stopped jobs keep their place in the queue.

--- a/ragwortshelf/core/placement/actions.py
+++ b/ragwortshelf/core/placement/actions.py
@@ -59,7 +59,7 @@
     """Checkpoint and stop ``job_id`` by ``deadline_ms`` so that it is placed again.
 
     It differs from `Reclaim` only in purpose: the job moves to let its accelerators
-    join other free ones.
+    join other free ones; ``for_job_id`` is empty if that is for no job in particular.
     """
 
     job_id: str
--- a/ragwortshelf/core/placement/decider.py
+++ b/ragwortshelf/core/placement/decider.py
@@ -14,6 +14,7 @@
 from .actions import Action, Move, Place, Probe, Reclaim, Reject
 from .admission import fits_catalogue
 from .blocked import BlockedGroups
+from .compaction import Compaction
 from .ledger import ActiveJob, ActiveState, accelerators_of
 from .placer import Found, Placer
 from .policy import JobView
@@ -40,6 +41,7 @@
         self._state = state
         self.reservations = Reservations()
         self._blocked = BlockedGroups(state, self.reservations)
+        self._compaction = Compaction(state)
         self._unchecked: dict[str, None] = {}
         self._actions: list[Action] = []
 
@@ -53,7 +55,8 @@
 
     def next_wakeup_ms(self) -> int | None:
         """Return when a blocked group may be helped without any event."""
-        return self._blocked.next_wakeup_ms
+        times = (self._blocked.next_wakeup_ms, self._compaction.next_wakeup_ms)
+        return min((time for time in times if time is not None), default=None)
 
     def round(self, now_ms: int) -> tuple[Action, ...]:
         """Return the actions that are due now, and count them as taken."""
@@ -65,11 +68,31 @@
             self._run_tier(tier, now_ms)
         for waiting, found, is_move in self._blocked.help(now_ms):
             self._carry_out(waiting, found, now_ms, is_move)
+        self._compact(now_ms)
         for worker in self._state.quarantine.due_probes(now_ms):
             line = Decision("probe_worker", worker, "probe", "quarantine interval over")
             self._actions.append(Probe(worker, line))
         return tuple(self._actions)
 
+    def _compact(self, now_ms: int) -> None:
+        job = self._compaction.choose(now_ms)
+        if job is None:
+            return
+        job.reclaim_deadline_ms = now_ms + self._grace_ms()
+        line = Decision(
+            "move_job",
+            job.spec.job_id,
+            f"stop by {job.reclaim_deadline_ms} ms",
+            f"leaves {grants_text(job.grants)} to join free accelerators",
+            organisation=job.spec.organisation,
+        )
+        self._actions.append(Move(job.spec.job_id, "", job.reclaim_deadline_ms, line))
+
+    def _grace_ms(self) -> int:
+        return int(
+            self._state.configuration.rule("reclaim_grace_ms", DEFAULT_RECLAIM_GRACE_MS)
+        )
+
     def _finish_pending(self, now_ms: int) -> None:
         ledger = self._state.ledger
         for job in list(ledger.pending_by_id.values()):
@@ -245,9 +268,7 @@
         spec = waiting.spec
         state.waiting.discard(spec.job_id)
         self.reservations_of(spec.organisation, spec.job_id)
-        grace_ms = int(
-            state.configuration.rule("reclaim_grace_ms", DEFAULT_RECLAIM_GRACE_MS)
-        )
+        grace_ms = self._grace_ms()
         job = ActiveJob(
             spec,
             ActiveState.PENDING if found.victims else ActiveState.HELD,
--- a/ragwortshelf/core/placement/placer.py
+++ b/ragwortshelf/core/placement/placer.py
@@ -107,11 +107,33 @@
             grants = self._find(self._free_to_borrow)
         else:
             grants = self._find(self._free_for_unstoppable)
+        if grants is None and spec.priority is Priority.URGENT:
+            reclaimed = self._reclaim_for_urgent()
+            if reclaimed is not None:
+                return reclaimed
         if grants is None:
             return self._why_blocked()
         claim = () if spec.is_reclaimable else self.part_in_region(grants)
         return Found(grants, claim, "tightest fit among free accelerators")
 
+    def _reclaim_for_urgent(self) -> Found | None:
+        """Reclaim borrowed work for urgent work, within its organisation's fair share.
+
+        Without that limit, an organisation that calls all its work urgent would take
+        whatever others borrow.
+        """
+        spec = self._spec
+        if not self._state.is_within_fair_share(spec.organisation, spec.accelerators):
+            return None
+        plan = self._plan(self._usable_outside)
+        if plan is None:
+            return None
+        reason = f"urgent; reclaims at a cost of {plan.cost_ms} accelerator-ms"
+        claim = self.part_in_region(plan.grants)
+        return Found(
+            plan.grants, claim, reason, ("free accelerators: no fit",), plan.victims
+        )
+
     def permitted(self, worker: PoolWorker, index: int) -> bool:
         """Return whether the job may ever use the accelerator as things stand."""
         if not worker.is_open or worker.name in self._avoided:
@@ -285,7 +307,7 @@
     def _usable_outside(self, worker: PoolWorker, index: int) -> str | None:
         if index in self._region.get(worker.name, ()):
             return None
-        if not self._may_receive(worker):
+        if not self._may_receive(worker) or not self.permitted(worker, index):
             return None
         if self._reservations.blocks(self._spec, worker.name, index, True):
             return None
--- a/ragwortshelf/core/placement/scheduler.py
+++ b/ragwortshelf/core/placement/scheduler.py
@@ -16,6 +16,7 @@
 
 BACKOFF_MS = 1_000
 REPEATED_BACKOFF_MAX_MS = 30_000
+STOPPED_JOBS_MAX = 1_000
 
 
 class Scheduler:
@@ -38,6 +39,7 @@
         self._state = State(data_centre, policy or WeightedPolicy())
         self._decider = Decider(self._state)
         self._failures_by_worker: dict[str, int] = {}
+        self._since_by_stopped_id: dict[str, int] = {}
 
     def set_configuration(
         self, configuration: Configuration, now_ms: int
@@ -115,7 +117,8 @@
         is_special = bool(self._state.quarantine.failed_workers(spec.job_id))
         expected_ms = self._state.run_times.expected_ms(spec)
         key = GroupKey.of(spec, expected_ms, is_special)
-        self._state.waiting.add(WaitingJob(spec, now_ms, checkpoint, key))
+        since_ms = self._since_by_stopped_id.pop(spec.job_id, now_ms)
+        self._state.waiting.add(WaitingJob(spec, since_ms, checkpoint, key))
         self._decider.check_admission(spec.job_id)
         self._state.has_changed = True
 
@@ -153,6 +156,8 @@
         if job is None:
             return
         state.has_changed = True
+        if job.reclaim_deadline_ms is not None:
+            self._keep_place(job)
         if state.witness.shortage_by_unit:
             state.is_witness_stale = True
 
@@ -326,6 +331,12 @@
             return WorkerCondition.BACKING_OFF, "refused a lease or was not reached"
         return WorkerCondition.USABLE, ""
 
+    def _keep_place(self, job: ActiveJob) -> None:
+        """Let a job that is stopped for another wait again as long as it has lived."""
+        while len(self._since_by_stopped_id) >= STOPPED_JOBS_MAX:
+            del self._since_by_stopped_id[next(iter(self._since_by_stopped_id))]
+        self._since_by_stopped_id[job.spec.job_id] = job.waiting_since_ms
+
     def _mark_witness_stale(self) -> None:
         self._state.is_witness_stale = True
         self._state.has_changed = True
--- a/ragwortshelf/core/placement/state.py
+++ b/ragwortshelf/core/placement/state.py
@@ -96,6 +96,17 @@
         held += self.held_elsewhere_by_organisation.get(organisation, 0)
         return held + accelerators > entry.quota_accelerators
 
+    def is_within_fair_share(self, organisation: str, accelerators: int) -> bool:
+        """Return whether the organisation would hold no more than its weight's part."""
+        entries = self.configuration.organisations_by_name
+        entry = entries.get(organisation)
+        total_weight = sum(e.weight for e in entries.values())
+        if entry is None or total_weight == 0:
+            return False
+        size = sum(worker.size for worker in self.pool.workers_by_name.values())
+        held = self.ledger.held_by_organisation.get(organisation, 0)
+        return (held + accelerators) * total_weight <= size * entry.weight
+
     def permits(self, spec: JobSpec, worker: str, index: int) -> bool:
         """Return whether the job may stand on the accelerator as regions are now.
 
