--- a/ragwortshelf/core/requests/__init__.py
+++ b/ragwortshelf/core/requests/__init__.py
@@ -1,1 +1,97 @@
-"""Routing, limits, retries and outcomes of requests."""
+"""Routing, limits, retries and outcomes of requests.
+
+``RequestMachine`` queues, routes and retries the requests of one instance;
+``ShareKeeper`` divides the slots and connections of minions among the instances of a
+data centre; ``IdReserver`` and ``KeptOutcomes`` hold what an id's owner has to know.
+"""
+
+from .events import (
+    Abort,
+    Action,
+    AttemptEnded,
+    Cancelled,
+    ConnectionsSuspected,
+    DrainStarted,
+    Event,
+    Finish,
+    Log,
+    MinionsListed,
+    NotSentToMinion,
+    OrganisationsChanged,
+    PeerLoadNoted,
+    PeerLost,
+    Send,
+    Spill,
+    Submitted,
+    Suspect,
+    Ticked,
+)
+from .fair_queue import FairQueue
+from .health import MinionHealth
+from .ids import IdReserver, RequestId, parse_request_id
+from .machine import RequestMachine
+from .messages import (
+    MESSAGE_TYPES,
+    DelegatedRequest,
+    HandedOver,
+    HandoverNoted,
+    KeptOutcome,
+    LoadReport,
+    OutcomeMessage,
+    OutcomeQuery,
+    OwnedRequest,
+    ShareHeartbeat,
+    ShareReply,
+)
+from .outcomes import KeptOutcomes, failure_outcome
+from .retries import RetryBudget, backoff_ms
+from .routing import least_loaded_of_two
+from .run_times import RunTimes
+from .shares import ShareKeeper, ShareSettings
+
+__all__ = [
+    "Abort",
+    "Action",
+    "AttemptEnded",
+    "Cancelled",
+    "ConnectionsSuspected",
+    "DrainStarted",
+    "Event",
+    "Finish",
+    "Log",
+    "MinionsListed",
+    "NotSentToMinion",
+    "OrganisationsChanged",
+    "PeerLoadNoted",
+    "PeerLost",
+    "Send",
+    "Spill",
+    "Submitted",
+    "Suspect",
+    "Ticked",
+    "FairQueue",
+    "MinionHealth",
+    "IdReserver",
+    "RequestId",
+    "parse_request_id",
+    "RequestMachine",
+    "MESSAGE_TYPES",
+    "DelegatedRequest",
+    "HandedOver",
+    "HandoverNoted",
+    "KeptOutcome",
+    "LoadReport",
+    "OutcomeMessage",
+    "OutcomeQuery",
+    "OwnedRequest",
+    "ShareHeartbeat",
+    "ShareReply",
+    "KeptOutcomes",
+    "failure_outcome",
+    "RetryBudget",
+    "backoff_ms",
+    "least_loaded_of_two",
+    "RunTimes",
+    "ShareKeeper",
+    "ShareSettings",
+]
--- /dev/null
+++ b/ragwortshelf/core/requests/admission.py
@@ -0,0 +1,70 @@
+"""Early refusal, and the floor of free slots that keeps bursts apart.
+
+A request is refused at once when its stored deadline cannot be met given what waits
+before it in its organisation and the organisation's share of the slots. The refusal
+says when to come back.
+"""
+
+from __future__ import annotations
+
+from ..model import NotRun, Reason, Request
+from .fair_queue import FairQueue
+from .run_times import RunTimes
+
+__all__ = ["expected_wait_ms", "is_within_share", "refusal"]
+
+WAITING_MAX_PER_ORGANISATION = 5_000
+RESERVED_ONE_IN = 32
+RETRY_AFTER_MIN_MS = 10
+NO_CAPACITY_RETRY_AFTER_MS = 1_000
+
+
+def expected_wait_ms(request: Request, queue: FairQueue, slots: int) -> float:
+    """Return the expected wait for a slot, given ``slots`` that serve the queue."""
+    ahead_ms = queue.work_ahead_ms(request)
+    if ahead_ms <= 0.0:
+        return 0.0
+    weight = queue.weight(request.organisation)
+    share = weight / max(weight, queue.busy_weight())
+    return ahead_ms / (slots * share)
+
+
+def refusal(
+    request: Request, queue: FairQueue, slots: int, run_times: RunTimes, now_ms: int
+) -> NotRun | None:
+    """Return why a new request is refused, or None to let it wait."""
+    if request.deadline_ms <= now_ms:
+        return NotRun(Reason.DEADLINE_PASSED, "the deadline had passed on arrival")
+    if slots <= 0:
+        return NotRun(
+            Reason.NO_CAPACITY, "no minion is available", NO_CAPACITY_RETRY_AFTER_MS
+        )
+    if queue.waiting(request.organisation) >= WAITING_MAX_PER_ORGANISATION:
+        wait_ms = int(queue.work_ms(request.organisation) / slots)
+        return NotRun(
+            Reason.QUEUE_FULL, "too many requests wait", wait_ms + RETRY_AFTER_MIN_MS
+        )
+    run_ms = run_times.median_ms(request.request_class)
+    late_ms = (
+        now_ms + expected_wait_ms(request, queue, slots) + run_ms - request.deadline_ms
+    )
+    if late_ms <= 0:
+        return None
+    return NotRun(
+        Reason.DEADLINE_UNREACHABLE,
+        f"expected {int(late_ms)} ms after the deadline",
+        int(late_ms) + RETRY_AFTER_MIN_MS,
+    )
+
+
+def is_within_share(
+    in_flight: int, weight: int, total_weight: int, slots: int, free_slots: int
+) -> bool:
+    """Whether an organisation may take a free slot now.
+
+    One below its weighted share may take any; one at or above it leaves a few free, so
+    that a burst of long requests does not make another organisation's quick ones wait.
+    """
+    if in_flight * total_weight < slots * weight:
+        return True
+    return free_slots > slots // RESERVED_ONE_IN
--- /dev/null
+++ b/ragwortshelf/core/requests/events.py
@@ -0,0 +1,187 @@
+"""Events that ``RequestMachine`` takes and actions that it returns."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+
+from ..model import Decision, MinionInfo, Request, RequestOutcome, Unreachable
+from .messages import LoadReport
+
+__all__ = [
+    "Abort",
+    "Action",
+    "AttemptEnded",
+    "Cancelled",
+    "ConnectionsSuspected",
+    "DrainStarted",
+    "Event",
+    "Finish",
+    "Log",
+    "MinionsListed",
+    "NotSentToMinion",
+    "OrganisationsChanged",
+    "PeerLoadNoted",
+    "PeerLost",
+    "Send",
+    "Spill",
+    "Submitted",
+    "Suspect",
+    "Ticked",
+]
+
+
+@dataclass(frozen=True, slots=True)
+class Submitted:
+    """A request of a caller; ``is_delegated`` if another instance lets us run it."""
+
+    request: Request
+    is_delegated: bool = False
+
+
+@dataclass(frozen=True, slots=True)
+class NotSentToMinion:
+    """Proof that an attempt did not run.
+
+    ``is_refusal`` if the minion itself refused, because it is leaving or full.
+    """
+
+    detail: str
+    is_refusal: bool = False
+
+
+@dataclass(frozen=True, slots=True)
+class AttemptEnded:
+    """What came of a ``Send`` or a ``Spill``; what it held is free again.
+
+    ``is_old_connection`` if the connection had brought an answer before, so that its
+    failure tells little of the minion.
+    """
+
+    request_id: str
+    result: RequestOutcome | NotSentToMinion | Unreachable
+    is_old_connection: bool = False
+
+
+@dataclass(frozen=True, slots=True)
+class ConnectionsSuspected:
+    """Requests that run on connections as old as one that went silent."""
+
+    request_ids: tuple[str, ...]
+
+
+@dataclass(frozen=True, slots=True)
+class Cancelled:
+    """The caller gave up and nobody else waits for this request."""
+
+    request_id: str
+
+
+@dataclass(frozen=True, slots=True)
+class MinionsListed:
+    """The list's minions, of all data centres."""
+
+    minions: tuple[MinionInfo, ...]
+
+
+@dataclass(frozen=True, slots=True)
+class OrganisationsChanged:
+    """Weights by organisation; None admits any organisation with weight 1."""
+
+    weight_by_organisation: dict[str, int] | None
+
+
+@dataclass(frozen=True, slots=True)
+class PeerLoadNoted:
+    """A peer's load report."""
+
+    peer: str
+    load: LoadReport
+
+
+@dataclass(frozen=True, slots=True)
+class PeerLost:
+    """A peer is not reachable; nothing is sent to it until its next report."""
+
+    peer: str
+
+
+@dataclass(frozen=True, slots=True)
+class DrainStarted:
+    """New requests are refused from now on."""
+
+
+@dataclass(frozen=True, slots=True)
+class Ticked:
+    """Time has passed or shares have changed."""
+
+
+Event = (
+    Submitted
+    | AttemptEnded
+    | Cancelled
+    | ConnectionsSuspected
+    | MinionsListed
+    | OrganisationsChanged
+    | PeerLoadNoted
+    | PeerLost
+    | DrainStarted
+    | Ticked
+)
+
+
+@dataclass(frozen=True, slots=True)
+class Send:
+    """Send a request to a minion once."""
+
+    request: Request
+    minion: str
+    attempt: int
+
+
+@dataclass(frozen=True, slots=True)
+class Spill:
+    """Let a peer run a request once."""
+
+    request: Request
+    peer: str
+    attempt: int
+
+
+@dataclass(frozen=True, slots=True)
+class Abort:
+    """Stop an attempt and close its connection; then report ``AttemptEnded``.
+
+    ``is_silent`` if no answer came by the progress deadline, so that connections of
+    the same age are suspect too.
+    """
+
+    request_id: str
+    is_silent: bool = False
+
+
+@dataclass(frozen=True, slots=True)
+class Suspect:
+    """No answer came by the progress deadline, and the request may not be repeated.
+
+    It goes on waiting; connections of the same age are suspect.
+    """
+
+    request_id: str
+
+
+@dataclass(frozen=True, slots=True)
+class Finish:
+    """The final outcome of a request."""
+
+    request_id: str
+    outcome: RequestOutcome
+
+
+@dataclass(frozen=True, slots=True)
+class Log:
+    """One line for the decision log."""
+
+    decision: Decision
+
+
+Action = Send | Spill | Abort | Suspect | Finish | Log
--- /dev/null
+++ b/ragwortshelf/core/requests/ids.py
@@ -0,0 +1,75 @@
+"""Request ids and the rule of who owns one.
+
+An id reads ``instance.incarnation.number``. Only the named incarnation of the named
+instance sends a non-idempotent request with that id, or lets a gateway of another data
+centre send it once. A retry of a caller therefore reaches the process that knows what
+became of the first try, whichever instance the balancer picks.
+"""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+
+__all__ = ["IdReserver", "RequestId", "parse_request_id"]
+
+MAX_RESERVED_IDS = 10_000
+"""Largest batch that one call may reserve."""
+
+
+@dataclass(frozen=True, slots=True)
+class RequestId:
+    """The parts of a request id.
+
+    >>> str(RequestId("a1", 7, 12))
+    'a1.7.12'
+    """
+
+    instance: str
+    incarnation: int
+    number: int
+
+    def __str__(self) -> str:
+        return f"{self.instance}.{self.incarnation}.{self.number}"
+
+
+def parse_request_id(text: str) -> RequestId | None:
+    """Return the parts of an id, or None if it is none.
+
+    >>> parse_request_id("a1.7.12").number
+    12
+    """
+    instance, _, rest = text.partition(".")
+    incarnation, _, number = rest.partition(".")
+    numbers = (incarnation, number)
+    if not instance or not all(n.isascii() and n.isdigit() for n in numbers):
+        return None
+    if any(len(n) > 20 for n in numbers):
+        return None
+    return RequestId(instance, int(incarnation), int(number))
+
+
+class IdReserver:
+    """Hands out ids of one incarnation; no number is handed out twice."""
+
+    def __init__(self, instance: str, incarnation: int):
+        self._instance = instance
+        self._incarnation = incarnation
+        self._next_number = 1
+
+    def reserve(self, count: int) -> tuple[str, ...]:
+        """Reserve up to ``MAX_RESERVED_IDS`` consecutive ids."""
+        count = max(0, min(count, MAX_RESERVED_IDS))
+        first = self._next_number
+        self._next_number += count
+        return tuple(
+            str(RequestId(self._instance, self._incarnation, number))
+            for number in range(first, first + count)
+        )
+
+    def owns(self, request_id: RequestId) -> bool:
+        """Whether this incarnation reserved ``request_id``."""
+        return (
+            request_id.instance == self._instance
+            and request_id.incarnation == self._incarnation
+            and 0 < request_id.number < self._next_number
+        )
--- /dev/null
+++ b/ragwortshelf/core/requests/messages.py
@@ -0,0 +1,190 @@
+"""Messages between instances about requests, shares and load.
+
+All are frozen data classes that ``core.streams.codec`` carries. ``MESSAGE_TYPES`` lists
+them for whoever registers types with a codec. Masks are integers whose bit ``k`` stands
+for token ``k`` of a minion. Times are remaining milliseconds, since clocks differ.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Mapping
+from dataclasses import dataclass, field
+
+from ..model import Answered, NotRun, Reason, Request, RequestOutcome, Unknown
+
+__all__ = [
+    "DelegatedRequest",
+    "HandedOver",
+    "HandoverNoted",
+    "KeptOutcome",
+    "LoadReport",
+    "MESSAGE_TYPES",
+    "OutcomeMessage",
+    "OutcomeQuery",
+    "OwnedRequest",
+    "ShareHeartbeat",
+    "ShareReply",
+]
+
+
+@dataclass(frozen=True, slots=True)
+class LoadReport:
+    """What an instance tells its peers of its load.
+
+    ``free_slots`` is what it could start at once; ``in_flight_by_minion`` counts its
+    own running requests, so that peers of the data centre see a minion's whole load.
+    """
+
+    data_centre: str = ""
+    free_slots: int = 0
+    waiting: int = 0
+    is_draining: bool = False
+    in_flight_by_minion: Mapping[str, int] = field(default_factory=dict)
+
+
+@dataclass(frozen=True, slots=True)
+class ShareHeartbeat:
+    """Asks a peer for, or keeps, the tokens in ``wanted_by_minion``.
+
+    The sender uses no token outside them, and none ever again if it ``has_ended``.
+    ``members`` are the instances of its data centre that it takes for possible holders.
+    """
+
+    data_centre: str
+    incarnation: int
+    sequence: int
+    wanted_by_minion: Mapping[str, int] = field(default_factory=dict)
+    members: tuple[str, ...] = ()
+    holds_share: bool = False
+    is_draining: bool = False
+    has_ended: bool = False
+    load: LoadReport = field(default_factory=LoadReport)
+
+
+@dataclass(frozen=True, slots=True)
+class ShareReply:
+    """Promises not to use the tokens in ``granted_by_minion``.
+
+    The promise stands until a later heartbeat leaves the token out, or until the
+    asking instance's right has certainly lapsed.
+    """
+
+    incarnation: int
+    sequence: int
+    granted_by_minion: Mapping[str, int] = field(default_factory=dict)
+    members: tuple[str, ...] = ()
+    holds_share: bool = False
+    is_draining: bool = False
+    load: LoadReport = field(default_factory=LoadReport)
+
+
+@dataclass(frozen=True, slots=True)
+class OutcomeMessage:
+    """A ``RequestOutcome`` on the wire; ``kind`` empty means that none is known."""
+
+    kind: str = ""
+    status: int = 0
+    headers: tuple[tuple[str, str], ...] = ()
+    body: bytes = b""
+    reason: str = ""
+    detail: str = ""
+    retry_after_ms: int | None = None
+
+    @classmethod
+    def of(cls, outcome: RequestOutcome | None) -> OutcomeMessage:
+        """Return the message that carries an outcome."""
+        match outcome:
+            case None:
+                return cls()
+            case Answered(status, headers, body):
+                return cls("answered", status, headers, body)
+            case NotRun(reason, detail, retry_after_ms):
+                return cls(
+                    "not_run",
+                    reason=reason.value,
+                    detail=detail,
+                    retry_after_ms=retry_after_ms,
+                )
+            case Unknown(reason, detail):
+                return cls("unknown", reason=reason.value, detail=detail)
+        raise TypeError(f"{outcome!r} is no outcome of a request")
+
+    def outcome(self) -> RequestOutcome | None:
+        """Return the outcome that the message carries, or None."""
+        if self.kind == "answered":
+            return Answered(self.status, self.headers, self.body)
+        if self.kind == "not_run":
+            return NotRun(Reason(self.reason), self.detail, self.retry_after_ms)
+        if self.kind == "unknown":
+            return Unknown(Reason(self.reason), self.detail)
+        return None
+
+
+@dataclass(frozen=True, slots=True)
+class OwnedRequest:
+    """Passes a request to the owner of its id; answered by ``OutcomeMessage``."""
+
+    request: Request
+    remaining_ms: int
+
+
+@dataclass(frozen=True, slots=True)
+class DelegatedRequest:
+    """Lets the receiver send a request once, at once or not at all.
+
+    Only the owner of the id sends this. ``attempt`` tells a repeated delivery of the
+    same message from a new try; answered by ``OutcomeMessage``.
+    """
+
+    request: Request
+    remaining_ms: int
+    attempt: int
+
+
+@dataclass(frozen=True, slots=True)
+class OutcomeQuery:
+    """Asks what the receiver knows of a request whose owner is gone."""
+
+    request_id: str
+
+
+@dataclass(frozen=True, slots=True)
+class KeptOutcome:
+    """The outcome of one non-idempotent request."""
+
+    request_id: str
+    outcome: OutcomeMessage
+
+
+@dataclass(frozen=True, slots=True)
+class HandedOver:
+    """What a stopping instance knows of its ids; it sends nothing any more.
+
+    Ids numbered ``forgotten_below`` and up that ``outcomes`` does not name never ran.
+    """
+
+    instance: str
+    incarnation: int
+    forgotten_below: int
+    outcomes: tuple[KeptOutcome, ...]
+
+
+@dataclass(frozen=True, slots=True)
+class HandoverNoted:
+    """The receiver keeps what was handed over."""
+
+    count: int
+
+
+MESSAGE_TYPES = (
+    DelegatedRequest,
+    HandedOver,
+    HandoverNoted,
+    KeptOutcome,
+    LoadReport,
+    OutcomeMessage,
+    OutcomeQuery,
+    OwnedRequest,
+    ShareHeartbeat,
+    ShareReply,
+)
--- /dev/null
+++ b/ragwortshelf/core/requests/outcomes.py
@@ -0,0 +1,94 @@
+"""Outcome rules: what a request becomes after attempts that brought no whole answer.
+
+``NotRun`` needs proof for every attempt; one attempt without it makes the outcome
+``Unknown`` for good. Outcomes of non-idempotent requests are kept for a while, so that
+a retry with the same id gets the same outcome.
+"""
+
+from __future__ import annotations
+
+from collections import OrderedDict
+from dataclasses import dataclass
+
+from ..model import NotRun, Reason, RequestOutcome, Unknown
+from .ids import parse_request_id
+
+__all__ = ["KeptOutcomes", "failure_outcome"]
+
+KEPT_OUTCOMES_MAX = 10_000
+KEPT_BYTES_MAX = 32 * 1024 * 1024
+KEPT_MS = 600_000
+
+
+def failure_outcome(
+    *, may_have_run: bool, reason: Reason, detail: str, retry_after_ms: int | None
+) -> RequestOutcome:
+    """Return the truthful outcome of a request that is given up.
+
+    >>> failure_outcome(may_have_run=True, reason=Reason.NO_ANSWER, detail="",
+    ...                 retry_after_ms=5)
+    Unknown(reason=<Reason.NO_ANSWER: 'no_answer'>, detail='')
+    """
+    if may_have_run:
+        return Unknown(reason, detail)
+    return NotRun(reason, detail, retry_after_ms)
+
+
+@dataclass(frozen=True, slots=True)
+class _Kept:
+    outcome: RequestOutcome
+    until_ms: int
+    size_bytes: int
+
+
+class KeptOutcomes:
+    """Bounded store of the outcomes of one incarnation's non-idempotent requests.
+
+    ``forgotten_below`` is the number below which an id that is not kept may have run.
+    """
+
+    def __init__(self):
+        self._kept_by_id: OrderedDict[str, _Kept] = OrderedDict()
+        self._size_bytes = 0
+        self.forgotten_below = 0
+
+    def __len__(self) -> int:
+        return len(self._kept_by_id)
+
+    def get(self, request_id: str) -> RequestOutcome | None:
+        """Return the outcome of a request, or None if none is kept.
+
+        The outcome of an id that is no longer kept is ``Unknown``.
+        """
+        kept = self._kept_by_id.get(request_id)
+        if kept is not None:
+            return kept.outcome
+        parsed = parse_request_id(request_id)
+        if parsed is not None and parsed.number < self.forgotten_below:
+            return Unknown(Reason.NO_ANSWER, "the outcome is no longer kept")
+        return None
+
+    def keep(self, request_id: str, outcome: RequestOutcome, now_ms: int) -> None:
+        """Keep an outcome, and forget the oldest ones beyond the bounds."""
+        size_bytes = len(getattr(outcome, "body", b"")) + 200
+        self._kept_by_id[request_id] = _Kept(outcome, now_ms + KEPT_MS, size_bytes)
+        self._size_bytes += size_bytes
+        while self._kept_by_id:
+            oldest_id, oldest = next(iter(self._kept_by_id.items()))
+            is_over = (
+                len(self._kept_by_id) > KEPT_OUTCOMES_MAX
+                or self._size_bytes > KEPT_BYTES_MAX
+            )
+            if not is_over and oldest.until_ms > now_ms:
+                break
+            self._forget(oldest_id)
+
+    def items(self) -> list[tuple[str, RequestOutcome]]:
+        """Return all kept outcomes, the oldest first."""
+        return [(key, kept.outcome) for key, kept in self._kept_by_id.items()]
+
+    def _forget(self, request_id: str) -> None:
+        self._size_bytes -= self._kept_by_id.pop(request_id).size_bytes
+        parsed = parse_request_id(request_id)
+        if parsed is not None:
+            self.forgotten_below = max(self.forgotten_below, parsed.number + 1)
--- /dev/null
+++ b/ragwortshelf/core/requests/retries.py
@@ -0,0 +1,44 @@
+"""Retry budget and backoff.
+
+A retry costs one token of the budget and each new request earns a fraction of one, so
+that retries stay a bounded share of the load even when everything fails at once.
+"""
+
+from __future__ import annotations
+
+import random
+
+__all__ = ["RetryBudget", "backoff_ms"]
+
+EARNED_PER_REQUEST = 0.1
+MAX_TOKENS = 20.0
+BACKOFF_BASE_MS = 5
+BACKOFF_CAP_MS = 1_000
+
+
+class RetryBudget:
+    """Token bucket of retries that is filled by new requests."""
+
+    def __init__(self):
+        self._tokens = MAX_TOKENS
+
+    def earn(self) -> None:
+        """Note a new request."""
+        self._tokens = min(MAX_TOKENS, self._tokens + EARNED_PER_REQUEST)
+
+    def take(self) -> bool:
+        """Spend one retry; False if none is left."""
+        if self._tokens < 1.0:
+            return False
+        self._tokens -= 1.0
+        return True
+
+
+def backoff_ms(retry: int, rng: random.Random) -> int:
+    """Return the pause before retry number ``retry`` (from 1), with full jitter.
+
+    The pause is uniform between 1 ms and ``BACKOFF_BASE_MS * 2**retry``, at most
+    ``BACKOFF_CAP_MS``.
+    """
+    ceiling = min(BACKOFF_CAP_MS, BACKOFF_BASE_MS * 2 ** min(retry, 16))
+    return rng.randint(1, ceiling)
--- /dev/null
+++ b/ragwortshelf/core/requests/run_times.py
@@ -0,0 +1,79 @@
+"""Run times learnt by request class, from recent answers."""
+
+from __future__ import annotations
+
+from collections import deque
+
+from ..model import RequestClass
+
+__all__ = ["RunTimes"]
+
+WINDOW = 256
+REFRESH_EVERY = 16
+HIGH_QUANTILE = 0.95
+DEFAULT_MS_BY_CLASS = {
+    RequestClass.QUICK: 20.0,
+    RequestClass.ORDINARY: 100.0,
+    RequestClass.LONG: 2_000.0,
+}
+PROGRESS_FACTOR = 10
+PROGRESS_MIN_MS_BY_CLASS = {
+    RequestClass.QUICK: 1_000,
+    RequestClass.ORDINARY: 5_000,
+    RequestClass.LONG: 60_000,
+}
+
+
+class _Window:
+    """Recent run times of one class and their quantiles."""
+
+    def __init__(self, default_ms: float):
+        self.recent_ms: deque[int] = deque(maxlen=WINDOW)
+        self.mean_ms = default_ms
+        self.median_ms = default_ms
+        self.high_ms = default_ms
+        self._since_refresh = 0
+
+    def add(self, run_ms: int) -> None:
+        self.recent_ms.append(run_ms)
+        self._since_refresh += 1
+        if self._since_refresh >= min(REFRESH_EVERY, len(self.recent_ms)):
+            self._refresh()
+
+    def _refresh(self) -> None:
+        self._since_refresh = 0
+        in_order = sorted(self.recent_ms)
+        count = len(in_order)
+        self.mean_ms = sum(in_order) / count
+        self.median_ms = in_order[count // 2]
+        self.high_ms = in_order[min(count - 1, int(count * HIGH_QUANTILE))]
+
+
+class RunTimes:
+    """Expected run times; before any answer, a default of the class."""
+
+    def __init__(self):
+        self._window_by_class = {
+            cls: _Window(default) for cls, default in DEFAULT_MS_BY_CLASS.items()
+        }
+
+    def note(self, request_class: RequestClass, run_ms: int) -> None:
+        """Take in the run time of a whole answer."""
+        self._window_by_class[request_class].add(run_ms)
+
+    def mean_ms(self, request_class: RequestClass) -> float:
+        """Return the mean run time, at least 1 ms."""
+        return max(1.0, self._window_by_class[request_class].mean_ms)
+
+    def median_ms(self, request_class: RequestClass) -> float:
+        """Return the median run time."""
+        return self._window_by_class[request_class].median_ms
+
+    def high_ms(self, request_class: RequestClass) -> float:
+        """Return the 95th percentile of the run time."""
+        return self._window_by_class[request_class].high_ms
+
+    def progress_ms(self, request_class: RequestClass) -> int:
+        """Return after how long without an answer a connection is suspected."""
+        learnt_ms = PROGRESS_FACTOR * self.high_ms(request_class)
+        return max(PROGRESS_MIN_MS_BY_CLASS[request_class], int(learnt_ms))
--- /dev/null
+++ b/ragwortshelf/daemon/dispatcher.py
@@ -0,0 +1,402 @@
+"""The service that carries requests from callers to minions.
+
+It drives ``RequestMachine`` and ``ShareKeeper``: their actions become sends over
+connections to minions and calls to peers. Ownership of ids is in
+``dispatcher_ownership``, heartbeats are in ``dispatcher_heartbeats``.
+"""
+
+from __future__ import annotations
+
+import random
+from collections.abc import Callable
+from dataclasses import dataclass, field, replace
+
+import trio
+
+from ..core.model import (
+    Answered,
+    Configuration,
+    Decision,
+    InstanceInfo,
+    MemberState,
+    MinionInfo,
+    NotRun,
+    Reason,
+    Request,
+    RequestOutcome,
+    Unreachable,
+)
+from ..core.requests import (
+    Abort,
+    AttemptEnded,
+    Cancelled,
+    ConnectionsSuspected,
+    DelegatedRequest,
+    DrainStarted,
+    Event,
+    Finish,
+    IdReserver,
+    LoadReport,
+    Log,
+    MinionsListed,
+    NotSentToMinion,
+    OrganisationsChanged,
+    OutcomeMessage,
+    PeerLoadNoted,
+    RequestMachine,
+    Send,
+    ShareKeeper,
+    ShareSettings,
+    Spill,
+    Submitted,
+    Suspect,
+    Ticked,
+)
+from ..net.interfaces import NotSent, Peers
+from .dispatcher_clock import monotonic_ms
+from .dispatcher_connections import ConnectionPool, OpenMinion, PooledConnection
+from .dispatcher_heartbeats import Heartbeats
+from .dispatcher_ownership import Ownership
+
+__all__ = ["RequestService"]
+
+TICK_MAX_MS = 100
+NOT_READY_RETRY_AFTER_MS = 500
+
+Observer = Callable[[Request, RequestOutcome, int], None]
+
+
+@dataclass(eq=False, slots=True)
+class _Pending:
+    """A request that is being served, and how many wait for its outcome."""
+
+    request: Request
+    started_ms: int
+    done: trio.Event = field(default_factory=trio.Event)
+    outcome: RequestOutcome | None = None
+    waiters: int = 0
+
+
+def _ignore(request: Request, outcome: RequestOutcome, elapsed_ms: int) -> None:
+    """Observe nothing."""
+
+
+class RequestService:
+    """Requests of one entry instance.
+
+    ``open_minion`` opens a connection to a minion, ``peers`` reaches the other
+    instances, ``decision_logger`` gets each routing decision and ``observer`` each
+    request with its outcome and the milliseconds that it took.
+    """
+
+    def __init__(
+        self,
+        instance: str,
+        incarnation: int,
+        data_centre: str,
+        open_minion: OpenMinion,
+        peers: Peers,
+        decision_logger: Callable[[Decision], None],
+        rng: random.Random,
+        *,
+        share_settings: ShareSettings | None = None,
+        observer: Observer = _ignore,
+    ):
+        self._instance = instance
+        self._data_centre = data_centre
+        self._peers = peers
+        self._log_decision = decision_logger
+        self._observe = observer
+        self._ids = IdReserver(instance, incarnation)
+        settings = share_settings or ShareSettings()
+        self._shares = ShareKeeper(instance, data_centre, incarnation, settings)
+        self._machine = RequestMachine(data_centre, self._shares, rng)
+        self._connections = ConnectionPool(
+            open_minion, lambda name: self._shares.connections(name, monotonic_ms())
+        )
+        self._ownership = Ownership(instance, incarnation, self._ids, peers)
+        self._heartbeats = Heartbeats(self, self._shares, peers, rng)
+        self._minion_by_name: dict[str, MinionInfo] = {}
+        self._pending_by_id: dict[str, _Pending] = {}
+        self._scope_by_id: dict[str, trio.CancelScope] = {}
+        self._aborted_by_id: dict[str, PooledConnection] = {}
+        self._nursery: trio.Nursery | None = None
+        self._wake = trio.Event()
+        self._idle = trio.Event()
+        self._idle.set()
+        peers.handle(DelegatedRequest, self._on_delegated)
+        self._ownership.handle(self.submit)
+
+    # What the daemon tells
+
+    def set_minions(self, minions: tuple[MinionInfo, ...]) -> None:
+        """Take in the minions of all data centres from the list."""
+        self._minion_by_name.update({m.name: m for m in minions})
+        self._handle(MinionsListed(tuple(minions)))
+
+    def set_instances(
+        self, instances: tuple[InstanceInfo, ...], *, asked_ms: int | None = None
+    ) -> None:
+        """Take in the instances of all data centres from one answer of the list.
+
+        To be called for every answer, changed or not, since each one renews this
+        instance's right to its share. ``asked_ms`` is when the list was asked.
+        """
+        now_ms = monotonic_ms()
+        here = [i for i in instances if i.data_centre == self._data_centre]
+        self._shares.note_list(
+            {i.name for i in here if i.state is MemberState.LIVE},
+            {i.name for i in here if i.state is MemberState.LEAVING},
+            now_ms if asked_ms is None else asked_ms,
+            now_ms,
+        )
+        self._heartbeats.set_instances(instances)
+        self._ownership.set_instances(instances)
+
+    def set_configuration(self, configuration: Configuration) -> None:
+        """Take in the weights of the organisations."""
+        organisations = configuration.organisations_by_name
+        weights = {name: org.weight for name, org in organisations.items()}
+        self._handle(OrganisationsChanged(weights))
+
+    def note_peer_load(self, peer: str, load: LoadReport) -> None:
+        """Take in a peer's load report."""
+        self._handle(PeerLoadNoted(peer, load))
+
+    # What the daemon asks
+
+    def reserve_ids(self, count: int) -> tuple[str, ...]:
+        """Reserve request ids that this instance owns."""
+        return self._ids.reserve(count)
+
+    def load_report(self) -> LoadReport:
+        """Return this instance's load for its peers."""
+        return self._machine.load_report(monotonic_ms())
+
+    def slots_by_minion(self) -> dict[str, int]:
+        """Return how many requests this instance may run on each minion now."""
+        now_ms = monotonic_ms()
+        return {
+            name: self._shares.slots(name, now_ms)
+            for name, info in self._minion_by_name.items()
+            if info.data_centre == self._data_centre
+        }
+
+    def tokens_in_use_by_minion(self) -> dict[str, int]:
+        """Return how many tokens running requests and open connections take up."""
+        in_flight = self._machine.in_flight_by_minion()
+        names = set(in_flight) | set(self._connections.minions())
+        return {
+            name: self._shares.tokens_in_use(
+                name, in_flight.get(name, 0), self._connections.count(name)
+            )
+            for name in names
+        }
+
+    def waiting(self) -> int:
+        """Return how many requests wait."""
+        return self._machine.waiting()
+
+    def ejected_minions(self) -> set[str]:
+        """Return the minions that are ejected for failures."""
+        return self._machine.ejected_minions()
+
+    # Life
+
+    async def run(
+        self, *, task_status: trio.TaskStatus[None] = trio.TASK_STATUS_IGNORED
+    ) -> None:
+        """Serve until cancelled."""
+        async with trio.open_nursery() as nursery:
+            self._nursery = nursery
+            task_status.started()
+            try:
+                nursery.start_soon(self._heartbeats.run)
+                await self._tick()
+            finally:
+                self._nursery = None
+                with trio.CancelScope(shield=True):
+                    await self._connections.close()
+
+    async def drain(self) -> None:
+        """Refuse new requests, finish what runs, and hand over what is known.
+
+        To be bounded by the caller's own deadline.
+        """
+        self._handle(DrainStarted())
+        self._shares.drain()
+        await self._idle.wait()
+        await self._connections.close()
+        self._shares.end()
+        await self._heartbeats.beat_once()
+        await self._ownership.hand_over()
+
+    async def _tick(self) -> None:
+        while True:
+            now_ms = monotonic_ms()
+            self._handle(Ticked())
+            await self._connections.trim(now_ms)
+            due_ms = self._machine.next_wake_ms()
+            until_ms = now_ms + TICK_MAX_MS
+            if due_ms is not None:
+                until_ms = min(until_ms, max(due_ms, now_ms + 1))
+            with trio.move_on_at(until_ms / 1000):
+                await self._wake.wait()
+            self._wake = trio.Event()
+
+    # Requests
+
+    async def submit(self, request: Request) -> RequestOutcome:
+        """Serve one request and return its outcome.
+
+        A second call with the id of a request that is being served joins it. When the
+        last caller is cancelled, the request is given up and never sent again.
+        """
+        if self._nursery is None:
+            return NotRun(
+                Reason.NOT_READY, "the service is not running", NOT_READY_RETRY_AFTER_MS
+            )
+        outcome = await self._ownership.outcome_elsewhere(request, monotonic_ms())
+        if outcome is not None:
+            return outcome
+        return await self._serve(request.request_id, Submitted(request))
+
+    async def _serve(self, key: str, event: Submitted) -> RequestOutcome:
+        pending = self._pending_by_id.get(key)
+        if pending is None:
+            pending = _Pending(event.request, monotonic_ms())
+            self._pending_by_id[key] = pending
+            if self._idle.is_set():
+                self._idle = trio.Event()
+            self._handle(event)
+        pending.waiters += 1
+        try:
+            await pending.done.wait()
+        finally:
+            pending.waiters -= 1
+            if pending.outcome is None and not pending.waiters:
+                self._handle(Cancelled(key))
+        return pending.outcome
+
+    async def _on_delegated(self, sender: str, message: DelegatedRequest):
+        """Run a request for its owner, once for each attempt."""
+        known = self._ownership.delegated(message)
+        if known is not None:
+            return OutcomeMessage.of(known)
+        request = replace(
+            message.request, deadline_ms=monotonic_ms() + message.remaining_ms
+        )
+        event = Submitted(request, is_delegated=True)
+        outcome = await self._serve(request.request_id, event)
+        self._ownership.note_delegated(message, outcome)
+        return OutcomeMessage.of(outcome)
+
+    # Actions
+
+    def _handle(self, event: Event) -> None:
+        now_ms = monotonic_ms()
+        before_ms = self._machine.next_wake_ms()
+        for action in self._machine.handle(event, now_ms):
+            self._carry_out(action, now_ms)
+        after_ms = self._machine.next_wake_ms()
+        if after_ms is not None and (before_ms is None or after_ms < before_ms):
+            self._wake.set()
+        if self._machine.is_idle() and not self._pending_by_id:
+            self._idle.set()
+
+    def _carry_out(self, action, now_ms: int) -> None:
+        match action:
+            case Log(decision):
+                self._log_decision(decision)
+            case Finish(request_id, outcome):
+                self._finish(request_id, outcome, now_ms)
+            case Send():
+                self._start_attempt(action.request, self._send, action)
+            case Spill():
+                self._start_attempt(action.request, self._spill, action)
+            case Abort(request_id, is_silent):
+                self._abort(request_id, is_silent)
+            case Suspect(request_id):
+                self._suspect(request_id)
+
+    def _finish(self, request_id: str, outcome: RequestOutcome, now_ms: int) -> None:
+        pending = self._pending_by_id.pop(request_id, None)
+        if pending is None:
+            return
+        self._ownership.keep(pending.request, outcome, now_ms)
+        pending.outcome = outcome
+        pending.done.set()
+        self._observe(pending.request, outcome, now_ms - pending.started_ms)
+
+    def _start_attempt(self, request: Request, function, action) -> None:
+        if self._nursery is None:
+            return  # the service was cancelled, and so is every caller's task
+        scope = trio.CancelScope()
+        self._scope_by_id[request.request_id] = scope
+        self._nursery.start_soon(self._attempt, request, scope, function, action)
+
+    async def _attempt(self, request, scope, function, action) -> None:
+        """Carry out one attempt and report how it ended, aborted or not."""
+        ended = AttemptEnded(request.request_id, Unreachable("aborted"))
+        with scope:
+            ended = await function(action)
+        connection = self._aborted_by_id.pop(request.request_id, None)
+        if scope.cancelled_caught:
+            is_old = connection is not None and connection.is_old
+            ended = replace(ended, is_old_connection=is_old)
+        del self._scope_by_id[request.request_id]
+        self._handle(ended)
+
+    async def _send(self, action: Send) -> AttemptEnded:
+        request = action.request
+        info = self._minion_by_name[action.minion]
+        taken = await self._connections.take(info, request.request_id, monotonic_ms())
+        if isinstance(taken, Unreachable):
+            result = NotSentToMinion(taken.detail)
+            return AttemptEnded(request.request_id, result)
+        is_old = taken.is_old
+        result = None
+        try:
+            result = await taken.minion.send(request)
+        finally:
+            is_usable = isinstance(result, Answered | NotSent) and getattr(
+                taken.minion, "is_usable", True
+            )
+            if is_usable:
+                self._connections.give_back(taken, monotonic_ms())
+            else:
+                with trio.CancelScope(shield=True):
+                    await self._connections.drop(taken)
+        if isinstance(result, NotSent):
+            result = NotSentToMinion(result.detail, result.is_leaving)
+        return AttemptEnded(request.request_id, result, is_old)
+
+    async def _spill(self, action: Spill) -> AttemptEnded:
+        request = action.request
+        message = DelegatedRequest(
+            request, max(1, request.deadline_ms - monotonic_ms()), action.attempt
+        )
+        reply = await self._peers.call(
+            action.peer, message, deadline_ms=request.deadline_ms
+        )
+        result = reply
+        if isinstance(reply, OutcomeMessage):
+            result = reply.outcome()
+        return AttemptEnded(request.request_id, result or Unreachable("no outcome"))
+
+    def _abort(self, request_id: str, is_silent: bool) -> None:
+        scope = self._scope_by_id.get(request_id)
+        if scope is None:
+            return
+        if is_silent:
+            self._suspect(request_id)
+        connection = self._connections.find(request_id)
+        if connection is not None:
+            self._aborted_by_id[request_id] = connection
+        scope.cancel()
+
+    def _suspect(self, request_id: str) -> None:
+        suspects = self._connections.suspect(request_id)
+        self._wake.set()
+        if suspects:
+            self._handle(ConnectionsSuspected(suspects))
--- /dev/null
+++ b/ragwortshelf/daemon/dispatcher_connections.py
@@ -0,0 +1,151 @@
+"""Open connections to minions, their age, and the suspicion of silent ones."""
+
+from __future__ import annotations
+
+from collections.abc import Awaitable, Callable
+from dataclasses import dataclass
+
+from ..core.model import MinionInfo, Unreachable
+from ..net.interfaces import Minion
+
+__all__ = ["ConnectionPool", "OpenMinion", "PooledConnection"]
+
+OpenMinion = Callable[..., Awaitable[Minion | Unreachable]]
+"""``await open_minion(info, deadline_ms=…)`` opens one connection."""
+
+IDLE_MAX_MS = 5_000
+CONNECT_TIMEOUT_MS = 1_000
+
+
+@dataclass(eq=False, slots=True)
+class PooledConnection:
+    """One connection with the times that tell its age."""
+
+    minion: Minion
+    name: str
+    opened_ms: int
+    answered_ms: int | None = None
+    used_ms: int = 0
+    request_id: str | None = None
+
+    @property
+    def is_old(self) -> bool:
+        """Whether it brought an answer before."""
+        return self.answered_ms is not None
+
+
+class ConnectionPool:
+    """Idle and busy connections by minion.
+
+    Whoever takes a connection gives it back, or drops it. The number open stays
+    within ``limit(minion)``, since a connection is opened only for a running request
+    and idle ones are closed first.
+    """
+
+    def __init__(self, open_minion: OpenMinion, limit: Callable[[str], int]):
+        self._open_minion = open_minion
+        self._limit = limit
+        self._all_by_minion: dict[str, list[PooledConnection]] = {}
+        self._opening_by_minion: dict[str, int] = {}
+        self._closing: list[PooledConnection] = []
+
+    def count(self, name: str) -> int:
+        """Return how many connections to a minion are open or being opened."""
+        opening = self._opening_by_minion.get(name, 0)
+        closing = sum(c.name == name for c in self._closing)
+        return len(self._all_by_minion.get(name, ())) + opening + closing
+
+    def minions(self) -> tuple[str, ...]:
+        """Return the names of the minions with connections."""
+        return tuple(self._all_by_minion)
+
+    async def take(
+        self, info: MinionInfo, request_id: str, now_ms: int
+    ) -> PooledConnection | Unreachable:
+        """Return an idle connection, or a new one."""
+        idle = self._idle(info.name)
+        if idle:
+            connection = max(idle, key=lambda c: c.used_ms)
+            connection.request_id = request_id
+            connection.used_ms = now_ms
+            return connection
+        if self.count(info.name) >= self._limit(info.name):
+            return Unreachable(f"{info.name}: no connection left", False)
+        opening = self._opening_by_minion
+        opening[info.name] = opening.get(info.name, 0) + 1
+        try:
+            opened = await self._open_minion(
+                info, deadline_ms=now_ms + CONNECT_TIMEOUT_MS
+            )
+        finally:
+            opening[info.name] -= 1
+        if isinstance(opened, Unreachable):
+            return opened
+        connection = PooledConnection(opened, info.name, now_ms, used_ms=now_ms)
+        connection.request_id = request_id
+        self._all_by_minion.setdefault(info.name, []).append(connection)
+        return connection
+
+    def give_back(self, connection: PooledConnection, now_ms: int) -> None:
+        """A whole answer came; the connection may serve the next request."""
+        connection.answered_ms = now_ms
+        connection.used_ms = now_ms
+        connection.request_id = None
+
+    async def drop(self, connection: PooledConnection) -> None:
+        """Close a connection that is of no further use."""
+        open_ones = self._all_by_minion.get(connection.name, [])
+        if connection in open_ones:
+            open_ones.remove(connection)
+        await connection.minion.close()
+
+    def suspect(self, request_id: str) -> tuple[str, ...]:
+        """Suspect the siblings of the silent connection that carries ``request_id``.
+
+        Siblings that were open when the request was sent, and have brought nothing
+        since, are closed if idle; the ids of requests on the others are returned.
+        """
+        silent = self.find(request_id)
+        if silent is None:
+            return ()
+        suspects = [
+            connection
+            for connection in self._all_by_minion.get(silent.name, ())
+            if connection is not silent
+            and connection.opened_ms <= silent.used_ms
+            and (connection.answered_ms or 0) <= silent.used_ms
+        ]
+        for connection in suspects:
+            if connection.request_id is None:
+                self._all_by_minion[silent.name].remove(connection)
+                self._closing.append(connection)
+        return tuple(c.request_id for c in suspects if c.request_id is not None)
+
+    def find(self, request_id: str) -> PooledConnection | None:
+        """Return the connection that carries a request."""
+        for connections in self._all_by_minion.values():
+            for connection in connections:
+                if connection.request_id == request_id:
+                    return connection
+        return None
+
+    async def trim(self, now_ms: int) -> None:
+        """Close suspects, idle ones beyond the limit, and those idle for long."""
+        while self._closing:
+            await self._closing.pop().minion.close()
+        for name in self.minions():
+            excess = self.count(name) - self._limit(name)
+            for connection in sorted(self._idle(name), key=lambda c: c.used_ms):
+                if excess > 0 or connection.used_ms + IDLE_MAX_MS <= now_ms:
+                    excess -= 1
+                    await self.drop(connection)
+
+    async def close(self) -> None:
+        """Close every connection."""
+        for connections in list(self._all_by_minion.values()):
+            for connection in list(connections):
+                await self.drop(connection)
+        await self.trim(0)
+
+    def _idle(self, name: str) -> list[PooledConnection]:
+        return [c for c in self._all_by_minion.get(name, ()) if c.request_id is None]
--- /dev/null
+++ b/ragwortshelf/daemon/dispatcher_heartbeats.py
@@ -0,0 +1,120 @@
+"""Heartbeats that lend shares of slots and spread load reports."""
+
+from __future__ import annotations
+
+import random
+from typing import Protocol
+
+import trio
+
+from ..core.model import InstanceInfo
+from ..core.requests import LoadReport, ShareHeartbeat, ShareKeeper, ShareReply
+from ..net.interfaces import Peers
+from .dispatcher_clock import monotonic_ms
+
+__all__ = ["HEARTBEAT_MS", "Heartbeats"]
+
+HEARTBEAT_MS = 500
+REPLY_TIMEOUT_MS = 1_000
+REMOTE_REPORTS_PER_ROUND = 4
+
+
+class _Service(Protocol):
+    """What heartbeats need of the request service."""
+
+    def load_report(self) -> LoadReport: ...
+
+    def note_peer_load(self, peer: str, load: LoadReport) -> None: ...
+
+    def tokens_in_use_by_minion(self) -> dict[str, int]: ...
+
+
+class Heartbeats:
+    """Exchanges shares within the data centre, and load with a few others."""
+
+    def __init__(
+        self, service: _Service, shares: ShareKeeper, peers: Peers, rng: random.Random
+    ):
+        self._service = service
+        self._shares = shares
+        self._peers = peers
+        self._rng = rng
+        self._known: tuple[str, ...] = ()
+        self._busy: set[str] = set()
+        peers.handle(ShareHeartbeat, self._on_heartbeat)
+        peers.handle(LoadReport, self._on_load)
+
+    def set_instances(self, instances: tuple[InstanceInfo, ...]) -> None:
+        """Take in the names of all listed instances."""
+        if instances:
+            self._known = tuple(info.name for info in instances)
+
+    async def run(self) -> None:
+        """Send heartbeats until cancelled; a slow peer holds up no other."""
+        async with trio.open_nursery() as nursery:
+            while True:
+                for name in self._shares.peers():
+                    nursery.start_soon(self._beat, name)
+                for name in self._remote_sample():
+                    nursery.start_soon(self._report, name)
+                await trio.sleep(HEARTBEAT_MS / 1000)
+
+    async def beat_once(self) -> None:
+        """Send one heartbeat to each instance of the data centre."""
+        async with trio.open_nursery() as nursery:
+            for name in self._shares.peers():
+                nursery.start_soon(self._beat, name)
+
+    def _remote_sample(self) -> list[str]:
+        here = self._shares.members()
+        remote = [name for name in self._known if name not in here]
+        count = min(REMOTE_REPORTS_PER_ROUND, len(remote))
+        return self._rng.sample(remote, count)
+
+    async def _beat(self, name: str) -> None:
+        if name in self._busy:
+            return
+        self._busy.add(name)
+        try:
+            asked_ms = monotonic_ms()
+            load = self._service.load_report()
+            heartbeat = self._shares.heartbeat(name, load, asked_ms)
+            reply = await self._peers.call(
+                name, heartbeat, deadline_ms=asked_ms + REPLY_TIMEOUT_MS
+            )
+            if isinstance(reply, ShareReply):
+                self._shares.note_reply(name, reply, asked_ms, monotonic_ms())
+                self._service.note_peer_load(name, reply.load)
+        finally:
+            self._busy.discard(name)
+
+    async def _report(self, name: str) -> None:
+        if name in self._busy:
+            return
+        self._busy.add(name)
+        try:
+            reply = await self._peers.call(
+                name,
+                self._service.load_report(),
+                deadline_ms=monotonic_ms() + REPLY_TIMEOUT_MS,
+            )
+            if isinstance(reply, LoadReport):
+                self._service.note_peer_load(name, reply)
+        finally:
+            self._busy.discard(name)
+
+    async def _on_heartbeat(self, sender: str, heartbeat: ShareHeartbeat):
+        reply = self._shares.note_heartbeat(
+            sender,
+            heartbeat,
+            self._service.tokens_in_use_by_minion(),
+            self._service.load_report(),
+            monotonic_ms(),
+        )
+        self._service.note_peer_load(sender, heartbeat.load)
+        # An older heartbeat gets a reply that its sender passes over.
+        return ShareReply(-1, -1) if reply is None else reply
+
+    async def _on_load(self, sender: str, load: LoadReport) -> LoadReport:
+        self._service.note_peer_load(sender, load)
+        return self._service.load_report()
--- /dev/null
+++ b/tests/daemon/test_dispatcher.py
@@ -0,0 +1,433 @@
+"""The request service over fake minions and peers, in virtual time."""
+
+import random
+from collections import Counter
+
+import pytest
+import trio
+
+from ragwortshelf.core.model import (
+    Answered,
+    InstanceInfo,
+    MemberState,
+    MinionInfo,
+    NotRun,
+    Reason,
+    Request,
+    RequestClass,
+    Unknown,
+    Unreachable,
+)
+from ragwortshelf.core.requests import MESSAGE_TYPES, ShareSettings
+from ragwortshelf.core.streams import decode, encode
+from ragwortshelf.daemon.dispatcher import RequestService
+from ragwortshelf.net.interfaces import Minion, NotSent, Peers
+
+TYPES_BY_NAME = {cls.__name__: cls for cls in MESSAGE_TYPES}
+SETTINGS = ShareSettings(isolated_slots=0)
+
+
+def now_ms():
+    return int(trio.current_time() * 1000)
+
+
+class FakeMinion:
+    """A minion with slots; faults are attributes that a test sets."""
+
+    def __init__(self, name, data_centre="d1"):
+        self.info = MinionInfo(name, data_centre, "127.0.0.1:1")
+        self.runs_by_id = Counter()
+        self.running = 0
+        self.running_max = 0
+        self.run_ms = 10
+        self.fails = False
+        self.refuses = False
+        self.loses_answers = 0
+        self.silent_opened_before = -1
+        self.connections = 0
+
+
+class FakeConnection(Minion):
+    def __init__(self, minion):
+        self.minion = minion
+        self.opened = trio.current_time()
+        self.is_open = True
+        minion.connections += 1
+
+    async def send(self, request):
+        minion = self.minion
+        if self.opened < minion.silent_opened_before:
+            await trio.sleep_forever()
+        if minion.refuses or minion.running >= 8:
+            return NotSent("refused", is_leaving=True)
+        minion.runs_by_id[request.request_id] += 1
+        minion.running += 1
+        minion.running_max = max(minion.running_max, minion.running)
+        run_ms = dict(request.headers).get("x-run-ms", minion.run_ms)
+        try:
+            await trio.sleep(int(run_ms) / 1000)
+        finally:
+            minion.running -= 1
+        if minion.loses_answers:
+            minion.loses_answers -= 1
+            return Unreachable("lost")
+        if minion.fails:
+            return Answered(500, (), b"")
+        return Answered(200, (), request.request_id.encode())
+
+    async def close(self):
+        if self.is_open:
+            self.is_open = False
+            self.minion.connections -= 1
+
+
+class Net:
+    """Links between instances; messages pass the codec, cut links lose them."""
+
+    def __init__(self):
+        self.handlers_by_name = {}
+        self.cut = set()
+
+    def peers(self, name):
+        return FakePeers(self, name)
+
+
+class FakePeers(Peers):
+    def __init__(self, net, name):
+        self.net, self.name, self.handlers = net, name, {}
+        net.handlers_by_name[name] = self.handlers
+
+    async def call(self, instance, message, *, deadline_ms):
+        await trio.sleep(0.001)
+        handlers = self.net.handlers_by_name.get(instance)
+        if handlers is None or frozenset((self.name, instance)) in self.net.cut:
+            return Unreachable("cut")
+        with trio.move_on_at(deadline_ms / 1000):
+            sent = decode(encode(message), TYPES_BY_NAME)
+            reply = await handlers[type(message)](self.name, sent)
+            return decode(encode(reply), TYPES_BY_NAME)
+        return Unreachable("timeout")
+
+    def handle(self, message_type, handler):
+        self.handlers[message_type] = handler
+
+
+class Cluster:
+    """Instances a1, a2 in d1 and b1 in d2, two minions in each."""
+
+    def __init__(self, nursery, names=("a1", "a2", "b1")):
+        self.nursery = nursery
+        self.net = Net()
+        self.decisions = []
+        self.minion_by_name = {
+            name: FakeMinion(name, f"d{name[1]}")
+            for name in ("m11", "m12", "m21", "m22")
+        }
+        self.service_by_name = {}
+        self.scope_by_name = {}
+        self.infos = [self.info(name) for name in names]
+
+    def info(self, name):
+        return InstanceInfo(name, "d1" if name[0] == "a" else "d2", "", "")
+
+    async def open(self, info, *, deadline_ms):
+        return FakeConnection(self.minion_by_name[info.name])
+
+    async def start(self):
+        for info in self.infos:
+            await self.start_one(info.name)
+        await trio.sleep(12)
+
+    async def start_one(self, name):
+        service = RequestService(
+            name,
+            1,
+            self.info(name).data_centre,
+            self.open,
+            self.net.peers(name),
+            self.decisions.append,
+            random.Random(name),
+            share_settings=SETTINGS,
+        )
+        self.service_by_name[name] = service
+        service.set_minions(tuple(m.info for m in self.minion_by_name.values()))
+        scope = self.scope_by_name[name] = trio.CancelScope()
+
+        async def run(task_status):
+            with scope:
+                await service.run(task_status=task_status)
+
+        await self.nursery.start(run)
+        self.nursery.start_soon(self.follow_list, name, scope)
+        return service
+
+    async def follow_list(self, name, scope):
+        while not scope.cancel_called:
+            self.service_by_name[name].set_instances(tuple(self.infos))
+            await trio.sleep(0.5)
+
+    def kill(self, name):
+        self.scope_by_name[name].cancel()
+        del self.net.handlers_by_name[name]
+
+
+@pytest.fixture
+async def cluster(nursery):
+    cluster = Cluster(nursery)
+    await cluster.start()
+    return cluster
+
+
+def request(request_id, *, idempotent=False, in_ms=2_000, run_ms=10, **kwargs):
+    return Request(
+        request_id,
+        "o",
+        idempotent,
+        now_ms() + in_ms,
+        headers=(("x-run-ms", str(run_ms)),),
+        **kwargs,
+    )
+
+
+def runs(cluster, request_id):
+    return sum(m.runs_by_id[request_id] for m in cluster.minion_by_name.values())
+
+
+def own_id(service):
+    return service.reserve_ids(1)[0]
+
+
+async def test_request_is_answered_with_a_logged_reason(cluster, autojump_clock):
+    service = cluster.service_by_name["a1"]
+    key = own_id(service)
+    outcome = await service.submit(request(key))
+    assert outcome == Answered(200, (), key.encode())
+    (decision,) = [d for d in cluster.decisions if d.subject == key]
+    assert decision.kind == "route_request"
+    assert decision.choice in ("m11", "m12")
+    assert decision.passed_over
+
+
+async def test_two_instances_stay_within_the_slots_under_load(cluster, autojump_clock):
+    services = [cluster.service_by_name[name] for name in ("a1", "a2")]
+    outcomes = []
+
+    async def one(service):
+        key = own_id(service)
+        outcomes.append(await service.submit(request(key, in_ms=60_000, run_ms=50)))
+
+    async with trio.open_nursery() as nursery:
+        for index in range(400):
+            nursery.start_soon(one, services[index % 2])
+    assert Counter(type(o) for o in outcomes) == {Answered: 400}
+    own = [cluster.minion_by_name[n] for n in ("m11", "m12")]
+    assert [m.running_max for m in own] == [8, 8]
+    assert all(m.connections <= 64 for m in own)
+    assert sum(m.runs_by_id.total() for m in cluster.minion_by_name.values()) == 400
+
+
+async def test_busy_data_centre_spills_to_another_one(cluster, autojump_clock):
+    service = cluster.service_by_name["a1"]
+    async with trio.open_nursery() as nursery:
+        for _ in range(30):
+            nursery.start_soon(service.submit, request(own_id(service), run_ms=900))
+    far = [cluster.minion_by_name[n].runs_by_id.total() for n in ("m21", "m22")]
+    assert sum(far) >= 3
+    assert any("own minions" in str(d.passed_over) for d in cluster.decisions)
+
+
+async def test_retry_at_another_instance_gets_the_first_answer(cluster, autojump_clock):
+    a1, b1 = cluster.service_by_name["a1"], cluster.service_by_name["b1"]
+    key = own_id(a1)
+    outcomes = []
+
+    async def ask(service):
+        outcomes.append(await service.submit(request(key, run_ms=100)))
+
+    async with trio.open_nursery() as nursery:
+        nursery.start_soon(ask, a1)
+        nursery.start_soon(ask, b1)
+    await ask(b1)
+    assert outcomes == [Answered(200, (), key.encode())] * 3
+    assert runs(cluster, key) == 1
+
+
+async def test_lost_answer_of_a_posting_is_unknown_and_never_resent(
+    cluster, autojump_clock
+):
+    service = cluster.service_by_name["a1"]
+    for minion in cluster.minion_by_name.values():
+        minion.loses_answers = 1
+    key = own_id(service)
+    for _ in range(2):
+        outcome = await service.submit(request(key))
+        assert isinstance(outcome, Unknown)
+    assert runs(cluster, key) == 1
+
+
+async def test_lost_answer_of_an_idempotent_request_is_retried(cluster, autojump_clock):
+    service = cluster.service_by_name["a1"]
+    for name in ("m11", "m12"):
+        cluster.minion_by_name[name].loses_answers = 1
+    outcome = await service.submit(request(own_id(service), idempotent=True))
+    assert isinstance(outcome, Answered)
+
+
+async def test_dead_owner_makes_a_posting_unknown_and_a_query_run(
+    cluster, autojump_clock
+):
+    key, query = cluster.service_by_name["a1"].reserve_ids(2)
+    cluster.kill("a1")
+    service = cluster.service_by_name["a2"]
+    assert await service.submit(request(key)) == Unknown(
+        Reason.OWNER_UNREACHABLE, "the owner of the id did not answer"
+    )
+    assert isinstance(await service.submit(request(query, idempotent=True)), Answered)
+    assert runs(cluster, key) == 0
+
+
+async def test_planned_stop_refuses_first_finishes_and_hands_over(
+    cluster, autojump_clock
+):
+    a1 = cluster.service_by_name["a1"]
+    running, unused, late = a1.reserve_ids(3)
+    outcomes = {}
+
+    async def ask(name, service, key):
+        outcomes[name] = await service.submit(request(key, run_ms=500))
+
+    async with trio.open_nursery() as nursery:
+        nursery.start_soon(ask, "running", a1, running)
+        await trio.sleep(0.1)
+        nursery.start_soon(a1.drain)
+        await trio.sleep(0.1)
+        nursery.start_soon(ask, "late", a1, late)
+        await trio.sleep(0.1)
+        assert outcomes["late"].reason is Reason.DRAINING
+    assert isinstance(outcomes["running"], Answered)
+    cluster.kill("a1")
+    for name in ("a2", "b1"):
+        service = cluster.service_by_name[name]
+        assert await service.submit(request(running)) == outcomes["running"]
+        refused = await service.submit(request(unused))
+        assert isinstance(refused, NotRun) and refused.retry_after_ms == 0
+    assert runs(cluster, running) == 1
+    await trio.sleep(1)
+    assert cluster.service_by_name["a2"].slots_by_minion()["m11"] == 8
+
+
+async def test_leaving_minion_gets_nothing_new(cluster, autojump_clock):
+    leaving = cluster.minion_by_name["m11"]
+    infos = [m.info for m in cluster.minion_by_name.values()]
+    infos[0] = MinionInfo("m11", "d1", "127.0.0.1:1", state=MemberState.LEAVING)
+    service = cluster.service_by_name["a1"]
+    service.set_minions(tuple(infos))
+    for _ in range(20):
+        await service.submit(request(own_id(service)))
+    assert leaving.runs_by_id.total() == 0
+    service.set_minions(())  # a list that vanishes leaves the pool as it was
+    assert isinstance(await service.submit(request(own_id(service))), Answered)
+    assert leaving.runs_by_id.total() == 0
+
+
+async def test_refusal_with_proof_goes_elsewhere(cluster, autojump_clock):
+    cluster.minion_by_name["m11"].refuses = True
+    service = cluster.service_by_name["a1"]
+    for _ in range(20):
+        assert isinstance(await service.submit(request(own_id(service))), Answered)
+
+
+async def test_minion_that_fails_everything_is_ejected_and_returns(
+    cluster, autojump_clock
+):
+    bad = cluster.minion_by_name["m11"]
+    bad.fails = True
+    service = cluster.service_by_name["a1"]
+    for _ in range(40):
+        await service.submit(request(own_id(service), idempotent=True))
+    assert service.ejected_minions() == {"m11"}
+    before = bad.runs_by_id.total()
+    outcomes = [await service.submit(request(own_id(service))) for _ in range(10)]
+    assert {o.status for o in outcomes} == {200}
+    assert bad.runs_by_id.total() == before
+    bad.fails = False
+    for _ in range(20):
+        await trio.sleep(0.2)
+        await service.submit(request(own_id(service), idempotent=True))
+    assert service.ejected_minions() == set()
+
+
+async def test_not_all_minions_are_ejected(cluster, autojump_clock):
+    for minion in cluster.minion_by_name.values():
+        minion.fails = True
+    service = cluster.service_by_name["a1"]
+    for _ in range(60):
+        await service.submit(request(own_id(service), idempotent=True, in_ms=500))
+    assert len(service.ejected_minions()) == 1
+
+
+async def test_silent_connections_are_replaced_and_the_minion_stays(
+    cluster, autojump_clock
+):
+    service = cluster.service_by_name["a1"]
+
+    async def ask():
+        quick = RequestClass.QUICK
+        key = own_id(service)
+        outcomes.append(
+            await service.submit(
+                request(key, idempotent=True, in_ms=4_000, request_class=quick)
+            )
+        )
+
+    outcomes = []
+    for _ in range(2):
+        async with trio.open_nursery() as nursery:
+            for _ in range(8):
+                nursery.start_soon(ask)
+        for name in ("m11", "m12"):
+            minion = cluster.minion_by_name[name]
+            minion.silent_opened_before = trio.current_time()
+    started = trio.current_time()
+    outcomes.clear()
+    for _ in range(8):
+        await ask()
+    assert all(isinstance(o, Answered) for o in outcomes)
+    assert trio.current_time() - started < 3
+    assert service.ejected_minions() == set()
+
+
+async def test_long_request_is_not_mistaken_for_silence(cluster, autojump_clock):
+    service = cluster.service_by_name["a1"]
+    key = own_id(service)
+    outcome = await service.submit(
+        request(key, in_ms=60_000, run_ms=50_000, request_class=RequestClass.LONG)
+    )
+    assert isinstance(outcome, Answered)
+    assert runs(cluster, key) == 1
+
+
+async def test_caller_that_leaves_releases_what_it_held(cluster, autojump_clock):
+    service = cluster.service_by_name["a1"]
+    key = own_id(service)
+    with trio.move_on_after(0.2):
+        await service.submit(request(key, run_ms=1_500))
+    await trio.sleep(0.01)
+    assert service.load_report().in_flight_by_minion == {}
+    assert isinstance(await service.submit(request(key)), Unknown)
+    assert runs(cluster, key) == 1
+
+
+async def test_deadline_gives_the_final_answer_at_once(cluster, autojump_clock):
+    service = cluster.service_by_name["a1"]
+    started = trio.current_time()
+    outcome = await service.submit(request(own_id(service), in_ms=300, run_ms=5_000))
+    assert isinstance(outcome, Unknown)
+    assert trio.current_time() - started <= 0.301
+
+
+async def test_ids_that_were_never_reserved_are_refused(cluster, autojump_clock):
+    service = cluster.service_by_name["a1"]
+    for key in ("a1.1.999", "a1.1.0", "nonsense", "a1.x.1"):
+        outcome = await service.submit(request(key))
+        assert (outcome.reason, outcome.retry_after_ms) == (Reason.INVALID, None)
