--- /dev/null
+++ b/benchmarks/control_in_force.py
@@ -0,0 +1,198 @@
+"""Time from a note's acceptance until it is in force on every instance.
+
+Instances read the log by long polls with the daemon's waits and retries, in virtual
+time; notes are folded by the real fold. A poll that a cut catches hangs until its
+timeout, as does one that begins during the cut; in an outage of the log the answer is a
+refusal at once, and a note is accepted by the first try after it.
+"""
+
+from __future__ import annotations
+
+import heapq
+import itertools
+import json
+import random
+from collections.abc import Callable, Iterator
+from dataclasses import dataclass, field
+
+from ragwortshelf.core.releases import Accepted, ReleaseState, fold
+from ragwortshelf.core.streams import ReleaseSubmitted
+
+__all__ = ["measure_in_force"]
+
+DAY_MS = 86_400_000
+SIMULATED_MS = 4 * 3_600_000
+POLL_WAIT_MS = 2_000
+POLL_TIMEOUT_MS = 7_000
+FIRST_RETRY_MS = 100
+LONGEST_RETRY_MS = 5_000
+LATENCY_MS = 1
+SUBMIT_RETRY_MS = 1_000
+BUDGET_MS = 20_000
+
+
+@dataclass(frozen=True, slots=True)
+class _Scenario:
+    name: str
+    data_centres: int
+    instances_per_data_centre: int
+    notes_a_day: int
+    outage: range = range(0)
+    cut_off: range = range(0)
+
+
+HOUR_MS = 3_600_000
+SCENARIOS = (
+    _Scenario("today", 3, 2, 20),
+    _Scenario("two_years", 6, 4, 640),
+    _Scenario("two_years_outage", 6, 4, 640, outage=range(HOUR_MS, 2 * HOUR_MS)),
+    _Scenario(
+        "two_years_partition",
+        6,
+        4,
+        640,
+        cut_off=range(HOUR_MS, HOUR_MS + 600_000),
+    ),
+)
+
+
+@dataclass(eq=False)
+class _Instance:
+    data_centre: int
+    state: ReleaseState = field(default_factory=ReleaseState)
+    failures: int = 0
+    waiting_poll: int | None = None
+
+
+class _Run:
+    """One scenario in virtual time."""
+
+    def __init__(self, scenario: _Scenario, seed: int):
+        self.scenario = scenario
+        self.now_ms = 0
+        self.rng = random.Random(seed)
+        self.records: list[ReleaseSubmitted] = []
+        self.accepted_ms: list[int] = []
+        self.delays_ms: list[int] = []
+        self.after_heal_ms: list[int] = []
+        self.instances = [
+            _Instance(data_centre)
+            for data_centre in range(scenario.data_centres)
+            for _ in range(scenario.instances_per_data_centre)
+        ]
+        self._numbers = itertools.count()
+        self._agenda: list[tuple[int, int, Callable[[], None]]] = []
+
+    def run(self) -> None:
+        for instance in self.instances:
+            self._after(self.rng.randrange(1_000), lambda i=instance: self._poll(i))
+        mean_ms = DAY_MS / self.scenario.notes_a_day
+        at_ms = self.rng.expovariate(1 / mean_ms)
+        while at_ms < SIMULATED_MS:
+            self._after(int(at_ms), self._submit)
+            at_ms += self.rng.expovariate(1 / mean_ms)
+        while self._agenda and self.now_ms < SIMULATED_MS + HOUR_MS // 2:
+            self.now_ms, _, action = heapq.heappop(self._agenda)
+            action()
+        assert len({i.state.configuration.revision for i in self.instances}) == 1
+        assert len(self.delays_ms) == len(self.records) * len(self.instances)
+
+    def _after(self, delay_ms: int, action: Callable[[], None]) -> None:
+        entry = (self.now_ms + delay_ms, next(self._numbers), action)
+        heapq.heappush(self._agenda, entry)
+
+    def _is_cut(self, instance: _Instance) -> bool:
+        return instance.data_centre == 0 and self.now_ms in self.scenario.cut_off
+
+    def _submit(self) -> None:
+        if self.now_ms in self.scenario.outage:
+            self._after(SUBMIT_RETRY_MS, self._submit)
+            return
+        offset = len(self.records)
+        kind = "changed" if offset else "added"
+        note = {
+            "note_id": f"n{offset}",
+            "against_revision": offset - 1,
+            "author": "operator",
+            "rules": {kind: {"retry_budget": offset % 10 / 10}},
+        }
+        record = ReleaseSubmitted(f"n{offset}", "operator", json.dumps(note), 0)
+        self.records.append(record)
+        self.accepted_ms.append(self.now_ms)
+        for instance in self.instances:
+            if instance.waiting_poll is not None and not self._is_cut(instance):
+                self._answer(instance, instance.waiting_poll)
+
+    def _poll(self, instance: _Instance) -> None:
+        if self._is_cut(instance):
+            self._after(POLL_TIMEOUT_MS, lambda: self._fail(instance))
+        elif self.now_ms in self.scenario.outage:
+            self._after(2 * LATENCY_MS, lambda: self._fail(instance))
+        elif instance.state.next_offset < len(self.records):
+            self._answer(instance, None)
+        else:
+            number = next(self._numbers)
+            instance.waiting_poll = number
+            self._after(POLL_WAIT_MS, lambda: self._answer(instance, number))
+
+    def _answer(self, instance: _Instance, poll: int | None) -> None:
+        """The log answers a poll, unless that has been answered before."""
+        if poll is not None and instance.waiting_poll != poll:
+            return
+        instance.waiting_poll = None
+        if self._is_cut(instance):
+            hung_ms = POLL_TIMEOUT_MS - POLL_WAIT_MS
+            self._after(hung_ms, lambda: self._fail(instance))
+            return
+        instance.failures = 0
+        self._after(2 * LATENCY_MS, lambda: self._apply(instance))
+
+    def _apply(self, instance: _Instance) -> None:
+        while instance.state.next_offset < len(self.records):
+            offset = instance.state.next_offset
+            instance.state, verdict = fold(instance.state, offset, self.records[offset])
+            assert verdict == Accepted(offset)
+            self.delays_ms.append(self.now_ms - self.accepted_ms[offset])
+            healed_ms = self.scenario.cut_off.stop
+            if instance.data_centre == 0 and self.accepted_ms[offset] in (
+                self.scenario.cut_off
+            ):
+                self.after_heal_ms.append(self.now_ms - healed_ms)
+        self._poll(instance)
+
+    def _fail(self, instance: _Instance) -> None:
+        instance.failures += 1
+        doubled_ms = FIRST_RETRY_MS << min(instance.failures, 10)
+        longest_ms = min(doubled_ms, LONGEST_RETRY_MS)
+        wait_ms = self.rng.randint(FIRST_RETRY_MS // 2, longest_ms)
+        self._after(wait_ms, lambda: self._poll(instance))
+
+
+def measure_in_force(seed: int) -> Iterator[dict]:
+    """Yield the times to in force of each scenario."""
+    for scenario in SCENARIOS:
+        run = _Run(scenario, seed)
+        run.run()
+        line = {
+            "measure": "time_to_in_force",
+            "scenario": scenario.name,
+            "instances": len(run.instances),
+            "notes": len(run.records),
+            **_percentiles(run.delays_ms),
+        }
+        if run.after_heal_ms:
+            healed = _percentiles(run.after_heal_ms)
+            line |= {f"after_heal_{key}": value for key, value in healed.items()}
+            line["is_within_budget"] = max(run.after_heal_ms) <= BUDGET_MS
+        else:
+            line["is_within_budget"] = max(run.delays_ms) <= BUDGET_MS
+        yield line
+
+
+def _percentiles(values: list[int]) -> dict[str, int]:
+    ordered = sorted(values)
+    return {
+        "p50_ms": ordered[len(ordered) // 2],
+        "p99_ms": ordered[int((len(ordered) - 1) * 0.99)],
+        "max_ms": ordered[-1],
+    }
