--- a/ragwortshelf/core/releases/__init__.py
+++ b/ragwortshelf/core/releases/__init__.py
@@ -4,7 +4,7 @@
 and ``ReleaseState`` holds the configuration in force with its history.
 """
 
-from .fold import MAX_NOTES_KEPT, fold
+from .fold import MAX_NOTES_KEPT, fold, verdict_at
 from .note import (
     NOTE_FORMAT,
     Changes,
@@ -37,6 +37,7 @@
 __all__ = [
     "MAX_NOTES_KEPT",
     "fold",
+    "verdict_at",
     "NOTE_FORMAT",
     "Changes",
     "DataCentreChange",
--- a/ragwortshelf/core/releases/fold.py
+++ b/ragwortshelf/core/releases/fold.py
@@ -27,7 +27,7 @@
     Verdict,
 )
 
-__all__ = ["MAX_NOTES_KEPT", "MAX_WITHDRAWN_KEPT", "fold"]
+__all__ = ["MAX_NOTES_KEPT", "MAX_WITHDRAWN_KEPT", "fold", "verdict_at"]
 
 MAX_NOTES_KEPT = 2_048
 """Judged notes that the state remembers, over three days at 640 notes a day."""
@@ -45,26 +45,27 @@
     """
     if state.is_halted:
         return state, Halted(state.halted_format)
-    entry = state.entry_by_note_id.get(record.note_id)
     if offset < state.next_offset:
-        return state, _verdict_again(state, offset, record)
-    digest = _digest(record)
+        return state, verdict_at(state, offset, record)
     advanced = dataclasses.replace(state, next_offset=offset + 1)
-    if entry is not None:
-        if entry.digest == digest:
-            return advanced, Duplicate(entry.offset)
-        return advanced, Refused(RefusalReason.NOTE_ID_REUSED)
+    if record.note_id in state.entry_by_note_id:
+        return advanced, verdict_at(advanced, offset, record)
     newer_format = unsupported_format(record.note_json)
     if newer_format is not None:
         halted = dataclasses.replace(state, halted_format=newer_format)
         return halted, Halted(newer_format)
-    return _judge_first(advanced, offset, record, digest)
+    return _judge_first(advanced, offset, record)
 
 
-def _verdict_again(state, offset, record):
+def verdict_at(state: ReleaseState, offset: int, record: ReleaseSubmitted) -> Verdict:
+    """Return the verdict of a record that was folded before, at its offset."""
+    if state.is_halted:
+        return Halted(state.halted_format)
     entry = state.entry_by_note_id.get(record.note_id)
     if entry is None:
         return Refused(RefusalReason.TOO_OLD)
+    if entry.digest != _digest(record):
+        return Refused(RefusalReason.NOTE_ID_REUSED)
     return entry.verdict if entry.offset == offset else Duplicate(entry.offset)
 
 
@@ -73,7 +74,7 @@
     return hashlib.sha256(text).digest()[:16]
 
 
-def _judge_first(state, offset, record, digest):
+def _judge_first(state, offset, record):
     note = parse_note(record.note_json, "json")
     configuration = state.configuration
     if isinstance(note, ReleaseNote):
@@ -93,7 +94,7 @@
         note.purpose if is_note else "",
         offset,
         note.against_revision if is_note else NO_REVISION,
-        digest,
+        _digest(record),
         record.submitted_wall_ms,
         touched_objects(note) if is_note else (),
         accepted=refusal is None,
@@ -102,7 +103,9 @@
     state = _remember(state, entry)
     if refusal is not None:
         return state, refusal
-    state = dataclasses.replace(state, configuration=configuration)
+    state = dataclasses.replace(
+        state, configuration=configuration, format=max(state.format, note.format)
+    )
     return _record_changes(state, entry), Accepted(offset)
 
 
--- a/ragwortshelf/core/releases/state.py
+++ b/ragwortshelf/core/releases/state.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import dataclasses
 import enum
 import zlib
 from collections.abc import Mapping
@@ -9,7 +10,7 @@
 
 from ..model import NO_REVISION, Configuration
 from ..streams.codec import Undecodable, decode, encode
-from .note import Fault
+from .note import NOTE_FORMAT, Fault
 
 __all__ = [
     "Accepted",
@@ -122,7 +123,7 @@
     ``entry_by_note_id`` holds the newest judged notes in the order of their offsets.
     A note against a revision below ``oldest_revision`` is refused as too old unless
     that revision is still in force: the fold has forgotten what a repeat or a
-    conflict would be told by.
+    conflict would be told by. ``format`` is the newest format of a note in force.
     """
 
     next_offset: int = 0
@@ -130,6 +131,7 @@
     last_change_by_object: Mapping[str, LastChange] = field(default_factory=dict)
     entry_by_note_id: Mapping[str, NoteEntry] = field(default_factory=dict)
     oldest_revision: int = NO_REVISION
+    format: int = NOTE_FORMAT
     halted_format: int | None = None
 
     @property
@@ -157,21 +159,23 @@
 
 def snapshot(state: ReleaseState) -> bytes:
     """Encode the state; a halted one is encoded as it was before it halted."""
-    kept = ReleaseState(
-        state.next_offset,
-        state.configuration,
-        state.last_change_by_object,
-        state.entry_by_note_id,
-        state.oldest_revision,
-    )
+    kept = dataclasses.replace(state, halted_format=None)
     return zlib.compress(encode(_Snapshot(kept)))
 
 
 def restore(data: bytes) -> ReleaseState | Undecodable:
-    """Decode a state that ``snapshot`` encoded, at this or a neighbouring version."""
+    """Decode a state that ``snapshot`` encoded, at this or a neighbouring version.
+
+    A state with notes of a newer format is ``Undecodable``: fields of it that are
+    unknown here would be lost, and with them what is in force.
+    """
     try:
         plain = zlib.decompress(data)
     except zlib.error as error:
         return Undecodable(f"not compressed: {error}")
     message = decode(plain, {"_Snapshot": _Snapshot})
-    return message if isinstance(message, Undecodable) else message.state
+    if isinstance(message, Undecodable):
+        return message
+    if message.state.format > NOTE_FORMAT:
+        return Undecodable(f"a state with notes of format {message.state.format}")
+    return message.state
--- a/ragwortshelf/core/streams/records.py
+++ b/ragwortshelf/core/streams/records.py
@@ -151,7 +151,10 @@
 
 @dataclass(frozen=True, slots=True)
 class SnapshotChunk:
-    """One part of a snapshot of ``stream`` up to but excluding ``covers_offset``."""
+    """One part of a snapshot of ``stream`` up to but excluding ``covers_offset``.
+
+    ``written_wall_ms`` is when it was taken, in milliseconds since the epoch.
+    """
 
     stream: str
     covers_offset: int
@@ -159,6 +162,7 @@
     index: int
     total: int
     data: bytes
+    written_wall_ms: int = 0
 
 
 Record = (
--- /dev/null
+++ b/ragwortshelf/daemon/streams_commits.py
@@ -0,0 +1,203 @@
+"""Appending records in groups, and finding out about answers that were lost."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+
+import trio
+
+from ..core.model import NotRun, Reason, Unreachable
+from ..core.streams import (
+    AppendSearch,
+    Batch,
+    Full,
+    GroupCommitter,
+    LogHealth,
+    SearchResult,
+)
+from ..net.interfaces import Appended, LogService, Page, Truncated
+from .streams_fold import Clock
+
+__all__ = ["Commits"]
+
+SEARCH_PAGE_RECORDS = 500
+LOG_RETRY_AFTER_MS = 5_000
+
+Outcome = Appended | Unreachable | NotRun
+
+
+class _Waiter:
+    """One caller that waits for its record."""
+
+    def __init__(self):
+        self.done = trio.Event()
+        self.outcome: Outcome | None = None
+
+    def finish(self, outcome):
+        if self.outcome is None:
+            self.outcome = outcome
+            self.done.set()
+
+
+class Commits:
+    """Carries out the batches of a ``GroupCommitter``.
+
+    ``known_end`` returns an offset of a stream that is at or before its end; a search
+    for a lost append starts there.
+    """
+
+    def __init__(
+        self,
+        log: LogService,
+        committer: GroupCommitter,
+        health: LogHealth,
+        clock: Clock,
+        known_end: Callable[[str], int],
+    ):
+        self._log = log
+        self._committer = committer
+        self._health = health
+        self._clock = clock
+        self._known_end = known_end
+        self._waiter_by_ticket: dict[int, _Waiter] = {}
+        self._work = trio.Event()
+
+    def is_up(self) -> bool:
+        """Whether appends are worth trying."""
+        return self._health.may_try(self._clock.now_ms())
+
+    async def append(
+        self, stream: str, data: bytes, *, deadline_ms: int | None, is_kept: bool
+    ) -> Outcome:
+        """Queue a record and wait for its append."""
+        if not is_kept and not self.is_up():
+            return _log_unavailable()
+        queued = self._committer.offer(stream, data, is_kept=is_kept)
+        if isinstance(queued, Full):
+            return NotRun(
+                Reason.QUEUE_FULL,
+                f"appends to {stream}",
+                retry_after_ms=queued.retry_after_ms,
+            )
+        waiter = _Waiter()
+        self._waiter_by_ticket[queued.ticket] = waiter
+        self._wake()
+        try:
+            with trio.move_on_at(_deadline_s(deadline_ms)):
+                await waiter.done.wait()
+        finally:
+            # Also when the caller is cancelled, nobody waits any more.
+            self._waiter_by_ticket.pop(queued.ticket, None)
+            if waiter.outcome is None:
+                waiter.finish(self._give_up(queued.ticket))
+        return waiter.outcome
+
+    def _give_up(self, ticket):
+        if self._committer.give_up(ticket):
+            return NotRun(
+                Reason.LOG_UNAVAILABLE,
+                "the log did not take the record in time",
+                retry_after_ms=LOG_RETRY_AFTER_MS,
+            )
+        return Unreachable("the record may be in the log or may get there yet")
+
+    async def run(self) -> None:
+        """Append batches, at most one of each stream at a time."""
+        async with trio.open_nursery() as nursery:
+            while True:
+                work = self._work
+                batch = self._committer.next_batch(self._clock.now_ms())
+                if isinstance(batch, Batch):
+                    nursery.start_soon(self._commit, batch)
+                    continue
+                with trio.move_on_at(_deadline_s(batch)):
+                    await work.wait()
+
+    async def _commit(self, batch):
+        from_offset = self._known_end(batch.stream)
+        answer = await self._log.append(batch.stream, batch.records)
+        if isinstance(answer, Appended):
+            self._health.on_answer()
+            first = answer.first_offset
+            self._finish(batch, tuple(range(first, first + len(batch.records))))
+            return
+        self._note_failure()
+        offsets = None
+        if answer.may_have_applied:
+            offsets = await self._search(batch, from_offset)
+        else:
+            await self._pause()
+        if offsets is not None:
+            self._finish(batch, offsets)
+            return
+        self._committer.on_not_in_log(
+            batch.stream, may_have_applied=answer.may_have_applied
+        )
+        self._refuse_unsent_if_down()
+        self._wake()
+
+    async def _search(self, batch, from_offset):
+        """Read on until the batch is found, or is not in the log; None is the latter.
+
+        The first read starts after the answer was lost. While the log does not answer
+        at all, nothing can be said and the search goes on.
+        """
+        search = AppendSearch(batch.records, from_offset)
+        while True:
+            page = await self._log.read(
+                batch.stream,
+                search.next_offset,
+                limit=SEARCH_PAGE_RECORDS,
+                wait_ms=0,
+            )
+            if isinstance(page, Truncated):
+                search.on_truncated(page.first_available)
+            elif isinstance(page, Page):
+                result = search.on_page(
+                    page.first_offset, page.records, page.end_offset
+                )
+                if result is SearchResult.FOUND:
+                    return search.offsets
+                if result is SearchResult.MISSING:
+                    return None
+            else:
+                self._note_failure()
+                await self._pause()
+
+    def _note_failure(self):
+        self._health.on_failure(self._clock.now_ms())
+        self._refuse_unsent_if_down()
+
+    async def _pause(self):
+        await trio.sleep(self._health.retry_delay_ms() / 1000)
+
+    def _finish(self, batch, offsets):
+        self._committer.on_done(batch.stream)
+        for ticket, offset in zip(batch.tickets, offsets, strict=True):
+            waiter = self._waiter_by_ticket.get(ticket)
+            if waiter is not None:
+                waiter.finish(Appended(offset, 1))
+        self._wake()
+
+    def _refuse_unsent_if_down(self):
+        """Answer those at once whose records were not sent, if the log is out."""
+        if self.is_up():
+            return
+        for ticket in self._committer.withdraw_unsent():
+            waiter = self._waiter_by_ticket.get(ticket)
+            if waiter is not None:
+                waiter.finish(_log_unavailable())
+
+    def _wake(self):
+        self._work.set()
+        self._work = trio.Event()
+
+
+def _log_unavailable():
+    return NotRun(
+        Reason.LOG_UNAVAILABLE, "the log is out", retry_after_ms=LOG_RETRY_AFTER_MS
+    )
+
+
+def _deadline_s(deadline_ms):
+    return float("inf") if deadline_ms is None else deadline_ms / 1000
--- /dev/null
+++ b/ragwortshelf/daemon/streams_following.py
@@ -0,0 +1,162 @@
+"""Following one stream of the log: long polls, catching up, gaps and outages."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+
+import trio
+from absl import logging
+
+from ..core.streams import (
+    LogHealth,
+    Record,
+    Skipped,
+    SnapshotReader,
+    StreamFollower,
+)
+from ..net.interfaces import LogService, Page, Truncated
+from .streams_fold import Clock, Fold
+
+__all__ = ["FollowedStream"]
+
+PAGE_RECORDS = 500
+POLL_WAIT_MS = 2_000
+RECORDS_BETWEEN_YIELDS = 50
+GAP_RETRY_S = 1.0
+SKIPS_LOGGED = 20
+
+
+class FollowedStream:
+    """One stream, the fold it feeds, and those who wait for or listen to it."""
+
+    def __init__(
+        self,
+        log: LogService,
+        stream: str,
+        fold: Fold,
+        health: LogHealth,
+        clock: Clock,
+        snapshots: SnapshotReader,
+        *,
+        skips_gaps: bool = False,
+    ):
+        """``skips_gaps`` is for a stream whose older records nobody needs."""
+        self.fold = fold
+        self.follower = StreamFollower(stream)
+        self.on_record: list[Callable[[int, Record], None]] = []
+        self.on_restored: list[Callable[[int], None]] = []
+        self._log = log
+        self._health = health
+        self._clock = clock
+        self._snapshots = snapshots
+        self._skips_gaps = skips_gaps
+        self._moved = trio.Event()
+        self._is_log_back_logged = False
+
+    @property
+    def stream(self) -> str:
+        """Name of the stream."""
+        return self.follower.stream
+
+    async def run(self) -> None:
+        """Read for as long as the daemon runs."""
+        while True:
+            await self.read_once(POLL_WAIT_MS)
+
+    async def read_once(self, wait_ms: int) -> bool:
+        """Read and apply one page; returns whether the log answered."""
+        answer = await self._log.read(
+            self.stream,
+            self.follower.next_offset,
+            limit=PAGE_RECORDS,
+            wait_ms=wait_ms,
+        )
+        if isinstance(answer, Page):
+            self._health.on_answer()
+            await self._apply_page(answer)
+        elif isinstance(answer, Truncated):
+            self._health.on_answer()
+            self.follower.saw_truncation(answer.first_available, answer.end_offset)
+        else:
+            self._health.on_failure(self._clock.now_ms())
+            await trio.sleep(self._health.retry_delay_ms() / 1000)
+            return False
+        if self.follower.is_missing_records:
+            await self._close_gap()
+        return True
+
+    def restore(self, next_offset: int, data: bytes) -> bool:
+        """Take a state that covers more than the present one; False if it does not."""
+        if next_offset <= self.follower.next_offset or not self.fold.restore(data):
+            return False
+        self.follower.move_to(next_offset)
+        for callback in self.on_restored:
+            callback(next_offset)
+        self._wake()
+        return True
+
+    def restore_newest(self) -> bool:
+        """Take the newest whole snapshot of the log, if it is ahead."""
+        newest = self._snapshots.newest_by_stream.get(self.stream)
+        return newest is not None and self.restore(newest.covers_offset, newest.data)
+
+    async def wait_past(self, offset: int) -> None:
+        """Wait until the record at ``offset`` has been applied."""
+        while self.follower.next_offset <= offset:
+            await self._moved.wait()
+
+    async def _apply_page(self, page):
+        taken = self.follower.take(page.first_offset, page.records, page.end_offset)
+        for applied, item in enumerate(taken, 1):
+            if isinstance(item, Skipped):
+                self._log_skipped(item)
+            else:
+                self.fold.apply(item.offset, item.record)
+                for callback in self.on_record:
+                    callback(item.offset, item.record)
+            if applied % RECORDS_BETWEEN_YIELDS == 0:
+                # Catching up leaves the loop to live work between small steps.
+                self._wake()
+                await trio.lowlevel.checkpoint()
+        self._log_if_gone_back()
+        self._wake()
+        if not page.records:
+            # A log that answers empty pages at once must not hold the loop.
+            await trio.lowlevel.checkpoint()
+
+    async def _close_gap(self):
+        if self._skips_gaps:
+            self.follower.move_to(self.follower.first_available)
+            return
+        if not self.restore_newest():
+            logging.warning(
+                "stream %s: records from %d to %d are past retention",
+                self.stream,
+                self.follower.next_offset,
+                self.follower.first_available,
+            )
+        if self.follower.is_missing_records:
+            await trio.sleep(GAP_RETRY_S)
+
+    def _log_skipped(self, skipped):
+        if self.follower.skipped <= SKIPS_LOGGED:
+            logging.error(
+                "stream %s: record %d is skipped: %s",
+                self.stream,
+                skipped.offset,
+                skipped.detail,
+            )
+
+    def _log_if_gone_back(self):
+        if self.follower.has_log_gone_back and not self._is_log_back_logged:
+            self._is_log_back_logged = True
+            logging.error(
+                "stream %s ends at %d, before the applied offset %d",
+                self.stream,
+                self.follower.end_offset,
+                self.follower.next_offset,
+            )
+
+    def _wake(self):
+        self._moved.set()
+        self._moved = trio.Event()
