--- a/ragwortshelf/core/releases/note.py
+++ b/ragwortshelf/core/releases/note.py
@@ -104,7 +104,7 @@
     """Objects that the note touches, each as ``kind.name``.
 
     >>> from ragwortshelf.core.model import Rule
-    >>> rules = Changes(added_by_name={"retry_budget": Rule("retry_budget", 0.2)})
+    >>> rules = Changes(added_by_name={"retry_budget": Rule("retry_budget", 2)})
     >>> touched_objects(ReleaseNote("n1", -1, "ayse", rules=rules))
     ('rules.retry_budget',)
     """
--- a/ragwortshelf/core/releases/rules.py
+++ b/ragwortshelf/core/releases/rules.py
@@ -59,51 +59,52 @@
         1_000,
     ),
     RuleSpec(
-        "overtime_factor",
+        "time_throttle_factor",
         float,
-        4.0,
-        "Multiple of its declared run time after which a job is overdue.",
-        1,
+        0.0,
+        "Multiple of its declared run time after which a job is throttled; 0 never.",
+        0,
         1_000,
     ),
     RuleSpec(
-        "overtime_action",
-        str,
-        "report",
-        "What is done with an overdue job.",
-        choices=("report", "throttle", "stop"),
+        "time_stop_factor",
+        float,
+        0.0,
+        "Multiple of its declared run time after which a job is stopped; 0 never.",
+        0,
+        1_000,
     ),
     RuleSpec(
-        "retry_budget",
+        "memory_throttle_factor",
         float,
-        0.2,
-        "Retries that requests may make, as a share of first attempts.",
+        0.0,
+        "Multiple of its declared memory above which a job is throttled; 0 never.",
         0,
-        1,
+        1_000,
     ),
     RuleSpec(
-        "queue_limit",
-        int,
+        "memory_stop_factor",
+        float,
+        0.0,
+        "Multiple of its declared memory above which a job is stopped; 0 never.",
+        0,
         1_000,
-        "Requests that one organisation may have waiting at one instance.",
-        1,
-        100_000,
     ),
     RuleSpec(
-        "job_queue_limit",
+        "retry_budget",
         int,
-        1_000,
-        "Jobs that one organisation may have waiting in one data centre.",
+        3,
+        "Attempts that an idempotent job may lose before it is given up.",
         1,
-        100_000,
+        100,
     ),
     RuleSpec(
-        "job_attempts",
+        "queue_limit",
         int,
-        5,
-        "Attempts that an idempotent job may make.",
+        1_000,
+        "Requests that one organisation may have waiting at one instance.",
         1,
-        100,
+        100_000,
     ),
 )
 
@@ -113,8 +114,8 @@
 def rule_fault(name: str, value: object) -> str | None:
     """Return what is wrong with the value of a rule, or None.
 
-    >>> rule_fault("retry_budget", 3.0)
-    'must be from 0 to 1'
+    >>> rule_fault("retry_budget", 0)
+    'must be from 1 to 100'
     """
     spec = RULES_BY_NAME.get(name)
     if spec is None:
