Add charges, and take off-log jobs as accepted only once they may have started

Cause: the fault machine found a job that was refused while the log was down, whose lease another placer then found, recorded as accepted and ran. Change: such a job is recorded and accepted only on a sign that a task started; a group that never started is fenced and forgotten. Charges fold usage by key; ended attempts say how much ran in vain.

--- a/ragwortshelf/core/charging/__init__.py
+++ b/ragwortshelf/core/charging/__init__.py
@@ -1,1 +1,21 @@
-"""Usage folded into charges."""
+"""Charges: what ran for each organisation, counted once, the wasted part apart.
+
+`ChargeBook` folds the usage stream. Reports may lag, repeat and arrive in any order;
+corrections are records and never edits.
+"""
+
+from .account import AttemptUsage, JobAccount, JobCharge
+from .book import ChargeBook, ChargeSnapshot, Statement
+from .ranges import ForgottenIds, ForgottenIdSet, IntegerRanges
+
+__all__ = [
+    "AttemptUsage",
+    "ChargeBook",
+    "ChargeSnapshot",
+    "ForgottenIdSet",
+    "ForgottenIds",
+    "IntegerRanges",
+    "JobAccount",
+    "JobCharge",
+    "Statement",
+]
--- /dev/null
+++ b/ragwortshelf/core/charging/book.py
@@ -0,0 +1,234 @@
+"""Charges of all organisations: the fold of the usage stream."""
+
+from __future__ import annotations
+
+from collections.abc import Iterable, Mapping
+from dataclasses import dataclass
+
+from ..model import UsageReport
+from ..streams import Record, UsageCorrected, UsageRecorded, decode, encode
+from .account import AccountSnapshot, JobAccount, JobCharge
+from .ranges import ForgottenIds, ForgottenIdSet
+
+__all__ = ["ChargeBook", "ChargeSnapshot", "Statement"]
+
+ENDED_ACCOUNTS_KEPT = 50_000
+PREFIXES_KEPT = 20_000
+
+
+@dataclass(frozen=True, slots=True)
+class Statement:
+    """Accelerator-milliseconds of one organisation.
+
+    ``wasted_ms`` are part of ``ran_ms``: work lost since the last checkpoint when it
+    was stopped, and runs whose outcome another run had settled. ``late_ms`` came in
+    after the job's account was closed; they are shown and not charged.
+    """
+
+    organisation: str
+    ran_ms: int = 0
+    wasted_ms: int = 0
+    corrected_ms: int = 0
+    late_ms: int = 0
+
+    @property
+    def charged_ms(self) -> int:
+        """Accelerator-milliseconds to charge."""
+        return self.ran_ms + self.corrected_ms
+
+    def plus(self, charge: JobCharge) -> Statement:
+        """Return the statement with one more job."""
+        return Statement(
+            self.organisation,
+            self.ran_ms + charge.ran_ms,
+            self.wasted_ms + charge.wasted_ms,
+            self.corrected_ms + charge.corrected_ms,
+            self.late_ms,
+        )
+
+
+@dataclass(frozen=True, slots=True)
+class ChargeSnapshot:
+    """All that a `ChargeBook` holds."""
+
+    accounts: tuple[AccountSnapshot, ...]
+    closed: tuple[Statement, ...]
+    correction_ids: tuple[str, ...]
+    forgotten: tuple[ForgottenIds, ...]
+
+
+class ChargeBook:
+    """Counts every report once by (job, attempt, task, sequence).
+
+    Reports may lag, repeat and come in any order, also before the job is known and
+    after it ended: the sums depend only on the set of reports. Sequence numbers are
+    kept as ranges. When more than ``ended_kept`` ended jobs have accounts, the one
+    that ended first is closed into its organisation's sum.
+
+    >>> from ragwortshelf.core.model import UsageReport
+    >>> book = ChargeBook()
+    >>> record = UsageRecorded((UsageReport("org", "a.1.1", 1, 0, 1, 500),))
+    >>> book.apply(record)
+    >>> book.apply(record)
+    >>> book.statement("org").charged_ms
+    500
+    """
+
+    def __init__(self, *, ended_kept: int = ENDED_ACCOUNTS_KEPT) -> None:
+        self._ended_kept = ended_kept
+        self._account_by_id: dict[str, JobAccount] = {}
+        self._ended_ids: dict[str, None] = {}
+        self._closed_by_organisation: dict[str, Statement] = {}
+        self._correction_ids: dict[str, None] = {}
+        self._forgotten = ForgottenIdSet(PREFIXES_KEPT)
+
+    def apply(self, record: Record) -> None:
+        """Apply a record of the usage stream; a second copy changes nothing."""
+        if isinstance(record, UsageRecorded):
+            for report in record.reports:
+                self._count(report)
+        elif isinstance(record, UsageCorrected):
+            self._correct(record)
+
+    def settle(
+        self,
+        job_id: str,
+        organisation: str,
+        lost_by_attempt: Mapping[int, int | None],
+        is_ended: bool,
+    ) -> None:
+        """Take over what the jobs stream says of a job; repeating it is harmless.
+
+        ``lost_by_attempt`` holds accelerator-milliseconds run in vain, None being all
+        that the attempt ran.
+        """
+        if job_id in self._forgotten:
+            return
+        account = self._account(job_id, organisation)
+        account.set_lost(lost_by_attempt)
+        if is_ended and not account.is_ended:
+            account.is_ended = True
+            self._ended_ids[job_id] = None
+            self._close_oldest()
+
+    def unknown_of(self, reports: Iterable[UsageReport]) -> tuple[UsageReport, ...]:
+        """Return the reports that are not counted yet, each key once."""
+        fresh: dict[tuple, UsageReport] = {}
+        for report in reports:
+            account = self._account_by_id.get(report.job_id)
+            is_counted = account is not None and account.has_counted(report)
+            if not is_counted and report.job_id not in self._forgotten:
+                fresh[report.key] = report
+        return tuple(fresh.values())
+
+    def statement(self, organisation: str) -> Statement:
+        """Return the sums of one organisation."""
+        statement = self._closed(organisation)
+        for account in self._account_by_id.values():
+            if account.organisation == organisation:
+                statement = statement.plus(account.charge())
+        return statement
+
+    def charge(self, job_id: str) -> JobCharge | None:
+        """Return what ran for one job, None if it has no open account."""
+        account = self._account_by_id.get(job_id)
+        return None if account is None else account.charge()
+
+    def to_snapshot(self) -> ChargeSnapshot:
+        """Return everything that the book holds."""
+        return ChargeSnapshot(
+            tuple(account.to_snapshot() for account in self._accounts_in_order()),
+            tuple(self._closed_by_organisation.values()),
+            tuple(self._correction_ids),
+            self._forgotten.to_tuple(),
+        )
+
+    @classmethod
+    def from_snapshot(
+        cls, snapshot: ChargeSnapshot, *, ended_kept: int = ENDED_ACCOUNTS_KEPT
+    ) -> ChargeBook:
+        """Return a book that goes on where ``snapshot`` was taken."""
+        book = cls(ended_kept=ended_kept)
+        book._load(snapshot)
+        return book
+
+    def snapshot(self) -> bytes:
+        """Return `to_snapshot` as bytes."""
+        return encode(self.to_snapshot())
+
+    def restore(self, data: bytes) -> None:
+        """Replace the contents by those of ``snapshot`` bytes.
+
+        Raises `ValueError` if the bytes are no snapshot of a book.
+        """
+        snapshot = decode(data, {"ChargeSnapshot": ChargeSnapshot})
+        if not isinstance(snapshot, ChargeSnapshot):
+            raise ValueError(snapshot.detail)
+        self._load(snapshot)
+
+    def _load(self, snapshot: ChargeSnapshot) -> None:
+        accounts = [JobAccount.from_snapshot(item) for item in snapshot.accounts]
+        self._account_by_id = {account.job_id: account for account in accounts}
+        self._ended_ids = {
+            account.job_id: None for account in accounts if account.is_ended
+        }
+        self._closed_by_organisation = {
+            item.organisation: item for item in snapshot.closed
+        }
+        self._correction_ids = dict.fromkeys(snapshot.correction_ids)
+        self._forgotten.load(snapshot.forgotten)
+
+    def _accounts_in_order(self) -> Iterable[JobAccount]:
+        """Iterate over accounts so that ended ones come in order of their end."""
+        for job_id, account in self._account_by_id.items():
+            if job_id not in self._ended_ids:
+                yield account
+        for job_id in self._ended_ids:
+            yield self._account_by_id[job_id]
+
+    def _account(self, job_id: str, organisation: str) -> JobAccount:
+        account = self._account_by_id.get(job_id)
+        if account is None:
+            account = JobAccount(job_id, organisation)
+            self._account_by_id[job_id] = account
+        return account
+
+    def _closed(self, organisation: str) -> Statement:
+        return self._closed_by_organisation.get(organisation, Statement(organisation))
+
+    def _count(self, report: UsageReport) -> None:
+        if report.job_id not in self._forgotten:
+            self._account(report.job_id, report.organisation).count(report)
+            return
+        closed = self._closed(report.organisation)
+        self._closed_by_organisation[report.organisation] = Statement(
+            closed.organisation,
+            closed.ran_ms,
+            closed.wasted_ms,
+            closed.corrected_ms,
+            closed.late_ms + report.accelerator_ms,
+        )
+
+    def _correct(self, record: UsageCorrected) -> None:
+        if record.correction_id in self._correction_ids:
+            return
+        self._correction_ids[record.correction_id] = None
+        account = self._account_by_id.get(record.job_id)
+        if account is not None and account.organisation == record.organisation:
+            account.corrected_ms += record.accelerator_ms
+            return
+        closed = self._closed(record.organisation)
+        self._closed_by_organisation[record.organisation] = closed.plus(
+            JobCharge(record.job_id, record.organisation, 0, 0, record.accelerator_ms)
+        )
+
+    def _close_oldest(self) -> None:
+        while len(self._ended_ids) > self._ended_kept:
+            job_id = next(iter(self._ended_ids))
+            del self._ended_ids[job_id]
+            account = self._account_by_id.pop(job_id)
+            closed = self._closed(account.organisation)
+            self._closed_by_organisation[account.organisation] = closed.plus(
+                account.charge()
+            )
+            self._forgotten.add(job_id)
--- a/ragwortshelf/core/charging/ranges.py
+++ b/ragwortshelf/core/charging/ranges.py
@@ -1,11 +1,12 @@
-"""A set of integers kept as ranges, small when the members are nearly contiguous."""
+"""Sets of integers and of numbered ids kept as ranges, small when nearly contiguous."""
 
 from __future__ import annotations
 
 import bisect
 from collections.abc import Iterable
+from dataclasses import dataclass
 
-__all__ = ["IntegerRanges"]
+__all__ = ["ForgottenIdSet", "ForgottenIds", "IntegerRanges"]
 
 
 class IntegerRanges:
@@ -57,3 +58,51 @@
     def to_tuple(self) -> tuple[tuple[int, int], ...]:
         """Return the ranges in ascending order."""
         return tuple(zip(self._firsts, self._lasts, strict=True))
+
+
+@dataclass(frozen=True, slots=True)
+class ForgottenIds:
+    """The numbers of forgotten ids that share ``prefix``."""
+
+    prefix: str
+    ranges: tuple[tuple[int, int], ...]
+
+
+class ForgottenIdSet:
+    """Remembers ids of the form ``prefix.number`` as ranges of numbers.
+
+    Ids that one incarnation gave out are nearly contiguous, so this costs a few ranges
+    for each. Ids of another form are not remembered. Only the newest
+    ``prefixes_kept`` prefixes are.
+    """
+
+    def __init__(self, prefixes_kept: int) -> None:
+        self._prefixes_kept = prefixes_kept
+        self._ranges_by_prefix: dict[str, IntegerRanges] = {}
+
+    def __contains__(self, job_id: str) -> bool:
+        prefix, _, number = job_id.rpartition(".")
+        ranges = self._ranges_by_prefix.get(prefix)
+        return ranges is not None and number.isdecimal() and int(number) in ranges
+
+    def add(self, job_id: str) -> None:
+        """Remember ``job_id``."""
+        prefix, _, number = job_id.rpartition(".")
+        if not number.isdecimal():
+            return
+        self._ranges_by_prefix.setdefault(prefix, IntegerRanges()).add(int(number))
+        while len(self._ranges_by_prefix) > self._prefixes_kept:
+            del self._ranges_by_prefix[next(iter(self._ranges_by_prefix))]
+
+    def to_tuple(self) -> tuple[ForgottenIds, ...]:
+        """Return everything remembered, oldest prefix first."""
+        return tuple(
+            ForgottenIds(prefix, ranges.to_tuple())
+            for prefix, ranges in self._ranges_by_prefix.items()
+        )
+
+    def load(self, items: Iterable[ForgottenIds]) -> None:
+        """Replace the contents by those of `to_tuple`."""
+        self._ranges_by_prefix = {
+            item.prefix: IntegerRanges(item.ranges) for item in items
+        }
--- a/ragwortshelf/core/jobs/book.py
+++ b/ragwortshelf/core/jobs/book.py
@@ -5,7 +5,7 @@
 from collections.abc import Iterator
 from dataclasses import dataclass, replace
 
-from ..charging.ranges import IntegerRanges
+from ..charging import ForgottenIds, ForgottenIdSet
 from ..model import JobPhase, Reason
 from ..streams import (
     AttemptClaimed,
@@ -19,7 +19,7 @@
     decode,
     encode,
 )
-from .entry import JobEntry
+from .entry import JobEntry, LostWork
 
 __all__ = ["BookSnapshot", "JobBook"]
 
@@ -28,21 +28,13 @@
 REASONS_WITHOUT_LOSS = frozenset({Reason.RECLAIMED})
 
 
-@dataclass(frozen=True, slots=True)
-class ForgottenJobs:
-    """Numbers of ended and forgotten jobs that one incarnation accepted."""
-
-    prefix: str
-    ranges: tuple[tuple[int, int], ...]
-
-
 @dataclass(frozen=True, slots=True)
 class BookSnapshot:
     """All that a `JobBook` holds, in an order that keeps its behaviour."""
 
     entries: tuple[JobEntry, ...]
     ended_ids: tuple[str, ...]
-    forgotten: tuple[ForgottenJobs, ...]
+    forgotten: tuple[ForgottenIds, ...]
 
 
 class JobBook:
@@ -63,7 +55,7 @@
         self._entry_by_id: dict[str, JobEntry] = {}
         self._active_ids: dict[str, None] = {}
         self._ended_ids: dict[str, None] = {}
-        self._forgotten_by_prefix: dict[str, IntegerRanges] = {}
+        self._forgotten = ForgottenIdSet(SUBMITTERS_KEPT)
 
     def get(self, job_id: str) -> JobEntry | None:
         """Return what is known of the job, or None if it is unknown or forgotten."""
@@ -88,7 +80,7 @@
 
     def has_ended(self, job_id: str) -> bool:
         """Whether the job has its outcome, also if it is forgotten."""
-        return job_id in self._ended_ids or self._is_forgotten(job_id)
+        return job_id in self._ended_ids or job_id in self._forgotten
 
     def apply(self, record: Record) -> JobEntry | None:
         """Apply the next record of the stream; return the changed job, if any."""
@@ -111,10 +103,7 @@
         return BookSnapshot(
             tuple(self._entry_by_id.values()),
             tuple(self._ended_ids),
-            tuple(
-                ForgottenJobs(prefix, ranges.to_tuple())
-                for prefix, ranges in self._forgotten_by_prefix.items()
-            ),
+            self._forgotten.to_tuple(),
         )
 
     @classmethod
@@ -148,13 +137,11 @@
             for job_id, entry in self._entry_by_id.items()
             if not entry.phase.is_final
         }
-        self._forgotten_by_prefix = {
-            item.prefix: IntegerRanges(item.ranges) for item in snapshot.forgotten
-        }
+        self._forgotten.load(snapshot.forgotten)
 
     def _accept(self, record: JobAccepted) -> JobEntry | None:
         job_id = record.spec.job_id
-        if job_id in self._entry_by_id or self._is_forgotten(job_id):
+        if job_id in self._entry_by_id or job_id in self._forgotten:
             return None
         entry = JobEntry(record.spec, record.accepted_by, record.spec.home_data_centre)
         if record.claim is not None:
@@ -170,20 +157,7 @@
             oldest = next(iter(self._ended_ids))
             del self._ended_ids[oldest]
             del self._entry_by_id[oldest]
-            self._forget(oldest)
-
-    def _forget(self, job_id: str) -> None:
-        prefix, _, number = job_id.rpartition(".")
-        if not number.isdecimal():
-            return
-        self._forgotten_by_prefix.setdefault(prefix, IntegerRanges()).add(int(number))
-        while len(self._forgotten_by_prefix) > SUBMITTERS_KEPT:
-            del self._forgotten_by_prefix[next(iter(self._forgotten_by_prefix))]
-
-    def _is_forgotten(self, job_id: str) -> bool:
-        prefix, _, number = job_id.rpartition(".")
-        ranges = self._forgotten_by_prefix.get(prefix)
-        return ranges is not None and number.isdecimal() and int(number) in ranges
+            self._forgotten.add(oldest)
 
 
 def _changed(entry: JobEntry, record: Record) -> JobEntry | None:
@@ -209,10 +183,22 @@
     if isinstance(record, AttemptEnded):
         return _attempt_ended(entry, record)
     if isinstance(record, JobEnded):
-        return replace(entry, phase=record.phase, is_open=False, ended=record)
+        return _job_ended(entry, record)
     return None
 
 
+def _job_ended(entry: JobEntry, record: JobEnded) -> JobEntry:
+    lost = entry.lost
+    if record.phase is JobPhase.INTERRUPTED and entry.is_open:
+        accelerator_ms = _lost_accelerator_ms(entry, record.lost_ms)
+        lost = (*lost, LostWork(record.attempt, accelerator_ms))
+    return replace(entry, phase=record.phase, is_open=False, ended=record, lost=lost)
+
+
+def _lost_accelerator_ms(entry: JobEntry, lost_ms: int | None) -> int | None:
+    return None if lost_ms is None else lost_ms * entry.spec.accelerators
+
+
 def _claimed(entry: JobEntry, record: AttemptClaimed) -> JobEntry | None:
     if not entry.is_waiting or record.attempt <= entry.attempt:
         return None
@@ -235,10 +221,12 @@
     if record.reason is Reason.TASK_FAILED:
         workers = {grant.worker for grant in entry.claim.grants}
         failed_workers = tuple(sorted(workers.union(failed_workers)))
+    lost = LostWork(record.attempt, _lost_accelerator_ms(entry, record.lost_ms))
     return replace(
         entry,
         phase=JobPhase.ACCEPTED,
         is_open=False,
+        lost=(*entry.lost, lost),
         has_started=entry.has_started or record.has_started,
         checkpoint=max(entry.checkpoint, record.checkpoint),
         attempts_lost=entry.attempts_lost + is_loss,
--- a/ragwortshelf/core/jobs/entry.py
+++ b/ragwortshelf/core/jobs/entry.py
@@ -14,7 +14,15 @@
 )
 from ..streams import AttemptClaimed, JobEnded
 
-__all__ = ["JobEntry"]
+__all__ = ["JobEntry", "LostWork"]
+
+
+@dataclass(frozen=True, slots=True)
+class LostWork:
+    """What an attempt ran after its last checkpoint, None being all that it ran."""
+
+    attempt: int
+    accelerator_ms: int | None
 
 
 @dataclass(frozen=True, slots=True)
@@ -25,6 +33,7 @@
     ``is_open`` says that this attempt may still start or run. ``has_started`` tells
     whether an attempt that ended may have started a task. ``attempts_lost`` counts
     started attempts that ended without completing, reclaims left out.
+    ``lost`` says what of ended attempts was run in vain.
     ``failed_workers`` are the workers of attempts whose tasks failed.
     """
 
@@ -43,6 +52,7 @@
     is_cancel_requested: bool = False
     started_wall_ms: int = 0
     ended: JobEnded | None = None
+    lost: tuple[LostWork, ...] = ()
 
     @property
     def is_waiting(self) -> bool:
--- a/ragwortshelf/core/jobs/gang.py
+++ b/ragwortshelf/core/jobs/gang.py
@@ -99,6 +99,7 @@
             grant.worker: Member(grant, lease_id, boot_id, tasks)
             for grant, boot_id, tasks in parts
         }
+        self.is_adopted = stage is not Stage.LEASING
         self.started_ms: int | None = None
         self.peak_memory_bytes = 0
         self.is_throttled = False
@@ -132,6 +133,20 @@
             )
         )
 
+    @property
+    def may_have_started(self) -> bool:
+        """Whether a task may have started, to be asked once it is concluded.
+
+        Who asked for the starts needs proof that there was none; who only found the
+        leases needs a sign that there was one.
+        """
+        if self.is_adopted:
+            return any(
+                member.is_started or (member.proof and member.proof.has_started)
+                for member in self.members
+            )
+        return not all(member.is_proven_not_started for member in self.members)
+
     # Leases and claim
 
     def lease_answered(self, event: LeaseAnswered, now_ms: int) -> list[Action]:
--- a/ragwortshelf/core/jobs/placer.py
+++ b/ragwortshelf/core/jobs/placer.py
@@ -155,7 +155,9 @@
         for job_id, gang in list(self.gang_by_id.items()):
             if gang.stage in (Stage.LEASING, Stage.CLAIMING):
                 actions += self._follow(gang, gang.drop("role lost"), now_ms)
-            elif gang.stage is not Stage.STARTING:
+            elif gang.stage is Stage.STARTING or job_id in self._submitted_by_id:
+                continue
+            else:
                 self._forget(job_id, now_ms)
         for entry in self.book.active():
             self._scheduler.remove(entry.spec.job_id, now_ms)
@@ -166,6 +168,9 @@
         if is_up == self.is_log_up:
             return []
         self.is_log_up = is_up
+        if not is_up and self.outbox.is_empty:
+            # The log knows all jobs that were accepted in earlier outages.
+            self._off_log = JobBook()
         return self._sync_all(now_ms)
 
     def _sync_all(self, now_ms: int) -> list[Action]:
@@ -319,10 +324,6 @@
         self._stage_by_id[job_id] = gang.stage
         if gang.stage is Stage.DROPPED:
             return actions + self._dropped(gang, now_ms)
-        if gang.stage is Stage.STARTING and gang.is_off_log:
-            self._record_off_log(gang)
-            self._submitted_by_id.pop(job_id, None)
-            return [*actions, AnswerSubmission(job_id, None)]
         if gang.stage is Stage.RUNNING:
             return actions + self._running(gang, now_ms)
         if gang.stage is Stage.CONCLUDED:
@@ -340,25 +341,29 @@
                 Reason.LOG_UNAVAILABLE, gang.detail, REFUSED_RETRY_AFTER_MS
             )
             return [AnswerSubmission(job_id, refusal)]
-        self._scheduler.placement_failed(job_id, gang.blamed_worker or "", now_ms)
         entry = self.book.get(job_id)
-        if entry is not None and entry.is_waiting:
+        if entry is None:
+            self._scheduler.remove(job_id, now_ms)
+            return []
+        self._scheduler.placement_failed(job_id, gang.blamed_worker or "", now_ms)
+        if entry.is_waiting:
             return self._sync_waiting(entry, now_ms)
         return []
 
     def _running(self, gang: Gang, now_ms: int) -> list[Action]:
         job_id = gang.spec.job_id
         self._scheduler.set_running(gang.spec, gang.claim.grants, now_ms)
+        answer = self._record_off_log(gang) if gang.is_off_log else []
         entry = self.entry(job_id)
         if entry is None or entry.phase is JobPhase.STARTED:
-            return []
+            return answer
         record = AttemptStarted(job_id, gang.claim.attempt, self._wall_ms(now_ms))
         if self.book.get(job_id) is None:
             self._off_log.apply(record)
             self.outbox.push_backlog(record)
         else:
             self.outbox.set_pending(job_id, record, now_ms)
-        actions = self._due(now_ms)
+        actions = answer + self._due(now_ms)
         if not self.is_placer:
             self._forget(job_id, now_ms)
         return actions + self._stop_if_cancelled(entry, now_ms)
@@ -366,9 +371,15 @@
     def _concluded(self, gang: Gang, now_ms: int) -> list[Action]:
         """Record what the proofs say; tell the scheduler how the tasks ended."""
         job_id = gang.spec.job_id
+        actions: list[Action] = []
+        if gang.is_off_log and self.entry(job_id) is None:
+            if not gang.may_have_started:
+                # Nobody was told that it is accepted, and it can start no more.
+                return gang.release() + self._dropped(gang, now_ms)
+            actions += self._record_off_log(gang)
         entry = self.book.get(job_id)
         if entry is None or self.outbox.has_pending(job_id, *ENDING_RECORDS):
-            return []
+            return actions
         record = conclude(gang, entry, self._configuration, self._wall_ms(now_ms))
         self.outbox.set_pending(job_id, record, now_ms)
         if record.reason in (Reason.TASK_FAILED, Reason.FAILS_EVERYWHERE):
@@ -376,19 +387,26 @@
             self._task_ended(gang, workers, False, now_ms)
         elif record.reason is Reason.TASK_SUCCEEDED:
             self._task_ended(gang, tuple(gang.member_by_worker), True, now_ms)
-        return self._due(now_ms)
+        return actions + self._due(now_ms)
 
     def _task_ended(self, gang, workers, succeeded: bool, now_ms: int) -> None:
         spec = gang.spec
         self._scheduler.task_ended(spec.job_id, spec.kind, workers, succeeded, now_ms)
 
-    def _record_off_log(self, gang: Gang) -> None:
-        """Queue the acceptance and claim of a job that the log does not know yet."""
-        if self.entry(gang.spec.job_id) is not None:
-            return
-        record = JobAccepted(gang.spec, gang.accepted_by, gang.claim)
-        self._off_log.apply(record)
-        self.outbox.push_backlog(record)
+    def _record_off_log(self, gang: Gang) -> list[Action]:
+        """Accept a job that the log does not know and that may have started.
+
+        Before that it is neither recorded nor accepted: whoever finds the leases of a
+        group that never started can fence and forget it, whatever its submitter heard.
+        """
+        job_id = gang.spec.job_id
+        if self.entry(job_id) is None:
+            record = JobAccepted(gang.spec, gang.accepted_by, gang.claim)
+            self._off_log.apply(record)
+            self.outbox.push_backlog(record)
+        if self._submitted_by_id.pop(job_id, None) is None:
+            return []
+        return [AnswerSubmission(job_id, None)]
 
     def _gang_answered(self, event, now_ms: int) -> list[Action]:
         """Hand an answer to its gang; a lease without one is let go."""
@@ -634,8 +652,6 @@
         )
         self._add_gang(gang, now_ms)
         self._scheduler.set_running(label.spec, label.grants, now_ms)
-        if label.is_off_log:
-            self._record_off_log(gang)
 
     def _submitted_off_log(
         self, event: events.JobSubmittedOffLog, now_ms: int
--- a/ragwortshelf/core/streams/records.py
+++ b/ragwortshelf/core/streams/records.py
@@ -96,7 +96,8 @@
     """An attempt that will not run any more while its job goes on.
 
     ``has_started`` False is proof that no task of it started. ``checkpoint`` is the
-    newest whole checkpoint of the group.
+    newest whole checkpoint of the group, and ``lost_ms`` how long it had run since;
+    None means that nothing of the attempt is known to be kept.
     """
 
     job_id: str
@@ -105,11 +106,15 @@
     reason: Reason
     checkpoint: int
     ended_wall_ms: int
+    lost_ms: int | None = None
 
 
 @dataclass(frozen=True, slots=True)
 class JobEnded:
-    """The final outcome of a job; the lowest offset wins."""
+    """The final outcome of a job; the lowest offset wins.
+
+    ``lost_ms`` is as for `AttemptEnded` and counts for interrupted jobs alone.
+    """
 
     job_id: str
     attempt: int
@@ -117,6 +122,7 @@
     reason: Reason
     detail: str
     ended_wall_ms: int
+    lost_ms: int | None = None
 
 
 @dataclass(frozen=True, slots=True)
--- a/tests/core/jobs/conftest.py
+++ b/tests/core/jobs/conftest.py
@@ -7,6 +7,7 @@
 import pytest
 
 from ragwortshelf.core import jobs
+from ragwortshelf.core.jobs.label import decode_label
 from ragwortshelf.core.model import (
     Configuration,
     DataCentre,
@@ -19,7 +20,7 @@
     WorkerState,
 )
 from ragwortshelf.core.placement import Scheduler
-from ragwortshelf.core.streams import JobAccepted
+from ragwortshelf.core.streams import AttemptClaimed, JobAccepted
 from ragwortshelf.standins.worker_state import WorkerLeases
 
 WORKERS = ("w1", "w2", "w3")
@@ -47,7 +48,6 @@
         self.machine = jobs.PlacerMachine("dc", name, Scheduler("dc"))
         self.offset = 0
         self.sent = []
-        self.submissions = {}
         self.handle(jobs.ConfigurationChanged(world.configuration))
         infos = tuple(WorkerInfo(w, "dc", "rack", "", 4) for w in WORKERS)
         self.handle(jobs.WorkersListed(infos))
@@ -59,8 +59,8 @@
     def handle(self, event):
         for action in self.machine.handle(event, self.world.now_ms):
             if isinstance(action, jobs.AnswerSubmission):
-                assert action.job_id not in self.submissions
-                self.submissions[action.job_id] = action.refusal
+                assert action.job_id not in self.world.submissions
+                self.world.submissions[action.job_id] = action.refusal
             elif not isinstance(action, jobs.LogDecision):
                 self.sent.append(action)
 
@@ -137,6 +137,7 @@
         self.worker_by_name = {name: WorkerLeases(4) for name in WORKERS}
         self.starts = []
         self.granted = set()
+        self.submissions = {}
         self.placers = []
         self.incarnations = 0
         for _ in range(placers):
@@ -209,6 +210,7 @@
                     holder=entry.holder,
                     worker=action.worker,
                     resume_from=action.resume_from,
+                    label=entry.label,
                     granted=frozenset(self.granted),
                     log=tuple(self.log),
                 )
@@ -278,3 +280,17 @@
 @pytest.fixture
 def make_spec():
     return spec_of
+
+
+def claim_of(start):
+    """The claim that a lease's label stands for."""
+    decoded = decode_label(b64decode(start.label))
+    return AttemptClaimed(
+        start.job_id,
+        start.attempt,
+        decoded.accepted_by,
+        "dc",
+        decoded.grants,
+        decoded.boot_ids,
+        0,
+    )
