Add the benchmark of requests under load and faults

Change: our policy and a naive one (round robin, unlimited retries) over small fakes in virtual time, with a failed minion, silent connections and a dead instance.

--- /dev/null
+++ b/benchmarks/requests/__main__.py
@@ -0,0 +1,184 @@
+"""Prints one JSON line for each policy, load and fault."""
+
+from __future__ import annotations
+
+import argparse
+import collections
+import json
+import random
+import time
+
+from hdrh.histogram import HdrHistogram
+
+from ragwortshelf.core.model import Answered, NotRun
+
+from .fakes import Clock, FakeMinion
+from .policies import NaiveInstance, PolicyInstance
+from .workload import (
+    DATA_CENTRES,
+    DEPLOYMENTS,
+    INSTANCES_PER_DATA_CENTRE,
+    MINIONS_PER_DATA_CENTRE,
+    SLOTS,
+    arrivals,
+)
+
+POLICY_BY_NAME = {"ragwortshelf": PolicyInstance, "naive": NaiveInstance}
+LOADS = (0.5, 0.9, 2.0)
+FAULTS = ("none", "failed_minion", "silent_connections", "dead_instance")
+LIST_MS = 500
+START_MS = 10_000
+WARM_MS = 3_000
+FAULT_MS = 2_000
+SILENT_SHARE = 4
+SETTLE_MS = 1_000
+
+
+class Trial:
+    """One policy under one load and one fault."""
+
+    def __init__(self, policy, deployment_name, load, fault, seed, measure_ms):
+        self.clock = Clock()
+        self.deployment = DEPLOYMENTS[deployment_name]
+        self.fault = fault
+        self.from_ms = START_MS + WARM_MS
+        self.until_ms = self.from_ms + measure_ms
+        rng = random.Random(seed)
+        self.minions = {
+            name: FakeMinion(self.clock, name)
+            for name in (
+                f"{dc}-m{index}"
+                for dc in DATA_CENTRES
+                for index in range(MINIONS_PER_DATA_CENTRE)
+            )
+        }
+        self.instances = [
+            POLICY_BY_NAME[policy](
+                self.clock,
+                self.deployment,
+                f"{dc}i{index}",
+                dc,
+                self.minions,
+                random.Random(rng.random()),
+            )
+            for dc in DATA_CENTRES
+            for index in range(INSTANCES_PER_DATA_CENTRE)
+        ]
+        for instance in self.instances:
+            instance.peers = {p.name: p for p in self.instances if p is not instance}
+        self.arrivals = arrivals(self.deployment, load, START_MS, self.until_ms, seed)
+        self.histogram_by_key = collections.defaultdict(
+            lambda: HdrHistogram(1, 120_000, 3)
+        )
+        self.counts = collections.Counter()
+        self.good_ms = 0
+
+    def run(self) -> None:
+        """Run until all measured requests have their outcomes or are hopeless."""
+        self._list()
+        for instance in self.instances:
+            instance.start()
+        for arrival in self.arrivals:
+            self.clock.at(arrival.at_ms, self._submit, arrival)
+        self.clock.at(START_MS + FAULT_MS, self._break)
+        self.clock.run(self.until_ms + SETTLE_MS)
+
+    def _list(self) -> None:
+        for instance in self.instances:
+            names = {
+                peer.name
+                for peer in self.instances
+                if peer.data_centre == instance.data_centre and peer.is_alive
+            }
+            if instance.is_alive:
+                instance.note_list(names)
+        self.clock.at(self.clock.now_ms + LIST_MS, self._list)
+
+    def _submit(self, arrival) -> None:
+        alive = [instance for instance in self.instances if instance.is_alive]
+        chosen = alive[int(arrival.instance * len(alive))]
+        chosen.submit(arrival, self._report)
+
+    def _break(self) -> None:
+        if self.fault == "failed_minion":
+            self.minions["d1-m0"].fails = True
+        elif self.fault == "silent_connections":
+            for minion in list(self.minions.values())[::SILENT_SHARE]:
+                minion.silent_opened_before_ms = self.clock.now_ms
+        elif self.fault == "dead_instance":
+            self.instances[0].is_alive = False
+
+    def _report(self, arrival, outcome) -> None:
+        now_ms = self.clock.now_ms
+        if not self.from_ms <= now_ms <= self.until_ms:
+            return
+        if isinstance(outcome, Answered) and outcome.status == 200:
+            if now_ms <= arrival.deadline_ms:
+                self.good_ms += arrival.run_ms
+                self.counts["in_time"] += 1
+            else:
+                self.counts["late"] += 1
+            key = f"{arrival.organisation}/{arrival.request_class}"
+            took_ms = max(1, now_ms - arrival.at_ms)
+            self.histogram_by_key[key].record_value(took_ms)
+        elif isinstance(outcome, NotRun):
+            self.counts[f"not_run:{outcome.reason}"] += 1
+        else:
+            self.counts["unknown_or_failed"] += 1
+
+    def result(self) -> dict:
+        """Return what was measured."""
+        failed = self.fault == "failed_minion"
+        slots = (len(self.minions) - failed) * SLOTS
+        span_ms = self.until_ms - self.from_ms
+        offered_ms = sum(a.run_ms for a in self.arrivals if a.at_ms >= self.from_ms)
+        return {
+            "goodput_of_capacity": round(self.good_ms / (slots * span_ms), 4),
+            "offered_of_capacity": round(offered_ms / (slots * span_ms), 4),
+            "slots_in_use_max": max(m.running_max for m in self.minions.values()),
+            "counts": dict(sorted(self.counts.items())),
+            "completion_ms": {
+                key: {
+                    "count": histogram.get_total_count(),
+                    "p50": histogram.get_value_at_percentile(50),
+                    "p99": histogram.get_value_at_percentile(99),
+                    "max": histogram.get_max_value(),
+                }
+                for key, histogram in sorted(self.histogram_by_key.items())
+            },
+        }
+
+
+def main() -> None:
+    """Run the trials that the options ask for."""
+    options = argparse.ArgumentParser(description=__doc__)
+    options.add_argument("--deployment", choices=DEPLOYMENTS, default="agency")
+    options.add_argument("--seed", type=int, default=1)
+    options.add_argument("--policy", choices=POLICY_BY_NAME, action="append")
+    options.add_argument("--load", type=float, action="append")
+    options.add_argument("--fault", choices=FAULTS, action="append")
+    options.add_argument("--measure_ms", type=int, default=8_000)
+    given = options.parse_args()
+    for fault in given.fault or FAULTS:
+        for load in given.load or LOADS:
+            for policy in given.policy or POLICY_BY_NAME:
+                started = time.perf_counter()
+                trial = Trial(
+                    policy, given.deployment, load, fault, given.seed, given.measure_ms
+                )
+                trial.run()
+                line = {
+                    "benchmark": "requests",
+                    "deployment": given.deployment,
+                    "seed": given.seed,
+                    "policy": policy,
+                    "load": load,
+                    "fault": fault,
+                    **trial.result(),
+                    "wall_s": round(time.perf_counter() - started, 1),
+                }
+                print(json.dumps(line), flush=True)
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/benchmarks/requests/fakes.py
@@ -0,0 +1,90 @@
+"""Virtual time, and fake minions with the faults of the benchmark."""
+
+from __future__ import annotations
+
+import heapq
+import itertools
+from collections.abc import Callable
+
+from ragwortshelf.core.model import Answered, Unreachable
+from ragwortshelf.core.requests import NotSentToMinion
+
+from .workload import SLOTS, Arrival
+
+__all__ = ["Clock", "Connection", "FakeMinion", "TO_MINION_MS"]
+
+TO_MINION_MS = 1
+OK = Answered(200, (), b"")
+FAILED = Answered(500, (), b"")
+
+
+class Clock:
+    """A queue of calls in virtual milliseconds."""
+
+    def __init__(self):
+        self.now_ms = 0
+        self._calls = []
+        self._order = itertools.count()
+
+    def at(self, when_ms: int, function: Callable, *args) -> None:
+        """Call ``function`` at a time, in the order of calls to this method."""
+        heapq.heappush(self._calls, (when_ms, next(self._order), function, args))
+
+    def run(self, until_ms: int) -> None:
+        """Carry out every call up to a time."""
+        while self._calls and self._calls[0][0] <= until_ms:
+            self.now_ms, _, function, args = heapq.heappop(self._calls)
+            function(*args)
+        self.now_ms = until_ms
+
+
+class Connection:
+    """One connection of an instance to a minion."""
+
+    __slots__ = ("answered_ms", "opened_ms", "request_id", "sent_ms")
+
+    def __init__(self, now_ms: int):
+        self.opened_ms = now_ms
+        self.answered_ms = None
+        self.request_id = None
+        self.sent_ms = now_ms
+
+
+class FakeMinion:
+    """Runs requests in slots; refuses beyond them, with proof."""
+
+    def __init__(self, clock: Clock, name: str):
+        self.name = name
+        self.fails = False
+        self.silent_opened_before_ms = -1
+        self.running = 0
+        self.running_max = 0
+        self.busy_ms = 0
+        self._clock = clock
+
+    def receive(
+        self, arrival: Arrival, connection: Connection, reply: Callable
+    ) -> None:
+        """Take a request; ``reply(result)`` is called when the answer arrives."""
+        if connection.opened_ms < self.silent_opened_before_ms:
+            return
+        if self.fails:
+            self._answer(connection, reply, FAILED)
+        elif self.running >= SLOTS:
+            refusal = NotSentToMinion("full", is_refusal=True)
+            self._answer(connection, reply, refusal)
+        else:
+            self.running += 1
+            self.running_max = max(self.running_max, self.running)
+            done_ms = self._clock.now_ms + arrival.run_ms
+            self._clock.at(done_ms, self._end, arrival, connection, reply)
+
+    def _end(self, arrival, connection, reply) -> None:
+        self.running -= 1
+        self.busy_ms += arrival.run_ms
+        result = Unreachable("failed") if self.fails else OK
+        if connection.opened_ms >= self.silent_opened_before_ms:
+            self._answer(connection, reply, result)
+
+    def _answer(self, connection, reply, result) -> None:
+        self._clock.at(self._clock.now_ms + TO_MINION_MS, reply, connection, result)
