Share an organisation's service among request classes

Cause: within an organisation the order was the stored deadline alone, so under steady overload long requests, whose deadlines are last, starved. Change: classes share service 4:2:1 (quick, ordinary, long), deadline within a class; the expected wait counts the class's own queue and its observed rate of service.

--- a/ragwortshelf/core/requests/admission.py
+++ b/ragwortshelf/core/requests/admission.py
@@ -11,7 +11,7 @@
 from .fair_queue import FairQueue
 from .run_times import RunTimes
 
-__all__ = ["expected_wait_ms", "is_within_share", "refusal"]
+__all__ = ["is_within_share", "refusal"]
 
 WAITING_MAX_PER_ORGANISATION = 5_000
 RESERVED_ONE_IN = 32
@@ -19,16 +19,6 @@
 NO_CAPACITY_RETRY_AFTER_MS = 1_000
 
 
-def expected_wait_ms(request: Request, queue: FairQueue, slots: int) -> float:
-    """Return the expected wait for a slot, given ``slots`` that serve the queue."""
-    ahead_ms = queue.work_ahead_ms(request)
-    if ahead_ms <= 0.0:
-        return 0.0
-    weight = queue.weight(request.organisation)
-    share = weight / max(weight, queue.busy_weight())
-    return ahead_ms / (slots * share)
-
-
 def refusal(
     request: Request, queue: FairQueue, slots: int, run_times: RunTimes, now_ms: int
 ) -> NotRun | None:
@@ -45,9 +35,8 @@
             Reason.QUEUE_FULL, "too many requests wait", wait_ms + RETRY_AFTER_MIN_MS
         )
     run_ms = run_times.median_ms(request.request_class)
-    late_ms = (
-        now_ms + expected_wait_ms(request, queue, slots) + run_ms - request.deadline_ms
-    )
+    wait_ms = queue.expected_wait_ms(request, slots, now_ms)
+    late_ms = now_ms + wait_ms + run_ms - request.deadline_ms
     if late_ms <= 0:
         return None
     return NotRun(
--- a/ragwortshelf/core/requests/machine.py
+++ b/ragwortshelf/core/requests/machine.py
@@ -13,7 +13,7 @@
 from dataclasses import dataclass
 
 from ..model import Answered, NotRun, Reason, Request, RequestOutcome, Unreachable
-from .admission import expected_wait_ms, is_within_share, refusal
+from .admission import is_within_share, refusal
 from .events import (
     Abort,
     Action,
@@ -292,7 +292,7 @@
         minion, other = least_loaded_of_two(load_by_name, self._rng)
         passed_over = () if other is None else (f"{other}: {load_by_name[other]} run",)
         reason = f"{load_by_name[minion]} run, least of two"
-        self._queue.pop(request)
+        self._queue.pop(request, now_ms)
         self._start(request, minion, now_ms, actions, reason, passed_over)
         return minion
 
@@ -319,7 +319,7 @@
             request = next((r for r in self._queue.requests() if r.is_idempotent), None)
             if request is None:
                 return
-            self._queue.pop(request)
+            self._queue.pop(request, now_ms)
             self._health.start_probe(name, request.request_id)
             self._start(request, name, now_ms, actions, "probe of an ejected minion")
 
@@ -333,7 +333,7 @@
             has_own = any(
                 self._shares.slots(name, now_ms) for name in self._pool.usable(now_ms)
             )
-            wait_ms = self._wait_for_head_ms(request, max(1, slots))
+            wait_ms = self._wait_for_head_ms(request, max(1, slots), now_ms)
             if has_own and wait_ms <= SPILL_COST_MS:
                 return
             chosen = self._loads.choose(self._data_centre, now_ms, self._rng)
@@ -343,15 +343,16 @@
                 continue
             self._spill_to(entry, chosen, int(wait_ms), now_ms, actions)
 
-    def _wait_for_head_ms(self, request, slots) -> float:
+    def _wait_for_head_ms(self, request, slots, now_ms) -> float:
         """Expected wait of the head for the next of ``slots`` to become free."""
         mean_ms = self._run_times.mean_ms(request.request_class)
-        return max(mean_ms / slots, expected_wait_ms(request, self._queue, slots))
+        wait_ms = self._queue.expected_wait_ms(request, slots, now_ms)
+        return max(mean_ms / slots, wait_ms)
 
     def _spill_to(self, entry, chosen, wait_ms, now_ms, actions) -> None:
         peer, other = chosen
         request = entry.request
-        self._queue.pop(request)
+        self._queue.pop(request, now_ms)
         self._loads.take_slot(peer)
         entry.attempt += 1
         entry.peer = peer
@@ -404,7 +405,7 @@
             case Answered(status) if status < SERVER_ERROR:
                 self._health.note_success(minion)
                 self._run_times.note(request.request_class, run_ms)
-                self._queue.correct(request.organisation, run_ms - entry.cost_ms)
+                self._queue.correct(request, run_ms - entry.cost_ms)
             case NotSentToMinion(is_refusal=True):
                 self._pool.note_refusal(minion, now_ms)
                 self._health.forget_probe(minion, request.request_id)
--- a/ragwortshelf/daemon/dispatcher_heartbeats.py
+++ b/ragwortshelf/daemon/dispatcher_heartbeats.py
@@ -40,7 +40,7 @@
         self._peers = peers
         self._rng = rng
         self._known: tuple[str, ...] = ()
-        self._busy: set[str] = set()
+        self._lock_by_peer: dict[str, trio.Lock] = {}
         peers.handle(ShareHeartbeat, self._on_heartbeat)
         peers.handle(LoadReport, self._on_load)
 
@@ -60,10 +60,10 @@
                 await trio.sleep(HEARTBEAT_MS / 1000)
 
     async def beat_once(self) -> None:
-        """Send one heartbeat to each instance of the data centre."""
+        """Send one more heartbeat to each instance of the data centre."""
         async with trio.open_nursery() as nursery:
             for name in self._shares.peers():
-                nursery.start_soon(self._beat, name)
+                nursery.start_soon(self._beat_in_turn, name)
 
     def _remote_sample(self) -> list[str]:
         here = self._shares.members()
@@ -71,11 +71,16 @@
         count = min(REMOTE_REPORTS_PER_ROUND, len(remote))
         return self._rng.sample(remote, count)
 
+    def _lock(self, name: str) -> trio.Lock:
+        return self._lock_by_peer.setdefault(name, trio.Lock())
+
     async def _beat(self, name: str) -> None:
-        if name in self._busy:
-            return
-        self._busy.add(name)
-        try:
+        """Send a heartbeat unless the one before it is still unanswered."""
+        if not self._lock(name).locked():
+            await self._beat_in_turn(name)
+
+    async def _beat_in_turn(self, name: str) -> None:
+        async with self._lock(name):
             asked_ms = monotonic_ms()
             load = self._service.load_report()
             heartbeat = self._shares.heartbeat(name, load, asked_ms)
@@ -85,14 +90,11 @@
             if isinstance(reply, ShareReply):
                 self._shares.note_reply(name, reply, asked_ms, monotonic_ms())
                 self._service.note_peer_load(name, reply.load)
-        finally:
-            self._busy.discard(name)
 
     async def _report(self, name: str) -> None:
-        if name in self._busy:
+        if self._lock(name).locked():
             return
-        self._busy.add(name)
-        try:
+        async with self._lock(name):
             reply = await self._peers.call(
                 name,
                 self._service.load_report(),
@@ -100,8 +102,6 @@
             )
             if isinstance(reply, LoadReport):
                 self._service.note_peer_load(name, reply)
-        finally:
-            self._busy.discard(name)
 
     async def _on_heartbeat(self, sender: str, heartbeat: ShareHeartbeat):
         reply = self._shares.note_heartbeat(
