Find silent connections by what their siblings do

Change: an overdue request asks first whether a sibling connection has answered since; if so the path is sound and it goes on. Else siblings are suspect from twice the 95th percentile on; a query is repeated on a new connection with four times the allowance, a posting with silent siblings ends as unknown. What ends at its deadline while overdue raises the same suspicion.

--- a/benchmarks/requests/policies.py
+++ b/benchmarks/requests/policies.py
@@ -276,11 +276,9 @@
             for connection in suspects:
                 if connection.request_id is None:
                     pool.remove(connection)
-            ids = tuple(c.request_id for c in suspects if c.request_id is not None)
-            if ids:
-                self._clock.at(
-                    self._clock.now_ms, self._handle, ConnectionsSuspected(ids)
-                )
+            busy = [c.request_id for c in suspects if c.request_id is not None]
+            event = ConnectionsSuspected((silent.request_id, *busy))
+            self._clock.at(self._clock.now_ms, self._handle, event)
 
 
 class NaiveInstance:
--- a/ragwortshelf/core/requests/events.py
+++ b/ragwortshelf/core/requests/events.py
@@ -64,7 +64,7 @@
 
 @dataclass(frozen=True, slots=True)
 class ConnectionsSuspected:
-    """Requests that run on connections as old as one that went silent."""
+    """Requests that run on a silent connection and on others of the same age."""
 
     request_ids: tuple[str, ...]
 
@@ -161,9 +161,10 @@
 
 @dataclass(frozen=True, slots=True)
 class Suspect:
-    """No answer came by the progress deadline, and the request may not be repeated.
+    """No answer came by the progress deadline; the request goes on.
 
-    It goes on waiting; connections of the same age are suspect.
+    If no connection of the same age has answered since, ``ConnectionsSuspected`` is to
+    follow.
     """
 
     request_id: str
--- a/ragwortshelf/core/requests/machine.py
+++ b/ragwortshelf/core/requests/machine.py
@@ -58,6 +58,7 @@
 RETRY_AFTER_FAILURE_MS = 500
 SPILL_COST_MS = 10
 SUSPECT_FACTOR = 2
+SILENT_ALLOWANCE_FACTOR = 4
 SERVER_ERROR = 500
 
 
@@ -76,7 +77,9 @@
     peer: str | None = None
     sent_ms: int = 0
     progress_deadline_ms: int = 0
+    silent_attempts: int = 0
     is_suspect: bool = False
+    has_silent_siblings: bool = False
     is_aborted: bool = False
     is_finished: bool = False
 
@@ -310,10 +313,7 @@
         entry.attempt += 1
         entry.minion = minion
         entry.sent_ms = now_ms
-        entry.progress_deadline_ms = now_ms + self._run_times.progress_ms(
-            request.request_class
-        )
-        self._wake_at(entry.progress_deadline_ms, request.request_id)
+        self._plan_progress(entry, now_ms)
         self._in_flight_by_minion[minion] = self.in_flight(minion) + 1
         self._count_organisation(request.organisation, 1)
         actions.append(Log(routed(request, minion, reason, passed_over)))
@@ -403,6 +403,7 @@
         entry.peer = None
         entry.is_aborted = False
         entry.is_suspect = False
+        entry.has_silent_siblings = False
 
     def _count_organisation(self, organisation, change) -> None:
         count = self._in_flight_by_organisation.get(organisation, 0) + change
@@ -528,24 +529,36 @@
                 continue
             request = entry.request
             if request.deadline_ms <= now_ms:
-                self._expire_entry(entry, actions)
+                self._expire_entry(entry, now_ms, actions)
             elif entry.is_aborted:
                 continue
             elif entry.minion is not None and entry.progress_deadline_ms <= now_ms:
-                self._note_silence(entry, actions)
+                self._note_silence(entry, now_ms, actions)
 
-    def _note_silence(self, entry, actions) -> None:
+    def _note_silence(self, entry, now_ms, actions) -> None:
         """Act on a request that brought no answer by its progress deadline."""
-        if entry.request.is_idempotent:
+        if not entry.is_suspect:
+            # Its siblings tell whether the connection or the request is slow.
+            self._plan_progress(entry, now_ms)
+            actions.append(Suspect(entry.request.request_id))
+        elif entry.request.is_idempotent:
+            entry.silent_attempts += 1
             self._abort(entry, actions, is_silent=True)
-        elif entry.is_suspect:
+        elif entry.has_silent_siblings:
             self._abort(entry, actions, is_silent=True)
             detail = "its connection and others of the same age went silent"
             self._finish(entry, Unknown(Reason.NO_ANSWER, detail), actions)
-        else:
-            # It may be a long run, and it cannot be repeated: go on waiting.
-            entry.progress_deadline_ms = entry.request.deadline_ms
-            actions.append(Suspect(entry.request.request_id))
+
+    def _plan_progress(self, entry, now_ms) -> None:
+        """Set the next progress deadline; each silent attempt allows more time."""
+        allowance_ms = self._run_times.progress_ms(entry.request.request_class)
+        allowance_ms *= SILENT_ALLOWANCE_FACTOR**entry.silent_attempts
+        entry.progress_deadline_ms = now_ms + allowance_ms
+        self._wake_at(entry.progress_deadline_ms, entry.request.request_id)
+
+    def _is_overdue(self, entry, now_ms) -> bool:
+        high_ms = self._run_times.high_ms(entry.request.request_class)
+        return now_ms >= entry.sent_ms + SUSPECT_FACTOR * high_ms
 
     def _suspect(self, request_ids, now_ms) -> None:
         """Bring forward the progress deadline of what runs on suspect connections."""
@@ -554,20 +567,20 @@
             if entry is None or entry.minion is None:
                 continue
             entry.is_suspect = True
-            run_ms = SUSPECT_FACTOR * self._run_times.high_ms(
-                entry.request.request_class
-            )
-            soon_ms = max(now_ms + 1, entry.sent_ms + int(run_ms))
+            entry.has_silent_siblings |= len(request_ids) > 1
+            high_ms = self._run_times.high_ms(entry.request.request_class)
+            soon_ms = max(now_ms + 1, entry.sent_ms + int(SUSPECT_FACTOR * high_ms))
             if soon_ms < entry.progress_deadline_ms:
                 entry.progress_deadline_ms = soon_ms
                 self._wake_at(soon_ms, request_id)
 
-    def _expire_entry(self, entry, actions) -> None:
+    def _expire_entry(self, entry, now_ms, actions) -> None:
         request_id = entry.request.request_id
         self._queue.remove(request_id)
         self._backing_off.discard(request_id)
         if entry.is_out and not entry.is_aborted:
-            self._abort(entry, actions)
+            is_silent = self._is_overdue(entry, now_ms)
+            self._abort(entry, actions, is_silent=is_silent)
         outcome = failure_outcome(
             may_have_run=entry.may_have_run or entry.is_out,
             reason=Reason.DEADLINE_PASSED,
--- a/ragwortshelf/core/requests/run_times.py
+++ b/ragwortshelf/core/requests/run_times.py
@@ -16,10 +16,10 @@
     RequestClass.ORDINARY: 100.0,
     RequestClass.LONG: 2_000.0,
 }
-PROGRESS_FACTOR = 10
+PROGRESS_FACTOR = 4
 PROGRESS_MIN_MS_BY_CLASS = {
-    RequestClass.QUICK: 1_000,
-    RequestClass.ORDINARY: 5_000,
+    RequestClass.QUICK: 300,
+    RequestClass.ORDINARY: 2_000,
     RequestClass.LONG: 60_000,
 }
 
--- a/ragwortshelf/daemon/dispatcher_connections.py
+++ b/ragwortshelf/daemon/dispatcher_connections.py
@@ -104,7 +104,8 @@
 
         Siblings are the connections to its minion that were open when the request was
         sent. If one of them has answered since, the path is sound and none is suspect.
-        Else idle ones are closed, and the ids of requests on the others are returned.
+        Else idle ones are closed, and the ids of the request and of those on the other
+        siblings are returned.
         """
         silent = self.find(request_id)
         if silent is None:
@@ -120,7 +121,8 @@
             if connection.request_id is None:
                 self._all_by_minion[silent.name].remove(connection)
                 self._closing.append(connection)
-        return tuple(c.request_id for c in suspects if c.request_id is not None)
+        busy = (c.request_id for c in suspects if c.request_id is not None)
+        return (request_id, *busy)
 
     def find(self, request_id: str) -> PooledConnection | None:
         """Return the connection that carries a request."""
--- a/tests/core/requests/test_machine.py
+++ b/tests/core/requests/test_machine.py
@@ -290,17 +290,37 @@
 def test_silence_of_a_posting_raises_suspicion_but_no_second_send():
     machine = ready_machine()
     machine.handle(Submitted(request(1, in_ms=60_000)), READY_MS)
-    actions = machine.handle(Ticked(), READY_MS + 6_000)
+    actions = machine.handle(Ticked(), READY_MS + 3_000)
     assert actions == [Suspect("i.1.1")]
+    machine.handle(ConnectionsSuspected(("i.1.1",)), READY_MS + 3_000)  # it alone
+    assert machine.handle(Ticked(), READY_MS + 20_000) == []
     late = AttemptEnded("i.1.1", Answered(200, (), b"x"))
     actions = machine.handle(late, READY_MS + 50_000)
     assert of_type(actions, Finish, Send) == [Finish("i.1.1", Answered(200, (), b"x"))]
 
 
+def test_slow_query_gets_more_time_on_each_new_connection():
+    machine = ready_machine()
+    machine.handle(Submitted(request(1, idempotent=True, in_ms=60_000)), READY_MS)
+    now_ms, sent_ms, waits_ms = READY_MS, READY_MS, []
+    while now_ms < READY_MS + 45_000:
+        now_ms += 10
+        actions = machine.handle(Ticked(), now_ms)
+        if of_type(actions, Suspect):
+            actions += machine.handle(ConnectionsSuspected(("i.1.1",)), now_ms)
+        if of_type(actions, Abort):
+            waits_ms.append(now_ms - sent_ms)
+            ended = AttemptEnded("i.1.1", Unreachable("aborted"), True)
+            actions += machine.handle(ended, now_ms)
+        if of_type(actions, Send):
+            sent_ms = now_ms
+    assert [wait_ms // 2_000 for wait_ms in waits_ms] == [1, 4, 16]
+
+
 def test_posting_on_a_suspect_connection_ends_at_once_as_unknown():
     machine = ready_machine()
     machine.handle(Submitted(request(1, in_ms=60_000)), READY_MS)
-    machine.handle(ConnectionsSuspected(("i.1.1",)), READY_MS + 50)
+    machine.handle(ConnectionsSuspected(("i.1.1", "i.1.2")), READY_MS + 50)
     assert not machine.handle(Ticked(), READY_MS + 199)
     actions = machine.handle(Ticked(), READY_MS + 200)
     assert of_type(actions, Abort) == [Abort("i.1.1", is_silent=True)]
@@ -317,6 +337,6 @@
     for now_ms in range(0, READY_MS, 500):
         shares.note_list({"i"}, set(), now_ms, now_ms)
     machine.handle(Submitted(request(1, in_ms=60_000)), READY_MS)
-    assert not of_type(machine.handle(Ticked(), READY_MS + 3_000), Abort)
-    lapsed_ms = READY_MS + SETTINGS.lease_ms
+    lapsed_ms = READY_MS - 500 + SETTINGS.lease_ms
+    assert not of_type(machine.handle(Ticked(), lapsed_ms - 1), Abort)
     assert of_type(machine.handle(Ticked(), lapsed_ms), Abort) == [Abort("i.1.1")]
