--- a/benchmarks/control.py
+++ b/benchmarks/control.py
@@ -14,6 +14,7 @@
 from .control_in_force import measure_in_force
 from .control_recovery import measure_recovery
 from .control_sharing import measure_sharing
+from .control_sockets import measure_sockets
 
 _SEED = flags.DEFINE_integer("seed", 1, "Seed of all randomness.")
 
@@ -22,7 +23,13 @@
     """Print all measures."""
     del argv
     seed = _SEED.value
-    measures = (measure_in_force, measure_recovery, measure_sharing, measure_cost)
+    measures = (
+        measure_in_force,
+        measure_recovery,
+        measure_sharing,
+        measure_cost,
+        measure_sockets,
+    )
     for line in itertools.chain.from_iterable(m(seed) for m in measures):
         print(json.dumps(line), flush=True)
 
