Measure time to in force with the daemon's own follower

Cause: the benchmark had waits and retries of its own. Change: it uses StreamFollower, LogHealth and the poll's wait. Also kills two mutations that the tests let live.

--- a/benchmarks/control_in_force.py
+++ b/benchmarks/control_in_force.py
@@ -1,7 +1,7 @@
 """Time from a note's acceptance until it is in force on every instance.
 
-Instances read the log by long polls with the daemon's waits and retries, in virtual
-time; notes are folded by the real fold. A poll that a cut catches hangs until its
+Instances read the log with the daemon's follower, waits and retries, in virtual time;
+notes are folded by the real fold. A poll that a cut catches hangs until its
 timeout, as does one that begins during the cut; in an outage of the log the answer is a
 refusal at once, and a note is accepted by the first try after it.
 """
@@ -16,16 +16,20 @@
 from dataclasses import dataclass, field
 
 from ragwortshelf.core.releases import Accepted, ReleaseState, fold
-from ragwortshelf.core.streams import ReleaseSubmitted
+from ragwortshelf.core.streams import (
+    RELEASES_STREAM,
+    LogHealth,
+    ReleaseSubmitted,
+    StreamFollower,
+    encode_record,
+)
+from ragwortshelf.daemon.streams_following import POLL_WAIT_MS
 
 __all__ = ["measure_in_force"]
 
 DAY_MS = 86_400_000
 SIMULATED_MS = 4 * 3_600_000
-POLL_WAIT_MS = 2_000
-POLL_TIMEOUT_MS = 7_000
-FIRST_RETRY_MS = 100
-LONGEST_RETRY_MS = 5_000
+POLL_TIMEOUT_MS = POLL_WAIT_MS + 5_000
 LATENCY_MS = 1
 SUBMIT_RETRY_MS = 1_000
 BUDGET_MS = 20_000
@@ -59,8 +63,11 @@
 @dataclass(eq=False)
 class _Instance:
     data_centre: int
+    health: LogHealth
+    follower: StreamFollower = field(
+        default_factory=lambda: StreamFollower(RELEASES_STREAM)
+    )
     state: ReleaseState = field(default_factory=ReleaseState)
-    failures: int = 0
     waiting_poll: int | None = None
 
 
@@ -71,12 +78,12 @@
         self.scenario = scenario
         self.now_ms = 0
         self.rng = random.Random(seed)
-        self.records: list[ReleaseSubmitted] = []
+        self.records: list[bytes] = []
         self.accepted_ms: list[int] = []
         self.delays_ms: list[int] = []
         self.after_heal_ms: list[int] = []
         self.instances = [
-            _Instance(data_centre)
+            _Instance(data_centre, LogHealth(self.rng))
             for data_centre in range(scenario.data_centres)
             for _ in range(scenario.instances_per_data_centre)
         ]
@@ -114,10 +121,10 @@
             "note_id": f"n{offset}",
             "against_revision": offset - 1,
             "author": "operator",
-            "rules": {kind: {"retry_budget": offset % 10 / 10}},
+            "rules": {kind: {"retry_budget": 1 + offset % 10}},
         }
         record = ReleaseSubmitted(f"n{offset}", "operator", json.dumps(note), 0)
-        self.records.append(record)
+        self.records.append(encode_record(record))
         self.accepted_ms.append(self.now_ms)
         for instance in self.instances:
             if instance.waiting_poll is not None and not self._is_cut(instance):
@@ -128,7 +135,7 @@
             self._after(POLL_TIMEOUT_MS, lambda: self._fail(instance))
         elif self.now_ms in self.scenario.outage:
             self._after(2 * LATENCY_MS, lambda: self._fail(instance))
-        elif instance.state.next_offset < len(self.records):
+        elif instance.follower.next_offset < len(self.records):
             self._answer(instance, None)
         else:
             number = next(self._numbers)
@@ -144,14 +151,16 @@
             hung_ms = POLL_TIMEOUT_MS - POLL_WAIT_MS
             self._after(hung_ms, lambda: self._fail(instance))
             return
-        instance.failures = 0
+        instance.health.on_answer()
         self._after(2 * LATENCY_MS, lambda: self._apply(instance))
 
     def _apply(self, instance: _Instance) -> None:
-        while instance.state.next_offset < len(self.records):
-            offset = instance.state.next_offset
-            instance.state, verdict = fold(instance.state, offset, self.records[offset])
-            assert verdict == Accepted(offset)
+        start = instance.follower.next_offset
+        page = tuple(self.records[start:])
+        for delivery in instance.follower.take(start, page, len(self.records)):
+            offset = delivery.offset
+            instance.state, verdict = fold(instance.state, offset, delivery.record)
+            assert verdict == Accepted(offset), verdict
             self.delays_ms.append(self.now_ms - self.accepted_ms[offset])
             healed_ms = self.scenario.cut_off.stop
             if instance.data_centre == 0 and self.accepted_ms[offset] in (
@@ -161,10 +170,8 @@
         self._poll(instance)
 
     def _fail(self, instance: _Instance) -> None:
-        instance.failures += 1
-        doubled_ms = FIRST_RETRY_MS << min(instance.failures, 10)
-        longest_ms = min(doubled_ms, LONGEST_RETRY_MS)
-        wait_ms = self.rng.randint(FIRST_RETRY_MS // 2, longest_ms)
+        instance.health.on_failure(self.now_ms)
+        wait_ms = instance.health.retry_delay_ms()
         self._after(wait_ms, lambda: self._poll(instance))
 
 
--- a/tests/core/membership/test_membership_faults.py
+++ b/tests/core/membership/test_membership_faults.py
@@ -356,3 +356,21 @@
     heartbeat = dataclasses.replace(heartbeat, beats=(*heartbeat.beats, newer))
     machine.handle(HeartbeatReceived("c1", heartbeat), 20)
     assert machine.is_superseded
+
+
+def test_after_a_pause_the_others_get_their_time_again():
+    machine, heartbeat = linked_pair()
+    machine.handle(HeartbeatReceived("c1", heartbeat), 20)
+    actions = machine.handle(Tick(), 30_000)
+    assert not any(isinstance(action, CloseLink) for action in actions)
+    assert machine.view.members_by_name["dc1-2"].status is MemberStatus.ALIVE
+    machine.handle(Tick(), 30_000 + DEAD_AFTER_MS // 2)
+    machine.handle(Tick(), 30_000 + DEAD_AFTER_MS)
+    assert machine.view.members_by_name["dc1-2"].status is MemberStatus.DEAD
+
+
+def test_nothing_is_kept_about_connections_that_are_gone():
+    machine, heartbeat = linked_pair()
+    for number in range(2, 10):
+        machine.handle(LinkOpened(heartbeat.sender, f"c{number}"), 20)
+    assert set(machine._shared._sent_by_connection) == {"c9"}
