Count the requests' heartbeats and the revision in what control costs

Cause: the cost a node counted made-up load reports. Change: it counts what instances send: heartbeats with the revision in force, the requests' share and load messages, and the workers' messages; loads, queues and revisions remain in the comparison of the ways of sharing.

--- a/benchmarks/control_cost.py
+++ b/benchmarks/control_cost.py
@@ -11,7 +11,8 @@
 from collections.abc import Iterator
 
 from .control_network import VirtualNetwork, instances
-from .control_sharing import SIZES, Size, publish_load
+from .control_requests import requests_cost
+from .control_sharing import SIZES, Size, publish_revision
 from .control_workers import PACKET_BYTES, worker_cost
 
 __all__ = ["measure_cost"]
@@ -40,44 +41,49 @@
 def _at_size(size: Size, seed: int) -> Iterator[dict]:
     peers = _peer_cost(size, seed)
     worker = worker_cost(size)
+    requests = requests_cost(size, seed)
     share = size.workers / size.instances
     at_placer = size.workers / size.data_centres
     for spread, workers in (("mean", share), ("placer", at_placer)):
-        total_bytes = peers.bytes_per_s + worker.bytes_per_s * workers
-        total_cpu = peers.cpu_percent + worker.cpu_s_per_s * workers * 100
+        bytes_by_part = {
+            "membership": peers.bytes_per_s,
+            "requests": requests.bytes_per_s,
+            "workers": worker.bytes_per_s * workers,
+        }
+        cpu_by_part = {
+            "membership": peers.cpu_percent,
+            "requests": requests.cpu_s_per_s * 100,
+            "workers": worker.cpu_s_per_s * workers * 100,
+        }
+        total_bytes = sum(bytes_by_part.values())
+        total_cpu = sum(cpu_by_part.values())
         yield {
             "measure": "control_a_node",
             "size": size.name,
             "node": spread,
             "workers": round(workers, 1),
-            "peers_bytes_per_s": round(peers.bytes_per_s),
-            "workers_bytes_per_s": round(worker.bytes_per_s * workers),
             "bytes_per_s": round(total_bytes),
-            "peers_cpu_percent": round(peers.cpu_percent, 2),
-            "workers_cpu_percent": round(worker.cpu_s_per_s * workers * 100, 2),
+            "bytes_per_s_by_part": _rounded(bytes_by_part, 0),
             "cpu_percent": round(total_cpu, 2),
+            "cpu_percent_by_part": _rounded(cpu_by_part, 2),
             "is_within_bytes_budget": total_bytes <= BUDGET_BYTES_PER_S,
             "is_within_cpu_budget": total_cpu <= BUDGET_CPU_PERCENT,
         }
 
 
+def _rounded(value_by_part: dict[str, float], digits: int) -> dict[str, float]:
+    return {part: round(value, digits) for part, value in value_by_part.items()}
+
+
 def _slopes(size: Size, seed: int) -> Iterator[dict]:
-    base = _peer_cost(size, seed)
-    fewer_instances = dataclasses.replace(size, instances_per_data_centre=2)
-    fewer_organisations = dataclasses.replace(size, organisations=40)
+    """What one more instance in each data centre, or one more worker, adds to a node.
+
+    Nothing that instances send each other grows with the number of organisations.
+    """
+    fewer = dataclasses.replace(size, instances_per_data_centre=2)
+    count = size.instances - fewer.instances
     worker = worker_cost(size)
-    yield _slope(
-        "instance",
-        base,
-        _peer_cost(fewer_instances, seed),
-        size.instances - fewer_instances.instances,
-    )
-    yield _slope(
-        "organisation",
-        base,
-        _peer_cost(fewer_organisations, seed),
-        size.organisations - fewer_organisations.organisations,
-    )
+    yield _slope("instance", _peer_cost(size, seed), _peer_cost(fewer, seed), count)
     yield {
         "measure": "slope",
         "per": "worker",
@@ -101,7 +107,7 @@
     network.start_all(instances(size.data_centres, size.instances_per_data_centre))
     nodes = tuple(network.node_by_name.values())
     for node in nodes:
-        publish_load(network, node, size)
+        publish_revision(network, node)
     network.run(WARM_UP_MS)
     for node in nodes:
         node.bytes_sent = node.bytes_received = node.frames_sent = 0
--- /dev/null
+++ b/benchmarks/control_requests.py
@@ -0,0 +1,106 @@
+"""Bytes and processor time of the heartbeats of the requests' service.
+
+Each instance exchanges shares with every other one of its data centre and load with a
+few others, at the daemon's intervals. A call to another data centre goes over the link
+of the pair, so it crosses up to three connections.
+"""
+
+from __future__ import annotations
+
+import random
+import time
+from dataclasses import dataclass
+
+from ragwortshelf.core.requests import LoadReport, ShareHeartbeat, ShareReply
+from ragwortshelf.core.streams.codec import encode
+from ragwortshelf.daemon.dispatcher_heartbeats import (
+    HEARTBEAT_MS,
+    REMOTE_REPORTS_PER_ROUND,
+)
+from ragwortshelf.net.peer_frames import Envelope, EnvelopeKind, decode_frame
+
+from .control_network import Deflate
+from .control_sharing import MINIONS_PER_DATA_CENTRE, Size
+from .control_workers import PACKET_BYTES
+
+__all__ = ["RequestsCost", "requests_cost"]
+
+ROUNDS = 200
+FRAME_HEADER_BYTES = 8
+
+
+@dataclass(frozen=True, slots=True)
+class RequestsCost:
+    """What a node spends, both directions together."""
+
+    bytes_per_s: float
+    cpu_s_per_s: float
+
+
+def requests_cost(size: Size, seed: int) -> RequestsCost:
+    """Measure the mean node of a deployment."""
+    rng = random.Random(seed)
+    mates = size.instances_per_data_centre - 1
+    remote = min(REMOTE_REPORTS_PER_ROUND, size.instances - mates - 1)
+    share_bytes, share_cpu_s = _exchange(rng, _share_pair)
+    load_bytes, load_cpu_s = _exchange(rng, _load_pair)
+    hops = _mean_hops(size)
+    rounds_per_s = 1000 / HEARTBEAT_MS
+    # Every byte is sent by one node and received by another, so the mean node has
+    # twice what it sends.
+    return RequestsCost(
+        2 * rounds_per_s * (mates * share_bytes + remote * hops * load_bytes),
+        rounds_per_s * (mates * share_cpu_s + remote * hops * load_cpu_s),
+    )
+
+
+def _mean_hops(size: Size) -> float:
+    is_end = 1 / size.instances_per_data_centre
+    return 1 + 2 * (1 - is_end)
+
+
+def _exchange(rng: random.Random, pair) -> tuple[float, float]:
+    """Return bytes over one connection and processor seconds of a call and reply."""
+    there = Deflate()
+    back = Deflate()
+    total = 0
+    begun_s = time.process_time()
+    for number in range(ROUNDS):
+        call, reply = pair(rng, number)
+        for deflate, kind, message in (
+            (there, EnvelopeKind.CALL, call),
+            (back, EnvelopeKind.REPLY, reply),
+        ):
+            envelope = Envelope(
+                kind, number, "dc1-1", 1_800_000_000_000, "dc1-2", encode(message)
+            )
+            data = deflate.compress(encode(envelope))
+            decode_frame(deflate.decompress(data))
+            total += len(data) + FRAME_HEADER_BYTES + PACKET_BYTES
+    cpu_s = time.process_time() - begun_s
+    return total / ROUNDS, cpu_s / ROUNDS
+
+
+def _minions(rng: random.Random) -> dict[str, int]:
+    return {
+        f"minion-{index}": rng.randrange(8) for index in range(MINIONS_PER_DATA_CENTRE)
+    }
+
+
+def _load(rng: random.Random) -> LoadReport:
+    return LoadReport(
+        "dc1", rng.randrange(64), rng.randrange(100), False, _minions(rng)
+    )
+
+
+def _share_pair(rng: random.Random, number: int):
+    members = ("dc1-1", "dc1-2", "dc1-3", "dc1-4")
+    return (
+        ShareHeartbeat("dc1", 1, number, _minions(rng), members, True, load=_load(rng)),
+        ShareReply(1, number, _minions(rng), members, True, load=_load(rng)),
+    )
+
+
+def _load_pair(rng: random.Random, number: int):
+    del number
+    return _load(rng), _load(rng)
--- a/benchmarks/control_sharing.py
+++ b/benchmarks/control_sharing.py
@@ -17,7 +17,7 @@
 
 from .control_network import Deflate, VirtualNetwork, VirtualNode, instances
 
-__all__ = ["SIZES", "Size", "measure_sharing", "publish_load"]
+__all__ = ["SIZES", "Size", "measure_sharing", "publish_load", "publish_revision"]
 
 WARM_UP_MS = 15_000
 MEASURED_MS = 20_000
@@ -109,15 +109,23 @@
         _publish("queues", _Queues(by_name))
         network.after(QUEUES_EVERY_MS, queues)
 
-    def revision() -> None:
-        _publish("revision", _Revision(1_000, 1_800_000_000_000 + network.now_ms))
-        network.after(REVISION_EVERY_MS, revision)
-
     def _publish(key, value) -> None:
         network.feed(node, Published(key, encode(value)))
 
-    for step in (load, queues, revision):
+    for step in (load, queues):
         network.after(rng.randrange(1_000), step)
+    publish_revision(network, node)
+
+
+def publish_revision(network: VirtualNetwork, node: VirtualNode) -> None:
+    """Let an instance share its revision in force, and when it was last confirmed."""
+
+    def revision() -> None:
+        value = _Revision(1_000, 1_800_000_000_000 + network.now_ms)
+        network.feed(node, Published("revision", encode(value)))
+        network.after(REVISION_EVERY_MS, revision)
+
+    network.after(network.rng.randrange(REVISION_EVERY_MS), revision)
 
 
 class _Counter:
