--- a/benchmarks/control_network.py
+++ b/benchmarks/control_network.py
@@ -11,6 +11,7 @@
 import itertools
 import random
 import time
+import zlib
 from collections.abc import Callable, Iterable
 from dataclasses import dataclass, field
 
@@ -18,6 +19,7 @@
     HEARTBEAT_INTERVAL_MS,
     CloseLink,
     Event,
+    Heartbeat,
     HeartbeatReceived,
     LinkClosed,
     LinkFailed,
@@ -32,7 +34,7 @@
 from ragwortshelf.core.streams.codec import encode
 from ragwortshelf.net.peer_frames import decode_frame
 
-__all__ = ["VirtualNetwork", "VirtualNode", "instances"]
+__all__ = ["Deflate", "VirtualNetwork", "VirtualNode", "instances"]
 
 LIST_INTERVAL_MS = 2_000
 OPEN_TIMEOUT_MS = 2_500
@@ -62,28 +64,47 @@
     is_up: bool = True
     is_paused: bool = False
     bytes_sent: int = 0
+    bytes_received: int = 0
     frames_sent: int = 0
     cpu_s: float = 0.0
     deferred: list[Event] = field(default_factory=list)
     views_changed: int = 0
 
 
+class Deflate:
+    """One direction's compression as permessage-deflate of websockets does it."""
+
+    def __init__(self):
+        self._compressor = zlib.compressobj(wbits=-12, memLevel=5)
+        self._decompressor = zlib.decompressobj(wbits=-12)
+
+    def compress(self, data: bytes) -> bytes:
+        compressed = self._compressor.compress(data)
+        return (compressed + self._compressor.flush(zlib.Z_SYNC_FLUSH))[:-4]
+
+    def decompress(self, data: bytes) -> bytes:
+        return self._decompressor.decompress(data + b"\x00\x00\xff\xff")
+
+
 @dataclass(eq=False)
 class _Connection:
     ends: tuple[VirtualNode, VirtualNode]
     is_open: bool = True
     silent_from: set[str] = field(default_factory=set)
+    deflate_by_sender: dict[str, Deflate] = field(default_factory=dict)
 
 
 class VirtualNetwork:
     """Instances, the links between them and the platform's list."""
 
-    def __init__(self, seed: int, *, latency_ms: int = 1):
+    def __init__(self, seed: int, *, latency_ms: int = 1, is_compressed: bool = True):
+        self.is_compressed = is_compressed
         self.now_ms = 0
         self.latency_ms = latency_ms
         self.rng = random.Random(seed)
         self.node_by_name: dict[str, VirtualNode] = {}
         self.listed: tuple[InstanceInfo, ...] | None = ()
+        self.on_heartbeat: Callable[[str, Heartbeat], None] = lambda *_: None
         self.is_cut: Callable[[VirtualNode, VirtualNode], bool] = lambda a, b: False
         self._connection_by_id: dict[str, _Connection] = {}
         self._numbers = itertools.count(1)
@@ -220,8 +241,12 @@
         connection = self._connection_by_id.get(connection_id)
         if connection is None:
             return
+        self.on_heartbeat(connection_id, heartbeat)
         begun_s = time.process_time()
         data = encode(heartbeat)
+        if self.is_compressed:
+            deflate = connection.deflate_by_sender.setdefault(node.info.name, Deflate())
+            data = deflate.compress(data)
         node.cpu_s += time.process_time() - begun_s
         node.bytes_sent += len(data)
         node.frames_sent += 1
@@ -234,9 +259,15 @@
         self.after(self.latency_ms, lambda: self._deliver(peer, connection_id, data))
 
     def _deliver(self, node: VirtualNode, connection_id: str, data: bytes) -> None:
-        if connection_id not in self._connection_by_id or not node.is_up:
+        connection = self._connection_by_id.get(connection_id)
+        if connection is None or not node.is_up:
             return
+        node.bytes_received += len(data)
         begun_s = time.process_time()
+        if self.is_compressed:
+            one, other = connection.ends
+            sender = one if node is other else other
+            data = connection.deflate_by_sender[sender.info.name].decompress(data)
         heartbeat = decode_frame(data)
         node.cpu_s += time.process_time() - begun_s
         self.feed(node, HeartbeatReceived(connection_id, heartbeat))
