--- a/ragwortshelf/daemon/dispatcher_connections.py
+++ b/ragwortshelf/daemon/dispatcher_connections.py
@@ -102,8 +102,10 @@
     def suspect(self, request_id: str) -> tuple[str, ...]:
         """Suspect the siblings of the silent connection that carries ``request_id``.
 
-        Siblings that were open when the request was sent, and have brought nothing
-        since, are closed if idle; the ids of requests on the others are returned.
+        Siblings are the connections to its minion that were open when the request was
+        sent. If one of them has answered since, the path is sound and none is suspect.
+        Else idle ones are closed, and the ids of the request and of those on the other
+        siblings are returned.
         """
         silent = self.find(request_id)
         if silent is None:
@@ -111,15 +113,16 @@
         suspects = [
             connection
             for connection in self._all_by_minion.get(silent.name, ())
-            if connection is not silent
-            and connection.opened_ms <= silent.used_ms
-            and (connection.answered_ms or 0) <= silent.used_ms
+            if connection is not silent and connection.opened_ms <= silent.used_ms
         ]
+        if any((c.answered_ms or 0) > silent.used_ms for c in suspects):
+            return ()
         for connection in suspects:
             if connection.request_id is None:
                 self._all_by_minion[silent.name].remove(connection)
                 self._closing.append(connection)
-        return tuple(c.request_id for c in suspects if c.request_id is not None)
+        busy = (c.request_id for c in suspects if c.request_id is not None)
+        return (request_id, *busy)
 
     def find(self, request_id: str) -> PooledConnection | None:
         """Return the connection that carries a request."""
