Share a reservation among like jobs; reclaim smaller borrowed work for old groups

Cause: a reservation made for one job was unusable while an older like job headed the group (779 s wait in workshops 1). Change: reservations are for like jobs; a place without blockers is taken first.

--- a/benchmarks/placement_policies.py
+++ b/benchmarks/placement_policies.py
@@ -229,7 +229,7 @@
                     self._home_by_worker[worker] = name
 
     def add(self, spec: JobSpec, now_ms: int, checkpoint: int = 0) -> None:
-        """Give the job a home where it fits now, else where its guarantee is."""
+        """Give the job a home where it fits now, else where its guarantee has room."""
         home = self._home_that_fits(spec, now_ms)
         if home is None:
             load = {
@@ -249,7 +249,14 @@
             cost = scheduler.placement_cost(spec, now_ms)
             if cost is not None:
                 fitting.append((cost, scheduler.free(), name))
-        return min(fitting)[2] if fitting else None
+        if fitting:
+            return min(fitting)[2]
+        promised = [
+            name
+            for name, scheduler in self._scheduler_by_name.items()
+            if scheduler.fits_guarantee(spec, now_ms)
+        ]
+        return promised[0] if promised else None
 
     def end(self, spec: JobSpec, now_ms: int) -> None:
         """Tell the scheduler of the job's home."""
--- a/ragwortshelf/core/placement/blocked.py
+++ b/ragwortshelf/core/placement/blocked.py
@@ -6,7 +6,7 @@
 from collections.abc import Iterator
 
 from ..model import JobSpec
-from .ledger import accelerators_of
+from .ledger import Accelerator, ActiveJob, accelerators_of
 from .placer import Found, Placer
 from .pool import PoolWorker
 from .reservations import Reservation, Reservations
@@ -107,10 +107,11 @@
         )
 
     def _drop_outdated(self) -> None:
-        """Give up reservations for jobs that no longer wait."""
-        waiting = self._state.waiting.job_by_id
+        """Give up reservations for which no job waits any more."""
         for name, reservation in list(self._reservations.by_organisation.items()):
-            if reservation.spec.job_id not in waiting:
+            groups = self._state.waiting.groups_by_organisation.get(name, {})
+            heads = (group.head.spec for group in groups.values())
+            if not any(reservation.is_for(spec) for spec in heads):
                 self._reservations.drop(name)
 
     def _may_reserve(self, spec: JobSpec) -> bool:
@@ -119,7 +120,7 @@
             return False
         known = self._reservations.by_organisation.get(spec.organisation)
         if known is not None:
-            return known.spec.job_id == spec.job_id
+            return known.is_for(spec)
         return len(self._reservations.by_organisation) < RESERVED_ORGANISATIONS_MAX
 
     def _move(self, waiting: WaitingJob, placer: Placer, now_ms: int) -> Found | None:
@@ -162,12 +163,15 @@
         return Found(plan.grants, claim, reason, victims=plan.victims)
 
     def _reserve(self, spec: JobSpec, placer: Placer, now_ms: int) -> Found | None:
-        """Use the reservation if nothing lasting stands on it, else keep or make it."""
+        """Reclaim smaller borrowed work if that is enough, else keep a reservation."""
+        found = self._reclaim_smaller(spec, placer, None, now_ms)
+        if found is not None:
+            return found
         state = self._state
         reservation = self._reservations.by_organisation.get(spec.organisation)
         if (
             reservation is None
-            or reservation.spec.job_id != spec.job_id
+            or not reservation.is_for(spec)
             or now_ms >= reservation.until_ms
         ):
             reservation = self._choose(spec, placer, now_ms)
@@ -176,13 +180,25 @@
             owners = state.witness.owner_by_accelerator
             self._reservations.set(reservation, owners)
 
-        kept = reservation.accelerators
+        return self._reclaim_smaller(spec, placer, reservation.accelerators, now_ms)
+
+    def _reclaim_smaller(
+        self,
+        spec: JobSpec,
+        placer: Placer,
+        kept: frozenset[Accelerator] | None,
+        now_ms: int,
+    ) -> Found | None:
+        """Reclaim smaller borrowed work, on the ``kept`` accelerators or anywhere."""
+        state = self._state
 
         def usable(worker: PoolWorker, index: int) -> str | None:
-            if (worker.name, index) not in kept:
+            if kept is not None and (worker.name, index) not in kept:
                 return None
             if not placer.permitted(worker, index):
                 return None
+            if self._reservations.blocks(spec, worker.name, index, True):
+                return None
             return self._smaller_holder(spec, worker, index, spec.accelerators - 1)
 
         plan = plan_reclaim(
@@ -192,12 +208,12 @@
             spec.accelerators,
             spec.adjacency,
             now_ms,
-            {worker for worker, _ in kept},
+            None if kept is None else {worker for worker, _ in kept},
         )
         if plan is None:
             return None
         claim = placer.part_in_region(plan.grants)
-        reason = "nothing lasting is left on its reserved accelerators"
+        reason = "blocked for long; reclaims smaller borrowed work"
         return Found(plan.grants, claim, reason, victims=plan.victims)
 
     def _has_just_started(self, job_id: str, now_ms: int) -> bool:
@@ -223,6 +239,21 @@
             return None
         return holder
 
+    def _blocking_cost(self, spec: JobSpec, job: ActiveJob, now_ms: int) -> int:
+        """Return the expected rest of work that will not make way, in accelerator-ms.
+
+        The learned run time only chooses the place; nothing is started by it.
+        """
+        if (
+            job.can_be_stopped
+            and job.is_borrowed
+            and job.spec.accelerators < spec.accelerators
+        ):
+            return 0
+        expected_ms = self._state.run_times.expected_ms(job.spec)
+        rest_ms = max(expected_ms // 4, expected_ms - (now_ms - job.started_ms))
+        return rest_ms * spec.accelerators
+
     def _choose(self, spec: JobSpec, placer: Placer, now_ms: int) -> Reservation | None:
         """Reserve where the least work stands that nothing can move."""
         state = self._state
@@ -252,6 +283,7 @@
             spec.accelerators,
             spec.adjacency,
             now_ms,
+            extra_cost=lambda job: self._blocking_cost(spec, job, now_ms),
         )
         if plan is None:
             return None
--- a/ragwortshelf/core/placement/decider.py
+++ b/ragwortshelf/core/placement/decider.py
@@ -10,7 +10,7 @@
 import enum
 import heapq
 
-from ..model import Decision, Grant, Priority, Reason
+from ..model import Decision, Grant, JobSpec, Priority, Reason
 from .actions import Action, Move, Place, Probe, Reclaim, Reject
 from .admission import fits_catalogue
 from .blocked import BlockedGroups
@@ -232,9 +232,7 @@
         """Return a key that sorts the group to be served first lowest."""
         head = group.head
         reservation = self.reservations.by_organisation.get(head.spec.organisation)
-        is_reserved = reservation is not None and (
-            reservation.spec.job_id == head.spec.job_id
-        )
+        is_reserved = reservation is not None and reservation.is_for(head.spec)
         view = JobView(
             head.spec.accelerators,
             max(0, now_ms - head.since_ms),
@@ -267,7 +265,7 @@
         state = self._state
         spec = waiting.spec
         state.waiting.discard(spec.job_id)
-        self.reservations_of(spec.organisation, spec.job_id)
+        self._drop_reservation(spec)
         grace_ms = self._grace_ms()
         job = ActiveJob(
             spec,
@@ -288,11 +286,10 @@
                 victim.reclaim_deadline_ms = now_ms + grace_ms
                 self._emit_reclaim(victim, job, is_move, now_ms)
 
-    def reservations_of(self, organisation: str, job_id: str) -> None:
-        """Give up the reservation that is for this job."""
-        reservation = self.reservations.by_organisation.get(organisation)
-        if reservation is not None and reservation.spec.job_id == job_id:
-            self.reservations.drop(organisation)
+    def _drop_reservation(self, spec: JobSpec) -> None:
+        reservation = self.reservations.by_organisation.get(spec.organisation)
+        if reservation is not None and reservation.is_for(spec):
+            self.reservations.drop(spec.organisation)
 
     def _emit_place(
         self, job: ActiveJob, reason: str, passed_over: tuple[str, ...] = ()
--- a/ragwortshelf/core/placement/reservations.py
+++ b/ragwortshelf/core/placement/reservations.py
@@ -24,6 +24,20 @@
     accelerators: frozenset[Accelerator]
     until_ms: int
 
+    def is_for(self, spec: JobSpec) -> bool:
+        """Return whether the job may use it: it is like the one it was made for.
+
+        Jobs that are alike share a reservation, since an older one may come back to
+        wait after it was stopped.
+        """
+        made_for = self.spec
+        return (
+            spec.organisation == made_for.organisation
+            and spec.accelerators == made_for.accelerators
+            and spec.adjacency is made_for.adjacency
+            and spec.is_reclaimable == made_for.is_reclaimable
+        )
+
 
 class Reservations:
     """Reservations by organisation; their accelerators do not overlap."""
@@ -71,7 +85,7 @@
         if not self.by_organisation:
             return False
         reservation = self._by_accelerator.get((worker, index))
-        if reservation is None or reservation.spec.job_id == spec.job_id:
+        if reservation is None or reservation.is_for(spec):
             return False
         if (
             reservation.spec.organisation != spec.organisation
--- a/ragwortshelf/core/placement/victims.py
+++ b/ragwortshelf/core/placement/victims.py
@@ -35,10 +35,12 @@
     adjacency: Adjacency,
     now_ms: int,
     within: Collection[str] | None = None,
+    extra_cost: Callable[[ActiveJob], int] | None = None,
 ) -> ReclaimPlan | None:
     """Return the cheapest plan over all workers, racks or the whole data centre.
 
-    ``within`` names the workers to look at, all of them by default.
+    ``within`` names the workers to look at, all of them by default; ``extra_cost``
+    is added to the cost of stopping a job, in accelerator-milliseconds.
     """
     names = pool.workers_by_name if within is None else within
     workers_looked_at = [
@@ -56,7 +58,7 @@
                     holder_by_accelerator[worker.name, index] = holder
         if len(holder_by_accelerator) < accelerators:
             continue
-        plan = _plan(holder_by_accelerator, job_by_id, accelerators, now_ms)
+        plan = _plan(holder_by_accelerator, job_by_id, accelerators, now_ms, extra_cost)
         if best is None or plan.cost_ms < best.cost_ms:
             best = plan
     return best
@@ -80,6 +82,7 @@
     job_by_id: dict[str, ActiveJob],
     accelerators: int,
     now_ms: int,
+    extra_cost: Callable[[ActiveJob], int] | None,
 ) -> ReclaimPlan:
     places_by_holder: dict[str, list[Accelerator]] = {}
     for accelerator, holder in holder_by_accelerator.items():
@@ -91,7 +94,8 @@
         if job.reclaim_deadline_ms is not None:
             return 0  # it leaves anyway
         stop = STOP_COST_MS * job.spec.accelerators
-        return job.lost_accelerator_ms(now_ms) + stop
+        extra = 0 if extra_cost is None else extra_cost(job)
+        return job.lost_accelerator_ms(now_ms) + stop + extra
 
     by_cost = sorted(
         places_by_holder, key=lambda h: (cost(h) / len(places_by_holder[h]), h)
