--- a/ragwortshelf/core/placement/placer.py
+++ b/ragwortshelf/core/placement/placer.py
@@ -92,6 +92,9 @@
         outside = None
         if self._spec.is_reclaimable:
             outside = self._find(self._free_outside)
+        elif inside is None:
+            outside = self._find(self._free_for_unstoppable)
+            claim = () if outside is None else self.part_in_region(outside)
         if inside is None and outside is None:
             return None
         if inside is not None and (
