--- a/benchmarks/placement_driver.py
+++ b/benchmarks/placement_driver.py
@@ -18,6 +18,7 @@
 CHECKPOINT_MS = 500  # from the word to stop until the checkpoint is whole
 FAILURE_MS = 1_000  # from the start until a failing task has ended
 LARGE_ACCELERATORS = 16
+DRAIN_MS = 14_400_000  # how long the queue may take to empty after the last arrival
 
 
 @dataclass(slots=True)
@@ -155,7 +156,7 @@
             self._at(from_ms, lambda w=worker: self._lose(w))
             self._at(until_ms, lambda w=worker: self._return(w))
         wakeup_ms = None
-        limit_ms = 4 * self._last_arrival_ms
+        limit_ms = self._last_arrival_ms + DRAIN_MS
         while self._events and self._now_ms < limit_ms:
             at_ms = self._events[0][0]
             if wakeup_ms is not None and self._now_ms < wakeup_ms < at_ms:
--- a/ragwortshelf/core/placement/admission.py
+++ b/ragwortshelf/core/placement/admission.py
@@ -4,7 +4,8 @@
 
 from collections.abc import Mapping
 
-from ..model import Adjacency, Configuration, DataCentre, JobSpec
+from ..model import Adjacency, Configuration, DataCentre, JobSpec, Organisation
+from .regions import home_regions
 
 __all__ = ["fits_catalogue", "fits_data_centre", "home_data_centre"]
 
@@ -77,12 +78,43 @@
         if fits_data_centre(spec, data_centre)
         and (
             spec.is_reclaimable
-            or not organisation.home_region
-            or data_centre.region == organisation.home_region
+            or _fits_unstoppable(spec, organisation, configuration, data_centre)
         )
     ]
 
 
+def _fits_unstoppable(
+    spec: JobSpec,
+    organisation: Organisation,
+    configuration: Configuration,
+    data_centre: DataCentre,
+) -> bool:
+    """Return whether what is promised to the organisation or to nobody holds it."""
+    if organisation.home_region not in ("", data_centre.region):
+        return False
+    owners = home_regions(configuration, data_centre.name).owner_by_accelerator
+    largest_worker = 0
+    largest_rack = 0
+    total = 0
+    for rack in data_centre.racks:
+        counts = [
+            sum(
+                owners.get((worker, index)) in (None, organisation.name)
+                for index in range(rack.accelerators_per_worker)
+            )
+            for worker in rack.workers
+        ]
+        largest_worker = max(largest_worker, *counts, 0)
+        largest_rack = max(largest_rack, sum(counts))
+        total += sum(counts)
+    largest_by_adjacency = {
+        Adjacency.WORKER: largest_worker,
+        Adjacency.RACK: largest_rack,
+        Adjacency.DATA_CENTRE: total,
+    }
+    return spec.accelerators <= largest_by_adjacency[spec.adjacency]
+
+
 def _largest_group(adjacency: Adjacency, data_centre: DataCentre) -> int:
     if adjacency is Adjacency.DATA_CENTRE:
         return data_centre.accelerators
