Place unstoppable work where it fits tightest, and weigh moves against completion

Cause: such work went to its own region first and broke a worker there for each organisation; the workshops moved as much as the agency. Change: tightest of region and unpromised accelerators; gain of a move is fragmentation over completion weight.

--- a/ragwortshelf/core/placement/placer.py
+++ b/ragwortshelf/core/placement/placer.py
@@ -92,7 +92,7 @@
         outside = None
         if self._spec.is_reclaimable:
             outside = self._find(self._free_outside)
-        elif inside is None:
+        else:
             outside = self._find(self._free_for_unstoppable)
             claim = () if outside is None else self.part_in_region(outside)
         if inside is None and outside is None:
--- a/ragwortshelf/core/placement/policy.py
+++ b/ragwortshelf/core/placement/policy.py
@@ -92,5 +92,7 @@
 
     @property
     def move_gain_weight(self) -> float:
-        """Return the weight of fragmentation."""
-        return self.fragmentation_weight
+        """Return the weight of fragmentation against that of completion."""
+        if self.completion_weight <= 0:
+            return self.fragmentation_weight
+        return self.fragmentation_weight / self.completion_weight
