--- a/benchmarks/placement_policies.py
+++ b/benchmarks/placement_policies.py
@@ -14,6 +14,7 @@
     Reject,
     Scheduler,
     home_data_centre,
+    less_blocked_home,
 )
 from ragwortshelf.core.placement.packing import find_group
 from ragwortshelf.core.placement.policy import WeightedPolicy
@@ -239,6 +240,9 @@
         ):
             self.covered_ids.add(spec.job_id)
         home = self._home_that_fits(spec, now_ms)
+        if home is None:
+            unplaced = replace(spec, home_data_centre="")
+            home = self._less_blocked_home(unplaced, now_ms)
         if home is None:
             load = {
                 name: -scheduler.waiting_accelerators()
@@ -361,9 +365,12 @@
 
     def _less_blocked_home(self, spec: JobSpec, now_ms: int) -> str | None:
         """Return where a group that has waited long has much less in its way."""
-        if now_ms - spec.submitted_wall_ms < self.BLOCKED_MS or spec.accelerators < 2:
+        has_home = spec.home_data_centre != ""
+        if has_home and now_ms - spec.submitted_wall_ms < self.BLOCKED_MS:
             return None
-        if now_ms < self._compared_until_by_id.get(spec.job_id, 0):
+        if spec.accelerators < 2 or now_ms < self._compared_until_by_id.get(
+            spec.job_id, 0
+        ):
             return None
         self._compared_until_by_id[spec.job_id] = now_ms + self.BLOCKED_MS
         cost_by_name = {}
@@ -371,11 +378,13 @@
             cost = scheduler.blocking_cost(spec, now_ms)
             if cost is not None:
                 cost_by_name[name] = cost
-        if not cost_by_name:
-            return None
-        best = min(cost_by_name, key=lambda name: (cost_by_name[name], name))
-        here = cost_by_name.get(spec.home_data_centre)
-        return best if here is None or 2 * cost_by_name[best] < here else None
+        queued_by_name: dict[str, int] = {}
+        for other, _ in self._spec_by_waiting_id.values():
+            is_before = other.submitted_wall_ms < spec.submitted_wall_ms
+            if is_before and other.accelerators >= spec.accelerators:
+                name = other.home_data_centre
+                queued_by_name[name] = queued_by_name.get(name, 0) + 1
+        return less_blocked_home(cost_by_name, queued_by_name, spec.home_data_centre)
 
     def _scheduler(self, spec: JobSpec) -> Scheduler:
         return self._scheduler_by_name[self._home_by_id[spec.job_id]]
--- a/ragwortshelf/core/placement/__init__.py
+++ b/ragwortshelf/core/placement/__init__.py
@@ -16,7 +16,12 @@
     WorkerCondition,
     WorkerStatus,
 )
-from .admission import fits_catalogue, fits_data_centre, home_data_centre
+from .admission import (
+    fits_catalogue,
+    fits_data_centre,
+    home_data_centre,
+    less_blocked_home,
+)
 from .policy import JobView, PlacementPolicy, WeightedPolicy
 from .scheduler import Scheduler
 
@@ -33,6 +38,7 @@
     "fits_catalogue",
     "fits_data_centre",
     "home_data_centre",
+    "less_blocked_home",
     "JobView",
     "PlacementPolicy",
     "WeightedPolicy",
--- a/ragwortshelf/core/placement/admission.py
+++ b/ragwortshelf/core/placement/admission.py
@@ -7,7 +7,14 @@
 from ..model import Adjacency, Configuration, DataCentre, JobSpec, Organisation
 from .regions import home_regions
 
-__all__ = ["fits_catalogue", "fits_data_centre", "home_data_centre"]
+__all__ = [
+    "fits_catalogue",
+    "fits_data_centre",
+    "home_data_centre",
+    "less_blocked_home",
+]
+
+MOVE_HOME_GAIN = 0.7  # a new home has to be expected to wait at most this share
 
 
 def fits_data_centre(spec: JobSpec, data_centre: DataCentre) -> bool:
@@ -68,6 +75,29 @@
     return min(candidates, key=preference).name
 
 
+def less_blocked_home(
+    cost_by_data_centre: Mapping[str, int],
+    queued_by_data_centre: Mapping[str, int],
+    here: str,
+) -> str | None:
+    """Return a better home for a job that has waited long, None to stay ``here``.
+
+    ``cost_by_data_centre`` is `Scheduler.blocking_cost` of each, and
+    ``queued_by_data_centre`` counts the groups as large that wait there before it. A
+    move is a record in the log, so it has to promise a clear gain.
+    """
+
+    def expected(name: str) -> int:
+        return cost_by_data_centre[name] * (1 + queued_by_data_centre.get(name, 0))
+
+    if not cost_by_data_centre:
+        return None
+    best = min(cost_by_data_centre, key=lambda name: (expected(name), name))
+    if here not in cost_by_data_centre:
+        return best
+    return best if expected(best) < MOVE_HOME_GAIN * expected(here) else None
+
+
 def _candidates(spec: JobSpec, configuration: Configuration) -> list[DataCentre]:
     organisation = configuration.organisations_by_name.get(spec.organisation)
     if organisation is None:
