Test the placer against each failure, and mend what that found

Cause: a cancelled job was still started when its claim came back; a job whose data centre shrank waited for ever; a job that failed on the only workers that can hold it was never placed again. Change: the claim of a cancelled job is fenced at once; such a job moves by record; a worker on which a job failed is avoided only if the job fits on the others. Attempts say how long they ran since their last checkpoint; rules come from the rule table.

--- a/ragwortshelf/core/jobs/book.py
+++ b/ragwortshelf/core/jobs/book.py
@@ -65,6 +65,10 @@
         """Iterate over jobs without an outcome, oldest first."""
         return (self._entry_by_id[job_id] for job_id in self._active_ids)
 
+    def entries(self) -> Iterator[JobEntry]:
+        """Iterate over all jobs that are still readable."""
+        return iter(tuple(self._entry_by_id.values()))
+
     def of_organisation(self, organisation: str) -> tuple[JobEntry, ...]:
         """Return the organisation's jobs that are still readable."""
         return tuple(
--- a/ragwortshelf/core/jobs/conclusion.py
+++ b/ragwortshelf/core/jobs/conclusion.py
@@ -3,13 +3,13 @@
 from __future__ import annotations
 
 from ..model import Configuration, JobPhase, Reason, TaskState
+from ..releases import rule_value
 from ..streams import AttemptEnded, JobEnded
 from .entry import JobEntry
 from .gang import Gang
 
 __all__ = ["conclude", "end_without_attempt"]
 
-RETRY_BUDGET = 3
 FINAL_REASONS = frozenset(
     {
         Reason.CANCELLED,
@@ -48,7 +48,7 @@
             reason = Reason.WORKER_LOST
         return _ended(gang, JobPhase.INTERRUPTED, reason, gang.detail, wall_ms)
     is_loss = gang.reason is not Reason.RECLAIMED
-    if is_loss and entry.attempts_lost + 1 >= _retry_budget(configuration):
+    if is_loss and entry.attempts_lost + 1 >= _attempts_allowed(configuration):
         return _ended(
             gang,
             JobPhase.INTERRUPTED,
@@ -67,6 +67,8 @@
     It counts only if no attempt is claimed before it in the log.
     """
     phase = JobPhase.INTERRUPTED if entry.has_started else JobPhase.NOT_RUN
+    if entry.failed_workers and reason is Reason.FAILS_EVERYWHERE:
+        phase = JobPhase.COMPLETED
     return JobEnded(entry.spec.job_id, entry.attempt, phase, reason, detail, wall_ms)
 
 
@@ -83,7 +85,7 @@
     gang: Gang, entry: JobEntry, configuration: Configuration, wall_ms: int
 ) -> AttemptEnded | JobEnded:
     """Try an idempotent job elsewhere before its failure counts as its own."""
-    is_last = entry.attempts_lost + 1 >= _retry_budget(configuration)
+    is_last = entry.attempts_lost + 1 >= _attempts_allowed(configuration)
     if entry.spec.is_idempotent and not is_last:
         return _attempt_ended(gang, entry, Reason.TASK_FAILED, True, wall_ms)
     workers = set(gang.member_by_worker).union(entry.failed_workers)
@@ -104,6 +106,7 @@
         reason,
         max(checkpoint, entry.checkpoint),
         wall_ms,
+        gang.lost_ms if has_started else 0,
     )
 
 
@@ -115,5 +118,5 @@
     )
 
 
-def _retry_budget(configuration: Configuration) -> int:
-    return int(configuration.rule("retry_budget", RETRY_BUDGET))
+def _attempts_allowed(configuration: Configuration) -> int:
+    return int(rule_value(configuration, "retry_budget"))
--- a/ragwortshelf/core/jobs/entry.py
+++ b/ragwortshelf/core/jobs/entry.py
@@ -59,6 +59,11 @@
         """Whether a new attempt may be claimed."""
         return not self.is_open and not self.phase.is_final
 
+    @property
+    def lost_by_attempt(self) -> dict[int, int | None]:
+        """Accelerator-milliseconds run in vain, None being all of the attempt."""
+        return {item.attempt: item.accelerator_ms for item in self.lost}
+
     @property
     def outcome(self) -> JobOutcome | None:
         """The final outcome, or None while the job goes on."""
--- a/ragwortshelf/core/jobs/gang.py
+++ b/ragwortshelf/core/jobs/gang.py
@@ -102,6 +102,8 @@
         self.is_adopted = stage is not Stage.LEASING
         self.started_ms: int | None = None
         self.peak_memory_bytes = 0
+        self._checkpoint = resume_from
+        self._checkpoint_seen_ms: int | None = None
         self.is_throttled = False
         self._append_retry_at_ms: int | None = None
         self.stage = stage
@@ -147,6 +149,19 @@
             )
         return not all(member.is_proven_not_started for member in self.members)
 
+    @property
+    def lost_ms(self) -> int | None:
+        """How long it ran since its last whole checkpoint; None if that is unknown.
+
+        To be asked once it is concluded. An adopted gang knows from the first
+        checkpoint on that it sees.
+        """
+        if self._checkpoint_seen_ms is None:
+            return None
+        if min(member.final_checkpoint for member in self.members) > self._checkpoint:
+            return 0
+        return self.stage_since_ms - self._checkpoint_seen_ms
+
     # Leases and claim
 
     def lease_answered(self, event: LeaseAnswered, now_ms: int) -> list[Action]:
@@ -225,6 +240,10 @@
         if self.stage not in WATCHED_STAGES:
             return []
         member.observe(report, asked_ms)
+        checkpoint = min(item.checkpoint for item in self.members)
+        if checkpoint > self._checkpoint:
+            self._checkpoint = checkpoint
+            self._checkpoint_seen_ms = now_ms
         return self._judge(now_ms)
 
     def renewed(self, event: RenewAnswered, now_ms: int) -> list[Action]:
@@ -302,6 +321,8 @@
         self._stage_deadline_ms = now_ms + _TIMEOUT_MS_BY_STAGE.get(stage, 0)
         if stage is Stage.RUNNING and self.started_ms is None:
             self.started_ms = now_ms
+            if not self.is_adopted:
+                self._checkpoint_seen_ms = now_ms
         for member in self.members:
             member.reset_asking()
 
--- a/ragwortshelf/core/jobs/overruns.py
+++ b/ragwortshelf/core/jobs/overruns.py
@@ -5,6 +5,7 @@
 from dataclasses import dataclass
 
 from ..model import Configuration
+from ..releases import rule_value
 from .actions import Action, CommandTask, GangCommand
 from .gang import Gang
 
@@ -31,7 +32,7 @@
         """Return the rules that ``configuration`` sets."""
         return cls(
             **{
-                name: float(configuration.rule(name, 0.0))
+                name: float(rule_value(configuration, name))
                 for name in cls.__dataclass_fields__
             }
         )
--- a/ragwortshelf/core/jobs/placer.py
+++ b/ragwortshelf/core/jobs/placer.py
@@ -12,6 +12,7 @@
     Reclaim,
     Reject,
     Scheduler,
+    fits_data_centre,
     home_data_centre,
 )
 from ..streams import (
@@ -140,7 +141,8 @@
         self._configuration = event.configuration
         self._overruns = OverrunRules.of(event.configuration)
         lines = self._scheduler.set_configuration(event.configuration, now_ms)
-        return [LogDecision(line) for line in lines or ()]
+        actions = [LogDecision(line) for line in lines or ()]
+        return actions + self._sync_all(now_ms)
 
     def _role_changed(self, event: events.RoleChanged, now_ms: int) -> list[Action]:
         if event.is_placer == self.is_placer:
@@ -218,9 +220,12 @@
             self._forget(job_id, now_ms)
         if not is_same:
             return actions + self._adopt_claim(entry, now_ms)
+        if gang.stage is Stage.CLAIMING and entry.is_cancel_requested:
+            ending = gang.end(Reason.CANCELLED, "", now_ms)
+            return self._follow(gang, ending, now_ms)
         if gang.stage is Stage.CLAIMING:
-            actions += self._follow(gang, gang.claim_won(now_ms), now_ms)
-        return actions + self._stop_if_cancelled(entry, now_ms)
+            return self._follow(gang, gang.claim_won(now_ms), now_ms)
+        return self._stop_if_cancelled(entry, now_ms)
 
     def _adopt_claim(self, entry: JobEntry, now_ms: int) -> list[Action]:
         """Take over an attempt that the log knows and this machine does not."""
@@ -263,6 +268,9 @@
             # Only the log can arbitrate the claim of a job that it holds.
             self._scheduler.remove(job_id, now_ms)
             return actions
+        home = self._new_home(entry.spec)
+        if home is not None:
+            return actions + self._move(entry, home, Reason.NEVER_FITS, now_ms)
         if entry.spec.deadline_wall_ms is not None:
             item = (entry.spec.deadline_wall_ms, job_id)
             heapq.heappush(self._deadlines, item)
@@ -558,12 +566,26 @@
         entry = self.book.get(decision.job_id)
         if entry is None or not entry.is_waiting:
             return []
-        home = home_data_centre(entry.spec, self._configuration)
-        if home is None or home == self.data_centre:
+        home = self._new_home(entry.spec)
+        if home is None:
             return self._end_waiting(entry, decision.reason, decision.detail, now_ms)
-        self._scheduler.remove(decision.job_id, now_ms)
-        record = JobMoved(decision.job_id, entry.moves + 1, home, decision.reason)
-        self.outbox.set_pending(decision.job_id, record, now_ms)
+        return self._move(entry, home, decision.reason, now_ms)
+
+    def _new_home(self, spec: JobSpec) -> str | None:
+        """Return another data centre if the job fits there and cannot fit here."""
+        here = self._configuration.data_centres_by_name.get(self.data_centre)
+        if here is not None and fits_data_centre(spec, here):
+            return None
+        home = home_data_centre(spec, self._configuration)
+        return None if home == self.data_centre else home
+
+    def _move(
+        self, entry: JobEntry, home: str, reason: Reason, now_ms: int
+    ) -> list[Action]:
+        job_id = entry.spec.job_id
+        self._scheduler.remove(job_id, now_ms)
+        record = JobMoved(job_id, entry.moves + 1, home, reason)
+        self.outbox.set_pending(job_id, record, now_ms)
         return self._due(now_ms)
 
     def _probe(self, decision: Probe, now_ms: int) -> list[Action]:
--- a/ragwortshelf/core/placement/placer.py
+++ b/ragwortshelf/core/placement/placer.py
@@ -39,10 +39,29 @@
         self._reservations = reservations
         self._spec = spec
         self._now_ms = now_ms
-        self._avoided = state.quarantine.failed_workers(spec.job_id)
+        self._avoided = self._workers_to_avoid()
         regions = state.witness.accelerators_by_organisation
         self._region = regions.get(spec.organisation, {})
 
+    def _workers_to_avoid(self) -> frozenset[str]:
+        """Return the workers on which the job has failed, if it fits on the others.
+
+        Otherwise it would wait for ever, and nobody would learn whether it is the job
+        or the worker that fails.
+        """
+        state, spec = self._state, self._spec
+        failed = state.quarantine.failed_workers(spec.job_id)
+        if not failed:
+            return failed
+        parts = find_group(
+            state.pool,
+            lambda worker: 0 if worker.name in failed else worker.size,
+            spec.accelerators,
+            spec.adjacency,
+            state.policy,
+        )
+        return frozenset() if parts is None else failed
+
     def within_guarantee(self) -> Found | str:
         """Return a place under the organisation's guarantee, or why there is none."""
         if not self._region:
--- a/ragwortshelf/daemon/placer.py
+++ b/ragwortshelf/daemon/placer.py
@@ -7,6 +7,7 @@
 
 import trio
 
+from ..core.charging import ChargeBook
 from ..core.jobs import (
     AnswerSubmission,
     AppendAnswered,
@@ -14,6 +15,7 @@
     ConfigurationChanged,
     Event,
     JobBook,
+    JobEntry,
     JobSubmittedOffLog,
     LogDecision,
     LogReachable,
@@ -68,7 +70,8 @@
     """One instance's placer; it works on workers only while it has the role.
 
     ``holder`` names instance and incarnation. ``append`` puts a record into the jobs
-    stream; what is in the stream comes back in order through `deliver`.
+    stream; what is in the stream comes back in order through `deliver`. ``charges``
+    learns how jobs end, and reports that it has counted are not recorded again.
     ``record_usage`` stores reports and returns whether they are stored; a page is
     read again until they are.
     """
@@ -83,6 +86,7 @@
         log_decision: Callable[[Decision], None],
         *,
         book: JobBook | None = None,
+        charges: ChargeBook | None = None,
         record_usage: RecordUsage = _discard_usage,
         wall_s: Callable[[], float] = time.time,
     ) -> None:
@@ -90,6 +94,7 @@
         self._worker_factory = worker_factory
         self._append = append
         self._log_decision = log_decision
+        self._charges = ChargeBook() if charges is None else charges
         self._record_usage = record_usage
         self._wall_s = wall_s
         self._nursery: trio.Nursery | None = None
@@ -124,6 +129,25 @@
     def deliver(self, offset: int, record: Record) -> None:
         """Take the next record of the jobs stream."""
         self._handle(RecordRead(offset, record))
+        is_accepted = isinstance(record, JobAccepted)
+        job_id = record.spec.job_id if is_accepted else getattr(record, "job_id", "")
+        self._settle(self.book.get(job_id))
+
+    def settle_all(self) -> None:
+        """Tell the charges of all jobs, after the book was restored."""
+        for entry in self.book.entries():
+            self._settle(entry)
+
+    def _settle(self, entry: JobEntry | None) -> None:
+        if entry is None or not (entry.lost or entry.phase.is_final):
+            return
+        spec = entry.spec
+        self._charges.settle(
+            spec.job_id,
+            spec.organisation,
+            entry.lost_by_attempt,
+            entry.phase.is_final,
+        )
 
     def set_log_reachable(self, is_up: bool, is_current: bool = True) -> None:
         """Tell whether the log answers and whether all of it was delivered."""
@@ -272,7 +296,10 @@
         if isinstance(page, Unreachable) or not page.reports:
             return cursor
         self._handle(UsageObserved(page.reports))
-        return page.cursor if await self._record_usage(page.reports) else cursor
+        fresh = self._charges.unknown_of(page.reports)
+        if not fresh or await self._record_usage(fresh):
+            return page.cursor
+        return cursor
 
 
 class _GoneWorker(Worker):
