--- /dev/null
+++ b/tests/core/charging/test_charge_book.py
@@ -0,0 +1,106 @@
+"""Charges depend only on the set of reports, not on order, repeats or lag."""
+
+from itertools import pairwise
+
+from hypothesis import given
+from hypothesis import strategies as st
+
+from ragwortshelf.core.charging import ChargeBook, IntegerRanges, Statement
+from ragwortshelf.core.model import UsageReport
+from ragwortshelf.core.streams import UsageCorrected, UsageRecorded
+
+JOBS = tuple(f"e.1.{number}" for number in range(4))
+keys = st.tuples(
+    st.sampled_from(JOBS), st.integers(1, 3), st.integers(0, 2), st.integers(1, 9)
+)
+lost = st.dictionaries(st.integers(1, 3), st.none() | st.integers(0, 500))
+
+
+def report(key):
+    job_id, attempt, task, sequence = key
+    organisation = f"org{job_id[-1] in '01'}"
+    accelerator_ms = 100 * attempt + 10 * task + sequence
+    return UsageReport(organisation, job_id, attempt, task, sequence, accelerator_ms)
+
+
+def correction(number):
+    return UsageCorrected(f"c{number}", "orgTrue", JOBS[number % 2], -number, "")
+
+
+@given(
+    st.sets(keys, max_size=40),
+    st.dictionaries(st.sampled_from(JOBS), lost),
+    st.integers(0, 3),
+    st.randoms(use_true_random=False),
+)
+def test_any_order_and_repetition_gives_the_naive_sums(known, lost_by_id, fixes, rng):
+    steps = [("report", key) for key in known]
+    steps += [("settle", item) for item in lost_by_id.items()]
+    steps += [("correct", number) for number in range(fixes)]
+    steps += rng.choices(steps, k=len(steps)) if steps else []
+    rng.shuffle(steps)
+    book = ChargeBook()
+    for kind, item in steps:
+        if kind == "report":
+            fresh = book.unknown_of([report(item), report(item)])
+            book.apply(UsageRecorded(fresh))
+        elif kind == "correct":
+            book.apply(correction(item))
+        else:
+            job_id, lost_by_attempt = item
+            organisation = f"org{job_id[-1] in '01'}"
+            book.settle(job_id, organisation, lost_by_attempt, True)
+        if rng.random() < 0.2:
+            data = book.snapshot()
+            book = ChargeBook()
+            book.restore(data)
+    for organisation in ("orgTrue", "orgFalse"):
+        mine = [report(key) for key in known]
+        mine = [item for item in mine if item.organisation == organisation]
+        ran_by_attempt = {}
+        for item in mine:
+            key = (item.job_id, item.attempt)
+            ran_by_attempt[key] = ran_by_attempt.get(key, 0) + item.accelerator_ms
+        wasted = 0
+        for (job_id, attempt), ran_ms in ran_by_attempt.items():
+            lost_ms = lost_by_id.get(job_id, {}).get(attempt, 0)
+            wasted += ran_ms if lost_ms is None else min(lost_ms, ran_ms)
+        corrected = -sum(range(fixes)) if organisation == "orgTrue" else 0
+        expected = Statement(
+            organisation, sum(ran_by_attempt.values()), wasted, corrected
+        )
+        assert book.statement(organisation) == expected
+
+
+def test_closed_accounts_stay_in_the_sum_and_count_nothing_twice():
+    book = ChargeBook(ended_kept=2)
+    for job_id in JOBS:
+        book.apply(UsageRecorded((report((job_id, 1, 0, 1)),)))
+        book.settle(job_id, report((job_id, 1, 0, 1)).organisation, {1: None}, True)
+    before = book.statement("orgTrue")
+    assert before == Statement("orgTrue", 202, 202)
+    assert book.charge(JOBS[0]) is None
+    late = report((JOBS[0], 1, 0, 1))
+    assert book.unknown_of([late]) == ()
+    book.apply(UsageRecorded((late,)))
+    assert book.statement("orgTrue") == Statement("orgTrue", 202, 202, 0, 101)
+    assert len(book.to_snapshot().accounts) == 2
+
+
+@given(st.lists(st.integers(0, 30)))
+def test_ranges_equal_a_set_and_are_disjoint(numbers):
+    ranges, plain = IntegerRanges(), set()
+    for number in numbers:
+        assert ranges.add(number) == (number not in plain)
+        plain.add(number)
+    assert {n for n in range(-1, 32) if n in ranges} == plain
+    edges = ranges.to_tuple()
+    assert all(a[1] + 1 < b[0] for a, b in pairwise(edges))
+
+
+def test_long_job_costs_one_range_a_task():
+    book = ChargeBook()
+    for sequence in range(1, 2_000):
+        book.apply(UsageRecorded((report((JOBS[0], 1, 0, sequence)),)))
+    (account,) = book.to_snapshot().accounts
+    assert account.seen[0].ranges == ((1, 1_999),)
--- /dev/null
+++ b/tests/core/jobs/test_job_book.py
@@ -0,0 +1,157 @@
+"""The fold of the jobs stream: lowest offset wins, copies change nothing."""
+
+import pytest
+from hypothesis import given
+from hypothesis import strategies as st
+
+from ragwortshelf.core.jobs import JobBook, admit
+from ragwortshelf.core.model import (
+    Configuration,
+    DataCentre,
+    Grant,
+    JobPhase,
+    JobSpec,
+    NotRun,
+    Organisation,
+    Rack,
+    Reason,
+)
+from ragwortshelf.core.streams import (
+    AttemptClaimed,
+    AttemptEnded,
+    AttemptStarted,
+    CancelRequested,
+    JobAccepted,
+    JobEnded,
+    JobMoved,
+    decode_record,
+    encode_record,
+)
+
+IDS = ("e.1.0", "e.1.1")
+ids = st.sampled_from(IDS)
+attempts = st.integers(0, 3)
+holders = st.sampled_from(("p", "q"))
+places = st.sampled_from(("dc", "far"))
+grants = (Grant("w1", (0, 1)),)
+
+
+def accepted(job_id):
+    return JobAccepted(JobSpec(job_id, "org", "dc", 2), "e")
+
+
+def claimed(job_id, attempt, holder="p", data_centre="dc"):
+    return AttemptClaimed(job_id, attempt, holder, data_centre, grants, ("b",), 0)
+
+
+records = st.one_of(
+    st.builds(accepted, ids),
+    st.builds(claimed, ids, attempts, holders, places),
+    st.builds(AttemptStarted, ids, attempts, st.just(0)),
+    st.builds(
+        AttemptEnded,
+        ids,
+        attempts,
+        st.booleans(),
+        st.sampled_from((Reason.WORKER_LOST, Reason.TASK_FAILED, Reason.RECLAIMED)),
+        st.integers(0, 5),
+        st.just(0),
+        st.none() | st.integers(0, 9),
+    ),
+    st.builds(
+        JobEnded,
+        ids,
+        attempts,
+        st.sampled_from((JobPhase.COMPLETED, JobPhase.NOT_RUN, JobPhase.INTERRUPTED)),
+        st.just(Reason.CANCELLED),
+        st.just(""),
+        st.integers(0, 5),
+    ),
+    st.builds(JobMoved, ids, st.integers(1, 2), places, st.just(Reason.NEVER_FITS)),
+    st.builds(CancelRequested, ids, st.just("me")),
+)
+
+
+@given(st.lists(records, max_size=30), st.integers(0, 30))
+def test_copies_and_snapshots_change_nothing(log, cut):
+    once, twice = JobBook(), JobBook()
+    for index, record in enumerate(log):
+        once.apply(record)
+        twice.apply(decode_record(encode_record(record)))
+        twice.apply(record)
+        if index == cut:
+            data = twice.snapshot()
+            twice = JobBook()
+            twice.restore(data)
+    assert once.to_snapshot() == twice.to_snapshot()
+
+
+@given(st.lists(records, max_size=30))
+def test_what_is_final_or_claimed_stays(log):
+    book = JobBook()
+    for record in log:
+        before = {job_id: book.get(job_id) for job_id in IDS}
+        book.apply(record)
+        for job_id, old in before.items():
+            new = book.get(job_id)
+            if old is None:
+                continue
+            if old.phase.is_final:
+                assert new == old
+            if old.is_open and new.is_open:
+                assert new.claim == old.claim
+            assert new.attempt >= old.attempt
+            if not old.is_open and new.is_open:
+                assert new.claim.data_centre == old.home_data_centre
+
+
+def test_not_run_is_void_after_a_claim_that_came_first():
+    book = JobBook()
+    ended = JobEnded(IDS[0], 0, JobPhase.NOT_RUN, Reason.CANCELLED, "", 0)
+    for record in (accepted(IDS[0]), claimed(IDS[0], 1), ended):
+        book.apply(record)
+    assert book.get(IDS[0]).outcome is None
+    book.apply(JobEnded(IDS[0], 1, JobPhase.NOT_RUN, Reason.CANCELLED, "", 0))
+    assert book.get(IDS[0]).outcome == NotRun(Reason.CANCELLED)
+    assert book.apply(claimed(IDS[0], 2)) is None
+
+
+def test_forgotten_jobs_cannot_come_back():
+    book = JobBook(ended_kept=1)
+    for job_id in IDS:
+        book.apply(accepted(job_id))
+        book.apply(JobEnded(job_id, 0, JobPhase.NOT_RUN, Reason.CANCELLED, "", 0))
+    assert book.get(IDS[0]) is None
+    restored = JobBook.from_snapshot(book.to_snapshot(), ended_kept=1)
+    for one in (book, restored):
+        assert one.apply(accepted(IDS[0])) is None
+        assert one.has_ended(IDS[0])
+    assert [entry.spec.job_id for entry in book.of_organisation("org")] == [IDS[1]]
+
+
+CONFIGURATION = Configuration(
+    0,
+    {"org": Organisation("org")},
+    {"dc": DataCentre("dc", "r", (Rack("rack", ("w1", "w2"), 4),))},
+)
+
+
+@pytest.mark.parametrize(
+    ("fields", "reason"),
+    [
+        ({}, None),
+        ({"accelerators": 9}, Reason.NEVER_FITS),
+        ({"accelerators": 0}, Reason.INVALID),
+        ({"tasks": 0}, Reason.INVALID),
+        ({"organisation": "other"}, Reason.ORGANISATION_UNKNOWN),
+        ({"deadline_wall_ms": 5}, Reason.DEADLINE_PASSED),
+    ],
+)
+def test_admission_gives_a_home_or_the_reason(fields, reason):
+    asked = {"organisation": "org", "home_data_centre": "", "accelerators": 8}
+    spec = JobSpec("e.1.0", **{**asked, **fields})
+    answer = admit(spec, CONFIGURATION, JobBook(), True, 5)
+    if reason is None:
+        assert (answer.home_data_centre, answer.submitted_wall_ms) == ("dc", 5)
+    else:
+        assert answer.reason is reason
--- /dev/null
+++ b/tests/daemon/test_placer_service.py
@@ -0,0 +1,189 @@
+"""The placer's service over in-memory workers and an in-memory log."""
+
+import json
+from base64 import b64decode, b64encode
+from dataclasses import asdict
+
+import pytest
+import trio
+
+from ragwortshelf.core.charging import ChargeBook
+from ragwortshelf.core.model import (
+    Completed,
+    Configuration,
+    DataCentre,
+    JobSpec,
+    Lease,
+    NotRun,
+    Organisation,
+    Rack,
+    Reason,
+    TaskState,
+    Unknown,
+    Unreachable,
+    UsageReport,
+    WorkerInfo,
+    WorkerState,
+)
+from ragwortshelf.core.placement import Scheduler
+from ragwortshelf.core.streams import JobAccepted, UsageRecorded
+from ragwortshelf.daemon.placer import PlacerService
+from ragwortshelf.net.interfaces import (
+    Appended,
+    Applied,
+    Denied,
+    FenceProof,
+    RenewalAnswer,
+    UsagePage,
+    Worker,
+)
+from ragwortshelf.standins.worker_state import WorkerLeases
+
+NAMES = ("w1", "w2")
+CONFIGURATION = Configuration(
+    0,
+    {"org": Organisation("org")},
+    {"dc": DataCentre("dc", "r", (Rack("rack", NAMES, 4),))},
+)
+
+
+class MemoryWorker(Worker):
+    def __init__(self, name):
+        self.name = name
+        self.state = WorkerLeases(4, usage_repeat=1)
+
+    def _now_s(self):
+        self.state.advance(trio.current_time())
+        return trio.current_time()
+
+    async def describe(self):
+        rows = self.state.rows(self._now_s())
+        for row in rows:
+            row["accelerators"] = tuple(row["accelerators"])
+            row["label"] = b64decode(row["label"])
+            row["task_state"] = TaskState(row["task_state"])
+        leases = tuple(Lease(**row) for row in rows)
+        boot_id = self.state.boot_id
+        return WorkerState(self.name, boot_id, "dc", "rack", 4, 32, 1, leases)
+
+    async def acquire(self, request):
+        fields = asdict(request)
+        fields["label"] = b64encode(request.label).decode()
+        return self._verdict(self.state.acquire(fields, self._now_s()))
+
+    async def renew(self, lease_ids, ttl_ms):
+        answer = self.state.renew(list(lease_ids), ttl_ms, self._now_s())
+        return RenewalAnswer(
+            tuple(answer["renewed"]), tuple(answer["lost"]), answer["boot_id"]
+        )
+
+    async def release(self, lease_id):
+        self.state.release(lease_id, self._now_s())
+        return Applied()
+
+    async def fence(self, job_id, attempt):
+        answer = self.state.fence(job_id, attempt, self._now_s())
+        answer["task_state"] = TaskState(answer["task_state"])
+        return FenceProof(**answer)
+
+    async def start(self, task):
+        return self._verdict(self.state.start(asdict(task), self._now_s()))
+
+    async def command(self, lease_id, command):
+        answer = self.state.command(lease_id, command.value, self._now_s())
+        return self._verdict(answer)
+
+    async def usage(self, cursor, *, limit):
+        rows = [row for _, row in self.state.reports[cursor : cursor + limit]]
+        reports = tuple(UsageReport(**row) for row in rows)
+        return UsagePage(reports, cursor + len(reports))
+
+    def _verdict(self, reason):
+        return Applied() if reason is None else Denied(reason)
+
+
+class Site:
+    """A service, its workers, and a log that hands records back when it is up."""
+
+    def __init__(self):
+        self.worker_by_name = {name: MemoryWorker(name) for name in NAMES}
+        self.log = []
+        self.fault = None
+        self.lines = []
+        self.charges = ChargeBook()
+        self.service = PlacerService(
+            "dc",
+            "e1.1",
+            lambda info: self.worker_by_name[info.name],
+            self.append,
+            Scheduler("dc"),
+            self.lines.append,
+            charges=self.charges,
+            record_usage=self.record_usage,
+        )
+        self.service.set_configuration(CONFIGURATION)
+        self.service.set_workers([WorkerInfo(n, "dc", "rack", n, 4) for n in NAMES])
+        self.service.set_log_reachable(True)
+        self.service.set_role(True)
+
+    async def append(self, record):
+        await trio.sleep(0.001)
+        if self.fault is not None:
+            return self.fault
+        self.log.append(record)
+        self.service.deliver(len(self.log) - 1, record)
+        return Appended(len(self.log) - 1, 1)
+
+    async def record_usage(self, reports):
+        self.charges.apply(UsageRecorded(reports))
+        return True
+
+
+def spec_of(job_id, run_ms):
+    command = json.dumps({"run_ms": run_ms})
+    return JobSpec(job_id, "org", "dc", 8, tasks=2, command=command)
+
+
+@pytest.fixture
+async def site(nursery):
+    site = Site()
+    nursery.start_soon(site.service.run)
+    return site
+
+
+async def test_submitted_job_completes_and_is_charged_once(site, autojump_clock):
+    assert await site.service.submit(spec_of("e1.1.0", 5_000)) is None
+    await trio.sleep(12)
+    assert site.service.book.get("e1.1.0").outcome == Completed(Reason.TASK_SUCCEEDED)
+    statement = site.charges.statement("org")
+    assert (statement.ran_ms, statement.wasted_ms) == (8 * 5_000, 0)
+    assert any(line.kind == "place_job" for line in site.lines)
+    assert all(not w.state.lease_by_id for w in site.worker_by_name.values())
+
+
+@pytest.mark.parametrize(
+    ("may_have_applied", "outcome"), [(False, NotRun), (True, Unknown)]
+)
+async def test_submission_tells_what_it_knows_of_the_log(
+    site, autojump_clock, may_have_applied, outcome
+):
+    site.fault = Unreachable("down", may_have_applied)
+    answer = await site.service.submit(spec_of("e1.1.0", 100))
+    assert isinstance(answer, outcome)
+    assert answer.reason is Reason.LOG_UNAVAILABLE
+
+
+async def test_job_placed_at_once_while_the_log_is_down(site, autojump_clock):
+    await trio.sleep(1)
+    site.fault = Unreachable("down")
+    site.service.set_log_reachable(False)
+    assert await site.service.submit(spec_of("e1.1.0", 2_000)) is None
+    refused = await site.service.submit(spec_of("e1.1.1", 2_000))
+    assert isinstance(refused, NotRun)
+    await trio.sleep(30)
+    site.fault = None
+    site.service.set_log_reachable(True)
+    await trio.sleep(5)
+    assert site.service.book.get("e1.1.0").outcome == Completed(Reason.TASK_SUCCEEDED)
+    accepted = [record for record in site.log if isinstance(record, JobAccepted)]
+    assert [record.spec.job_id for record in accepted] == ["e1.1.0"]
