Split the request machine, shares and the dispatcher into smaller modules

Change: entries, attempts, progress and capacity leave the machine; assignment and members leave shares; attempts leave the dispatcher.

--- /dev/null
+++ b/ragwortshelf/core/requests/entries.py
@@ -0,0 +1,131 @@
+"""Requests that are not finished, what they occupy, and when they are next due."""
+
+from __future__ import annotations
+
+import heapq
+from collections.abc import Iterator
+from dataclasses import dataclass
+
+from ..model import Request
+
+__all__ = ["Entry", "EntryBook"]
+
+
+@dataclass(slots=True)
+class Entry:
+    """A request that is not finished, or whose attempt has not ended yet.
+
+    It is out while an attempt at ``minion`` or ``peer`` is open. ``may_have_run`` once
+    an attempt ended without proof that it did not run.
+    """
+
+    request: Request
+    is_delegated: bool
+    arrived_ms: int
+    cost_ms: float
+    attempt: int = 0
+    may_have_run: bool = False
+    not_before_ms: int = 0
+    minion: str | None = None
+    peer: str | None = None
+    sent_ms: int = 0
+    progress_deadline_ms: int = 0
+    silent_attempts: int = 0
+    is_suspect: bool = False
+    has_silent_siblings: bool = False
+    is_aborted: bool = False
+    is_finished: bool = False
+
+    @property
+    def is_out(self) -> bool:
+        """Whether an attempt is open."""
+        return self.minion is not None or self.peer is not None
+
+
+class EntryBook:
+    """Entries by request id, counts of open attempts, and timers."""
+
+    def __init__(self):
+        self._entry_by_id: dict[str, Entry] = {}
+        self._timers: list[tuple[int, str]] = []
+        self._in_flight_by_minion: dict[str, int] = {}
+        self._in_flight_by_organisation: dict[str, int] = {}
+
+    def __len__(self) -> int:
+        return len(self._entry_by_id)
+
+    def __contains__(self, request_id: str) -> bool:
+        return request_id in self._entry_by_id
+
+    def get(self, request_id: str) -> Entry | None:
+        """Return the entry of a request, or None."""
+        return self._entry_by_id.get(request_id)
+
+    def add(self, entry: Entry) -> None:
+        """Add a request, due at its deadline."""
+        request = entry.request
+        self._entry_by_id[request.request_id] = entry
+        self.wake_at(entry, request.deadline_ms)
+
+    def remove(self, entry: Entry) -> None:
+        """Forget a request that is finished and not out."""
+        del self._entry_by_id[entry.request.request_id]
+
+    def start(
+        self, entry: Entry, now_ms: int, *, minion: str | None = None, peer=None
+    ) -> None:
+        """Open an attempt at a minion or at a peer."""
+        entry.attempt += 1
+        entry.minion = minion
+        entry.peer = peer
+        entry.sent_ms = now_ms
+        self._count(entry, 1)
+
+    def release(self, entry: Entry) -> None:
+        """Close the open attempt."""
+        self._count(entry, -1)
+        entry.minion = None
+        entry.peer = None
+        entry.is_aborted = False
+        entry.is_suspect = False
+        entry.has_silent_siblings = False
+
+    def in_flight(self, minion: str) -> int:
+        """Return the number of open attempts at a minion."""
+        return self._in_flight_by_minion.get(minion, 0)
+
+    def in_flight_by_minion(self) -> dict[str, int]:
+        """Return the numbers of open attempts, zeros left out."""
+        return {name: n for name, n in self._in_flight_by_minion.items() if n}
+
+    def in_flight_of(self, organisation: str) -> int:
+        """Return the number of open attempts of an organisation."""
+        return self._in_flight_by_organisation.get(organisation, 0)
+
+    def out_at(self, minion: str) -> list[Entry]:
+        """Return the entries with an open attempt at a minion."""
+        return [e for e in self._entry_by_id.values() if e.minion == minion]
+
+    def wake_at(self, entry: Entry, when_ms: int) -> None:
+        """Make an entry due at a time."""
+        heapq.heappush(self._timers, (when_ms, entry.request.request_id))
+
+    def next_wake_ms(self) -> int | None:
+        """Return when an entry is next due, None if never."""
+        return self._timers[0][0] if self._timers else None
+
+    def due(self, now_ms: int) -> Iterator[Entry]:
+        """Take and return the entries that are due and not finished."""
+        while self._timers and self._timers[0][0] <= now_ms:
+            _, request_id = heapq.heappop(self._timers)
+            entry = self._entry_by_id.get(request_id)
+            if entry is not None and not entry.is_finished:
+                yield entry
+
+    def _count(self, entry: Entry, change: int) -> None:
+        organisation = entry.request.organisation
+        count = self.in_flight_of(organisation) + change
+        self._in_flight_by_organisation[organisation] = count
+        if entry.minion is not None:
+            count = self.in_flight(entry.minion) + change
+            self._in_flight_by_minion[entry.minion] = count
--- a/ragwortshelf/core/requests/shares.py
+++ b/ragwortshelf/core/requests/shares.py
@@ -16,58 +16,15 @@
 
 from __future__ import annotations
 
-import functools
-import hashlib
 from collections.abc import Mapping
-from dataclasses import dataclass, field
 
 from .messages import LoadReport, ShareHeartbeat, ShareReply
+from .share_assignment import assigned_tokens
+from .share_members import ShareMember, ShareSettings
 
 __all__ = ["ShareKeeper", "ShareSettings"]
 
 
-@dataclass(frozen=True, slots=True)
-class ShareSettings:
-    """Bounds that the safety of shares rests on, in milliseconds.
-
-    ``list_lag_ms`` bounds how old an answer of the instance list may be; ``margin_ms``
-    covers the drift of clocks over a lease. ``isolated_slots`` is how many requests an
-    instance without a share runs on each minion while it hears of no holder; the
-    minion itself refuses what is beyond its slots, with proof.
-    """
-
-    lease_ms: int = 2_000
-    list_lag_ms: int = 2_000
-    margin_ms: int = 250
-    isolated_slots: int = 1
-
-    @property
-    def exclusion_ms(self) -> int:
-        """How long an instance is left out and silent before it is excluded."""
-        return self.lease_ms + self.list_lag_ms + self.margin_ms
-
-
-@dataclass(slots=True)
-class _Peer:
-    """What this instance knows of one other instance of its data centre."""
-
-    incarnation: int = -1
-    heard_sequence: int = -1
-    sent_sequence: int = -1
-    is_listed: bool = False
-    absent_since_ms: int | None = None
-    answered_ms: int | None = None
-    acknowledged_asked_ms: int | None = None
-    holds_share: bool = False
-    is_leaving: bool = False
-    is_draining: bool = False
-    has_ended: bool = False
-    is_excluded: bool = False
-    wanted_by_minion: dict[str, int] = field(default_factory=dict)
-    granted_by_minion: dict[str, int] = field(default_factory=dict)
-    promised_by_minion: dict[str, int] = field(default_factory=dict)
-
-
 class ShareKeeper:
     """The tokens of one instance over all minions of its data centre.
 
@@ -83,7 +40,7 @@
         self._incarnation = incarnation
         self._settings = settings
         self._size_by_minion: dict[str, tuple[int, int]] = {}
-        self._peer_by_name: dict[str, _Peer] = {}
+        self._peer_by_name: dict[str, ShareMember] = {}
         self._held_by_minion: dict[str, int] = {}
         self._wanted_by_minion: dict[str, int] = {}
         self._assigned_by_minion: dict[str, int] = {}
@@ -236,7 +193,7 @@
         if heartbeat.incarnation < peer.incarnation:
             return None
         if heartbeat.incarnation > peer.incarnation:
-            self._forget_incarnation(peer, heartbeat.incarnation)
+            peer.forget_incarnation(heartbeat.incarnation)
         if heartbeat.sequence <= peer.heard_sequence:
             return None
         peer.heard_sequence = heartbeat.sequence
@@ -272,7 +229,7 @@
         if not is_current or reply.incarnation < peer.incarnation:
             return
         if reply.incarnation > peer.incarnation:
-            self._forget_incarnation(peer, reply.incarnation)
+            peer.forget_incarnation(reply.incarnation)
         peer.holds_share = reply.holds_share
         peer.is_draining = reply.is_draining
         peer.acknowledged_asked_ms = asked_ms
@@ -283,10 +240,10 @@
         self._note_members(reply.members, now_ms)
         self._refresh(now_ms)
 
-    def _peer(self, name: str, now_ms: int) -> _Peer:
+    def _peer(self, name: str, now_ms: int) -> ShareMember:
         peer = self._peer_by_name.get(name)
         if peer is None:
-            peer = self._peer_by_name[name] = _Peer(absent_since_ms=now_ms)
+            peer = self._peer_by_name[name] = ShareMember(absent_since_ms=now_ms)
         return peer
 
     def _note_members(self, members: tuple[str, ...], now_ms: int) -> None:
@@ -294,19 +251,7 @@
             if name != self._instance:
                 self._peer(name, now_ms)
 
-    def _forget_incarnation(self, peer: _Peer, incarnation: int) -> None:
-        """A new incarnation runs at the peer's address, so the old one has ended."""
-        peer.incarnation = incarnation
-        peer.heard_sequence = -1
-        peer.is_draining = False
-        peer.has_ended = False
-        peer.is_excluded = False
-        peer.holds_share = False
-        peer.wanted_by_minion = {}
-        peer.promised_by_minion = {}
-        peer.granted_by_minion = {}
-
-    def _required(self) -> list[_Peer]:
+    def _required(self) -> list[ShareMember]:
         return [peer for peer in self._peer_by_name.values() if not peer.is_excluded]
 
     def _is_isolated(self, now_ms: int) -> bool:
@@ -362,9 +307,7 @@
             is_unanswered = peer.answered_ms is None or peer.answered_ms <= limit_ms
             if is_absent and is_unanswered and not peer.is_excluded:
                 peer.is_excluded = True
-                peer.wanted_by_minion = {}
-                peer.promised_by_minion = {}
-                peer.granted_by_minion = {}
+                peer.forget_tokens()
 
     def _want(self) -> None:
         """Want the tokens that are assigned to this instance, and what it holds."""
@@ -378,7 +321,9 @@
         for minion, (slots, _) in self._size_by_minion.items():
             assigned = 0
             if not is_stopping:
-                assigned = _assigned(minion, slots, frozenset(members), self._instance)
+                assigned = assigned_tokens(
+                    minion, slots, frozenset(members), self._instance
+                )
             self._assigned_by_minion[minion] = assigned
             held = self._held_by_minion.get(minion, 0)
             self._wanted_by_minion[minion] = held | assigned
@@ -403,7 +348,7 @@
     def _promise(
         self,
         sender: str,
-        peer: _Peer,
+        peer: ShareMember,
         minion: str,
         wanted: int,
         in_use_by_minion: Mapping[str, int],
@@ -427,33 +372,3 @@
                 promised |= bit
                 self._held_by_minion[minion] = held
         return promised
-
-
-@functools.lru_cache(maxsize=4096)
-def _assigned(minion: str, slots: int, members: frozenset[str], instance: str) -> int:
-    """Return the mask of the tokens of a minion that fall to an instance.
-
-    Each member gets an equal number, and each token goes to the member that ranks
-    highest for it by rendezvous hashing among those that have room, so that a change
-    of members moves few tokens.
-    """
-    in_order = sorted(members, key=lambda name: _rank(minion, "", name))
-    each, rest = divmod(slots, len(in_order))
-    room_by_member = {n: each + (i < rest) for i, n in enumerate(in_order)}
-    mask = 0
-    for token in range(slots):
-        ranked = [
-            (_rank(minion, str(token), name), name)
-            for name, room in room_by_member.items()
-            if room
-        ]
-        owner = max(ranked)[1]
-        room_by_member[owner] -= 1
-        if owner == instance:
-            mask |= 1 << token
-    return mask
-
-
-def _rank(minion: str, token: str, instance: str) -> bytes:
-    text = f"{minion}/{token}/{instance}".encode()
-    return hashlib.blake2b(text, digest_size=8).digest()
--- a/ragwortshelf/daemon/dispatcher.py
+++ b/ragwortshelf/daemon/dispatcher.py
@@ -14,7 +14,6 @@
 import trio
 
 from ..core.model import (
-    Answered,
     Configuration,
     Decision,
     InstanceInfo,
@@ -24,13 +23,10 @@
     Reason,
     Request,
     RequestOutcome,
-    Unreachable,
 )
 from ..core.requests import (
     Abort,
-    AttemptEnded,
     Cancelled,
-    ConnectionsSuspected,
     DelegatedRequest,
     DrainStarted,
     Event,
@@ -39,7 +35,6 @@
     LoadReport,
     Log,
     MinionsListed,
-    NotSentToMinion,
     OrganisationsChanged,
     OutcomeMessage,
     PeerLoadNoted,
@@ -52,9 +47,10 @@
     Suspect,
     Ticked,
 )
-from ..net.interfaces import NotSent, Peers
+from ..net.interfaces import Peers
+from .dispatcher_attempts import Attempts
 from .dispatcher_clock import monotonic_ms
-from .dispatcher_connections import ConnectionPool, OpenMinion, PooledConnection
+from .dispatcher_connections import ConnectionPool, OpenMinion
 from .dispatcher_heartbeats import Heartbeats
 from .dispatcher_ownership import Ownership
 
@@ -116,10 +112,8 @@
         )
         self._ownership = Ownership(instance, incarnation, self._ids, peers)
         self._heartbeats = Heartbeats(self, self._shares, peers, rng)
-        self._minion_by_name: dict[str, MinionInfo] = {}
+        self._attempts = Attempts(self._connections, peers, self._handle)
         self._pending_by_id: dict[str, _Pending] = {}
-        self._scope_by_id: dict[str, trio.CancelScope] = {}
-        self._aborted_by_id: dict[str, PooledConnection] = {}
         self._nursery: trio.Nursery | None = None
         self._wake = trio.Event()
         self._idle = trio.Event()
@@ -131,7 +125,7 @@
 
     def set_minions(self, minions: tuple[MinionInfo, ...]) -> None:
         """Take in the minions of all data centres from the list."""
-        self._minion_by_name.update({m.name: m for m in minions})
+        self._attempts.minion_by_name.update({m.name: m for m in minions})
         self._handle(MinionsListed(tuple(minions)))
 
     def set_instances(
@@ -178,7 +172,7 @@
         now_ms = monotonic_ms()
         return {
             name: self._shares.slots(name, now_ms)
-            for name, info in self._minion_by_name.items()
+            for name, info in self._attempts.minion_by_name.items()
             if info.data_centre == self._data_centre
         }
 
@@ -209,12 +203,14 @@
         """Serve until cancelled."""
         async with trio.open_nursery() as nursery:
             self._nursery = nursery
+            self._attempts.nursery = nursery
             task_status.started()
             try:
                 nursery.start_soon(self._heartbeats.run)
                 await self._tick()
             finally:
                 self._nursery = None
+                self._attempts.nursery = None
                 with trio.CancelScope(shield=True):
                     await self._connections.close()
 
@@ -311,13 +307,13 @@
             case Finish(request_id, outcome):
                 self._finish(request_id, outcome, now_ms)
             case Send():
-                self._start_attempt(action.request, self._send, action)
+                self._attempts.send(action)
             case Spill():
-                self._start_attempt(action.request, self._spill, action)
+                self._attempts.spill(action)
             case Abort(request_id, is_silent):
-                self._abort(request_id, is_silent)
+                self._attempts.abort(request_id, is_silent=is_silent)
             case Suspect(request_id):
-                self._suspect(request_id)
+                self._attempts.suspect(request_id)
 
     def _finish(self, request_id: str, outcome: RequestOutcome, now_ms: int) -> None:
         pending = self._pending_by_id.pop(request_id, None)
@@ -327,76 +323,3 @@
         pending.outcome = outcome
         pending.done.set()
         self._observe(pending.request, outcome, now_ms - pending.started_ms)
-
-    def _start_attempt(self, request: Request, function, action) -> None:
-        if self._nursery is None:
-            return  # the service was cancelled, and so is every caller's task
-        scope = trio.CancelScope()
-        self._scope_by_id[request.request_id] = scope
-        self._nursery.start_soon(self._attempt, request, scope, function, action)
-
-    async def _attempt(self, request, scope, function, action) -> None:
-        """Carry out one attempt and report how it ended, aborted or not."""
-        ended = AttemptEnded(request.request_id, Unreachable("aborted"))
-        with scope:
-            ended = await function(action)
-        connection = self._aborted_by_id.pop(request.request_id, None)
-        if scope.cancelled_caught:
-            is_old = connection is not None and connection.is_old
-            ended = replace(ended, is_old_connection=is_old)
-        del self._scope_by_id[request.request_id]
-        self._handle(ended)
-
-    async def _send(self, action: Send) -> AttemptEnded:
-        request = action.request
-        info = self._minion_by_name[action.minion]
-        taken = await self._connections.take(info, request.request_id, monotonic_ms())
-        if isinstance(taken, Unreachable):
-            result = NotSentToMinion(taken.detail)
-            return AttemptEnded(request.request_id, result)
-        is_old = taken.is_old
-        result = None
-        try:
-            result = await taken.minion.send(request)
-        finally:
-            is_usable = isinstance(result, Answered | NotSent) and getattr(
-                taken.minion, "is_usable", True
-            )
-            if is_usable:
-                self._connections.give_back(taken, monotonic_ms())
-            else:
-                with trio.CancelScope(shield=True):
-                    await self._connections.drop(taken)
-        if isinstance(result, NotSent):
-            result = NotSentToMinion(result.detail, result.is_leaving)
-        return AttemptEnded(request.request_id, result, is_old)
-
-    async def _spill(self, action: Spill) -> AttemptEnded:
-        request = action.request
-        message = DelegatedRequest(
-            request, max(1, request.deadline_ms - monotonic_ms()), action.attempt
-        )
-        reply = await self._peers.call(
-            action.peer, message, deadline_ms=request.deadline_ms
-        )
-        result = reply
-        if isinstance(reply, OutcomeMessage):
-            result = reply.outcome()
-        return AttemptEnded(request.request_id, result or Unreachable("no outcome"))
-
-    def _abort(self, request_id: str, is_silent: bool) -> None:
-        scope = self._scope_by_id.get(request_id)
-        if scope is None:
-            return
-        if is_silent:
-            self._suspect(request_id)
-        connection = self._connections.find(request_id)
-        if connection is not None:
-            self._aborted_by_id[request_id] = connection
-        scope.cancel()
-
-    def _suspect(self, request_id: str) -> None:
-        suspects = self._connections.suspect(request_id)
-        self._wake.set()
-        if suspects:
-            self._handle(ConnectionsSuspected(suspects))
--- /dev/null
+++ b/ragwortshelf/daemon/dispatcher_attempts.py
@@ -0,0 +1,128 @@
+"""Attempts: one send to a minion or one call to a peer for a request."""
+
+from __future__ import annotations
+
+from collections.abc import Awaitable, Callable
+from dataclasses import replace
+
+import trio
+
+from ..core.model import Answered, MinionInfo, Request, Unreachable
+from ..core.requests import (
+    AttemptEnded,
+    ConnectionsSuspected,
+    DelegatedRequest,
+    Event,
+    NotSentToMinion,
+    OutcomeMessage,
+    Send,
+    Spill,
+)
+from ..net.interfaces import NotSent, Peers
+from .dispatcher_clock import monotonic_ms
+from .dispatcher_connections import ConnectionPool, PooledConnection
+
+__all__ = ["Attempts"]
+
+
+class Attempts:
+    """Carries out attempts, each in a cancel scope, and reports how each ended.
+
+    ``handle`` takes the events; it is called after whatever the attempt held is free.
+    """
+
+    def __init__(
+        self, connections: ConnectionPool, peers: Peers, handle: Callable[[Event], None]
+    ):
+        self.minion_by_name: dict[str, MinionInfo] = {}
+        self.nursery: trio.Nursery | None = None
+        self._connections = connections
+        self._peers = peers
+        self._handle = handle
+        self._scope_by_id: dict[str, trio.CancelScope] = {}
+        self._aborted_by_id: dict[str, PooledConnection] = {}
+
+    def send(self, action: Send) -> None:
+        """Start to send a request to a minion."""
+        self._start(action.request, self._send, action)
+
+    def spill(self, action: Spill) -> None:
+        """Start to let a peer run a request."""
+        self._start(action.request, self._spill, action)
+
+    def abort(self, request_id: str, *, is_silent: bool) -> None:
+        """Cancel an attempt, which closes its connection."""
+        scope = self._scope_by_id.get(request_id)
+        if scope is None:
+            return
+        if is_silent:
+            self.suspect(request_id)
+        connection = self._connections.find(request_id)
+        if connection is not None:
+            self._aborted_by_id[request_id] = connection
+        scope.cancel()
+
+    def suspect(self, request_id: str) -> None:
+        """Suspect the siblings of a connection that brought no answer in time."""
+        suspects = self._connections.suspect(request_id)
+        if suspects:
+            self._handle(ConnectionsSuspected(suspects))
+
+    def _start(
+        self,
+        request: Request,
+        function: Callable[..., Awaitable[AttemptEnded]],
+        action: Send | Spill,
+    ) -> None:
+        if self.nursery is None:
+            return  # the service was cancelled, and so is every caller's task
+        scope = trio.CancelScope()
+        self._scope_by_id[request.request_id] = scope
+        self.nursery.start_soon(self._attempt, request, scope, function, action)
+
+    async def _attempt(self, request, scope, function, action) -> None:
+        ended = AttemptEnded(request.request_id, Unreachable("aborted"))
+        with scope:
+            ended = await function(action)
+        connection = self._aborted_by_id.pop(request.request_id, None)
+        if scope.cancelled_caught:
+            is_old = connection is not None and connection.is_old
+            ended = replace(ended, is_old_connection=is_old)
+        del self._scope_by_id[request.request_id]
+        self._handle(ended)
+
+    async def _send(self, action: Send) -> AttemptEnded:
+        request = action.request
+        info = self.minion_by_name[action.minion]
+        taken = await self._connections.take(info, request.request_id, monotonic_ms())
+        if isinstance(taken, Unreachable):
+            return AttemptEnded(request.request_id, NotSentToMinion(taken.detail))
+        is_old = taken.is_old
+        result = None
+        try:
+            result = await taken.minion.send(request)
+        finally:
+            await self._put_back(taken, result)
+        if isinstance(result, NotSent):
+            result = NotSentToMinion(result.detail, result.is_leaving)
+        return AttemptEnded(request.request_id, result, is_old)
+
+    async def _put_back(self, taken: PooledConnection, result) -> None:
+        """Return a connection that may go on; close one that may not."""
+        has_ended = isinstance(result, Answered | NotSent)
+        if has_ended and getattr(taken.minion, "is_usable", True):
+            self._connections.give_back(taken, monotonic_ms())
+            return
+        with trio.CancelScope(shield=True):
+            await self._connections.drop(taken)
+
+    async def _spill(self, action: Spill) -> AttemptEnded:
+        request = action.request
+        remaining_ms = max(1, request.deadline_ms - monotonic_ms())
+        message = DelegatedRequest(request, remaining_ms, action.attempt)
+        reply = await self._peers.call(
+            action.peer, message, deadline_ms=request.deadline_ms
+        )
+        if isinstance(reply, OutcomeMessage):
+            reply = reply.outcome()
+        return AttemptEnded(request.request_id, reply or Unreachable("no outcome"))
