Take a role over at once when the holder's host says that its process is gone

Cause: a placer's process that dies left its data centre without one for the whole suspicion, longer than urgent work may wait. Change: a refused connection makes a silent member dead after 1.5 s; the second member of a pair connects after 1 s instead of 2.

--- a/benchmarks/control_network.py
+++ b/benchmarks/control_network.py
@@ -62,6 +62,7 @@
     info: InstanceInfo
     incarnation: int
     is_up: bool = True
+    is_host_lost: bool = False
     is_paused: bool = False
     bytes_sent: int = 0
     bytes_received: int = 0
@@ -150,9 +151,15 @@
         self.after(self.rng.randrange(500), lambda: self._poll(node))
         return node
 
-    def stop(self, node: VirtualNode) -> None:
-        """End an instance's process; its connections are reset."""
+    def stop(self, node: VirtualNode, *, is_host_lost: bool = False) -> None:
+        """End an instance's process, which resets its connections, or its host.
+
+        A lost host resets and refuses nothing.
+        """
         node.is_up = False
+        node.is_host_lost = is_host_lost
+        if is_host_lost:
+            return
         for connection_id, connection in tuple(self._connection_by_id.items()):
             if node in connection.ends:
                 self._reset(connection_id)
@@ -226,10 +233,16 @@
 
     def _open(self, node: VirtualNode, peer_name: str) -> None:
         peer = self.node_by_name.get(peer_name)
-        if peer is None or not peer.is_up:
-            self._later(node, LinkFailed(peer_name), 2 * self.latency_ms)
-        elif peer.is_paused or self.is_cut(node, peer) or self.is_cut(peer, node):
+        if (
+            peer is None
+            or peer.is_host_lost
+            or peer.is_paused
+            or self.is_cut(node, peer)
+            or self.is_cut(peer, node)
+        ):
             self._later(node, LinkFailed(peer_name), OPEN_TIMEOUT_MS)
+        elif not peer.is_up:
+            self._later(node, LinkFailed(peer_name, True), 2 * self.latency_ms)
         else:
             connection_id = f"{node.info.name}/{next(self._numbers)}"
             self._connection_by_id[connection_id] = _Connection((node, peer))
--- a/ragwortshelf/core/membership/liveness.py
+++ b/ragwortshelf/core/membership/liveness.py
@@ -9,6 +9,7 @@
 from .timing import (
     DEAD_AFTER_MS,
     EVIDENCE_VALID_MS,
+    REFUSED_DEAD_AFTER_MS,
     RELAY_ALLOWANCE_MS,
     SUSPECT_AFTER_MS,
 )
@@ -33,6 +34,7 @@
 
     def __init__(self):
         self._heard_by_name: dict[str, _Heard] = {}
+        self._refusing: set[str] = set()
 
     def expect(self, name: str, now_ms: int) -> None:
         """Start to wait for the first beat of a member, if it is not known yet."""
@@ -47,8 +49,13 @@
         ):
             return False
         self._heard_by_name[beat.name] = _Heard(beat.incarnation, beat.sequence, now_ms)
+        self._refusing.discard(beat.name)
         return True
 
+    def note_refused(self, name: str) -> None:
+        """A member's host says that its process is gone; its next beat undoes it."""
+        self._refusing.add(name)
+
     def knows(self, name: str) -> bool:
         """Whether the member has been listed or heard of."""
         return name in self._heard_by_name
@@ -73,7 +80,10 @@
         """Judge a member by the age of its newest beat."""
         allowance_ms = RELAY_ALLOWANCE_MS if is_remote else 0
         silent_ms = self.silent_ms(name, now_ms) - allowance_ms
-        if silent_ms >= DEAD_AFTER_MS:
+        dead_after_ms = DEAD_AFTER_MS
+        if name in self._refusing:
+            dead_after_ms = REFUSED_DEAD_AFTER_MS
+        if silent_ms >= dead_after_ms:
             return MemberStatus.DEAD
         if silent_ms >= SUSPECT_AFTER_MS or self.incarnation(name) == 0:
             return MemberStatus.SUSPECTED
@@ -81,6 +91,7 @@
 
     def restart_waiting(self, now_ms: int) -> None:
         """Give every member its full time again, after a pause of this instance."""
+        self._refusing.clear()
         for name, heard in self._heard_by_name.items():
             self._heard_by_name[name] = _Heard(
                 heard.incarnation, heard.sequence, now_ms
@@ -89,6 +100,7 @@
     def forget(self, name: str) -> None:
         """Drop a member."""
         self._heard_by_name.pop(name, None)
+        self._refusing.discard(name)
 
 
 class Evidence:
--- a/ragwortshelf/core/membership/machine.py
+++ b/ragwortshelf/core/membership/machine.py
@@ -149,8 +149,8 @@
             case LinkClosed(peer, connection_id):
                 self._links.note_closed(peer, connection_id, now_ms)
                 self._shared.forget_connection(connection_id)
-            case LinkFailed(peer):
-                self._note_failed(peer, now_ms)
+            case LinkFailed(peer, is_refused):
+                self._note_failed(peer, is_refused, now_ms)
             case DrainStarted():
                 self._is_draining = True
                 self._update_profile(now_ms)
@@ -242,7 +242,9 @@
         self._shared.forget_connection(connection_id)
         actions.append(CloseLink(peer, connection_id))
 
-    def _note_failed(self, peer: str, now_ms: int) -> None:
+    def _note_failed(self, peer: str, is_refused: bool, now_ms: int) -> None:
+        if is_refused:
+            self._liveness.note_refused(peer)
         least_ms = 0 if self._roster.is_listed(peer) else RETRY_UNLISTED_MS
         self._links.note_failed(peer, now_ms, least_ms=least_ms)
 
--- a/ragwortshelf/core/membership/messages.py
+++ b/ragwortshelf/core/membership/messages.py
@@ -118,9 +118,13 @@
 
 @dataclass(frozen=True, slots=True)
 class LinkFailed:
-    """A connection that ``OpenLink`` asked for could not be made."""
+    """A connection that ``OpenLink`` asked for could not be made.
+
+    ``is_refused`` says that the peer's host answered and no process listens there.
+    """
 
     peer: str
+    is_refused: bool = False
 
 
 @dataclass(frozen=True, slots=True)
--- a/ragwortshelf/core/membership/timing.py
+++ b/ragwortshelf/core/membership/timing.py
@@ -1,8 +1,9 @@
 """Times of the membership protocol, in milliseconds.
 
 An instance's proof that its heartbeats arrive must expire before its peers give its
-roles away: ``EVIDENCE_VALID_MS`` is less than ``DEAD_AFTER_MS``. Another data centre is
-heard through up to two relays, so it is given a relay's time more.
+roles away: ``EVIDENCE_VALID_MS`` is less than ``DEAD_AFTER_MS``. A peer whose host says
+that nothing listens any more needs no such time, only that of a lost heartbeat. Another
+data centre is heard through up to two relays, so it is given a relay's time more.
 """
 
 __all__ = [
@@ -15,6 +16,7 @@
     "LINK_SILENT_AFTER_MS",
     "OPEN_TIMEOUT_MS",
     "PAUSE_AFTER_MS",
+    "REFUSED_DEAD_AFTER_MS",
     "RELAY_ALLOWANCE_MS",
     "RETRY_MAX_MS",
     "RETRY_MIN_MS",
@@ -25,6 +27,7 @@
 HEARTBEAT_INTERVAL_MS = 1_000
 SUSPECT_AFTER_MS = 2_500
 DEAD_AFTER_MS = 5_000
+REFUSED_DEAD_AFTER_MS = 1_500
 RELAY_ALLOWANCE_MS = 4_000
 FORGET_AFTER_MS = 1_800_000
 
@@ -33,7 +36,7 @@
 JOIN_DELAY_MS = 3_000
 
 LINK_SILENT_AFTER_MS = 3_500
-LINK_FALLBACK_MS = 2_000
+LINK_FALLBACK_MS = 1_000
 OPEN_TIMEOUT_MS = 3_000
 RETRY_MIN_MS = 200
 RETRY_MAX_MS = 2_000
--- a/ragwortshelf/daemon/membership.py
+++ b/ragwortshelf/daemon/membership.py
@@ -155,9 +155,9 @@
         """Feed the machine; called by the network."""
         self._handle(LinkClosed(peer, connection_id))
 
-    def link_failed(self, peer: str) -> None:
+    def link_failed(self, peer: str, is_refused: bool) -> None:
         """Feed the machine; called by the network."""
-        self._handle(LinkFailed(peer))
+        self._handle(LinkFailed(peer, is_refused))
 
     def heartbeat_received(self, connection_id: str, heartbeat: Heartbeat) -> None:
         """Feed the machine; called by the network."""
--- a/ragwortshelf/net/peers.py
+++ b/ragwortshelf/net/peers.py
@@ -49,8 +49,11 @@
         """A connection is gone."""
 
     @abc.abstractmethod
-    def link_failed(self, peer: str) -> None:
-        """A connection that `PeerNetwork.open_link` asked for could not be made."""
+    def link_failed(self, peer: str, is_refused: bool) -> None:
+        """A connection that `PeerNetwork.open_link` asked for could not be made.
+
+        ``is_refused`` says that the peer's host answered and no process listens there.
+        """
 
     @abc.abstractmethod
     def heartbeat_received(self, connection_id: str, heartbeat: Heartbeat) -> None:
@@ -183,6 +186,7 @@
         )
         uri = f"ws://{peer.peer_address}/"
         is_connected = False
+        is_refused = False
         try:
             async with connect(uri, proxy=None, **self._options) as websocket:
                 answer = None
@@ -193,10 +197,10 @@
                 if isinstance(answer, Identity):
                     is_connected = True
                     await self._run_link(answer, websocket)
-        except (OSError, TimeoutError, WebSocketException, EOFError):
-            pass
+        except (OSError, WebSocketException, EOFError) as error:
+            is_refused = _is_refused(error)
         if not is_connected:
-            self._observer.link_failed(peer.name)
+            self._observer.link_failed(peer.name, is_refused)
 
     async def _run_link(self, peer: Identity, websocket: Connection) -> None:
         link = PeerLink(peer, websocket, self._queue_frames)
@@ -371,3 +375,11 @@
                     may_have_applied=may_have_applied,
                 )
             )
+
+
+def _is_refused(error: Exception) -> bool:
+    """Whether trio's error of connecting to one address is a refusal by its host."""
+    cause = error.__cause__
+    if isinstance(cause, ExceptionGroup):
+        return all(isinstance(e, ConnectionRefusedError) for e in cause.exceptions)
+    return isinstance(cause or error, ConnectionRefusedError)
--- a/tests/core/membership/test_membership_faults.py
+++ b/tests/core/membership/test_membership_faults.py
@@ -24,6 +24,7 @@
 from ragwortshelf.core.membership.timing import (
     DEAD_AFTER_MS,
     JOIN_DELAY_MS,
+    REFUSED_DEAD_AFTER_MS,
     RELAY_ALLOWANCE_MS,
 )
 from ragwortshelf.core.model import MemberState
@@ -95,7 +96,7 @@
     network = running()
     (placer,) = network.placers("dc1")
     (other,) = {"dc1-1", "dc1-2"} - {placer}
-    network.stop(network.node_by_name[placer])
+    network.stop(network.node_by_name[placer], is_host_lost=True)
     network.run(DEAD_AFTER_MS - 1_000)
     assert statuses(network, other)[placer] is MemberStatus.SUSPECTED
     assert network.placers("dc1") == ()
@@ -104,6 +105,18 @@
     assert network.placers("dc1") == (other,)
 
 
+def test_process_that_its_host_says_is_gone_loses_its_role_at_once():
+    network = running()
+    (placer,) = network.placers("dc1")
+    (other,) = {"dc1-1", "dc1-2"} - {placer}
+    network.stop(network.node_by_name[placer])
+    network.run(REFUSED_DEAD_AFTER_MS + 1_000)
+    assert network.placers("dc1") == (other,)
+    network.start(network.node_by_name[placer].info, incarnation=2)
+    network.run(SETTLE_MS)
+    assert everybody_alive(network)
+
+
 def test_restart_is_a_new_incarnation_and_the_old_one_is_refused():
     network = running()
     old = network.node_by_name["dc1-1"]
--- a/tests/net/test_peers.py
+++ b/tests/net/test_peers.py
@@ -53,8 +53,8 @@
     def link_closed(self, peer, connection_id):
         self._note(self.closed, (peer, connection_id))
 
-    def link_failed(self, peer):
-        self._note(self.failed, peer)
+    def link_failed(self, peer, is_refused):
+        self._note(self.failed, (peer, is_refused))
 
     def heartbeat_received(self, connection_id, heartbeat):
         self._note(self.heartbeats, heartbeat)
@@ -130,13 +130,13 @@
 async def test_wrong_secret_and_wrong_name_are_refused():
     async with running("a", "b", a={"secret": b"another"}) as (a, b):
         a.network.open_link(b.info)
-        await a.recorder.until(lambda: a.recorder.failed == ["b"])
+        await a.recorder.until(lambda: a.recorder.failed == [("b", False)])
         b.network.open_link(a.info)
-        await b.recorder.until(lambda: b.recorder.failed == ["a"])
+        await b.recorder.until(lambda: b.recorder.failed == [("a", False)])
         assert a.recorder.opened == b.recorder.opened == []
     async with running("a", "b") as (a, b):
         a.network.open_link(dataclasses.replace(b.info, name="c"))
-        await a.recorder.until(lambda: a.recorder.failed == ["c"])
+        await a.recorder.until(lambda: a.recorder.failed == [("c", False)])
         assert a.recorder.opened == []
 
 
@@ -263,3 +263,12 @@
         (extension,) = a.network.links[0].websocket.protocol.extensions
         assert extension.local_max_window_bits == 12
         assert not extension.local_no_context_takeover
+
+
+async def test_host_without_a_listener_is_told_from_one_that_refuses_the_peer():
+    async with running("a", "b") as (a, b):
+        await link(a, b)
+        b.scope.cancel()
+        await a.recorder.until(lambda: a.recorder.closed != [])
+        a.network.open_link(b.info)
+        await a.recorder.until(lambda: a.recorder.failed == [("b", True)])
