--- a/ragwortshelf/core/requests/machine.py
+++ b/ragwortshelf/core/requests/machine.py
@@ -12,8 +12,16 @@
 import random
 from dataclasses import dataclass
 
-from ..model import Answered, NotRun, Reason, Request, RequestOutcome, Unreachable
-from .admission import expected_wait_ms, is_within_share, refusal
+from ..model import (
+    Answered,
+    NotRun,
+    Reason,
+    Request,
+    RequestOutcome,
+    Unknown,
+    Unreachable,
+)
+from .admission import is_within_share, refusal
 from .events import (
     Abort,
     Action,
@@ -50,6 +58,7 @@
 RETRY_AFTER_FAILURE_MS = 500
 SPILL_COST_MS = 10
 SUSPECT_FACTOR = 2
+SILENT_ALLOWANCE_FACTOR = 4
 SERVER_ERROR = 500
 
 
@@ -68,6 +77,9 @@
     peer: str | None = None
     sent_ms: int = 0
     progress_deadline_ms: int = 0
+    silent_attempts: int = 0
+    is_suspect: bool = False
+    has_silent_siblings: bool = False
     is_aborted: bool = False
     is_finished: bool = False
 
@@ -292,7 +304,7 @@
         minion, other = least_loaded_of_two(load_by_name, self._rng)
         passed_over = () if other is None else (f"{other}: {load_by_name[other]} run",)
         reason = f"{load_by_name[minion]} run, least of two"
-        self._queue.pop(request)
+        self._queue.pop(request, now_ms)
         self._start(request, minion, now_ms, actions, reason, passed_over)
         return minion
 
@@ -301,10 +313,7 @@
         entry.attempt += 1
         entry.minion = minion
         entry.sent_ms = now_ms
-        entry.progress_deadline_ms = now_ms + self._run_times.progress_ms(
-            request.request_class
-        )
-        self._wake_at(entry.progress_deadline_ms, request.request_id)
+        self._plan_progress(entry, now_ms)
         self._in_flight_by_minion[minion] = self.in_flight(minion) + 1
         self._count_organisation(request.organisation, 1)
         actions.append(Log(routed(request, minion, reason, passed_over)))
@@ -319,7 +328,7 @@
             request = next((r for r in self._queue.requests() if r.is_idempotent), None)
             if request is None:
                 return
-            self._queue.pop(request)
+            self._queue.pop(request, now_ms)
             self._health.start_probe(name, request.request_id)
             self._start(request, name, now_ms, actions, "probe of an ejected minion")
 
@@ -333,7 +342,7 @@
             has_own = any(
                 self._shares.slots(name, now_ms) for name in self._pool.usable(now_ms)
             )
-            wait_ms = self._wait_for_head_ms(request, max(1, slots))
+            wait_ms = self._wait_for_head_ms(request, max(1, slots), now_ms)
             if has_own and wait_ms <= SPILL_COST_MS:
                 return
             chosen = self._loads.choose(self._data_centre, now_ms, self._rng)
@@ -343,15 +352,16 @@
                 continue
             self._spill_to(entry, chosen, int(wait_ms), now_ms, actions)
 
-    def _wait_for_head_ms(self, request, slots) -> float:
+    def _wait_for_head_ms(self, request, slots, now_ms) -> float:
         """Expected wait of the head for the next of ``slots`` to become free."""
         mean_ms = self._run_times.mean_ms(request.request_class)
-        return max(mean_ms / slots, expected_wait_ms(request, self._queue, slots))
+        wait_ms = self._queue.expected_wait_ms(request, slots, now_ms)
+        return max(mean_ms / slots, wait_ms)
 
     def _spill_to(self, entry, chosen, wait_ms, now_ms, actions) -> None:
         peer, other = chosen
         request = entry.request
-        self._queue.pop(request)
+        self._queue.pop(request, now_ms)
         self._loads.take_slot(peer)
         entry.attempt += 1
         entry.peer = peer
@@ -392,6 +402,8 @@
         entry.minion = None
         entry.peer = None
         entry.is_aborted = False
+        entry.is_suspect = False
+        entry.has_silent_siblings = False
 
     def _count_organisation(self, organisation, change) -> None:
         count = self._in_flight_by_organisation.get(organisation, 0) + change
@@ -404,7 +416,7 @@
             case Answered(status) if status < SERVER_ERROR:
                 self._health.note_success(minion)
                 self._run_times.note(request.request_class, run_ms)
-                self._queue.correct(request.organisation, run_ms - entry.cost_ms)
+                self._queue.correct(request, run_ms - entry.cost_ms)
             case NotSentToMinion(is_refusal=True):
                 self._pool.note_refusal(minion, now_ms)
                 self._health.forget_probe(minion, request.request_id)
@@ -517,18 +529,36 @@
                 continue
             request = entry.request
             if request.deadline_ms <= now_ms:
-                self._expire_entry(entry, actions)
+                self._expire_entry(entry, now_ms, actions)
             elif entry.is_aborted:
                 continue
             elif entry.minion is not None and entry.progress_deadline_ms <= now_ms:
-                self._note_silence(entry, actions)
+                self._note_silence(entry, now_ms, actions)
 
-    def _note_silence(self, entry, actions) -> None:
-        if entry.request.is_idempotent:
-            self._abort(entry, actions, is_silent=True)
-        else:
-            entry.progress_deadline_ms = entry.request.deadline_ms
+    def _note_silence(self, entry, now_ms, actions) -> None:
+        """Act on a request that brought no answer by its progress deadline."""
+        if not entry.is_suspect:
+            # Its siblings tell whether the connection or the request is slow.
+            self._plan_progress(entry, now_ms)
             actions.append(Suspect(entry.request.request_id))
+        elif entry.request.is_idempotent:
+            entry.silent_attempts += 1
+            self._abort(entry, actions, is_silent=True)
+        elif entry.has_silent_siblings:
+            self._abort(entry, actions, is_silent=True)
+            detail = "its connection and others of the same age went silent"
+            self._finish(entry, Unknown(Reason.NO_ANSWER, detail), actions)
+
+    def _plan_progress(self, entry, now_ms) -> None:
+        """Set the next progress deadline; each silent attempt allows more time."""
+        allowance_ms = self._run_times.progress_ms(entry.request.request_class)
+        allowance_ms *= SILENT_ALLOWANCE_FACTOR**entry.silent_attempts
+        entry.progress_deadline_ms = now_ms + allowance_ms
+        self._wake_at(entry.progress_deadline_ms, entry.request.request_id)
+
+    def _is_overdue(self, entry, now_ms) -> bool:
+        high_ms = self._run_times.high_ms(entry.request.request_class)
+        return now_ms >= entry.sent_ms + SUSPECT_FACTOR * high_ms
 
     def _suspect(self, request_ids, now_ms) -> None:
         """Bring forward the progress deadline of what runs on suspect connections."""
@@ -536,20 +566,21 @@
             entry = self._entry_by_id.get(request_id)
             if entry is None or entry.minion is None:
                 continue
-            run_ms = SUSPECT_FACTOR * self._run_times.high_ms(
-                entry.request.request_class
-            )
-            soon_ms = max(now_ms + 1, entry.sent_ms + int(run_ms))
+            entry.is_suspect = True
+            entry.has_silent_siblings |= len(request_ids) > 1
+            high_ms = self._run_times.high_ms(entry.request.request_class)
+            soon_ms = max(now_ms + 1, entry.sent_ms + int(SUSPECT_FACTOR * high_ms))
             if soon_ms < entry.progress_deadline_ms:
                 entry.progress_deadline_ms = soon_ms
                 self._wake_at(soon_ms, request_id)
 
-    def _expire_entry(self, entry, actions) -> None:
+    def _expire_entry(self, entry, now_ms, actions) -> None:
         request_id = entry.request.request_id
         self._queue.remove(request_id)
         self._backing_off.discard(request_id)
         if entry.is_out and not entry.is_aborted:
-            self._abort(entry, actions)
+            is_silent = self._is_overdue(entry, now_ms)
+            self._abort(entry, actions, is_silent=is_silent)
         outcome = failure_outcome(
             may_have_run=entry.may_have_run or entry.is_out,
             reason=Reason.DEADLINE_PASSED,
