--- a/ragwortshelf/daemon/job_front.py
+++ b/ragwortshelf/daemon/job_front.py
@@ -186,7 +186,7 @@
         if organisation:
             entries: Iterable[JobEntry] = self.book.of_organisation(organisation)
         else:
-            entries = self.book.all()
+            entries = self.book.entries()
         if phase:
             entries = (entry for entry in entries if entry.phase.value == phase)
         return heapq.nlargest(
