Send due records from a queue by time

Cause: every cancellation looked at all records on their way, so a wave of n cost n*n. Change: the outbox keeps a heap of retry times.

--- a/ragwortshelf/core/jobs/outbox.py
+++ b/ragwortshelf/core/jobs/outbox.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import heapq
 from collections import deque
 from dataclasses import dataclass
 
@@ -15,6 +16,9 @@
 READ_BACK_TIMEOUT_MS = 5_000
 
 
+_Key = tuple[str, type]
+
+
 @dataclass(slots=True)
 class _Pending:
     record: Record
@@ -30,13 +34,18 @@
     """
 
     def __init__(self) -> None:
-        self._pending_by_key: dict[tuple[str, type], _Pending] = {}
+        self._pending_by_key: dict[_Key, _Pending] = {}
+        # (retry_at_ms, arrival, key); entries whose time has changed are skipped.
+        self._queue: list[tuple[int, int, _Key]] = []
+        self._arrivals = 0
         self._backlog: deque[Record] = deque()
         self._backlog_retry_at_ms = 0
 
     def set_pending(self, job_id: str, record: Record, now_ms: int) -> None:
         """Append ``record`` soon, in place of an earlier one of its type and job."""
-        self._pending_by_key[job_id, type(record)] = _Pending(record, now_ms)
+        key = (job_id, type(record))
+        self._pending_by_key[key] = _Pending(record, now_ms)
+        self._schedule(key, now_ms)
 
     def has_pending(self, job_id: str, *record_types: type) -> bool:
         """Whether a record of one of these types is on its way for the job."""
@@ -62,9 +71,11 @@
         if self._backlog and now_ms >= self._backlog_retry_at_ms:
             self._backlog_retry_at_ms = now_ms + READ_BACK_TIMEOUT_MS
             actions.append(AppendRecord(self._backlog[0]))
-        for pending in self._pending_by_key.values():
-            if now_ms >= pending.retry_at_ms:
-                pending.retry_at_ms = now_ms + READ_BACK_TIMEOUT_MS
+        while self._queue and self._queue[0][0] <= now_ms:
+            at_ms, _, key = heapq.heappop(self._queue)
+            pending = self._pending_by_key.get(key)
+            if pending is not None and pending.retry_at_ms == at_ms:
+                self._schedule(key, now_ms + READ_BACK_TIMEOUT_MS)
                 actions.append(AppendRecord(pending.record))
         return actions
 
@@ -77,6 +88,11 @@
             if is_in:
                 self._backlog.popleft()
         job_id = getattr(record, "job_id", "")
-        pending = self._pending_by_key.get((job_id, type(record)))
-        if pending is not None and not is_in:
-            pending.retry_at_ms = now_ms + RETRY_EVERY_MS
+        key = (job_id, type(record))
+        if key in self._pending_by_key and not is_in:
+            self._schedule(key, now_ms + RETRY_EVERY_MS)
+
+    def _schedule(self, key: _Key, at_ms: int) -> None:
+        self._pending_by_key[key].retry_at_ms = at_ms
+        self._arrivals += 1
+        heapq.heappush(self._queue, (at_ms, self._arrivals, key))
