--- a/ragwortshelf/core/jobs/__init__.py
+++ b/ragwortshelf/core/jobs/__init__.py
@@ -43,8 +43,9 @@
     WorkersListed,
     WorkerUnreachable,
 )
-from .gang import Gang, Stage
+from .gang import Gang
 from .placer import PlacerMachine
+from .stages import Stage
 
 __all__ = [
     "AcquireLease",
--- a/ragwortshelf/core/jobs/gang.py
+++ b/ragwortshelf/core/jobs/gang.py
@@ -2,8 +2,6 @@
 
 from __future__ import annotations
 
-import enum
-
 from ..model import JobSpec, LeaseRequest, Reason, TaskState
 from ..model import WorkerState as WorkerReport
 from ..streams import AttemptClaimed
@@ -27,38 +25,18 @@
 )
 from .label import LeaseLabel, encode_label
 from .members import Member, deal_tasks
-
-__all__ = ["Gang", "Stage"]
-
-LEASE_TTL_MS = 15_000
-RENEW_EVERY_MS = 4_000
-RETRY_EVERY_MS = 250
-LEASING_TIMEOUT_MS = 5_000
-CLAIM_TIMEOUT_MS = 8_000
-START_TIMEOUT_MS = 5_000
-TAKEOVER_GRACE_MS = 10_000
-LOST_AFTER_MS = 5_000
-PROOF_TIMEOUT_MS = 10_000
-
-
-class Stage(enum.StrEnum):
-    """Stages of an attempt in its placer."""
-
-    LEASING = "leasing"
-    CLAIMING = "claiming"
-    STARTING = "starting"
-    ADOPTING = "adopting"
-    RUNNING = "running"
-    CHECKPOINTING = "checkpointing"
-    ENDING = "ending"
-    CONCLUDED = "concluded"
-    DROPPED = "dropped"
-
-
-RENEWING_STAGES = frozenset(
-    {Stage.CLAIMING, Stage.STARTING, Stage.RUNNING, Stage.CHECKPOINTING}
+from .stages import (
+    CLAIM_TIMEOUT_MS,
+    LEASE_TTL_MS,
+    LOST_AFTER_MS,
+    RENEWING_STAGES,
+    RETRY_EVERY_MS,
+    TIMEOUT_MS_BY_STAGE,
+    WATCHED_STAGES,
+    Stage,
 )
-WATCHED_STAGES = frozenset({Stage.RUNNING, Stage.CHECKPOINTING})
+
+__all__ = ["Gang"]
 
 
 class Gang:
@@ -318,7 +296,7 @@
     def _enter(self, stage: Stage, now_ms: int) -> None:
         self.stage = stage
         self.stage_since_ms = now_ms
-        self._stage_deadline_ms = now_ms + _TIMEOUT_MS_BY_STAGE.get(stage, 0)
+        self._stage_deadline_ms = now_ms + TIMEOUT_MS_BY_STAGE.get(stage, 0)
         if stage is Stage.RUNNING and self.started_ms is None:
             self.started_ms = now_ms
             if not self.is_adopted:
@@ -485,11 +463,3 @@
     Stage.CHECKPOINTING: Gang._tick_checkpointing,
     Stage.ENDING: Gang._tick_ending,
 }
-
-_TIMEOUT_MS_BY_STAGE = {
-    Stage.LEASING: LEASING_TIMEOUT_MS,
-    Stage.CLAIMING: CLAIM_TIMEOUT_MS,
-    Stage.STARTING: START_TIMEOUT_MS,
-    Stage.ADOPTING: TAKEOVER_GRACE_MS,
-    Stage.ENDING: PROOF_TIMEOUT_MS,
-}
--- a/ragwortshelf/core/jobs/workers.py
+++ b/ragwortshelf/core/jobs/workers.py
@@ -9,9 +9,10 @@
 from ..placement import Scheduler
 from ..streams import Undecodable
 from .actions import Action, ObserveWorker, RenewLeases
-from .gang import LEASE_TTL_MS, RENEW_EVERY_MS, Gang
+from .gang import Gang
 from .label import LeaseLabel, decode_label
 from .members import canonical_grants
+from .stages import LEASE_TTL_MS, RENEW_EVERY_MS
 
 __all__ = ["WorkerTable"]
 
