--- a/ragwortshelf/core/requests/__init__.py
+++ b/ragwortshelf/core/requests/__init__.py
@@ -28,7 +28,7 @@
 )
 from .fair_queue import FairQueue
 from .health import MinionHealth
-from .ids import IdReserver, RequestId, parse_request_id
+from .ids import IdReserver, RequestId, parse_request_id, request_fingerprint
 from .machine import RequestMachine
 from .messages import (
     MESSAGE_TYPES,
@@ -43,7 +43,7 @@
     ShareHeartbeat,
     ShareReply,
 )
-from .outcomes import KeptOutcomes, failure_outcome
+from .outcomes import ID_REUSED, KeptOutcomes, failure_outcome
 from .retries import RetryBudget, backoff_ms
 from .routing import least_loaded_of_two
 from .run_times import RunTimes
@@ -74,6 +74,7 @@
     "IdReserver",
     "RequestId",
     "parse_request_id",
+    "request_fingerprint",
     "RequestMachine",
     "MESSAGE_TYPES",
     "DelegatedRequest",
@@ -86,6 +87,7 @@
     "OwnedRequest",
     "ShareHeartbeat",
     "ShareReply",
+    "ID_REUSED",
     "KeptOutcomes",
     "failure_outcome",
     "RetryBudget",
--- a/ragwortshelf/core/requests/ids.py
+++ b/ragwortshelf/core/requests/ids.py
@@ -8,9 +8,12 @@
 
 from __future__ import annotations
 
+import hashlib
 from dataclasses import dataclass
 
-__all__ = ["IdReserver", "RequestId", "parse_request_id"]
+from ..model import Request
+
+__all__ = ["IdReserver", "RequestId", "parse_request_id", "request_fingerprint"]
 
 MAX_RESERVED_IDS = 10_000
 """Largest batch that one call may reserve."""
@@ -48,6 +51,19 @@
     return RequestId(instance, int(incarnation), int(number))
 
 
+def request_fingerprint(request: Request) -> str:
+    """Return a digest of what a request asks and for whom.
+
+    A repeat of a request has the same one; another request under the same id, perhaps
+    of another organisation, has not, and must not get the first one's answer.
+    """
+    digest = hashlib.blake2b(digest_size=16)
+    for part in (request.organisation, request.method, request.path):
+        digest.update(part.encode() + b"\0")
+    digest.update(request.body)
+    return digest.hexdigest()
+
+
 class IdReserver:
     """Hands out ids of one incarnation; no number is handed out twice."""
 
--- a/ragwortshelf/core/requests/machine.py
+++ b/ragwortshelf/core/requests/machine.py
@@ -58,6 +58,7 @@
 
 DRAINING_RETRY_AFTER_MS = 100
 SPILL_COST_MS = 10
+SPILL_BODY_MAX_BYTES = 2 * 1024 * 1024
 
 
 class RequestMachine:
@@ -271,7 +272,9 @@
             request = self._queue.peek()
             entry = self._entries.get(request.request_id)
             wait_ms = self._wait_for_head_ms(request, max(1, slots), now_ms)
-            if entry.is_delegated or (has_own and wait_ms <= SPILL_COST_MS):
+            is_soon = has_own and wait_ms <= SPILL_COST_MS
+            is_large = len(request.body) > SPILL_BODY_MAX_BYTES
+            if entry.is_delegated or is_soon or is_large:
                 return
             chosen = self._loads.choose(self._data_centre, now_ms, self._rng)
             if chosen is None:
--- a/ragwortshelf/core/requests/messages.py
+++ b/ragwortshelf/core/requests/messages.py
@@ -146,6 +146,7 @@
     """Asks what the receiver knows of a request whose owner is gone."""
 
     request_id: str
+    fingerprint: str
 
 
 @dataclass(frozen=True, slots=True)
@@ -153,6 +154,7 @@
     """The outcome of one non-idempotent request."""
 
     request_id: str
+    fingerprint: str
     outcome: OutcomeMessage
 
 
--- a/ragwortshelf/core/requests/outcomes.py
+++ b/ragwortshelf/core/requests/outcomes.py
@@ -10,10 +10,13 @@
 from collections import OrderedDict
 from dataclasses import dataclass
 
-from ..model import NotRun, Reason, RequestOutcome, Unknown
-from .ids import parse_request_id
+from ..model import NotRun, Reason, Request, RequestOutcome, Unknown
+from .ids import parse_request_id, request_fingerprint
 
-__all__ = ["KeptOutcomes", "failure_outcome"]
+__all__ = ["ID_REUSED", "KeptOutcomes", "failure_outcome"]
+
+ID_REUSED = NotRun(Reason.INVALID, "the request id was used for another request")
+"""The outcome of a request whose id was used with other contents."""
 
 KEPT_OUTCOMES_MAX = 10_000
 KEPT_BYTES_MAX = 32 * 1024 * 1024
@@ -36,6 +39,7 @@
 
 @dataclass(frozen=True, slots=True)
 class _Kept:
+    fingerprint: str
     outcome: RequestOutcome
     until_ms: int
     size_bytes: int
@@ -55,23 +59,27 @@
     def __len__(self) -> int:
         return len(self._kept_by_id)
 
-    def get(self, request_id: str) -> RequestOutcome | None:
+    def get(self, request: Request) -> RequestOutcome | None:
         """Return the outcome of a request, or None if none is kept.
 
         The outcome of an id that is no longer kept is ``Unknown``.
         """
-        kept = self._kept_by_id.get(request_id)
+        kept = self._kept_by_id.get(request.request_id)
         if kept is not None:
-            return kept.outcome
-        parsed = parse_request_id(request_id)
+            is_same = kept.fingerprint == request_fingerprint(request)
+            return kept.outcome if is_same else ID_REUSED
+        parsed = parse_request_id(request.request_id)
         if parsed is not None and parsed.number < self.forgotten_below:
             return Unknown(Reason.NO_ANSWER, "the outcome is no longer kept")
         return None
 
-    def keep(self, request_id: str, outcome: RequestOutcome, now_ms: int) -> None:
+    def keep(self, request: Request, outcome: RequestOutcome, now_ms: int) -> None:
         """Keep an outcome, and forget the oldest ones beyond the bounds."""
+        request_id = request.request_id
         size_bytes = len(getattr(outcome, "body", b"")) + 200
-        self._kept_by_id[request_id] = _Kept(outcome, now_ms + KEPT_MS, size_bytes)
+        self._kept_by_id[request_id] = _Kept(
+            request_fingerprint(request), outcome, now_ms + KEPT_MS, size_bytes
+        )
         self._size_bytes += size_bytes
         while self._kept_by_id:
             oldest_id, oldest = next(iter(self._kept_by_id.items()))
@@ -83,9 +91,12 @@
                 break
             self._forget(oldest_id)
 
-    def items(self) -> list[tuple[str, RequestOutcome]]:
-        """Return all kept outcomes, the oldest first."""
-        return [(key, kept.outcome) for key, kept in self._kept_by_id.items()]
+    def items(self) -> list[tuple[str, str, RequestOutcome]]:
+        """Return id, fingerprint and outcome of all that is kept, the oldest first."""
+        return [
+            (key, kept.fingerprint, kept.outcome)
+            for key, kept in self._kept_by_id.items()
+        ]
 
     def _forget(self, request_id: str) -> None:
         self._size_bytes -= self._kept_by_id.pop(request_id).size_bytes
--- a/ragwortshelf/daemon/dispatcher.py
+++ b/ragwortshelf/daemon/dispatcher.py
@@ -25,6 +25,7 @@
     RequestOutcome,
 )
 from ..core.requests import (
+    ID_REUSED,
     Abort,
     Cancelled,
     DelegatedRequest,
@@ -36,7 +37,6 @@
     Log,
     MinionsListed,
     OrganisationsChanged,
-    OutcomeMessage,
     PeerLoadNoted,
     RequestMachine,
     Send,
@@ -46,13 +46,14 @@
     Submitted,
     Suspect,
     Ticked,
+    request_fingerprint,
 )
 from ..net.interfaces import Peers
 from .dispatcher_attempts import Attempts
 from .dispatcher_clock import monotonic_ms
 from .dispatcher_connections import ConnectionPool, OpenMinion
 from .dispatcher_heartbeats import Heartbeats
-from .dispatcher_ownership import Ownership
+from .dispatcher_ownership import Ownership, passed_on
 
 __all__ = ["RequestService"]
 
@@ -265,6 +266,8 @@
             if self._idle.is_set():
                 self._idle = trio.Event()
             self._handle(event)
+        elif request_fingerprint(pending.request) != request_fingerprint(event.request):
+            return ID_REUSED
         pending.waiters += 1
         try:
             await pending.done.wait()
@@ -278,14 +281,14 @@
         """Run a request for its owner, once for each attempt."""
         known = self._ownership.delegated(message)
         if known is not None:
-            return OutcomeMessage.of(known)
+            return passed_on(known)
         request = replace(
             message.request, deadline_ms=monotonic_ms() + message.remaining_ms
         )
         event = Submitted(request, is_delegated=True)
         outcome = await self._serve(request.request_id, event)
         self._ownership.note_delegated(message, outcome)
-        return OutcomeMessage.of(outcome)
+        return passed_on(outcome)
 
     # Actions
 
--- a/ragwortshelf/daemon/dispatcher_ownership.py
+++ b/ragwortshelf/daemon/dispatcher_ownership.py
@@ -23,6 +23,7 @@
     Unknown,
 )
 from ..core.requests import (
+    ID_REUSED,
     DelegatedRequest,
     HandedOver,
     HandoverNoted,
@@ -34,16 +35,18 @@
     OwnedRequest,
     RequestId,
     parse_request_id,
+    request_fingerprint,
 )
 from ..net.interfaces import Peers
 from .dispatcher_clock import monotonic_ms
 
-__all__ = ["Ownership"]
+__all__ = ["Ownership", "passed_on"]
 
 HANDOVER_PEERS = 3
 HANDOVER_TIMEOUT_MS = 2_000
 HANDOVER_OUTCOMES_MAX = 1_000
-HANDOVER_BODY_MAX_BYTES = 64 * 1024
+HANDOVER_MAX_BYTES = 2 * 1024 * 1024
+PASSED_BODY_MAX_BYTES = 2 * 1024 * 1024
 HANDOVERS_KEPT_MAX = 32
 QUERY_TIMEOUT_MS = 1_000
 DELEGATED_KEPT_MAX = 10_000
@@ -89,7 +92,7 @@
             return
         parsed = parse_request_id(request.request_id)
         if parsed is not None and self._ids.owns(parsed):
-            self._kept.keep(request.request_id, outcome, now_ms)
+            self._kept.keep(request, outcome, now_ms)
 
     async def outcome_elsewhere(
         self, request: Request, now_ms: int
@@ -104,7 +107,7 @@
         if request.is_idempotent:
             return None
         if self._ids.owns(parsed):
-            return self._kept.get(request.request_id)
+            return self._kept.get(request)
         if (parsed.instance, parsed.incarnation) == (self._instance, self._incarnation):
             return NotRun(Reason.INVALID, "the request id was never reserved")
         return await self._ask_owner(request, parsed, now_ms)
@@ -125,13 +128,13 @@
         """Tell a few peers all outcomes; nothing is run here any more."""
         newest = self._kept.items()[-HANDOVER_OUTCOMES_MAX:]
         left_out = self._kept.items()[:-HANDOVER_OUTCOMES_MAX]
-        numbers = [parse_request_id(key).number + 1 for key, _ in left_out]
+        numbers = [parse_request_id(key).number + 1 for key, _, _ in left_out]
         numbers.append(self._kept.forgotten_below)
         message = HandedOver(
             self._instance,
             self._incarnation,
             max(numbers),
-            tuple(KeptOutcome(key, _bounded(outcome)) for key, outcome in newest),
+            _kept_outcomes(newest),
         )
         deadline_ms = monotonic_ms() + HANDOVER_TIMEOUT_MS
         async with trio.open_nursery() as nursery:
@@ -144,7 +147,8 @@
     async def _ask_owner(
         self, request: Request, parsed: RequestId, now_ms: int
     ) -> RequestOutcome:
-        known = self._handed_over_outcome(parsed)
+        fingerprint = request_fingerprint(request)
+        known = self._handed_over_outcome(parsed, fingerprint)
         if known is not None:
             return known
         message = OwnedRequest(request, max(1, request.deadline_ms - now_ms))
@@ -153,20 +157,20 @@
         )
         if isinstance(reply, OutcomeMessage) and reply.outcome() is not None:
             return reply.outcome()
-        known = await self._ask_everyone(request.request_id)
+        known = await self._ask_everyone(OutcomeQuery(str(parsed), fingerprint))
         if known is not None:
             return known
         if isinstance(reply, OutcomeMessage):
             return Unknown(Reason.INSTANCE_LOST, "the owner of the id is gone")
         return Unknown(Reason.OWNER_UNREACHABLE, "the owner of the id did not answer")
 
-    async def _ask_everyone(self, request_id: str) -> RequestOutcome | None:
+    async def _ask_everyone(self, query: OutcomeQuery) -> RequestOutcome | None:
         """Ask all peers at once for what an owner handed over to them."""
         found: list[RequestOutcome] = []
         deadline_ms = monotonic_ms() + QUERY_TIMEOUT_MS
 
         async def ask(name: str) -> None:
-            reply = await self._call(name, OutcomeQuery(request_id), deadline_ms)
+            reply = await self._call(name, query, deadline_ms)
             outcome = reply.outcome() if isinstance(reply, OutcomeMessage) else None
             if outcome is not None:
                 found.append(outcome)
@@ -177,13 +181,16 @@
                 nursery.start_soon(ask, info.name)
         return found[0] if found else None
 
-    def _handed_over_outcome(self, parsed: RequestId) -> RequestOutcome | None:
+    def _handed_over_outcome(
+        self, parsed: RequestId, fingerprint: str
+    ) -> RequestOutcome | None:
         record = self._handed_over.get((parsed.instance, parsed.incarnation))
         if record is None:
             return None
         for kept in record.outcomes:
             if kept.request_id == str(parsed):
-                return kept.outcome.outcome()
+                is_same = kept.fingerprint == fingerprint
+                return kept.outcome.outcome() if is_same else ID_REUSED
         if parsed.number < record.forgotten_below:
             return Unknown(Reason.INSTANCE_LOST, "the outcome is no longer kept")
         return NotRun(
@@ -195,16 +202,19 @@
     async def _on_owned(self, sender: str, message: OwnedRequest) -> OutcomeMessage:
         parsed = parse_request_id(message.request.request_id)
         if parsed is None or not self._ids.owns(parsed):
-            known = None if parsed is None else self._handed_over_outcome(parsed)
-            return OutcomeMessage.of(known)
+            query = OutcomeQuery(
+                message.request.request_id, request_fingerprint(message.request)
+            )
+            return await self._on_query(sender, query)
         deadline_ms = monotonic_ms() + message.remaining_ms
         request = replace(message.request, deadline_ms=deadline_ms)
-        return OutcomeMessage.of(await self._submit(request))
+        return passed_on(await self._submit(request))
 
     async def _on_query(self, sender: str, message: OutcomeQuery) -> OutcomeMessage:
         parsed = parse_request_id(message.request_id)
-        known = None if parsed is None else self._handed_over_outcome(parsed)
-        return OutcomeMessage.of(known)
+        if parsed is None:
+            return OutcomeMessage()
+        return OutcomeMessage.of(self._handed_over_outcome(parsed, message.fingerprint))
 
     async def _on_handed_over(self, sender: str, message: HandedOver) -> HandoverNoted:
         self._handed_over[message.instance, message.incarnation] = message
@@ -213,10 +223,25 @@
         return HandoverNoted(len(message.outcomes))
 
 
-def _bounded(outcome: RequestOutcome) -> OutcomeMessage:
-    """Return the message of an outcome; a large answer is not handed over."""
+def passed_on(
+    outcome: RequestOutcome | None, max_bytes: int = PASSED_BODY_MAX_BYTES
+) -> OutcomeMessage:
+    """Return the message of an outcome; an answer too large for it is ``Unknown``."""
     message = OutcomeMessage.of(outcome)
-    if len(message.body) <= HANDOVER_BODY_MAX_BYTES:
+    if len(message.body) <= max_bytes:
         return message
-    detail = "it was answered; the answer was too large to hand over"
-    return OutcomeMessage.of(Unknown(Reason.INSTANCE_LOST, detail))
+    detail = "it was answered; the answer is too large to pass on"
+    return OutcomeMessage.of(Unknown(Reason.NO_ANSWER, detail))
+
+
+def _kept_outcomes(
+    newest: list[tuple[str, str, RequestOutcome]],
+) -> tuple[KeptOutcome, ...]:
+    """Return outcomes for a handover, with the bodies of the newest that fit."""
+    left_bytes = HANDOVER_MAX_BYTES
+    kept = []
+    for request_id, fingerprint, outcome in reversed(newest):
+        message = passed_on(outcome, left_bytes)
+        left_bytes -= len(message.body)
+        kept.append(KeptOutcome(request_id, fingerprint, message))
+    return tuple(kept)
--- a/tests/core/requests/test_shares.py
+++ b/tests/core/requests/test_shares.py
@@ -227,6 +227,67 @@
     assert b.note_heartbeat("a", old, {}, LOAD, site.now_ms) is None
 
 
+def test_joiner_that_cannot_ask_a_holder_takes_nothing():
+    site = two_instances()
+    site.start("c")
+    site.set_list({"a", "b", "c"})
+    site.cut_links = {frozenset("bc")}
+    site.run(12_000)
+    assert site.slots("c") == 0
+
+
+def test_holder_that_the_list_left_out_is_learnt_from_its_peer():
+    site = two_instances()
+    site.set_list({"a"})
+    site.run(3_000)
+    assert site.slots("b") == 4  # its peer still answers it
+    site.start("c")
+    site.set_list({"a", "c"})
+    site.cut_links = {frozenset("bc")}
+    site.run(12_000)  # checks the limit at each step
+    assert (site.slots("b"), site.slots("c")) == (0, 4)
+
+
+def test_replacement_waits_for_a_right_renewed_by_an_old_list():
+    site = Site()
+    site.set_list({"b"})
+    site.start("b")
+    site.run(12_000)
+    site.set_list({"z"})
+    site.start("z")
+    site.fetch_list("z")
+    site.now_ms += 1_900
+    site.fetch_list("b", lag_ms=1_950)
+    site.cut_from_list = {"b"}
+    site.cut_links = {frozenset("bz")}
+    site.run(1_500)
+    assert site.slots("b") == SLOTS
+    site.run(8_000)
+    assert (site.slots("b"), site.slots("z")) == (0, SLOTS)
+
+
+def test_reply_to_an_older_heartbeat_grants_nothing():
+    site = two_instances()
+    a, b = site.keeper_by_name["a"], site.keeper_by_name["b"]
+
+    def tell(live, leaving):
+        for keeper in (a, b):
+            keeper.note_list(live, leaving, site.now_ms, site.now_ms)
+
+    tell({"a"}, {"b"})
+    old = a.heartbeat("b", LOAD, site.now_ms)
+    reply = b.note_heartbeat("a", old, {}, LOAD, site.now_ms)
+    assert reply.granted_by_minion["m"].bit_count() == SLOTS
+    tell({"a", "b"}, set())
+    site.exchange("a", "b")
+    site.exchange("b", "a")
+    assert site.slots("b") == 4
+    tell({"a"}, {"b"})
+    a.heartbeat("b", LOAD, site.now_ms)
+    a.note_reply("b", reply, site.now_ms, site.now_ms)
+    assert site.total() == SLOTS
+
+
 NAMES = st.sampled_from(["a", "b", "c"])
 DURATIONS_MS = st.sampled_from([250, 1_000, 2_000, 4_000, 6_500, 9_000])
 
--- a/tests/daemon/test_dispatcher.py
+++ b/tests/daemon/test_dispatcher.py
@@ -2,6 +2,7 @@
 
 import random
 from collections import Counter
+from dataclasses import replace
 
 import pytest
 import trio
@@ -431,3 +432,27 @@
     for key in ("a1.1.999", "a1.1.0", "nonsense", "a1.x.1"):
         outcome = await service.submit(request(key))
         assert (outcome.reason, outcome.retry_after_ms) == (Reason.INVALID, None)
+
+
+async def test_id_of_another_organisation_brings_no_answer_of_its_request(
+    cluster, autojump_clock
+):
+    a1, a2 = cluster.service_by_name["a1"], cluster.service_by_name["a2"]
+    key = own_id(a1)
+    outcomes = []
+
+    async def ask(service, **changes):
+        asked = replace(request(key, run_ms=100), **changes)
+        outcomes.append(await service.submit(asked))
+
+    async with trio.open_nursery() as nursery:
+        nursery.start_soon(ask, a1)
+        await trio.sleep(0.05)
+        await ask(a1, organisation="p")
+    await ask(a2, body=b"another amount")
+    await a1.drain()
+    cluster.kill("a1")
+    await ask(a2, organisation="p")
+    await ask(a2)
+    assert [type(o) for o in outcomes] == [NotRun, Answered, NotRun, NotRun, Answered]
+    assert runs(cluster, key) == 1
