--- a/scripts/quickstart_steps.py
+++ b/scripts/quickstart_steps.py
@@ -106,7 +106,9 @@
         at=4,
     )
     launcher.wait_until(
-        lambda: _charge(steps) == EXPECTED_CHARGE_MS, "the charge", timeout_s=USAGE_TIMEOUT_S
+        lambda: _charge(steps) == EXPECTED_CHARGE_MS,
+        "the charge",
+        timeout_s=USAGE_TIMEOUT_S,
     )
     steps.run("see the charge", "organisation", "usage", "postings")
     steps.run("list the instances", "instance", "list", token=operator)
