Silence an instance that a newer incarnation has replaced

Cause: the state machine of faults, run with 300 random examples, found that old incarnations that went on running kept connecting, replaced the links of their successors and kept a member dead to others for tens of seconds. Change: an instance that knows that it is superseded closes its links and does nothing more; who accepts a connection tells an older incarnation so, signed, in its welcome; links of older incarnations are refused by all that membership knows, not by earlier handshakes alone. Routes and the observer moved to modules of their own. Conclusion: the failing example heals at once (test_superseded_instances_leave_the_links_of_their_successors_alone).

--- a/benchmarks/control_network.py
+++ b/benchmarks/control_network.py
@@ -26,6 +26,7 @@
     LinkOpened,
     ListFetched,
     MembershipMachine,
+    NewerIncarnationFound,
     OpenLink,
     SendHeartbeat,
     Tick,
@@ -241,6 +242,9 @@
             or self.is_cut(peer, node)
         ):
             self._later(node, LinkFailed(peer_name), OPEN_TIMEOUT_MS)
+        elif peer.machine.incarnation_of(node.info.name) > node.incarnation:
+            known = peer.machine.incarnation_of(node.info.name)
+            self._later(node, NewerIncarnationFound(known), 2 * self.latency_ms)
         elif not peer.is_up:
             self._later(node, LinkFailed(peer_name, True), 2 * self.latency_ms)
         else:
--- a/ragwortshelf/core/membership/machine.py
+++ b/ragwortshelf/core/membership/machine.py
@@ -23,6 +23,7 @@
     LinkOpened,
     ListFetched,
     MembersChanged,
+    NewerIncarnationFound,
     OpenLink,
     Profile,
     Published,
@@ -31,6 +32,7 @@
 )
 from .plan import surplus_peers, wanted_peers
 from .roster import Roster
+from .routing import mates, route_to, routes_of
 from .shared import SharedState
 from .timing import (
     EVIDENCE_VALID_MS,
@@ -87,7 +89,10 @@
 
     @property
     def is_superseded(self) -> bool:
-        """Whether a newer incarnation of this instance is known: this one must end."""
+        """Whether a newer incarnation of this instance is known: this one must end.
+
+        From then on it closes its connections and does nothing more.
+        """
         return self._is_superseded
 
     def is_placer(self) -> bool:
@@ -95,6 +100,8 @@
 
         Claim the role only while `is_current` holds as well.
         """
+        if self._is_superseded:
+            return False
         return self._view.placer_of(self._instance.data_centre) == self._instance.name
 
     def is_current(self, now_ms: int) -> bool:
@@ -117,23 +124,12 @@
 
     def route_to(self, name: str) -> str | None:
         """Return the directly connected peer to pass a message for ``name`` to."""
-        if self._links.to(name) is not None:
-            return name
-        member = self._view.members_by_name.get(name)
-        if member is None:
-            return None
-        data_centre = member.instance.data_centre
-        if data_centre == self._instance.data_centre:
-            return self._first_linked(self._mates())
-        through = self._first_linked(self._view.data_centre(data_centre))
-        if through is not None:
-            return through
-        return self._first_linked(
-            mate for mate in self._mates() if data_centre in self._routes_of(mate)
-        )
+        return route_to(self._view, self._links, name)
 
     def handle(self, event: Event, now_ms: int) -> tuple[Action, ...]:
         """Take one event into account and return what to do, in order."""
+        if self._is_superseded:
+            return self._refuse_links(event)
         actions: list[Action] = []
         self._note_pause(now_ms)
         match event:
@@ -151,6 +147,8 @@
                 self._shared.forget_connection(connection_id)
             case LinkFailed(peer, is_refused):
                 self._note_failed(peer, is_refused, now_ms)
+            case NewerIncarnationFound(incarnation):
+                self._is_superseded = incarnation > self._incarnation
             case DrainStarted():
                 self._is_draining = True
                 self._update_profile(now_ms)
@@ -158,8 +156,22 @@
             case Published(key, value):
                 self._publish(key, value)
         self._update_view(now_ms, actions)
+        if self._is_superseded:
+            for link in self._links.links:
+                self._close(link.peer, link.connection_id, now_ms, actions)
         return tuple(actions)
 
+    def incarnation_of(self, name: str) -> int:
+        """Return the newest incarnation known of an instance, or 0."""
+        if name == self._instance.name:
+            return self._incarnation
+        return self._liveness.incarnation(name)
+
+    def _refuse_links(self, event: Event) -> tuple[Action, ...]:
+        if isinstance(event, LinkOpened):
+            return (CloseLink(event.peer, event.connection_id),)
+        return ()
+
     def _tick(self, now_ms: int, actions: list[Action]) -> None:
         self._last_tick_ms = now_ms
         self._sequence += 1
@@ -260,7 +272,7 @@
                 actions.append(OpenLink(self._view.members_by_name[peer].instance))
 
     def _no_route_ms(self, data_centre: str, now_ms: int) -> int:
-        if any(data_centre in self._routes_of(mate) for mate in self._mates()):
+        if any(data_centre in routes_of(self._view, m) for m in mates(self._view)):
             self._no_route_since_by_data_centre.pop(data_centre, None)
             return 0
         since_ms = self._no_route_since_by_data_centre.setdefault(data_centre, now_ms)
@@ -352,21 +364,6 @@
         elif self._company_since_ms is None:
             self._company_since_ms = now_ms
 
-    def _mates(self) -> tuple[str, ...]:
-        """Return the other members of the data centre, the reachable ones first."""
-        members = self._view.data_centre(self._instance.data_centre)
-        order = list(MemberStatus)
-        return tuple(
-            sorted(
-                (name for name in members if name != self._instance.name),
-                key=lambda name: (order.index(members[name].status), name),
-            )
-        )
-
-    def _routes_of(self, name: str) -> tuple[str, ...]:
-        member = self._view.members_by_name[name]
-        return () if member.status is MemberStatus.DEAD else member.routes
-
     def _own_routes(self) -> tuple[str, ...]:
         data_centres = {self._data_centre_of(link.peer) for link in self._links.links}
         return tuple(sorted(data_centres - {None, self._instance.data_centre}))
@@ -374,6 +371,3 @@
     def _data_centre_of(self, name: str) -> str | None:
         member = self._view.members_by_name.get(name)
         return None if member is None else member.instance.data_centre
-
-    def _first_linked(self, names) -> str | None:
-        return next((name for name in names if self._links.to(name) is not None), None)
--- a/ragwortshelf/core/membership/messages.py
+++ b/ragwortshelf/core/membership/messages.py
@@ -26,6 +26,7 @@
     "LinkOpened",
     "ListFetched",
     "MembersChanged",
+    "NewerIncarnationFound",
     "OpenLink",
     "Profile",
     "Published",
@@ -127,6 +128,13 @@
     is_refused: bool = False
 
 
+@dataclass(frozen=True, slots=True)
+class NewerIncarnationFound:
+    """A peer refused a connection since it knows this incarnation of the instance."""
+
+    incarnation: int
+
+
 @dataclass(frozen=True, slots=True)
 class Tick:
     """Time has passed; expected every ``HEARTBEAT_INTERVAL_MS``."""
@@ -151,6 +159,7 @@
     | LinkOpened
     | LinkClosed
     | LinkFailed
+    | NewerIncarnationFound
     | Tick
     | DrainStarted
     | Published
--- a/ragwortshelf/daemon/membership.py
+++ b/ragwortshelf/daemon/membership.py
@@ -21,6 +21,7 @@
     ListFetched,
     MembersChanged,
     MembershipMachine,
+    NewerIncarnationFound,
     OpenLink,
     Published,
     SendHeartbeat,
@@ -30,7 +31,8 @@
 from ..core.model import InstanceInfo
 from ..core.streams.codec import Undecodable, decode, encode
 from ..net.interfaces import InstanceList, Membership
-from ..net.peers import LinkObserver, PeerNetwork
+from ..net.peer_observer import LinkObserver
+from ..net.peers import PeerNetwork
 
 __all__ = ["MembershipService", "new_incarnation"]
 
@@ -159,6 +161,14 @@
         """Feed the machine; called by the network."""
         self._handle(LinkFailed(peer, is_refused))
 
+    def newer_incarnation_found(self, incarnation: int) -> None:
+        """Feed the machine; called by the network."""
+        self._handle(NewerIncarnationFound(incarnation))
+
+    def incarnation_of(self, name: str) -> int:
+        """Return the newest incarnation known of an instance, or 0."""
+        return self._machine.incarnation_of(name)
+
     def heartbeat_received(self, connection_id: str, heartbeat: Heartbeat) -> None:
         """Feed the machine; called by the network."""
         self._handle(HeartbeatReceived(connection_id, heartbeat))
--- a/ragwortshelf/net/peer_frames.py
+++ b/ragwortshelf/net/peer_frames.py
@@ -45,10 +45,15 @@
 
 @dataclass(frozen=True, slots=True)
 class Welcome:
-    """Who has accepted, signed together with the client's challenge."""
+    """Who has accepted, signed together with the client's challenge.
+
+    ``known_incarnation`` is the newest that the accepting side knows of the client. If
+    that is newer than the client, the connection is refused.
+    """
 
     name: str
     incarnation: int
+    known_incarnation: int
     signature: bytes
 
 
--- a/ragwortshelf/net/peers.py
+++ b/ragwortshelf/net/peers.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import abc
 import itertools
 import logging
 from collections.abc import Awaitable, Callable
@@ -19,11 +18,17 @@
 from ..core.streams.codec import Undecodable, decode, encode
 from .interfaces import Peers
 from .peer_frames import Envelope, EnvelopeKind, Frame
-from .peer_handshake import Identity, greet_as_client, greet_as_server
+from .peer_handshake import (
+    Identity,
+    Superseded,
+    greet_as_client,
+    greet_as_server,
+)
 from .peer_link import Outgoing, PeerLink
+from .peer_observer import LinkObserver
 from .peer_relay import RelayTable, answer_to
 
-__all__ = ["LinkObserver", "PeerNetwork"]
+__all__ = ["PeerNetwork"]
 
 MAX_FRAME_BYTES = 4 * 1024 * 1024
 QUEUE_FRAMES = 512
@@ -37,33 +42,6 @@
 _LIBRARY_LOGGER.setLevel(logging.CRITICAL)
 
 
-class LinkObserver(abc.ABC):
-    """What wants to know of connections and heartbeats."""
-
-    @abc.abstractmethod
-    def link_opened(self, peer: str, connection_id: str) -> None:
-        """A connection is ready, whichever side opened it."""
-
-    @abc.abstractmethod
-    def link_closed(self, peer: str, connection_id: str) -> None:
-        """A connection is gone."""
-
-    @abc.abstractmethod
-    def link_failed(self, peer: str, is_refused: bool) -> None:
-        """A connection that `PeerNetwork.open_link` asked for could not be made.
-
-        ``is_refused`` says that the peer's host answered and no process listens there.
-        """
-
-    @abc.abstractmethod
-    def heartbeat_received(self, connection_id: str, heartbeat: Heartbeat) -> None:
-        """A heartbeat came in."""
-
-    @abc.abstractmethod
-    def route_to(self, name: str) -> str | None:
-        """Return the connected peer to pass a message for ``name`` to."""
-
-
 @dataclass(eq=False, slots=True)
 class _PendingCall:
     """A call that waits for its answer."""
@@ -166,7 +144,11 @@
         try:
             with trio.move_on_after(OPEN_TIMEOUT_S):
                 peer = await greet_as_server(
-                    websocket, self._instance.name, self._incarnation, self._secret
+                    websocket,
+                    self._instance.name,
+                    self._incarnation,
+                    self._secret,
+                    self._newest_incarnation,
                 )
         except ConnectionClosed:
             return
@@ -194,7 +176,9 @@
                     answer = await greet_as_client(
                         websocket, own, peer.name, self._secret
                     )
-                if isinstance(answer, Identity):
+                if isinstance(answer, Superseded):
+                    self._observer.newer_incarnation_found(answer.incarnation)
+                elif isinstance(answer, Identity):
                     is_connected = True
                     await self._run_link(answer, websocket)
         except (OSError, WebSocketException, EOFError) as error:
@@ -204,7 +188,7 @@
 
     async def _run_link(self, peer: Identity, websocket: Connection) -> None:
         link = PeerLink(peer, websocket, self._queue_frames)
-        if peer.incarnation < self._incarnation_by_name.get(peer.name, 0):
+        if peer.incarnation < self._newest_incarnation(peer.name):
             return
         if peer.connection_id in self._link_by_connection:
             return
@@ -217,6 +201,10 @@
         finally:
             self._drop(link)
 
+    def _newest_incarnation(self, name: str) -> int:
+        known = self._incarnation_by_name.get(name, 0)
+        return max(known, self._observer.incarnation_of(name))
+
     def _drop(self, link: PeerLink) -> None:
         del self._link_by_connection[link.peer.connection_id]
         if self._newest_link_by_peer.get(link.peer.name) is link:
@@ -332,8 +320,7 @@
             pending.done.set()
 
     def _take_message(self, link: PeerLink, envelope: Envelope) -> None:
-        known = self._incarnation_by_name.get(envelope.sender, 0)
-        if envelope.incarnation < known:
+        if envelope.incarnation < self._newest_incarnation(envelope.sender):
             self._refuse(link, envelope, "an older incarnation")
             return
         self._incarnation_by_name[envelope.sender] = envelope.incarnation
--- a/tests/core/membership/test_membership_faults.py
+++ b/tests/core/membership/test_membership_faults.py
@@ -387,3 +387,16 @@
     for number in range(2, 10):
         machine.handle(LinkOpened(heartbeat.sender, f"c{number}"), 20)
     assert set(machine._shared._sent_by_connection) == {"c9"}
+
+
+def test_superseded_instances_leave_the_links_of_their_successors_alone():
+    network = running(2, 2)
+    old = list(network.node_by_name.values())
+    for node in old:
+        network.start(node.info, incarnation=2)
+    network.run(SETTLE_MS)
+    assert all(node.machine.is_superseded for node in old)
+    assert everybody_alive(network)
+    links = set(network._connection_by_id)
+    network.run(SETTLE_MS)
+    assert set(network._connection_by_id) == links
--- a/tests/net/test_peers.py
+++ b/tests/net/test_peers.py
@@ -11,7 +11,8 @@
 
 from ragwortshelf.core.membership import Heartbeat
 from ragwortshelf.core.model import InstanceInfo, Unreachable
-from ragwortshelf.net.peers import LinkObserver, PeerNetwork
+from ragwortshelf.net.peer_observer import LinkObserver
+from ragwortshelf.net.peers import PeerNetwork
 
 SECRET = b"between the instances"
 
@@ -34,6 +35,7 @@
         self.closed = []
         self.failed = []
         self.heartbeats = []
+        self.superseded = []
         self.via_by_name = {}
         self._changed = trio.Event()
 
@@ -56,6 +58,12 @@
     def link_failed(self, peer, is_refused):
         self._note(self.failed, (peer, is_refused))
 
+    def newer_incarnation_found(self, incarnation):
+        self._note(self.superseded, incarnation)
+
+    def incarnation_of(self, name):
+        return 0
+
     def heartbeat_received(self, connection_id, heartbeat):
         self._note(self.heartbeats, heartbeat)
 
@@ -150,7 +158,9 @@
         async with trio.open_nursery() as nursery:
             old._nursery = nursery
             old.open_link(b.info)
-            await recorder.until(lambda: recorder.closed or recorder.failed)
+            await recorder.until(lambda: recorder.failed == [("b", False)])
+        assert recorder.superseded == [2]
+        assert recorder.opened == []
         assert len(b.recorder.opened) == 1
 
 
