--- a/benchmarks/requests/__main__.py
+++ b/benchmarks/requests/__main__.py
@@ -26,7 +26,7 @@
 POLICY_BY_NAME = {"ragwortshelf": PolicyInstance, "naive": NaiveInstance}
 LOADS = (0.5, 0.9, 2.0)
 FAULTS = ("none", "failed_minion", "silent_connections", "dead_instance")
-LIST_MS = 500
+LIST_MS = 2_000
 START_MS = 10_000
 WARM_MS = 3_000
 FAULT_MS = 2_000
--- a/tests/core/requests/test_shares.py
+++ b/tests/core/requests/test_shares.py
@@ -1,6 +1,7 @@
 """Shares of slots: at no moment do instances use more than a minion has."""
 
 import random
+from dataclasses import replace
 
 from hypothesis import settings
 from hypothesis import strategies as st
@@ -15,7 +16,7 @@
 
 SLOTS = 8
 CONNECTIONS = 64
-SETTINGS = ShareSettings(isolated_slots=0)
+SETTINGS = ShareSettings(2_000, 2_000, 250, isolated_slots=0)
 LOAD = LoadReport()
 
 
@@ -197,7 +198,7 @@
 
 
 def test_lone_survivor_goes_on_with_what_the_minion_guards():
-    site = Site(ShareSettings(isolated_slots=1))
+    site = Site(replace(SETTINGS, isolated_slots=1))
     site.set_list({"a", "b"})
     site.start("a")
     site.start("b")
@@ -255,8 +256,9 @@
     site.run(12_000)
     site.set_list({"z"})
     site.start("z")
-    site.fetch_list("z")
-    site.now_ms += 1_900
+    for pause_ms in (0, 1_000, 900):
+        site.now_ms += pause_ms
+        site.fetch_list("z")
     site.fetch_list("b", lag_ms=1_950)
     site.cut_from_list = {"b"}
     site.cut_links = {frozenset("bz")}
--- a/tests/daemon/test_dispatcher.py
+++ b/tests/daemon/test_dispatcher.py
@@ -26,6 +26,7 @@
 
 TYPES_BY_NAME = {cls.__name__: cls for cls in MESSAGE_TYPES}
 SETTINGS = ShareSettings(isolated_slots=0)
+LIST_INTERVAL_S = 2.0
 
 
 def now_ms():
@@ -137,7 +138,7 @@
     async def start(self):
         for info in self.infos:
             await self.start_one(info.name)
-        await trio.sleep(12)
+        await trio.sleep(16)
 
     async def start_one(self, name):
         service = RequestService(
@@ -165,7 +166,7 @@
     async def follow_list(self, name, scope):
         while not scope.cancel_called:
             self.service_by_name[name].set_instances(tuple(self.infos))
-            await trio.sleep(0.5)
+            await trio.sleep(LIST_INTERVAL_S)
 
     def kill(self, name):
         self.scope_by_name[name].cancel()
