--- a/ragwortshelf/core/releases/rules.py
+++ b/ragwortshelf/core/releases/rules.py
@@ -37,11 +37,19 @@
     RuleSpec(
         "reclaim_grace_ms",
         int,
-        30_000,
+        2_000,
         "Time that borrowed work gets to write a checkpoint before it is stopped.",
         0,
         _DAY_MS,
     ),
+    RuleSpec(
+        "reservation_after_ms",
+        int,
+        30_000,
+        "Wait of a blocked group after which accelerators are reserved for it.",
+        0,
+        _DAY_MS,
+    ),
     RuleSpec(
         "fragmentation_weight",
         float,
--- a/tests/daemon/test_streams.py
+++ b/tests/daemon/test_streams.py
@@ -5,6 +5,7 @@
 
 import pytest
 import trio
+import trio.testing
 
 from ragwortshelf.core.model import (
     JobSpec,
