--- a/ragwortshelf/core/releases/apply.py
+++ b/ragwortshelf/core/releases/apply.py
@@ -171,13 +171,19 @@
         *note.data_centres.changed_by_name,
     }
     for organisation_name in note.organisations.names():
-        for configuration in (before, after):
-            organisation = configuration.organisations_by_name.get(organisation_name)
-            if organisation is not None:
-                names.update(shape.data_centre for shape in organisation.guarantees)
+        promised_before = _guarantees(before, organisation_name)
+        promised_after = _guarantees(after, organisation_name)
+        if promised_before != promised_after:
+            shapes = (*promised_before, *promised_after)
+            names.update(shape.data_centre for shape in shapes)
     return sorted(names & set(after.data_centres_by_name))
 
 
+def _guarantees(configuration, organisation_name):
+    organisation = configuration.organisations_by_name.get(organisation_name)
+    return () if organisation is None else organisation.guarantees
+
+
 def _promise_path(note, after, data_centre_name):
     """The first guarantee of the note there, else the data centre that it changes."""
     changes = note.organisations
--- a/ragwortshelf/core/streams/codec.py
+++ b/ragwortshelf/core/streams/codec.py
@@ -60,7 +60,7 @@
     if cls is None:
         return Undecodable(f"unknown type {name!r}")
     try:
-        return _typed(cls, fields)
+        return _reader(cls)(fields)
     except (TypeError, ValueError, KeyError) as error:
         return Undecodable(f"{cls.__name__}: {error}")
 
@@ -70,74 +70,107 @@
     return tuple(field.name for field in dataclasses.fields(cls))
 
 
+def plain(value):
+    """Return a value of the supported types as maps, lists and scalars."""
+    return _writer(type(value))(value)
+
+
 @functools.cache
-def _hints(cls) -> dict[str, typing.Any]:
-    hints = typing.get_type_hints(cls)
-    return {name: hints[name] for name in _field_names(cls)}
+def _writer(cls):
+    """Return the function that turns values of exactly ``cls`` into plain ones."""
+    if issubclass(cls, enum.Enum):
+        return lambda value: value.value
+    if dataclasses.is_dataclass(cls):
+        names = _field_names(cls)
+        return lambda value: {name: plain(getattr(value, name)) for name in names}
+    if issubclass(cls, tuple | list):
+        return lambda value: [plain(item) for item in value]
+    if issubclass(cls, Mapping):
+        return lambda value: {key: plain(item) for key, item in value.items()}
+    return lambda value: value
 
 
-def plain(value):
-    """Return a value of the supported types as maps, lists and scalars."""
-    if isinstance(value, enum.Enum):
-        return value.value
-    if dataclasses.is_dataclass(value):
-        return {name: plain(getattr(value, name)) for name in _field_names(type(value))}
-    if isinstance(value, tuple | list):
-        return [plain(item) for item in value]
-    if isinstance(value, Mapping):
-        return {key: plain(item) for key, item in value.items()}
-    return value
-
-
-def _typed(hint, value):
+@functools.cache
+def _reader(hint):
+    """Return the function that turns a plain value into one of type ``hint``.
+
+    The readers of a type are put together once, since records are many.
+    """
     origin = typing.get_origin(hint)
     if origin in (typing.Union, types.UnionType):
-        return _typed_union(hint, value)
+        return _union_reader(hint)
     if origin is tuple:
-        return _typed_tuple(typing.get_args(hint), value)
+        return _tuple_reader(typing.get_args(hint))
     if origin is not None and issubclass(origin, Mapping):
-        _check_is_map(value)
-        item_hint = typing.get_args(hint)[1]
-        return {key: _typed(item_hint, item) for key, item in value.items()}
+        return _mapping_reader(typing.get_args(hint)[1])
     if dataclasses.is_dataclass(hint):
-        _check_is_map(value)
-        hints = _hints(hint)
-        known = {k: _typed(hints[k], v) for k, v in value.items() if k in hints}
-        return hint(**known)
+        return _dataclass_reader(hint)
     if isinstance(hint, type) and issubclass(hint, enum.Enum):
-        return hint(value)
-    return _checked_scalar(hint, value)
+        return hint
+    return _scalar_reader(hint)
 
 
-def _typed_union(hint, value):
-    if value is None:
-        return None
+def _union_reader(hint):
     members = [member for member in typing.get_args(hint) if member is not type(None)]
     if len(members) == 1:
-        return _typed(members[0], value)
-    if type(value) in members:
-        return value
-    raise TypeError(f"{value!r} is none of {members}")
+        read_member = _reader(members[0])
+        return lambda value: None if value is None else read_member(value)
 
+    def read(value):
+        if value is None or type(value) in members:
+            return value
+        raise TypeError(f"{value!r} is none of {members}")
 
-def _typed_tuple(args, value):
-    if not isinstance(value, list):
-        raise TypeError("expected an array")
+    return read
+
+
+def _tuple_reader(args):
     if len(args) == 2 and args[1] is Ellipsis:
-        return tuple(_typed(args[0], item) for item in value)
-    if len(args) != len(value):
-        raise TypeError(f"expected {len(args)} items")
-    return tuple(_typed(arg, item) for arg, item in zip(args, value, strict=True))
+        read_item = _reader(args[0])
+        return lambda value: tuple(map(read_item, _checked(list, value)))
+    readers = tuple(map(_reader, args))
+
+    def read(value):
+        if len(_checked(list, value)) != len(readers):
+            raise TypeError(f"expected {len(readers)} items")
+        return tuple(read(item) for read, item in zip(readers, value, strict=True))
+
+    return read
+
+
+def _mapping_reader(item_hint):
+    read_item = _reader(item_hint)
+    return lambda value: {
+        key: read_item(item) for key, item in _checked(dict, value).items()
+    }
+
+
+def _dataclass_reader(cls):
+    hints = typing.get_type_hints(cls)
+    readers = {name: _reader(hints[name]) for name in _field_names(cls)}
+
+    def read(value):
+        known = {
+            name: readers[name](item)
+            for name, item in _checked(dict, value).items()
+            if name in readers
+        }
+        return cls(**known)
+
+    return read
 
 
-def _check_is_map(value):
-    if not isinstance(value, dict):
-        raise TypeError("expected a map")
+def _scalar_reader(hint):
+    if hint is typing.Any:
+        return lambda value: value
+    if hint is float:
+        return lambda value: (
+            float(value) if type(value) is int else _checked(float, value)
+        )
+    return functools.partial(_checked, hint)
 
 
-def _checked_scalar(hint, value):
-    if hint is typing.Any or type(value) is hint:
+def _checked(cls, value):
+    if type(value) is cls:
         return value
-    if hint is float and type(value) is int:
-        return float(value)
-    raise TypeError(f"expected {hint.__name__}, got {type(value).__name__}")
+    raise TypeError(f"expected {cls.__name__}, got {type(value).__name__}")
--- a/tests/core/releases/test_parse.py
+++ b/tests/core/releases/test_parse.py
@@ -1,11 +1,15 @@
 """Every fault of a note is named by its path; good notes survive a round trip."""
 
+import ast
 import json
+from pathlib import Path
 
 import pytest
 from hypothesis import given
 from hypothesis import strategies as st
 
+import ragwortshelf
+from ragwortshelf.core.jobs.overruns import OverrunRules
 from ragwortshelf.core.model import Adjacency, Shape
 from ragwortshelf.core.releases import (
     RULES_BY_NAME,
@@ -158,3 +162,19 @@
     for name, spec in RULES_BY_NAME.items():
         assert rule_fault(name, spec.default) is None
         assert rule_fault(name, float("nan")) is not None
+
+
+def _names_read():
+    """Names that code passes to ``configuration.rule`` as literals."""
+    for path in Path(ragwortshelf.__file__).parent.rglob("*.py"):
+        for node in ast.walk(ast.parse(path.read_text())):
+            is_call = isinstance(node, ast.Call)
+            if is_call and getattr(node.func, "attr", "") == "rule" and node.args:
+                yield node.args[0]
+
+
+def test_code_reads_only_rules_that_operators_can_set():
+    literals = {node.value for node in _names_read() if isinstance(node, ast.Constant)}
+    assert {"retry_budget", "reclaim_grace_ms"} <= literals
+    assert literals <= set(RULES_BY_NAME)
+    assert set(OverrunRules.__dataclass_fields__) <= set(RULES_BY_NAME)
