Check rule names in both ways in which code reads them

Cause: the code of jobs now reads rules through rule_value, so the check of names looked for the literal in the wrong call. Change: it takes both.

--- a/tests/core/releases/test_parse.py
+++ b/tests/core/releases/test_parse.py
@@ -165,16 +165,18 @@
 
 
 def _names_read():
-    """Names that code passes to ``configuration.rule`` as literals."""
+    """Literals that code passes to ``Configuration.rule`` and ``rule_value``."""
     for path in Path(ragwortshelf.__file__).parent.rglob("*.py"):
         for node in ast.walk(ast.parse(path.read_text())):
-            is_call = isinstance(node, ast.Call)
-            if is_call and getattr(node.func, "attr", "") == "rule" and node.args:
-                yield node.args[0]
+            if not isinstance(node, ast.Call):
+                continue
+            name = getattr(node.func, "attr", None) or getattr(node.func, "id", None)
+            if name in ("rule", "rule_value"):
+                yield from (a.value for a in node.args if isinstance(a, ast.Constant))
 
 
 def test_code_reads_only_rules_that_operators_can_set():
-    literals = {node.value for node in _names_read() if isinstance(node, ast.Constant)}
-    assert {"retry_budget", "reclaim_grace_ms"} <= literals
-    assert literals <= set(RULES_BY_NAME)
+    names = {name for name in _names_read() if isinstance(name, str)}
+    assert {"retry_budget", "reclaim_grace_ms"} <= names
+    assert names <= set(RULES_BY_NAME)
     assert set(OverrunRules.__dataclass_fields__) <= set(RULES_BY_NAME)
