--- a/ragwortshelf/core/placement/admission.py
+++ b/ragwortshelf/core/placement/admission.py
@@ -4,9 +4,17 @@
 
 from collections.abc import Mapping
 
-from ..model import Adjacency, Configuration, DataCentre, JobSpec
+from ..model import Adjacency, Configuration, DataCentre, JobSpec, Organisation
+from .regions import home_regions
 
-__all__ = ["fits_catalogue", "fits_data_centre", "home_data_centre"]
+__all__ = [
+    "fits_catalogue",
+    "fits_data_centre",
+    "home_data_centre",
+    "less_blocked_home",
+]
+
+MOVE_HOME_GAIN = 0.7  # a new home has to be expected to wait at most this share
 
 
 def fits_data_centre(spec: JobSpec, data_centre: DataCentre) -> bool:
@@ -67,6 +75,29 @@
     return min(candidates, key=preference).name
 
 
+def less_blocked_home(
+    cost_by_data_centre: Mapping[str, int],
+    queued_by_data_centre: Mapping[str, int],
+    here: str,
+) -> str | None:
+    """Return a better home for a job that has waited long, None to stay ``here``.
+
+    ``cost_by_data_centre`` is `Scheduler.blocking_cost` of each, and
+    ``queued_by_data_centre`` counts the groups as large that wait there before it. A
+    move is a record in the log, so it has to promise a clear gain.
+    """
+
+    def expected(name: str) -> int:
+        return cost_by_data_centre[name] * (1 + queued_by_data_centre.get(name, 0))
+
+    if not cost_by_data_centre:
+        return None
+    best = min(cost_by_data_centre, key=lambda name: (expected(name), name))
+    if here not in cost_by_data_centre:
+        return best
+    return best if expected(best) < MOVE_HOME_GAIN * expected(here) else None
+
+
 def _candidates(spec: JobSpec, configuration: Configuration) -> list[DataCentre]:
     organisation = configuration.organisations_by_name.get(spec.organisation)
     if organisation is None:
@@ -77,12 +108,43 @@
         if fits_data_centre(spec, data_centre)
         and (
             spec.is_reclaimable
-            or not organisation.home_region
-            or data_centre.region == organisation.home_region
+            or _fits_unstoppable(spec, organisation, configuration, data_centre)
         )
     ]
 
 
+def _fits_unstoppable(
+    spec: JobSpec,
+    organisation: Organisation,
+    configuration: Configuration,
+    data_centre: DataCentre,
+) -> bool:
+    """Return whether what is promised to the organisation or to nobody holds it."""
+    if organisation.home_region not in ("", data_centre.region):
+        return False
+    owners = home_regions(configuration, data_centre.name).owner_by_accelerator
+    largest_worker = 0
+    largest_rack = 0
+    total = 0
+    for rack in data_centre.racks:
+        counts = [
+            sum(
+                owners.get((worker, index)) in (None, organisation.name)
+                for index in range(rack.accelerators_per_worker)
+            )
+            for worker in rack.workers
+        ]
+        largest_worker = max(largest_worker, *counts, 0)
+        largest_rack = max(largest_rack, sum(counts))
+        total += sum(counts)
+    largest_by_adjacency = {
+        Adjacency.WORKER: largest_worker,
+        Adjacency.RACK: largest_rack,
+        Adjacency.DATA_CENTRE: total,
+    }
+    return spec.accelerators <= largest_by_adjacency[spec.adjacency]
+
+
 def _largest_group(adjacency: Adjacency, data_centre: DataCentre) -> int:
     if adjacency is Adjacency.DATA_CENTRE:
         return data_centre.accelerators
--- a/ragwortshelf/core/placement/decider.py
+++ b/ragwortshelf/core/placement/decider.py
@@ -10,7 +10,7 @@
 import enum
 import heapq
 
-from ..model import Decision, Grant, Priority, Reason
+from ..model import Decision, Grant, JobSpec, Priority, Reason
 from .actions import Action, Move, Place, Probe, Reclaim, Reject
 from .admission import fits_catalogue
 from .blocked import BlockedGroups
@@ -53,6 +53,11 @@
         """Check every waiting job again, after a change of configuration."""
         self._unchecked.update(dict.fromkeys(self._state.waiting.job_by_id))
 
+    def blocking_cost(self, spec: JobSpec, now_ms: int) -> int | None:
+        """Return the expected work in the way of the job, None if it cannot fit."""
+        placer = Placer(self._state, self.reservations, spec, now_ms)
+        return self._blocked.blocking_cost(spec, placer, now_ms)
+
     def next_wakeup_ms(self) -> int | None:
         """Return when a blocked group may be helped without any event."""
         times = (self._blocked.next_wakeup_ms, self._compaction.next_wakeup_ms)
@@ -232,9 +237,7 @@
         """Return a key that sorts the group to be served first lowest."""
         head = group.head
         reservation = self.reservations.by_organisation.get(head.spec.organisation)
-        is_reserved = reservation is not None and (
-            reservation.spec.job_id == head.spec.job_id
-        )
+        is_reserved = reservation is not None and reservation.is_for(head.spec)
         view = JobView(
             head.spec.accelerators,
             max(0, now_ms - head.since_ms),
@@ -267,7 +270,7 @@
         state = self._state
         spec = waiting.spec
         state.waiting.discard(spec.job_id)
-        self.reservations_of(spec.organisation, spec.job_id)
+        self._drop_reservation(spec)
         grace_ms = self._grace_ms()
         job = ActiveJob(
             spec,
@@ -288,11 +291,10 @@
                 victim.reclaim_deadline_ms = now_ms + grace_ms
                 self._emit_reclaim(victim, job, is_move, now_ms)
 
-    def reservations_of(self, organisation: str, job_id: str) -> None:
-        """Give up the reservation that is for this job."""
-        reservation = self.reservations.by_organisation.get(organisation)
-        if reservation is not None and reservation.spec.job_id == job_id:
-            self.reservations.drop(organisation)
+    def _drop_reservation(self, spec: JobSpec) -> None:
+        reservation = self.reservations.by_organisation.get(spec.organisation)
+        if reservation is not None and reservation.is_for(spec):
+            self.reservations.drop(spec.organisation)
 
     def _emit_place(
         self, job: ActiveJob, reason: str, passed_over: tuple[str, ...] = ()
