--- a/benchmarks/requests/__main__.py
+++ b/benchmarks/requests/__main__.py
@@ -149,6 +149,14 @@
         }
 
 
+def _print_overhead(deployment_name: str) -> None:
+    from .overhead import measure_overhead  # starts processes, so only if asked
+
+    for result in measure_overhead(deployment_name):
+        line = {"benchmark": "requests_overhead", "deployment": deployment_name}
+        print(json.dumps({**line, **result}), flush=True)
+
+
 def main() -> None:
     """Run the trials that the options ask for."""
     options = argparse.ArgumentParser(description=__doc__)
@@ -158,7 +166,15 @@
     options.add_argument("--load", type=float, action="append")
     options.add_argument("--fault", choices=FAULTS, action="append")
     options.add_argument("--measure_ms", type=int, default=8_000)
+    options.add_argument(
+        "--overhead",
+        action="store_true",
+        help="measure a call through ragwortshelfd against a direct one instead",
+    )
     given = options.parse_args()
+    if given.overhead:
+        _print_overhead(given.deployment)
+        return
     for fault in given.fault or FAULTS:
         for load in given.load or LOADS:
             for policy in given.policy or POLICY_BY_NAME:
--- a/ragwortshelf/core/requests/machine.py
+++ b/ragwortshelf/core/requests/machine.py
@@ -15,16 +15,14 @@
     MinionInfo,
     NotRun,
     Reason,
-    RequestOutcome,
-    Unknown,
     Unreachable,
 )
 from .admission import is_within_share, refusal
-from .attempts import RETRY_AFTER_FAILURE_MS, SERVER_ERROR, Retry, RetryRules
+from .attempts import SERVER_ERROR, Retry, RetryRules
 from .capacity import Capacity
+from .endings import Endings, no_free_slot
 from .entries import Entry, EntryBook
 from .events import (
-    Abort,
     Action,
     AttemptEnded,
     Cancelled,
@@ -41,13 +39,11 @@
     Send,
     Spill,
     Submitted,
-    Suspect,
     Ticked,
 )
 from .fair_queue import FairQueue
 from .health import MinionHealth
 from .messages import LoadReport
-from .outcomes import failure_outcome
 from .progress import ProgressRules
 from .retries import RetryBudget
 from .routing import MinionPool, PeerLoads, least_loaded_of_two, routed
@@ -80,6 +76,9 @@
         self._capacity = Capacity(
             shares, self._pool, self._health, self._loads, self._entries
         )
+        self._endings = Endings(
+            self._entries, self._queue, self._progress, self._run_times, self._capacity
+        )
         self._backing_off: set[str] = set()
         self._weight_by_organisation: dict[str, int] | None = None
         self._is_draining = False
@@ -108,11 +107,11 @@
             case DrainStarted():
                 self._is_draining = True
             case Ticked():
-                self._cut_lapsed(now_ms, actions)
-        self._expire(now_ms, actions)
+                self._endings.cut_lapsed(now_ms, actions)
+        self._endings.expire(now_ms, actions)
         self._dispatch(now_ms, actions)
         if isinstance(event, Submitted) and event.is_delegated:
-            self._turn_away_if_waiting(event.request, actions)
+            self._endings.turn_away_if_waiting(event.request.request_id, actions)
         return actions
 
     def in_flight_by_minion(self) -> dict[str, int]:
@@ -171,16 +170,10 @@
         if weights is not None and request.organisation not in weights:
             return NotRun(Reason.ORGANISATION_UNKNOWN, request.organisation)
         if is_delegated and self._capacity.free_slots(now_ms) <= len(self._queue):
-            return _no_free_slot()
+            return no_free_slot()
         slots = self._capacity.serving_slots(now_ms)
         return refusal(request, self._queue, slots, self._run_times, now_ms)
 
-    def _turn_away_if_waiting(self, request, actions) -> None:
-        """A delegated request starts at once or goes back to its owner."""
-        if self._queue.remove(request.request_id) is not None:
-            entry = self._entries.get(request.request_id)
-            self._finish(entry, _no_free_slot(), actions)
-
     # Dispatch
 
     def _dispatch(self, now_ms, actions) -> None:
@@ -197,7 +190,7 @@
             )
             if request is None:
                 break
-            if self._give_up_late(request, now_ms, actions):
+            if self._endings.refuse_late(request, now_ms, actions):
                 continue
             minion = self._send(request, free_by_minion, now_ms, actions)
             free -= 1
@@ -219,26 +212,6 @@
             free,
         )
 
-    def _give_up_late(self, request, now_ms, actions) -> bool:
-        """Refuse a request at the head that cannot be in time; True if refused."""
-        left_ms = request.deadline_ms - now_ms
-        needed_ms = self._run_times.median_ms(request.request_class)
-        if len(self._queue) > 1:
-            needed_ms = self._run_times.high_ms(request.request_class)
-        if left_ms >= needed_ms:
-            return False
-        entry = self._entries.get(request.request_id)
-        self._queue.remove(request.request_id)
-        wait_ms = now_ms - entry.arrived_ms
-        outcome = failure_outcome(
-            may_have_run=entry.may_have_run,
-            reason=Reason.DEADLINE_UNREACHABLE,
-            detail=f"waited {wait_ms} ms and {left_ms} ms are left",
-            retry_after_ms=int(wait_ms + needed_ms - left_ms) + 1,
-        )
-        self._finish(entry, outcome, actions)
-        return True
-
     def _send(self, request, free_by_minion, now_ms, actions) -> str:
         load_by_minion = self._capacity.load_by_minion(free_by_minion, now_ms)
         minion, other = least_loaded_of_two(load_by_minion, self._rng)
@@ -279,7 +252,7 @@
             chosen = self._loads.choose(self._data_centre, now_ms, self._rng)
             if chosen is None:
                 return
-            if self._give_up_late(request, now_ms, actions):
+            if self._endings.refuse_late(request, now_ms, actions):
                 continue
             self._spill_to(entry, chosen, int(wait_ms), now_ms, actions)
 
@@ -322,7 +295,7 @@
             self._backing_off.add(event.request_id)
             self._entries.wake_at(entry, step.not_before_ms)
         else:
-            self._finish(entry, step, actions)
+            self._endings.finish(entry, step, actions)
 
     def _note_minion(self, entry, event, now_ms) -> None:
         request, minion = entry.request, entry.minion
@@ -351,81 +324,16 @@
     def _return_from_backoff(self, now_ms) -> None:
         for request_id in sorted(self._backing_off):
             entry = self._entries.get(request_id)
-            if entry.not_before_ms <= now_ms:
+            if entry is None:
+                self._backing_off.remove(request_id)  # it ended meanwhile
+            elif entry.not_before_ms <= now_ms:
                 self._backing_off.remove(request_id)
                 self._queue.push(entry.request, entry.cost_ms)
 
-    # Ends without an answer
-
-    def _finish(self, entry, outcome: RequestOutcome, actions) -> None:
-        entry.is_finished = True
-        if not entry.is_out:
-            self._entries.remove(entry)
-        actions.append(Finish(entry.request.request_id, outcome))
-
-    def _abort(self, entry, actions, *, is_silent=False) -> None:
-        if entry.is_out and not entry.is_aborted:
-            entry.is_aborted = True
-            actions.append(Abort(entry.request.request_id, is_silent=is_silent))
-
-    def _stop(self, entry, reason, detail, actions, *, is_silent=False) -> None:
-        """Finish a request wherever it is, without an answer."""
-        request_id = entry.request.request_id
-        self._queue.remove(request_id)
-        self._backing_off.discard(request_id)
-        self._abort(entry, actions, is_silent=is_silent)
-        outcome = failure_outcome(
-            may_have_run=entry.may_have_run or entry.is_out,
-            reason=reason,
-            detail=detail,
-            retry_after_ms=RETRY_AFTER_FAILURE_MS,
-        )
-        self._finish(entry, outcome, actions)
-
     def _cancel(self, request_id, actions) -> None:
         entry = self._entries.get(request_id)
         if entry is not None and not entry.is_finished:
-            self._stop(entry, Reason.CANCELLED, "the caller left", actions)
-
-    def _expire(self, now_ms, actions) -> None:
-        """Finish what is past its deadline; doubt what is past its progress one."""
-        for entry in self._entries.due(now_ms):
-            if entry.request.deadline_ms <= now_ms:
-                is_silent = entry.is_out and self._progress.is_overdue(entry, now_ms)
-                detail = "no whole answer by the deadline"
-                reason = Reason.DEADLINE_PASSED
-                self._stop(entry, reason, detail, actions, is_silent=is_silent)
-            elif (
-                entry.minion is not None
-                and not entry.is_aborted
-                and entry.progress_deadline_ms <= now_ms
-            ):
-                self._note_silence(entry, now_ms, actions)
-
-    def _note_silence(self, entry, now_ms, actions) -> None:
-        """Act on a request that brought no answer by its progress deadline."""
-        if not entry.is_suspect:
-            # Its siblings tell whether the connection or the request is slow.
-            self._progress.plan(entry, now_ms)
-            actions.append(Suspect(entry.request.request_id))
-        elif entry.request.is_idempotent:
-            entry.silent_attempts += 1
-            self._abort(entry, actions, is_silent=True)
-        elif entry.has_silent_siblings:
-            self._abort(entry, actions, is_silent=True)
-            detail = "its connection and others of the same age went silent"
-            self._finish(entry, Unknown(Reason.NO_ANSWER, detail), actions)
-
-    def _cut_lapsed(self, now_ms, actions) -> None:
-        """Abort what runs beyond the limit, once a right has lapsed."""
-        for minion in self.in_flight_by_minion():
-            excess = self._capacity.excess(minion, now_ms)
-            if not excess:
-                continue
-            out = self._entries.out_at(minion)
-            excess -= sum(entry.is_aborted for entry in out)
-            for entry in [e for e in out if not e.is_aborted][: max(0, excess)]:
-                self._abort(entry, actions)
+            self._endings.stop(entry, Reason.CANCELLED, "the caller left", actions)
 
     def _list_minions(self, minions: tuple[MinionInfo, ...]) -> None:
         if not self._pool.set_minions(minions):
@@ -435,7 +343,3 @@
         self._shares.set_minions(
             {name: (i.slots, i.connections) for name, i in info_by_name.items()}
         )
-
-
-def _no_free_slot() -> NotRun:
-    return NotRun(Reason.NO_CAPACITY, "no slot is free here", RETRY_AFTER_FAILURE_MS)
