--- a/tests/core/releases/test_parse.py
+++ b/tests/core/releases/test_parse.py
@@ -1,11 +1,15 @@
 """Every fault of a note is named by its path; good notes survive a round trip."""
 
+import ast
 import json
+from pathlib import Path
 
 import pytest
 from hypothesis import given
 from hypothesis import strategies as st
 
+import ragwortshelf
+from ragwortshelf.core.jobs.overruns import OverrunRules
 from ragwortshelf.core.model import Adjacency, Shape
 from ragwortshelf.core.releases import (
     RULES_BY_NAME,
@@ -158,3 +162,21 @@
     for name, spec in RULES_BY_NAME.items():
         assert rule_fault(name, spec.default) is None
         assert rule_fault(name, float("nan")) is not None
+
+
+def _names_read():
+    """Literals that code passes to ``Configuration.rule`` and ``rule_value``."""
+    for path in Path(ragwortshelf.__file__).parent.rglob("*.py"):
+        for node in ast.walk(ast.parse(path.read_text())):
+            if not isinstance(node, ast.Call):
+                continue
+            name = getattr(node.func, "attr", None) or getattr(node.func, "id", None)
+            if name in ("rule", "rule_value"):
+                yield from (a.value for a in node.args if isinstance(a, ast.Constant))
+
+
+def test_code_reads_only_rules_that_operators_can_set():
+    names = {name for name in _names_read() if isinstance(name, str)}
+    assert {"retry_budget", "reclaim_grace_ms"} <= names
+    assert names <= set(RULES_BY_NAME)
+    assert set(OverrunRules.__dataclass_fields__) <= set(RULES_BY_NAME)
