--- a/benchmarks/requests/overhead.py
+++ b/benchmarks/requests/overhead.py
@@ -17,10 +17,10 @@
 
 import trio
 from hdrh.histogram import HdrHistogram
-from ragwortshelf.standins.deployment import Deployment
-from ragwortshelf.standins.launcher import Launcher, call
 
 from ragwortshelf.net.http_client import HttpClient
+from ragwortshelf.standins.deployment import Deployment
+from ragwortshelf.standins.launcher import Launcher, call
 
 __all__ = ["measure_overhead"]
 
--- a/ragwortshelf/daemon/job_front.py
+++ b/ragwortshelf/daemon/job_front.py
@@ -16,6 +16,7 @@
 
 import trio
 
+from ..core.charging import ChargeBook
 from ..core.jobs import JobBook, JobEntry, admit, job_id
 from ..core.model import (
     Configuration,
@@ -74,6 +75,7 @@
         data_centre = node.settings.data_centre
         self._holder = f"{node.settings.instance}.{node.incarnation}"
         self.book = JobBook()
+        self.charges = ChargeBook()
         self._scheduler = Scheduler(data_centre)
         self.placer = PlacerService(
             data_centre,
@@ -85,6 +87,7 @@
             self._scheduler,
             log_decision,
             book=self.book,
+            charges=self.charges,
             record_usage=self._record_usage,
         )
         node.network.handle(ExplainJob, self._on_explain)
@@ -102,6 +105,7 @@
     def restored(self) -> None:
         """Hear that the book was replaced by a newer one."""
         self.placer.set_role(False)
+        self.placer.settle_all()
         self._notify()
 
     def set_workers(self, workers: Iterable[WorkerInfo]) -> None:
@@ -220,7 +224,7 @@
 
     def usage_fields(self, organisation: str) -> dict:
         """Return an organisation's charge."""
-        statement = self._node.charges.statement(organisation)
+        statement = self.charges.statement(organisation)
         return {
             "organisation": organisation,
             "charged_accelerator_ms": statement.charged_ms,
@@ -390,7 +394,7 @@
         return await self._append(JOBS_STREAM, record)
 
     async def _record_usage(self, reports: tuple[UsageReport, ...]) -> bool:
-        fresh = self._node.charges.unknown_of(reports)
+        fresh = self.charges.unknown_of(reports)
         if not fresh:
             return True
         answer = await self._append(USAGE_STREAM, UsageRecorded(fresh))
--- a/ragwortshelf/daemon/node.py
+++ b/ragwortshelf/daemon/node.py
@@ -12,7 +12,6 @@
 import trio
 from absl import logging
 
-from ..core.charging import ChargeBook
 from ..core.membership import View
 from ..core.model import (
     NO_REVISION,
@@ -124,11 +123,10 @@
     def _build_streams(self, rng: random.Random) -> None:
         settings = self.settings
         self.releases = ReleaseFold()
-        self.charges = ChargeBook()
         folds = {
             RELEASES_STREAM: self.releases,
             JOBS_STREAM: BookFold(self.front.book, self.front.deliver),
-            USAGE_STREAM: BookFold(self.charges),
+            USAGE_STREAM: BookFold(self.front.charges),
         }
         log = HttpLog(settings.log_address, timeout_ms=settings.platform_timeout_ms)
         self.streams = StreamService(log, settings.instance, folds, rng)
