Skip the search for a claim when counting shows that there is no room

Cause: with 390 organisations most of a round went to regions in full use. Change: claims are counted by organisation.

--- a/ragwortshelf/core/placement/ledger.py
+++ b/ragwortshelf/core/placement/ledger.py
@@ -83,6 +83,7 @@
         self.claimant_by_accelerator: dict[Accelerator, str] = {}
         self.target_by_accelerator: dict[Accelerator, str] = {}
         self.held_by_organisation: dict[str, int] = {}
+        self.claimed_by_organisation: dict[str, int] = {}
         self.pending_by_id: dict[str, ActiveJob] = {}
 
     def add(self, job: ActiveJob) -> tuple[str, ...]:
@@ -125,6 +126,7 @@
         for accelerator in accelerators_of(job.claim):
             if self.claimant_by_accelerator.get(accelerator) == job_id:
                 del self.claimant_by_accelerator[accelerator]
+        self._count_claim(job, -1)
         job.claim = ()
         for accelerator in accelerators_of(claim):
             previous = self.claimant_by_accelerator.get(accelerator)
@@ -132,6 +134,7 @@
                 self.set_claim(self.job_by_id[previous], ())
             self.claimant_by_accelerator[accelerator] = job_id
         job.claim = claim
+        self._count_claim(job, 1)
 
     def hold_again(self, worker: str) -> None:
         """Count accelerators of a returned worker as held by the jobs known on it."""
@@ -165,6 +168,12 @@
         if worker.holder_by_index[index] is None:
             self.pool.hold(job_id, (Grant(name, (index,)),))
 
+    def _count_claim(self, job: ActiveJob, sign: int) -> None:
+        name = job.spec.organisation
+        count = sum(len(grant.accelerators) for grant in job.claim)
+        claimed = self.claimed_by_organisation.get(name, 0)
+        self.claimed_by_organisation[name] = claimed + sign * count
+
     def _count(self, job: ActiveJob, sign: int) -> None:
         name = job.spec.organisation
         held = self.held_by_organisation.get(name, 0) + sign * job.spec.accelerators
--- a/ragwortshelf/core/placement/placer.py
+++ b/ragwortshelf/core/placement/placer.py
@@ -66,7 +66,7 @@
         """Return a place under the organisation's guarantee, or why there is none."""
         if not self._region:
             return "nothing is promised here"
-        claim = self._find(self._claimable)
+        claim = None if self._is_claimed_up() else self._find(self._claimable)
         if claim is None:
             return "the guarantee is in use by the organisation itself"
         free = self._tightest(claim)
@@ -89,6 +89,16 @@
             plan.victims,
         )
 
+    def _is_claimed_up(self) -> bool:
+        """Return whether counting alone shows that there is no room for a claim."""
+        spec = self._spec
+        if spec.priority is Priority.URGENT:
+            return False
+        state = self._state
+        size = state.witness.size_by_organisation.get(spec.organisation, 0)
+        claimed = state.ledger.claimed_by_organisation.get(spec.organisation, 0)
+        return size - claimed < spec.accelerators
+
     def cost(self, grants: tuple[Grant, ...]) -> float:
         """Return the scores of the workers that the grants would break, summed."""
         workers = self._state.pool.workers_by_name
--- a/ragwortshelf/core/placement/regions.py
+++ b/ragwortshelf/core/placement/regions.py
@@ -14,6 +14,7 @@
 
 from __future__ import annotations
 
+import collections
 import functools
 from collections.abc import Callable, Iterable, Mapping
 from dataclasses import dataclass
@@ -51,6 +52,11 @@
         """Organisation by (worker, index); what is kept for nobody is absent."""
         return _owners(self.grants_by_unit)
 
+    @functools.cached_property
+    def size_by_organisation(self) -> dict[str, int]:
+        """Number of accelerators that are kept for each organisation."""
+        return collections.Counter(self.owner_by_accelerator.values())
+
     @functools.cached_property
     def accelerators_by_organisation(self) -> dict[str, dict[str, list[int]]]:
         """Indices by worker by organisation."""
