Move the jobs of a lost home; test proof across reboots

Cause: mutations of the boot check, of the home check and of the sign of a start went unnoticed by the tests; nothing wrote JobMoved for a data centre that is cut off. Change: a test for each, and rehome, a pure function that gives the records. The scheduler hears of checkpoints and of final outcomes.

--- a/ragwortshelf/core/jobs/__init__.py
+++ b/ragwortshelf/core/jobs/__init__.py
@@ -45,6 +45,7 @@
 )
 from .gang import Gang
 from .placer import PlacerMachine
+from .rehoming import rehome
 from .stages import Stage
 
 __all__ = [
@@ -87,4 +88,5 @@
     "WorkersListed",
     "admit",
     "job_id",
+    "rehome",
 ]
--- a/ragwortshelf/core/jobs/adoption.py
+++ b/ragwortshelf/core/jobs/adoption.py
@@ -43,7 +43,10 @@
             actions += self._job_observed(job_id, event, now_ms)
         for gang in list(self.gang_by_id.values()):
             if report.worker in gang.member_by_worker:
+                known_checkpoint = gang.checkpoint_seen
                 observed = gang.observed(report, event.asked_ms, now_ms)
+                if gang.checkpoint_seen != known_checkpoint:
+                    self._scheduler.checkpointed(gang.spec.job_id, now_ms)
                 actions += self._follow(gang, observed, now_ms)
         self._workers.observed(report, self.gang_by_id, now_ms)
         return actions
--- a/ragwortshelf/core/jobs/gang.py
+++ b/ragwortshelf/core/jobs/gang.py
@@ -127,6 +127,11 @@
             )
         return not all(member.is_proven_not_started for member in self.members)
 
+    @property
+    def checkpoint_seen(self) -> int:
+        """The newest whole checkpoint of the group that was seen."""
+        return self._checkpoint
+
     @property
     def lost_ms(self) -> int | None:
         """How long it ran since its last whole checkpoint; None if that is unknown.
--- /dev/null
+++ b/ragwortshelf/core/jobs/rehoming.py
@@ -0,0 +1,59 @@
+"""New homes for the jobs of a data centre that is lost or cut off."""
+
+from __future__ import annotations
+
+from dataclasses import replace
+
+from ..model import Configuration, Reason
+from ..placement import home_data_centre
+from ..streams import AttemptEnded, JobMoved
+from .book import JobBook
+from .entry import JobEntry
+
+__all__ = ["rehome"]
+
+
+def rehome(
+    book: JobBook, lost_data_centre: str, configuration: Configuration, wall_ms: int
+) -> tuple[AttemptEnded | JobMoved, ...]:
+    """Return the records that give the jobs of ``lost_data_centre`` new homes.
+
+    They take effect in the order of the log like any others, so a data centre that is
+    cut off cannot claim a job that has moved. An idempotent job with a claimed
+    attempt there goes on from its last known checkpoint; should the attempt finish
+    all the same, it counts for nothing. A job that is not idempotent stays once it is
+    claimed: only its workers can tell whether it ran. So does a job that fits in no
+    other data centre.
+    """
+    others = {
+        name: data_centre
+        for name, data_centre in configuration.data_centres_by_name.items()
+        if name != lost_data_centre
+    }
+    elsewhere = replace(configuration, data_centres_by_name=others)
+    records: list[AttemptEnded | JobMoved] = []
+    for entry in book.active():
+        if entry.home_data_centre != lost_data_centre:
+            continue
+        if entry.is_open and not entry.spec.is_idempotent:
+            continue
+        home = home_data_centre(entry.spec, elsewhere)
+        if home is None:
+            continue
+        if entry.is_open:
+            records.append(_abandoned(entry, wall_ms))
+        reason = Reason.OWNER_UNREACHABLE
+        records.append(JobMoved(entry.spec.job_id, entry.moves + 1, home, reason))
+    return tuple(records)
+
+
+def _abandoned(entry: JobEntry, wall_ms: int) -> AttemptEnded:
+    return AttemptEnded(
+        entry.spec.job_id,
+        entry.attempt,
+        True,
+        Reason.OWNER_UNREACHABLE,
+        entry.checkpoint,
+        wall_ms,
+        None,
+    )
--- a/ragwortshelf/core/jobs/syncing.py
+++ b/ragwortshelf/core/jobs/syncing.py
@@ -133,6 +133,7 @@
         job_id = entry.spec.job_id
         self.outbox.drop(job_id, AttemptStarted, *ENDING_RECORDS)
         self._attempt_floor_by_id.pop(job_id, None)
+        self._scheduler.forget(job_id)
         gang = self.gang_by_id.get(job_id)
         self._forget(job_id, now_ms)
         return [] if gang is None else gang.release()
--- a/tests/core/jobs/test_job_book.py
+++ b/tests/core/jobs/test_job_book.py
@@ -1,7 +1,7 @@
 """The fold of the jobs stream: lowest offset wins, copies change nothing."""
 
 import pytest
-from hypothesis import given
+from hypothesis import given, settings
 from hypothesis import strategies as st
 
 from ragwortshelf.core.jobs import JobBook, admit
@@ -87,9 +87,10 @@
 
 
 @given(st.lists(records, max_size=30))
+@settings(max_examples=200)
 def test_what_is_final_or_claimed_stays(log):
     book = JobBook()
-    for record in log:
+    for record in [accepted(job_id) for job_id in IDS] + log:
         before = {job_id: book.get(job_id) for job_id in IDS}
         book.apply(record)
         for job_id, old in before.items():
@@ -105,6 +106,16 @@
                 assert new.claim.data_centre == old.home_data_centre
 
 
+def test_claim_counts_only_in_the_home_of_its_offset():
+    book = JobBook()
+    moved = JobMoved(IDS[0], 1, "far", Reason.OWNER_UNREACHABLE)
+    assert book.apply(accepted(IDS[0])) is not None
+    assert book.apply(claimed(IDS[0], 1, "p", "far")) is None
+    assert book.apply(moved) is not None
+    assert book.apply(claimed(IDS[0], 1, "p", "dc")) is None
+    assert book.apply(claimed(IDS[0], 1, "q", "far")).claim.holder == "q"
+
+
 def test_not_run_is_void_after_a_claim_that_came_first():
     book = JobBook()
     ended = JobEnded(IDS[0], 0, JobPhase.NOT_RUN, Reason.CANCELLED, "", 0)
--- a/tests/core/jobs/test_placer_machine.py
+++ b/tests/core/jobs/test_placer_machine.py
@@ -113,6 +113,17 @@
         assert len(world.starts) == 2
 
 
+def test_reboot_leaves_no_proof_that_nothing_ran(world_type, make_spec):
+    """The new boot says that nothing started, and knows nothing of the old one."""
+    world = world_type()
+    world.accept(make_spec("j", accelerators=4, run_ms=8_000))
+    world.run(2_000)
+    world.worker_by_name[world.starts[0].worker].reboot()
+    world.run(15_000)
+    assert isinstance(world.outcome("j"), Interrupted)
+    assert len(world.starts) == 1
+
+
 def test_new_placer_adopts_a_running_gang_untouched(world_type, make_spec):
     world = world_type()
     world.accept(make_spec("j", run_ms=30_000))
@@ -303,19 +314,61 @@
     assert accepted[-1].claim.holder == accepted[-1].accepted_by == "p1"
 
 
-def test_refused_submission_is_never_revived_from_its_leases(world_type, make_spec):
+@pytest.mark.parametrize("reboots", [False, True])
+def test_refused_submission_is_never_revived_from_its_leases(
+    world_type, make_spec, reboots
+):
     """A placer once found the lease of a refused job and ran it."""
     world = world_type(placers=2)
     world.run(200)
     world.is_log_up = False
     world.run(200)
     placer = world.placers[0]
-    world.submit_off_log(placer, make_spec("e.1.0", accelerators=2))
+    spec = make_spec("e.1.0", accelerators=2, is_idempotent=True)
+    world.submit_off_log(placer, spec)
     placer.set_role(False)
     placer.carry_out(0)
     placer.sent.clear()
     world.is_log_up = True
+    if reboots:
+        world.placers[1].observe("w1")
+        assert "e.1.0" in world.placers[1].machine.gang_by_id
+        world.worker_by_name["w1"].reboot()
     world.run(40_000)
     assert isinstance(world.submissions["e.1.0"], NotRun)
     assert world.starts == []
     assert world.log == []
+
+
+def test_jobs_of_a_cut_off_home_move_and_never_start_in_both(world_type, make_spec):
+    """The old home still runs what it had claimed; its late records count nothing."""
+    world = world_type()
+    world.accept(make_spec("run", accelerators=4, run_ms=9_000, is_idempotent=True))
+    world.accept(make_spec("once", accelerators=4, run_ms=9_000))
+    world.run(1_000)
+    old = world.placers[0]
+    old.read()
+    book = jobs.JobBook.from_snapshot(old.machine.book.to_snapshot())
+    world.accept(make_spec("wait", accelerators=4))
+    book.apply(world.log[-1])
+    rack = Rack("far", ("v1", "v2"), 4)
+    data_centres = {"dc": DataCentre("dc", "r"), "far": DataCentre("far", "r", (rack,))}
+    organisations = {"org": Organisation("org")}
+    configuration = Configuration(1, organisations, data_centres)
+    moved = jobs.rehome(book, "dc", configuration, 0)
+    assert [(type(record), record.job_id) for record in moved] == [
+        (AttemptEnded, "run"),
+        (JobMoved, "run"),
+        (JobMoved, "wait"),
+    ]
+    world.log += moved
+    world.log.append(AttemptClaimed("run", 2, "f", "far", (), (), 0))
+    world.run(15_000)
+    book = old.machine.book
+    assert {s.job_id for s in world.starts} == {"run", "once"}
+    assert book.get("run").claim.holder == "f"
+    assert book.get("wait").home_data_centre == "far"
+    assert book.get("wait").outcome is None
+    assert world.outcome("once") == Completed(Reason.TASK_SUCCEEDED)
+    assert book.get("run").lost_by_attempt == {1: None}
+    assert world.live_leases() == []
