--- a/ragwortshelf/core/jobs/__init__.py
+++ b/ragwortshelf/core/jobs/__init__.py
@@ -43,8 +43,10 @@
     WorkersListed,
     WorkerUnreachable,
 )
-from .gang import Gang, Stage
+from .gang import Gang
 from .placer import PlacerMachine
+from .rehoming import rehome
+from .stages import Stage
 
 __all__ = [
     "AcquireLease",
@@ -86,4 +88,5 @@
     "WorkersListed",
     "admit",
     "job_id",
+    "rehome",
 ]
--- a/tests/daemon/test_dispatcher.py
+++ b/tests/daemon/test_dispatcher.py
@@ -2,6 +2,7 @@
 
 import random
 from collections import Counter
+from dataclasses import replace
 
 import pytest
 import trio
@@ -25,6 +26,7 @@
 
 TYPES_BY_NAME = {cls.__name__: cls for cls in MESSAGE_TYPES}
 SETTINGS = ShareSettings(isolated_slots=0)
+LIST_INTERVAL_S = 2.0
 
 
 def now_ms():
@@ -136,7 +138,7 @@
     async def start(self):
         for info in self.infos:
             await self.start_one(info.name)
-        await trio.sleep(12)
+        await trio.sleep(16)
 
     async def start_one(self, name):
         service = RequestService(
@@ -164,7 +166,7 @@
     async def follow_list(self, name, scope):
         while not scope.cancel_called:
             self.service_by_name[name].set_instances(tuple(self.infos))
-            await trio.sleep(0.5)
+            await trio.sleep(LIST_INTERVAL_S)
 
     def kill(self, name):
         self.scope_by_name[name].cancel()
@@ -431,3 +433,27 @@
     for key in ("a1.1.999", "a1.1.0", "nonsense", "a1.x.1"):
         outcome = await service.submit(request(key))
         assert (outcome.reason, outcome.retry_after_ms) == (Reason.INVALID, None)
+
+
+async def test_id_of_another_organisation_brings_no_answer_of_its_request(
+    cluster, autojump_clock
+):
+    a1, a2 = cluster.service_by_name["a1"], cluster.service_by_name["a2"]
+    key = own_id(a1)
+    outcomes = []
+
+    async def ask(service, **changes):
+        asked = replace(request(key, run_ms=100), **changes)
+        outcomes.append(await service.submit(asked))
+
+    async with trio.open_nursery() as nursery:
+        nursery.start_soon(ask, a1)
+        await trio.sleep(0.05)
+        await ask(a1, organisation="p")
+    await ask(a2, body=b"another amount")
+    await a1.drain()
+    cluster.kill("a1")
+    await ask(a2, organisation="p")
+    await ask(a2)
+    assert [type(o) for o in outcomes] == [NotRun, Answered, NotRun, NotRun, Answered]
+    assert runs(cluster, key) == 1
