--- /dev/null
+++ b/specification/__init__.py
@@ -0,0 +1,1 @@
+"""Small models of the protocols whose agreement carries the promises."""
