--- a/benchmarks/control_cost.py
+++ b/benchmarks/control_cost.py
@@ -80,7 +80,8 @@
 
     Nothing that instances send each other grows with the number of organisations.
     """
-    fewer = dataclasses.replace(size, instances_per_data_centre=2)
+    half = size.instances_per_data_centre // 2
+    fewer = dataclasses.replace(size, instances_per_data_centre=half)
     count = size.instances - fewer.instances
     worker = worker_cost(size)
     yield _slope("instance", _peer_cost(size, seed), _peer_cost(fewer, seed), count)
--- a/benchmarks/control_workers.py
+++ b/benchmarks/control_workers.py
@@ -14,7 +14,7 @@
 
 import h11
 
-from ragwortshelf.core.jobs.gang import RENEW_EVERY_MS
+from ragwortshelf.core.jobs.stages import RENEW_EVERY_MS
 from ragwortshelf.core.model import JobSpec
 from ragwortshelf.core.streams.codec import encode
 from ragwortshelf.daemon.placer import OBSERVE_EVERY_MS, USAGE_EVERY_MS
