Let a planned stop finish what an instance without a share runs

Cause: a draining instance that held no share yet counted as having no right at all, so what it ran was cut off and answered as unknown. Ruled out: the HTTP server and the dispatcher's scopes, which were still open. Change: draining no longer ends the right of an instance without a share; its end does. Conclusion: only the end of the instance gives up what runs.

--- a/ragwortshelf/core/requests/shares.py
+++ b/ragwortshelf/core/requests/shares.py
@@ -256,7 +256,8 @@
 
     def _is_isolated(self, now_ms: int) -> bool:
         """Whether no instance that is heard of holds a share, and none is held."""
-        if self.holds_share(now_ms) or self._is_draining:
+        # A planned stop ends nothing that runs, so draining makes no difference here.
+        if self.holds_share(now_ms) or self._has_ended:
             return False
         heard_from_ms = now_ms - self._settings.exclusion_ms
         return not any(
--- a/tests/core/requests/test_shares.py
+++ b/tests/core/requests/test_shares.py
@@ -394,3 +394,14 @@
 
 TestShareMachine = ShareMachine.TestCase
 TestShareMachine.settings = settings(max_examples=max(100, settings().max_examples))
+
+
+def test_a_planned_stop_cuts_off_nothing_of_an_instance_that_holds_no_share_yet():
+    keeper = ShareKeeper("a", "dc", 1, ShareSettings())
+    keeper.set_minions({"m1": (8, 64)})
+    before = keeper.limit("m1", 0)
+    assert before > 0
+    keeper.drain()
+    assert keeper.limit("m1", 0) == before
+    keeper.end()
+    assert keeper.limit("m1", 0) == 0
