Test what five more mutations left unnoticed

Cause: mutations of the open-attempt check, the lease deadline before a start, the holder of a claim, the clean-up of ended jobs and partly started off-log jobs survived. Change: a directed test for each.

--- a/tests/core/jobs/test_job_book.py
+++ b/tests/core/jobs/test_job_book.py
@@ -116,6 +116,15 @@
     assert book.apply(claimed(IDS[0], 1, "q", "far")).claim.holder == "q"
 
 
+def test_second_attempt_is_claimed_only_after_the_first_has_ended():
+    book = JobBook()
+    book.apply(accepted(IDS[0]))
+    assert book.apply(claimed(IDS[0], 1)) is not None
+    assert book.apply(claimed(IDS[0], 2, "q")) is None
+    book.apply(AttemptEnded(IDS[0], 1, False, Reason.INSTANCE_LOST, 0, 0))
+    assert book.apply(claimed(IDS[0], 2, "q")).claim.holder == "q"
+
+
 def test_not_run_is_void_after_a_claim_that_came_first():
     book = JobBook()
     ended = JobEnded(IDS[0], 0, JobPhase.NOT_RUN, Reason.CANCELLED, "", 0)
--- a/tests/core/jobs/test_placer_machine.py
+++ b/tests/core/jobs/test_placer_machine.py
@@ -372,3 +372,64 @@
     assert world.outcome("once") == Completed(Reason.TASK_SUCCEEDED)
     assert book.get("run").lost_by_attempt == {1: None}
     assert world.live_leases() == []
+
+
+def test_of_two_placers_only_the_one_with_the_first_claim_starts(world_type, make_spec):
+    """Both lease for the same attempt, on different workers."""
+    world = world_type(placers=2)
+    world.accept(make_spec("j", accelerators=4))
+    for placer, worker in zip(world.placers, ("w1", "w2"), strict=True):
+        placer.read()
+        placer.observe(worker)
+        placer.tick()
+        while not isinstance(placer.sent[0], jobs.AppendRecord):
+            placer.carry_out()
+    for placer in reversed(world.placers):
+        placer.carry_out()
+    assert [record.attempt for record in records(world, AttemptClaimed)] == [1, 1]
+    world.run(8_000)
+    assert [start.holder for start in world.starts] == ["p2"]
+    assert world.outcome("j") == Completed(Reason.TASK_SUCCEEDED)
+    assert world.live_leases() == []
+
+
+def test_claim_read_back_after_the_leases_lapsed_starts_nothing(world_type, make_spec):
+    world = world_type()
+    world.accept(make_spec("j"))
+    step_until(world, jobs.AppendRecord)
+    placer = world.placers[0]
+    placer.carry_out()
+    world.now_ms += 16_000
+    placer.read()
+    assert not [a for a in placer.sent if isinstance(a, jobs.StartTask)]
+    assert [a for a in placer.sent if isinstance(a, jobs.FenceJob)]
+
+
+def test_lost_release_of_an_ended_job_is_sent_again(world_type, make_spec):
+    world = world_type()
+    world.accept(make_spec("j", run_ms=500))
+    step_until(world, jobs.ReleaseLease)
+    world.placers[0].sent.clear()
+    assert any(worker.lease_by_id for worker in world.worker_by_name.values())
+    world.run(1_000)
+    assert not any(worker.lease_by_id for worker in world.worker_by_name.values())
+
+
+def test_off_log_job_that_started_in_part_is_interrupted(world_type, make_spec):
+    """It may not be refused as not run, for one of its tasks ran."""
+    world = world_type()
+    world.run(200)
+    world.is_log_up = False
+    world.run(200)
+    placer = world.placers[0]
+    world.submit_off_log(placer, make_spec("e.1.0"))
+    while not isinstance(placer.sent[0], jobs.StartTask):
+        placer.carry_out()
+    placer.carry_out()
+    world.worker_by_name["w2"].reboot()
+    world.run(2_000)
+    assert world.submissions == {"e.1.0": None}
+    world.is_log_up = True
+    world.run(2_000)
+    assert isinstance(world.outcome("e.1.0"), Interrupted)
+    assert len(world.starts) == 1
