--- a/ragwortshelf/core/placement/actions.py
+++ b/ragwortshelf/core/placement/actions.py
@@ -70,7 +70,11 @@
 
 @dataclass(frozen=True, slots=True)
 class Reject:
-    """End ``job_id`` as not run: it can never run, for ``reason``."""
+    """End ``job_id``, which waits, for ``reason``.
+
+    With ``NEVER_FITS`` nothing can hold its group here. With ``FAILS_EVERYWHERE`` it
+    has run and failed, so the caller must not report it as not run.
+    """
 
     job_id: str
     reason: Reason
--- a/tests/core/placement/test_scheduler.py
+++ b/tests/core/placement/test_scheduler.py
@@ -25,6 +25,7 @@
     decider,
     fits_catalogue,
     home_data_centre,
+    less_blocked_home,
 )
 
 RACK = Rack("r1", ("w1", "w2"), 4)
@@ -345,6 +346,14 @@
     assert not fits_catalogue(wide, configuration)
 
 
+def test_home_changes_only_for_a_clear_gain():
+    assert less_blocked_home({"a": 100, "b": 90}, {}, "a") is None
+    assert less_blocked_home({"a": 100, "b": 60}, {}, "a") == "b"
+    assert less_blocked_home({"a": 100, "b": 60}, {"b": 1}, "a") is None
+    assert less_blocked_home({"b": 60}, {"b": 9}, "a") == "b"
+    assert less_blocked_home({}, {}, "a") is None
+
+
 def test_unstoppable_group_that_no_region_can_hold_never_fits():
     other = Organisation("other", guarantees=(Shape("dc", 4, Adjacency.RACK),))
     configuration = configuration_of(OWNER, other)
