Look after quotas, lost data centres and withdrawals across data centres

Cause: schedulers knew only their own data centre; jobs at home in a lost one waited for ever, and a withdrawal's words about waiting and running jobs had no effect. Change: a placer shares its free accelerators, counts what organisations hold elsewhere from the book, re-homes jobs of a data centre without a live instance for 60 s, and cancels jobs as the withdrawal says. Settings that nothing read are gone. Conclusion: what the core offered is now in use.

--- a/ragwortshelf/daemon/job_front.py
+++ b/ragwortshelf/daemon/job_front.py
@@ -38,6 +38,7 @@
 )
 from ..net.interfaces import Appended
 from ..net.workers import HttpWorker
+from .job_upkeep import Capacity, JobUpkeep
 from .logs import log_decision
 from .peer_messages import (
     Acknowledged,
@@ -60,6 +61,8 @@
 _APPEND_TIMEOUT_MS = 5_000
 _PEER_TIMEOUT_MS = 5_000
 _READ_BACK_TIMEOUT_MS = 5_000
+_UPKEEP_INTERVAL_S = 2.0
+_CAPACITY_KEY = "capacity"
 _ROLE_CHECK_S = 0.2
 _DRAIN_CHECK_S = 0.05
 _RETRY_AFTER_MS = 2_000
@@ -90,6 +93,8 @@
             charges=self.charges,
             record_usage=self._record_usage,
         )
+        self._upkeep = JobUpkeep(data_centre, self._scheduler, self.book)
+        node.membership.register(Capacity)
         node.network.handle(ExplainJob, self._on_explain)
         node.network.handle(ListWorkers, self._on_list_workers)
         node.network.handle(Quarantine, self._on_quarantine)
@@ -124,15 +129,16 @@
         """Run the placer and keep its role up to date."""
         async with trio.open_nursery() as nursery:
             nursery.start_soon(self.placer.run)
+            nursery.start_soon(self._look_after_jobs)
             while True:
                 self._update_role()
                 await trio.sleep(_ROLE_CHECK_S)
 
     async def drain(self) -> None:
-        """Finish placements that are half made, then give up the role."""
-        while self.placer.machine.is_placer and not self.placer.machine.is_idle:
-            await trio.sleep(_DRAIN_CHECK_S)
+        """Give up the role, and finish what is half made or unrecorded."""
         self.placer.set_role(False)
+        while not self.placer.machine.is_idle:
+            await trio.sleep(_DRAIN_CHECK_S)
 
     # Callers
 
@@ -406,11 +412,32 @@
             streams.is_log_up(), streams.is_caught_up(JOBS_STREAM)
         )
         is_placer = self._node.membership.is_placer() and not self._node.is_draining
-        if is_placer != self.placer.machine.is_placer and not (
-            self._node.is_draining and not self.placer.machine.is_idle
-        ):
+        if is_placer != self.placer.machine.is_placer:
             self.placer.set_role(is_placer)
 
+    async def _look_after_jobs(self) -> None:
+        while True:
+            await trio.sleep(_UPKEEP_INTERVAL_S)
+            if not self.placer.machine.is_placer:
+                continue
+            membership = self._node.membership
+            membership.publish(_CAPACITY_KEY, self._upkeep.capacity())
+            shared = membership.peer_state(_CAPACITY_KEY).values()
+            self._upkeep.note_elsewhere(c for c in shared if isinstance(c, Capacity))
+            for decision in self._scheduler.take_guarantee_lines():
+                log_decision(decision)
+            if self._node.streams.is_log_up() and self._node.streams.is_caught_up():
+                await self._append_upkeep()
+
+    async def _append_upkeep(self) -> None:
+        records = self._upkeep.look(
+            self._node.configuration,
+            self._node.membership.view,
+            self._node.deadline_ms(0),
+        )
+        for record in records:
+            await self._append(JOBS_STREAM, record)
+
     def _notify(self) -> None:
         self._changed.set()
         self._changed = trio.Event()
--- a/ragwortshelf/daemon/node.py
+++ b/ragwortshelf/daemon/node.py
@@ -202,6 +202,7 @@
                 "instance": name,
                 "data_centre": member.instance.data_centre,
                 "is_reachable": member.status == "alive",
+                "is_halted": name == self.info.name and self.releases.is_halted,
                 **_revision_fields(shared.get(name), wall_ms),
             }
             for name, member in sorted(self.membership.view.members_by_name.items())
@@ -255,10 +256,16 @@
         return StreamState(self.streams.state_for_peer())
 
     async def _take_state_from_peer(self) -> None:
-        """Ask peers for their state until the log or one of them has given it."""
-        while not self.streams.is_caught_up():
+        """Take a peer's state over whenever the log cannot give it.
+
+        That is so at a start while the log is out, and when retention has passed what
+        this instance still needs.
+        """
+        while True:
             await trio.sleep(_PEER_STATE_RETRY_S)
-            if self.streams.is_log_up() or self.configuration.revision != NO_REVISION:
+            is_gap = any(status.is_missing_records for status in self.streams.status())
+            is_blank = self.configuration.revision == NO_REVISION
+            if not is_gap and (self.streams.is_log_up() or not is_blank):
                 continue
             for peer in self.membership.view.members_by_name:
                 if peer != self.info.name and await self._adopt_state_of(peer):
--- a/ragwortshelf/daemon/settings.py
+++ b/ragwortshelf/daemon/settings.py
@@ -59,8 +59,6 @@
     caller_read_timeout_ms: int
     platform_timeout_ms: int
     worker_timeout_ms: int
-    lease_ttl_ms: int
-    worker_poll_interval_ms: int
     log_level: str
 
     @property
@@ -211,18 +209,6 @@
         _integer(50, _DAY_MS),
         "Milliseconds until a call to a worker is given up.",
     ),
-    Setting(
-        "lease_ttl_ms",
-        "15000",
-        _integer(1000, _DAY_MS),
-        "Time to live of a worker's lease, in milliseconds.",
-    ),
-    Setting(
-        "worker_poll_interval_ms",
-        "1000",
-        _integer(50, 60_000),
-        "Milliseconds between two looks at a worker with running tasks.",
-    ),
     Setting("log_level", "info", _level, "debug, info, warning or error."),
 )
 
@@ -258,10 +244,6 @@
     if parsed.get("api_address") and _is_shared(parsed, "api_address", "peer_address"):
         detail = "is the same as --api_address"
         faults.append(SettingsFault("peer_address", detail))
-    ttl_ms, poll_ms = parsed.get("lease_ttl_ms"), parsed.get("worker_poll_interval_ms")
-    if ttl_ms and poll_ms and ttl_ms < 3 * poll_ms:
-        detail = "must be at least three times --worker_poll_interval_ms"
-        faults.append(SettingsFault("lease_ttl_ms", detail))
     both = set(parsed.get("operator_tokens", ())) & set(
         parsed.get("organisation_tokens", {})
     )
--- /dev/null
+++ b/tests/daemon/test_job_upkeep.py
@@ -0,0 +1,117 @@
+"""Lost data centres, withdrawn organisations and what is held elsewhere."""
+
+import pytest
+
+from ragwortshelf.core.jobs import JobBook
+from ragwortshelf.core.membership import Member, MemberStatus, View
+from ragwortshelf.core.model import (
+    Adjacency,
+    Configuration,
+    DataCentre,
+    Grant,
+    InstanceInfo,
+    JobPhase,
+    JobSpec,
+    Organisation,
+    Rack,
+    Reason,
+    Withdrawal,
+)
+from ragwortshelf.core.placement import Place, Scheduler
+from ragwortshelf.core.streams import AttemptClaimed, JobAccepted, JobEnded, JobMoved
+from ragwortshelf.daemon.job_upkeep import Capacity, JobUpkeep, withdrawals
+
+DATA_CENTRES = {
+    name: DataCentre(name, "land", (Rack(f"{name}-r", (f"{name}-w",), 8),))
+    for name in ("north", "south")
+}
+CONFIGURATION = Configuration(
+    revision=0,
+    organisations_by_name={
+        "org": Organisation("org", quota_accelerators=8, home_region="land")
+    },
+    data_centres_by_name=DATA_CENTRES,
+)
+
+
+def spec(job_id, home, accelerators=4):
+    return JobSpec(job_id, "org", home, accelerators, Adjacency.WORKER)
+
+
+def claim(job_id, home, accelerators=4):
+    grants = (Grant(f"{home}-w", tuple(range(accelerators))),)
+    return AttemptClaimed(job_id, 1, "i.1", home, grants, ("b",), 0)
+
+
+def book_of(*records):
+    book = JobBook()
+    for record in records:
+        book.apply(record)
+    return book
+
+
+def view(status):
+    info = InstanceInfo("s", "south", "127.0.0.1:1", "127.0.0.1:2")
+    here = InstanceInfo("n", "north", "127.0.0.1:3", "127.0.0.1:4")
+    return View(
+        "n",
+        {
+            "n": Member(here, 1, MemberStatus.ALIVE, True, False),
+            "s": Member(info, 1, status, True, False),
+        },
+    )
+
+
+def test_jobs_move_only_after_their_data_centre_has_been_gone_for_a_while():
+    book = book_of(JobAccepted(spec("i.1.1", "south"), "i"))
+    upkeep = JobUpkeep("north", Scheduler("north"), book)
+    dead, alive = view(MemberStatus.DEAD), view(MemberStatus.ALIVE)
+    assert upkeep.look(CONFIGURATION, dead, 0) == []
+    assert upkeep.look(CONFIGURATION, dead, 59_999) == []
+    # It was seen again: the wait starts anew.
+    assert upkeep.look(CONFIGURATION, alive, 60_000) == []
+    assert upkeep.look(CONFIGURATION, dead, 70_000) == []
+    (moved,) = upkeep.look(CONFIGURATION, dead, 130_000)
+    assert isinstance(moved, JobMoved) and moved.to_data_centre == "north"
+    book.apply(moved)
+    assert upkeep.look(CONFIGURATION, dead, 140_000) == []
+
+
+@pytest.mark.parametrize(
+    ("waiting", "running", "ended"),
+    [
+        ("refuse", "finish", ["i.1.1"]),
+        ("finish", "stop", ["i.1.2"]),
+        ("refuse", "stop", ["i.1.1", "i.1.2"]),
+        ("finish", "finish", []),
+    ],
+)
+def test_a_withdrawn_organisations_jobs_end_as_its_note_says(waiting, running, ended):
+    book = book_of(
+        JobAccepted(spec("i.1.1", "north"), "i"),
+        JobAccepted(spec("i.1.2", "north"), "i"),
+        claim("i.1.2", "north"),
+        JobAccepted(spec("i.1.3", "south"), "i"),
+    )
+    withdrawal = Withdrawal("org", waiting, running)
+    configuration = Configuration(withdrawn_organisations_by_name={"org": withdrawal})
+    records = withdrawals(book.active(), configuration, "north")
+    assert [record.job_id for record in records] == ended
+
+
+def test_a_quota_counts_what_is_held_in_other_data_centres():
+    book = book_of(
+        JobAccepted(spec("i.1.1", "south", 8), "i"), claim("i.1.1", "south", 8)
+    )
+    scheduler = Scheduler("north")
+    scheduler.set_configuration(CONFIGURATION, 0)
+    scheduler.set_worker("north-w", "north-r", 8, 0)
+    scheduler.set_worker_usable("north-w", True, "", 0)
+    scheduler.add_waiting(spec("i.1.2", "north"), 0)
+    upkeep = JobUpkeep("north", scheduler, book)
+    upkeep.note_elsewhere([Capacity("south", 0, ())])
+    assert not any(isinstance(action, Place) for action in scheduler.decide(0))
+    done = JobEnded("i.1.1", 1, JobPhase.COMPLETED, Reason.TASK_SUCCEEDED, "", 0)
+    book.apply(done)
+    upkeep.note_elsewhere([Capacity("south", 8, ())])
+    assert any(isinstance(action, Place) for action in scheduler.decide(1_000))
--- a/tests/daemon/test_settings.py
+++ b/tests/daemon/test_settings.py
@@ -42,7 +42,7 @@
     faults = load(
         {**GOOD, "RAGWORTSHELF_LOG_ADDRESS": "log:7000"},
         "--instance=",
-        "--lease_ttl_ms=soon",
+        "--drain_deadline_ms=soon",
         "--peer_address=127.0.0.1:8000",
         "--operator_tokens=short",
     )
@@ -51,7 +51,7 @@
         "instance",
         "log_address",
         "operator_tokens",
-        "lease_ttl_ms",
+        "drain_deadline_ms",
         "peer_address",
     ]
     assert "RAGWORTSHELF_LOG_ADDRESS" in str(faults[1])
--- a/tests/end_to_end/conftest.py
+++ b/tests/end_to_end/conftest.py
@@ -82,8 +82,6 @@
                 operator_tokens=OPERATOR,
                 organisation_tokens=",".join(f"{o}={t}" for o, t in TOKENS.items()),
                 drain_deadline_ms="20000",
-                lease_ttl_ms="3000",
-                worker_poll_interval_ms="200",
             )
 
     def fault(self, address, **faults):
