Let what was started in isolation finish when a share is held again

Cause: an instance without a share runs one request a minion while it hears of no holder; when its peer acquired first, its limit fell to 0 and the request was cut off as unknown. Change: the limit for what runs never falls below the isolated slots before the instance has ended; nothing new starts on them once a holder is heard of. With isolated_slots=0 the limit is strict as before, which the state machine of shares drives.

--- a/ragwortshelf/core/requests/shares.py
+++ b/ragwortshelf/core/requests/shares.py
@@ -100,23 +100,27 @@
         return tuple(n for n, p in self._peer_by_name.items() if not p.is_excluded)
 
     def slots(self, minion: str, now_ms: int) -> int:
-        """Return how many requests this instance may run on a minion now."""
-        limit = self.limit(minion, now_ms)
-        return max(0, limit - self._contested(minion).bit_count())
+        """Return how many requests this instance may have on a minion to start more."""
+        self._check_lapse(now_ms)
+        held = self._held_by_minion.get(minion, 0)
+        if held:
+            return (held & ~self._contested(minion)).bit_count()
+        return self._isolated_slots(minion) if self._is_isolated(now_ms) else 0
 
     def limit(self, minion: str, now_ms: int) -> int:
         """Return how many requests of this instance may still run on a minion.
 
-        More than ``slots`` while a peer waits for tokens; what runs beyond the limit
-        has to be cut off, which only happens after the right has lapsed.
+        More than ``slots`` while a peer waits for tokens, or after isolation, since
+        what the minion took in isolation may finish. What runs beyond the limit has to
+        be cut off, which only happens after the right has lapsed.
         """
         self._check_lapse(now_ms)
-        held = self._held_by_minion.get(minion, 0)
-        if held:
-            return held.bit_count()
-        if minion in self._size_by_minion and self._is_isolated(now_ms):
-            return min(self._settings.isolated_slots, self._size_by_minion[minion][0])
-        return 0
+        held = self._held_by_minion.get(minion, 0).bit_count()
+        return held if self._has_ended else max(held, self._isolated_slots(minion))
+
+    def _isolated_slots(self, minion: str) -> int:
+        slots, _ = self._size_by_minion.get(minion, (0, 0))
+        return min(self._settings.isolated_slots, slots)
 
     def connections(self, minion: str, now_ms: int) -> int:
         """Return how many connections this instance may keep open to a minion."""
--- a/tests/core/requests/test_shares.py
+++ b/tests/core/requests/test_shares.py
@@ -216,6 +216,22 @@
     assert (site.slots("a"), site.slots("b")) == (8, 0)
 
 
+def test_what_runs_in_isolation_may_finish_when_a_peer_acquires_first():
+    site = Site(replace(SETTINGS, isolated_slots=1))
+    site.set_list({"a", "b"})
+    site.start("a")
+    site.start("b")
+    a, b = site.keeper_by_name["a"], site.keeper_by_name["b"]
+    assert (site.slots("a"), a.limit("m", site.now_ms)) == (1, 1)
+    while not b.holds_share(site.now_ms):
+        site.now_ms += 250
+        site.fetch_list("b")
+        a.note_list({"a", "b"}, set(), 0, site.now_ms)  # an old answer: a lags
+        site.exchange("b", "a")
+        site.exchange("a", "b")
+    assert (site.slots("a"), a.limit("m", site.now_ms)) == (0, 1)
+
+
 def test_late_reply_grants_nothing_that_was_given_up():
     site = two_instances()
     a, b = site.keeper_by_name["a"], site.keeper_by_name["b"]
