Wait for workers' changes instead of reading their state twice a second

Cause: the placer read each worker's whole state every 500 ms and its usage every 2 s, which cost 3,692 B/s a worker; with 830 workers a mean node spent 138,570 B/s on control and a placer 521,589 B/s, against a budget of 11,000. Ruled out: membership, which is 892. Change: workers offer a version of their state and answer a waiting question once it changes; the state is read then, a second later to confirm, and every 30 s. Usage is read 2 s after a change and every 30 s.

--- a/benchmarks/control_workers.py
+++ b/benchmarks/control_workers.py
@@ -1,8 +1,8 @@
 """Bytes and processor time of watching workers, from real encoded messages.
 
-For each worker the placer reads its state, renews its leases in one message and reads
-usage, each at the interval that the daemon goes by. The messages are the standard HTTP
-of docs/standins.md.
+For each worker the placer waits for changes, reads its state now and then, renews its
+leases in one message and reads usage, each at the interval that the daemon goes by. The
+messages are the standard HTTP of docs/standins.md.
 """
 
 from __future__ import annotations
@@ -17,7 +17,11 @@
 from ragwortshelf.core.jobs.stages import RENEW_EVERY_MS
 from ragwortshelf.core.model import JobSpec
 from ragwortshelf.core.streams.codec import encode
-from ragwortshelf.daemon.placer import OBSERVE_EVERY_MS, USAGE_EVERY_MS
+from ragwortshelf.daemon.placer import (
+    CHANGE_WAIT_MS,
+    REFRESH_EVERY_MS,
+    USAGE_EVERY_MS,
+)
 
 from .control_sharing import Size
 
@@ -63,7 +67,10 @@
     }
     renewed = {"renewed": ids, "lost": [], "boot_id": "b" * 32}
     usage = {"reports": [], "cursor": 100_000}
-    yield "GET", "/state", None, state, OBSERVE_EVERY_MS
+    version = {"version": "b" * 12 + ".1000"}
+    changes = f"/changes?version={version['version']}&wait_ms={CHANGE_WAIT_MS}"
+    yield "GET", changes, None, version, CHANGE_WAIT_MS
+    yield "GET", "/state", None, state, REFRESH_EVERY_MS
     yield (
         "POST",
         "/renewals",
--- a/ragwortshelf/core/model/leases.py
+++ b/ragwortshelf/core/model/leases.py
@@ -89,7 +89,9 @@
 class WorkerState:
     """Everything that one worker reports in one answer.
 
-    ``boot_id`` changes whenever the worker forgets its leases and fences.
+    ``boot_id`` changes whenever the worker forgets its leases and fences. ``version``
+    changes with every grant, end or change of state of a lease, so that a reader can
+    wait for the next change; it is empty if the worker has none to offer.
     """
 
     worker: str
@@ -100,3 +102,4 @@
     cores: int
     memory_bytes: int
     leases: tuple[Lease, ...]
+    version: str = ""
--- a/ragwortshelf/daemon/placer.py
+++ b/ragwortshelf/daemon/placer.py
@@ -4,6 +4,7 @@
 
 import time
 from collections.abc import Awaitable, Callable
+from dataclasses import dataclass
 
 import trio
 
@@ -49,8 +50,12 @@
 __all__ = ["PlacerService"]
 
 TICK_EVERY_MS = 50
-OBSERVE_EVERY_MS = 500
-USAGE_EVERY_MS = 2_000
+RETRY_EVERY_MS = 500
+REFRESH_EVERY_MS = 30_000
+CONFIRM_AFTER_MS = 1_000
+CHANGE_WAIT_MS = 10_000
+USAGE_EVERY_MS = 30_000
+USAGE_LAG_MS = 2_000
 USAGE_PAGE_REPORTS = 1_000
 CALLS_AT_ONCE = 64
 CALLS_AT_ONCE_PER_WORKER = 4
@@ -268,27 +273,72 @@
 
     async def _watch_worker(self, name: str, scope: trio.CancelScope) -> None:
         worker = self._worker_by_name[name]
-        cursor = 0
-        next_usage_ms = 0
+        usage = _UsageCursor()
+        known = None
         with scope:
             while True:
+                version = None
                 if self.machine.is_placer:
-                    await self._observe(name, worker)
-                    if self._now_ms() >= next_usage_ms:
-                        cursor = await self._read_usage(worker, cursor)
-                        next_usage_ms = self._now_ms() + USAGE_EVERY_MS
-                with trio.move_on_after(OBSERVE_EVERY_MS / 1000):
-                    await self._wanted_by_name[name].wait()
+                    version = await self._observe(name, worker)
+                if version:
+                    # A state that was on its way while a job's stage changed does not
+                    # count, so a new state is read again soon.
+                    is_new, known = version != known, version
+                    refresh_ms = CONFIRM_AFTER_MS if is_new else REFRESH_EVERY_MS
+                    await self._wait_for_news(name, worker, version, refresh_ms, usage)
+                else:
+                    with trio.move_on_after(RETRY_EVERY_MS / 1000):
+                        await self._wanted_by_name[name].wait()
+                    await self._read_usage_if_due(worker, usage)
                 self._wanted_by_name[name] = trio.Event()
 
-    async def _observe(self, name: str, worker: Worker) -> None:
+    async def _observe(self, name: str, worker: Worker) -> str | None:
+        """Read the worker's state; return its version, None if it did not answer."""
         async with self._limiter:
             asked_ms = self._now_ms()
             report = await worker.describe()
         if isinstance(report, Unreachable):
             self._handle(WorkerUnreachable(name))
-        else:
-            self._handle(WorkerObserved(report, asked_ms))
+            return None
+        self._handle(WorkerObserved(report, asked_ms))
+        return report.version
+
+    async def _wait_for_news(
+        self,
+        name: str,
+        worker: Worker,
+        version: str,
+        refresh_ms: int,
+        usage: _UsageCursor,
+    ) -> None:
+        """Return when the state has changed, is wanted, or is ``refresh_ms`` old.
+
+        A worker answers the question for changes when it has one, so a long wait
+        costs two short messages; usage is read in between when it is due.
+        """
+        until_ms = self._now_ms() + refresh_ms
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(
+                self._cancel_when_set, self._wanted_by_name[name], nursery.cancel_scope
+            )
+            while self.machine.is_placer and self._now_ms() < until_ms:
+                await self._read_usage_if_due(worker, usage)
+                due_ms = min(until_ms, usage.due_ms)
+                wait_ms = min(CHANGE_WAIT_MS, max(1, due_ms - self._now_ms()))
+                answer = await worker.wait_for_change(version, wait_ms=wait_ms)
+                if answer is not False:
+                    usage.due_ms = min(usage.due_ms, self._now_ms() + USAGE_LAG_MS)
+                    break
+            nursery.cancel_scope.cancel()
+
+    async def _read_usage_if_due(self, worker: Worker, usage: _UsageCursor) -> None:
+        if self.machine.is_placer and self._now_ms() >= usage.due_ms:
+            usage.cursor = await self._read_usage(worker, usage.cursor)
+            usage.due_ms = self._now_ms() + USAGE_EVERY_MS
+
+    async def _cancel_when_set(self, event: trio.Event, scope) -> None:
+        await event.wait()
+        scope.cancel()
 
     async def _read_usage(self, worker: Worker, cursor: int) -> int:
         """Store the next page; return the cursor to go on from."""
@@ -302,12 +352,23 @@
         return cursor
 
 
+@dataclass(eq=False, slots=True)
+class _UsageCursor:
+    """How far the usage of one worker was read, and when to read on."""
+
+    cursor: int = 0
+    due_ms: int = 0
+
+
 class _GoneWorker(Worker):
     """Stands for a worker that the instance list shows no more."""
 
     async def describe(self):
         return _GONE_ANSWER
 
+    async def wait_for_change(self, version, *, wait_ms):
+        return _GONE_ANSWER
+
     async def acquire(self, request):
         return _GONE_ANSWER
 
--- a/ragwortshelf/net/interfaces.py
+++ b/ragwortshelf/net/interfaces.py
@@ -189,6 +189,15 @@
     async def describe(self) -> WorkerState | Unreachable:
         """Read the worker's size, leases and task states."""
 
+    @abc.abstractmethod
+    async def wait_for_change(
+        self, version: str, *, wait_ms: int
+    ) -> bool | Unreachable:
+        """Return True once the state's version is not ``version``.
+
+        False says that it still was so after ``wait_ms`` milliseconds.
+        """
+
     @abc.abstractmethod
     async def acquire(self, request: LeaseRequest) -> Applied | Denied | Unreachable:
         """Take accelerators under a lease; repeating the same request is harmless."""
--- a/ragwortshelf/net/workers.py
+++ b/ragwortshelf/net/workers.py
@@ -4,6 +4,7 @@
 
 from base64 import b64decode, b64encode
 from collections.abc import Callable
+from urllib.parse import quote
 
 from ..core.model import (
     Lease,
@@ -32,7 +33,8 @@
     """The worker at ``address`` (``IP:port``); its calls are in docs/standins.md."""
 
     def __init__(self, address: str, *, timeout_ms: int = 1_500):
-        self._service = JsonService(address, connections=4, timeout_ms=timeout_ms)
+        self._service = JsonService(address, connections=6, timeout_ms=timeout_ms)
+        self._timeout_ms = timeout_ms
 
     async def aclose(self) -> None:
         """Close idle connections."""
@@ -42,6 +44,16 @@
         """Read the worker's size, leases and task states."""
         return _read(await self._service.get("/state"), _worker_state)
 
+    async def wait_for_change(
+        self, version: str, *, wait_ms: int
+    ) -> bool | Unreachable:
+        """Return True once the state's version is not ``version``, else False."""
+        answer = await self._service.get(
+            f"/changes?version={quote(version)}&wait_ms={wait_ms}",
+            timeout_ms=wait_ms + self._timeout_ms,
+        )
+        return _read(answer, lambda a: a.fields["version"] != version)
+
     async def acquire(self, request: LeaseRequest) -> Applied | Denied | Unreachable:
         """Take accelerators under a lease; repeating the same request is harmless."""
         fields = {
--- a/ragwortshelf/standins/worker.py
+++ b/ragwortshelf/standins/worker.py
@@ -22,6 +22,9 @@
 __all__ = ["WorkerStandIn"]
 
 
+_CHANGE_CHECK_S = 0.02
+
+
 class WorkerStandIn(StandIn):
     """One worker. Usage reports appear ``usage_lag_ms`` after their time."""
 
@@ -59,6 +62,8 @@
         """Carry out one call."""
         now_s = trio.current_time()
         self.leases.advance(now_s)
+        if request.path == "/changes":
+            return await self._wait_for_change(request)
         if request.method == "GET":
             return self._read(request, now_s)
         fields = parse_json(request.body)
@@ -69,9 +74,21 @@
         except (KeyError, TypeError) as error:
             return json_response(400, {"reason": "invalid", "detail": repr(error)})
 
+    async def _wait_for_change(self, request: HttpRequest) -> HttpResponse:
+        known = request.query.get("version", "")
+        with trio.move_on_after(int(request.query.get("wait_ms", "0")) / 1000):
+            while self.leases.version() == known:
+                await trio.sleep(_CHANGE_CHECK_S)
+                self.leases.advance(trio.current_time())
+        return json_response(200, {"version": self.leases.version()})
+
     def _read(self, request: HttpRequest, now_s: float) -> HttpResponse:
         if request.path == "/state":
-            state = {**self._identity, "boot_id": self.leases.boot_id}
+            state = {
+                **self._identity,
+                "boot_id": self.leases.boot_id,
+                "version": self.leases.version(),
+            }
             return json_response(200, {**state, "leases": self.leases.rows(now_s)})
         if request.path == "/usage":
             return self._usage(request, now_s)
--- a/ragwortshelf/standins/worker_state.py
+++ b/ragwortshelf/standins/worker_state.py
@@ -62,6 +62,8 @@
         self._usage_repeat = usage_repeat
         self.fails_tasks = False
         self.reports: list[tuple[float, dict]] = []
+        self._seen: list = []
+        self._changes = 0
         self.reboot()
 
     def reboot(self) -> None:
@@ -81,6 +83,17 @@
                 self._end(entry, entry.deadline_s)
                 self._raise_fence(entry.job_id, entry.attempt)
 
+    def version(self) -> str:
+        """Return a text that changes with every change of a lease's state."""
+        seen = [
+            (entry.lease_id, entry.task_state, entry.is_live)
+            for entry in self.lease_by_id.values()
+        ]
+        if seen != self._seen:
+            self._seen = seen
+            self._changes += 1
+        return f"{self.boot_id}.{self._changes}"
+
     def acquire(self, fields: dict, now_s: float) -> str | None:
         """Grant a lease, or say why not."""
         wanted = LeaseEntry(
--- a/tests/daemon/test_placer_service.py
+++ b/tests/daemon/test_placer_service.py
@@ -64,7 +64,15 @@
             row["task_state"] = TaskState(row["task_state"])
         leases = tuple(Lease(**row) for row in rows)
         boot_id = self.state.boot_id
-        return WorkerState(self.name, boot_id, "dc", "rack", 4, 32, 1, leases)
+        version = self.state.version()
+        return WorkerState(self.name, boot_id, "dc", "rack", 4, 32, 1, leases, version)
+
+    async def wait_for_change(self, version, *, wait_ms):
+        with trio.move_on_after(wait_ms / 1000):
+            while self.state.version() == version:
+                await trio.sleep(0.02)
+                self._now_s()
+        return self.state.version() != version
 
     async def acquire(self, request):
         fields = asdict(request)
