--- a/benchmarks/requests/__main__.py
+++ b/benchmarks/requests/__main__.py
@@ -11,6 +11,7 @@
 from hdrh.histogram import HdrHistogram
 
 from ragwortshelf.core.model import Answered, NotRun
+from ragwortshelf.daemon.membership import LIST_INTERVAL_MS
 
 from .fakes import TO_MINION_MS, Clock, FakeMinion
 from .policies import NaiveInstance, PolicyInstance
@@ -26,7 +27,7 @@
 POLICY_BY_NAME = {"ragwortshelf": PolicyInstance, "naive": NaiveInstance}
 LOADS = (0.5, 0.9, 2.0)
 FAULTS = ("none", "failed_minion", "silent_connections", "dead_instance")
-LIST_MS = 2_000
+LIST_MS = LIST_INTERVAL_MS
 START_MS = 10_000
 WARM_MS = 3_000
 FAULT_MS = 2_000
--- a/ragwortshelf/core/requests/share_members.py
+++ b/ragwortshelf/core/requests/share_members.py
@@ -17,7 +17,7 @@
     minion itself refuses what is beyond its slots, with proof.
     """
 
-    lease_ms: int = 5_000
+    lease_ms: int = 3_000
     list_lag_ms: int = 2_000
     margin_ms: int = 250
     isolated_slots: int = 1
--- a/ragwortshelf/daemon/dispatcher_heartbeats.py
+++ b/ragwortshelf/daemon/dispatcher_heartbeats.py
@@ -16,7 +16,7 @@
 
 HEARTBEAT_MS = 500
 REPLY_TIMEOUT_MS = 1_000
-REMOTE_REPORTS_PER_ROUND = 4
+REMOTE_REPORTS_PER_ROUND = 1
 
 
 class _Service(Protocol):
--- a/ragwortshelf/daemon/membership.py
+++ b/ragwortshelf/daemon/membership.py
@@ -36,7 +36,7 @@
 
 __all__ = ["MembershipService", "new_incarnation"]
 
-LIST_INTERVAL_MS = 2_000
+LIST_INTERVAL_MS = 1_000
 
 
 def new_incarnation() -> int:
--- a/ragwortshelf/standins/instance_list.py
+++ b/ragwortshelf/standins/instance_list.py
@@ -39,7 +39,7 @@
         """Read the list, replace it, or change one member's state."""
         parts = request.path.split("/")
         if parts[1:] == ["members"] and request.method == "GET":
-            return self._list()
+            return self._list(request.header("if-none-match"))
         fields = parse_json(request.body)
         if isinstance(fields, Malformed):
             return json_response(400, {"error": fields.detail})
@@ -56,7 +56,7 @@
         members = {kind: members.get(kind, []) for kind in _KINDS}
         self._versions.append((trio.current_time(), members))
 
-    def _list(self) -> HttpResponse:
+    def _list(self, known_etag: str) -> HttpResponse:
         horizon = trio.current_time() - self._lag_s
         version = max(
             index for index, (since, _) in enumerate(self._versions) if since <= horizon
@@ -64,7 +64,11 @@
         members = self._versions[version][1]
         if self.faults.get("empty"):
             members = {kind: [] for kind in _KINDS}
-        return json_response(200, {"version": version, **members})
+        etag = f'"{version}{"-empty" if self.faults.get("empty") else ""}"'
+        if etag == known_etag:
+            return HttpResponse(304, (("etag", etag),))
+        fields = {"version": version, **members}
+        return json_response(200, fields, (("etag", etag),))
 
     def _set_state(self, name: str, state: str) -> None:
         members = copy.deepcopy(self._versions[-1][1])
--- a/tests/standins/test_standins.py
+++ b/tests/standins/test_standins.py
@@ -83,6 +83,23 @@
         assert (await HttpInstanceList(address).fetch()).minions == ()
 
 
+async def test_a_list_that_has_not_changed_is_not_sent_again():
+    stand_in = InstanceListStandIn()
+    row = {"name": "m1", "data_centre": "dc", "endpoint": "127.0.0.1:1"}
+    stand_in.replace({"minions": [{**row, "state": "live"}]})
+    async with running(stand_in) as address:
+        instance_list = HttpInstanceList(address)
+        first = await instance_list.fetch()
+        etag = '"1"'
+        answer = await HttpClient(address).call(
+            "GET", "/members", headers=(("if-none-match", etag),)
+        )
+        assert (answer.status, answer.body) == (304, b"")
+        assert await instance_list.fetch() is first
+        stand_in.replace({"minions": []})
+        assert (await instance_list.fetch()).minions == ()
+
+
 def lease(job_id, *accelerators, attempt=1):
     return LeaseRequest(job_id, attempt, "i1", accelerators, 60_000, b"label")
 
