--- /dev/null
+++ b/benchmarks/capacity.py
@@ -0,0 +1,174 @@
+"""Memory by state, and memory and processor time of a running instance.
+
+``python -m benchmarks.capacity`` prints JSON lines: bytes an item of each kind of state
+(slope between two sizes, by ``tracemalloc``), the sum at the two-year size, and what
+each of the agency's instances uses over real processes while nothing is asked of it.
+"""
+
+from __future__ import annotations
+
+import json
+import os
+import tempfile
+import time
+import tracemalloc
+from pathlib import Path
+
+from ragwortshelf.core.charging import ChargeBook
+from ragwortshelf.core.jobs import JobBook
+from ragwortshelf.core.model import (
+    Adjacency,
+    Configuration,
+    DataCentre,
+    Grant,
+    JobPhase,
+    JobSpec,
+    Organisation,
+    Rack,
+    Reason,
+    UsageReport,
+)
+from ragwortshelf.core.placement import Scheduler
+from ragwortshelf.core.streams import (
+    AttemptClaimed,
+    JobAccepted,
+    JobEnded,
+    UsageRecorded,
+)
+from ragwortshelf.standins.deployment import Deployment
+from ragwortshelf.standins.launcher import Launcher, call, free_ports
+
+DEPLOYMENT = Path(__file__).parent.parent / "deployments" / "agency"
+SETTLE_S = 5.0
+MEASURE_S = 20.0
+
+# The two-year size. Ended jobs are kept up to the book's limit, 50,000 of them.
+TWO_YEARS = {"jobs": 51_700, "charges": 51_700, "workers": 139, "organisations": 390}
+
+
+def _jobs(count: int) -> JobBook:
+    book = JobBook()
+    for number in range(count):
+        job_id = f"instance-1.1800000000000.{number}"
+        spec = JobSpec(job_id, f"org-{number % 390}", "dc", 8, Adjacency.WORKER)
+        grants = (Grant(f"dc-w{number % 139}", tuple(range(8))),)
+        boots = ("b" * 12,)
+        book.apply(JobAccepted(spec, "instance-1"))
+        book.apply(AttemptClaimed(job_id, 1, "instance-1", "dc", grants, boots, 1))
+        reason = Reason.TASK_SUCCEEDED
+        book.apply(JobEnded(job_id, 1, JobPhase.COMPLETED, reason, "", number))
+    return book
+
+
+def _charges(count: int) -> ChargeBook:
+    book = ChargeBook()
+    for number in range(count):
+        job_id = f"instance-1.1800000000000.{number}"
+        organisation = f"org-{number % 390}"
+        reports = tuple(
+            UsageReport(organisation, job_id, 1, task, sequence, 1_000)
+            for task in range(6)
+            for sequence in range(1, 4)
+        )
+        book.apply(UsageRecorded(reports))
+    return book
+
+
+def _organisations(count: int) -> Scheduler:
+    organisations = {f"org-{n}": Organisation(f"org-{n}") for n in range(count)}
+    scheduler = Scheduler("dc")
+    scheduler.set_configuration(Configuration(0, organisations), 0)
+    return scheduler
+
+
+def _workers(count: int) -> Scheduler:
+    names = tuple(f"dc-w{n}" for n in range(count))
+    centre = DataCentre("dc", "land", (Rack("dc-r1", names, 2),))
+    scheduler = Scheduler("dc")
+    scheduler.set_configuration(Configuration(0, {}, {"dc": centre}), 0)
+    for name in names:
+        scheduler.set_worker(name, "dc-r1", 2, 0)
+        scheduler.set_worker_usable(name, True, "", 0)
+    scheduler.decide(0)
+    return scheduler
+
+
+_STATES = {
+    "jobs": (_jobs, 2_000, 6_000),
+    "charges": (_charges, 1_000, 3_000),
+    "workers": (_workers, 50, 150),
+    "organisations": (_organisations, 100, 300),
+}
+
+
+def _bytes_of(build, count: int) -> int:
+    tracemalloc.start()
+    state = build(count)
+    size = tracemalloc.get_traced_memory()[0]
+    tracemalloc.stop()
+    del state
+    return size
+
+
+def measure_states() -> None:
+    """Print the slope of each kind of state, and the sum at the two-year size."""
+    total = 0
+    for name, (build, few, many) in _STATES.items():
+        slope = (_bytes_of(build, many) - _bytes_of(build, few)) / (many - few)
+        at_size = slope * TWO_YEARS[name]
+        total += at_size
+        _show("state", kind=name, bytes_each=round(slope), bytes_at_size=round(at_size))
+    _show("state_sum", bytes_at_size=round(total))
+
+
+def measure_instances() -> None:
+    """Print memory and processor time of the agency's instances at rest."""
+    fields_ports = free_ports(100)
+    deployment = Deployment.load(DEPLOYMENT / "deployment.toml", ports=fields_ports)
+    note = (DEPLOYMENT / "release.toml").read_text()
+    with (
+        tempfile.TemporaryDirectory() as directory,
+        Launcher(deployment, Path(directory)) as launcher,
+    ):
+        launcher.start_platform()
+        names = list(deployment.api_address_by_instance)
+        for name in names:
+            launcher.start_instance(name)
+        for name in names:
+            launcher.wait_ready(name)
+        address = deployment.api_address_by_instance[names[0]]
+        call(address, "POST", "/v1/releases", {"note": note})
+        time.sleep(SETTLE_S)
+        before = {name: _cpu_s(launcher, name) for name in names}
+        time.sleep(MEASURE_S)
+        for name in names:
+            cpu_s = _cpu_s(launcher, name) - before[name]
+            _show(
+                "instance_at_rest",
+                instance=name,
+                cpu_percent=round(100 * cpu_s / MEASURE_S, 2),
+                resident_bytes=_resident_bytes(launcher, name),
+            )
+
+
+def _cpu_s(launcher: Launcher, name: str) -> float:
+    pid = launcher.process_by_name[name].pid
+    fields = Path(f"/proc/{pid}/stat").read_text().rpartition(")")[2].split()
+    return (int(fields[11]) + int(fields[12])) / os.sysconf("SC_CLK_TCK")
+
+
+def _resident_bytes(launcher: Launcher, name: str) -> int:
+    pid = launcher.process_by_name[name].pid
+    for line in Path(f"/proc/{pid}/status").read_text().splitlines():
+        if line.startswith("VmRSS:"):
+            return int(line.split()[1]) * 1024
+    return 0
+
+
+def _show(measure: str, **fields) -> None:
+    print(json.dumps({"measure": measure, **fields}), flush=True)
+
+
+if __name__ == "__main__":
+    measure_states()
+    measure_instances()
