Check leases, release notes and request ids in all states, and each protection

Cause: of the core protocol only the leases were modelled; nothing ran the models, and nothing showed that each protection is needed or that the code follows the models.

The base searches drop starts that are refused for ever and keep one of two symmetric states.

--- a/specification/leases.py
+++ b/specification/leases.py
@@ -41,6 +41,7 @@
 SCENARIOS = {
     "two_groups": Scenario(((0, 1), (1, 2)), False),
     "one_group_and_a_reboot": Scenario(((0, 1),), True),
+    "groups_apart": Scenario(((0,), (2,)), True),
 }
 
 
@@ -330,6 +331,35 @@
         yield "completed", state._replace(outcome="completed", running=running)
 
 
+def _reduced(state: State, mutant: str) -> State:
+    """Return the one state kept for all that behave as ``state`` does.
+
+    A start that is refused now is refused for ever: fences only rise within a boot. The
+    two placers differ by nothing but their index. Mutants keep all states, so that
+    their traces read with the same names throughout.
+    """
+    if mutant:
+        return state
+    flying = tuple(
+        message
+        for message in state.flying
+        if state.fences[message[0]] < message[1]
+        and state.boots[message[0]] == message[3]
+    )
+    state = state._replace(flying=flying)
+    first, second = state.placers
+    return _with_placers_swapped(state) if first > second else state
+
+
+def _with_placers_swapped(state: State) -> State:
+    leases = tuple(lease and (lease[0], 1 - lease[1]) for lease in state.leases)
+    flying = tuple(sorted((w, a, 1 - index, b) for w, a, index, b in state.flying))
+    claims = tuple(claim and (1 - claim[0], *claim[1:]) for claim in state.claims)
+    return state._replace(
+        leases=leases, flying=flying, claims=claims, placers=state.placers[::-1]
+    )
+
+
 def _is_stopped_when_over(fields: dict) -> bool:
     """A task of an attempt whose end is recorded does not run."""
     over = {i + 1 for i, ended in enumerate(fields["ended"]) if ended}
@@ -347,7 +377,8 @@
         fields=State._fields,
         initial=tuple(State()),
         transitions=lambda raw: [
-            (name, tuple(after)) for name, after in steps(State(*raw), chosen, mutant)
+            (name, tuple(_reduced(after, mutant)))
+            for name, after in steps(State(*raw), chosen, mutant)
         ],
         invariants={
             "non_idempotent_runs_at_most_once": lambda f: (
--- /dev/null
+++ b/specification/request_ids.py
@@ -0,0 +1,170 @@
+"""Model of one request id, the two incarnations of its owner and another instance.
+
+The id names incarnation 0 of the owner. Incarnation 1 may start under the same name at
+any moment, also while incarnation 0 is merely paused. The caller tries through any
+instance; tries travel for any time and reach either incarnation, since they are sent to
+a name. Answers get lost, outcomes are forgotten, and incarnation 0 may stop as planned
+and hand over what it knows.
+"""
+
+from __future__ import annotations
+
+from typing import NamedTuple
+
+from minicheck import Protocol
+
+__all__ = ["REQUEST_ID_MUTANTS", "RequestState", "request_id_protocol", "steps"]
+
+MAX_TRIES = 3
+NAMED_INCARNATION = 0
+OTHER = 2
+
+REQUEST_ID_MUTANTS = (
+    "no_owner_check",
+    "no_incarnation_check",
+    "no_kept_outcome",
+    "no_refusal_after_handover",
+    "no_proof_before_resend",
+)
+
+
+class RequestState(NamedTuple):
+    """The whole system.
+
+    ``known`` is what each process knows of the id: absent (no process), unused,
+    running, done, not_run, forgotten or gone. Processes are incarnations 0 and 1 of the
+    owner, then the other instance. ``sending`` are the processes whose send is on its
+    way to the minion. ``sent`` counts the sends that are not proved refused and ``ran``
+    the runs. ``handed_over`` is what the other instance was told by the owner.
+    """
+
+    known: tuple[str, str, str] = ("unused", "absent", "unused")
+    tries: int = 0
+    flying: int = 0
+    sending: tuple[int, ...] = ()
+    sent: int = 0
+    ran: int = 0
+    is_draining: bool = False
+    handed_over: str = ""
+    answers: tuple[str, ...] = ()
+
+
+def _put(items: tuple, index: int, value) -> tuple:
+    return (*items[:index], value, *items[index + 1 :])
+
+
+def _answered(state: RequestState, answer: str) -> RequestState:
+    answers = tuple(sorted({*state.answers, answer}))
+    return state._replace(answers=answers)
+
+
+def _knowing(state: RequestState, process: int, what: str) -> RequestState:
+    return state._replace(known=_put(state.known, process, what))
+
+
+def steps(state: RequestState, mutant: str = ""):
+    """Yield every (name, next state)."""
+    if state.tries < MAX_TRIES:
+        tried = state._replace(tries=state.tries + 1, flying=state.flying + 1)
+        yield "caller tries", tried
+    if state.flying:
+        landed = state._replace(flying=state.flying - 1)
+        yield "try is lost", landed
+        for process, known in enumerate(state.known):
+            if known not in ("absent", "gone"):
+                yield from _try_steps(landed, process, mutant)
+    yield from _minion_steps(state, mutant)
+    yield from _owner_steps(state)
+
+
+def _try_steps(state: RequestState, process: int, mutant: str):
+    known = state.known[process]
+    if process == OTHER and mutant != "no_owner_check":
+        yield from _other_steps(state)
+    elif process == 1 - NAMED_INCARNATION and mutant != "no_incarnation_check":
+        yield "i1 answers unknown", _answered(state, "unknown")
+    elif known == "unused":
+        is_refused = state.is_draining and process == NAMED_INCARNATION
+        if is_refused and mutant != "no_refusal_after_handover":
+            refused = _knowing(state, process, "not_run")
+            yield f"i{process} refuses", _answered(refused, "not_run")
+        else:
+            yield f"i{process} sends", _sent(state, process)
+    elif known == "running":
+        yield f"i{process} joins the try to the first", state
+    elif mutant == "no_kept_outcome" and known == "forgotten":
+        yield f"i{process} sends", _sent(state, process)
+    else:
+        answer = "unknown" if known == "forgotten" else known
+        yield f"i{process} answers {answer}", _answered(state, answer)
+
+
+def _other_steps(state: RequestState):
+    """The other instance passes the try on, or answers without the owner."""
+    yield "other passes it on", state._replace(flying=state.flying + 1)
+    # An id that the owner never used before it stopped is proved not to have run.
+    kept = {"": "unknown", "unused": "not_run", "forgotten": "unknown"}
+    answer = kept.get(state.handed_over, state.handed_over)
+    yield f"other answers {answer}", _answered(state, answer)
+
+
+def _sent(state: RequestState, process: int) -> RequestState:
+    running = _knowing(state, process, "running")
+    sending = tuple(sorted((*state.sending, process)))
+    return running._replace(sending=sending, sent=state.sent + 1)
+
+
+def _minion_steps(state: RequestState, mutant: str):
+    for process in set(state.sending):
+        position = state.sending.index(process)
+        rest = state.sending[:position] + state.sending[position + 1 :]
+        arrived = state._replace(sending=rest)
+        is_live = state.known[process] == "running"
+        refused = arrived._replace(sent=state.sent - 1)
+        if not is_live:
+            yield "minion refuses", refused
+            yield "minion runs", arrived._replace(ran=state.ran + 1)
+            continue
+        yield "minion refuses", _knowing(refused, process, "not_run")
+        yield "minion refuses, sent again", _sent(refused, process)
+        ran = arrived._replace(ran=state.ran + 1)
+        yield "minion runs", _answered(_knowing(ran, process, "done"), "done")
+        lost = _knowing(ran, process, "forgotten")
+        yield "minion runs, answer is lost", _answered(lost, "unknown")
+        if mutant == "no_proof_before_resend":
+            yield "answer is lost, sent again", _sent(ran, process)
+
+
+def _owner_steps(state: RequestState):
+    if state.known[1] == "absent":
+        yield "i1 starts under the same name", _knowing(state, 1, "unused")
+    known = state.known[0]
+    if known == "gone":
+        return
+    yield "i0 dies", _knowing(state, 0, "gone")
+    if known in ("done", "not_run"):
+        yield "i0 forgets the outcome", _knowing(state, 0, "forgotten")
+    if not state.is_draining:
+        yield "i0 drains", state._replace(is_draining=True)
+    elif known != "running" and not state.handed_over:
+        yield f"i0 hands over {known}", state._replace(handed_over=known)
+
+
+def request_id_protocol(mutant: str = "") -> Protocol:
+    """Return the model, with one protection removed if ``mutant`` names it."""
+    return Protocol(
+        name=f"request-ids{'-' + mutant if mutant else ''}",
+        candidate=bool(mutant),
+        fields=RequestState._fields,
+        initial=tuple(RequestState()),
+        transitions=lambda raw: [
+            (name, tuple(after)) for name, after in steps(RequestState(*raw), mutant)
+        ],
+        invariants={
+            "non_idempotent_sent_at_most_once": lambda f: f["sent"] <= 1,
+            "non_idempotent_runs_at_most_once": lambda f: f["ran"] <= 1,
+            "not_run_did_not_run": lambda f: (
+                "not_run" not in f["answers"] or not f["ran"]
+            ),
+        },
+    )
--- /dev/null
+++ b/tests/specification/test_models.py
@@ -0,0 +1,81 @@
+"""The models hold, and each of their protections is needed."""
+
+import pytest
+from minicheck import Protocol
+
+from specification.__main__ import main
+from specification.models import MODELS, MUTANTS, Model, find
+
+PROMISES = {
+    "leases": {
+        "non_idempotent_runs_at_most_once",
+        "not_run_did_not_run",
+        "no_gang_on_a_part_of_its_group",
+        "nothing_runs_after_its_recorded_end",
+    },
+    "releases": {
+        "in_force_never_reverts",
+        "same_verdict_everywhere",
+        "note_takes_effect_once",
+        "whole_or_nothing",
+        "racing_notes_conflict",
+        "disjoint_notes_both_stand",
+    },
+    "request_ids": {
+        "non_idempotent_sent_at_most_once",
+        "non_idempotent_runs_at_most_once",
+        "not_run_did_not_run",
+    },
+}
+
+
+@pytest.mark.parametrize("model", MODELS, ids=lambda model: model.name)
+def test_every_invariant_holds_in_all_states(model):
+    finding = find(model)
+    promises = PROMISES[model.name.partition("/")[0]]
+    assert finding.is_exhaustive
+    assert finding.verdict_by_invariant == dict.fromkeys(promises, True)
+
+
+@pytest.mark.parametrize("mutant", MUTANTS)
+def test_each_protection_is_needed(mutant, capsys):
+    assert main(["--mutant", mutant]) == 0
+    assert f"{mutant}: " in capsys.readouterr().out
+
+
+def test_unknown_mutant_is_refused(capsys):
+    assert main(["--mutant", "no_such_thing"]) == 2
+    assert "no_such_thing" in capsys.readouterr().err
+
+
+def counter(limit):
+    return Protocol(
+        "counter",
+        False,
+        ("n",),
+        (0,),
+        lambda state: [("up", (state[0] + 1,))] if state[0] < limit else [],
+        {"small": lambda fields: fields["n"] < 5},
+    )
+
+
+@pytest.mark.parametrize(
+    ("limit", "bound", "verdict", "status"),
+    [(4, 10, "holds", 0), (9, 10, "VIOLATED", 1), (9, 3, "UNDETERMINED", 1)],
+)
+def test_command_fails_on_what_is_violated_or_undetermined(
+    limit, bound, verdict, status, monkeypatch, capsys
+):
+    model = Model("counter", lambda mutant: counter(limit), ())
+    monkeypatch.setattr("specification.__main__.MODELS", (model,))
+    monkeypatch.setattr("specification.models.MAX_BASE_STATES", bound)
+    assert main([]) == status
+    assert f"small: {verdict}" in capsys.readouterr().out
+
+
+def test_mutant_that_nothing_catches_fails(monkeypatch, capsys):
+    model = Model("counter", lambda mutant: counter(4), ("idle",))
+    monkeypatch.setattr("specification.models.MODELS", (model,))
+    monkeypatch.setattr("specification.__main__.MUTANTS", ("idle",))
+    assert main(["--mutant", "idle"]) == 1
+    assert "NO counter-example" in capsys.readouterr().out
