--- a/ragwortshelf/core/charging/book.py
+++ b/ragwortshelf/core/charging/book.py
@@ -12,7 +12,7 @@
 
 __all__ = ["ChargeBook", "ChargeSnapshot", "Statement"]
 
-ENDED_ACCOUNTS_KEPT = 50_000
+ENDED_ACCOUNTS_KEPT = 10_000
 PREFIXES_KEPT = 20_000
 
 
--- a/ragwortshelf/core/jobs/book.py
+++ b/ragwortshelf/core/jobs/book.py
@@ -23,7 +23,7 @@
 
 __all__ = ["BookSnapshot", "JobBook"]
 
-ENDED_JOBS_KEPT = 50_000
+ENDED_JOBS_KEPT = 20_000
 SUBMITTERS_KEPT = 20_000
 REASONS_WITHOUT_LOSS = frozenset({Reason.RECLAIMED})
 
--- a/ragwortshelf/daemon/node.py
+++ b/ragwortshelf/daemon/node.py
@@ -62,6 +62,7 @@
 )
 _REVISION_KEY = "revision"
 _PUBLISH_INTERVAL_S = 5.0
+_SETTLE_CHECK_S = 0.05
 _PEER_STATE_RETRY_S = 1.0
 _PEER_STATE_TIMEOUT_MS = 5_000
 
@@ -133,7 +134,8 @@
 
     def _connect(self) -> None:
         """Let each service hear what it needs of the others."""
-        self._in_force = NO_REVISION
+        self.revision_in_force = NO_REVISION
+        self._is_settled = False
         self.membership.register(Revision)
         self.membership.on_list(self._list_fetched)
         self.membership.on_change(self._members_changed)
@@ -143,7 +145,7 @@
         self.network.register(*_REPLY_TYPES)
         self.network.handle(StateRequested, self._give_state)
         self.metrics.gauge("requests_waiting", self.requests.waiting)
-        self.metrics.gauge("revision", lambda: self.configuration.revision)
+        self.metrics.gauge("revision", lambda: self.revision_in_force)
         self.metrics.gauge("jobs_active", lambda: self.front.book.active_count)
 
     @property
@@ -161,13 +163,20 @@
             return "draining"
         if self.membership.is_superseded:
             return "a newer incarnation of this instance runs"
-        if self.configuration.revision == NO_REVISION and not self._is_empty_platform():
-            return "no configuration yet"
+        if not self._is_settled:
+            return "the configuration was not read to its end yet"
         return ""
 
-    def _is_empty_platform(self) -> bool:
-        """Whether the log was read to its end and holds no configuration."""
-        return self.streams.is_caught_up(RELEASES_STREAM)
+    def _settle(self) -> None:
+        """Let the configuration come into force, once it is known to be the newest.
+
+        Before that, a restarted instance would put every older revision in force on
+        its way through the log.
+        """
+        if self._is_settled:
+            return
+        self._is_settled = True
+        self._bring_into_force()
 
     async def run(
         self, *, task_status: trio.TaskStatus[None] = trio.TASK_STATUS_IGNORED
@@ -180,6 +189,7 @@
             await nursery.start(self.requests.run)
             nursery.start_soon(self.front.run)
             nursery.start_soon(self._publish_revision)
+            nursery.start_soon(self._settle_when_caught_up)
             nursery.start_soon(self._take_state_from_peer)
             task_status.started()
 
@@ -229,9 +239,9 @@
 
     def _bring_into_force(self) -> None:
         configuration = self.configuration
-        if configuration.revision <= self._in_force:
+        if not self._is_settled or configuration.revision <= self.revision_in_force:
             return
-        self._in_force = configuration.revision
+        self.revision_in_force = configuration.revision
         self._since_wall_ms = _wall_ms()
         log_event("configuration in force", revision=configuration.revision)
         self.requests.set_configuration(configuration)
@@ -242,9 +252,14 @@
         if self.streams.is_log_up() and self.streams.is_caught_up(RELEASES_STREAM):
             self._confirmed_wall_ms = _wall_ms()
         return Revision(
-            self.configuration.revision, self._since_wall_ms, self._confirmed_wall_ms
+            self.revision_in_force, self._since_wall_ms, self._confirmed_wall_ms
         )
 
+    async def _settle_when_caught_up(self) -> None:
+        while not self.streams.is_caught_up(RELEASES_STREAM):
+            await trio.sleep(_SETTLE_CHECK_S)
+        self._settle()
+
     async def _publish_revision(self) -> None:
         while True:
             self.membership.publish(_REVISION_KEY, self._revision())
@@ -278,6 +293,8 @@
         if not isinstance(answer, StreamState) or not answer.data:
             return False
         moved = self.streams.adopt_from_peer(answer.data)
+        if RELEASES_STREAM in moved and not self.streams.is_log_up():
+            self._settle()
         if moved:
             logging.info("took the state of %s over from %s", ", ".join(moved), peer)
         return bool(moved)
--- /dev/null
+++ b/tests/daemon/test_node.py
@@ -0,0 +1,77 @@
+"""When the configuration of a fresh instance comes into force."""
+
+from pathlib import Path
+
+import pytest
+import trio
+from absl import flags
+
+from ragwortshelf.core.releases import ReleaseNote, note_to_json, parse_note
+from ragwortshelf.core.streams import RELEASES_STREAM, ReleaseSubmitted
+from ragwortshelf.daemon.node import Node
+from ragwortshelf.daemon.peer_messages import StreamState
+from ragwortshelf.daemon.settings import define_flags, load_settings
+
+NOTE_FILE = Path(__file__).parents[2] / "deployments/agency/release.toml"
+ENVIRONMENT = {
+    "RAGWORTSHELF_INSTANCE": "ankara-1-a",
+    "RAGWORTSHELF_DATA_CENTRE": "ankara-1",
+    "RAGWORTSHELF_API_ADDRESS": "127.0.0.1:0",
+    "RAGWORTSHELF_PEER_ADDRESS": "127.0.0.1:0",
+    "RAGWORTSHELF_LOG_ADDRESS": "127.0.0.1:1",
+    "RAGWORTSHELF_LIST_ADDRESS": "127.0.0.1:1",
+    "RAGWORTSHELF_PEER_SECRET": "0123456789abcdef",
+}
+
+
+@pytest.fixture
+def node():
+    values = flags.FlagValues()
+    define_flags(values)
+    values(["ragwortshelfd"])
+    return Node(load_settings(values, ENVIRONMENT))
+
+
+def read_one_note(node):
+    """Fold the first note, as if more of the log was still to be read."""
+    note = parse_note(NOTE_FILE.read_text(), "toml")
+    assert isinstance(note, ReleaseNote)
+    record = ReleaseSubmitted(note.note_id, note.author, note_to_json(note), 0)
+    node.releases.apply(0, record)
+    node._bring_into_force()
+
+
+async def test_nothing_is_in_force_before_the_log_was_read_to_its_end(
+    node, monkeypatch, autojump_clock
+):
+    is_caught_up = False
+    monkeypatch.setattr(node.streams, "is_caught_up", lambda stream=None: is_caught_up)
+    read_one_note(node)
+    async with trio.open_nursery() as nursery:
+        nursery.start_soon(node._settle_when_caught_up)
+        await trio.sleep(60)
+        assert node.unready_reason()
+        assert node.revision_in_force == -1
+        is_caught_up = True
+        await trio.sleep(1)
+        assert node.unready_reason() == ""
+        assert node.revision_in_force == 0
+
+
+async def test_a_peers_state_is_in_force_only_while_the_log_is_out(node, monkeypatch):
+    async def answer(peer, message, *, deadline_ms):
+        return StreamState(b"state")
+
+    def adopt(data):
+        read_one_note(node)
+        return (RELEASES_STREAM,)
+
+    is_log_up = True
+    monkeypatch.setattr(node.network, "call", answer)
+    monkeypatch.setattr(node.streams, "adopt_from_peer", adopt)
+    monkeypatch.setattr(node.streams, "is_log_up", lambda: is_log_up)
+    assert await node._adopt_state_of("ankara-1-b")
+    assert node.unready_reason()
+    is_log_up = False
+    assert await node._adopt_state_of("ankara-1-b")
+    assert node.unready_reason() == ""
