--- a/ragwortshelf/core/charging/book.py
+++ b/ragwortshelf/core/charging/book.py
@@ -6,7 +6,7 @@
 from dataclasses import dataclass
 
 from ..model import UsageReport
-from ..streams import Record, UsageCorrected, UsageRecorded, decode, encode
+from ..streams import Book, Record, UsageCorrected, UsageRecorded
 from .account import AccountSnapshot, JobAccount, JobCharge
 from .ranges import ForgottenIds, ForgottenIdSet
 
@@ -57,7 +57,7 @@
     forgotten: tuple[ForgottenIds, ...]
 
 
-class ChargeBook:
+class ChargeBook(Book):
     """Counts every report once by (job, attempt, task, sequence).
 
     Reports may lag, repeat and come in any order, also before the job is known and
@@ -74,6 +74,8 @@
     500
     """
 
+    SNAPSHOT_TYPE = ChargeSnapshot
+
     def __init__(self, *, ended_kept: int = ENDED_ACCOUNTS_KEPT) -> None:
         self._ended_kept = ended_kept
         self._account_by_id: dict[str, JobAccount] = {}
@@ -143,29 +145,6 @@
             self._forgotten.to_tuple(),
         )
 
-    @classmethod
-    def from_snapshot(
-        cls, snapshot: ChargeSnapshot, *, ended_kept: int = ENDED_ACCOUNTS_KEPT
-    ) -> ChargeBook:
-        """Return a book that goes on where ``snapshot`` was taken."""
-        book = cls(ended_kept=ended_kept)
-        book._load(snapshot)
-        return book
-
-    def snapshot(self) -> bytes:
-        """Return `to_snapshot` as bytes."""
-        return encode(self.to_snapshot())
-
-    def restore(self, data: bytes) -> None:
-        """Replace the contents by those of ``snapshot`` bytes.
-
-        Raises `ValueError` if the bytes are no snapshot of a book.
-        """
-        snapshot = decode(data, {"ChargeSnapshot": ChargeSnapshot})
-        if not isinstance(snapshot, ChargeSnapshot):
-            raise ValueError(snapshot.detail)
-        self._load(snapshot)
-
     def _load(self, snapshot: ChargeSnapshot) -> None:
         accounts = [JobAccount.from_snapshot(item) for item in snapshot.accounts]
         self._account_by_id = {account.job_id: account for account in accounts}
--- a/ragwortshelf/core/jobs/book.py
+++ b/ragwortshelf/core/jobs/book.py
@@ -11,13 +11,12 @@
     AttemptClaimed,
     AttemptEnded,
     AttemptStarted,
+    Book,
     CancelRequested,
     JobAccepted,
     JobEnded,
     JobMoved,
     Record,
-    decode,
-    encode,
 )
 from .entry import JobEntry, LostWork
 
@@ -37,7 +36,7 @@
     forgotten: tuple[ForgottenIds, ...]
 
 
-class JobBook:
+class JobBook(Book):
     """Jobs by id, as the records up to the last applied offset tell it.
 
     Only the order of records decides, so all instances agree. A claim wins if the job
@@ -50,6 +49,8 @@
     them run again.
     """
 
+    SNAPSHOT_TYPE = BookSnapshot
+
     def __init__(self, *, ended_kept: int = ENDED_JOBS_KEPT) -> None:
         self._ended_kept = ended_kept
         self._entry_by_id: dict[str, JobEntry] = {}
@@ -110,29 +111,6 @@
             self._forgotten.to_tuple(),
         )
 
-    @classmethod
-    def from_snapshot(
-        cls, snapshot: BookSnapshot, *, ended_kept: int = ENDED_JOBS_KEPT
-    ) -> JobBook:
-        """Return a book that goes on where ``snapshot`` was taken."""
-        book = cls(ended_kept=ended_kept)
-        book._load(snapshot)
-        return book
-
-    def snapshot(self) -> bytes:
-        """Return `to_snapshot` as bytes."""
-        return encode(self.to_snapshot())
-
-    def restore(self, data: bytes) -> None:
-        """Replace the contents by those of ``snapshot`` bytes.
-
-        Raises `ValueError` if the bytes are no snapshot of a book.
-        """
-        snapshot = decode(data, {"BookSnapshot": BookSnapshot})
-        if not isinstance(snapshot, BookSnapshot):
-            raise ValueError(snapshot.detail)
-        self._load(snapshot)
-
     def _load(self, snapshot: BookSnapshot) -> None:
         self._entry_by_id = {entry.spec.job_id: entry for entry in snapshot.entries}
         self._ended_ids = dict.fromkeys(snapshot.ended_ids)
--- a/ragwortshelf/core/releases/rules.py
+++ b/ragwortshelf/core/releases/rules.py
@@ -109,7 +109,7 @@
     RuleSpec(
         "queue_limit",
         int,
-        1_000,
+        5_000,
         "Requests that one organisation may have waiting at one instance.",
         1,
         100_000,
--- a/ragwortshelf/core/requests/admission.py
+++ b/ragwortshelf/core/requests/admission.py
@@ -13,14 +13,18 @@
 
 __all__ = ["is_within_share", "refusal"]
 
-WAITING_MAX_PER_ORGANISATION = 5_000
 RESERVED_ONE_IN = 32
 RETRY_AFTER_MIN_MS = 10
 NO_CAPACITY_RETRY_AFTER_MS = 1_000
 
 
 def refusal(
-    request: Request, queue: FairQueue, slots: int, run_times: RunTimes, now_ms: int
+    request: Request,
+    queue: FairQueue,
+    slots: int,
+    run_times: RunTimes,
+    queue_limit: int,
+    now_ms: int,
 ) -> NotRun | None:
     """Return why a new request is refused, or None to let it wait."""
     if request.deadline_ms <= now_ms:
@@ -29,7 +33,7 @@
         return NotRun(
             Reason.NO_CAPACITY, "no minion is available", NO_CAPACITY_RETRY_AFTER_MS
         )
-    if queue.waiting(request.organisation) >= WAITING_MAX_PER_ORGANISATION:
+    if queue.waiting(request.organisation) >= queue_limit:
         wait_ms = int(queue.work_ms(request.organisation) / slots)
         return NotRun(
             Reason.QUEUE_FULL, "too many requests wait", wait_ms + RETRY_AFTER_MIN_MS
--- a/ragwortshelf/core/requests/events.py
+++ b/ragwortshelf/core/requests/events.py
@@ -30,6 +30,9 @@
 ]
 
 
+QUEUE_LIMIT = 5_000
+
+
 @dataclass(frozen=True, slots=True)
 class Submitted:
     """A request of a caller; ``is_delegated`` if another instance lets us run it."""
@@ -85,9 +88,13 @@
 
 @dataclass(frozen=True, slots=True)
 class OrganisationsChanged:
-    """Weights by organisation; None admits any organisation with weight 1."""
+    """Weights by organisation; None admits any organisation with weight 1.
+
+    ``queue_limit`` is how many requests of each may wait at this instance.
+    """
 
     weight_by_organisation: dict[str, int] | None
+    queue_limit: int = QUEUE_LIMIT
 
 
 @dataclass(frozen=True, slots=True)
--- a/ragwortshelf/core/requests/machine.py
+++ b/ragwortshelf/core/requests/machine.py
@@ -23,6 +23,7 @@
 from .endings import Endings, no_free_slot
 from .entries import Entry, EntryBook
 from .events import (
+    QUEUE_LIMIT,
     Action,
     AttemptEnded,
     Cancelled,
@@ -81,6 +82,7 @@
         )
         self._backing_off: set[str] = set()
         self._weight_by_organisation: dict[str, int] | None = None
+        self._queue_limit = QUEUE_LIMIT
         self._is_draining = False
 
     def handle(self, event: Event, now_ms: int) -> list[Action]:
@@ -97,7 +99,8 @@
                 self._cancel(request_id, actions)
             case MinionsListed(minions):
                 self._list_minions(minions)
-            case OrganisationsChanged(weights):
+            case OrganisationsChanged(weights, queue_limit):
+                self._queue_limit = queue_limit
                 self._weight_by_organisation = weights
                 self._queue.set_weights(weights or {})
             case PeerLoadNoted(peer, load):
@@ -172,7 +175,9 @@
         if is_delegated and self._capacity.free_slots(now_ms) <= len(self._queue):
             return no_free_slot()
         slots = self._capacity.serving_slots(now_ms)
-        return refusal(request, self._queue, slots, self._run_times, now_ms)
+        return refusal(
+            request, self._queue, slots, self._run_times, self._queue_limit, now_ms
+        )
 
     # Dispatch
 
--- a/ragwortshelf/core/streams/__init__.py
+++ b/ragwortshelf/core/streams/__init__.py
@@ -8,6 +8,7 @@
 in a stream, group commit, the search for appends whose answer was lost, and snapshots.
 """
 
+from .books import Book
 from .codec import Undecodable, decode, encode
 from .follower import Delivery, Skipped, StreamFollower
 from .group_commit import Batch, CommitLimits, Full, GroupCommitter, Queued
@@ -42,6 +43,7 @@
 )
 
 __all__ = [
+    "Book",
     "Undecodable",
     "decode",
     "encode",
--- a/ragwortshelf/daemon/dispatcher.py
+++ b/ragwortshelf/daemon/dispatcher.py
@@ -24,6 +24,7 @@
     Request,
     RequestOutcome,
 )
+from ..core.releases import rule_value
 from ..core.requests import (
     ID_REUSED,
     Abort,
@@ -149,10 +150,11 @@
         self._ownership.set_instances(instances)
 
     def set_configuration(self, configuration: Configuration) -> None:
-        """Take in the weights of the organisations."""
+        """Take in the weights of the organisations and the limit of their queues."""
         organisations = configuration.organisations_by_name
         weights = {name: org.weight for name, org in organisations.items()}
-        self._handle(OrganisationsChanged(weights))
+        queue_limit = int(rule_value(configuration, "queue_limit"))
+        self._handle(OrganisationsChanged(weights, queue_limit))
 
     def note_peer_load(self, peer: str, load: LoadReport) -> None:
         """Take in a peer's load report."""
--- a/tests/core/requests/test_machine.py
+++ b/tests/core/requests/test_machine.py
@@ -353,3 +353,20 @@
     lapsed_ms = READY_MS - 500 + SETTINGS.lease_ms
     assert not of_type(machine.handle(Ticked(), lapsed_ms - 1), Abort)
     assert of_type(machine.handle(Ticked(), lapsed_ms), Abort) == [Abort("i.1.1")]
+
+
+def test_an_organisation_beyond_its_queue_limit_is_refused_and_others_are_not():
+    machine = ready_machine(minions=1, slots=1)
+    machine.handle(OrganisationsChanged(None, queue_limit=2), READY_MS)
+    long_ms = 3_600_000
+    refused = [
+        of_type(machine.handle(Submitted(request(n, in_ms=long_ms)), READY_MS), Finish)
+        for n in range(4)
+    ]
+    # One runs, two wait, and the fourth is told when to come back.
+    assert refused[:3] == [[], [], []]
+    (finish,) = refused[3]
+    assert finish.outcome.reason is Reason.QUEUE_FULL
+    assert finish.outcome.retry_after_ms > 0
+    other = request(9, in_ms=long_ms, org="p")
+    assert not of_type(machine.handle(Submitted(other), READY_MS), Finish)
