Part the questions to placers from the front of jobs

Change: placer_desk.py asks and answers; an unsure answer is told as unknown. The end-to-end test now looks at workers and organisations too.

--- a/ragwortshelf/daemon/job_front.py
+++ b/ragwortshelf/daemon/job_front.py
@@ -40,18 +40,9 @@
 from ..net.workers import HttpWorker
 from .job_upkeep import Capacity, JobUpkeep
 from .logs import log_decision
-from .peer_messages import (
-    Acknowledged,
-    ExplainJob,
-    Explanation,
-    JobAnswer,
-    ListWorkers,
-    PlaceOffLog,
-    Quarantine,
-    WorkerRow,
-    WorkerTable,
-)
+from .peer_messages import ExplainJob, Explanation, JobAnswer, PlaceOffLog
 from .placer import PlacerService
+from .placer_desk import PlacerDesk
 
 if TYPE_CHECKING:
     from .node import Node
@@ -59,7 +50,6 @@
 __all__ = ["JobFront"]
 
 _APPEND_TIMEOUT_MS = 5_000
-_PEER_TIMEOUT_MS = 5_000
 _READ_BACK_TIMEOUT_MS = 5_000
 _UPKEEP_INTERVAL_S = 2.0
 _CAPACITY_KEY = "capacity"
@@ -95,10 +85,7 @@
         )
         self._upkeep = JobUpkeep(data_centre, self._scheduler, self.book)
         node.membership.register(Capacity)
-        node.network.handle(ExplainJob, self._on_explain)
-        node.network.handle(ListWorkers, self._on_list_workers)
-        node.network.handle(Quarantine, self._on_quarantine)
-        node.network.handle(PlaceOffLog, self._on_place_off_log)
+        self.desk = PlacerDesk(node, self.placer, self._scheduler, self._place_now)
 
     # What the node tells
 
@@ -214,7 +201,7 @@
         if entry.ended is not None:
             detail = entry.ended.detail or entry.ended.reason.value
             return {**fields, "choice": "ended", "reason": detail}
-        answer = await self._ask_placer(
+        answer = await self.desk.ask(
             entry.home_data_centre, ExplainJob(entry.spec.job_id)
         )
         if not isinstance(answer, Explanation) or answer.decision is None:
@@ -240,97 +227,20 @@
             "late_accelerator_ms": statement.late_ms,
         }
 
-    # Operators
-
-    async def worker_tables(self) -> list[WorkerTable]:
-        """Ask the placer of each data centre for its workers."""
-        names = sorted(self._node.configuration.data_centres_by_name)
-        table_by_name = {}
-
-        async def ask(name: str) -> None:
-            answer = await self._ask_placer(name, ListWorkers())
-            if isinstance(answer, WorkerTable):
-                table_by_name[name] = answer
-
-        async with trio.open_nursery() as nursery:
-            for name in names:
-                nursery.start_soon(ask, name)
-        return [table_by_name[name] for name in names if name in table_by_name]
-
-    async def quarantine(self, worker: str, is_quarantined: bool) -> bool:
-        """Take a worker out of use, or back; False if its placer did not answer."""
-        for name, centre in self._node.configuration.data_centres_by_name.items():
-            if any(worker in rack.workers for rack in centre.racks):
-                answer = await self._ask_placer(
-                    name, Quarantine(worker, is_quarantined)
-                )
-                return isinstance(answer, Acknowledged) and answer.is_done
-        return False
-
-    # Peers
-
-    async def _ask_placer(self, data_centre: str, message: object):
-        placer = self._node.membership.view.placer_of(data_centre)
-        if placer is None:
-            return Unreachable("no placer", may_have_applied=False)
-        if placer == self._node.settings.instance:
-            return await self._handler_of(message)("", message)
-        return await self._node.network.call(
-            placer, message, deadline_ms=self._node.deadline_ms(_PEER_TIMEOUT_MS)
-        )
-
-    def _handler_of(self, message: object):
-        return {
-            ExplainJob: self._on_explain,
-            ListWorkers: self._on_list_workers,
-            Quarantine: self._on_quarantine,
-            PlaceOffLog: self._on_place_off_log,
-        }[type(message)]
-
-    async def _on_explain(self, sender: str, message: ExplainJob) -> Explanation:
-        return Explanation(self._scheduler.explain(message.job_id))
-
-    async def _on_list_workers(self, sender: str, message: ListWorkers) -> WorkerTable:
-        data_centre = self._node.settings.data_centre
-        rows = tuple(
-            WorkerRow(
-                worker.worker,
-                data_centre,
-                worker.rack,
-                worker.accelerators,
-                worker.free_accelerators,
-                worker.condition.value,
-                worker.reason,
-            )
-            for worker in self._scheduler.workers()
-        )
-        shortfalls = tuple(
-            f"{status.organisation}: {status.shape.accelerators} accelerators in one "
-            f"{status.shape.adjacency.value} of {data_centre}: {status.detail}"
-            for status in self._scheduler.guarantees()
-            if not status.is_met
-        )
-        return WorkerTable(rows, shortfalls)
-
-    async def _on_quarantine(self, sender: str, message: Quarantine) -> Acknowledged:
-        if not self.placer.machine.is_placer:
-            return Acknowledged(False)
-        self._scheduler.set_quarantine(
-            message.worker, message.is_quarantined, self._node.deadline_ms(0)
-        )
-        return Acknowledged(True)
+    # Submission
 
-    async def _on_place_off_log(self, sender: str, message: PlaceOffLog) -> JobAnswer:
+    async def _place_now(self, spec: JobSpec) -> JobAnswer:
+        """Accept a job while the log is out, if it can be placed at once."""
         if not self.placer.machine.is_placer:
             return _refused(NotRun(Reason.NOT_READY, "not the placer", _RETRY_AFTER_MS))
-        spec = replace(message.spec, job_id=self._next_job_id())
+        spec = replace(spec, job_id=self._next_job_id())
         outcome = await self._admit_and_submit(spec, is_log_up=False)
         if isinstance(outcome, NotRun):
             return _refused(outcome)
+        if isinstance(outcome, Unknown):
+            return JobAnswer(False, detail=outcome.detail, is_unknown=True)
         return JobAnswer(True, detail=spec.job_id)
 
-    # Submission
-
     def _next_job_id(self) -> str:
         node = self._node
         number = next(self._numbers)
@@ -342,13 +252,13 @@
         if job_key:
             detail = "a job with a key needs the log, which is out"
             return NotRun(Reason.LOG_UNAVAILABLE, detail, _RETRY_AFTER_MS)
-        answer = await self._ask_placer(
-            self._node.settings.data_centre, PlaceOffLog(spec)
-        )
+        answer = await self.desk.ask(self._node.settings.data_centre, PlaceOffLog(spec))
         if isinstance(answer, Unreachable):
             if answer.may_have_applied:
                 return Unknown(Reason.LOG_UNAVAILABLE, "the placer gave no answer")
             return NotRun(Reason.LOG_UNAVAILABLE, answer.detail, _RETRY_AFTER_MS)
+        if answer.is_unknown:
+            return Unknown(Reason.LOG_UNAVAILABLE, answer.detail)
         if not answer.is_accepted:
             return NotRun(Reason(answer.reason), answer.detail, answer.retry_after_ms)
         accepted = replace(
--- a/ragwortshelf/daemon/peer_messages.py
+++ b/ragwortshelf/daemon/peer_messages.py
@@ -117,9 +117,14 @@
 
 @dataclass(frozen=True, slots=True)
 class JobAnswer:
-    """Whether a job was accepted; else ``reason`` says why nothing ran."""
+    """Whether a job was accepted; else ``reason`` says why nothing ran.
+
+    ``is_unknown`` says that it may have been accepted. ``detail`` is the job's id if it
+    was.
+    """
 
     is_accepted: bool
     reason: str = ""
     detail: str = ""
     retry_after_ms: int | None = None
+    is_unknown: bool = False
--- /dev/null
+++ b/ragwortshelf/daemon/placer_desk.py
@@ -0,0 +1,133 @@
+"""Questions to the placers of all data centres, and answers to theirs.
+
+Every instance can be asked about workers and decisions; the placer of the data centre
+that a question is about answers it.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Awaitable, Callable
+from typing import TYPE_CHECKING
+
+import trio
+
+from ..core.model import JobSpec, Unreachable
+from ..core.placement import Scheduler
+from .peer_messages import (
+    Acknowledged,
+    ExplainJob,
+    Explanation,
+    JobAnswer,
+    ListWorkers,
+    PlaceOffLog,
+    Quarantine,
+    WorkerRow,
+    WorkerTable,
+)
+from .placer import PlacerService
+
+if TYPE_CHECKING:
+    from .node import Node
+
+__all__ = ["PlacerDesk"]
+
+_PEER_TIMEOUT_MS = 5_000
+
+PlaceNow = Callable[[JobSpec], Awaitable[JobAnswer]]
+
+
+class PlacerDesk:
+    """Asks placers, and answers for this instance's own.
+
+    ``place_now`` accepts a job while the log is out, if it can be placed at once.
+    """
+
+    def __init__(
+        self,
+        node: Node,
+        placer: PlacerService,
+        scheduler: Scheduler,
+        place_now: PlaceNow,
+    ):
+        self._node = node
+        self._placer = placer
+        self._scheduler = scheduler
+        self._place_now = place_now
+        self._handler_by_type = {
+            ExplainJob: self._on_explain,
+            ListWorkers: self._on_list_workers,
+            Quarantine: self._on_quarantine,
+            PlaceOffLog: self._on_place_off_log,
+        }
+        for message_type, handler in self._handler_by_type.items():
+            node.network.handle(message_type, handler)
+
+    async def ask(self, data_centre: str, message: object) -> object | Unreachable:
+        """Ask the placer of a data centre, which may be this instance."""
+        placer = self._node.membership.view.placer_of(data_centre)
+        if placer is None:
+            return Unreachable("no placer", may_have_applied=False)
+        if placer == self._node.settings.instance:
+            return await self._handler_by_type[type(message)]("", message)
+        return await self._node.network.call(
+            placer, message, deadline_ms=self._node.deadline_ms(_PEER_TIMEOUT_MS)
+        )
+
+    async def worker_tables(self) -> list[WorkerTable]:
+        """Ask the placer of each data centre for its workers."""
+        names = sorted(self._node.configuration.data_centres_by_name)
+        table_by_name = {}
+
+        async def ask(name: str) -> None:
+            answer = await self.ask(name, ListWorkers())
+            if isinstance(answer, WorkerTable):
+                table_by_name[name] = answer
+
+        async with trio.open_nursery() as nursery:
+            for name in names:
+                nursery.start_soon(ask, name)
+        return [table_by_name[name] for name in names if name in table_by_name]
+
+    async def quarantine(self, worker: str, is_quarantined: bool) -> bool:
+        """Take a worker out of use, or back; False if its placer did not answer."""
+        for name, centre in self._node.configuration.data_centres_by_name.items():
+            if any(worker in rack.workers for rack in centre.racks):
+                answer = await self.ask(name, Quarantine(worker, is_quarantined))
+                return isinstance(answer, Acknowledged) and answer.is_done
+        return False
+
+    async def _on_explain(self, sender: str, message: ExplainJob) -> Explanation:
+        return Explanation(self._scheduler.explain(message.job_id))
+
+    async def _on_list_workers(self, sender: str, message: ListWorkers) -> WorkerTable:
+        data_centre = self._node.settings.data_centre
+        rows = tuple(
+            WorkerRow(
+                worker.worker,
+                data_centre,
+                worker.rack,
+                worker.accelerators,
+                worker.free_accelerators,
+                worker.condition.value,
+                worker.reason,
+            )
+            for worker in self._scheduler.workers()
+        )
+        shortfalls = tuple(
+            f"{status.organisation}: {status.shape.accelerators} accelerators in one "
+            f"{status.shape.adjacency.value} of {data_centre}: {status.detail}"
+            for status in self._scheduler.guarantees()
+            if not status.is_met
+        )
+        return WorkerTable(rows, shortfalls)
+
+    async def _on_quarantine(self, sender: str, message: Quarantine) -> Acknowledged:
+        if not self._placer.machine.is_placer:
+            return Acknowledged(False)
+        self._scheduler.set_quarantine(
+            message.worker, message.is_quarantined, self._node.deadline_ms(0)
+        )
+        return Acknowledged(True)
+
+    async def _on_place_off_log(self, sender: str, message: PlaceOffLog) -> JobAnswer:
+        return await self._place_now(message.spec)
--- a/tests/end_to_end/test_main_job.py
+++ b/tests/end_to_end/test_main_job.py
@@ -52,6 +52,14 @@
     assert cluster.call("north-a", "DELETE", path, token=loans)[0] == 404
     assert cluster.call("north-a", "GET", "/v1/workers", token=loans)[0] == 403
     assert cluster.call("north-a", "GET", path, token="wrong")[0] == 401
+    cluster.wait_phase("south-a", job_id, "started")
+    _, workers = cluster.call("north-a", "GET", "/v1/workers")
+    assert sorted(row["name"] for row in workers["workers"]) == sorted(
+        cluster.deployment.address_by_worker
+    )
+    assert sum(row["free"] for row in workers["workers"]) == 15
+    _, seen = cluster.call("south-b", "GET", "/v1/organisations", token=loans)
+    assert [row["name"] for row in seen["organisations"]] == ["loans"]
     cancelled = cluster.call("south-a", "DELETE", path, token=cluster.tokens["savings"])
     assert cancelled[0] == 202
     job = cluster.wait_phase("north-b", job_id, "not_run", "interrupted")
