Be ready only with a configuration, end when replaced, and keep the measurements

Cause: an instance of an empty platform was ready with nothing in force, and a process whose name a newer one had taken ran on without peers. Change: readiness asks for a note in force; a replaced process ends with status 3; the first note is applied at an instance's own address.

--- a/benchmarks/capacity.py
+++ b/benchmarks/capacity.py
@@ -135,7 +135,7 @@
         for name in names:
             launcher.start_instance(name)
         for name in names:
-            launcher.wait_ready(name)
+            launcher.wait_live(name)
         address = deployment.api_address_by_instance[names[0]]
         call(address, "POST", "/v1/releases", {"note": note})
         time.sleep(SETTLE_S)
--- a/benchmarks/requests/overhead.py
+++ b/benchmarks/requests/overhead.py
@@ -68,7 +68,7 @@
             organisation_tokens=f"{organisation}={CALLER_TOKEN}",
         )
     for name in deployment.instances_of(centre):
-        launcher.wait_ready(name)
+        launcher.wait_live(name)
     address = deployment.api_address_by_instance[names[0]]
     command = [sys.executable, "-m", "ragwortshelf.cli.main", "release", "apply"]
     subprocess.run(
--- a/ragwortshelf/daemon/main.py
+++ b/ragwortshelf/daemon/main.py
@@ -7,7 +7,7 @@
 import sys
 
 import trio
-from absl import flags, logging
+from absl import app, flags, logging
 
 from ..net.http_client import split_address
 from ..net.http_messages import HttpLimits
@@ -26,6 +26,8 @@
 __all__ = ["main", "run", "serve"]
 
 _EXIT_BAD_SETTINGS = 2
+_EXIT_SUPERSEDED = 3
+_SUPERSEDED_CHECK_S = 0.5
 _SIGNALS = (signal.SIGTERM, signal.SIGINT)
 
 
@@ -60,15 +62,26 @@
         async with trio.open_nursery() as nursery:
             await nursery.start(node.run)
             nursery.start_soon(server.serve, listeners)
+            nursery.start_soon(_end_when_superseded, node, nursery.cancel_scope)
             log_event("serving", address=settings.api_address)
             async for _ in signals:
                 break
             await _drain(node, server, settings.drain_deadline_ms)
             nursery.cancel_scope.cancel()
+    if node.membership.is_superseded:
+        return _EXIT_SUPERSEDED
     log_event("stopped")
     return 0
 
 
+async def _end_when_superseded(node: Node, scope: trio.CancelScope) -> None:
+    # The successor owns the name; work in progress under it cannot be finished.
+    while not node.membership.is_superseded:
+        await trio.sleep(_SUPERSEDED_CHECK_S)
+    logging.error("a newer process runs under this instance's name; ending")
+    scope.cancel()
+
+
 async def _drain(node: Node, server: HttpServer, deadline_ms: int) -> None:
     # Callers in progress are answered while the server still holds their connections.
     with trio.move_on_after(deadline_ms / 1000) as scope:
@@ -82,6 +95,7 @@
 
 def main(arguments: list[str]) -> int:
     """Check the settings and serve; returns the exit status."""
+    app.define_help_flags()
     define_flags(flags.FLAGS)
     try:
         words = flags.FLAGS(arguments)
--- a/ragwortshelf/daemon/node.py
+++ b/ragwortshelf/daemon/node.py
@@ -165,6 +165,8 @@
             return "a newer incarnation of this instance runs"
         if not self._is_settled:
             return "the configuration was not read to its end yet"
+        if self.revision_in_force == NO_REVISION:
+            return "no release note has taken effect yet"
         return ""
 
     def _settle(self) -> None:
--- a/ragwortshelf/standins/launcher.py
+++ b/ragwortshelf/standins/launcher.py
@@ -149,6 +149,13 @@
             time.sleep(_POLL_S)
         raise TimeoutError(f"waited {timeout_s:g} s in vain for {what}")
 
+    def wait_live(self, name: str) -> None:
+        """Wait until an instance answers calls, ready or not."""
+        address = self.deployment.api_address_by_instance[name]
+        self.wait_until(
+            lambda: call(address, "GET", "/healthz")[0] == 200, f"{name} to live"
+        )
+
     def wait_ready(self, name: str) -> None:
         """Wait until an instance serves calls."""
         address = self.deployment.api_address_by_instance[name]
--- a/scripts/quickstart_steps.py
+++ b/scripts/quickstart_steps.py
@@ -74,8 +74,8 @@
                 organisation_tokens=f"postings={CALLER_TOKEN}",
             )
         for name in deployment.api_address_by_instance:
-            launcher.wait_ready(name)
-        print(f"   all ready after {time.monotonic() - started_s:.1f} s")
+            launcher.wait_live(name)
+        print(f"   all live after {time.monotonic() - started_s:.1f} s")
         _main_job(Steps(launcher), launcher)
         _show_decisions(launcher)
         name = next(iter(deployment.api_address_by_instance))
--- a/tests/end_to_end/conftest.py
+++ b/tests/end_to_end/conftest.py
@@ -136,18 +136,15 @@
         names = list(deployment.api_address_by_instance)
         cluster.start(*names)
         for name in names:
-            launcher.wait_ready(name)
+            launcher.wait_live(name)
+        # Without a configuration nobody is ready, and nothing is accepted.
+        assert cluster.call(names[0], "GET", "/readyz")[0] == 503
         status, verdict = cluster.call(
             names[0], "POST", "/v1/releases", {"note": NOTE, "format": "toml"}
         )
         assert (status, verdict["verdict"]) == (200, "accepted")
-        launcher.wait_until(
-            lambda: all(
-                cluster.call(name, "GET", "/v1/configuration")[1].get("revision") == 0
-                for name in names
-            ),
-            "the configuration to be in force everywhere",
-        )
+        for name in names:
+            launcher.wait_ready(name)
         launcher.wait_until(
             lambda: all(
                 cluster.placer_of(data_centre, name)
--- a/tests/end_to_end/test_promises.py
+++ b/tests/end_to_end/test_promises.py
@@ -257,3 +257,21 @@
     cluster.launcher.wait_until(
         lambda: not running_leases(cluster, job_id), "the tasks to stop"
     )
+
+
+def test_a_second_process_under_one_name_ends_the_first(cluster):
+    first = cluster.launcher.process_by_name.pop("south-b")
+    cluster.launcher.process_by_name["south-b-first"] = first
+    spec = cluster.deployment.instance_process(
+        "south-b",
+        operator_tokens="operator-token-1",
+        # The first process still listens on the instance's own addresses.
+        api_address="127.0.0.1:0",
+        peer_address="127.0.0.1:0",
+    )
+    cluster.launcher.start(spec)
+    status = cluster.launcher.wait_until(
+        lambda: first.poll() is not None and [first.returncode],
+        "the first process to end",
+    )
+    assert status == [3]
