Move waiting jobs to where they can start, and honour a wished home

A wished home was ignored. Change: each second a placer offers the oldest waiting job of each shape, at most 16, to the other placers, and moves what can start there at once by a record that the log arbitrates against claims. Admission honours a wished home or says that it never fits.

--- a/ragwortshelf/core/jobs/admission.py
+++ b/ragwortshelf/core/jobs/admission.py
@@ -53,8 +53,23 @@
         return NotRun(
             Reason.QUEUE_FULL, "too many unfinished jobs", QUEUE_FULL_RETRY_AFTER_MS
         )
-    home = home_data_centre(spec, configuration)
+    home = home_data_centre(spec, _allowed(spec, configuration))
+    if home is None:
+        detail = f"the job does not fit in {spec.home_data_centre}"
+        return NotRun(Reason.NEVER_FITS, detail)
     if not is_log_up:
         home = data_centre
     submitted_wall_ms = spec.submitted_wall_ms or now_wall_ms
     return replace(spec, home_data_centre=home, submitted_wall_ms=submitted_wall_ms)
+
+
+def _allowed(spec: JobSpec, configuration: Configuration) -> Configuration:
+    """Return the configuration with only the data centre that the job asks for."""
+    if not spec.home_data_centre:
+        return configuration
+    wanted = {
+        name: data_centre
+        for name, data_centre in configuration.data_centres_by_name.items()
+        if name == spec.home_data_centre
+    }
+    return replace(configuration, data_centres_by_name=wanted)
--- a/ragwortshelf/daemon/api/router.py
+++ b/ragwortshelf/daemon/api/router.py
@@ -4,6 +4,7 @@
 
 from collections.abc import Awaitable, Callable
 from dataclasses import dataclass
+from urllib.parse import unquote
 
 from ...net.http_messages import (
     HttpRequest,
@@ -115,7 +116,7 @@
         if expected.startswith("{"):
             if not segment:
                 return None
-            parts[expected[1:-1]] = segment
+            parts[expected[1:-1]] = unquote(segment)
         elif expected != segment:
             return None
     return parts
--- a/ragwortshelf/daemon/job_front.py
+++ b/ragwortshelf/daemon/job_front.py
@@ -20,6 +20,7 @@
 from ..core.jobs import JobBook, JobEntry, admit, job_id
 from ..core.model import (
     Configuration,
+    Decision,
     JobSpec,
     NotRun,
     Reason,
@@ -33,6 +34,7 @@
     JOBS_STREAM,
     USAGE_STREAM,
     CancelRequested,
+    JobMoved,
     Record,
     UsageRecorded,
 )
@@ -51,7 +53,7 @@
 
 _APPEND_TIMEOUT_MS = 5_000
 _READ_BACK_TIMEOUT_MS = 5_000
-_UPKEEP_INTERVAL_S = 2.0
+_UPKEEP_INTERVAL_S = 1.0
 _CAPACITY_KEY = "capacity"
 _ROLE_CHECK_S = 0.2
 _DRAIN_CHECK_S = 0.05
@@ -338,6 +340,7 @@
                 log_decision(decision)
             if self._node.streams.is_log_up() and self._node.streams.is_caught_up():
                 await self._append_upkeep()
+                await self._move_blocked()
 
     async def _append_upkeep(self) -> None:
         records = self._upkeep.look(
@@ -348,6 +351,28 @@
         for record in records:
             await self._append(JOBS_STREAM, record)
 
+    async def _move_blocked(self) -> None:
+        """Give waiting jobs a new home where they can start at once.
+
+        The log arbitrates: a claim that comes before the move voids it, and one that
+        comes after it is void.
+        """
+        entry_by_id = {entry.spec.job_id: entry for entry in self._upkeep.blocked()}
+        if not entry_by_id:
+            return
+        specs = tuple(entry.spec for entry in entry_by_id.values())
+        here = self._node.settings.data_centre
+        homes = await self.desk.cheapest_homes(specs, here)
+        for moved_id, home in homes.items():
+            move = entry_by_id[moved_id].moves + 1
+            record = JobMoved(moved_id, move, home, Reason.NO_CAPACITY)
+            log_decision(
+                Decision(
+                    "move_job", moved_id, home, "it can start there at once", (here,)
+                )
+            )
+            await self._append(JOBS_STREAM, record)
+
     def _notify(self) -> None:
         self._changed.set()
         self._changed = trio.Event()
--- a/ragwortshelf/daemon/job_upkeep.py
+++ b/ragwortshelf/daemon/job_upkeep.py
@@ -21,6 +21,7 @@
 __all__ = ["Capacity", "JobUpkeep", "data_centres_without_instance", "withdrawals"]
 
 _LOST_AFTER_MS = 60_000
+_OFFERS_MAX = 16
 
 
 @dataclass(frozen=True, slots=True)
@@ -67,6 +68,29 @@
             sum(each.free for each in others), tuple(holes)
         )
 
+    def blocked(self) -> tuple[JobEntry, ...]:
+        """Return the oldest waiting job of each shape, to be offered elsewhere.
+
+        One of a shape a round, since what takes it may have room for no second one.
+        """
+        oldest_by_shape: dict[tuple, JobEntry] = {}
+        for entry in self._book.active():
+            spec = entry.spec
+            is_here = entry.home_data_centre == self._data_centre
+            if is_here and entry.is_waiting and self._scheduler.is_waiting(spec.job_id):
+                shape = (
+                    spec.organisation,
+                    spec.accelerators,
+                    spec.adjacency,
+                    spec.is_reclaimable,
+                    spec.priority,
+                )
+                oldest_by_shape.setdefault(shape, entry)
+        by_priority = sorted(
+            oldest_by_shape.values(), key=lambda entry: entry.spec.priority
+        )
+        return tuple(by_priority[:_OFFERS_MAX])
+
     def look(
         self, configuration: Configuration, view: View, now_ms: int
     ) -> list[Record]:
--- a/ragwortshelf/daemon/peer_messages.py
+++ b/ragwortshelf/daemon/peer_messages.py
@@ -17,6 +17,8 @@
     "ListWorkers",
     "PlaceOffLog",
     "Quarantine",
+    "QuoteJobs",
+    "Quotes",
     "Revision",
     "StateRequested",
     "StreamState",
@@ -101,6 +103,23 @@
     is_quarantined: bool
 
 
+@dataclass(frozen=True, slots=True)
+class QuoteJobs:
+    """Asks a placer which of these jobs could start in its data centre at once."""
+
+    specs: tuple[JobSpec, ...]
+
+
+@dataclass(frozen=True, slots=True)
+class Quotes:
+    """What each job would break there, 0 being an exact fit; None if it cannot start.
+
+    In the order of the question; empty if the peer is no placer.
+    """
+
+    costs: tuple[float | None, ...]
+
+
 @dataclass(frozen=True, slots=True)
 class Acknowledged:
     """The peer has done what was asked; False says that it cannot."""
--- a/ragwortshelf/daemon/placer_desk.py
+++ b/ragwortshelf/daemon/placer_desk.py
@@ -21,6 +21,8 @@
     ListWorkers,
     PlaceOffLog,
     Quarantine,
+    QuoteJobs,
+    Quotes,
     WorkerRow,
     WorkerTable,
 )
@@ -58,6 +60,7 @@
             ListWorkers: self._on_list_workers,
             Quarantine: self._on_quarantine,
             PlaceOffLog: self._on_place_off_log,
+            QuoteJobs: self._on_quote,
         }
         for message_type, handler in self._handler_by_type.items():
             node.network.handle(message_type, handler)
@@ -73,6 +76,26 @@
             placer, message, deadline_ms=self._node.deadline_ms(_PEER_TIMEOUT_MS)
         )
 
+    async def cheapest_homes(
+        self, specs: tuple[JobSpec, ...], here: str
+    ) -> dict[str, str]:
+        """Return the best other data centre by job id, for jobs that can start there."""
+        best: dict[str, tuple[float, str]] = {}
+
+        async def ask(name: str) -> None:
+            answer = await self.ask(name, QuoteJobs(specs))
+            costs = answer.costs if isinstance(answer, Quotes) else ()
+            for spec, cost in zip(specs, costs, strict=False):
+                if cost is not None:
+                    offer = (cost, name)
+                    best[spec.job_id] = min(best.get(spec.job_id, offer), offer)
+
+        async with trio.open_nursery() as nursery:
+            for name in self._node.configuration.data_centres_by_name:
+                if name != here:
+                    nursery.start_soon(ask, name)
+        return {job_id: name for job_id, (_, name) in best.items()}
+
     async def worker_tables(self) -> list[WorkerTable]:
         """Ask the placer of each data centre for its workers."""
         names = sorted(self._node.configuration.data_centres_by_name)
@@ -131,3 +154,13 @@
 
     async def _on_place_off_log(self, sender: str, message: PlaceOffLog) -> JobAnswer:
         return await self._place_now(message.spec)
+
+    async def _on_quote(self, sender: str, message: QuoteJobs) -> Quotes:
+        if not self._placer.machine.is_placer:
+            return Quotes(())
+        now_ms = self._node.deadline_ms(0)
+        return Quotes(
+            tuple(
+                self._scheduler.placement_cost(spec, now_ms) for spec in message.specs
+            )
+        )
--- a/ragwortshelf/net/http_messages.py
+++ b/ragwortshelf/net/http_messages.py
@@ -5,7 +5,7 @@
 import json
 from collections.abc import Mapping
 from dataclasses import dataclass
-from urllib.parse import parse_qsl, urlsplit
+from urllib.parse import parse_qsl
 
 __all__ = [
     "Hangup",
@@ -47,12 +47,12 @@
     @property
     def path(self) -> str:
         """The target without its query."""
-        return urlsplit(self.target).path
+        return self.target.partition("?")[0]
 
     @property
     def query(self) -> Mapping[str, str]:
         """The query's fields; of a repeated field the last one counts."""
-        return dict(parse_qsl(urlsplit(self.target).query))
+        return dict(parse_qsl(self.target.partition("?")[2]))
 
     def header(self, name: str, default: str = "") -> str:
         """Return the first header ``name`` (in lower case), or ``default``."""
--- a/tests/daemon/test_api_front.py
+++ b/tests/daemon/test_api_front.py
@@ -63,6 +63,8 @@
         ("POST", "/v1/secrets", OPERATOR, 405),
         ("GET", "/v1/nothing", OPERATOR, 404),
         ("GET", "/v1/things/", CALLER, 404),
+        ("GET", "//[", CALLER, 404),
+        ("GET", "/v1/things/a%2Fb", CALLER, 200),
         ("GET", "/healthz", None, 200),
     ],
 )
--- a/tests/daemon/test_job_upkeep.py
+++ b/tests/daemon/test_job_upkeep.py
@@ -1,8 +1,10 @@
 """Lost data centres, withdrawn organisations and what is held elsewhere."""
 
+from dataclasses import replace
+
 import pytest
 
-from ragwortshelf.core.jobs import JobBook
+from ragwortshelf.core.jobs import JobBook, admit
 from ragwortshelf.core.membership import Member, MemberStatus, View
 from ragwortshelf.core.model import (
     Adjacency,
@@ -13,6 +15,7 @@
     JobPhase,
     JobSpec,
     Organisation,
+    Priority,
     Rack,
     Reason,
     Withdrawal,
@@ -115,3 +118,26 @@
     book.apply(done)
     upkeep.note_elsewhere([Capacity("south", 8, ())])
     assert any(isinstance(action, Place) for action in scheduler.decide(1_000))
+
+
+@pytest.mark.parametrize(
+    ("home", "expected"),
+    [("", "north"), ("south", "south"), ("nowhere", Reason.NEVER_FITS)],
+)
+def test_a_job_is_at_home_where_its_submitter_wants_it(home, expected):
+    admitted = admit(spec("i.1.1", home), CONFIGURATION, JobBook(), True, 0)
+    found = getattr(admitted, "reason", None) or admitted.home_data_centre
+    assert found == expected
+
+
+def test_the_oldest_waiting_job_of_each_shape_is_offered_elsewhere():
+    urgent = replace(spec("i.1.4", "north", 2), priority=Priority.URGENT)
+    waiting = [spec("i.1.1", "north"), spec("i.1.2", "north"), urgent]
+    away = spec("i.1.3", "south")
+    book = book_of(*(JobAccepted(each, "i") for each in (*waiting, away)))
+    scheduler = Scheduler("north")
+    scheduler.set_configuration(CONFIGURATION, 0)
+    for each in waiting:
+        scheduler.add_waiting(each, 0)
+    blocked = JobUpkeep("north", scheduler, book).blocked()
+    assert [entry.spec.job_id for entry in blocked] == ["i.1.4", "i.1.1"]
--- a/tests/end_to_end/test_promises.py
+++ b/tests/end_to_end/test_promises.py
@@ -104,6 +104,21 @@
     assert "started" in phases, "the other borrower goes on"
 
 
+def test_jobs_that_find_no_room_at_home_move_to_where_they_can_start(cluster):
+    # North has one worker that is promised to nobody, and south has two.
+    jobs = [
+        cluster.submit(
+            "north-a", "loans", accelerators=4, adjacency="worker", command=LONG
+        )
+        for _ in range(3)
+    ]
+    homes = [
+        cluster.wait_phase("north-b", job_id, "started")["home_data_centre"]
+        for job_id in jobs
+    ]
+    assert sorted(homes) == ["north", "south", "south"]
+
+
 def test_the_log_being_down_stops_neither_requests_nor_placeable_jobs(cluster):
     cluster.fault(cluster.deployment.log_address, outage=True)
 
