--- a/ragwortshelf/daemon/placer_desk.py
+++ b/ragwortshelf/daemon/placer_desk.py
@@ -79,7 +79,7 @@
     async def cheapest_homes(
         self, specs: tuple[JobSpec, ...], here: str
     ) -> dict[str, str]:
-        """Return the best other data centre by job id, for jobs that can start there."""
+        """Return the best other data centre by id, for jobs that can start there."""
         best: dict[str, tuple[float, str]] = {}
 
         async def ask(name: str) -> None:
