--- a/ragwortshelf/core/placement/scheduler.py
+++ b/ragwortshelf/core/placement/scheduler.py
@@ -352,7 +352,8 @@
             return WorkerCondition.UNUSABLE, reason
         verdict = state.quarantine.verdict(worker)
         if verdict is Verdict.QUARANTINED:
-            return WorkerCondition.QUARANTINED, "failed what it started"
+            reason = "failed what it started, or taken out by an operator"
+            return WorkerCondition.QUARANTINED, reason
         if verdict is Verdict.PROBING:
             return WorkerCondition.PROBING, "waits for the answer to a probe"
         if worker in state.backoff_until_by_worker:
