Give the daemon one clock, one set of outcome responses and one way to ask placers

Cause: a read of the whole change found the same millisecond clock written five times, three of them truncating where the others had learnt not to; the response for an unknown outcome three times; the same fan-out to placers twice; and usage reports filtered for known ones in the placer and again in the front. No test or bound was touched.

--- a/ragwortshelf/daemon/api/jobs.py
+++ b/ragwortshelf/daemon/api/jobs.py
@@ -2,8 +2,6 @@
 
 from __future__ import annotations
 
-import time
-
 import trio
 
 from ...core.jobs import JobEntry
@@ -15,8 +13,9 @@
     Unknown,
 )
 from ...net.http_messages import HttpResponse, json_response
+from ..clock import wall_ms
 from ..fields import FieldReader
-from .requests import not_run_response
+from .outcomes import not_run_response, unknown_response
 from .router import ApiCall, Router, error, field_faults
 
 __all__ = ["JobApi", "job_fields"]
@@ -34,7 +33,7 @@
     """Return a job as the interface shows it."""
     spec = entry.spec
     grants = entry.claim.grants if entry.claim and entry.is_open else ()
-    fields = {
+    return {
         "job_id": spec.job_id,
         "organisation": spec.organisation,
         "phase": entry.phase.value,
@@ -58,7 +57,6 @@
         "started_wall_ms": entry.started_wall_ms or None,
         "ended_wall_ms": entry.ended.ended_wall_ms if entry.ended else None,
     }
-    return fields
 
 
 class JobApi:
@@ -94,7 +92,7 @@
         if isinstance(outcome, NotRun):
             return not_run_response(outcome)
         if isinstance(outcome, Unknown):
-            return _unknown(outcome)
+            return unknown_response(outcome)
         return json_response(202, job_fields(outcome))
 
     async def _list(self, call: ApiCall) -> HttpResponse:
@@ -130,7 +128,7 @@
         if isinstance(outcome, NotRun):
             return not_run_response(outcome)
         if isinstance(outcome, Unknown):
-            return _unknown(outcome)
+            return unknown_response(outcome)
         return json_response(202, job_fields(outcome))
 
     async def _explain(self, call: ApiCall) -> HttpResponse:
@@ -149,7 +147,7 @@
 
 
 def _read_spec(call: ApiCall, reader: FieldReader) -> JobSpec:
-    now_ms = time.time_ns() // 1_000_000
+    now_ms = wall_ms()
     deadline_in_ms = reader.integer("deadline_in_ms", 1, _DURATION_MAX_MS, default=None)
     return JobSpec(
         job_id="",
@@ -181,12 +179,3 @@
     if not (text.isascii() and text.isdecimal()) or len(text) > 12 or int(text) > high:
         return error(400, "bad_fields", f"{name}: must be from 0 to {high}")
     return int(text)
-
-
-def _unknown(outcome: Unknown) -> HttpResponse:
-    fields = {
-        "outcome": "unknown",
-        "reason": outcome.reason.value,
-        "detail": outcome.detail,
-    }
-    return json_response(504, fields)
--- a/ragwortshelf/daemon/api/releases.py
+++ b/ragwortshelf/daemon/api/releases.py
@@ -2,9 +2,7 @@
 
 from __future__ import annotations
 
-import time
-
-from ...core.model import NotRun, Unreachable
+from ...core.model import NotRun, Reason, Unknown, Unreachable
 from ...core.releases import (
     Accepted,
     Conflict,
@@ -23,8 +21,9 @@
 )
 from ...core.streams import ReleaseSubmitted
 from ...net.http_messages import HttpResponse, json_response
+from ..clock import wall_ms
 from ..streams_releases import submit_release
-from .requests import not_run_response
+from .outcomes import not_run_response, unknown_response
 from .router import ApiCall, Router, error, field_faults
 
 __all__ = ["ReleaseApi"]
@@ -104,8 +103,7 @@
 
 
 def _record(note: ReleaseNote) -> ReleaseSubmitted:
-    wall_ms = time.time_ns() // 1_000_000
-    return ReleaseSubmitted(note.note_id, note.author, note_to_json(note), wall_ms)
+    return ReleaseSubmitted(note.note_id, note.author, note_to_json(note), wall_ms())
 
 
 def _verdict_response(verdict: Verdict) -> HttpResponse:
@@ -137,9 +135,5 @@
 
 
 def _unknown(note: ReleaseNote, detail: str) -> HttpResponse:
-    fields = {
-        "outcome": "unknown",
-        "reason": "no_answer",
-        "detail": f"{detail}; apply {note.note_id} again, which is one change",
-    }
-    return json_response(504, fields)
+    detail = f"{detail}; apply {note.note_id} again, which is one change"
+    return unknown_response(Unknown(Reason.NO_ANSWER, detail))
--- a/ragwortshelf/daemon/api/requests.py
+++ b/ragwortshelf/daemon/api/requests.py
@@ -5,53 +5,27 @@
 from base64 import b64decode, b64encode
 from binascii import Error as Base64Error
 
-import trio
-
 from ...core.model import (
     Answered,
     NotRun,
     Priority,
-    Reason,
     Request,
     RequestClass,
     RequestOutcome,
     Unknown,
 )
 from ...net.http_messages import HttpResponse, json_response
+from ..clock import monotonic_ms
 from ..fields import FieldReader
+from .outcomes import not_run_response, unknown_response
 from .router import ApiCall, Router, error, field_faults
 
-__all__ = ["RequestApi", "not_run_response"]
+__all__ = ["RequestApi"]
 
 _IDS_MAX = 1000
 _DEADLINE_MAX_MS = 24 * 3600 * 1000
 _DEFAULT_DEADLINE_MS = 30_000
 _BODY_MAX_CHARACTERS = 2**30
-# Statuses of requests and jobs that were not run, where 503 does not say enough.
-_STATUS_BY_REASON = {
-    Reason.INVALID: 400,
-    Reason.NEVER_FITS: 422,
-    Reason.ORGANISATION_UNKNOWN: 403,
-    Reason.ORGANISATION_WITHDRAWN: 403,
-    Reason.OVER_QUOTA: 429,
-    Reason.QUEUE_FULL: 429,
-}
-
-
-def not_run_response(outcome: NotRun) -> HttpResponse:
-    """Say that nothing ran, and when to come back if that can help."""
-    status = _STATUS_BY_REASON.get(outcome.reason, 503)
-    fields = {
-        "outcome": "not_run",
-        "reason": outcome.reason.value,
-        "detail": outcome.detail,
-        "retry_after_ms": outcome.retry_after_ms,
-    }
-    headers = ()
-    if outcome.retry_after_ms is not None:
-        # The header counts whole seconds, rounded up.
-        headers = (("retry-after", str(-(-outcome.retry_after_ms // 1000))),)
-    return json_response(status, fields, headers)
 
 
 class RequestApi:
@@ -89,7 +63,7 @@
     def _read_request(
         self, call: ApiCall, reader: FieldReader
     ) -> Request | HttpResponse:
-        now_ms = int(trio.current_time() * 1000)
+        now_ms = monotonic_ms()
         request_id = reader.text("request_id", default="")
         timeout_ms = reader.integer(
             "timeout_ms", 1, _DEADLINE_MAX_MS, default=_DEFAULT_DEADLINE_MS
@@ -141,7 +115,7 @@
 
 
 def _is_printable(text: str) -> bool:
-    return (text.isascii() and text.isprintable()) or text == ""
+    return text.isascii() and text.isprintable()
 
 
 def _outcome_response(request_id: str, outcome: RequestOutcome) -> HttpResponse:
@@ -151,13 +125,7 @@
         return HttpResponse(refused.status, headers, refused.body)
     headers = (("x-request-id", request_id),)
     if isinstance(outcome, Unknown):
-        fields = {
-            "outcome": "unknown",
-            "request_id": request_id,
-            "reason": outcome.reason.value,
-            "detail": outcome.detail,
-        }
-        return json_response(504, fields, headers)
+        return unknown_response(outcome, headers, request_id=request_id)
     return json_response(200, _answered_fields(request_id, outcome), headers)
 
 
--- a/ragwortshelf/daemon/dispatcher_clock.py
+++ b/ragwortshelf/daemon/clock.py
@@ -1,8 +1,12 @@
-"""The clock of the request service."""
+"""The clocks of the daemon, in whole milliseconds."""
+
+from __future__ import annotations
+
+import time
 
 import trio
 
-__all__ = ["monotonic_ms"]
+__all__ = ["monotonic_ms", "wall_ms"]
 
 _ROUNDING_MS = 0.01
 
@@ -14,3 +18,8 @@
     a task that slept until ``n / 1000`` seconds sees at least ``n``.
     """
     return int(trio.current_time() * 1000 + _ROUNDING_MS)
+
+
+def wall_ms() -> int:
+    """Return milliseconds since the epoch."""
+    return time.time_ns() // 1_000_000
--- a/ragwortshelf/daemon/dispatcher.py
+++ b/ragwortshelf/daemon/dispatcher.py
@@ -50,8 +50,8 @@
     request_fingerprint,
 )
 from ..net.interfaces import Peers
+from .clock import monotonic_ms
 from .dispatcher_attempts import Attempts
-from .dispatcher_clock import monotonic_ms
 from .dispatcher_connections import ConnectionPool, OpenMinion
 from .dispatcher_heartbeats import Heartbeats
 from .dispatcher_ownership import Ownership, passed_on
--- a/ragwortshelf/daemon/dispatcher_attempts.py
+++ b/ragwortshelf/daemon/dispatcher_attempts.py
@@ -19,7 +19,7 @@
     Spill,
 )
 from ..net.interfaces import NotSent, Peers
-from .dispatcher_clock import monotonic_ms
+from .clock import monotonic_ms
 from .dispatcher_connections import ConnectionPool, PooledConnection
 
 __all__ = ["Attempts"]
--- a/ragwortshelf/daemon/dispatcher_heartbeats.py
+++ b/ragwortshelf/daemon/dispatcher_heartbeats.py
@@ -10,7 +10,7 @@
 from ..core.model import InstanceInfo
 from ..core.requests import LoadReport, ShareHeartbeat, ShareKeeper, ShareReply
 from ..net.interfaces import Peers
-from .dispatcher_clock import monotonic_ms
+from .clock import monotonic_ms
 
 __all__ = ["HEARTBEAT_MS", "Heartbeats"]
 
--- a/ragwortshelf/daemon/dispatcher_ownership.py
+++ b/ragwortshelf/daemon/dispatcher_ownership.py
@@ -38,7 +38,7 @@
     request_fingerprint,
 )
 from ..net.interfaces import Peers
-from .dispatcher_clock import monotonic_ms
+from .clock import monotonic_ms
 
 __all__ = ["Ownership", "passed_on"]
 
--- a/ragwortshelf/daemon/job_front.py
+++ b/ragwortshelf/daemon/job_front.py
@@ -9,7 +9,6 @@
 
 import heapq
 import itertools
-import time
 from collections.abc import Iterable
 from dataclasses import replace
 from typing import TYPE_CHECKING
@@ -40,6 +39,7 @@
 )
 from ..net.interfaces import Appended
 from ..net.workers import HttpWorker
+from .clock import monotonic_ms, wall_ms
 from .job_upkeep import Capacity, JobUpkeep
 from .logs import log_decision
 from .peer_messages import ExplainJob, Explanation, JobAnswer, PlaceOffLog
@@ -165,9 +165,7 @@
             return entry
         answer = await self._append(JOBS_STREAM, CancelRequested(job_id_, requested_by))
         if isinstance(answer, Unreachable):
-            if answer.may_have_applied:
-                return Unknown(Reason.LOG_UNAVAILABLE, answer.detail)
-            return NotRun(Reason.LOG_UNAVAILABLE, answer.detail, _RETRY_AFTER_MS)
+            return _without_answer(answer, answer.detail)
         await self._node.streams.wait_for(
             JOBS_STREAM,
             answer.first_offset,
@@ -257,9 +255,7 @@
             return NotRun(Reason.LOG_UNAVAILABLE, detail, _RETRY_AFTER_MS)
         answer = await self.desk.ask(self._node.settings.data_centre, PlaceOffLog(spec))
         if isinstance(answer, Unreachable):
-            if answer.may_have_applied:
-                return Unknown(Reason.LOG_UNAVAILABLE, "the placer gave no answer")
-            return NotRun(Reason.LOG_UNAVAILABLE, answer.detail, _RETRY_AFTER_MS)
+            return _without_answer(answer, "the placer gave no answer")
         if answer.is_unknown:
             return Unknown(Reason.LOG_UNAVAILABLE, answer.detail)
         if not answer.is_accepted:
@@ -281,7 +277,7 @@
             self._node.configuration,
             self.book,
             is_log_up,
-            time.time_ns() // 1_000_000,
+            wall_ms(),
             data_centre=self._node.settings.data_centre,
         )
         if isinstance(admitted, NotRun):
@@ -313,10 +309,7 @@
         return await self._append(JOBS_STREAM, record)
 
     async def _record_usage(self, reports: tuple[UsageReport, ...]) -> bool:
-        fresh = self.charges.unknown_of(reports)
-        if not fresh:
-            return True
-        answer = await self._append(USAGE_STREAM, UsageRecorded(fresh))
+        answer = await self._append(USAGE_STREAM, UsageRecorded(reports))
         return isinstance(answer, Appended)
 
     def _update_log(self) -> None:
@@ -350,7 +343,7 @@
         records = self._upkeep.look(
             self._node.configuration,
             self._node.membership.view,
-            self._node.deadline_ms(0),
+            monotonic_ms(),
         )
         for record in records:
             await self._append(JOBS_STREAM, record)
@@ -386,3 +379,10 @@
     return JobAnswer(
         False, outcome.reason.value, outcome.detail, outcome.retry_after_ms
     )
+
+
+def _without_answer(answer: Unreachable, if_unsure: str) -> NotRun | Unknown:
+    """Say truthfully what an action that brought no answer may have done."""
+    if answer.may_have_applied:
+        return Unknown(Reason.LOG_UNAVAILABLE, if_unsure)
+    return NotRun(Reason.LOG_UNAVAILABLE, answer.detail, _RETRY_AFTER_MS)
--- a/ragwortshelf/daemon/job_upkeep.py
+++ b/ragwortshelf/daemon/job_upkeep.py
@@ -7,7 +7,6 @@
 
 from __future__ import annotations
 
-import time
 from collections import Counter
 from collections.abc import Iterable
 from dataclasses import dataclass
@@ -17,6 +16,7 @@
 from ..core.model import Configuration
 from ..core.placement import Scheduler
 from ..core.streams import CancelRequested, Record
+from .clock import wall_ms
 
 __all__ = ["Capacity", "JobUpkeep", "data_centres_without_instance", "withdrawals"]
 
@@ -99,8 +99,7 @@
             withdrawals(self._book.active(), configuration, self._data_centre)
         )
         for name in self._lost(configuration, view, now_ms):
-            wall_ms = time.time_ns() // 1_000_000
-            records += rehome(self._book, name, configuration, wall_ms)
+            records += rehome(self._book, name, configuration, wall_ms())
         return records
 
     def _lost(self, configuration: Configuration, view: View, now_ms: int) -> list[str]:
--- a/ragwortshelf/daemon/membership.py
+++ b/ragwortshelf/daemon/membership.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import random
-import time
 from collections.abc import Callable, Mapping
 
 import trio
@@ -33,6 +32,7 @@
 from ..net.interfaces import InstanceList, Membership
 from ..net.peer_observer import LinkObserver
 from ..net.peers import PeerNetwork
+from .clock import monotonic_ms, wall_ms
 
 __all__ = ["MembershipService", "new_incarnation"]
 
@@ -41,7 +41,7 @@
 
 def new_incarnation() -> int:
     """Return an incarnation that is higher at each start: milliseconds of wall time."""
-    return time.time_ns() // 1_000_000
+    return wall_ms()
 
 
 class MembershipService(LinkObserver):
@@ -90,7 +90,7 @@
 
     def is_current(self) -> bool:
         """Whether this instance may act in any role now; see the machine's."""
-        return self._machine.is_current(_now_ms())
+        return self._machine.is_current(monotonic_ms())
 
     def on_change(self, callback: Callable[[View], None]) -> None:
         """Call ``callback`` with each new view."""
@@ -178,7 +178,7 @@
         return self._machine.route_to(name)
 
     def _handle(self, event: Event) -> None:
-        for action in self._machine.handle(event, _now_ms()):
+        for action in self._machine.handle(event, monotonic_ms()):
             match action:
                 case SendHeartbeat(_, connection_id, heartbeat):
                     self._network.send_heartbeat(connection_id, heartbeat)
@@ -189,7 +189,3 @@
                 case MembersChanged(view):
                     for callback in self._view_callbacks:
                         callback(view)
-
-
-def _now_ms() -> int:
-    return int(trio.current_time() * 1000)
--- a/ragwortshelf/daemon/node.py
+++ b/ragwortshelf/daemon/node.py
@@ -7,7 +7,6 @@
 from __future__ import annotations
 
 import random
-import time
 
 import trio
 from absl import logging
@@ -28,6 +27,7 @@
 from ..net.log import HttpLog
 from ..net.minions import open_minion
 from ..net.peers import PeerNetwork
+from .clock import monotonic_ms, wall_ms
 from .dispatcher import RequestService
 from .folds import BookFold
 from .job_front import JobFront
@@ -77,7 +77,7 @@
         self.asked_ms = 0
 
     async def fetch(self) -> Membership | Unreachable:
-        self.asked_ms = _now_ms()
+        self.asked_ms = monotonic_ms()
         return await self._inner.fetch()
 
 
@@ -157,7 +157,7 @@
 
     def deadline_ms(self, timeout_ms: int) -> int:
         """Return the monotonic time ``timeout_ms`` from now."""
-        return _now_ms() + timeout_ms
+        return monotonic_ms() + timeout_ms
 
     def unready_reason(self) -> str:
         """Return why callers should not come here, or nothing."""
@@ -208,7 +208,7 @@
 
     def revision_rows(self) -> list[dict]:
         """Return each known instance's revision in force and its age."""
-        wall_ms = _wall_ms()
+        now_wall_ms = wall_ms()
         shared = dict(self.membership.peer_state(_REVISION_KEY))
         shared[self.info.name] = self._revision()
         return [
@@ -217,7 +217,7 @@
                 "data_centre": member.instance.data_centre,
                 "is_reachable": member.status == "alive",
                 "is_halted": name == self.info.name and self.releases.is_halted,
-                **_revision_fields(shared.get(name), wall_ms),
+                **_revision_fields(shared.get(name), now_wall_ms),
             }
             for name, member in sorted(self.membership.view.members_by_name.items())
         ]
@@ -246,7 +246,7 @@
         if not self._is_settled or configuration.revision <= self.revision_in_force:
             return
         self.revision_in_force = configuration.revision
-        self._since_wall_ms = _wall_ms()
+        self._since_now_wall_ms = wall_ms()
         log_event("configuration in force", revision=configuration.revision)
         self.requests.set_configuration(configuration)
         self.front.set_configuration(configuration)
@@ -254,7 +254,7 @@
 
     def _revision(self) -> Revision:
         if self.streams.is_log_up() and self.streams.is_caught_up(RELEASES_STREAM):
-            self._confirmed_wall_ms = _wall_ms()
+            self._confirmed_now_wall_ms = wall_ms()
         return Revision(
             self.revision_in_force, self._since_wall_ms, self._confirmed_wall_ms
         )
@@ -304,20 +304,12 @@
         return bool(moved)
 
 
-def _revision_fields(revision: object, wall_ms: int) -> dict:
+def _revision_fields(revision: object, now_wall_ms: int) -> dict:
     """Return a revision and its age, with None for what is not known."""
     if not isinstance(revision, Revision) or revision.revision == NO_REVISION:
         return {"revision": None, "in_force_since_wall_ms": None, "age_ms": None}
     return {
         "revision": revision.revision,
         "in_force_since_wall_ms": revision.since_wall_ms,
-        "age_ms": max(0, wall_ms - revision.confirmed_wall_ms),
+        "age_ms": max(0, now_wall_ms - revision.confirmed_wall_ms),
     }
-
-
-def _now_ms() -> int:
-    return int(trio.current_time() * 1000)
-
-
-def _wall_ms() -> int:
-    return time.time_ns() // 1_000_000
--- a/ragwortshelf/daemon/placer.py
+++ b/ragwortshelf/daemon/placer.py
@@ -45,6 +45,7 @@
 from ..core.placement import Scheduler
 from ..core.streams import JobAccepted, Record
 from ..net.interfaces import Appended, Worker
+from .clock import monotonic_ms
 from .placer_calls import call_worker
 
 __all__ = ["PlacerService"]
@@ -220,11 +221,8 @@
         await answered.wait()
         return self._refusal_by_id.pop(spec.job_id)
 
-    def _now_ms(self) -> int:
-        return int(trio.current_time() * 1000)
-
     def _handle(self, event: Event) -> None:
-        for action in self.machine.handle(event, self._now_ms()):
+        for action in self.machine.handle(event, monotonic_ms()):
             self._carry_out(action)
 
     def _carry_out(self, action) -> None:
@@ -287,7 +285,7 @@
                     refresh_ms = REFRESH_EVERY_MS
                     if is_new:
                         refresh_ms = CONFIRM_AFTER_MS
-                        usage.due_ms = min(usage.due_ms, self._now_ms() + USAGE_LAG_MS)
+                        usage.due_ms = min(usage.due_ms, monotonic_ms() + USAGE_LAG_MS)
                     await self._wait_for_news(name, worker, version, refresh_ms, usage)
                 else:
                     with trio.move_on_after(RETRY_EVERY_MS / 1000):
@@ -298,7 +296,7 @@
     async def _observe(self, name: str, worker: Worker) -> str | None:
         """Read the worker's state; return its version, None if it did not answer."""
         async with self._limiter:
-            asked_ms = self._now_ms()
+            asked_ms = monotonic_ms()
             report = await worker.describe()
         if isinstance(report, Unreachable):
             self._handle(WorkerUnreachable(name))
@@ -319,24 +317,24 @@
         A worker answers the question for changes when it has one, so a long wait
         costs two short messages; usage is read in between when it is due.
         """
-        until_ms = self._now_ms() + refresh_ms
+        until_ms = monotonic_ms() + refresh_ms
         async with trio.open_nursery() as nursery:
             nursery.start_soon(
                 self._cancel_when_set, self._wanted_by_name[name], nursery.cancel_scope
             )
-            while self.machine.is_placer and self._now_ms() < until_ms:
+            while self.machine.is_placer and monotonic_ms() < until_ms:
                 await self._read_usage_if_due(worker, usage)
                 due_ms = min(until_ms, usage.due_ms)
-                wait_ms = min(CHANGE_WAIT_MS, max(1, due_ms - self._now_ms()))
+                wait_ms = min(CHANGE_WAIT_MS, max(1, due_ms - monotonic_ms()))
                 answer = await worker.wait_for_change(version, wait_ms=wait_ms)
                 if answer is not False:
                     break
             nursery.cancel_scope.cancel()
 
     async def _read_usage_if_due(self, worker: Worker, usage: _UsageCursor) -> None:
-        if self.machine.is_placer and self._now_ms() >= usage.due_ms:
+        if self.machine.is_placer and monotonic_ms() >= usage.due_ms:
             usage.cursor = await self._read_usage(worker, usage.cursor)
-            usage.due_ms = self._now_ms() + USAGE_EVERY_MS
+            usage.due_ms = monotonic_ms() + USAGE_EVERY_MS
 
     async def _cancel_when_set(self, event: trio.Event, scope) -> None:
         await event.wait()
--- a/ragwortshelf/daemon/placer_desk.py
+++ b/ragwortshelf/daemon/placer_desk.py
@@ -6,13 +6,14 @@
 
 from __future__ import annotations
 
-from collections.abc import Awaitable, Callable
+from collections.abc import Awaitable, Callable, Iterable
 from typing import TYPE_CHECKING
 
 import trio
 
 from ..core.model import JobSpec, Unreachable
 from ..core.placement import Scheduler
+from .clock import monotonic_ms
 from .peer_messages import (
     Acknowledged,
     ExplainJob,
@@ -76,40 +77,41 @@
             placer, message, deadline_ms=self._node.deadline_ms(_PEER_TIMEOUT_MS)
         )
 
+    async def _ask_all(
+        self, data_centres: Iterable[str], message: object
+    ) -> dict[str, object]:
+        """Ask several placers at once; return their answers by data centre."""
+        answer_by_name: dict[str, object] = {}
+
+        async def ask(name: str) -> None:
+            answer_by_name[name] = await self.ask(name, message)
+
+        async with trio.open_nursery() as nursery:
+            for name in data_centres:
+                nursery.start_soon(ask, name)
+        return answer_by_name
+
     async def cheapest_homes(
         self, specs: tuple[JobSpec, ...], here: str
     ) -> dict[str, str]:
         """Return the best other data centre by id, for jobs that can start there."""
+        others = set(self._node.configuration.data_centres_by_name) - {here}
+        answers = await self._ask_all(others, QuoteJobs(specs))
         best: dict[str, tuple[float, str]] = {}
-
-        async def ask(name: str) -> None:
-            answer = await self.ask(name, QuoteJobs(specs))
+        for name, answer in answers.items():
             costs = answer.costs if isinstance(answer, Quotes) else ()
             for spec, cost in zip(specs, costs, strict=False):
                 if cost is not None:
                     offer = (cost, name)
                     best[spec.job_id] = min(best.get(spec.job_id, offer), offer)
-
-        async with trio.open_nursery() as nursery:
-            for name in self._node.configuration.data_centres_by_name:
-                if name != here:
-                    nursery.start_soon(ask, name)
         return {job_id: name for job_id, (_, name) in best.items()}
 
     async def worker_tables(self) -> list[WorkerTable]:
         """Ask the placer of each data centre for its workers."""
         names = sorted(self._node.configuration.data_centres_by_name)
-        table_by_name = {}
-
-        async def ask(name: str) -> None:
-            answer = await self.ask(name, ListWorkers())
-            if isinstance(answer, WorkerTable):
-                table_by_name[name] = answer
-
-        async with trio.open_nursery() as nursery:
-            for name in names:
-                nursery.start_soon(ask, name)
-        return [table_by_name[name] for name in names if name in table_by_name]
+        answers = await self._ask_all(names, ListWorkers())
+        tables = (answers[name] for name in names)
+        return [table for table in tables if isinstance(table, WorkerTable)]
 
     async def quarantine(self, worker: str, is_quarantined: bool) -> bool:
         """Take a worker out of use, or back; False if its placer did not answer."""
@@ -148,7 +150,7 @@
         if not self._placer.machine.is_placer:
             return Acknowledged(False)
         self._scheduler.set_quarantine(
-            message.worker, message.is_quarantined, self._node.deadline_ms(0)
+            message.worker, message.is_quarantined, monotonic_ms()
         )
         return Acknowledged(True)
 
@@ -158,7 +160,7 @@
     async def _on_quote(self, sender: str, message: QuoteJobs) -> Quotes:
         if not self._placer.machine.is_placer:
             return Quotes(())
-        now_ms = self._node.deadline_ms(0)
+        now_ms = monotonic_ms()
         return Quotes(
             tuple(
                 self._scheduler.placement_cost(spec, now_ms) for spec in message.specs
--- a/ragwortshelf/daemon/streams_fold.py
+++ b/ragwortshelf/daemon/streams_fold.py
@@ -3,11 +3,9 @@
 from __future__ import annotations
 
 import abc
-import time
-
-import trio
 
 from ..core.streams import Record
+from .clock import monotonic_ms, wall_ms
 
 __all__ = ["Clock", "Fold"]
 
@@ -47,12 +45,9 @@
     """Milliseconds of the loop's monotonic clock and of the wall clock."""
 
     def now_ms(self) -> int:
-        """Return the monotonic time, which deadlines are stored in.
-
-        Rounding, unlike truncation, returns at least N for a wake-up at N ms.
-        """
-        return round(trio.current_time() * 1000)
+        """Return the monotonic time, which deadlines are stored in."""
+        return monotonic_ms()
 
     def wall_ms(self) -> int:
         """Return milliseconds since the epoch."""
-        return int(time.time() * 1000)
+        return wall_ms()
--- a/ragwortshelf/net/http_messages.py
+++ b/ragwortshelf/net/http_messages.py
@@ -9,6 +9,7 @@
 
 __all__ = [
     "Hangup",
+    "Headers",
     "HttpLimits",
     "HttpRequest",
     "HttpResponse",
