Let the instances of the membership test name the addresses they listen on

Each instance was made with port 0 and told its peers so; when the third one passed that on before the first two had called each other, they called port 0 for ever. Ruled out: the clock, the roles and the links. Settings name real ports, so the daemon is not struck by this. Conclusion: the test was wrong in its set-up, not the service.

--- a/tests/daemon/test_membership_service.py
+++ b/tests/daemon/test_membership_service.py
@@ -1,8 +1,7 @@
-"""The service over real sockets, with trio's clock run ahead while all wait."""
+"""The service over real sockets, on the real clock."""
 
 from __future__ import annotations
 
-import dataclasses
 import random
 from dataclasses import dataclass
 
@@ -12,6 +11,7 @@
 from ragwortshelf.daemon.membership import MembershipService
 from ragwortshelf.net.interfaces import InstanceList, Membership
 from ragwortshelf.net.peers import PeerNetwork
+from ragwortshelf.standins.launcher import free_ports
 
 
 @dataclass(frozen=True, slots=True)
@@ -34,9 +34,11 @@
     lists = []
     async with trio.open_nursery() as nursery:
         infos = []
-        for name in ("a", "b", "c"):
+        for name, port in zip(("a", "b", "c"), free_ports(3), strict=True):
             data_centre = "dc2" if name == "c" else "dc1"
-            info = InstanceInfo(name, data_centre, "127.0.0.1:0", "127.0.0.1:0")
+            # An instance tells its peers the address that its settings name.
+            peer_address = f"127.0.0.1:{port}"
+            info = InstanceInfo(name, data_centre, "127.0.0.1:0", peer_address)
             network = PeerNetwork(info, 1, b"secret")
             service = MembershipService(
                 info, 1, instance_list, network, random.Random(1)
@@ -53,8 +55,8 @@
                         inner.start_soon(service.run)
                         task_status.started(address)
 
-            address = await nursery.start(run)
-            infos.append(dataclasses.replace(info, peer_address=address))
+            assert await nursery.start(run) == peer_address
+            infos.append(info)
             services[name] = service
         services["a"].on_list(lists.append)
         views = []
