--- /dev/null
+++ b/ragwortshelf/core/scheduling/__init__.py
@@ -0,0 +1,25 @@
+"""Scheduling of jobs whose tasks run on endpoints under leases.
+
+``records`` are what the log keeps of each job, ``table`` folds them into the state of
+all jobs, ``fleet`` follows the endpoints, and ``scheduler`` decides which tasks start
+and stop where. A *unit* is what starts as a whole: one task, or all tasks of a gang.
+"""
+
+from .configuration import ServiceConfiguration
+from .fleet import Endpoint, EndpointInfo
+from .model import JobSpec, JobState, Resources, Step, UnitKey
+from .scheduler import Scheduler
+from .table import JobTable
+
+__all__ = [
+    "Endpoint",
+    "EndpointInfo",
+    "JobSpec",
+    "JobState",
+    "JobTable",
+    "Resources",
+    "Scheduler",
+    "ServiceConfiguration",
+    "Step",
+    "UnitKey",
+]
--- /dev/null
+++ b/ragwortshelf/core/scheduling/configuration.py
@@ -0,0 +1,104 @@
+"""The configuration under which jobs are accepted and placed.
+
+It is one immutable value per version; a newer version replaces it as a whole.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Mapping
+from dataclasses import dataclass, field
+from functools import cached_property
+
+__all__ = [
+    "EndpointService",
+    "GuaranteedOrganisation",
+    "Queue",
+    "ServiceConfiguration",
+]
+
+
+@dataclass(frozen=True, slots=True)
+class Queue:
+    """A queue that accepts jobs under a host and a path prefix.
+
+    ``target_latency_ms`` and ``slack_factor`` state when a job counts as on time:
+    within ``slack_factor`` times its longest chain of work, plus the latency.
+    Priority 0 is served first.
+    """
+
+    name: str
+    host: str
+    path_prefix: str
+    service: str
+    priority: int = 0
+    attempts_max: int = 1
+    slack_factor: float = 1.0
+    target_latency_ms: int = 0
+    is_public: bool = False
+
+
+@dataclass(frozen=True, slots=True)
+class EndpointService:
+    """A service whose endpoints run tasks.
+
+    With ``has_admission_control`` its endpoints refuse what does not fit; without
+    it they start whatever they are told to.
+    """
+
+    name: str
+    has_admission_control: bool = True
+    is_standby: bool = False
+
+
+@dataclass(frozen=True, slots=True)
+class GuaranteedOrganisation:
+    """An organisation with its keys and the accelerators guaranteed to it."""
+
+    name: str
+    api_keys: frozenset[str] = frozenset()
+    guaranteed_gpus: int = 0
+
+
+@dataclass(frozen=True)
+class ServiceConfiguration:
+    """All queues, services and organisations of one version."""
+
+    version: int
+    queues: tuple[Queue, ...] = ()
+    service_by_name: Mapping[str, EndpointService] = field(default_factory=dict)
+    organisations: tuple[GuaranteedOrganisation, ...] = ()
+
+    @cached_property
+    def organisation_by_key(self) -> dict[str, GuaranteedOrganisation]:
+        """Return the organisation that each key belongs to."""
+        return {key: org for org in self.organisations for key in org.api_keys}
+
+    @cached_property
+    def organisation_by_name(self) -> dict[str, GuaranteedOrganisation]:
+        """Return the organisations by their names."""
+        return {org.name: org for org in self.organisations}
+
+    @cached_property
+    def queue_by_name(self) -> dict[str, Queue]:
+        """Return the queues by their names."""
+        return {queue.name: queue for queue in self.queues}
+
+    @cached_property
+    def _queues_by_host(self) -> dict[str, list[Queue]]:
+        # The longest prefix comes first, since the longest match decides.
+        by_host: dict[str, list[Queue]] = {}
+        for queue in sorted(self.queues, key=lambda queue: -len(queue.path_prefix)):
+            by_host.setdefault(queue.host, []).append(queue)
+        return by_host
+
+    def queue_for(self, host: str, path: str) -> Queue | None:
+        """Return the queue with the longest prefix of ``path`` on ``host``.
+
+        >>> queue = Queue("q", "a.example", "/jobs/", "service")
+        >>> ServiceConfiguration(1, (queue,)).queue_for("a.example", "/jobs/1").name
+        'q'
+        """
+        for queue in self._queues_by_host.get(host, ()):
+            if path.startswith(queue.path_prefix):
+                return queue
+        return None
--- /dev/null
+++ b/ragwortshelf/core/scheduling/fleet.py
@@ -0,0 +1,291 @@
+"""The endpoints as the scheduler knows them, and what each of them holds."""
+
+from __future__ import annotations
+
+import enum
+from collections.abc import Iterable
+from dataclasses import dataclass
+
+from .model import Resources, UnitKey
+
+__all__ = [
+    "Endpoint",
+    "EndpointInfo",
+    "EndpointListing",
+    "FinishedRun",
+    "Member",
+    "MemberStage",
+    "RunEnd",
+    "RunningTask",
+    "StartOutcome",
+]
+
+SUSPECT_MS = 2_000
+"""How long an endpoint that refused as unhealthy gets nothing new, in milliseconds.
+
+It spans a few health changes of an endpoint that reports itself every 1.5 s.
+"""
+
+PROBATION_FAILURES = 3
+"""Runs of different jobs that fail in a row before an endpoint is left out.
+
+Jobs fail by their own fault in at most one run of twenty on the stated workloads, so
+three of different jobs in a row blame the endpoint.
+"""
+
+PROBATION_MS = 5_000
+"""How long an endpoint that fails what it starts is left out, in milliseconds."""
+
+
+class RunEnd(enum.Enum):
+    """How a run ended, as the endpoint lists it."""
+
+    DONE = "done"
+    FAILED = "failed"
+    STOPPED = "stopped"
+    LAPSED = "lapsed"
+    BROKEN = "broken"
+    ALONE = "alone"
+
+
+class StartOutcome(enum.Enum):
+    """What became of an order to start a run."""
+
+    STARTED = "started"
+    FENCED = "fenced"
+    OUTDATED = "outdated"
+    LATE = "late"
+    NO_ROOM = "no_room"
+    NO_TICKET = "no_ticket"
+    UNHEALTHY = "unhealthy"
+    INVALID = "invalid"
+    OTHER_INCARNATION = "other_incarnation"
+    UNANSWERED = "unanswered"
+
+
+@dataclass(frozen=True, slots=True)
+class EndpointInfo:
+    """What an endpoint says of itself in the store."""
+
+    id: str
+    service: str
+    address: str
+    data_centre: str
+    capacity: Resources
+    labels: tuple[str, ...] = ()
+    is_draining: bool = False
+    remaining_ms: int | None = None
+    born_wall_ms: int = 0
+
+    @property
+    def rack(self) -> str:
+        """The rack; labels are the kind and the rack."""
+        return self.labels[1] if len(self.labels) > 1 else ""
+
+
+@dataclass(frozen=True, slots=True)
+class RunningTask:
+    """One row of what runs on an endpoint."""
+
+    task: str
+    run: int
+    checkpoint: str
+    percent: float
+    figure: float = 0.0
+
+
+@dataclass(frozen=True, slots=True)
+class FinishedRun:
+    """One row of what has ended on an endpoint and was not acknowledged."""
+
+    number: int
+    task: str
+    run: int
+    end: RunEnd
+    checkpoint: str
+
+
+@dataclass(frozen=True, slots=True)
+class EndpointListing:
+    """An endpoint's answer to a renewal of its lease.
+
+    ``sent_ms`` is when the question left. ``has_lapsed`` is set where the lease had
+    run out before this answer.
+    """
+
+    endpoint_id: str
+    born_wall_ms: int
+    sent_ms: int
+    running: tuple[RunningTask, ...] = ()
+    finished: tuple[FinishedRun, ...] = ()
+    has_lapsed: bool = False
+
+
+class MemberStage(enum.Enum):
+    """What is known of a task's run on its endpoint."""
+
+    LOGGED = "logged"
+    ORDERED = "ordered"
+    RUNNING = "running"
+    STOPPING = "stopping"
+
+
+class Member:
+    """One task of a unit on one endpoint, from its placement to its release."""
+
+    __slots__ = (
+        "checkpoint",
+        "confirmed_ms",
+        "endpoint_id",
+        "fenced_ms",
+        "index",
+        "is_adopted",
+        "is_unanswered",
+        "occupied",
+        "ordered_ms",
+        "percent",
+        "percent_ms",
+        "run",
+        "stage",
+        "stop_again_ms",
+        "task",
+        "unit",
+    )
+
+    def __init__(
+        self,
+        unit: UnitKey,
+        index: int,
+        task: str,
+        run: int,
+        endpoint_id: str,
+        occupied: Resources,
+        now_ms: int,
+    ):
+        self.unit = unit
+        self.index = index
+        self.task = task
+        self.run = run
+        self.endpoint_id = endpoint_id
+        self.occupied = occupied
+        self.stage = MemberStage.LOGGED
+        self.ordered_ms = now_ms
+        self.is_unanswered = False
+        self.is_adopted = False
+        self.confirmed_ms: int | None = None
+        self.fenced_ms: int | None = None
+        self.stop_again_ms = 0
+        self.checkpoint = ""
+        self.percent = 0.0
+        self.percent_ms = now_ms
+
+    def was_seen(self, before_ms: int) -> bool:
+        """Whether the run was known to be there by then."""
+        return self.confirmed_ms is not None and self.confirmed_ms <= before_ms
+
+    def is_fenced(self, before_ms: int) -> bool:
+        """Whether the endpoint had confirmed a stop by then."""
+        return self.fenced_ms is not None and self.fenced_ms <= before_ms
+
+
+class Endpoint:
+    """One endpoint with its free room and the members it holds."""
+
+    __slots__ = (
+        "born_wall_ms",
+        "excluded_until_ms",
+        "failed_jobs",
+        "free_cpu_milli",
+        "free_gpus",
+        "free_memory_mb",
+        "info",
+        "is_listed",
+        "is_reachable",
+        "member_by_task",
+    )
+
+    def __init__(self, info: EndpointInfo):
+        self.info = info
+        self.born_wall_ms = info.born_wall_ms
+        self.is_reachable = False
+        self.is_listed = True
+        self.excluded_until_ms = 0
+        self.failed_jobs: set[str] = set()
+        self.member_by_task: dict[str, Member] = {}
+        self.free_cpu_milli = info.capacity.cpu_milli
+        self.free_memory_mb = info.capacity.memory_mb
+        self.free_gpus = info.capacity.gpus
+
+    @property
+    def id(self) -> str:
+        """The endpoint's id."""
+        return self.info.id
+
+    @property
+    def free(self) -> Resources:
+        """The capacity that nothing occupies, stops in progress included."""
+        return Resources(self.free_cpu_milli, self.free_memory_mb, self.free_gpus)
+
+    def update(self, info: EndpointInfo) -> None:
+        """Take over what the endpoint says of itself now."""
+        before, after = self.info.capacity, info.capacity
+        self.info = info
+        self.is_listed = True
+        self._add(after.plus(before, -1), 1)
+
+    def is_usable(self, now_ms: int) -> bool:
+        """Whether new work may be placed here now."""
+        return (
+            self.is_reachable
+            and self.is_listed
+            and not self.info.is_draining
+            and now_ms >= self.excluded_until_ms
+        )
+
+    def slots(self, request: Resources) -> int:
+        """Return how many tasks of ``request`` fit into the free room."""
+        fits = 1 << 30
+        if request.cpu_milli:
+            fits = self.free_cpu_milli // request.cpu_milli
+        if request.memory_mb:
+            fits = min(fits, self.free_memory_mb // request.memory_mb)
+        if request.gpus:
+            fits = min(fits, self.free_gpus // request.gpus)
+        return max(0, fits)
+
+    def hold(self, member: Member) -> None:
+        """Count a member against the free room."""
+        self.member_by_task[member.task] = member
+        self._add(member.occupied, -1)
+
+    def release(self, member: Member) -> None:
+        """Give a member's room back."""
+        if self.member_by_task.get(member.task) is member:
+            del self.member_by_task[member.task]
+            self._add(member.occupied, 1)
+
+    def exclude(self, until_ms: int) -> None:
+        """Place nothing new here before ``until_ms``."""
+        self.excluded_until_ms = max(self.excluded_until_ms, until_ms)
+
+    def note_end(self, job_id: str, end: RunEnd, now_ms: int) -> bool:
+        """Learn from an end; returns whether the endpoint was left out for it."""
+        if end is RunEnd.DONE:
+            self.failed_jobs.clear()
+            return False
+        if end is not RunEnd.FAILED:
+            return False
+        self.failed_jobs.add(job_id)
+        if len(self.failed_jobs) < PROBATION_FAILURES:
+            return False
+        self.exclude(now_ms + PROBATION_MS)
+        return True
+
+    def members(self) -> Iterable[Member]:
+        """Return the members, safe to release from while iterating."""
+        return list(self.member_by_task.values())
+
+    def _add(self, amount: Resources, sign: int) -> None:
+        self.free_cpu_milli += sign * amount.cpu_milli
+        self.free_memory_mb += sign * amount.memory_mb
+        self.free_gpus += sign * amount.gpus
--- /dev/null
+++ b/ragwortshelf/core/scheduling/model.py
@@ -0,0 +1,178 @@
+"""Jobs, their steps, and the units that start as a whole."""
+
+from __future__ import annotations
+
+import enum
+from dataclasses import dataclass
+from typing import NamedTuple
+
+__all__ = [
+    "GANG",
+    "JobSpec",
+    "JobState",
+    "Resources",
+    "Step",
+    "UnitKey",
+    "UnitPhase",
+    "task_name",
+]
+
+GANG = -1
+"""The member number in the key of a unit that holds a whole gang."""
+
+
+@dataclass(frozen=True, slots=True)
+class Resources:
+    """What a task occupies, or what an endpoint offers.
+
+    ``cpu_milli`` is in thousandths of a core, ``memory_mb`` in megabytes.
+    """
+
+    cpu_milli: int = 0
+    memory_mb: int = 0
+    gpus: int = 0
+
+    def times_in(self, room: Resources) -> int:
+        """Return how often this fits into ``room``.
+
+        >>> Resources(500, 100, 0).times_in(Resources(2000, 1000, 8))
+        4
+        """
+        fits = 1 << 30
+        if self.cpu_milli:
+            fits = room.cpu_milli // self.cpu_milli
+        if self.memory_mb:
+            fits = min(fits, room.memory_mb // self.memory_mb)
+        if self.gpus:
+            fits = min(fits, room.gpus // self.gpus)
+        return max(0, fits)
+
+    def plus(self, other: Resources, times: int = 1) -> Resources:
+        """Return this and ``times`` times ``other``; negative takes away."""
+        return Resources(
+            self.cpu_milli + times * other.cpu_milli,
+            self.memory_mb + times * other.memory_mb,
+            self.gpus + times * other.gpus,
+        )
+
+
+@dataclass(frozen=True, slots=True)
+class Step:
+    """A step of a job: ``count`` tasks alike.
+
+    ``depends_on`` numbers the earlier steps whose tasks must all be done first.
+    ``required_label`` must be among an endpoint's labels; ``preferred_rack`` is where
+    the data is. ``tasks_per_endpoint_max`` is 0 where any number may share one.
+    ``unavailable_max`` tasks of a lasting step may be down through the scheduler.
+    """
+
+    count: int
+    request: Resources
+    estimate_ms: int = 0
+    depends_on: tuple[int, ...] = ()
+    is_gang: bool = False
+    is_rack_sensitive: bool = False
+    is_checkpointing: bool = False
+    is_speculative: bool = False
+    is_long_running: bool = False
+    required_label: str = ""
+    preferred_rack: str = ""
+    tasks_per_endpoint_max: int = 0
+    image: str = ""
+    tail_target_ms: int = 0
+    fills: bool = False
+    unavailable_max: int | None = None
+
+    @property
+    def members(self) -> tuple[int, ...]:
+        """The member numbers of the units of one occurrence of this step."""
+        return (GANG,) if self.is_gang else tuple(range(self.count))
+
+    @property
+    def occupied(self) -> Resources:
+        """What one task takes of an endpoint's capacity."""
+        if not self.fills:
+            return self.request
+        return Resources(0, self.request.memory_mb, self.request.gpus)
+
+
+@dataclass(frozen=True, slots=True)
+class JobSpec:
+    """A job as its caller handed it in.
+
+    ``accepted_wall_ms`` is the time of day at the instance that accepted it.
+    ``occurrences`` is 0 for a job that runs once, as soon as it can.
+    """
+
+    id: str
+    queue: str
+    service: str
+    organisation: str
+    text: str
+    steps: tuple[Step, ...]
+    accepted_wall_ms: int = 0
+    occurrences: int = 0
+    first_run_wall_ms: int = 0
+    interval_ms: int = 0
+
+    @property
+    def runs(self) -> int:
+        """How often the steps are run."""
+        return max(1, self.occurrences)
+
+    def due_wall_ms(self, occurrence: int) -> int:
+        """Return when an occurrence may start; 0 for a job without times."""
+        if not self.occurrences:
+            return 0
+        return self.first_run_wall_ms + occurrence * self.interval_ms
+
+    def chain_ms(self) -> int:
+        """Return the estimated length of the longest chain of steps."""
+        lengths: list[int] = []
+        for step in self.steps:
+            before = max((lengths[i] for i in step.depends_on), default=0)
+            lengths.append(before + step.estimate_ms)
+        return max(lengths, default=0)
+
+
+class JobState(enum.Enum):
+    """What a caller is told of a job; the value is the name on the interface."""
+
+    QUEUED = "queued"
+    RUNNING = "running"
+    COMPLETED = "completed"
+    FAILED = "failed"
+    CANCELLED = "cancelled"
+
+
+class UnitPhase(enum.IntEnum):
+    """Where a unit is in its life; the value is kept in the log.
+
+    An ENDING unit's run has ended for good on one endpoint and may still occupy
+    others. Nothing of the unit is started until all of them are free of it.
+    """
+
+    WAITING = 0
+    PLACED = 1
+    ENDING = 2
+    DONE = 3
+    FAILED = 4
+
+
+class UnitKey(NamedTuple):
+    """Names one unit: an occurrence of a step of a job, and the member in it."""
+
+    job_id: str
+    occurrence: int
+    step: int
+    member: int
+
+
+def task_name(key: UnitKey, index: int) -> str:
+    """Return the name of a unit's task on the wire.
+
+    >>> task_name(UnitKey("5c0e7a21d94b36f8", 0, 1, GANG), 17)
+    '5c0e7a21d94b36f8.0.1.17'
+    """
+    member = index if key.member == GANG else key.member
+    return f"{key.job_id}.{key.occurrence}.{key.step}.{member}"
--- /dev/null
+++ b/ragwortshelf/core/scheduling/packing.py
@@ -0,0 +1,109 @@
+"""Where a unit fits, given the endpoints' free room.
+
+Endpoints are filled tightly, so that whole endpoints and whole racks stay free for
+gangs of large tasks.
+"""
+
+from __future__ import annotations
+
+from collections import defaultdict
+from collections.abc import Callable, Sequence
+
+from .fleet import Endpoint
+from .model import Step
+
+__all__ = ["allows", "find_endpoints", "rack_could_hold"]
+
+Slots = Callable[[Endpoint], int]
+
+
+def allows(endpoint: Endpoint, step: Step, service: str) -> bool:
+    """Whether the step's tasks may run on the endpoint at all."""
+    info = endpoint.info
+    if info.service != service:
+        return False
+    return not step.required_label or step.required_label in info.labels
+
+
+def find_endpoints(
+    step: Step,
+    count: int,
+    candidates: Sequence[Endpoint],
+    slots: Slots,
+    *,
+    may_leave_rack: bool,
+) -> list[Endpoint] | None:
+    """Return one endpoint per task, or None if they do not fit.
+
+    ``candidates`` are those on which the step may run now. With ``may_leave_rack``
+    False, work stays on its preferred rack, and a rack-sensitive gang on one rack.
+    """
+    near = [e for e in candidates if e.info.rack == step.preferred_rack]
+    if step.preferred_rack:
+        placed = _fill(step, count, near, slots)
+        if placed is not None or not may_leave_rack:
+            return placed
+    if step.is_rack_sensitive and count > 1:
+        placed = _fill_one_rack(step, count, candidates, slots)
+        if placed is not None or not may_leave_rack:
+            return placed
+    return _fill(step, count, candidates, slots)
+
+
+def rack_could_hold(step: Step, count: int, endpoints: Sequence[Endpoint]) -> bool:
+    """Whether any rack could hold all tasks if it were empty."""
+    slots_by_rack: dict[str, int] = defaultdict(int)
+    for endpoint in endpoints:
+        fits = step.occupied.times_in(endpoint.info.capacity)
+        if step.tasks_per_endpoint_max:
+            fits = min(fits, step.tasks_per_endpoint_max)
+        slots_by_rack[endpoint.info.rack] += fits
+    if step.preferred_rack:
+        return slots_by_rack[step.preferred_rack] >= count
+    return max(slots_by_rack.values(), default=0) >= count
+
+
+def _fill_one_rack(step, count, candidates, slots) -> list[Endpoint] | None:
+    by_rack: dict[str, list[Endpoint]] = defaultdict(list)
+    for endpoint in candidates:
+        by_rack[endpoint.info.rack].append(endpoint)
+    best = None
+    for endpoints in by_rack.values():
+        placed = _fill(step, count, endpoints, slots)
+        if placed is None:
+            continue
+        # The rack with the least left over keeps the emptier ones whole.
+        left = sum(e.free_gpus for e in endpoints)
+        if best is None or left < best[0]:
+            best = (left, placed)
+    return best[1] if best else None
+
+
+def _fill(step, count, candidates, slots) -> list[Endpoint] | None:
+    cap = step.tasks_per_endpoint_max or count
+    offers = []
+    total = 0
+    for endpoint in candidates:
+        fits = min(cap, count, slots(endpoint))
+        if fits > 0:
+            offers.append((fits, endpoint))
+            total += fits
+    if total < count:
+        return None
+    offers.sort(key=lambda offer: _left_over(offer, step))
+    placed: list[Endpoint] = []
+    for fits, endpoint in offers:
+        placed.extend([endpoint] * min(fits, count - len(placed)))
+        if len(placed) == count:
+            break
+    return placed
+
+
+def _left_over(offer, step: Step):
+    fits, endpoint = offer
+    request = step.occupied
+    return (
+        endpoint.free_gpus - fits * request.gpus,
+        endpoint.free_cpu_milli - fits * request.cpu_milli,
+        endpoint.id,
+    )
--- /dev/null
+++ b/ragwortshelf/core/scheduling/planning.py
@@ -0,0 +1,217 @@
+"""Which waiting units start now, in which order and on which endpoints."""
+
+from __future__ import annotations
+
+from collections import defaultdict
+from typing import TYPE_CHECKING
+
+from .fleet import Endpoint, Member
+from .model import Resources, UnitKey, UnitPhase
+from .packing import allows, find_endpoints, rack_could_hold
+from .reclaim import plan_reclaim
+from .work import Work
+
+if TYPE_CHECKING:
+    from .scheduler import Scheduler
+
+__all__ = ["Planner"]
+
+RECLAIM_RETRY_MS = 1_500
+"""Age at which a reservation whose room has not come is planned anew, in ms.
+
+A stop takes at most 0.9 s on the stated sites; what is left covers lost orders.
+"""
+
+
+class _Reservation:
+    """Room that was reclaimed for a unit and is kept for it."""
+
+    __slots__ = ("made_ms", "resources_by_id")
+
+    def __init__(self, made_ms: int, resources_by_id: dict[str, Resources]):
+        self.made_ms = made_ms
+        self.resources_by_id = resources_by_id
+
+
+class Planner:
+    """Places waiting units on the scheduler's endpoints."""
+
+    def __init__(self, scheduler: Scheduler):
+        self._scheduler = scheduler
+        self._reservation_by_unit: dict[UnitKey, _Reservation] = {}
+        self._now_ms = 0
+        self._wall_ms = 0
+
+    def run(self, now_ms: int, wall_ms: int) -> None:
+        """Go through the waiting units once, the most urgent first."""
+        self._now_ms = now_ms
+        self._wall_ms = wall_ms
+        usable = [
+            endpoint
+            for endpoint in self._scheduler.endpoint_by_id.values()
+            if endpoint.is_usable(now_ms)
+        ]
+        guaranteed = self._guaranteed_in_use()
+        without_room: set[tuple] = set()
+        waiting = sorted(
+            self._scheduler.waiting.values(), key=lambda work: (work.order, work.key)
+        )
+        for work in waiting:
+            if work.not_before_ms > now_ms:
+                continue
+            self._consider(work, usable, guaranteed, without_room)
+
+    def forget(self, work: Work) -> None:
+        """Give up what was reserved for a unit."""
+        self._reservation_by_unit.pop(work.key, None)
+
+    def _consider(self, work, usable, guaranteed, without_room) -> None:
+        shape = _shape(work)
+        organisation = work.job.spec.organisation
+        is_guaranteed = self._is_guaranteed(work, guaranteed)
+        if shape in without_room and not is_guaranteed:
+            return
+        candidates = self._candidates(work, usable)
+        endpoints = self._fit(work, candidates)
+        if endpoints is not None:
+            self.forget(work)
+            if work.priority == 0:
+                guaranteed[organisation] += work.gpus
+            self._scheduler.place(work, endpoints, self._now_ms, self._wall_ms)
+            return
+        without_room.add(shape)
+        if is_guaranteed:
+            guaranteed[organisation] += work.gpus
+            self._reclaim(work, candidates)
+
+    def _candidates(self, work: Work, usable: list[Endpoint]) -> list[Endpoint]:
+        spec = work.job.spec
+        queue = self._scheduler.configuration.queue_by_name.get(spec.queue)
+        service = queue.service if queue else spec.service
+        allowed = [e for e in usable if allows(e, work.step, service)]
+        preferred = [e for e in allowed if e.id not in work.avoided]
+        return preferred or allowed
+
+    def _fit(self, work: Work, candidates: list[Endpoint]) -> list[Endpoint] | None:
+        def slots(endpoint: Endpoint) -> int:
+            room = self._room(endpoint, work)
+            fits = work.step.occupied.times_in(room)
+            cap = work.step.tasks_per_endpoint_max
+            if cap:
+                fits = min(fits, cap - self._same_step(endpoint, work))
+            return max(0, fits)
+
+        step = work.step
+        may_leave = not rack_could_hold(step, work.count, candidates)
+        if step.preferred_rack and not may_leave and not step.is_rack_sensitive:
+            may_leave = self._has_waited_for_rack(work)
+        return find_endpoints(
+            step, work.count, candidates, slots, may_leave_rack=may_leave
+        )
+
+    def _has_waited_for_rack(self, work: Work) -> bool:
+        # Away from its data a task takes `remote_factor` times as long; waiting twice
+        # its estimate costs as much.
+        waited = self._now_ms - work.waiting_since_ms
+        return waited > 2 * work.step.estimate_ms
+
+    def _same_step(self, endpoint: Endpoint, work: Work) -> int:
+        key = work.key[:3]
+        return sum(m.unit[:3] == key for m in endpoint.member_by_task.values())
+
+    def _room(self, endpoint: Endpoint, work: Work) -> Resources:
+        room = endpoint.free
+        for unit, reservation in self._reservation_by_unit.items():
+            reserved = reservation.resources_by_id.get(endpoint.id)
+            if reserved is not None and unit != work.key:
+                room = room.plus(reserved, -1)
+        return room
+
+    # Guarantees.
+
+    def _guaranteed_in_use(self) -> defaultdict[str, int]:
+        """Count the accelerators that each organisation's urgent work holds."""
+        in_use: defaultdict[str, int] = defaultdict(int)
+        for work in self._scheduler.work_by_key.values():
+            if work.priority == 0 and work.phase is not UnitPhase.WAITING:
+                in_use[work.job.spec.organisation] += work.gpus
+        return in_use
+
+    def _is_guaranteed(self, work: Work, in_use: defaultdict[str, int]) -> bool:
+        if work.priority != 0:
+            return False
+        name = work.job.spec.organisation
+        organisation = self._scheduler.configuration.organisation_by_name.get(name)
+        if organisation is None:
+            return False
+        return in_use[name] + work.gpus <= organisation.guaranteed_gpus
+
+    def _reclaim(self, work: Work, candidates: list[Endpoint]) -> None:
+        reservation = self._reservation_by_unit.get(work.key)
+        if reservation is not None:
+            if self._now_ms - reservation.made_ms < RECLAIM_RETRY_MS:
+                return
+            self.forget(work)
+        over_guarantee = self._organisations_over_guarantee()
+
+        def borrowed(member: Member) -> Work | None:
+            holder = self._scheduler.work_by_key.get(member.unit)
+            if holder is None or holder.phase is not UnitPhase.PLACED:
+                return None
+            if holder.priority > 0:
+                return holder
+            if holder.job.spec.organisation in over_guarantee:
+                return holder
+            return None
+
+        plan = plan_reclaim(
+            work.step,
+            work.count,
+            candidates,
+            lambda endpoint: self._room_when_stopped(endpoint, work),
+            borrowed,
+            self._now_ms,
+        )
+        if plan is None:
+            return
+        reserved: dict[str, Resources] = {}
+        for endpoint in plan.endpoints:
+            before = reserved.get(endpoint.id, Resources())
+            reserved[endpoint.id] = before.plus(work.step.occupied)
+        self._reservation_by_unit[work.key] = _Reservation(self._now_ms, reserved)
+        for victim in plan.victims:
+            self._scheduler.stop_work(victim, "reclaimed", self._now_ms)
+
+    def _room_when_stopped(self, endpoint: Endpoint, work: Work) -> Resources:
+        """Return the room once the stops in progress have taken effect."""
+        room = self._room(endpoint, work)
+        for member in endpoint.member_by_task.values():
+            holder = self._scheduler.work_by_key.get(member.unit)
+            if holder is None or holder.phase is not UnitPhase.PLACED:
+                room = room.plus(member.occupied)
+        return room
+
+    def _organisations_over_guarantee(self) -> set[str]:
+        in_use = self._guaranteed_in_use()
+        known = self._scheduler.configuration.organisation_by_name
+        over = set()
+        for name, gpus in in_use.items():
+            organisation = known.get(name)
+            if organisation is None or gpus > organisation.guaranteed_gpus:
+                over.add(name)
+        return over
+
+
+def _shape(work: Work) -> tuple:
+    """What makes two units fit or not fit alike."""
+    step = work.step
+    return (
+        work.job.spec.queue,
+        step.occupied,
+        work.count,
+        step.required_label,
+        step.preferred_rack,
+        step.is_rack_sensitive,
+        step.tasks_per_endpoint_max,
+        frozenset(work.avoided),
+    )
--- /dev/null
+++ b/ragwortshelf/core/scheduling/reclaim.py
@@ -0,0 +1,130 @@
+"""Which borrowed work to stop so that guaranteed work can start."""
+
+from __future__ import annotations
+
+from collections import defaultdict
+from collections.abc import Callable, Sequence
+from dataclasses import dataclass
+
+from .fleet import Endpoint, Member
+from .model import Resources, Step, UnitKey
+from .work import Work
+
+__all__ = ["Reclaim", "plan_reclaim"]
+
+Borrowed = Callable[[Member], Work | None]
+Room = Callable[[Endpoint], Resources]
+
+
+@dataclass(frozen=True, slots=True)
+class Reclaim:
+    """Endpoints for each task of the claimant, and the units to stop for it."""
+
+    endpoints: tuple[Endpoint, ...]
+    victims: tuple[Work, ...]
+
+
+def plan_reclaim(
+    step: Step,
+    count: int,
+    candidates: Sequence[Endpoint],
+    room: Room,
+    borrowed: Borrowed,
+    now_ms: int,
+) -> Reclaim | None:
+    """Return the cheapest way found to make room for ``count`` tasks, or None.
+
+    ``room`` is an endpoint's capacity free for the claimant. ``borrowed`` returns the
+    unit of a member that may be stopped for it, else None. A rack-sensitive step is
+    kept on one rack where some rack can be made to hold it.
+    """
+    if step.is_rack_sensitive and count > 1:
+        by_rack: dict[str, list[Endpoint]] = defaultdict(list)
+        for endpoint in candidates:
+            by_rack[endpoint.info.rack].append(endpoint)
+        plans = [
+            _Search(step, count, endpoints, room, borrowed, now_ms).run()
+            for endpoints in by_rack.values()
+        ]
+        found = [plan for plan in plans if plan is not None]
+        if found:
+            return min(found, key=lambda plan: _cost(plan, now_ms))
+    return _Search(step, count, candidates, room, borrowed, now_ms).run()
+
+
+def _cost(plan: Reclaim, now_ms: int) -> float:
+    return sum(work.lost_core_ms(now_ms) for work in plan.victims)
+
+
+class _Search:
+    """Takes the cheapest next slot until the claimant fits."""
+
+    def __init__(self, step, count, candidates, room, borrowed, now_ms):
+        self._step = step
+        self._count = count
+        self._borrowed = borrowed
+        self._now_ms = now_ms
+        self._cap = step.tasks_per_endpoint_max or count
+        self._candidates = candidates
+        self._room_by_id = {e.id: room(e) for e in candidates}
+        self._used_by_id: dict[str, int] = defaultdict(int)
+        self._victim_by_key: dict[UnitKey, Work] = {}
+        self._chosen: list[Endpoint] = []
+
+    def run(self) -> Reclaim | None:
+        """Return the plan, or None if the tasks do not fit even so."""
+        while len(self._chosen) < self._count:
+            best = None
+            for endpoint in self._candidates:
+                offer = self._next_slot(endpoint)
+                if offer is not None and (best is None or offer[0] < best[0]):
+                    best = (*offer, endpoint)
+            if best is None:
+                return None
+            _, victims, endpoint = best
+            for work in victims:
+                self._stop(work)
+            self._chosen.append(endpoint)
+            self._used_by_id[endpoint.id] += 1
+            room = self._room_by_id[endpoint.id]
+            self._room_by_id[endpoint.id] = room.plus(self._step.occupied, -1)
+        return Reclaim(tuple(self._chosen), tuple(self._victim_by_key.values()))
+
+    def _stop(self, work: Work) -> None:
+        self._victim_by_key[work.key] = work
+        for member in work.members:
+            room = self._room_by_id.get(member.endpoint_id)
+            if room is not None:
+                self._room_by_id[member.endpoint_id] = room.plus(member.occupied)
+
+    def _next_slot(self, endpoint: Endpoint):
+        """Return the cost of one more task here, and whom to stop for it."""
+        if self._used_by_id[endpoint.id] >= self._cap:
+            return None
+        room = self._room_by_id[endpoint.id]
+        needed = self._step.occupied
+        if needed.times_in(room):
+            return (0.0, endpoint.free_gpus), ()
+        victims: list[Work] = []
+        cost = 0.0
+        for work, occupied in self._borrowed_here(endpoint):
+            victims.append(work)
+            cost += work.lost_core_ms(self._now_ms) + 1
+            room = room.plus(occupied)
+            if needed.times_in(room):
+                return (cost, endpoint.free_gpus), victims
+        return None
+
+    def _borrowed_here(self, endpoint: Endpoint):
+        occupied_by_key: dict[UnitKey, Resources] = {}
+        work_by_key: dict[UnitKey, Work] = {}
+        for member in endpoint.members():
+            work = self._borrowed(member)
+            if work is None or work.key in self._victim_by_key:
+                continue
+            work_by_key[work.key] = work
+            before = occupied_by_key.get(work.key, Resources())
+            occupied_by_key[work.key] = before.plus(member.occupied)
+        rows = [(work_by_key[key], occupied_by_key[key]) for key in work_by_key]
+        rows.sort(key=lambda row: (-row[0].priority, row[0].lost_core_ms(self._now_ms)))
+        return rows
--- /dev/null
+++ b/ragwortshelf/core/scheduling/records.py
@@ -0,0 +1,250 @@
+"""What the log keeps of each job, and how it is encoded.
+
+The topic is keyed: the newest record of a key is kept for good. A job has one record
+for its specification, at most one for its cancellation, and one per unit that has
+been placed. The scheduler's claims share one key.
+
+=============  ======================================  ======================
+key            written by                              value
+=============  ======================================  ======================
+``j/ID``       the instance that accepted the job      specification
+``c/ID``       the instance that was asked to cancel   time of day
+``u/ID/K/S/M`` the scheduler                           state of the unit
+``term``       the scheduler                           claim or renewal
+=============  ======================================  ======================
+"""
+
+from __future__ import annotations
+
+from dataclasses import astuple, dataclass
+
+import cbor2
+
+from .model import JobSpec, Resources, Step, UnitKey, UnitPhase
+
+__all__ = [
+    "TERM_KEY",
+    "JobCancelled",
+    "JobForgotten",
+    "JobSubmitted",
+    "Record",
+    "TermHeld",
+    "UnitRecord",
+    "decode_record",
+    "encode_record",
+    "forgetting_records",
+    "job_id_of",
+]
+
+TERM_KEY = "term"
+
+
+@dataclass(frozen=True, slots=True)
+class JobSubmitted:
+    """A job was accepted. A second record of one id changes nothing."""
+
+    spec: JobSpec
+
+
+@dataclass(frozen=True, slots=True)
+class JobCancelled:
+    """A caller asked to cancel a job, known or not."""
+
+    job_id: str
+    wall_ms: int
+
+
+@dataclass(frozen=True, slots=True)
+class JobForgotten:
+    """A key of a finished job was dropped."""
+
+    job_id: str
+
+
+@dataclass(frozen=True, slots=True)
+class UnitRecord:
+    """The state of a unit after a change of the scheduler.
+
+    ``run`` is the highest run ever ordered, ``failed_runs`` how many ended as failed
+    through their own or an endpoint's fault. ``endpoints`` holds, for each task of
+    the unit, the id of the endpoint that may hold it, or an empty string.
+    """
+
+    key: UnitKey
+    term: int
+    phase: UnitPhase
+    run: int = 0
+    failed_runs: int = 0
+    endpoints: tuple[str, ...] = ()
+    checkpoint: str = ""
+    changed_wall_ms: int = 0
+
+
+@dataclass(frozen=True, slots=True)
+class TermHeld:
+    """An instance claims, renews or resigns the scheduler's role.
+
+    The term is the offset of its claim plus one. ``renewed_wall_ms`` lets a successor
+    bound how long leases that the holder granted can last.
+    """
+
+    term: int
+    holder: str
+    renewed_wall_ms: int
+    is_resigned: bool = False
+
+
+Record = JobSubmitted | JobCancelled | JobForgotten | UnitRecord | TermHeld
+
+
+def encode_record(record: Record) -> tuple[str, bytes]:
+    """Return the key and the value of a record."""
+    match record:
+        case JobSubmitted(spec):
+            fields = (
+                spec.queue,
+                spec.service,
+                spec.organisation,
+                spec.text,
+                [_encode_step(step) for step in spec.steps],
+                spec.accepted_wall_ms,
+                spec.occurrences,
+                spec.first_run_wall_ms,
+                spec.interval_ms,
+            )
+            return f"j/{spec.id}", cbor2.dumps(fields)
+        case JobCancelled(job_id, wall_ms):
+            return f"c/{job_id}", cbor2.dumps(wall_ms)
+        case UnitRecord():
+            return _unit_key(record.key), cbor2.dumps(
+                (
+                    record.term,
+                    int(record.phase),
+                    record.run,
+                    record.failed_runs,
+                    record.endpoints,
+                    record.checkpoint,
+                    record.changed_wall_ms,
+                )
+            )
+        case TermHeld():
+            return TERM_KEY, cbor2.dumps(astuple(record))
+        case JobForgotten(job_id):
+            return f"j/{job_id}", b""
+
+
+def decode_record(key: str, value: bytes) -> Record | None:
+    """Return the record, or None where it is not one of ours.
+
+    Dropped keys of units and cancellations need no record of their own: they are
+    dropped together with the specification.
+    """
+    kind, _, rest = key.partition("/")
+    if not value:
+        return JobForgotten(rest) if kind == "j" else None
+    try:
+        fields = cbor2.loads(value)
+        match kind:
+            case "j":
+                return JobSubmitted(_decode_spec(rest, fields))
+            case "c":
+                return JobCancelled(rest, int(fields))
+            case "u":
+                return _decode_unit(rest, fields)
+            case "term":
+                return TermHeld(*fields)
+    except (ValueError, TypeError, IndexError, cbor2.CBORDecodeError):
+        return None
+    return None
+
+
+def forgetting_records(job_id: str, units: list[UnitKey]) -> list[tuple[str, bytes]]:
+    """Return the keys to drop, without values, when a job is forgotten."""
+    keys = [_unit_key(unit) for unit in units]
+    return [(key, b"") for key in (*keys, f"c/{job_id}", f"j/{job_id}")]
+
+
+def job_id_of(record: JobSubmitted | JobCancelled | JobForgotten | UnitRecord) -> str:
+    """Return the id of the job that a record speaks of."""
+    match record:
+        case JobSubmitted(spec):
+            return spec.id
+        case UnitRecord():
+            return record.key.job_id
+    return record.job_id
+
+
+def _unit_key(key: UnitKey) -> str:
+    return f"u/{key.job_id}/{key.occurrence}/{key.step}/{key.member}"
+
+
+def _decode_unit(rest: str, fields) -> UnitRecord:
+    job_id, occurrence, step, member = rest.split("/")
+    term, phase, run, failed, endpoints, checkpoint, changed = fields
+    return UnitRecord(
+        UnitKey(job_id, int(occurrence), int(step), int(member)),
+        term,
+        UnitPhase(phase),
+        run,
+        failed,
+        tuple(endpoints),
+        checkpoint,
+        changed,
+    )
+
+
+def _encode_step(step: Step) -> list:
+    request = step.request
+    return [
+        step.count,
+        [request.cpu_milli, request.memory_mb, request.gpus],
+        step.estimate_ms,
+        step.depends_on,
+        _flags(step),
+        step.required_label,
+        step.preferred_rack,
+        step.tasks_per_endpoint_max,
+        step.image,
+        step.tail_target_ms,
+        step.unavailable_max,
+    ]
+
+
+_FLAG_FIELDS = (
+    "is_gang",
+    "is_rack_sensitive",
+    "is_checkpointing",
+    "is_speculative",
+    "is_long_running",
+    "fills",
+)
+
+
+def _flags(step: Step) -> int:
+    return sum(1 << i for i, name in enumerate(_FLAG_FIELDS) if getattr(step, name))
+
+
+def _decode_step(fields) -> Step:
+    count, request, estimate, depends_on, flags, label, rack, apart, *rest = fields
+    image, target, unavailable_max = rest
+    return Step(
+        count=count,
+        request=Resources(*request),
+        estimate_ms=estimate,
+        depends_on=tuple(depends_on),
+        required_label=label,
+        preferred_rack=rack,
+        tasks_per_endpoint_max=apart,
+        image=image,
+        tail_target_ms=target,
+        unavailable_max=unavailable_max,
+        **{name: bool(flags >> i & 1) for i, name in enumerate(_FLAG_FIELDS)},
+    )
+
+
+def _decode_spec(job_id: str, fields) -> JobSpec:
+    queue, service, organisation, text, steps, accepted, *times = fields
+    decoded = tuple(_decode_step(step) for step in steps)
+    return JobSpec(
+        job_id, queue, service, organisation, text, decoded, accepted, *times
+    )
--- /dev/null
+++ b/ragwortshelf/core/scheduling/scheduler.py
@@ -0,0 +1,572 @@
+"""Decides which units start and stop where, and follows each to its end.
+
+The scheduler is driven by the instance that holds the role. It is told of jobs,
+endpoints, listings and the outcome of orders, and collects actions that the process
+takes with ``take_actions``. Placements are logged before they are ordered, so a
+successor knows which endpoint may hold which run.
+"""
+
+from __future__ import annotations
+
+from dataclasses import replace
+
+from .actions import Action, PersistUnit, StartTask, StopTask
+from .configuration import ServiceConfiguration
+from .fleet import (
+    Endpoint,
+    EndpointInfo,
+    EndpointListing,
+    FinishedRun,
+    Member,
+    MemberStage,
+    RunEnd,
+    RunningTask,
+    StartOutcome,
+)
+from .model import Resources, UnitKey, UnitPhase
+from .planning import Planner
+from .table import Job, JobTable
+from .work import Work, make_order
+
+__all__ = ["Scheduler"]
+
+STOP_RETRY_MS = 500
+"""Time between two stops of a run that is still listed; a lost order is sent again."""
+
+REPLAN_DELAY_MS = 100
+"""Pause of a unit whose start was refused, so that the next listing comes first."""
+
+NO_ROOM_EXCLUSION_MS = 300
+"""Pause of an endpoint that had no room; its listing is renewed in that time."""
+
+_SUSPECT_MS = 2_000
+"""Pause of an endpoint that refused as unhealthy, a little over one heartbeat."""
+
+STALL_MS = 3_500
+"""Time without progress after which a run counts as standing still.
+
+Endpoints report whole percents, and the slowest stated task needs 3 s for one percent
+on an endpoint that is slowed down 6.5 times.
+"""
+
+_RELEASABLE = frozenset({UnitPhase.DONE, UnitPhase.FAILED})
+
+
+class Scheduler:
+    """All units that still have to run, and the endpoints they may run on."""
+
+    def __init__(self, term: int, table: JobTable, configuration: ServiceConfiguration):
+        self.term = term
+        self.table = table
+        self.configuration = configuration
+        self.endpoint_by_id: dict[str, Endpoint] = {}
+        self.work_by_key: dict[UnitKey, Work] = {}
+        self.waiting: dict[UnitKey, Work] = {}
+        self.next_due_wall_ms: int | None = None
+        self._timed_jobs: dict[str, int] = {}
+        self._actions: list[Action] = []
+        self._planner = Planner(self)
+
+    # Input from the log and the configuration.
+
+    def adopt(self, now_ms: int, wall_ms: int) -> None:
+        """Take over all jobs and what earlier terms have placed."""
+        for job in list(self.table.job_by_id.values()):
+            self._adopt_placed(job, now_ms)
+            self.job_changed(job.spec.id, now_ms, wall_ms)
+
+    def job_changed(self, job_id: str, now_ms: int, wall_ms: int) -> None:
+        """Take notice of a job that was accepted, cancelled or folded anew."""
+        job = self.table.job_by_id.get(job_id)
+        if job is None:
+            return
+        if job.is_active:
+            self._open_units(job, now_ms, wall_ms)
+        else:
+            self._end_job(job, now_ms)
+
+    def configure(self, configuration: ServiceConfiguration) -> None:
+        """Put a newer configuration in force."""
+        self.configuration = configuration
+        for work in self.work_by_key.values():
+            self._set_order(work)
+
+    # Input about endpoints.
+
+    def endpoint_seen(self, info: EndpointInfo) -> None:
+        """Take over what an endpoint says of itself."""
+        endpoint = self.endpoint_by_id.get(info.id)
+        if endpoint is None:
+            self.endpoint_by_id[info.id] = Endpoint(info)
+        else:
+            endpoint.update(info)
+
+    def endpoint_unlisted(self, endpoint_id: str) -> None:
+        """Note that an endpoint is no longer in the store."""
+        endpoint = self.endpoint_by_id.get(endpoint_id)
+        if endpoint is None:
+            return
+        endpoint.is_listed = False
+        if not endpoint.member_by_task:
+            del self.endpoint_by_id[endpoint_id]
+
+    def endpoint_unreachable(self, endpoint_id: str) -> None:
+        """Place nothing on an endpoint until its next listing."""
+        endpoint = self.endpoint_by_id.get(endpoint_id)
+        if endpoint is not None:
+            endpoint.is_reachable = False
+
+    def endpoint_lapsed(self, endpoint_id: str, now_ms: int, wall_ms: int) -> None:
+        """Note that every lease on an endpoint has run out: nothing runs there."""
+        endpoint = self.endpoint_by_id.get(endpoint_id)
+        if endpoint is None:
+            return
+        endpoint.is_reachable = False
+        for member in endpoint.members():
+            self._member_ended(member, RunEnd.LAPSED, "", now_ms, wall_ms)
+        if not endpoint.is_listed:
+            del self.endpoint_by_id[endpoint_id]
+
+    def listed(self, listing: EndpointListing, now_ms: int, wall_ms: int) -> None:
+        """Compare an endpoint's listing with what it should hold."""
+        endpoint = self.endpoint_by_id.get(listing.endpoint_id)
+        if endpoint is None:
+            return
+        if listing.born_wall_ms != endpoint.born_wall_ms:
+            self._note_rebirth(endpoint, listing, now_ms, wall_ms)
+        endpoint.is_reachable = True
+        seen = set()
+        for row in listing.finished:
+            seen.add((row.task, row.run))
+            self._finished(endpoint, row, listing.has_lapsed, now_ms, wall_ms)
+        for row in listing.running:
+            seen.add((row.task, row.run))
+            self._running(endpoint, row, now_ms)
+        for member in endpoint.members():
+            if (member.task, member.run) not in seen:
+                self._absent(member, listing.sent_ms, now_ms, wall_ms)
+
+    def start_ended(
+        self,
+        endpoint_id: str,
+        task: str,
+        run: int,
+        outcome: StartOutcome,
+        was_unanswered: bool,
+        now_ms: int,
+        wall_ms: int,
+    ) -> None:
+        """Note what became of a start. ``was_unanswered``: an earlier try was."""
+        member = self._member(endpoint_id, task, run)
+        if member is None:
+            return
+        if outcome is StartOutcome.STARTED:
+            if member.stage in (MemberStage.LOGGED, MemberStage.ORDERED):
+                member.stage = MemberStage.RUNNING
+                member.confirmed_ms = now_ms
+                member.percent_ms = now_ms
+            return
+        self._note_refusal(endpoint_id, outcome, now_ms)
+        work = self.work_by_key.get(member.unit)
+        if work is not None:
+            work.not_before_ms = now_ms + REPLAN_DELAY_MS
+            work.avoided.add(endpoint_id)
+            self._stop_members(work, f"start {outcome.value}", now_ms, but=member)
+        may_run = was_unanswered or outcome in (
+            StartOutcome.UNANSWERED,
+            StartOutcome.OUTDATED,
+            StartOutcome.FENCED,
+        )
+        if may_run:
+            self._stop(member, f"start {outcome.value}", now_ms)
+        else:
+            self._member_ended(member, RunEnd.STOPPED, "", now_ms, wall_ms)
+
+    def stop_confirmed(
+        self, endpoint_id: str, task: str, run: int, now_ms: int
+    ) -> None:
+        """Note that an endpoint stops a run, and refuses it from now on."""
+        member = self._member(endpoint_id, task, run)
+        if member is not None and member.fenced_ms is None:
+            member.fenced_ms = now_ms
+
+    # Decisions.
+
+    def plan(self, now_ms: int, wall_ms: int) -> None:
+        """Start what fits, stop what has to yield, and repeat lost stops."""
+        self._open_due_occurrences(now_ms, wall_ms)
+        self._repeat_stops(now_ms)
+        self._stop_stalled(now_ms)
+        self._planner.run(now_ms, wall_ms)
+
+    def take_actions(self) -> list[Action]:
+        """Return the collected actions, oldest first, and forget them."""
+        actions, self._actions = self._actions, []
+        return actions
+
+    def place(
+        self, work: Work, endpoints: list[Endpoint], now_ms: int, wall_ms: int
+    ) -> None:
+        """Log a unit's placement and order its starts."""
+        run = work.record.run + 1
+        record = replace(
+            work.record,
+            term=self.term,
+            phase=UnitPhase.PLACED,
+            run=run,
+            endpoints=tuple(endpoint.id for endpoint in endpoints),
+            changed_wall_ms=wall_ms,
+        )
+        self._persist(work, record, "placed")
+        work.phase = UnitPhase.PLACED
+        del self.waiting[work.key]
+        for index, endpoint in enumerate(endpoints):
+            member = self._add_member(work, index, endpoint, now_ms)
+            member.stage = MemberStage.ORDERED
+            self._order_start(work, member)
+
+    def stop_work(self, work: Work, reason: str, now_ms: int) -> None:
+        """Stop a unit so that it waits again; its checkpoint is kept."""
+        self._stop_members(work, reason, now_ms)
+
+    # Internals: jobs.
+
+    def _open_units(self, job: Job, now_ms: int, wall_ms: int) -> None:
+        spec = job.spec
+        first = self._timed_jobs.get(spec.id, 0)
+        for occurrence in range(spec.runs):
+            if spec.occurrences and spec.due_wall_ms(occurrence) > wall_ms:
+                self._wait_for_occurrence(job, occurrence)
+                break
+            if occurrence >= first:
+                self._open_occurrence(job, occurrence, now_ms)
+        else:
+            self._timed_jobs.pop(spec.id, None)
+
+    def _wait_for_occurrence(self, job: Job, occurrence: int) -> None:
+        self._timed_jobs[job.spec.id] = occurrence
+        due = job.spec.due_wall_ms(occurrence)
+        if self.next_due_wall_ms is None or due < self.next_due_wall_ms:
+            self.next_due_wall_ms = due
+
+    def _open_due_occurrences(self, now_ms: int, wall_ms: int) -> None:
+        if self.next_due_wall_ms is None or wall_ms < self.next_due_wall_ms:
+            return
+        self.next_due_wall_ms = None
+        for job_id in list(self._timed_jobs):
+            job = self.table.job_by_id.get(job_id)
+            if job is None or not job.is_active:
+                del self._timed_jobs[job_id]
+            else:
+                self._open_units(job, now_ms, wall_ms)
+
+    def _open_occurrence(self, job: Job, occurrence: int, now_ms: int) -> None:
+        for number, step in enumerate(job.spec.steps):
+            if job.is_step_done(occurrence, number):
+                continue
+            if not all(job.is_step_done(occurrence, n) for n in step.depends_on):
+                continue
+            for member in step.members:
+                self._open_unit(
+                    job, UnitKey(job.spec.id, occurrence, number, member), now_ms
+                )
+
+    def _open_unit(self, job: Job, key: UnitKey, now_ms: int) -> None:
+        if key in self.work_by_key:
+            return
+        record = job.unit_by_key.get(key)
+        if record is not None and record.phase in _RELEASABLE:
+            return
+        work = self._add_work(key, job, now_ms)
+        self.waiting[key] = work
+
+    def _add_work(self, key: UnitKey, job: Job, now_ms: int) -> Work:
+        work = self.work_by_key[key] = Work(key, job, now_ms)
+        self._set_order(work)
+        return work
+
+    def _set_order(self, work: Work) -> None:
+        queue = self.configuration.queue_by_name.get(work.job.spec.queue)
+        work.order = make_order(work.job, queue)
+        work.priority = work.order[0]
+
+    def _end_job(self, job: Job, now_ms: int) -> None:
+        self._timed_jobs.pop(job.spec.id, None)
+        state = job.state.value
+        for number, step in enumerate(job.spec.steps):
+            for occurrence in range(job.spec.runs):
+                for member in step.members:
+                    key = UnitKey(job.spec.id, occurrence, number, member)
+                    work = self.work_by_key.get(key)
+                    if work is not None:
+                        self._stop_members(work, f"job {state}", now_ms)
+                        self._drop_if_idle(work)
+
+    def _adopt_placed(self, job: Job, now_ms: int) -> None:
+        for key, record in job.unit_by_key.items():
+            if record.phase not in (UnitPhase.PLACED, UnitPhase.ENDING):
+                continue
+            work = self._add_work(key, job, now_ms)
+            work.phase = record.phase
+            for index, endpoint_id in enumerate(record.endpoints):
+                if endpoint_id:
+                    endpoint = self._endpoint_or_placeholder(endpoint_id)
+                    member = self._add_member(work, index, endpoint, now_ms)
+                    member.is_adopted = True
+            if not work.members:
+                self._wait_again(work, now_ms)
+
+    def _endpoint_or_placeholder(self, endpoint_id: str) -> Endpoint:
+        endpoint = self.endpoint_by_id.get(endpoint_id)
+        if endpoint is None:
+            info = EndpointInfo(endpoint_id, "", "", "", Resources())
+            endpoint = self.endpoint_by_id[endpoint_id] = Endpoint(info)
+            endpoint.is_listed = False
+        return endpoint
+
+    # Internals: members.
+
+    def _member(self, endpoint_id: str, task: str, run: int) -> Member | None:
+        endpoint = self.endpoint_by_id.get(endpoint_id)
+        member = endpoint.member_by_task.get(task) if endpoint else None
+        return member if member is not None and member.run == run else None
+
+    def _add_member(self, work, index, endpoint, now_ms) -> Member:
+        member = Member(
+            work.key,
+            index,
+            work.task(index),
+            work.record.run,
+            endpoint.id,
+            work.step.occupied,
+            now_ms,
+        )
+        endpoint.hold(member)
+        work.members.append(member)
+        return member
+
+    def _order_start(self, work: Work, member: Member) -> None:
+        self._actions.append(
+            StartTask(
+                member.endpoint_id,
+                work.key,
+                member.task,
+                member.run,
+                work.job.spec.text,
+                work.record.checkpoint,
+            )
+        )
+
+    def _stop(self, member: Member, reason: str, now_ms: int) -> None:
+        member.stage = MemberStage.STOPPING
+        member.stop_again_ms = now_ms + STOP_RETRY_MS
+        self._actions.append(
+            StopTask(member.endpoint_id, member.task, member.run, reason)
+        )
+
+    def _stop_members(
+        self, work: Work, reason: str, now_ms: int, but: Member | None = None
+    ) -> None:
+        if work.phase is UnitPhase.PLACED:
+            work.phase = UnitPhase.ENDING
+            work.stopping_for = reason
+        for member in work.members:
+            if member is not but and member.stage is not MemberStage.STOPPING:
+                self._stop(member, reason, now_ms)
+
+    def _repeat_stops(self, now_ms: int) -> None:
+        for endpoint in self.endpoint_by_id.values():
+            if not endpoint.is_reachable:
+                continue
+            for member in endpoint.member_by_task.values():
+                is_due = now_ms >= member.stop_again_ms
+                if member.stage is MemberStage.STOPPING and is_due:
+                    self._stop(member, "still listed", now_ms)
+
+    def _stop_stalled(self, now_ms: int) -> None:
+        for work in list(self.work_by_key.values()):
+            if work.phase is not UnitPhase.PLACED or work.step.is_long_running:
+                continue
+            for member in work.members:
+                if member.stage is not MemberStage.RUNNING:
+                    continue
+                if now_ms - member.percent_ms > STALL_MS:
+                    endpoint = self.endpoint_by_id[member.endpoint_id]
+                    if endpoint.is_reachable:
+                        endpoint.exclude(now_ms + 2 * STALL_MS)
+                        work.avoided.add(endpoint.id)
+                        self._stop_members(work, "no progress", now_ms)
+                        break
+
+    def _note_refusal(
+        self, endpoint_id: str, outcome: StartOutcome, now_ms: int
+    ) -> None:
+        endpoint = self.endpoint_by_id[endpoint_id]
+        if outcome is StartOutcome.NO_ROOM:
+            endpoint.exclude(now_ms + NO_ROOM_EXCLUSION_MS)
+        elif outcome in (StartOutcome.UNHEALTHY, StartOutcome.UNANSWERED):
+            endpoint.exclude(now_ms + _SUSPECT_MS)
+
+    def _note_rebirth(self, endpoint, listing, now_ms, wall_ms) -> None:
+        # Nothing outlives an incarnation, except what was ordered but not confirmed.
+        is_first = endpoint.born_wall_ms == 0
+        endpoint.born_wall_ms = listing.born_wall_ms
+        if is_first:
+            return
+        rows = {(row.task, row.run) for row in listing.running}
+        for member in endpoint.members():
+            is_running = member.stage is MemberStage.RUNNING
+            if is_running and (member.task, member.run) not in rows:
+                self._member_ended(member, RunEnd.LAPSED, "", now_ms, wall_ms)
+
+    # Internals: what listings show.
+
+    def _running(self, endpoint: Endpoint, row: RunningTask, now_ms: int) -> None:
+        member = endpoint.member_by_task.get(row.task)
+        if member is None or member.run != row.run:
+            self._actions.append(
+                StopTask(endpoint.id, row.task, row.run, "not placed here")
+            )
+            return
+        if row.checkpoint:
+            member.checkpoint = row.checkpoint
+        if row.percent != member.percent or member.confirmed_ms is None:
+            member.percent = row.percent
+            member.percent_ms = now_ms
+        if member.confirmed_ms is None:
+            member.confirmed_ms = now_ms
+        member.is_adopted = False
+        if member.stage in (MemberStage.LOGGED, MemberStage.ORDERED):
+            member.stage = MemberStage.RUNNING
+        work = self.work_by_key.get(member.unit)
+        is_unwanted = work is None or work.phase is not UnitPhase.PLACED
+        if is_unwanted and member.stage is not MemberStage.STOPPING:
+            self._stop(member, "no longer wanted", now_ms)
+
+    def _finished(
+        self,
+        endpoint: Endpoint,
+        row: FinishedRun,
+        has_lapsed: bool,
+        now_ms: int,
+        wall_ms: int,
+    ) -> None:
+        member = endpoint.member_by_task.get(row.task)
+        if member is None or member.run != row.run:
+            return
+        # An end that was not acknowledged before the lease ran out does not count.
+        is_void = has_lapsed and row.end is RunEnd.DONE
+        end = RunEnd.LAPSED if is_void else row.end
+        endpoint.note_end(member.unit.job_id, end, now_ms)
+        self._member_ended(member, end, row.checkpoint, now_ms, wall_ms)
+
+    def _absent(self, member: Member, sent_ms: int, now_ms: int, wall_ms: int) -> None:
+        if member.is_adopted:
+            self._adopted_absent(member, now_ms, wall_ms)
+        elif member.stage is MemberStage.RUNNING and member.was_seen(sent_ms):
+            self._member_ended(member, RunEnd.LAPSED, "", now_ms, wall_ms)
+        elif member.stage is MemberStage.STOPPING and member.is_fenced(sent_ms):
+            self._member_ended(member, RunEnd.STOPPED, "", now_ms, wall_ms)
+
+    def _adopted_absent(self, member: Member, now_ms: int, wall_ms: int) -> None:
+        # The endpoint has seen this term's token, so orders of earlier terms are
+        # refused from now on: the run is not there and will not come by itself.
+        member.is_adopted = False
+        work = self.work_by_key.get(member.unit)
+        if work is not None and work.phase is UnitPhase.PLACED:
+            member.stage = MemberStage.ORDERED
+            member.ordered_ms = now_ms
+            self._order_start(work, member)
+        else:
+            self._member_ended(member, RunEnd.STOPPED, "", now_ms, wall_ms)
+
+    # Internals: ends.
+
+    def _member_ended(
+        self, member: Member, end: RunEnd, checkpoint: str, now_ms: int, wall_ms: int
+    ) -> None:
+        self.endpoint_by_id[member.endpoint_id].release(member)
+        work = self.work_by_key.get(member.unit)
+        if work is None:
+            return
+        work.members.remove(member)
+        saved = checkpoint or member.checkpoint
+        if end is RunEnd.DONE:
+            self._unit_done(work, now_ms, wall_ms)
+        elif work.phase in (UnitPhase.PLACED, UnitPhase.ENDING):
+            self._run_broken(work, end, saved, member, now_ms, wall_ms)
+        self._drop_if_idle(work)
+
+    def _unit_done(self, work: Work, now_ms: int, wall_ms: int) -> None:
+        if work.phase in _RELEASABLE:
+            return
+        self._persist_phase(work, UnitPhase.DONE, wall_ms, "done")
+        work.phase = UnitPhase.DONE
+        if work.job.is_active:
+            self._open_occurrence(work.job, work.key.occurrence, now_ms)
+
+    def _run_broken(self, work, end, saved, member, now_ms, wall_ms) -> None:
+        has_new_checkpoint = bool(saved) and saved != work.record.checkpoint
+        if has_new_checkpoint:
+            work.record = replace(work.record, checkpoint=saved)
+        is_first_end = work.record.phase is UnitPhase.PLACED
+        is_failure = end is RunEnd.FAILED and work.counted_run < work.record.run
+        if is_failure:
+            work.counted_run = work.record.run
+            failed = work.record.failed_runs + 1
+            work.record = replace(work.record, failed_runs=failed)
+            work.avoided.add(member.endpoint_id)
+        if is_failure and self._has_spent_attempts(work):
+            self._persist_phase(work, UnitPhase.FAILED, wall_ms, "attempts spent")
+            work.phase = UnitPhase.FAILED
+            self._end_job(work.job, now_ms)
+            return
+        work.phase = UnitPhase.ENDING
+        if is_first_end or is_failure or has_new_checkpoint:
+            self._persist_phase(work, UnitPhase.ENDING, wall_ms, end.value)
+        if not work.members and work.job.is_active:
+            self._wait_again(work, now_ms)
+
+    def _has_spent_attempts(self, work: Work) -> bool:
+        if work.step.is_long_running:
+            return False
+        queue = self.configuration.queue_by_name.get(work.job.spec.queue)
+        return queue is not None and work.record.failed_runs >= queue.attempts_max
+
+    def _wait_again(self, work: Work, now_ms: int) -> None:
+        work.phase = UnitPhase.WAITING
+        work.stopping_for = ""
+        work.waiting_since_ms = now_ms
+        self.waiting[work.key] = work
+
+    def _drop_if_idle(self, work: Work) -> None:
+        if work.members:
+            return
+        if work.phase in _RELEASABLE or not work.job.is_active:
+            self.work_by_key.pop(work.key, None)
+            self.waiting.pop(work.key, None)
+            self._planner.forget(work)
+
+    def _persist_phase(
+        self, work: Work, phase: UnitPhase, wall_ms: int, reason: str
+    ) -> None:
+        endpoint_by_index = {m.index: m.endpoint_id for m in work.members}
+        is_over = phase in _RELEASABLE
+        endpoints = (
+            ()
+            if is_over
+            else tuple(endpoint_by_index.get(i, "") for i in range(work.count))
+        )
+        record = replace(
+            work.record,
+            term=self.term,
+            phase=phase,
+            endpoints=endpoints,
+            changed_wall_ms=wall_ms,
+        )
+        self._persist(work, record, reason)
+
+    def _persist(self, work: Work, record, reason: str) -> None:
+        work.record = record
+        work.job.put(record)
+        self._actions.append(PersistUnit(record, reason))
--- /dev/null
+++ b/ragwortshelf/core/scheduling/table.py
@@ -0,0 +1,182 @@
+"""The state of all jobs, folded from the log's records.
+
+Every instance keeps one, so that each answers for any job. The fold is idempotent:
+records may be read again after a snapshot without harm.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Iterator
+
+from .model import JobSpec, JobState, UnitKey, UnitPhase
+from .records import (
+    JobCancelled,
+    JobForgotten,
+    JobSubmitted,
+    Record,
+    TermHeld,
+    UnitRecord,
+)
+
+__all__ = ["Job", "JobTable"]
+
+_DEAD = (UnitPhase.DONE, UnitPhase.FAILED)
+
+
+class Job:
+    """A job with its units, kept by the table."""
+
+    __slots__ = (
+        "_open_by_step",
+        "_units_open",
+        "ended_wall_ms",
+        "failed_unit",
+        "has_started",
+        "is_cancelled",
+        "spec",
+        "unit_by_key",
+    )
+
+    def __init__(self, spec: JobSpec):
+        self.spec = spec
+        self.is_cancelled = False
+        self.has_started = False
+        self.failed_unit: UnitKey | None = None
+        self.ended_wall_ms: int | None = None
+        self.unit_by_key: dict[UnitKey, UnitRecord] = {}
+        self._units_open = spec.runs * sum(len(step.members) for step in spec.steps)
+        self._open_by_step: dict[tuple[int, int], int] = {}
+
+    @property
+    def is_active(self) -> bool:
+        """Whether any of its units may still be started."""
+        return (
+            not self.is_cancelled and self.failed_unit is None and self._units_open > 0
+        )
+
+    @property
+    def state(self) -> JobState:
+        """What a caller is told of the job."""
+        if self._units_open == 0:
+            return JobState.COMPLETED
+        if self.failed_unit is not None:
+            return JobState.FAILED
+        if self.is_cancelled:
+            return JobState.CANCELLED
+        return JobState.RUNNING if self.has_started else JobState.QUEUED
+
+    def is_step_done(self, occurrence: int, step: int) -> bool:
+        """Whether all units of the step have ended as done."""
+        key = (occurrence, step)
+        return self._open_by_step.get(key, 1) == 0
+
+    def cancel(self, wall_ms: int) -> bool:
+        """Cancel the job if it is still active; returns whether it was."""
+        if not self.is_active:
+            return False
+        self.is_cancelled = True
+        self.ended_wall_ms = wall_ms
+        return True
+
+    def put(self, record: UnitRecord) -> None:
+        """Replace the state of a unit."""
+        before = self.unit_by_key.get(record.key)
+        if before is not None and before.phase in _DEAD:
+            return
+        self.unit_by_key[record.key] = record
+        if record.run > 0:
+            self.has_started = True
+        if record.phase is UnitPhase.DONE:
+            self._count_done(record)
+        elif record.phase is UnitPhase.FAILED and self.is_active:
+            self.failed_unit = record.key
+            self.ended_wall_ms = record.changed_wall_ms
+
+    def _count_done(self, record: UnitRecord) -> None:
+        self._units_open -= 1
+        step = (record.key.occurrence, record.key.step)
+        total = len(self.spec.steps[record.key.step].members)
+        self._open_by_step[step] = self._open_by_step.get(step, total) - 1
+        if self._units_open == 0 and self.ended_wall_ms is None:
+            self.ended_wall_ms = record.changed_wall_ms
+
+
+class JobTable:
+    """All jobs by id, and the newest claim of the scheduler's role."""
+
+    def __init__(self):
+        self.job_by_id: dict[str, Job] = {}
+        self.term: TermHeld | None = None
+        self._cancelled_wall_by_id: dict[str, int] = {}
+        self._early_units_by_id: dict[str, list[UnitRecord]] = {}
+
+    def apply(self, record: Record) -> bool:
+        """Fold one record; returns whether it changed a job."""
+        match record:
+            case JobSubmitted(spec):
+                return self._submit(spec)
+            case JobCancelled(job_id, wall_ms):
+                return self._cancel(job_id, wall_ms)
+            case UnitRecord():
+                return self._put(record)
+            case JobForgotten(job_id):
+                self._forget(job_id)
+                return False
+            case TermHeld():
+                if self.term is None or record.term >= self.term.term:
+                    self.term = record
+                return False
+
+    def pending(self, queue: str) -> int:
+        """Count the queue's accepted jobs of which no task has started."""
+        return sum(
+            job.spec.queue == queue and job.is_active and not job.has_started
+            for job in self.job_by_id.values()
+        )
+
+    def cancellation_known(self, job_id: str) -> bool:
+        """Whether a cancellation came before the job itself."""
+        return job_id in self._cancelled_wall_by_id
+
+    def expired(self, wall_ms: int, retention_ms: int) -> Iterator[Job]:
+        """Yield the jobs that ended longer than ``retention_ms`` ago."""
+        for job in self.job_by_id.values():
+            ended = job.ended_wall_ms
+            if ended is not None and wall_ms - ended > retention_ms:
+                yield job
+
+    def _submit(self, spec: JobSpec) -> bool:
+        if spec.id in self.job_by_id:
+            return False
+        job = self.job_by_id[spec.id] = Job(spec)
+        cancelled = self._cancelled_wall_by_id.pop(spec.id, None)
+        if cancelled is not None:
+            job.cancel(cancelled)
+        for unit in self._early_units_by_id.pop(spec.id, ()):
+            job.put(unit)
+        return True
+
+    def _cancel(self, job_id: str, wall_ms: int) -> bool:
+        job = self.job_by_id.get(job_id)
+        if job is None:
+            self._cancelled_wall_by_id.setdefault(job_id, wall_ms)
+            return False
+        return job.cancel(wall_ms)
+
+    def _put(self, record: UnitRecord) -> bool:
+        job = self.job_by_id.get(record.key.job_id)
+        if job is None:
+            # Pages of a snapshot are ordered by key, not by time.
+            early = self._early_units_by_id.setdefault(record.key.job_id, [])
+            early.append(record)
+            return False
+        known = job.unit_by_key.get(record.key)
+        if known is not None and known.term > record.term:
+            return False
+        job.put(record)
+        return True
+
+    def _forget(self, job_id: str) -> None:
+        self.job_by_id.pop(job_id, None)
+        self._cancelled_wall_by_id.pop(job_id, None)
+        self._early_units_by_id.pop(job_id, None)
--- /dev/null
+++ b/ragwortshelf/core/scheduling/work.py
@@ -0,0 +1,92 @@
+"""What the scheduler keeps of a unit that still has to run to its end."""
+
+from __future__ import annotations
+
+from .configuration import Queue
+from .fleet import Member
+from .model import GANG, Resources, Step, UnitKey, UnitPhase, task_name
+from .records import UnitRecord
+from .table import Job
+
+__all__ = ["Work", "make_order"]
+
+GPU_CORES = 8
+"""Cores that one accelerator counts for when work is weighed (the platform's price)."""
+
+
+class Work:
+    """One unit with its members on endpoints and its place in the queue.
+
+    Smaller ``order`` comes first. Nothing is placed before ``not_before_ms``;
+    endpoints in ``avoided`` are used only where no other fits.
+    """
+
+    __slots__ = (
+        "avoided",
+        "counted_run",
+        "job",
+        "key",
+        "members",
+        "not_before_ms",
+        "order",
+        "phase",
+        "priority",
+        "record",
+        "step",
+        "stopping_for",
+        "waiting_since_ms",
+    )
+
+    def __init__(self, key: UnitKey, job: Job, now_ms: int):
+        self.key = key
+        self.job = job
+        self.step: Step = job.spec.steps[key.step]
+        self.record = job.unit_by_key.get(key) or UnitRecord(key, 0, UnitPhase.WAITING)
+        self.phase = UnitPhase.WAITING
+        self.members: list[Member] = []
+        self.avoided: set[str] = set()
+        self.counted_run = 0
+        self.not_before_ms = 0
+        self.order: tuple = ()
+        self.priority = 0
+        self.stopping_for = ""
+        self.waiting_since_ms = now_ms
+
+    @property
+    def count(self) -> int:
+        """How many tasks the unit has."""
+        return self.step.count if self.key.member == GANG else 1
+
+    @property
+    def gpus(self) -> int:
+        """The accelerators of all its tasks."""
+        return self.count * self.step.request.gpus
+
+    @property
+    def cores(self) -> float:
+        """The weight of all its tasks in cores."""
+        request: Resources = self.step.request
+        return self.count * (request.cpu_milli / 1000 + GPU_CORES * request.gpus)
+
+    def task(self, index: int) -> str:
+        """Return the name of the task with this index."""
+        return task_name(self.key, index)
+
+    def lost_core_ms(self, now_ms: int) -> float:
+        """Return the work that is lost if the unit is stopped now."""
+        if not self.members:
+            return 0.0
+        started = min(member.ordered_ms for member in self.members)
+        elapsed = max(0, now_ms - started)
+        if self.step.is_checkpointing:
+            elapsed = 0
+        return elapsed * self.cores
+
+
+def make_order(job: Job, queue: Queue | None) -> tuple[int, int]:
+    """Return the sort key of a job's units: priority, then when it counts as late."""
+    priority = queue.priority if queue else 1 << 10
+    slack = queue.slack_factor if queue else 1.0
+    latency = queue.target_latency_ms if queue else 0
+    objective = int(job.spec.chain_ms() * slack) + latency
+    return priority, job.spec.accepted_wall_ms + objective
--- /dev/null
+++ b/ragwortshelf/scheduler/configuration.py
@@ -0,0 +1,130 @@
+"""Follows the operator's records, and knows how old the configuration may be."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+
+import trio
+
+from ..core.scheduling import ServiceConfiguration
+from ..daemon.logs import log_event
+from .clock import boot_ms
+from .interfaces import Entry, LogGap, LogPage, NewestPage, OutsideWorld
+from .settings import SchedulingSettings
+
+__all__ = ["ConfigurationFollower"]
+
+REVOCATION_MARGIN_MS = 250
+"""Kept back from the time in which a revoked key may still be accepted; it covers
+what passes between the check of a key and the acceptance of its request."""
+
+
+class ConfigurationFollower:
+    """Holds the newest configuration and when the log last confirmed it.
+
+    A confirmation carries the time at which its read was sent: nothing published
+    before then is missing. Versions only rise.
+    """
+
+    def __init__(self, world: OutsideWorld, settings: SchedulingSettings):
+        self._world = world
+        self._log = world.operator_log()
+        self._settings = settings
+        self.current: ServiceConfiguration | None = None
+        self.confirmed_boot_ms: int | None = None
+        self.on_change: Callable[[ServiceConfiguration], None] = lambda newest: None
+        self._value_by_key: dict[str, bytes] = {}
+        self._next_offset: int | None = None
+        self._is_connected = False
+
+    def age_ms(self) -> int | None:
+        """Return how long ago the configuration was last confirmed."""
+        if self.current is None or self.confirmed_boot_ms is None:
+            return None
+        return boot_ms() - self.confirmed_boot_ms
+
+    def is_trusted(self) -> bool:
+        """Whether keys may be accepted under the configuration at hand."""
+        age = self.age_ms()
+        limit = self._settings.revocation_ms - REVOCATION_MARGIN_MS
+        return age is not None and age < limit
+
+    async def run(self) -> None:
+        """Follow the operator's records until cancelled."""
+        while True:
+            sent = boot_ms()
+            if self._next_offset is None:
+                detail = await self._load(sent)
+            else:
+                detail = await self._read(sent)
+            if detail is not None:
+                self._note_lost(detail)
+                await trio.sleep(self._settings.log_retry_ms / 1000)
+
+    async def _load(self, sent_boot_ms: int) -> str | None:
+        key: str | None = None
+        end: int | None = None
+        while True:
+            page = await self._log.newest(
+                key, timeout_ms=self._settings.log_call_timeout_ms
+            )
+            if not isinstance(page, NewestPage):
+                return page.detail
+            end = page.end if end is None else end
+            self._take(page.entries)
+            key = page.next_key
+            if key is None:
+                self._next_offset = end
+                self._confirm(sent_boot_ms)
+                return None
+
+    async def _read(self, sent_boot_ms: int) -> str | None:
+        wait_ms = self._settings.configuration_wait_ms
+        page = await self._log.read(
+            self._next_offset,
+            wait_ms=wait_ms,
+            timeout_ms=wait_ms + self._settings.log_call_timeout_ms,
+        )
+        match page:
+            case LogPage():
+                self._next_offset = page.next_offset
+                self._take(page.entries)
+                if page.next_offset >= page.end:
+                    self._confirm(sent_boot_ms)
+                return None
+            case LogGap():
+                log_event("operator_log_gap", first=page.first)
+                self._next_offset = None
+                return None
+        return page.detail
+
+    def _take(self, entries: tuple[Entry, ...]) -> None:
+        for key, value in entries:
+            if value:
+                self._value_by_key[key] = value
+            else:
+                self._value_by_key.pop(key, None)
+        if entries:
+            self._decode()
+
+    def _decode(self) -> None:
+        newest = self._world.decode_configuration(self._value_by_key)
+        if newest is None:
+            return
+        if self.current is not None and newest.version <= self.current.version:
+            return
+        before = self.current.version if self.current else None
+        self.current = newest
+        log_event("configuration_in_force", version=newest.version, before=before)
+        self.on_change(newest)
+
+    def _confirm(self, sent_boot_ms: int) -> None:
+        if not self._is_connected:
+            self._is_connected = True
+            log_event("operator_log_regained", age_ms=self.age_ms())
+        self.confirmed_boot_ms = sent_boot_ms
+
+    def _note_lost(self, detail: str) -> None:
+        if self._is_connected:
+            self._is_connected = False
+            log_event("operator_log_lost", detail=detail, age_ms=self.age_ms())
--- /dev/null
+++ b/ragwortshelf/scheduler/directory.py
@@ -0,0 +1,98 @@
+"""Follows what endpoints report of themselves in the platform's log."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+
+import trio
+
+from ..core.scheduling.fleet import EndpointInfo
+from ..daemon.logs import log_event
+from .interfaces import Entry, LogGap, LogPage, NewestPage, OutsideWorld
+from .settings import SchedulingSettings
+
+__all__ = ["EndpointDirectory"]
+
+
+class EndpointDirectory:
+    """Tells ``on_seen`` and ``on_gone`` of endpoints that appear, change and go."""
+
+    def __init__(
+        self,
+        world: OutsideWorld,
+        settings: SchedulingSettings,
+        on_seen: Callable[[EndpointInfo], None],
+        on_gone: Callable[[str], None],
+    ):
+        self._world = world
+        self._log = world.endpoint_log()
+        self._settings = settings
+        self._on_seen = on_seen
+        self._on_gone = on_gone
+        self._info_by_key: dict[str, EndpointInfo] = {}
+        self._next_offset: int | None = None
+
+    async def run(self) -> None:
+        """Follow the reports until cancelled."""
+        while True:
+            detail = await self._step()
+            if detail is not None:
+                log_event("endpoint_log_lost", detail=detail)
+            await trio.sleep(self._settings.directory_interval_ms / 1000)
+
+    async def _step(self) -> str | None:
+        if self._next_offset is None:
+            return await self._load()
+        page = await self._log.read(
+            self._next_offset,
+            wait_ms=0,
+            timeout_ms=self._settings.log_call_timeout_ms,
+        )
+        match page:
+            case LogPage():
+                self._next_offset = page.next_offset
+                for entry in page.entries:
+                    self._take(entry)
+                return None
+            case LogGap():
+                self._next_offset = None
+                return await self._load()
+        return page.detail
+
+    async def _load(self) -> str | None:
+        key: str | None = None
+        end: int | None = None
+        listed: set[str] = set()
+        while True:
+            page = await self._log.newest(
+                key, timeout_ms=self._settings.log_call_timeout_ms
+            )
+            if not isinstance(page, NewestPage):
+                return page.detail
+            end = page.end if end is None else end
+            for entry in page.entries:
+                listed.add(entry[0])
+                self._take(entry)
+            key = page.next_key
+            if key is None:
+                break
+        for gone in self._info_by_key.keys() - listed:
+            self._drop(gone)
+        self._next_offset = end
+        return None
+
+    def _take(self, entry: Entry) -> None:
+        key, value = entry
+        if not value:
+            self._drop(key)
+            return
+        info = self._world.decode_endpoint(key, value)
+        if info is None:
+            return
+        if self._info_by_key.get(key) != info:
+            self._info_by_key[key] = info
+            self._on_seen(info)
+
+    def _drop(self, key: str) -> None:
+        if self._info_by_key.pop(key, None) is not None:
+            self._on_gone(key)
--- /dev/null
+++ b/ragwortshelf/scheduler/endpoint_session.py
@@ -0,0 +1,192 @@
+"""Keeps one endpoint's lease, follows what runs there, and carries out orders."""
+
+from __future__ import annotations
+
+from collections.abc import Awaitable, Callable
+
+import trio
+
+from ..core.scheduling.actions import StartTask, StopTask
+from ..core.scheduling.fleet import EndpointInfo, EndpointListing, StartOutcome
+from ..daemon.logs import log_event
+from .clock import monotonic_ms
+from .interfaces import EndpointAnswer, EndpointClient
+from .settings import SchedulingSettings
+
+__all__ = ["EndpointSession"]
+
+CLOCK_DRIFT = 0.98
+"""How fast an endpoint's clock may run at the least, by the platform's pages."""
+
+START_TRIES_MS = (400, 600, 900)
+"""Timeouts of the tries of one start. A lost answer is the common case, for which the
+second try is enough; together they stay under the time in which a gang must meet."""
+
+_RETRY_MS = 200
+
+
+class EndpointSession:
+    """One endpoint under one term.
+
+    ``until_ms`` is the latest deadline sent, on the endpoint's clock. ``lapse_ms`` is
+    when it has passed for sure, on this process's clock; None before the first
+    answer, when only ``unknown_lapse_ms`` bounds what earlier terms have granted.
+    """
+
+    def __init__(
+        self,
+        info: EndpointInfo,
+        client: EndpointClient,
+        settings: SchedulingSettings,
+        *,
+        on_listing: Callable[[EndpointListing], Awaitable[None]],
+        on_unreachable: Callable[[str], None],
+        on_lapsed: Callable[[str], None],
+        on_fenced: Callable[[str], None],
+        unknown_lapse_ms: int,
+        lapsed_before_term: bool,
+    ):
+        self.info = info
+        self._client = client
+        self._settings = settings
+        self._on_listing = on_listing
+        self._on_unreachable = on_unreachable
+        self._on_lapsed = on_lapsed
+        self._on_fenced = on_fenced
+        self._lapse_ms = unknown_lapse_ms
+        self._lapsed_before_term = lapsed_before_term
+        self._until_ms: int | None = None
+        self._clock_ms = 0
+        self._clock_read_ms = 0
+        self._born_wall_ms = 0
+        self._ack_number = 0
+        self._is_reachable = False
+        self._has_lapsed = False
+        self.scope = trio.CancelScope()
+
+    @property
+    def is_reachable(self) -> bool:
+        """Whether the last listing was answered."""
+        return self._is_reachable
+
+    async def run(self) -> None:
+        """Renew and list until cancelled."""
+        with self.scope:
+            try:
+                while True:
+                    await self._renew()
+            finally:
+                with trio.CancelScope(shield=True):
+                    await self._client.aclose()
+
+    def end(self) -> None:
+        """Stop following this endpoint."""
+        self.scope.cancel()
+
+    async def start(self, order: StartTask) -> tuple[StartOutcome, bool]:
+        """Order a start, again while no answer comes.
+
+        Returns the last outcome, and whether an earlier try went without an answer.
+        """
+        was_unanswered = False
+        outcome = StartOutcome.UNANSWERED
+        for timeout_ms in START_TRIES_MS:
+            if self._until_ms is None:
+                return StartOutcome.UNHEALTHY, was_unanswered
+            outcome = await self._client.start(
+                order.task,
+                order.run,
+                order.text,
+                order.checkpoint,
+                self._until_ms,
+                timeout_ms,
+            )
+            if outcome is not StartOutcome.UNANSWERED:
+                return outcome, was_unanswered
+            was_unanswered = True
+        return outcome, was_unanswered
+
+    async def stop(self, order: StopTask) -> bool:
+        """Order a stop once; the scheduler repeats it while the run is listed."""
+        return await self._client.stop(
+            order.task, order.run, self._settings.endpoint_timeout_ms
+        )
+
+    async def _renew(self) -> None:
+        is_first = self._until_ms is None or not self._is_reachable
+        wait_ms = 0 if is_first else self._settings.listing_wait_ms
+        sent_ms = monotonic_ms()
+        until_ms = self._next_until(sent_ms)
+        answer = await self._client.renew(
+            until_ms=until_ms,
+            ack_number=self._ack_number,
+            wait_ms=wait_ms,
+            timeout_ms=wait_ms + self._settings.endpoint_timeout_ms,
+        )
+        if isinstance(answer, EndpointAnswer):
+            await self._answered(answer, sent_ms, until_ms)
+            return
+        if answer.is_fenced:
+            self._on_fenced(self.info.id)
+        self._note_unreachable(answer.detail, until_ms)
+        self._check_lapse()
+        await trio.sleep(_RETRY_MS / 1000)
+
+    def _next_until(self, now_ms: int) -> int | None:
+        if self._clock_read_ms == 0:
+            return None
+        clock = self._clock_ms + (now_ms - self._clock_read_ms)
+        until = clock + self._settings.lease_ms
+        return until if self._until_ms is None else max(until, self._until_ms)
+
+    async def _answered(self, answer: EndpointAnswer, sent_ms, until_ms) -> None:
+        now_ms = monotonic_ms()
+        is_reborn = answer.born_wall_ms != self._born_wall_ms
+        had_lapsed = self._lapsed_before_term and self._born_wall_ms == 0
+        if is_reborn:
+            self._ack_number = 0
+            self._until_ms = None
+        elif self._until_ms is not None and answer.clock_ms > self._until_ms:
+            had_lapsed = True
+        self._born_wall_ms = answer.born_wall_ms
+        self._clock_ms, self._clock_read_ms = answer.clock_ms, now_ms
+        if until_ms is not None and not is_reborn:
+            self._until_ms = until_ms
+            remaining = (until_ms - answer.clock_ms) / CLOCK_DRIFT
+            self._lapse_ms = now_ms + int(remaining) + 1
+        if not self._is_reachable:
+            log_event(
+                "endpoint_regained", endpoint=self.info.id, born=answer.born_wall_ms
+            )
+        self._is_reachable = True
+        self._has_lapsed = False
+        listing = EndpointListing(
+            self.info.id,
+            answer.born_wall_ms,
+            sent_ms,
+            answer.running,
+            answer.finished,
+            had_lapsed,
+        )
+        await self._on_listing(listing)
+        if answer.finished:
+            # The listing is processed once its ends are in the log.
+            self._ack_number = max(row.number for row in answer.finished)
+
+    def _note_unreachable(self, detail: str, until_ms: int | None) -> None:
+        if until_ms is not None and self._until_ms is not None:
+            # The renewal may have been carried out, or be carried out later.
+            granted = max(until_ms, self._until_ms)
+            self._until_ms = granted
+            remaining = (granted - self._clock_ms) / CLOCK_DRIFT
+            self._lapse_ms = self._clock_read_ms + int(remaining) + 1
+        if self._is_reachable:
+            self._is_reachable = False
+            log_event("endpoint_lost", endpoint=self.info.id, detail=detail)
+            self._on_unreachable(self.info.id)
+
+    def _check_lapse(self) -> None:
+        if not self._has_lapsed and monotonic_ms() > self._lapse_ms:
+            self._has_lapsed = True
+            log_event("endpoint_lapsed", endpoint=self.info.id)
+            self._on_lapsed(self.info.id)
--- /dev/null
+++ b/ragwortshelf/scheduler/front.py
@@ -0,0 +1,191 @@
+"""Answers callers: submissions, states, cancellations and counts of jobs."""
+
+from __future__ import annotations
+
+import enum
+from dataclasses import dataclass
+
+from ..core.scheduling import JobSpec, JobState
+from ..core.scheduling.configuration import Queue, ServiceConfiguration
+from ..core.scheduling.records import JobCancelled, JobSubmitted, encode_record
+from ..daemon.logs import log_event
+from .clock import monotonic_ms, wall_ms
+from .configuration import ConfigurationFollower
+from .election import Election
+from .log_follower import LogFollower
+from .log_writer import Commit, GroupWriter
+from .settings import SchedulingSettings
+
+__all__ = ["Accepted", "Access", "Declined", "Front", "Reason", "Shown", "Uncertain"]
+
+STATE_AGE_MAX_MS = 150
+"""Age of the state that is shown without reading the log again."""
+
+STATE_READ_TIMEOUT_MS = 600
+"""Time to read on for a caller; one read takes 8 ms, and 240 ms on a slow log."""
+
+RETRY_AFTER_MS = 1_000
+"""When a caller should come back after a refusal; other instances may serve it now."""
+
+
+class Reason(enum.StrEnum):
+    """Why a call was declined."""
+
+    NO_QUEUE = "no_queue"
+    UNKNOWN_KEY = "unknown_key"
+    NO_JOB = "no_job"
+    NOT_READY = "not_ready"
+    LOG_UNAVAILABLE = "log_unavailable"
+    INVALID = "invalid"
+
+
+@dataclass(frozen=True, slots=True)
+class Access:
+    """The queue of a call and the organisation whose key it carried."""
+
+    queue: Queue
+    organisation: str
+
+
+@dataclass(frozen=True, slots=True)
+class Declined:
+    """The call did nothing. ``retry_after_ms`` is None where a repeat cannot help."""
+
+    reason: Reason
+    detail: str = ""
+    retry_after_ms: int | None = None
+
+
+@dataclass(frozen=True, slots=True)
+class Uncertain:
+    """The call may have taken effect, or may do so later."""
+
+    detail: str
+
+
+@dataclass(frozen=True, slots=True)
+class Accepted:
+    """The submission or cancellation is in the log."""
+
+
+@dataclass(frozen=True, slots=True)
+class Shown:
+    """The state of a job."""
+
+    state: JobState
+
+
+class Front:
+    """What callers may ask of one instance."""
+
+    def __init__(
+        self,
+        settings: SchedulingSettings,
+        follower: LogFollower,
+        writer: GroupWriter,
+        configuration: ConfigurationFollower,
+        election: Election,
+    ):
+        self._settings = settings
+        self._follower = follower
+        self._writer = writer
+        self._configuration = configuration
+        self._election = election
+
+    def is_ready(self) -> bool:
+        """Whether callers may be sent here."""
+        age = self._follower.age_ms()
+        limit = self._settings.revocation_ms * 3 // 5
+        if age is None or age > limit:
+            return False
+        configured = self._configuration.age_ms()
+        return configured is not None and configured <= limit
+
+    def authorise(self, host: str, path: str, key: str) -> Access | Declined:
+        """Return the queue and the organisation of a call."""
+        if not self._configuration.is_trusted():
+            return Declined(
+                Reason.NOT_READY,
+                f"configuration age {self._configuration.age_ms()} ms",
+                RETRY_AFTER_MS,
+            )
+        current: ServiceConfiguration = self._configuration.current
+        queue = current.queue_for(host, path)
+        if queue is None:
+            return Declined(Reason.NO_QUEUE, f"version {current.version}")
+        organisation = current.organisation_by_key.get(key)
+        if organisation is None and not queue.is_public:
+            return Declined(Reason.UNKNOWN_KEY, f"version {current.version}")
+        return Access(queue, organisation.name if organisation else "")
+
+    async def submit(
+        self, spec: JobSpec, deadline_ms: int
+    ) -> Accepted | Declined | Uncertain:
+        """Accept a job; a repeated id is the same job."""
+        if spec.id in self._follower.table.job_by_id:
+            return Accepted()
+        entry = encode_record(JobSubmitted(spec))
+        outcome = await self._writer.commit([entry], deadline_ms)
+        if isinstance(outcome, Commit):
+            self._follower.wake()
+            return Accepted()
+        if spec.id in self._follower.table.job_by_id:
+            return Accepted()
+        if outcome.may_be_appended:
+            return Uncertain(outcome.detail)
+        return Declined(Reason.LOG_UNAVAILABLE, outcome.detail, RETRY_AFTER_MS)
+
+    async def cancel(
+        self, job_id: str, deadline_ms: int
+    ) -> Accepted | Declined | Uncertain:
+        """Cancel a job. The record also covers a submission that arrives later."""
+        entry = encode_record(JobCancelled(job_id, wall_ms()))
+        outcome = await self._writer.commit([entry], deadline_ms)
+        if not isinstance(outcome, Commit):
+            return Uncertain(outcome.detail)
+        left_ms = max(0, deadline_ms - monotonic_ms())
+        if not await self._follower.reach(outcome.end, left_ms):
+            return Uncertain("the cancellation is in the log but not yet read back")
+        if job_id not in self._follower.table.job_by_id:
+            return Declined(Reason.NO_JOB)
+        return Accepted()
+
+    async def state(self, job_id: str) -> Shown | Declined:
+        """Return a job's state, read anew if it is not young."""
+        is_fresh = await self._follower.refresh(STATE_AGE_MAX_MS, STATE_READ_TIMEOUT_MS)
+        job = self._follower.table.job_by_id.get(job_id)
+        if job is not None:
+            return Shown(self._committed_state(job_id, job.state))
+        if not is_fresh:
+            age = self._follower.age_ms()
+            return Declined(Reason.NOT_READY, f"state age {age} ms", RETRY_AFTER_MS)
+        return Declined(Reason.NO_JOB)
+
+    async def pending(self, queue: Queue) -> int | Declined:
+        """Count the queue's accepted jobs of which no task has started."""
+        limit = self._settings.follow_interval_ms * 2
+        if not await self._follower.refresh(limit, STATE_READ_TIMEOUT_MS):
+            age = self._follower.age_ms()
+            return Declined(Reason.NOT_READY, f"state age {age} ms", RETRY_AFTER_MS)
+        return self._follower.table.pending(queue.name)
+
+    def _committed_state(self, job_id: str, state: JobState) -> JobState:
+        leadership = self._election.leadership
+        is_end = state in (JobState.COMPLETED, JobState.FAILED)
+        if is_end and leadership is not None and not leadership.is_committed(job_id):
+            return JobState.RUNNING
+        return state
+
+    @staticmethod
+    def log_call(kind: str, job_id: str, outcome, access: Access | None) -> None:
+        """Write the line that tells what became of a call."""
+        log_event(
+            "call",
+            call=kind,
+            job=job_id,
+            outcome=type(outcome).__name__.lower(),
+            reason=getattr(outcome, "reason", None),
+            detail=getattr(outcome, "detail", None) or None,
+            queue=access.queue.name if access else None,
+            organisation=access.organisation if access else None,
+        )
--- /dev/null
+++ b/ragwortshelf/scheduler/leadership.py
@@ -0,0 +1,380 @@
+"""The scheduler's role while this instance holds it."""
+
+from __future__ import annotations
+
+import trio
+
+from ..core.scheduling import Scheduler, ServiceConfiguration
+from ..core.scheduling.actions import Action, PersistUnit, StartTask, StopTask
+from ..core.scheduling.fleet import EndpointInfo, EndpointListing
+from ..core.scheduling.model import UnitKey
+from ..core.scheduling.records import (
+    TermHeld,
+    encode_record,
+    forgetting_records,
+)
+from ..daemon.logs import log_event
+from .clock import boot_ms, monotonic_ms, wall_ms
+from .configuration import ConfigurationFollower
+from .directory import EndpointDirectory
+from .endpoint_session import CLOCK_DRIFT, EndpointSession
+from .interfaces import Appended, Deposed, Entry, OutsideWorld, ProducerFence
+from .log_follower import LogFollower
+from .settings import SchedulingSettings
+
+__all__ = ["PRODUCER", "Leadership"]
+
+PRODUCER = "scheduler"
+"""The producer's name under which the log fences earlier terms."""
+
+PLAN_INTERVAL_MS = 250
+"""Time between plans without news; it bounds when timed jobs and retries start."""
+
+FORGET_INTERVAL_MS = 5_000
+"""Time between two looks for ended jobs whose state need not be kept any longer."""
+
+FORGET_JOBS_MAX = 50
+"""Jobs forgotten in one append, so that the scheduler's own records are not held up."""
+
+TRIM_MARGIN_MS = 60_000
+"""Ended jobs are kept this much longer than promised, for repeated submissions."""
+
+
+class Leadership:
+    """Schedules under one term until it is resigned or deposed."""
+
+    def __init__(
+        self,
+        claim: TermHeld,
+        world: OutsideWorld,
+        settings: SchedulingSettings,
+        follower: LogFollower,
+        configuration: ConfigurationFollower,
+        previous: TermHeld | None,
+    ):
+        self.claim = claim
+        self._world = world
+        self._settings = settings
+        self._follower = follower
+        self._configuration = configuration
+        self._log = world.job_log()
+        self._sequence = 0
+        self._scheduler = Scheduler(claim.term, follower.table, configuration.current)
+        self._session_by_id: dict[str, EndpointSession] = {}
+        self._uncommitted: list[Action] = []
+        self._committed = trio.Event()
+        self._commits_wanted = 0
+        self._commits_done = 0
+        self._dirty = trio.Event()
+        self._write_wanted = trio.Event()
+        self._confirmed_boot_ms = boot_ms()
+        self._is_resigning = False
+        self._nursery: trio.Nursery | None = None
+        self._unknown_lapse_ms, self._lapsed_before = self._lease_bounds(previous)
+        self.uncommitted_jobs: dict[str, int] = {}
+        self.end_reason = ""
+
+    async def run(self) -> str:
+        """Hold the role; returns why it ended."""
+        log_event("term_started", term=self.claim.term)
+        self._follower.on_job_changed = self._job_changed
+        self._follower.is_waiting_for_records = True
+        self._follower.wake()
+        self._configuration.on_change = self._configured
+        self._scheduler.adopt(monotonic_ms(), wall_ms())
+        directory = EndpointDirectory(
+            self._world, self._settings, self._endpoint_seen, self._endpoint_gone
+        )
+        try:
+            async with trio.open_nursery() as nursery:
+                self._nursery = nursery
+                nursery.start_soon(directory.run)
+                nursery.start_soon(self._plan_loop)
+                nursery.start_soon(self._write_loop)
+                nursery.start_soon(self._watch_confirmation)
+                nursery.start_soon(self._forget_loop)
+                nursery.start_soon(self._release_placeholders)
+        finally:
+            self._follower.on_job_changed = lambda job_id: None
+            self._follower.is_waiting_for_records = False
+            self._configuration.on_change = lambda newest: None
+        log_event("term_ended", term=self.claim.term, reason=self.end_reason)
+        return self.end_reason
+
+    def resign(self) -> None:
+        """Give the role up: a successor may go on at once."""
+        self._is_resigning = True
+        self._write_wanted.set()
+
+    def is_committed(self, job_id: str) -> bool:
+        """Whether all that is shown of a job is in the log."""
+        return job_id not in self.uncommitted_jobs
+
+    def _end(self, reason: str) -> None:
+        if not self.end_reason:
+            self.end_reason = reason
+            self._nursery.cancel_scope.cancel()
+
+    def _lease_bounds(self, previous: TermHeld | None) -> tuple[int, bool]:
+        """Bound what earlier terms may have granted, and whether it ran out before.
+
+        A holder stops granting once the log has not confirmed it for
+        ``term_confirmation_max_ms``; one that resigned has stopped.
+        """
+        lease = int(self._settings.lease_ms / CLOCK_DRIFT) + 1
+        now = monotonic_ms()
+        if previous is None:
+            return now, False
+        silent_ms = wall_ms() - previous.renewed_wall_ms
+        grants_on_ms = 0
+        if not previous.is_resigned:
+            limit = self._settings.term_confirmation_max_ms
+            grants_on_ms = max(0, limit - max(0, silent_ms))
+        return now + grants_on_ms + lease, silent_ms > lease
+
+    # Events from the log and the configuration.
+
+    def _job_changed(self, job_id: str) -> None:
+        self._scheduler.job_changed(job_id, monotonic_ms(), wall_ms())
+        self._dirty.set()
+
+    def _configured(self, newest: ServiceConfiguration) -> None:
+        self._scheduler.configure(newest)
+        self._dirty.set()
+
+    # Endpoints.
+
+    def _endpoint_seen(self, info: EndpointInfo) -> None:
+        self._scheduler.endpoint_seen(info)
+        session = self._session_by_id.get(info.id)
+        if session is not None and session.info.address == info.address:
+            session.info = info
+        else:
+            if session is not None:
+                session.end()
+            self._open_session(info)
+        self._dirty.set()
+
+    def _open_session(self, info: EndpointInfo) -> None:
+        session = EndpointSession(
+            info,
+            self._world.endpoint_client(info, self.claim.term),
+            self._settings,
+            on_listing=self._listed,
+            on_unreachable=self._unreachable,
+            on_lapsed=self._lapsed,
+            on_fenced=lambda _: self._end("an endpoint has seen a later term"),
+            unknown_lapse_ms=self._unknown_lapse_ms,
+            lapsed_before_term=self._lapsed_before,
+        )
+        self._session_by_id[info.id] = session
+        self._nursery.start_soon(session.run)
+
+    def _endpoint_gone(self, endpoint_id: str) -> None:
+        log_event("endpoint_unlisted", endpoint=endpoint_id)
+        self._scheduler.endpoint_unlisted(endpoint_id)
+        self._end_idle_session(endpoint_id)
+        self._dirty.set()
+
+    def _end_idle_session(self, endpoint_id: str) -> None:
+        if endpoint_id not in self._scheduler.endpoint_by_id:
+            session = self._session_by_id.pop(endpoint_id, None)
+            if session is not None:
+                session.end()
+
+    async def _listed(self, listing: EndpointListing) -> None:
+        self._scheduler.listed(listing, monotonic_ms(), wall_ms())
+        self._dispatch()
+        self._dirty.set()
+        if listing.finished:
+            await self._wait_committed()
+        self._end_idle_session(listing.endpoint_id)
+
+    def _unreachable(self, endpoint_id: str) -> None:
+        self._scheduler.endpoint_unreachable(endpoint_id)
+
+    def _lapsed(self, endpoint_id: str) -> None:
+        self._scheduler.endpoint_lapsed(endpoint_id, monotonic_ms(), wall_ms())
+        self._dispatch()
+        self._dirty.set()
+        self._end_idle_session(endpoint_id)
+
+    async def _release_placeholders(self) -> None:
+        """Give up members on endpoints that are no longer in the store."""
+        wait_ms = self._unknown_lapse_ms - monotonic_ms()
+        await trio.sleep(max(0, wait_ms) / 1000)
+        for endpoint_id in list(self._scheduler.endpoint_by_id):
+            if endpoint_id not in self._session_by_id:
+                self._lapsed(endpoint_id)
+
+    # Decisions and orders.
+
+    async def _plan_loop(self) -> None:
+        while True:
+            self._dirty = trio.Event()
+            self._scheduler.plan(monotonic_ms(), wall_ms())
+            self._dispatch()
+            with trio.move_on_after(self._next_plan_ms() / 1000):
+                await self._dirty.wait()
+
+    def _next_plan_ms(self) -> int:
+        due = self._scheduler.next_due_wall_ms
+        if due is None:
+            return PLAN_INTERVAL_MS
+        return max(1, min(PLAN_INTERVAL_MS, due - wall_ms()))
+
+    def _dispatch(self) -> None:
+        """Send stops now, and starts after the records before them are in the log."""
+        for action in self._scheduler.take_actions():
+            if isinstance(action, StopTask):
+                log_event(
+                    "stop",
+                    task=action.task,
+                    run=action.run,
+                    endpoint=action.endpoint_id,
+                    reason=action.reason,
+                )
+                self._nursery.start_soon(self._stop, action)
+            else:
+                if isinstance(action, PersistUnit):
+                    self._note_uncommitted(action, 1)
+                self._uncommitted.append(action)
+        if self._uncommitted:
+            self._commits_wanted += 1
+            self._write_wanted.set()
+
+    def _note_uncommitted(self, action: PersistUnit, change: int) -> None:
+        job_id = action.record.key.job_id
+        count = self.uncommitted_jobs.get(job_id, 0) + change
+        if count:
+            self.uncommitted_jobs[job_id] = count
+        else:
+            self.uncommitted_jobs.pop(job_id, None)
+
+    async def _wait_committed(self) -> None:
+        wanted = self._commits_wanted
+        while self._commits_done < wanted:
+            await self._committed.wait()
+
+    async def _start(self, order: StartTask) -> None:
+        session = self._session_by_id.get(order.endpoint_id)
+        if session is None:
+            return
+        outcome, was_unanswered = await session.start(order)
+        log_event(
+            "start",
+            task=order.task,
+            run=order.run,
+            endpoint=order.endpoint_id,
+            outcome=outcome.value,
+        )
+        self._scheduler.start_ended(
+            order.endpoint_id,
+            order.task,
+            order.run,
+            outcome,
+            was_unanswered,
+            monotonic_ms(),
+            wall_ms(),
+        )
+        self._dispatch()
+        if outcome.value != "started":
+            self._dirty.set()
+
+    async def _stop(self, order: StopTask) -> None:
+        session = self._session_by_id.get(order.endpoint_id)
+        if session is not None and await session.stop(order):
+            self._scheduler.stop_confirmed(
+                order.endpoint_id, order.task, order.run, monotonic_ms()
+            )
+
+    # Appends.
+
+    async def _write_loop(self) -> None:
+        while True:
+            with trio.move_on_after(self._settings.term_renewal_ms / 1000):
+                await self._write_wanted.wait()
+            self._write_wanted = trio.Event()
+            actions, self._uncommitted = self._uncommitted, []
+            commits = self._commits_wanted
+            entries: list[Entry] = []
+            for action in actions:
+                if isinstance(action, PersistUnit):
+                    self._log_decision(action)
+                    entries.append(encode_record(action.record))
+            entries.append(encode_record(self._renewal()))
+            if not await self._append(entries):
+                return
+            self._commits_done = commits
+            self._committed.set()
+            self._committed = trio.Event()
+            for action in actions:
+                if isinstance(action, PersistUnit):
+                    self._note_uncommitted(action, -1)
+                else:
+                    self._nursery.start_soon(self._start, action)
+            if self._is_resigning:
+                self._end("resigned")
+                return
+
+    def _renewal(self) -> TermHeld:
+        return TermHeld(
+            self.claim.term, self.claim.holder, wall_ms(), self._is_resigning
+        )
+
+    async def _append(self, entries: list[Entry]) -> bool:
+        """Append under the term's fence, again while no answer comes."""
+        self._sequence += 1
+        fence = ProducerFence(PRODUCER, self.claim.term, self._sequence)
+        while True:
+            sent = boot_ms()
+            outcome = await self._log.append(
+                entries, timeout_ms=self._settings.log_call_timeout_ms, fence=fence
+            )
+            if isinstance(outcome, Appended):
+                self._confirmed_boot_ms = sent
+                return True
+            if isinstance(outcome, Deposed):
+                self._end(f"deposed: {outcome.detail}")
+                return False
+            await trio.sleep(self._settings.log_retry_ms / 1000)
+
+    def _log_decision(self, action: PersistUnit) -> None:
+        record = action.record
+        log_event(
+            "unit",
+            job=record.key.job_id,
+            unit="/".join(map(str, record.key[1:])),
+            phase=record.phase.name.lower(),
+            run=record.run,
+            failed=record.failed_runs,
+            endpoints=record.endpoints,
+            reason=action.reason,
+            term=record.term,
+        )
+
+    async def _watch_confirmation(self) -> None:
+        limit = self._settings.term_confirmation_max_ms
+        while True:
+            await trio.sleep(self._settings.term_renewal_ms / 1000)
+            newest = self._follower.table.term
+            if newest is not None and newest.term > self.claim.term:
+                self._end("a later term was claimed")
+            elif boot_ms() - self._confirmed_boot_ms > limit:
+                self._end("the log has not confirmed the term in time")
+
+    async def _forget_loop(self) -> None:
+        retention = self._settings.status_retention_ms + TRIM_MARGIN_MS
+        while True:
+            await trio.sleep(FORGET_INTERVAL_MS / 1000)
+            expired = list(self._follower.table.expired(wall_ms(), retention))
+            for job in expired[:FORGET_JOBS_MAX]:
+                await self._forget(job.spec.id, list(job.unit_by_key))
+
+    async def _forget(self, job_id: str, units: list[UnitKey]) -> None:
+        entries = forgetting_records(job_id, units)
+        outcome = await self._log.append(
+            entries, timeout_ms=self._settings.log_call_timeout_ms
+        )
+        if isinstance(outcome, Appended):
+            log_event("job_forgotten", job=job_id)
--- /dev/null
+++ b/ragwortshelf/scheduler/settings.py
@@ -0,0 +1,49 @@
+"""Timeouts and intervals of the scheduler's process, in milliseconds."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+
+__all__ = ["SchedulingSettings"]
+
+
+@dataclass(frozen=True, slots=True)
+class SchedulingSettings:
+    """What differs from site to site, with defaults for the stated sites.
+
+    ``revocation_ms`` is how long after its revocation a key may still be accepted;
+    ``status_retention_ms`` how long an ended job's state is kept; ``drain_ms`` how
+    long a planned stop may take.
+    """
+
+    instance: str
+    revocation_ms: int = 5_000
+    status_retention_ms: int = 120_000
+    drain_ms: int = 6_000
+    lease_max_ms: int = 10_000
+    stop_timeout_ms: int = 900
+
+    # A lease outlives a change of scheduler (about 3 s) after a renewal that is one
+    # listing interval old; longer would delay the restart of a lost endpoint's tasks.
+    lease_ms: int = 7_000
+    listing_wait_ms: int = 1_000
+
+    # Two renewals of the term may be lost before a follower claims it.
+    term_renewal_ms: int = 400
+    term_timeout_ms: int = 1_500
+
+    # A holder that the log has not confirmed for this long gives its role up, so that
+    # a successor can bound the leases which the holder has granted.
+    term_confirmation_max_ms: int = 6_000
+
+    # State shown to callers may be 2 s old; 250 ms keeps the calls to the log low.
+    follow_interval_ms: int = 250
+    configuration_wait_ms: int = 1_000
+    directory_interval_ms: int = 400
+
+    # One call to the log takes 4 ms, and 60 times that while it is slow.
+    log_call_timeout_ms: int = 700
+    log_retry_ms: int = 100
+
+    # Calls to an endpoint cross one link of at most 3 ms; a lost answer costs this.
+    endpoint_timeout_ms: int = 400
