Give claims of one offset different numbers, and let lost leases run out

A third: the holder showed a state up to 400 ms late, while its waiting read was under way.

Change: a claim starts its term at a random sequence number; only answered renewals are extended; the holder reads beside its waiting read.

--- a/ragwortshelf/scheduler/clock.py
+++ b/ragwortshelf/scheduler/clock.py
@@ -13,6 +13,8 @@
     """Return milliseconds since boot, with the time that the machine was suspended.
 
     Ages that limit what may be answered are taken from it, since the monotonic clock
-    stands still while a machine is suspended.
+    stands still while a machine is suspended. It advances with trio's clock otherwise.
     """
-    return time.clock_gettime_ns(time.CLOCK_BOOTTIME) // 1_000_000
+    boot_ns = time.clock_gettime_ns(time.CLOCK_BOOTTIME)
+    suspended_ns = boot_ns - time.clock_gettime_ns(time.CLOCK_MONOTONIC)
+    return monotonic_ms() + suspended_ns // 1_000_000
--- a/ragwortshelf/scheduler/configuration.py
+++ b/ragwortshelf/scheduler/configuration.py
@@ -100,7 +100,7 @@
 
     def _take(self, entries: tuple[Entry, ...]) -> None:
         for key, value in entries:
-            if value:
+            if value and key:
                 self._value_by_key[key] = value
             else:
                 self._value_by_key.pop(key, None)
--- a/ragwortshelf/scheduler/directory.py
+++ b/ragwortshelf/scheduler/directory.py
@@ -83,6 +83,8 @@
 
     def _take(self, entry: Entry) -> None:
         key, value = entry
+        if not key:
+            return
         if not value:
             self._drop(key)
             return
--- a/ragwortshelf/scheduler/election.py
+++ b/ragwortshelf/scheduler/election.py
@@ -24,6 +24,10 @@
 """Spread of the claims, so that most instances see the first one instead of losing
 to it; a claim costs one append of 6 ms and is seen at the next read."""
 
+FIRST_SEQUENCE_MAX = 1 << 48
+"""Bound of the first sequence number of a term, below the integers of any JSON reader;
+two claims of one offset agree by chance once in some 10^14."""
+
 
 class Election:
     """Holds the role whenever the log shows that nobody else does.
@@ -89,11 +93,14 @@
         previous = follower.table.term
         offset = follower.next_offset
         claim = TermHeld(offset + 1, self._settings.instance, wall_ms())
+        # The log answers a repeated sequence number as it answered the first, so the
+        # numbers of two instances that claim the same offset have to differ.
+        sequence = random.randrange(FIRST_SEQUENCE_MAX)
         outcome = await self._log.append(
             [encode_record(claim)],
             timeout_ms=self._settings.log_call_timeout_ms,
             at=offset,
-            fence=ProducerFence(PRODUCER, claim.term, 0),
+            fence=ProducerFence(PRODUCER, claim.term, sequence),
         )
         log_event(
             "term_claimed",
@@ -117,6 +124,7 @@
             follower,
             self._configuration,
             previous,
+            sequence,
         )
         try:
             await self.leadership.run()
--- a/ragwortshelf/scheduler/endpoint_session.py
+++ b/ragwortshelf/scheduler/endpoint_session.py
@@ -22,6 +22,10 @@
 """Timeouts of the tries of one start. A lost answer is the common case, for which the
 second try is enough; together they stay under the time in which a gang must meet."""
 
+FAILURES_BEFORE_LOST = 2
+"""Unanswered listings in a row after which an endpoint gets nothing new. One answer
+may be lost; the second question asks for an answer at once."""
+
 _RETRY_MS = 200
 
 
@@ -61,6 +65,7 @@
         self._born_wall_ms = 0
         self._ack_number = 0
         self._is_reachable = False
+        self._failures = 0
         self._has_lapsed = False
         self.scope = trio.CancelScope()
 
@@ -113,7 +118,7 @@
         )
 
     async def _renew(self) -> None:
-        is_first = self._until_ms is None or not self._is_reachable
+        is_first = self._until_ms is None or self._failures > 0
         wait_ms = 0 if is_first else self._settings.listing_wait_ms
         sent_ms = monotonic_ms()
         until_ms = self._next_until(sent_ms)
@@ -128,13 +133,18 @@
             return
         if answer.is_fenced:
             self._on_fenced(self.info.id)
-        self._note_unreachable(answer.detail, until_ms)
-        self._check_lapse()
-        await trio.sleep(_RETRY_MS / 1000)
+        self._failures += 1
+        self._extend_grant(until_ms)
+        if self._failures >= FAILURES_BEFORE_LOST:
+            self._note_unreachable(answer.detail)
+            self._check_lapse()
+            await trio.sleep(_RETRY_MS / 1000)
 
     def _next_until(self, now_ms: int) -> int | None:
-        if self._clock_read_ms == 0:
-            return None
+        if self._clock_read_ms == 0 or self._failures > 0:
+            # An unanswered renewal may still be carried out, so only answered ones
+            # are extended; else the leases of a lost endpoint would never run out.
+            return self._until_ms
         clock = self._clock_ms + (now_ms - self._clock_read_ms)
         until = clock + self._settings.lease_ms
         return until if self._until_ms is None else max(until, self._until_ms)
@@ -159,6 +169,7 @@
                 "endpoint_regained", endpoint=self.info.id, born=answer.born_wall_ms
             )
         self._is_reachable = True
+        self._failures = 0
         self._has_lapsed = False
         listing = EndpointListing(
             self.info.id,
@@ -173,13 +184,15 @@
             # The listing is processed once its ends are in the log.
             self._ack_number = max(row.number for row in answer.finished)
 
-    def _note_unreachable(self, detail: str, until_ms: int | None) -> None:
+    def _extend_grant(self, until_ms: int | None) -> None:
         if until_ms is not None and self._until_ms is not None:
             # The renewal may have been carried out, or be carried out later.
             granted = max(until_ms, self._until_ms)
             self._until_ms = granted
             remaining = (granted - self._clock_ms) / CLOCK_DRIFT
             self._lapse_ms = self._clock_read_ms + int(remaining) + 1
+
+    def _note_unreachable(self, detail: str) -> None:
         if self._is_reachable:
             self._is_reachable = False
             log_event("endpoint_lost", endpoint=self.info.id, detail=detail)
--- a/ragwortshelf/scheduler/interfaces.py
+++ b/ragwortshelf/scheduler/interfaces.py
@@ -90,7 +90,10 @@
 
 @dataclass(frozen=True, slots=True)
 class LogPage:
-    """Records from an offset on. ``next_offset`` follows the last one read."""
+    """Records from an offset on. ``next_offset`` follows the last one read.
+
+    There is one entry per offset; one that cannot be read has an empty key.
+    """
 
     entries: tuple[Entry, ...]
     next_offset: int
--- a/ragwortshelf/scheduler/leadership.py
+++ b/ragwortshelf/scheduler/leadership.py
@@ -51,6 +51,7 @@
         follower: LogFollower,
         configuration: ConfigurationFollower,
         previous: TermHeld | None,
+        sequence: int,
     ):
         self.claim = claim
         self._world = world
@@ -58,7 +59,7 @@
         self._follower = follower
         self._configuration = configuration
         self._log = world.job_log()
-        self._sequence = 0
+        self._sequence = sequence
         self._scheduler = Scheduler(claim.term, follower.table, configuration.current)
         self._session_by_id: dict[str, EndpointSession] = {}
         self._uncommitted: list[Action] = []
--- a/ragwortshelf/scheduler/log_follower.py
+++ b/ragwortshelf/scheduler/log_follower.py
@@ -70,16 +70,14 @@
                 age = self.age_ms()
                 if age is not None and age <= age_max_ms:
                     return True
-                self._wanted.set()
-                await self._advanced.wait()
+                await self._advance()
         return False
 
     async def reach(self, offset: int, timeout_ms: int) -> bool:
         """Wait until records before ``offset`` are folded."""
         with trio.move_on_after(timeout_ms / 1000):
             while self.next_offset is None or self.next_offset < offset:
-                self._wanted.set()
-                await self._advanced.wait()
+                await self._advance()
             return True
         return False
 
@@ -87,33 +85,47 @@
         """Read on at once."""
         self._wanted.set()
 
+    async def _advance(self) -> None:
+        """Wait for the next answered read, or make one while another waits."""
+        self._wanted.set()
+        if self.is_waiting_for_records and not self._needs_snapshot:
+            await self._read(wait_ms=0)
+        else:
+            await self._advanced.wait()
+
     async def _read_once(self) -> None:
-        wait_ms = 0
-        if self.is_waiting_for_records:
-            wait_ms = self._settings.term_renewal_ms
-        sent = boot_ms()
+        is_waiting = self.is_waiting_for_records
         self._wanted = trio.Event()
+        is_whole = await self._read(self._settings.term_renewal_ms if is_waiting else 0)
+        if is_whole and not is_waiting:
+            await self._pause()
+
+    async def _read(self, wait_ms: int) -> bool:
+        """Read once and fold; returns whether the log's end was reached."""
+        sent = boot_ms()
+        offset = self.next_offset
         page = await self._log.read(
-            self.next_offset,
+            offset,
             wait_ms=wait_ms,
             timeout_ms=wait_ms + self._settings.log_call_timeout_ms,
         )
         if self._needs_snapshot:
-            return
+            return False
         match page:
             case LogPage():
-                self._fold(page.entries)
-                self.next_offset = page.next_offset
-                is_whole = page.next_offset >= page.end
+                # Another read may have folded the first of these meanwhile.
+                self._fold(page.entries[self.next_offset - offset :])
+                self.next_offset = max(self.next_offset, page.next_offset)
+                is_whole = self.next_offset >= page.end
                 self._note_answer(sent, is_whole)
-                if is_whole and not self.is_waiting_for_records:
-                    await self._pause()
+                return is_whole
             case LogGap():
                 log_event("job_log_gap", first=page.first, offset=self.next_offset)
                 self._needs_snapshot = True
             case _:
                 self._note_failure(page.detail)
                 await trio.sleep(self._settings.log_retry_ms / 1000)
+        return False
 
     async def _pause(self) -> None:
         with trio.move_on_after(self._settings.follow_interval_ms / 1000):
@@ -146,7 +158,7 @@
         for key, value in entries:
             record = decode_record(key, value)
             if record is None:
-                if value:
+                if value and key:
                     log_event("job_record_ignored", key=key, bytes=len(value))
                 continue
             self._apply(record)
