Count a done run whatever became of its lease

Cause: a successor voided the done ends that it found if the log had been silent for longer than a lease.

Change: an end that is listed as done counts. A run that was started anew after its lease is another run, and its late end is ignored as before.

--- a/ragwortshelf/core/scheduling/fleet.py
+++ b/ragwortshelf/core/scheduling/fleet.py
@@ -109,8 +109,7 @@
 class EndpointListing:
     """An endpoint's answer to a renewal of its lease.
 
-    ``sent_ms`` is when the question left. ``has_lapsed`` is set where the lease had
-    run out before this answer.
+    ``sent_ms`` is when the question left.
     """
 
     endpoint_id: str
@@ -118,7 +117,6 @@
     sent_ms: int
     running: tuple[RunningTask, ...] = ()
     finished: tuple[FinishedRun, ...] = ()
-    has_lapsed: bool = False
 
 
 class MemberStage(enum.Enum):
--- a/ragwortshelf/core/scheduling/scheduler.py
+++ b/ragwortshelf/core/scheduling/scheduler.py
@@ -138,7 +138,7 @@
         seen = set()
         for row in listing.finished:
             seen.add((row.task, row.run))
-            self._finished(endpoint, row, listing.has_lapsed, now_ms, wall_ms)
+            self._finished(endpoint, row, now_ms, wall_ms)
         for row in listing.running:
             seen.add((row.task, row.run))
             self._running(endpoint, row, now_ms)
@@ -447,18 +447,16 @@
         self,
         endpoint: Endpoint,
         row: FinishedRun,
-        has_lapsed: bool,
         now_ms: int,
         wall_ms: int,
     ) -> None:
         member = endpoint.member_by_task.get(row.task)
         if member is None or member.run != row.run:
             return
-        # An end that was not acknowledged before the lease ran out does not count.
-        is_void = has_lapsed and row.end is RunEnd.DONE
-        end = RunEnd.LAPSED if is_void else row.end
-        endpoint.note_end(member.unit.job_id, end, now_ms)
-        self._member_ended(member, end, row.checkpoint, now_ms, wall_ms)
+        # A run that is done counts even if the lease ran out before this listing: an
+        # earlier term may have acknowledged it, so it must not be started again.
+        endpoint.note_end(member.unit.job_id, row.end, now_ms)
+        self._member_ended(member, row.end, row.checkpoint, now_ms, wall_ms)
 
     def _absent(self, member: Member, sent_ms: int, now_ms: int, wall_ms: int) -> None:
         if member.is_adopted:
--- a/ragwortshelf/scheduler/endpoint_session.py
+++ b/ragwortshelf/scheduler/endpoint_session.py
@@ -48,7 +48,6 @@
         on_lapsed: Callable[[str], None],
         on_fenced: Callable[[str], None],
         unknown_lapse_ms: int,
-        lapsed_before_term: bool,
     ):
         self.info = info
         self._client = client
@@ -58,7 +57,6 @@
         self._on_lapsed = on_lapsed
         self._on_fenced = on_fenced
         self._lapse_ms = unknown_lapse_ms
-        self._lapsed_before_term = lapsed_before_term
         self._until_ms: int | None = None
         self._clock_ms = 0
         self._clock_read_ms = 0
@@ -152,12 +150,9 @@
     async def _answered(self, answer: EndpointAnswer, sent_ms, until_ms) -> None:
         now_ms = monotonic_ms()
         is_reborn = answer.born_wall_ms != self._born_wall_ms
-        had_lapsed = self._lapsed_before_term and self._born_wall_ms == 0
         if is_reborn:
             self._ack_number = 0
             self._until_ms = None
-        elif self._until_ms is not None and answer.clock_ms > self._until_ms:
-            had_lapsed = True
         self._born_wall_ms = answer.born_wall_ms
         self._clock_ms, self._clock_read_ms = answer.clock_ms, now_ms
         if until_ms is not None and not is_reborn:
@@ -177,7 +172,6 @@
             sent_ms,
             answer.running,
             answer.finished,
-            had_lapsed,
         )
         await self._on_listing(listing)
         if answer.finished:
--- a/ragwortshelf/scheduler/leadership.py
+++ b/ragwortshelf/scheduler/leadership.py
@@ -71,7 +71,7 @@
         self._confirmed_boot_ms = boot_ms()
         self._is_resigning = False
         self._nursery: trio.Nursery | None = None
-        self._unknown_lapse_ms, self._lapsed_before = self._lease_bounds(previous)
+        self._unknown_lapse_ms = self._earlier_leases_end_ms(previous)
         self.uncommitted_jobs: dict[str, int] = {}
         self.end_reason = ""
 
@@ -116,22 +116,19 @@
             self.end_reason = reason
             self._nursery.cancel_scope.cancel()
 
-    def _lease_bounds(self, previous: TermHeld | None) -> tuple[int, bool]:
-        """Bound what earlier terms may have granted, and whether it ran out before.
+    def _earlier_leases_end_ms(self, previous: TermHeld | None) -> int:
+        """Return when all leases that earlier terms have granted have run out.
 
         A holder stops granting once the log has not confirmed it for
         ``term_confirmation_max_ms``; one that resigned has stopped.
         """
-        lease = int(self._settings.lease_ms / CLOCK_DRIFT) + 1
         now = monotonic_ms()
         if previous is None:
-            return now, False
-        silent_ms = wall_ms() - previous.renewed_wall_ms
+            return now
         grants_on_ms = 0
         if not previous.is_resigned:
-            limit = self._settings.term_confirmation_max_ms
-            grants_on_ms = max(0, limit - max(0, silent_ms))
-        return now + grants_on_ms + lease, silent_ms > lease
+            grants_on_ms = self._settings.term_confirmation_max_ms
+        return now + grants_on_ms + int(self._settings.lease_ms / CLOCK_DRIFT) + 1
 
     # Events from the log and the configuration.
 
@@ -166,7 +163,6 @@
             on_lapsed=self._lapsed,
             on_fenced=lambda _: self._end("an endpoint has seen a later term"),
             unknown_lapse_ms=self._unknown_lapse_ms,
-            lapsed_before_term=self._lapsed_before,
         )
         self._session_by_id[info.id] = session
         self._nursery.start_soon(session.run)
--- a/tests/scheduler/test_term.py
+++ b/tests/scheduler/test_term.py
@@ -204,3 +204,27 @@
         assert later >= cut_at + 5_000
         assert await _state(instance, "e" * 16) is JobState.COMPLETED
         nursery.cancel_scope.cancel()
+
+
+async def test_work_done_while_nobody_scheduled_is_not_started_again(autojump_clock):
+    platform = _platform()
+    instances = _instances(platform, 3)
+    worlds = [instance.configuration._world for instance in instances]
+    for endpoint in platform.endpoint_by_id.values():
+        endpoint.work_ms = 7_000
+    async with trio.open_nursery() as nursery:
+        for instance in instances:
+            nursery.start_soon(instance.run)
+        await trio.sleep(1)
+        await _submit(instances[0], _job("f" * 16))
+        await trio.sleep(1)
+        for world in worlds:
+            world.faults.store = "busy"
+        # The holder gives up after 6 s without a confirmation; the work ends then.
+        await trio.sleep(8)
+        for world in worlds:
+            world.faults.store = ""
+        await trio.sleep(5)
+        assert await _state(instances[0], "f" * 16) is JobState.COMPLETED
+        assert len(platform.runs()) == 2
+        nursery.cancel_scope.cancel()
