Leave gang members that finished their part to wait for the others

Cause: progress that stands still for 3.5 s stopped the run.

Change: a run at 99% or more never counts as standing still.

--- a/ragwortshelf/core/scheduling/scheduler.py
+++ b/ragwortshelf/core/scheduling/scheduler.py
@@ -49,6 +49,9 @@
 on an endpoint that is slowed down 6.5 times.
 """
 
+FINISHED_PERCENT = 99
+"""Progress from which a task may rest: whole percents are rounded down."""
+
 _RELEASABLE = frozenset({UnitPhase.DONE, UnitPhase.FAILED})
 
 
@@ -390,7 +393,7 @@
             for member in work.members:
                 if member.stage is not MemberStage.RUNNING:
                     continue
-                if now_ms - member.percent_ms > STALL_MS:
+                if self._stands_still(member, now_ms):
                     endpoint = self.endpoint_by_id[member.endpoint_id]
                     if endpoint.is_reachable:
                         endpoint.exclude(now_ms + 2 * STALL_MS)
@@ -398,6 +401,13 @@
                         self._stop_members(work, "no progress", now_ms)
                         break
 
+    @staticmethod
+    def _stands_still(member: Member, now_ms: int) -> bool:
+        # A member of a gang that has finished its own part waits for the others.
+        if member.percent >= FINISHED_PERCENT:
+            return False
+        return now_ms - member.percent_ms > STALL_MS
+
     def _note_refusal(
         self, endpoint_id: str, outcome: StartOutcome, now_ms: int
     ) -> None:
--- /dev/null
+++ b/tests/core/scheduling/conftest.py
@@ -0,0 +1,6 @@
+"""Makes the harness importable by the tests beside it."""
+
+import sys
+from pathlib import Path
+
+sys.path.insert(0, str(Path(__file__).parent))
--- /dev/null
+++ b/tests/core/scheduling/harness.py
@@ -0,0 +1,166 @@
+"""A scheduler with a table and endpoints, driven by hand."""
+
+from ragwortshelf.core.scheduling import (
+    EndpointInfo,
+    JobSpec,
+    JobTable,
+    Resources,
+    Scheduler,
+    Step,
+)
+from ragwortshelf.core.scheduling.actions import PersistUnit, StartTask, StopTask
+from ragwortshelf.core.scheduling.configuration import (
+    EndpointService,
+    GuaranteedOrganisation,
+    Queue,
+    ServiceConfiguration,
+)
+from ragwortshelf.core.scheduling.fleet import (
+    EndpointListing,
+    FinishedRun,
+    RunEnd,
+    RunningTask,
+    StartOutcome,
+)
+from ragwortshelf.core.scheduling.records import JobCancelled, JobSubmitted
+
+SMALL = Resources(1_000, 1_000, 1)
+
+
+def configuration(guaranteed=16, attempts=3, version=1):
+    """Three queues of priorities 0, 1 and 2, and two organisations."""
+    queues = tuple(
+        Queue(f"p{p}", "h", f"/p{p}/", "pool", p, attempts, 2.0, 500) for p in range(3)
+    )
+    return ServiceConfiguration(
+        version,
+        queues,
+        {"pool": EndpointService("pool")},
+        tuple(
+            GuaranteedOrganisation(name, frozenset({name}), guaranteed)
+            for name in ("a", "b")
+        ),
+    )
+
+
+class Harness:
+    """Keeps time, numbers the listings, and records what was ordered."""
+
+    def __init__(self, endpoints=2, racks=1, gpus=8, **config):
+        self.now = 1_000
+        self.table = JobTable()
+        self.scheduler = Scheduler(1, self.table, configuration(**config))
+        self.running = {}
+        self.numbers = {}
+        self.starts = []
+        self.stops = []
+        self.records = []
+        for n in range(endpoints):
+            self.add_endpoint(f"e{n}", f"r{n % racks}", gpus)
+
+    def add_endpoint(self, name, rack="r0", gpus=8, **fields):
+        info = EndpointInfo(
+            name,
+            "pool",
+            name,
+            "dc",
+            Resources(32_000, 64_000, gpus),
+            ("a", rack),
+            **fields,
+        )
+        self.scheduler.endpoint_seen(info)
+        self.running[name] = {}
+        self.numbers[name] = 0
+        self.list(name)
+
+    def submit(self, job_id, queue="p1", organisation="a", accepted=0, **step):
+        step.setdefault("count", 1)
+        step.setdefault("request", SMALL)
+        step.setdefault("estimate_ms", 2_000)
+        spec = JobSpec(
+            job_id, queue, "pool", organisation, "", (Step(**step),), accepted
+        )
+        self.submit_spec(spec)
+
+    def submit_spec(self, spec):
+        self.table.apply(JobSubmitted(spec))
+        self.scheduler.job_changed(spec.id, self.now, self.now)
+        self.plan()
+
+    def cancel(self, job_id):
+        self.table.apply(JobCancelled(job_id, self.now))
+        self.scheduler.job_changed(job_id, self.now, self.now)
+        self.plan()
+
+    def plan(self):
+        self.scheduler.plan(self.now, self.now)
+        self.collect()
+
+    def collect(self):
+        for action in self.scheduler.take_actions():
+            if isinstance(action, StartTask):
+                self.starts.append(action)
+            elif isinstance(action, StopTask):
+                self.stops.append(action)
+            elif isinstance(action, PersistUnit):
+                self.records.append(action.record)
+
+    def accept_starts(self):
+        """Let every endpoint start what it was ordered to."""
+        for order in self.starts:
+            self.running[order.endpoint_id][order.task] = order.run
+            self.scheduler.start_ended(
+                order.endpoint_id,
+                order.task,
+                order.run,
+                StartOutcome.STARTED,
+                False,
+                self.now,
+                self.now,
+            )
+        started, self.starts = self.starts, []
+        self.collect()
+        return started
+
+    def refuse_start(self, outcome, was_unanswered=False):
+        order = self.starts.pop(0)
+        self.scheduler.start_ended(
+            order.endpoint_id,
+            order.task,
+            order.run,
+            outcome,
+            was_unanswered,
+            self.now,
+            self.now,
+        )
+        self.collect()
+        return order
+
+    def obey_stops(self):
+        """Let every endpoint stop what it was ordered to, and list it."""
+        for order in self.stops:
+            if self.running[order.endpoint_id].get(order.task) == order.run:
+                self.end(order.endpoint_id, order.task, RunEnd.STOPPED)
+        stopped, self.stops = self.stops, []
+        return stopped
+
+    def end(self, endpoint, task, how=RunEnd.DONE, checkpoint=""):
+        run = self.running[endpoint].pop(task)
+        self.numbers[endpoint] += 1
+        row = FinishedRun(self.numbers[endpoint], task, run, how, checkpoint)
+        self.list(endpoint, finished=(row,))
+
+    def list(self, endpoint, finished=(), percent=None, sent=None, born=1):
+        rows = tuple(
+            RunningTask(task, run, "", (percent or {}).get(task, 0))
+            for task, run in self.running[endpoint].items()
+        )
+        listing = EndpointListing(
+            endpoint, born, self.now if sent is None else sent, rows, finished
+        )
+        self.scheduler.listed(listing, self.now, self.now)
+        self.plan()
+
+    def advance(self, ms):
+        self.now += ms
+        self.plan()
