Refuse submissions at once while the log is away

Cause: with a silent log each submission waited 2.7 s for an append that could not come, and its caller learnt nothing in time to try another instance; the instance stayed in rotation for 3 s.

Change: nothing is appended while the log does not answer, so the refusal is true and comes at once, with Retry-After 2 s; an append without an answer is reported as uncertain after 0.9 s; an instance is ready only while the log answers it.

--- a/ragwortshelf/scheduler/configuration.py
+++ b/ragwortshelf/scheduler/configuration.py
@@ -35,7 +35,7 @@
         self.on_change: Callable[[ServiceConfiguration], None] = lambda newest: None
         self._value_by_key: dict[str, bytes] = {}
         self._next_offset: int | None = None
-        self._is_connected = False
+        self.is_answered = False
 
     def age_ms(self) -> int | None:
         """Return how long ago the configuration was last confirmed."""
@@ -119,12 +119,12 @@
         self.on_change(newest)
 
     def _confirm(self, sent_boot_ms: int) -> None:
-        if not self._is_connected:
-            self._is_connected = True
+        if not self.is_answered:
+            self.is_answered = True
             log_event("operator_log_regained", age_ms=self.age_ms())
         self.confirmed_boot_ms = sent_boot_ms
 
     def _note_lost(self, detail: str) -> None:
-        if self._is_connected:
-            self._is_connected = False
+        if self.is_answered:
+            self.is_answered = False
             log_event("operator_log_lost", detail=detail, age_ms=self.age_ms())
--- a/ragwortshelf/scheduler/front.py
+++ b/ragwortshelf/scheduler/front.py
@@ -27,6 +27,15 @@
 RETRY_AFTER_MS = 1_000
 """When a caller should come back after a refusal; other instances may serve it now."""
 
+LOG_RETRY_AFTER_MS = 2_000
+"""When to come back while the log is away. Outages last 4 to 6 s and callers try five
+times, so that they still have tries left when it returns."""
+
+APPEND_WAIT_MS = 900
+"""How long a submission waits for the log before its caller is told that the outcome
+is uncertain, so that a repeat reaches another instance in time. A slow log takes
+0.5 s for an append."""
+
 
 class Reason(enum.StrEnum):
     """Why a call was declined."""
@@ -96,10 +105,11 @@
         """Whether callers may be sent here."""
         age = self._follower.age_ms()
         limit = self._settings.revocation_ms * 3 // 5
-        if age is None or age > limit:
+        if age is None or age > limit or not self._follower.is_answered:
             return False
         configured = self._configuration.age_ms()
-        return configured is not None and configured <= limit
+        is_configured = configured is not None and configured <= limit
+        return is_configured and self._configuration.is_answered
 
     def authorise(self, host: str, path: str, key: str) -> Access | Declined:
         """Return the queue and the organisation of a call."""
@@ -124,7 +134,12 @@
         """Accept a job; a repeated id is the same job."""
         if spec.id in self._follower.table.job_by_id:
             return Accepted()
+        if not self._follower.is_answered:
+            return Declined(
+                Reason.LOG_UNAVAILABLE, "the log does not answer", LOG_RETRY_AFTER_MS
+            )
         entry = encode_record(JobSubmitted(spec))
+        deadline_ms = min(deadline_ms, monotonic_ms() + APPEND_WAIT_MS)
         outcome = await self._writer.commit([entry], deadline_ms)
         if isinstance(outcome, Commit):
             self._follower.wake()
@@ -133,7 +148,7 @@
             return Accepted()
         if outcome.may_be_appended:
             return Uncertain(outcome.detail)
-        return Declined(Reason.LOG_UNAVAILABLE, outcome.detail, RETRY_AFTER_MS)
+        return Declined(Reason.LOG_UNAVAILABLE, outcome.detail, LOG_RETRY_AFTER_MS)
 
     async def cancel(
         self, job_id: str, deadline_ms: int
--- a/ragwortshelf/scheduler/log_follower.py
+++ b/ragwortshelf/scheduler/log_follower.py
@@ -57,6 +57,11 @@
         self.streak_boot_ms = None
         self._wanted.set()
 
+    @property
+    def is_answered(self) -> bool:
+        """Whether the last read of the log was answered."""
+        return self.streak_boot_ms is not None
+
     def age_ms(self) -> int | None:
         """Return how old the shown state is at most; None before the first."""
         if self.confirmed_boot_ms is None or self.next_offset is None:
--- /dev/null
+++ b/tests/scheduler/test_front.py
@@ -0,0 +1,123 @@
+"""What callers are told, above all when something is away."""
+
+import trio
+from test_term import _instances, _job, _platform, _submit
+
+from ragwortshelf.scheduler.clock import monotonic_ms
+from ragwortshelf.scheduler.front import Accepted, Declined, Reason, Uncertain
+
+
+async def _timed_submit(instance, spec):
+    began = monotonic_ms()
+    outcome = await instance.front.submit(spec, began + 2_700)
+    return outcome, monotonic_ms() - began
+
+
+async def test_a_submission_is_refused_at_once_while_the_log_is_away(autojump_clock):
+    # Pattern: the whole log is silent for seconds while callers press on.
+    platform = _platform()
+    instance = _instances(platform, 1)[0]
+    async with trio.open_nursery() as nursery:
+        nursery.start_soon(instance.run)
+        await trio.sleep(1)
+        instance.configuration._world.faults.store = "silent"
+        await trio.sleep(1.5)
+        outcome, took_ms = await _timed_submit(instance, _job("a" * 16))
+        assert isinstance(outcome, Declined)
+        assert outcome.reason is Reason.LOG_UNAVAILABLE
+        assert outcome.retry_after_ms
+        assert took_ms < 10
+        nursery.cancel_scope.cancel()
+    assert not any(key.startswith("j/") for key, _ in platform.jobs.entries)
+
+
+async def test_an_unanswered_append_is_reported_uncertain_in_time(autojump_clock):
+    platform = _platform()
+    instance = _instances(platform, 1)[0]
+    async with trio.open_nursery() as nursery:
+        nursery.start_soon(instance.run)
+        await trio.sleep(1)
+        instance.configuration._world.faults.lose_append_answers = 100
+        outcome, took_ms = await _timed_submit(instance, _job("a" * 16))
+        # The record is read back from the log, or the caller learns within a second.
+        assert isinstance(outcome, (Accepted, Uncertain))
+        assert took_ms <= 1_600
+        nursery.cancel_scope.cancel()
+
+
+async def test_an_instance_without_the_log_is_not_ready(autojump_clock):
+    platform = _platform()
+    instance = _instances(platform, 1)[0]
+    async with trio.open_nursery() as nursery:
+        nursery.start_soon(instance.run)
+        await trio.sleep(1)
+        assert instance.front.is_ready()
+        instance.configuration._world.faults.store = "silent"
+        await trio.sleep(1.5)
+        assert not instance.front.is_ready()
+        instance.configuration._world.faults.store = ""
+        await trio.sleep(2.5)
+        assert instance.front.is_ready()
+        nursery.cancel_scope.cancel()
+
+
+async def test_a_cancellation_also_covers_a_submission_that_comes_later(
+    autojump_clock,
+):
+    platform = _platform()
+    instance = _instances(platform, 1)[0]
+    async with trio.open_nursery() as nursery:
+        nursery.start_soon(instance.run)
+        await trio.sleep(1)
+        deadline = monotonic_ms() + 2_000
+        outcome = await instance.front.cancel("a" * 16, deadline)
+        assert outcome == Declined(Reason.NO_JOB)
+        await _submit(instance, _job("a" * 16))
+        await trio.sleep(2)
+        assert not platform.runs()
+        nursery.cancel_scope.cancel()
+
+
+async def test_a_repeated_submission_stays_one_job(autojump_clock):
+    platform = _platform()
+    instances = _instances(platform, 3)
+    async with trio.open_nursery() as nursery:
+        for instance in instances:
+            nursery.start_soon(instance.run)
+        await trio.sleep(1)
+        for instance in instances:
+            await _submit(instance, _job("a" * 16))
+        await trio.sleep(3)
+        await _submit(instances[1], _job("a" * 16))
+        await trio.sleep(2)
+        assert len(platform.runs()) == 2
+        nursery.cancel_scope.cancel()
+
+
+async def test_a_revoked_key_is_refused_by_a_cut_off_instance_in_time(autojump_clock):
+    platform = _platform()
+    instance = _instances(platform, 1)[0]
+    async with trio.open_nursery() as nursery:
+        nursery.start_soon(instance.run)
+        await trio.sleep(1)
+        assert not isinstance(instance.front.authorise("h", "/q/x", "key"), Declined)
+        instance.configuration._world.faults.store = "silent"
+        await trio.sleep(instance.settings.revocation_ms / 1000)
+        refused = instance.front.authorise("h", "/q/x", "key")
+        assert refused.reason is Reason.NOT_READY
+        nursery.cancel_scope.cancel()
+
+
+async def test_the_reasons_of_refusals_are_told_apart(autojump_clock):
+    platform = _platform()
+    instance = _instances(platform, 1)[0]
+    async with trio.open_nursery() as nursery:
+        front = instance.front
+        assert front.authorise("h", "/q/x", "key").reason is Reason.NOT_READY
+        nursery.start_soon(instance.run)
+        await trio.sleep(1)
+        assert front.authorise("h", "/none/x", "key").reason is Reason.NO_QUEUE
+        assert front.authorise("g", "/q/x", "key").reason is Reason.NO_QUEUE
+        assert front.authorise("h", "/q/x", "other").reason is Reason.UNKNOWN_KEY
+        assert (await front.state("0" * 16)).reason is Reason.NO_JOB
+        nursery.cancel_scope.cancel()
