Keep room for large waiting units, and stop the fewest borrowers

A gang whose member was refused could not be placed while the refusing endpoint was the only other one.

Change: the first large units that wait get a reservation of the room that becomes free soonest; it binds less urgent work only. Work that saves its progress yields to urgent work. A reclaim takes the cheapest victims for their size and spares those that are not needed. Endpoints that refused are avoided only where others fit.

--- a/ragwortshelf/core/scheduling/planning.py
+++ b/ragwortshelf/core/scheduling/planning.py
@@ -8,7 +8,7 @@
 from .fleet import Endpoint, Member
 from .model import Resources, UnitKey, UnitPhase
 from .packing import allows, find_endpoints, rack_could_hold
-from .reclaim import plan_reclaim
+from .reclaim import Reclaim, plan_reclaim
 from .work import Work
 
 if TYPE_CHECKING:
@@ -23,13 +23,25 @@
 """
 
 
+WAITING_RESERVATIONS_MAX = 3
+"""Units that room is kept for while it becomes free by itself. Each keeps smaller work
+out, so only the first in the queue get one."""
+
+CHEAP_STOP_WAIT_MS = 1_000
+"""How soon the rest of a unit's room must become free by itself before work that saves
+its progress is stopped for it; a stop takes about as long."""
+
+
 class _Reservation:
-    """Room that was reclaimed for a unit and is kept for it."""
+    """Room that is reclaimed or awaited for a unit and is kept for it."""
 
-    __slots__ = ("made_ms", "resources_by_id")
+    __slots__ = ("made_ms", "order", "resources_by_id")
 
-    def __init__(self, made_ms: int, resources_by_id: dict[str, Resources]):
+    def __init__(
+        self, made_ms: int, order: tuple, resources_by_id: dict[str, Resources]
+    ):
         self.made_ms = made_ms
+        self.order = order
         self.resources_by_id = resources_by_id
 
 
@@ -72,7 +84,12 @@
         if shape in without_room and not is_guaranteed:
             return
         candidates = self._candidates(work, usable)
-        endpoints = self._fit(work, candidates)
+        endpoints = None
+        if work.avoided:
+            preferred = [e for e in candidates if e.id not in work.avoided]
+            endpoints = self._fit(work, preferred)
+        if endpoints is None:
+            endpoints = self._fit(work, candidates)
         if endpoints is not None:
             self.forget(work)
             if work.priority == 0:
@@ -83,14 +100,14 @@
         if is_guaranteed:
             guaranteed[organisation] += work.gpus
             self._reclaim(work, candidates)
+        elif _is_hard_to_fit(work):
+            self._await_room(work, candidates)
 
     def _candidates(self, work: Work, usable: list[Endpoint]) -> list[Endpoint]:
         spec = work.job.spec
         queue = self._scheduler.configuration.queue_by_name.get(spec.queue)
         service = queue.service if queue else spec.service
-        allowed = [e for e in usable if allows(e, work.step, service)]
-        preferred = [e for e in allowed if e.id not in work.avoided]
-        return preferred or allowed
+        return [e for e in usable if allows(e, work.step, service)]
 
     def _fit(self, work: Work, candidates: list[Endpoint]) -> list[Endpoint] | None:
         def slots(endpoint: Endpoint) -> int:
@@ -122,8 +139,10 @@
     def _room(self, endpoint: Endpoint, work: Work) -> Resources:
         room = endpoint.free
         for unit, reservation in self._reservation_by_unit.items():
+            if unit == work.key or reservation.order > work.order:
+                continue
             reserved = reservation.resources_by_id.get(endpoint.id)
-            if reserved is not None and unit != work.key:
+            if reserved is not None:
                 room = room.plus(reserved, -1)
         return room
 
@@ -170,17 +189,64 @@
             candidates,
             lambda endpoint: self._room_when_stopped(endpoint, work),
             borrowed,
-            self._now_ms,
+            lambda victim: victim.lost_core_ms(self._now_ms),
         )
         if plan is None:
             return
+        self._reserve(work, plan)
+        for victim in plan.victims:
+            self._scheduler.stop_work(victim, "reclaimed", self._now_ms)
+
+    def _reserve(self, work: Work, plan: Reclaim) -> None:
         reserved: dict[str, Resources] = {}
         for endpoint in plan.endpoints:
             before = reserved.get(endpoint.id, Resources())
             reserved[endpoint.id] = before.plus(work.step.occupied)
-        self._reservation_by_unit[work.key] = _Reservation(self._now_ms, reserved)
-        for victim in plan.victims:
-            self._scheduler.stop_work(victim, "reclaimed", self._now_ms)
+        self._reservation_by_unit[work.key] = _Reservation(
+            self._now_ms, work.order, reserved
+        )
+
+    def _await_room(self, work: Work, candidates: list[Endpoint]) -> None:
+        """Keep the room that becomes free soonest, so that smaller work leaves it.
+
+        Less urgent work that saves its progress is stopped for it once the rest of
+        the room is about to be free.
+        """
+        reservation = self._reservation_by_unit.get(work.key)
+        if reservation is not None:
+            if self._now_ms - reservation.made_ms < RECLAIM_RETRY_MS:
+                return
+            self.forget(work)
+        if len(self._reservation_by_unit) >= WAITING_RESERVATIONS_MAX:
+            return
+        plan = plan_reclaim(
+            work.step,
+            work.count,
+            candidates,
+            lambda endpoint: self._room_when_stopped(endpoint, work),
+            self._placed_holder,
+            lambda victim: self._wait_ms(victim, work),
+        )
+        if plan is None:
+            return
+        self._reserve(work, plan)
+        cheap = [v for v in plan.victims if _stops_cheaply(v, work)]
+        rest = [v for v in plan.victims if not _stops_cheaply(v, work)]
+        wait_ms = max((v.remaining_ms(self._now_ms) for v in rest), default=0)
+        if wait_ms <= CHEAP_STOP_WAIT_MS:
+            for victim in cheap:
+                self._scheduler.stop_work(victim, "yields", self._now_ms)
+
+    def _placed_holder(self, member: Member) -> Work | None:
+        holder = self._scheduler.work_by_key.get(member.unit)
+        is_placed = holder is not None and holder.phase is UnitPhase.PLACED
+        return holder if is_placed else None
+
+    def _wait_ms(self, victim: Work, claimant: Work) -> float:
+        remaining = victim.remaining_ms(self._now_ms)
+        if _stops_cheaply(victim, claimant):
+            return min(remaining, CHEAP_STOP_WAIT_MS)
+        return remaining
 
     def _room_when_stopped(self, endpoint: Endpoint, work: Work) -> Resources:
         """Return the room once the stops in progress have taken effect."""
@@ -202,6 +268,19 @@
         return over
 
 
+def _is_hard_to_fit(work: Work) -> bool:
+    """Whether smaller work would keep taking the room that the unit waits for."""
+    return work.count > 1 or work.gpus > 1
+
+
+def _stops_cheaply(victim: Work, claimant: Work) -> bool:
+    return (
+        claimant.priority == 0
+        and victim.priority > claimant.priority
+        and victim.step.is_checkpointing
+    )
+
+
 def _shape(work: Work) -> tuple:
     """What makes two units fit or not fit alike."""
     step = work.step
--- a/ragwortshelf/core/scheduling/reclaim.py
+++ b/ragwortshelf/core/scheduling/reclaim.py
@@ -13,6 +13,7 @@
 __all__ = ["Reclaim", "plan_reclaim"]
 
 Borrowed = Callable[[Member], Work | None]
+Cost = Callable[[Work], float]
 Room = Callable[[Endpoint], Resources]
 
 
@@ -30,40 +31,37 @@
     candidates: Sequence[Endpoint],
     room: Room,
     borrowed: Borrowed,
-    now_ms: int,
+    cost: Cost,
 ) -> Reclaim | None:
     """Return the cheapest way found to make room for ``count`` tasks, or None.
 
     ``room`` is an endpoint's capacity free for the claimant. ``borrowed`` returns the
-    unit of a member that may be stopped for it, else None. A rack-sensitive step is
-    kept on one rack where some rack can be made to hold it.
+    unit of a member whose room may be counted on, else None, and ``cost`` what that
+    unit's going costs. A rack-sensitive step is kept on one rack where some rack can
+    be made to hold it.
     """
     if step.is_rack_sensitive and count > 1:
         by_rack: dict[str, list[Endpoint]] = defaultdict(list)
         for endpoint in candidates:
             by_rack[endpoint.info.rack].append(endpoint)
         plans = [
-            _Search(step, count, endpoints, room, borrowed, now_ms).run()
+            _Search(step, count, endpoints, room, borrowed, cost).run()
             for endpoints in by_rack.values()
         ]
         found = [plan for plan in plans if plan is not None]
         if found:
-            return min(found, key=lambda plan: _cost(plan, now_ms))
-    return _Search(step, count, candidates, room, borrowed, now_ms).run()
-
-
-def _cost(plan: Reclaim, now_ms: int) -> float:
-    return sum(work.lost_core_ms(now_ms) for work in plan.victims)
+            return min(found, key=lambda plan: sum(map(cost, plan.victims)))
+    return _Search(step, count, candidates, room, borrowed, cost).run()
 
 
 class _Search:
     """Takes the cheapest next slot until the claimant fits."""
 
-    def __init__(self, step, count, candidates, room, borrowed, now_ms):
+    def __init__(self, step, count, candidates, room, borrowed, cost):
         self._step = step
         self._count = count
         self._borrowed = borrowed
-        self._now_ms = now_ms
+        self._cost = cost
         self._cap = step.tasks_per_endpoint_max or count
         self._candidates = candidates
         self._room_by_id = {e.id: room(e) for e in candidates}
@@ -105,15 +103,30 @@
         needed = self._step.occupied
         if needed.times_in(room):
             return (0.0, endpoint.free_gpus), ()
-        victims: list[Work] = []
-        cost = 0.0
-        for work, occupied in self._borrowed_here(endpoint):
-            victims.append(work)
-            cost += work.lost_core_ms(self._now_ms) + 1
+        victims = self._fewest_victims(needed, room, self._borrowed_here(endpoint))
+        if victims is None:
+            return None
+        return (
+            sum(self._cost(work) + 1 for work in victims),
+            endpoint.free_gpus,
+        ), victims
+
+    def _fewest_victims(self, needed, room, rows) -> list[Work] | None:
+        """Take the cheapest for their size, then spare those that are not needed."""
+        taken = []
+        for work, occupied in rows:
+            taken.append((work, occupied))
             room = room.plus(occupied)
             if needed.times_in(room):
-                return (cost, endpoint.free_gpus), victims
-        return None
+                break
+        else:
+            return None
+        for work, occupied in sorted(taken, key=lambda row: -self._cost(row[0])):
+            without = room.plus(occupied, -1)
+            if needed.times_in(without):
+                room = without
+                taken.remove((work, occupied))
+        return [work for work, _ in taken]
 
     def _borrowed_here(self, endpoint: Endpoint):
         occupied_by_key: dict[UnitKey, Resources] = {}
@@ -126,5 +139,5 @@
             before = occupied_by_key.get(work.key, Resources())
             occupied_by_key[work.key] = before.plus(member.occupied)
         rows = [(work_by_key[key], occupied_by_key[key]) for key in work_by_key]
-        rows.sort(key=lambda row: (-row[0].priority, row[0].lost_core_ms(self._now_ms)))
+        rows.sort(key=lambda row: (self._cost(row[0]) + 1) / (1 + row[1].gpus))
         return rows
--- a/ragwortshelf/core/scheduling/work.py
+++ b/ragwortshelf/core/scheduling/work.py
@@ -14,6 +14,11 @@
 """Cores that one accelerator counts for when work is weighed (the platform's price)."""
 
 
+CHECKPOINT_LOSS_MS = 750
+"""Work lost by stopping a unit that saves its progress: half of the time between two
+checkpoints (1 s) and its restore (0.25 s)."""
+
+
 class Work:
     """One unit with its members on endpoints and its place in the queue.
 
@@ -79,9 +84,22 @@
         started = min(member.ordered_ms for member in self.members)
         elapsed = max(0, now_ms - started)
         if self.step.is_checkpointing:
-            elapsed = 0
+            elapsed = min(elapsed, CHECKPOINT_LOSS_MS)
         return elapsed * self.cores
 
+    def remaining_ms(self, now_ms: int) -> float:
+        """Estimate how long the unit still occupies its endpoints."""
+        return max(
+            (_remaining_ms(m, self.step, now_ms) for m in self.members), default=0
+        )
+
+
+def _remaining_ms(member: Member, step: Step, now_ms: int) -> float:
+    elapsed = max(1, now_ms - member.ordered_ms)
+    if member.percent <= 0:
+        return max(step.estimate_ms - elapsed, step.estimate_ms / 10)
+    return elapsed * (100 - member.percent) / member.percent
+
 
 def make_order(job: Job, queue: Queue | None) -> tuple[int, int]:
     """Return the sort key of a job's units: priority, then when it counts as late."""
--- /dev/null
+++ b/tests/core/scheduling/test_planning.py
@@ -0,0 +1,157 @@
+"""Who starts, who waits and who yields under load."""
+
+from harness import Harness
+
+from ragwortshelf.core.scheduling import Resources
+from ragwortshelf.core.scheduling.fleet import RunEnd, StartOutcome
+
+WHOLE = Resources(8_000, 8_000, 8)
+HALF = Resources(4_000, 4_000, 4)
+
+
+def _stopped_jobs(harness):
+    return {stop.task.split(".")[0] for stop in harness.stops}
+
+
+def test_guaranteed_work_reclaims_borrowed_room():
+    harness = Harness(endpoints=2)
+    for n in range(2):
+        harness.submit(f"b{n}", "p1", "b", request=WHOLE)
+    harness.accept_starts()
+    harness.submit("u", "p0", "a", count=2, is_gang=True, request=WHOLE)
+    assert _stopped_jobs(harness) == {"b0", "b1"}
+    harness.obey_stops()
+    assert {start.unit.job_id for start in harness.starts} == {"u"}
+
+
+def test_work_beyond_the_guarantee_stops_nothing_that_loses_its_progress():
+    harness = Harness(endpoints=2, guaranteed=8)
+    for n in range(2):
+        harness.submit(f"b{n}", "p1", "b", request=WHOLE)
+    harness.accept_starts()
+    harness.submit("u", "p0", "a", count=2, is_gang=True, request=WHOLE)
+    assert not harness.stops
+
+
+def test_the_victim_that_loses_least_is_stopped():
+    # Pattern: one endpoint holds old work, the other work that has just begun.
+    harness = Harness(endpoints=2)
+    harness.submit("old", "p2", "b", request=WHOLE)
+    harness.accept_starts()
+    harness.advance(3_000)
+    for endpoint in harness.running:
+        harness.list(endpoint, percent={"old.0.0.0": 40})
+    harness.submit("new", "p1", "b", request=WHOLE)
+    harness.accept_starts()
+    harness.submit("u", "p0", "a", request=WHOLE)
+    assert _stopped_jobs(harness) == {"new"}
+
+
+def test_no_more_is_stopped_than_the_claimant_needs():
+    # Pattern: small tasks beside a large one whose room alone is enough.
+    harness = Harness(endpoints=1)
+    for n in range(4):
+        harness.submit(f"s{n}", "p2", "b", request=Resources(1_000, 1_000, 1))
+    harness.submit("half", "p2", "b", request=HALF)
+    harness.accept_starts()
+    harness.advance(100)
+    harness.submit("u", "p0", "a", request=HALF)
+    assert len(harness.stops) == 1 or _stopped_jobs(harness) == {
+        f"s{n}" for n in range(4)
+    }
+    assert "half" not in _stopped_jobs(harness) or len(harness.stops) == 1
+
+
+def test_room_is_kept_for_a_large_unit_that_waits():
+    # Pattern: a stream of small tasks that would fill each gap as it opens.
+    harness = Harness(endpoints=1, guaranteed=0)
+    for n in range(8):
+        harness.submit(f"s{n}", "p2", "b", request=Resources(1_000, 1_000, 1))
+    harness.accept_starts()
+    harness.submit("large", "p1", "a", request=WHOLE)
+    for n in range(8):
+        harness.submit(f"t{n}", "p2", "b", request=Resources(1_000, 1_000, 1))
+        harness.end("e0", f"s{n}.0.0.0")
+        assert harness.starts == [] or harness.starts[0].unit.job_id == "large"
+    assert [start.unit.job_id for start in harness.starts] == ["large"]
+
+
+def test_room_kept_for_a_large_unit_is_open_to_more_urgent_work():
+    harness = Harness(endpoints=1, guaranteed=0)
+    for n in range(8):
+        harness.submit(f"s{n}", "p2", "b", request=Resources(1_000, 1_000, 1))
+    harness.accept_starts()
+    harness.submit("large", "p1", "a", request=WHOLE)
+    harness.end("e0", "s0.0.0.0")
+    harness.submit("u", "p0", "a", request=Resources(1_000, 1_000, 1))
+    assert [start.unit.job_id for start in harness.starts] == ["u"]
+
+
+def test_work_that_saves_its_progress_yields_to_urgent_work():
+    harness = Harness(endpoints=1, guaranteed=0)
+    harness.submit("b", "p2", "b", request=WHOLE, is_checkpointing=True)
+    harness.accept_starts()
+    harness.submit("u", "p0", "a", request=WHOLE)
+    assert _stopped_jobs(harness) == {"b"}
+
+
+def test_a_gang_of_which_one_member_was_refused_is_stopped_as_a_whole():
+    harness = Harness(endpoints=2)
+    harness.submit("g", count=2, is_gang=True, request=WHOLE)
+    refused = harness.refuse_start(StartOutcome.NO_ROOM)
+    harness.accept_starts()
+    assert [(s.task, s.run) for s in harness.stops] == [
+        (f"g.0.0.{1 - int(refused.task[-1])}", 1)
+    ]
+    harness.obey_stops()
+    harness.advance(1_000)
+    assert {(s.task, s.run) for s in harness.starts} == {
+        ("g.0.0.0", 2),
+        ("g.0.0.1", 2),
+    }
+
+
+def test_a_rack_sensitive_gang_keeps_to_one_rack():
+    harness = Harness(endpoints=6, racks=3)
+    harness.submit("x", "p1", request=WHOLE)
+    harness.submit("g", count=2, is_gang=True, is_rack_sensitive=True, request=WHOLE)
+    racks = {
+        harness.scheduler.endpoint_by_id[s.endpoint_id].info.rack
+        for s in harness.starts
+        if s.unit.job_id == "g"
+    }
+    assert len(racks) == 1
+
+
+def test_a_failed_unit_ends_its_job_after_its_attempts_only():
+    harness = Harness(endpoints=4, attempts=2)
+    harness.submit("f")
+    for run in (1, 2):
+        (start,) = harness.accept_starts()
+        assert start.run == run
+        harness.end(start.endpoint_id, start.task, RunEnd.FAILED)
+    harness.advance(1_000)
+    assert not harness.starts
+    assert harness.table.job_by_id["f"].state.value == "failed"
+
+
+def test_a_cancelled_job_is_stopped_and_not_started_again():
+    harness = Harness()
+    harness.submit("c", count=3)
+    harness.accept_starts()
+    harness.cancel("c")
+    assert len(harness.stops) == 3
+    harness.obey_stops()
+    harness.advance(1_000)
+    assert not harness.starts
+    assert harness.table.job_by_id["c"].state.value == "cancelled"
+
+
+def test_tasks_of_a_step_are_spread_as_it_asks():
+    harness = Harness(endpoints=4)
+    harness.submit("a", count=6, tasks_per_endpoint_max=2)
+    by_endpoint = {}
+    for start in harness.starts:
+        by_endpoint[start.endpoint_id] = by_endpoint.get(start.endpoint_id, 0) + 1
+    assert sum(by_endpoint.values()) == 6
+    assert max(by_endpoint.values()) <= 2
