Let urgent work in time preempt what loses little

Change: where waiting would make an urgent unit late, less urgent work is stopped for it if that throws away at most a quarter of the unit's own work. Work that saves its progress also yields to priority 1. The latest start of a unit counts the steps after it.

--- a/ragwortshelf/core/scheduling/planning.py
+++ b/ragwortshelf/core/scheduling/planning.py
@@ -32,6 +32,12 @@
 its progress is stopped for it; a stop takes about as long."""
 
 
+PREEMPTION_LOSS_SHARE = 0.25
+"""Work that may be thrown away so that urgent work is on time, as a share of that work.
+An urgent job on time is worth about four times what its work costs when lost, and the
+room that is lost is missing elsewhere."""
+
+
 class _Reservation:
     """Room that is reclaimed or awaited for a unit and is kept for it."""
 
@@ -229,6 +235,9 @@
         )
         if plan is None:
             return
+        wait_ms = max((self._wait_ms(v, work) for v in plan.victims), default=0)
+        if self._would_be_late(work, wait_ms) and self._preempt(work, candidates):
+            return
         self._reserve(work, plan)
         cheap = [v for v in plan.victims if _stops_cheaply(v, work)]
         rest = [v for v in plan.victims if not _stops_cheaply(v, work)]
@@ -237,6 +246,40 @@
             for victim in cheap:
                 self._scheduler.stop_work(victim, "yields", self._now_ms)
 
+    def _would_be_late(self, work: Work, wait_ms: float) -> bool:
+        """Whether waiting makes a unit late that is still in time now."""
+        if work.is_late(self._wall_ms):
+            return False
+        return self._wall_ms + wait_ms > work.latest_start_wall_ms
+
+    def _preempt(self, work: Work, candidates: list[Endpoint]) -> bool:
+        """Stop less urgent work if that throws away far less than the unit's own."""
+        if work.priority > 0:
+            return False
+
+        def borrowed(member: Member) -> Work | None:
+            holder = self._placed_holder(member)
+            is_below = holder is not None and holder.priority > work.priority
+            return holder if is_below else None
+
+        plan = plan_reclaim(
+            work.step,
+            work.count,
+            candidates,
+            lambda endpoint: self._room_when_stopped(endpoint, work),
+            borrowed,
+            lambda victim: victim.lost_core_ms(self._now_ms),
+        )
+        if plan is None:
+            return False
+        lost = sum(victim.lost_core_ms(self._now_ms) for victim in plan.victims)
+        if lost > PREEMPTION_LOSS_SHARE * work.cores * work.step.estimate_ms:
+            return False
+        self._reserve(work, plan)
+        for victim in plan.victims:
+            self._scheduler.stop_work(victim, "preempted", self._now_ms)
+        return True
+
     def _placed_holder(self, member: Member) -> Work | None:
         holder = self._scheduler.work_by_key.get(member.unit)
         is_placed = holder is not None and holder.phase is UnitPhase.PLACED
@@ -275,7 +318,7 @@
 
 def _stops_cheaply(victim: Work, claimant: Work) -> bool:
     return (
-        claimant.priority == 0
+        claimant.priority <= 1
         and victim.priority > claimant.priority
         and victim.step.is_checkpointing
     )
--- a/ragwortshelf/core/scheduling/scheduler.py
+++ b/ragwortshelf/core/scheduling/scheduler.py
@@ -26,7 +26,7 @@
 from .model import Resources, UnitKey, UnitPhase
 from .planning import Planner
 from .table import Job, JobTable
-from .work import Work, make_order
+from .work import Work
 
 __all__ = ["Scheduler"]
 
@@ -290,8 +290,7 @@
 
     def _set_order(self, work: Work) -> None:
         queue = self.configuration.queue_by_name.get(work.job.spec.queue)
-        work.order = make_order(work.job, queue)
-        work.priority = work.order[0]
+        work.set_order(queue)
 
     def _end_job(self, job: Job, now_ms: int) -> None:
         self._timed_jobs.pop(job.spec.id, None)
--- a/ragwortshelf/core/scheduling/work.py
+++ b/ragwortshelf/core/scheduling/work.py
@@ -22,8 +22,9 @@
 class Work:
     """One unit with its members on endpoints and its place in the queue.
 
-    Smaller ``order`` comes first. Nothing is placed before ``not_before_ms``;
-    endpoints in ``avoided`` are used only where no other fits.
+    Smaller ``order`` comes first. The job counts as on time if the unit starts by
+    ``latest_start_wall_ms``. Nothing is placed before ``not_before_ms``; endpoints in
+    ``avoided`` are used only where no other fits.
     """
 
     __slots__ = (
@@ -31,6 +32,7 @@
         "counted_run",
         "job",
         "key",
+        "latest_start_wall_ms",
         "members",
         "not_before_ms",
         "order",
@@ -53,6 +55,7 @@
         self.counted_run = 0
         self.not_before_ms = 0
         self.order: tuple = ()
+        self.latest_start_wall_ms = 0
         self.priority = 0
         self.stopping_for = ""
         self.waiting_since_ms = now_ms
@@ -73,6 +76,21 @@
         request: Resources = self.step.request
         return self.count * (request.cpu_milli / 1000 + GPU_CORES * request.gpus)
 
+    def set_order(self, queue: Queue | None) -> None:
+        """Take the place in the queue from what its configuration says."""
+        spec = self.job.spec
+        self.order = make_order(self.job, queue)
+        self.priority, deadline = self.order
+        self.latest_start_wall_ms = deadline - spec.chains_ms()[self.key.step]
+
+    def is_late(self, wall_ms: int) -> bool:
+        """Whether the job can hardly be on time any more.
+
+        Estimates are off by half or more, so half of one is allowed for.
+        """
+        allowance = self.step.estimate_ms // 2
+        return wall_ms > self.latest_start_wall_ms + allowance
+
     def task(self, index: int) -> str:
         """Return the name of the task with this index."""
         return task_name(self.key, index)
@@ -107,4 +125,5 @@
     slack = queue.slack_factor if queue else 1.0
     latency = queue.target_latency_ms if queue else 0
     objective = int(job.spec.chain_ms() * slack) + latency
-    return priority, job.spec.accepted_wall_ms + objective
+    begin = max(job.spec.accepted_wall_ms, job.spec.first_run_wall_ms)
+    return priority, begin + objective
--- /dev/null
+++ b/tests/core/scheduling/test_order.py
@@ -0,0 +1,65 @@
+"""Which unit goes first, and who is stopped so that urgent work is on time."""
+
+from harness import Harness
+
+from ragwortshelf.core.scheduling import JobSpec, Resources, Step
+
+WHOLE = Resources(8_000, 8_000, 8)
+HALF = Resources(4_000, 4_000, 4)
+
+
+def _first(harness):
+    return harness.starts[0].unit.job_id
+
+
+def test_priority_goes_before_age():
+    harness = Harness(endpoints=1, guaranteed=0)
+    harness.submit("x", "p1", request=WHOLE)
+    harness.accept_starts()
+    harness.submit("low", "p2", request=WHOLE, accepted=0)
+    harness.submit("high", "p1", request=WHOLE, accepted=500)
+    harness.end("e0", "x.0.0.0")
+    assert _first(harness) == "high"
+
+
+def test_urgent_work_in_time_preempts_what_has_just_begun():
+    # Pattern: an urgent job beyond the guarantee meets tasks that have just started.
+    harness = Harness(endpoints=1, guaranteed=0)
+    harness.now = 10_000
+    harness.submit("b", "p2", "b", request=WHOLE, estimate_ms=9_000)
+    harness.accept_starts()
+    harness.advance(100)
+    harness.submit("u", "p0", "a", request=WHOLE, accepted=10_100)
+    assert {stop.task for stop in harness.stops} == {"b.0.0.0"}
+
+
+def test_urgent_work_does_not_throw_away_more_than_a_quarter_of_its_own():
+    harness = Harness(endpoints=1, guaranteed=0)
+    harness.now = 10_000
+    harness.submit("b", "p2", "b", request=WHOLE, estimate_ms=9_000)
+    harness.accept_starts()
+    harness.advance(600)
+    harness.submit("u", "p0", "a", request=WHOLE, accepted=10_600)
+    assert not harness.stops
+
+
+def test_urgent_work_that_is_late_anyway_preempts_nothing():
+    harness = Harness(endpoints=1, guaranteed=0)
+    harness.now = 30_000
+    harness.submit("b", "p2", "b", request=WHOLE)
+    harness.accept_starts()
+    harness.submit("u", "p0", "a", request=WHOLE, accepted=1_000)
+    assert not harness.stops
+
+
+def test_the_latest_start_counts_the_steps_that_follow():
+    harness = Harness(endpoints=1)
+    steps = (
+        Step(1, HALF, 3_000),
+        Step(1, HALF, 1_000, depends_on=(0,)),
+    )
+    spec = JobSpec("j", "p1", "pool", "a", "", steps, 10_000)
+    harness.submit_spec(spec)
+    (work,) = harness.scheduler.work_by_key.values()
+    # The objective is twice the chain of 4 s and 0.5 s more.
+    assert work.latest_start_wall_ms == 10_000 + 8_500 - 4_000
--- a/tests/core/scheduling/test_planning.py
+++ b/tests/core/scheduling/test_planning.py
@@ -29,6 +29,7 @@
     for n in range(2):
         harness.submit(f"b{n}", "p1", "b", request=WHOLE)
     harness.accept_starts()
+    harness.advance(600)
     harness.submit("u", "p0", "a", count=2, is_gang=True, request=WHOLE)
     assert not harness.stops
 
