--- a/ragwortshelf/core/scheduling/actions.py
+++ b/ragwortshelf/core/scheduling/actions.py
@@ -7,7 +7,7 @@
 from .model import UnitKey
 from .records import UnitRecord
 
-__all__ = ["Action", "PersistUnit", "StartTask", "StopTask"]
+__all__ = ["Action", "AskAdvice", "PaceTask", "PersistUnit", "StartTask", "StopTask"]
 
 
 @dataclass(frozen=True, slots=True)
@@ -28,6 +28,7 @@
     run: int
     text: str
     checkpoint: str
+    ticket: str = ""
 
 
 @dataclass(frozen=True, slots=True)
@@ -40,4 +41,22 @@
     reason: str
 
 
-Action = PersistUnit | StartTask | StopTask
+@dataclass(frozen=True, slots=True)
+class PaceTask:
+    """Order an endpoint to let a run work at ``percent`` of its full pace."""
+
+    endpoint_id: str
+    task: str
+    run: int
+    percent: int
+
+
+@dataclass(frozen=True, slots=True)
+class AskAdvice:
+    """Ask the policy service which of these endpoints may run a step."""
+
+    step: str
+    endpoint_ids: tuple[str, ...]
+
+
+Action = AskAdvice | PaceTask | PersistUnit | StartTask | StopTask
--- /dev/null
+++ b/ragwortshelf/core/scheduling/advice.py
@@ -0,0 +1,135 @@
+"""Tickets of queues whose policy allows only some endpoints to run a step.
+
+The policy service is asked about a step and some endpoints; its answer about an
+endpoint never changes, while the ticket that it gives expires.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Sequence
+from dataclasses import dataclass
+
+from .fleet import Endpoint
+from .work import Work
+
+__all__ = ["AdviceBook", "Approval", "step_name"]
+
+ASKED_MAX = 30
+"""Endpoints named in one question; the objective of a job counts 30 for each step."""
+
+EXPIRY_MARGIN_MS = 500
+"""A ticket that expires sooner is not used: logging and ordering a start takes less."""
+
+QUESTION_TIMEOUT_MS = 4_000
+"""After this long without an answer the question is asked again."""
+
+
+@dataclass(frozen=True, slots=True)
+class Approval:
+    """A ticket for all tasks of a step on one incarnation of an endpoint."""
+
+    ticket: str
+    born_wall_ms: int
+    expires_ms: int
+
+
+class _StepAdvice:
+    __slots__ = ("approval_by_id", "approved", "asked_until_ms", "denied")
+
+    def __init__(self):
+        self.approval_by_id: dict[str, Approval] = {}
+        self.approved: set[str] = set()
+        self.denied: set[str] = set()
+        self.asked_until_ms = 0
+
+
+def step_name(work: Work) -> str:
+    """Return how the policy service knows a step of an occurrence."""
+    return f"{work.key.job_id}.{work.key.occurrence}.{work.key.step}"
+
+
+class AdviceBook:
+    """What the policy service has said of each step."""
+
+    def __init__(self):
+        self._advice_by_step: dict[str, _StepAdvice] = {}
+
+    def usable(
+        self, work: Work, endpoints: Sequence[Endpoint], now_ms: int
+    ) -> list[Endpoint]:
+        """Return the endpoints for which a ticket is at hand."""
+        return [e for e in endpoints if self.ticket(work, e, now_ms) is not None]
+
+    def ticket(self, work: Work, endpoint: Endpoint, now_ms: int) -> str | None:
+        """Return a ticket that is valid long enough for a start, or None."""
+        advice = self._advice_by_step.get(step_name(work))
+        approval = advice.approval_by_id.get(endpoint.id) if advice else None
+        if approval is None or approval.born_wall_ms != endpoint.born_wall_ms:
+            return None
+        if approval.expires_ms - EXPIRY_MARGIN_MS < now_ms:
+            return None
+        return approval.ticket
+
+    def question(
+        self, work: Work, endpoints: Sequence[Endpoint], now_ms: int
+    ) -> tuple[str, ...]:
+        """Return the endpoints to ask about now, none while an answer is awaited.
+
+        Endpoints that are known to be approved come first, then those with the most
+        free room.
+        """
+        name = step_name(work)
+        advice = self._advice_by_step.setdefault(name, _StepAdvice())
+        if now_ms < advice.asked_until_ms:
+            return ()
+        open_endpoints = [
+            e
+            for e in endpoints
+            if e.id not in advice.denied and self.ticket(work, e, now_ms) is None
+        ]
+        if not open_endpoints:
+            return ()
+        open_endpoints.sort(
+            key=lambda e: (e.id not in advice.approved, -e.free_gpus, e.id)
+        )
+        advice.asked_until_ms = now_ms + QUESTION_TIMEOUT_MS
+        return tuple(e.id for e in open_endpoints[:ASKED_MAX])
+
+    def answered(
+        self,
+        step: str,
+        asked: Sequence[str],
+        ticket_by_id: dict[str, str],
+        born_by_id: dict[str, int],
+        expires_ms: int,
+    ) -> None:
+        """Take an answer about the endpoints that were asked for."""
+        advice = self._advice_by_step.setdefault(step, _StepAdvice())
+        advice.asked_until_ms = 0
+        for endpoint_id in asked:
+            ticket = ticket_by_id.get(endpoint_id)
+            if ticket is None:
+                advice.denied.add(endpoint_id)
+                continue
+            advice.approved.add(endpoint_id)
+            advice.approval_by_id[endpoint_id] = Approval(
+                ticket, born_by_id.get(endpoint_id, 0), expires_ms
+            )
+
+    def unanswered(self, step: str, retry_ms: int) -> None:
+        """Allow the question to be asked again from ``retry_ms`` on."""
+        advice = self._advice_by_step.get(step)
+        if advice is not None:
+            advice.asked_until_ms = retry_ms
+
+    def reject(self, work: Work, endpoint_id: str) -> None:
+        """Drop a ticket that an endpoint did not take."""
+        advice = self._advice_by_step.get(step_name(work))
+        if advice is not None:
+            advice.approval_by_id.pop(endpoint_id, None)
+
+    def forget(self, job_id: str) -> None:
+        """Drop what is known of a job's steps."""
+        prefix = f"{job_id}."
+        for name in [n for n in self._advice_by_step if n.startswith(prefix)]:
+            del self._advice_by_step[name]
--- a/ragwortshelf/core/scheduling/configuration.py
+++ b/ragwortshelf/core/scheduling/configuration.py
@@ -23,7 +23,8 @@
 
     ``target_latency_ms`` and ``slack_factor`` state when a job counts as on time:
     within ``slack_factor`` times its longest chain of work, plus the latency.
-    Priority 0 is served first.
+    Priority 0 is served first. With ``needs_advice`` a policy service has to allow
+    each endpoint that runs a step.
     """
 
     name: str
@@ -35,6 +36,7 @@
     slack_factor: float = 1.0
     target_latency_ms: int = 0
     is_public: bool = False
+    needs_advice: bool = False
 
 
 @dataclass(frozen=True, slots=True)
--- a/ragwortshelf/core/scheduling/fleet.py
+++ b/ragwortshelf/core/scheduling/fleet.py
@@ -136,11 +136,13 @@
         "confirmed_ms",
         "endpoint_id",
         "fenced_ms",
+        "figure",
         "index",
         "is_adopted",
         "is_unanswered",
         "occupied",
         "ordered_ms",
+        "pace_percent",
         "percent",
         "percent_ms",
         "run",
@@ -175,6 +177,8 @@
         self.stop_again_ms = 0
         self.checkpoint = ""
         self.percent = 0.0
+        self.pace_percent = 100
+        self.figure = 0.0
         self.percent_ms = now_ms
 
     def was_seen(self, before_ms: int) -> bool:
@@ -187,7 +191,11 @@
 
 
 class Endpoint:
-    """One endpoint with its free room and the members it holds."""
+    """One endpoint with its free room and the members it holds.
+
+    A cordoned endpoint gets nothing new. ``leaves_ms`` is the earliest time at which a
+    draining one may leave.
+    """
 
     __slots__ = (
         "born_wall_ms",
@@ -197,8 +205,10 @@
         "free_gpus",
         "free_memory_mb",
         "info",
+        "is_cordoned",
         "is_listed",
         "is_reachable",
+        "leaves_ms",
         "member_by_task",
     )
 
@@ -207,6 +217,8 @@
         self.born_wall_ms = info.born_wall_ms
         self.is_reachable = False
         self.is_listed = True
+        self.is_cordoned = False
+        self.leaves_ms: int | None = None
         self.excluded_until_ms = 0
         self.failed_jobs: set[str] = set()
         self.member_by_task: dict[str, Member] = {}
@@ -224,8 +236,14 @@
         """The capacity that nothing occupies, stops in progress included."""
         return Resources(self.free_cpu_milli, self.free_memory_mb, self.free_gpus)
 
-    def update(self, info: EndpointInfo) -> None:
+    def update(self, info: EndpointInfo, now_ms: int) -> None:
         """Take over what the endpoint says of itself now."""
+        if info.is_draining and info.remaining_ms is not None:
+            leaves_ms = now_ms + info.remaining_ms
+            known = self.leaves_ms
+            self.leaves_ms = leaves_ms if known is None else min(known, leaves_ms)
+        elif not info.is_draining:
+            self.leaves_ms = None
         before, after = self.info.capacity, info.capacity
         self.info = info
         self.is_listed = True
@@ -236,6 +254,7 @@
         return (
             self.is_reachable
             and self.is_listed
+            and not self.is_cordoned
             and not self.info.is_draining
             and now_ms >= self.excluded_until_ms
         )
--- a/ragwortshelf/core/scheduling/model.py
+++ b/ragwortshelf/core/scheduling/model.py
@@ -101,7 +101,8 @@
     """A job as its caller handed it in.
 
     ``accepted_wall_ms`` is the time of day at the instance that accepted it.
-    ``occurrences`` is 0 for a job that runs once, as soon as it can.
+    ``occurrences`` is 0 for a job that runs once, as soon as it can. ``attempts_max``
+    is what its queue allowed then; it counts once the queue is withdrawn.
     """
 
     id: str
@@ -114,6 +115,7 @@
     occurrences: int = 0
     first_run_wall_ms: int = 0
     interval_ms: int = 0
+    attempts_max: int = 1
 
     @property
     def runs(self) -> int:
--- a/ragwortshelf/core/scheduling/planning.py
+++ b/ragwortshelf/core/scheduling/planning.py
@@ -3,8 +3,10 @@
 from __future__ import annotations
 
 from collections import defaultdict
+from collections.abc import Sequence
 from typing import TYPE_CHECKING
 
+from .availability import may_be_stopped
 from .fleet import Endpoint, Member
 from .model import Resources, UnitKey, UnitPhase
 from .packing import allows, find_endpoints, rack_could_hold
@@ -90,6 +92,11 @@
         if shape in without_room and not is_guaranteed:
             return
         candidates = self._candidates(work, usable)
+        if self._needs_advice(work):
+            allowed = self._scheduler.advice.usable(work, candidates, self._now_ms)
+            if len(allowed) < len(candidates) and not self._fit(work, allowed):
+                self._scheduler.ask_advice(work, candidates, self._now_ms)
+            candidates = allowed
         endpoints = None
         if work.avoided:
             preferred = [e for e in candidates if e.id not in work.avoided]
@@ -106,6 +113,8 @@
         if is_guaranteed:
             guaranteed[organisation] += work.gpus
             self._reclaim(work, candidates)
+        elif _must_come_back(work):
+            self._reclaim(work, candidates)
         elif _is_hard_to_fit(work):
             self._await_room(work, candidates)
 
@@ -115,6 +124,11 @@
         service = queue.service if queue else spec.service
         return [e for e in usable if allows(e, work.step, service)]
 
+    def _needs_advice(self, work: Work) -> bool:
+        queues = self._scheduler.configuration.queue_by_name
+        queue = queues.get(work.job.spec.queue)
+        return queue is not None and queue.needs_advice
+
     def _fit(self, work: Work, candidates: list[Endpoint]) -> list[Endpoint] | None:
         def slots(endpoint: Endpoint) -> int:
             room = self._room(endpoint, work)
@@ -180,8 +194,10 @@
         over_guarantee = self._organisations_over_guarantee()
 
         def borrowed(member: Member) -> Work | None:
-            holder = self._scheduler.work_by_key.get(member.unit)
-            if holder is None or holder.phase is not UnitPhase.PLACED:
+            holder = self._placed_holder(member)
+            if holder is None or not self._may_stop(holder):
+                return None
+            if holder.step.is_long_running and work.priority > 0:
                 return None
             if holder.priority > 0:
                 return holder
@@ -200,8 +216,13 @@
         if plan is None:
             return
         self._reserve(work, plan)
-        for victim in plan.victims:
-            self._scheduler.stop_work(victim, "reclaimed", self._now_ms)
+        self._stop_all(plan.victims, "reclaimed")
+
+    def _stop_all(self, victims: Sequence[Work], reason: str) -> None:
+        for victim in victims:
+            # Stopping one task of a lasting step may use up what the step allows.
+            if self._may_stop(victim):
+                self._scheduler.stop_work(victim, reason, self._now_ms)
 
     def _reserve(self, work: Work, plan: Reclaim) -> None:
         reserved: dict[str, Resources] = {}
@@ -239,12 +260,13 @@
         if self._would_be_late(work, wait_ms) and self._preempt(work, candidates):
             return
         self._reserve(work, plan)
-        cheap = [v for v in plan.victims if _stops_cheaply(v, work)]
+        cheap = [
+            v for v in plan.victims if _stops_cheaply(v, work) and self._may_stop(v)
+        ]
         rest = [v for v in plan.victims if not _stops_cheaply(v, work)]
         wait_ms = max((v.remaining_ms(self._now_ms) for v in rest), default=0)
         if wait_ms <= CHEAP_STOP_WAIT_MS:
-            for victim in cheap:
-                self._scheduler.stop_work(victim, "yields", self._now_ms)
+            self._stop_all(cheap, "yields")
 
     def _would_be_late(self, work: Work, wait_ms: float) -> bool:
         """Whether waiting makes a unit late that is still in time now."""
@@ -259,8 +281,9 @@
 
         def borrowed(member: Member) -> Work | None:
             holder = self._placed_holder(member)
-            is_below = holder is not None and holder.priority > work.priority
-            return holder if is_below else None
+            if holder is None or holder.priority <= work.priority:
+                return None
+            return holder if self._may_stop(holder) else None
 
         plan = plan_reclaim(
             work.step,
@@ -276,10 +299,12 @@
         if lost > PREEMPTION_LOSS_SHARE * work.cores * work.step.estimate_ms:
             return False
         self._reserve(work, plan)
-        for victim in plan.victims:
-            self._scheduler.stop_work(victim, "preempted", self._now_ms)
+        self._stop_all(plan.victims, "preempted")
         return True
 
+    def _may_stop(self, holder: Work) -> bool:
+        return may_be_stopped(holder, self._scheduler.work_by_key)
+
     def _placed_holder(self, member: Member) -> Work | None:
         holder = self._scheduler.work_by_key.get(member.unit)
         is_placed = holder is not None and holder.phase is UnitPhase.PLACED
@@ -311,6 +336,11 @@
         return over
 
 
+def _must_come_back(work: Work) -> bool:
+    """Whether a lasting task has run before, and so is restarted however full it is."""
+    return work.step.is_long_running and work.record.run > 0
+
+
 def _is_hard_to_fit(work: Work) -> bool:
     """Whether smaller work would keep taking the room that the unit waits for."""
     return work.count > 1 or work.gpus > 1
--- a/ragwortshelf/core/scheduling/records.py
+++ b/ragwortshelf/core/scheduling/records.py
@@ -10,6 +10,7 @@
 ``j/ID``       the instance that accepted the job      specification
 ``c/ID``       the instance that was asked to cancel   time of day
 ``u/ID/K/S/M`` the scheduler                           state of the unit
+``w/N``        the scheduler                           progress of a wave
 ``term``       the scheduler                           claim or renewal
 =============  ======================================  ======================
 """
@@ -30,6 +31,7 @@
     "Record",
     "TermHeld",
     "UnitRecord",
+    "UpkeepNoted",
     "decode_record",
     "encode_record",
     "forgetting_records",
@@ -94,7 +96,18 @@
     is_resigned: bool = False
 
 
-Record = JobSubmitted | JobCancelled | JobForgotten | UnitRecord | TermHeld
+@dataclass(frozen=True, slots=True)
+class UpkeepNoted:
+    """Which hosts of a wave have begun their upkeep, and whether all have."""
+
+    wave: int
+    begun: tuple[str, ...]
+    is_completed: bool
+
+
+Record = (
+    UpkeepNoted | JobSubmitted | JobCancelled | JobForgotten | UnitRecord | TermHeld
+)
 
 
 def encode_record(record: Record) -> tuple[str, bytes]:
@@ -111,6 +124,7 @@
                 spec.occurrences,
                 spec.first_run_wall_ms,
                 spec.interval_ms,
+                spec.attempts_max,
             )
             return f"j/{spec.id}", cbor2.dumps(fields)
         case JobCancelled(job_id, wall_ms):
@@ -131,6 +145,8 @@
             return TERM_KEY, cbor2.dumps(astuple(record))
         case JobForgotten(job_id):
             return f"j/{job_id}", b""
+        case UpkeepNoted(wave, begun, is_completed):
+            return f"w/{wave}", cbor2.dumps((begun, is_completed))
 
 
 def decode_record(key: str, value: bytes) -> Record | None:
@@ -151,6 +167,8 @@
                 return JobCancelled(rest, int(fields))
             case "u":
                 return _decode_unit(rest, fields)
+            case "w":
+                return UpkeepNoted(int(rest), tuple(fields[0]), bool(fields[1]))
             case "term":
                 return TermHeld(*fields)
     except (ValueError, TypeError, IndexError, cbor2.CBORDecodeError):
--- a/ragwortshelf/core/scheduling/scheduler.py
+++ b/ragwortshelf/core/scheduling/scheduler.py
@@ -10,8 +10,11 @@
 
 from dataclasses import replace
 
-from .actions import Action, PersistUnit, StartTask, StopTask
+from .actions import Action, AskAdvice, PaceTask, PersistUnit, StartTask, StopTask
+from .advice import AdviceBook, step_name
+from .availability import may_be_stopped
 from .configuration import ServiceConfiguration
+from .departures import work_to_move
 from .fleet import (
     Endpoint,
     EndpointInfo,
@@ -24,6 +27,7 @@
     StartOutcome,
 )
 from .model import Resources, UnitKey, UnitPhase
+from .pacing import FULL_PERCENT, plan_paces
 from .planning import Planner
 from .table import Job, JobTable
 from .work import Work
@@ -52,6 +56,9 @@
 FINISHED_PERCENT = 99
 """Progress from which a task may rest: whole percents are rounded down."""
 
+FINISHED_PAGE = 500
+"""Ends that an endpoint lists at a time, by the platform's pages."""
+
 _RELEASABLE = frozenset({UnitPhase.DONE, UnitPhase.FAILED})
 
 
@@ -68,6 +75,7 @@
         self.next_due_wall_ms: int | None = None
         self._timed_jobs: dict[str, int] = {}
         self._actions: list[Action] = []
+        self.advice = AdviceBook()
         self._planner = Planner(self)
 
     # Input from the log and the configuration.
@@ -96,13 +104,42 @@
 
     # Input about endpoints.
 
-    def endpoint_seen(self, info: EndpointInfo) -> None:
+    def cordon(self, endpoint_id: str) -> None:
+        """Place nothing more on an endpoint."""
+        endpoint = self.endpoint_by_id.get(endpoint_id)
+        if endpoint is not None:
+            endpoint.is_cordoned = True
+
+    def empty(self, endpoint_id: str, reason: str, now_ms: int) -> None:
+        """Stop what an endpoint holds, as far as lasting steps allow it now."""
+        endpoint = self.endpoint_by_id.get(endpoint_id)
+        if endpoint is None:
+            return
+        for member in endpoint.members():
+            work = self.work_by_key.get(member.unit)
+            if work is not None and may_be_stopped(work, self.work_by_key):
+                self._stop_members(work, reason, now_ms)
+
+    def is_shared(self, endpoint_id: str) -> bool:
+        """Whether tasks that serve run beside tasks that fill."""
+        endpoint = self.endpoint_by_id.get(endpoint_id)
+        if endpoint is None:
+            return False
+        steps = [
+            self.work_by_key[member.unit].step
+            for member in endpoint.member_by_task.values()
+            if member.unit in self.work_by_key
+        ]
+        return any(step.tail_target_ms for step in steps) and any(
+            step.fills for step in steps
+        )
+
+    def endpoint_seen(self, info: EndpointInfo, now_ms: int) -> None:
         """Take over what an endpoint says of itself."""
         endpoint = self.endpoint_by_id.get(info.id)
         if endpoint is None:
-            self.endpoint_by_id[info.id] = Endpoint(info)
-        else:
-            endpoint.update(info)
+            endpoint = self.endpoint_by_id[info.id] = Endpoint(info)
+        endpoint.update(info, now_ms)
 
     def endpoint_unlisted(self, endpoint_id: str) -> None:
         """Note that an endpoint is no longer in the store."""
@@ -145,6 +182,10 @@
         for row in listing.running:
             seen.add((row.task, row.run))
             self._running(endpoint, row, now_ms)
+        self._actions.extend(plan_paces(endpoint, self.work_by_key))
+        if len(listing.finished) >= FINISHED_PAGE:
+            # The ends that are missing come with the next listing.
+            return
         for member in endpoint.members():
             if (member.task, member.run) not in seen:
                 self._absent(member, listing.sent_ms, now_ms, wall_ms)
@@ -171,6 +212,8 @@
             return
         self._note_refusal(endpoint_id, outcome, now_ms)
         work = self.work_by_key.get(member.unit)
+        if work is not None and outcome is StartOutcome.NO_TICKET:
+            self.advice.reject(work, endpoint_id)
         if work is not None:
             work.not_before_ms = now_ms + REPLAN_DELAY_MS
             work.avoided.add(endpoint_id)
@@ -193,6 +236,32 @@
         if member is not None and member.fenced_ms is None:
             member.fenced_ms = now_ms
 
+    def advised(
+        self,
+        step: str,
+        asked: tuple[str, ...],
+        ticket_by_id: dict[str, str],
+        expires_ms: int,
+    ) -> None:
+        """Take the policy service's answer about a step."""
+        born_by_id = {
+            endpoint_id: endpoint.born_wall_ms
+            for endpoint_id, endpoint in self.endpoint_by_id.items()
+        }
+        self.advice.answered(step, asked, ticket_by_id, born_by_id, expires_ms)
+
+    def pace_lost(self, order: PaceTask) -> None:
+        """Note that a pace was not confirmed, so that it is ordered again."""
+        member = self._member(order.endpoint_id, order.task, order.run)
+        if member is not None:
+            member.pace_percent = FULL_PERCENT
+
+    def ask_advice(self, work: Work, endpoints: list[Endpoint], now_ms: int) -> None:
+        """Ask which of these endpoints may run a unit, if no answer is awaited."""
+        asked = self.advice.question(work, endpoints, now_ms)
+        if asked:
+            self._actions.append(AskAdvice(step_name(work), asked))
+
     # Decisions.
 
     def plan(self, now_ms: int, wall_ms: int) -> None:
@@ -200,6 +269,7 @@
         self._open_due_occurrences(now_ms, wall_ms)
         self._repeat_stops(now_ms)
         self._stop_stalled(now_ms)
+        self._move_from_leaving(now_ms)
         self._planner.run(now_ms, wall_ms)
 
     def take_actions(self) -> list[Action]:
@@ -226,7 +296,8 @@
         for index, endpoint in enumerate(endpoints):
             member = self._add_member(work, index, endpoint, now_ms)
             member.stage = MemberStage.ORDERED
-            self._order_start(work, member)
+            ticket = self.advice.ticket(work, endpoint, now_ms) or ""
+            self._order_start(work, member, ticket)
 
     def stop_work(self, work: Work, reason: str, now_ms: int) -> None:
         """Stop a unit so that it waits again; its checkpoint is kept."""
@@ -294,6 +365,7 @@
 
     def _end_job(self, job: Job, now_ms: int) -> None:
         self._timed_jobs.pop(job.spec.id, None)
+        self.advice.forget(job.spec.id)
         state = job.state.value
         for number, step in enumerate(job.spec.steps):
             for occurrence in range(job.spec.runs):
@@ -347,7 +419,7 @@
         work.members.append(member)
         return member
 
-    def _order_start(self, work: Work, member: Member) -> None:
+    def _order_start(self, work: Work, member: Member, ticket: str = "") -> None:
         self._actions.append(
             StartTask(
                 member.endpoint_id,
@@ -356,6 +428,7 @@
                 member.run,
                 work.job.spec.text,
                 work.record.checkpoint,
+                ticket,
             )
         )
 
@@ -400,10 +473,16 @@
                         self._stop_members(work, "no progress", now_ms)
                         break
 
+    def _move_from_leaving(self, now_ms: int) -> None:
+        for endpoint in list(self.endpoint_by_id.values()):
+            for work in work_to_move(endpoint, self.work_by_key, now_ms):
+                if may_be_stopped(work, self.work_by_key):
+                    self._stop_members(work, "endpoint leaves", now_ms)
+
     @staticmethod
     def _stands_still(member: Member, now_ms: int) -> bool:
         # A member of a gang that has finished its own part waits for the others.
-        if member.percent >= FINISHED_PERCENT:
+        if member.percent >= FINISHED_PERCENT or member.pace_percent < FULL_PERCENT:
             return False
         return now_ms - member.percent_ms > STALL_MS
 
@@ -444,6 +523,7 @@
             member.percent_ms = now_ms
         if member.confirmed_ms is None:
             member.confirmed_ms = now_ms
+        member.figure = row.figure
         member.is_adopted = False
         if member.stage in (MemberStage.LOGGED, MemberStage.ORDERED):
             member.stage = MemberStage.RUNNING
@@ -498,7 +578,7 @@
             return
         work.members.remove(member)
         saved = checkpoint or member.checkpoint
-        if end is RunEnd.DONE:
+        if end is RunEnd.DONE and not work.step.is_long_running:
             self._unit_done(work, now_ms, wall_ms)
         elif work.phase in (UnitPhase.PLACED, UnitPhase.ENDING):
             self._run_broken(work, end, saved, member, now_ms, wall_ms)
@@ -537,8 +617,11 @@
     def _has_spent_attempts(self, work: Work) -> bool:
         if work.step.is_long_running:
             return False
-        queue = self.configuration.queue_by_name.get(work.job.spec.queue)
-        return queue is not None and work.record.failed_runs >= queue.attempts_max
+        spec = work.job.spec
+        queue = self.configuration.queue_by_name.get(spec.queue)
+        # A queue may be withdrawn while its jobs still run.
+        attempts_max = queue.attempts_max if queue else spec.attempts_max
+        return work.record.failed_runs >= attempts_max
 
     def _wait_again(self, work: Work, now_ms: int) -> None:
         work.phase = UnitPhase.WAITING
--- a/ragwortshelf/core/scheduling/table.py
+++ b/ragwortshelf/core/scheduling/table.py
@@ -16,6 +16,7 @@
     Record,
     TermHeld,
     UnitRecord,
+    UpkeepNoted,
 )
 
 __all__ = ["Job", "JobTable"]
@@ -107,6 +108,7 @@
     def __init__(self):
         self.job_by_id: dict[str, Job] = {}
         self.term: TermHeld | None = None
+        self.upkeep_by_wave: dict[int, UpkeepNoted] = {}
         self._cancelled_wall_by_id: dict[str, int] = {}
         self._early_units_by_id: dict[str, list[UnitRecord]] = {}
 
@@ -122,6 +124,9 @@
             case JobForgotten(job_id):
                 self._forget(job_id)
                 return False
+            case UpkeepNoted(wave):
+                self.upkeep_by_wave[wave] = record
+                return False
             case TermHeld():
                 if self.term is None or record.term >= self.term.term:
                     self.term = record
--- /dev/null
+++ b/ragwortshelf/core/scheduling/upkeep.py
@@ -0,0 +1,170 @@
+"""Upkeep of hosts in waves: each in time, and only so many down at once.
+
+A host is first cordoned, then emptied, then handed to its upkeep, from which another
+endpoint comes back on it.
+"""
+
+from __future__ import annotations
+
+import enum
+from collections.abc import Mapping
+from dataclasses import dataclass
+
+__all__ = [
+    "HostInfo",
+    "HostState",
+    "UpkeepOutcome",
+    "UpkeepStep",
+    "UpkeepWave",
+    "WaveProgress",
+]
+
+EMPTYING_MS = 2_500
+"""Time that is kept for stopping what still runs on a host: a stop of 0.9 s, one that
+is repeated, and the listing that shows its end."""
+
+
+class HostState(enum.Enum):
+    """What the platform says of a host."""
+
+    UP = "up"
+    MOVING = "moving"
+    IN_UPKEEP = "upkeep"
+    DOWN = "down"
+
+
+@dataclass(frozen=True, slots=True)
+class HostInfo:
+    """A host of endpoints; ``endpoint_id`` is empty while none runs on it."""
+
+    id: str
+    pool: str
+    state: HostState
+    endpoint_id: str = ""
+
+
+@dataclass(frozen=True, slots=True)
+class UpkeepWave:
+    """An operator's request that each of these hosts has its upkeep in time."""
+
+    number: int
+    host_ids: tuple[str, ...]
+    duration_ms: int
+    concurrent_max: int
+
+
+class UpkeepOutcome(enum.Enum):
+    """What became of an order to begin an upkeep."""
+
+    BEGUN = "begun"
+    BUSY = "busy"
+    FENCED = "fenced"
+    OTHER_WAVE = "other_wave"
+    NO_HOST = "no_host"
+    LIMITED = "limited"
+    UNANSWERED = "unanswered"
+
+
+@dataclass(frozen=True, slots=True)
+class UpkeepStep:
+    """What to do now: endpoints to cordon and to empty, and hosts to order."""
+
+    cordon: tuple[str, ...] = ()
+    empty: tuple[str, ...] = ()
+    order: tuple[str, ...] = ()
+
+
+class WaveProgress:
+    """How far a wave is. ``begun`` survives a change of scheduler in the log."""
+
+    def __init__(self, wave: UpkeepWave, deadline_ms: int, maintenance_ms: int):
+        self.wave = wave
+        self.begun: set[str] = set()
+        self._deadline_ms = deadline_ms
+        self._maintenance_ms = maintenance_ms
+        self._down: dict[str, str] = {}
+        self._endpoint_at_order: dict[str, str] = {}
+        self._stop_at_ms: dict[str, int] = {}
+
+    def is_complete(self, host_by_id: Mapping[str, HostInfo]) -> bool:
+        """Whether each host that stays has begun its upkeep."""
+        return all(
+            host_id in self.begun
+            for host_id in self.wave.host_ids
+            if host_id in host_by_id
+        )
+
+    def step(
+        self,
+        host_by_id: Mapping[str, HostInfo],
+        load_by_endpoint: Mapping[str, int],
+        now_ms: int,
+    ) -> UpkeepStep:
+        """Decide from the hosts as listed and how many tasks each endpoint holds."""
+        self._note_returned(host_by_id)
+        self._drop_lost(host_by_id)
+        cordon = self._choose(host_by_id, load_by_endpoint, now_ms)
+        order, empty = [], []
+        for host_id, stop_at_ms in self._stop_at_ms.items():
+            endpoint_id = host_by_id[host_id].endpoint_id
+            if not load_by_endpoint.get(endpoint_id):
+                order.append(host_id)
+            elif now_ms >= stop_at_ms:
+                empty.append(endpoint_id)
+        return UpkeepStep(tuple(cordon), tuple(empty), tuple(order))
+
+    def ordered(self, host: HostInfo, outcome: UpkeepOutcome) -> None:
+        """Take notice of what became of an order."""
+        if outcome is UpkeepOutcome.BEGUN:
+            self.begun.add(host.id)
+            self._stop_at_ms.pop(host.id, None)
+        elif outcome is not UpkeepOutcome.UNANSWERED:
+            return
+        # Without an answer it may have begun: the order is repeated, and meanwhile the
+        # host counts as down until another endpoint than at the first order is on it.
+        first = self._endpoint_at_order.setdefault(host.id, host.endpoint_id)
+        if host.endpoint_id == first:
+            self._down[host.id] = first
+
+    def _note_returned(self, host_by_id) -> None:
+        for host_id, endpoint_before in list(self._down.items()):
+            host = host_by_id.get(host_id)
+            is_back = host is None or (
+                host.state is HostState.UP
+                and host.endpoint_id
+                and host.endpoint_id != endpoint_before
+            )
+            if is_back:
+                del self._down[host_id]
+
+    def _drop_lost(self, host_by_id) -> None:
+        for host_id in list(self._stop_at_ms):
+            host = host_by_id.get(host_id)
+            if host is None or not host.endpoint_id:
+                del self._stop_at_ms[host_id]
+
+    def _choose(self, host_by_id, load_by_endpoint, now_ms) -> list[str]:
+        taken = self._stop_at_ms.keys() | self._down.keys()
+        pending = [
+            host_by_id[host_id]
+            for host_id in self.wave.host_ids
+            if host_id not in self.begun
+            and host_id not in taken
+            and host_id in host_by_id
+        ]
+        pending = [h for h in pending if h.state is HostState.UP and h.endpoint_id]
+        pending.sort(key=lambda h: (load_by_endpoint.get(h.endpoint_id, 0), h.id))
+        free = max(0, self.wave.concurrent_max - len(taken))
+        stop_at_ms = self._stop_time(len(pending), now_ms)
+        chosen = pending[:free]
+        for host in chosen:
+            self._stop_at_ms[host.id] = stop_at_ms
+        return [host.endpoint_id for host in chosen]
+
+    def _stop_time(self, pending: int, now_ms: int) -> int:
+        """Return how long a host may empty by itself, so that all are in time."""
+        rounds = -(-pending // max(1, self.wave.concurrent_max))
+        if not rounds:
+            return now_ms
+        turn_ms = (self._deadline_ms - now_ms) // rounds
+        return now_ms + max(0, turn_ms - self._maintenance_ms - EMPTYING_MS)
--- a/ragwortshelf/scheduler/configuration.py
+++ b/ragwortshelf/scheduler/configuration.py
@@ -7,6 +7,7 @@
 import trio
 
 from ..core.scheduling import ServiceConfiguration
+from ..core.scheduling.upkeep import UpkeepWave
 from ..daemon.logs import log_event
 from .clock import boot_ms
 from .interfaces import Entry, LogGap, LogPage, NewestPage, OutsideWorld
@@ -33,6 +34,7 @@
         self.current: ServiceConfiguration | None = None
         self.confirmed_boot_ms: int | None = None
         self.on_change: Callable[[ServiceConfiguration], None] = lambda newest: None
+        self._waves: dict[int, UpkeepWave] = {}
         self._value_by_key: dict[str, bytes] = {}
         self._next_offset: int | None = None
         self.is_answered = False
@@ -107,7 +109,12 @@
         if entries:
             self._decode()
 
+    def waves(self) -> dict[int, UpkeepWave]:
+        """Return the waves of upkeep that operators have asked for."""
+        return self._waves
+
     def _decode(self) -> None:
+        self._waves = self._world.decode_waves(self._value_by_key)
         newest = self._world.decode_configuration(self._value_by_key)
         if newest is None:
             return
--- a/ragwortshelf/scheduler/endpoint_session.py
+++ b/ragwortshelf/scheduler/endpoint_session.py
@@ -6,7 +6,7 @@
 
 import trio
 
-from ..core.scheduling.actions import StartTask, StopTask
+from ..core.scheduling.actions import PaceTask, StartTask, StopTask
 from ..core.scheduling.fleet import EndpointInfo, EndpointListing, StartOutcome
 from ..daemon.logs import log_event
 from .clock import monotonic_ms
@@ -62,6 +62,7 @@
         self._clock_read_ms = 0
         self._born_wall_ms = 0
         self._ack_number = 0
+        self.is_shared = False
         self._is_reachable = False
         self._failures = 0
         self._has_lapsed = False
@@ -101,6 +102,7 @@
                 order.run,
                 order.text,
                 order.checkpoint,
+                order.ticket,
                 self._until_ms,
                 timeout_ms,
             )
@@ -115,9 +117,15 @@
             order.task, order.run, self._settings.endpoint_timeout_ms
         )
 
+    async def pace(self, order: PaceTask) -> bool:
+        """Order a pace once; returns whether the endpoint confirmed it."""
+        return await self._client.pace(
+            order.task, order.run, order.percent, self._settings.endpoint_timeout_ms
+        )
+
     async def _renew(self) -> None:
         is_first = self._until_ms is None or self._failures > 0
-        wait_ms = 0 if is_first else self._settings.listing_wait_ms
+        wait_ms = 0 if is_first else self._listing_wait_ms()
         sent_ms = monotonic_ms()
         until_ms = self._next_until(sent_ms)
         answer = await self._client.renew(
@@ -138,6 +146,11 @@
             self._check_lapse()
             await trio.sleep(_RETRY_MS / 1000)
 
+    def _listing_wait_ms(self) -> int:
+        if self.is_shared:
+            return self._settings.shared_listing_wait_ms
+        return self._settings.listing_wait_ms
+
     def _next_until(self, now_ms: int) -> int | None:
         if self._clock_read_ms == 0 or self._failures > 0:
             # An unanswered renewal may still be carried out, so only answered ones
--- a/ragwortshelf/scheduler/interfaces.py
+++ b/ragwortshelf/scheduler/interfaces.py
@@ -17,14 +17,17 @@
     RunningTask,
     StartOutcome,
 )
+from ..core.scheduling.upkeep import HostInfo, UpkeepOutcome, UpkeepWave
 
 __all__ = [
+    "Advice",
     "Appended",
     "Deposed",
     "EndpointAnswer",
     "EndpointClient",
     "EndpointUnreachable",
     "Entry",
+    "HostService",
     "KeyedLog",
     "LogGap",
     "LogPage",
@@ -183,6 +186,7 @@
         run: int,
         text: str,
         checkpoint: str,
+        ticket: str,
         until_ms: int,
         timeout_ms: int,
     ) -> StartOutcome:
@@ -192,11 +196,37 @@
     async def stop(self, task: str, run: int, timeout_ms: int) -> bool:
         """Order a stop; returns whether the endpoint confirmed it."""
 
+    @abc.abstractmethod
+    async def pace(self, task: str, run: int, percent: int, timeout_ms: int) -> bool:
+        """Order a share of the full pace; returns whether it was confirmed."""
+
     @abc.abstractmethod
     async def aclose(self) -> None:
         """Close all connections."""
 
 
+@dataclass(frozen=True, slots=True)
+class Advice:
+    """Tickets for the endpoints that may run a step, valid for ``valid_ms``."""
+
+    ticket_by_id: Mapping[str, str]
+    valid_ms: int
+
+
+class HostService(abc.ABC):
+    """The platform's service that looks after the endpoints' hosts."""
+
+    @abc.abstractmethod
+    async def list_hosts(self) -> list[HostInfo] | None:
+        """Return all hosts, or None where the list is not whole."""
+
+    @abc.abstractmethod
+    async def begin_upkeep(
+        self, host_id: str, wave: int, holder: str, token: int
+    ) -> UpkeepOutcome:
+        """Order a host's upkeep in a wave; repeating it does no harm."""
+
+
 class OutsideWorld(abc.ABC):
     """Makes the clients of everything outside, and decodes what operators write."""
 
@@ -216,6 +246,24 @@
     def endpoint_client(self, info: EndpointInfo, token: int) -> EndpointClient:
         """Return a client of one endpoint."""
 
+    @abc.abstractmethod
+    async def ask_advice(
+        self, step: str, endpoint_ids: tuple[str, ...]
+    ) -> Advice | None:
+        """Ask the policy service about a step; None without an answer."""
+
+    @abc.abstractmethod
+    def host_service(self) -> HostService:
+        """Return the service that looks after hosts."""
+
+    @abc.abstractmethod
+    async def publish_wave(self, wave: int, is_completed: bool) -> bool:
+        """Tell the operator how far a wave is; returns whether it is stored."""
+
+    @abc.abstractmethod
+    def decode_waves(self, entries: Mapping[str, bytes]) -> dict[int, UpkeepWave]:
+        """Return the waves of upkeep among the operator's records."""
+
     @abc.abstractmethod
     def decode_configuration(
         self, entries: Mapping[str, bytes]
--- a/ragwortshelf/scheduler/leadership.py
+++ b/ragwortshelf/scheduler/leadership.py
@@ -5,7 +5,14 @@
 import trio
 
 from ..core.scheduling import Scheduler, ServiceConfiguration
-from ..core.scheduling.actions import Action, PersistUnit, StartTask, StopTask
+from ..core.scheduling.actions import (
+    Action,
+    AskAdvice,
+    PaceTask,
+    PersistUnit,
+    StartTask,
+    StopTask,
+)
 from ..core.scheduling.fleet import EndpointInfo, EndpointListing
 from ..core.scheduling.model import UnitKey
 from ..core.scheduling.records import (
@@ -21,6 +28,7 @@
 from .interfaces import Appended, Deposed, Entry, OutsideWorld, ProducerFence
 from .log_follower import LogFollower
 from .settings import SchedulingSettings
+from .upkeep import UpkeepRunner
 
 __all__ = ["PRODUCER", "Leadership"]
 
@@ -30,6 +38,9 @@
 PLAN_INTERVAL_MS = 250
 """Time between plans without news; it bounds when timed jobs and retries start."""
 
+ADVICE_RETRY_MS = 300
+"""Pause after a question that the policy service did not answer."""
+
 FORGET_INTERVAL_MS = 5_000
 """Time between two looks for ended jobs whose state need not be kept any longer."""
 
@@ -61,11 +72,15 @@
         self._log = world.job_log()
         self._sequence = sequence
         self._scheduler = Scheduler(claim.term, follower.table, configuration.current)
+        self._upkeep = UpkeepRunner(
+            world, settings, follower, self._scheduler, self._commit, claim.term
+        )
         self._session_by_id: dict[str, EndpointSession] = {}
         self._uncommitted: list[Action] = []
         self._committed = trio.Event()
         self._commits_wanted = 0
         self._commits_done = 0
+        self._advice_lock = trio.Lock()
         self._dirty = trio.Event()
         self._write_wanted = trio.Event()
         self._confirmed_boot_ms = boot_ms()
@@ -95,6 +110,7 @@
                 nursery.start_soon(self._watch_confirmation)
                 nursery.start_soon(self._forget_loop)
                 nursery.start_soon(self._release_placeholders)
+                nursery.start_soon(self._upkeep.run, self._configuration.waves)
         finally:
             self._follower.on_job_changed = lambda job_id: None
             self._follower.is_waiting_for_records = False
@@ -143,7 +159,7 @@
     # Endpoints.
 
     def _endpoint_seen(self, info: EndpointInfo) -> None:
-        self._scheduler.endpoint_seen(info)
+        self._scheduler.endpoint_seen(info, monotonic_ms())
         session = self._session_by_id.get(info.id)
         if session is not None and session.info.address == info.address:
             session.info = info
@@ -183,6 +199,9 @@
         self._scheduler.listed(listing, monotonic_ms(), wall_ms())
         self._dispatch()
         self._dirty.set()
+        session = self._session_by_id.get(listing.endpoint_id)
+        if session is not None:
+            session.is_shared = self._scheduler.is_shared(listing.endpoint_id)
         if listing.finished:
             await self._wait_committed()
         self._end_idle_session(listing.endpoint_id)
@@ -232,6 +251,10 @@
                     reason=action.reason,
                 )
                 self._nursery.start_soon(self._stop, action)
+            elif isinstance(action, PaceTask):
+                self._nursery.start_soon(self._pace, action)
+            elif isinstance(action, AskAdvice):
+                self._nursery.start_soon(self._ask_advice, action)
             else:
                 if isinstance(action, PersistUnit):
                     self._note_uncommitted(action, 1)
@@ -285,6 +308,46 @@
                 order.endpoint_id, order.task, order.run, monotonic_ms()
             )
 
+    async def _pace(self, order: PaceTask) -> None:
+        session = self._session_by_id.get(order.endpoint_id)
+        if session is None:
+            return
+        is_confirmed = await session.pace(order)
+        log_event(
+            "pace",
+            task=order.task,
+            run=order.run,
+            endpoint=order.endpoint_id,
+            percent=order.percent,
+            confirmed=is_confirmed,
+        )
+        if not is_confirmed:
+            self._scheduler.pace_lost(order)
+
+    async def _ask_advice(self, question: AskAdvice) -> None:
+        # The service handles one call of an instance at a time; the lock keeps the
+        # others from filling its queue.
+        async with self._advice_lock:
+            asked_ms = monotonic_ms()
+            answer = await self._world.ask_advice(question.step, question.endpoint_ids)
+        log_event(
+            "advice",
+            step=question.step,
+            asked=len(question.endpoint_ids),
+            approved=len(answer.ticket_by_id) if answer else None,
+        )
+        if answer is None:
+            retry_ms = monotonic_ms() + ADVICE_RETRY_MS
+            self._scheduler.advice.unanswered(question.step, retry_ms)
+            return
+        self._scheduler.advised(
+            question.step,
+            question.endpoint_ids,
+            answer.ticket_by_id,
+            asked_ms + answer.valid_ms,
+        )
+        self._dirty.set()
+
     # Appends.
 
     async def _write_loop(self) -> None:
@@ -369,9 +432,12 @@
                 await self._forget(job.spec.id, list(job.unit_by_key))
 
     async def _forget(self, job_id: str, units: list[UnitKey]) -> None:
-        entries = forgetting_records(job_id, units)
+        if await self._commit(forgetting_records(job_id, units)):
+            log_event("job_forgotten", job=job_id)
+
+    async def _commit(self, entries: list[Entry]) -> bool:
+        """Append what is no decision about a unit; returns whether it is known."""
         outcome = await self._log.append(
             entries, timeout_ms=self._settings.log_call_timeout_ms
         )
-        if isinstance(outcome, Appended):
-            log_event("job_forgotten", job=job_id)
+        return isinstance(outcome, Appended)
--- a/ragwortshelf/scheduler/settings.py
+++ b/ragwortshelf/scheduler/settings.py
@@ -13,7 +13,8 @@
 
     ``revocation_ms`` is how long after its revocation a key may still be accepted;
     ``status_retention_ms`` how long an ended job's state is kept; ``drain_ms`` how
-    long a planned stop may take.
+    long a planned stop may take; ``maintenance_ms`` how long a host's upkeep takes, and
+    ``host_lease_ms`` how long two holders must not order for one host in turn.
     """
 
     instance: str
@@ -22,6 +23,8 @@
     drain_ms: int = 6_000
     lease_max_ms: int = 10_000
     stop_timeout_ms: int = 900
+    maintenance_ms: int = 2_000
+    host_lease_ms: int = 3_000
 
     # A lease outlives a change of scheduler (about 3 s) after a renewal that is one
     # listing interval old; longer would delay the restart of a lost endpoint's tasks.
@@ -42,6 +45,9 @@
     configuration_wait_ms: int = 1_000
     directory_interval_ms: int = 400
 
+    # Where tasks serve beside tasks that fill, a breach has to end within 4 s.
+    shared_listing_wait_ms: int = 300
+
     # One call to the log takes 4 ms, and 60 times that while it is slow.
     log_call_timeout_ms: int = 700
     log_retry_ms: int = 100
--- /dev/null
+++ b/ragwortshelf/scheduler/upkeep.py
@@ -0,0 +1,119 @@
+"""Carries out the operators' waves of upkeep while this instance schedules."""
+
+from __future__ import annotations
+
+from collections.abc import Awaitable, Callable
+
+import trio
+
+from ..core.scheduling import Scheduler
+from ..core.scheduling.records import UpkeepNoted, encode_record
+from ..core.scheduling.upkeep import (
+    HostInfo,
+    UpkeepOutcome,
+    UpkeepWave,
+    WaveProgress,
+)
+from ..daemon.logs import log_event
+from .clock import monotonic_ms
+from .interfaces import Entry, HostService, OutsideWorld
+from .log_follower import LogFollower
+from .settings import SchedulingSettings
+
+__all__ = ["UpkeepRunner"]
+
+STEP_MS = 400
+"""Time between two looks at a wave; each reads the list of hosts, which is priced."""
+
+IDLE_MS = 500
+"""Time between two looks for a new wave."""
+
+Commit = Callable[[list[Entry]], Awaitable[bool]]
+
+
+class UpkeepRunner:
+    """Brings every host of each wave through its upkeep."""
+
+    def __init__(
+        self,
+        world: OutsideWorld,
+        settings: SchedulingSettings,
+        follower: LogFollower,
+        scheduler: Scheduler,
+        commit: Commit,
+        token: int,
+    ):
+        self._hosts: HostService = world.host_service()
+        self._world = world
+        self._settings = settings
+        self._table = follower.table
+        self._scheduler = scheduler
+        self._commit = commit
+        self._token = token
+        self._seen_ms: dict[int, int] = {}
+
+    async def run(self, waves: Callable[[], dict[int, UpkeepWave]]) -> None:
+        """Carry out waves, the oldest first, until cancelled."""
+        # Orders of an earlier holder for the same host must be this old.
+        await trio.sleep(self._settings.host_lease_ms / 1000)
+        while True:
+            for number, wave in sorted(waves().items()):
+                self._seen_ms.setdefault(number, monotonic_ms())
+                noted = self._table.upkeep_by_wave.get(number)
+                if noted is None or not noted.is_completed:
+                    await self._carry_out(wave)
+            await trio.sleep(IDLE_MS / 1000)
+
+    async def _carry_out(self, wave: UpkeepWave) -> None:
+        deadline_ms = self._seen_ms[wave.number] + wave.duration_ms
+        progress = WaveProgress(wave, deadline_ms, self._settings.maintenance_ms)
+        noted = self._table.upkeep_by_wave.get(wave.number)
+        if noted is not None:
+            progress.begun |= set(noted.begun)
+        log_event("wave_started", wave=wave.number, hosts=len(wave.host_ids))
+        await self._publish(wave, is_completed=False)
+        while True:
+            hosts = await self._hosts.list_hosts()
+            if hosts is not None:
+                host_by_id = {host.id: host for host in hosts}
+                if progress.is_complete(host_by_id):
+                    break
+                await self._step(progress, host_by_id)
+            await trio.sleep(STEP_MS / 1000)
+        await self._note(progress, is_completed=True)
+        await self._publish(wave, is_completed=True)
+        log_event("wave_completed", wave=wave.number)
+
+    async def _step(self, progress: WaveProgress, host_by_id) -> None:
+        loads = {
+            endpoint_id: len(endpoint.member_by_task)
+            for endpoint_id, endpoint in self._scheduler.endpoint_by_id.items()
+        }
+        step = progress.step(host_by_id, loads, monotonic_ms())
+        for endpoint_id in step.cordon:
+            self._scheduler.cordon(endpoint_id)
+        for endpoint_id in step.empty:
+            self._scheduler.empty(endpoint_id, "upkeep", monotonic_ms())
+        for host_id in step.order:
+            await self._order(progress, host_by_id[host_id])
+
+    async def _order(self, progress: WaveProgress, host: HostInfo) -> None:
+        wave = progress.wave.number
+        outcome = await self._hosts.begin_upkeep(
+            host.id, wave, self._settings.instance, self._token
+        )
+        log_event("upkeep", wave=wave, host=host.id, outcome=outcome.value)
+        progress.ordered(host, outcome)
+        if outcome is UpkeepOutcome.BEGUN:
+            await self._note(progress, is_completed=False)
+
+    async def _note(self, progress: WaveProgress, is_completed: bool) -> None:
+        noted = UpkeepNoted(
+            progress.wave.number, tuple(sorted(progress.begun)), is_completed
+        )
+        self._table.apply(noted)
+        await self._commit([encode_record(noted)])
+
+    async def _publish(self, wave: UpkeepWave, is_completed: bool) -> None:
+        while not await self._world.publish_wave(wave.number, is_completed):
+            await trio.sleep(self._settings.log_retry_ms / 1000)
--- a/tests/core/scheduling/harness.py
+++ b/tests/core/scheduling/harness.py
@@ -68,9 +68,9 @@
             ("a", rack),
             **fields,
         )
-        self.scheduler.endpoint_seen(info)
-        self.running[name] = {}
-        self.numbers[name] = 0
+        self.scheduler.endpoint_seen(info, self.now)
+        self.running.setdefault(name, {})
+        self.numbers.setdefault(name, 0)
         self.list(name)
 
     def submit(self, job_id, queue="p1", organisation="a", accepted=0, **step):
--- /dev/null
+++ b/tests/core/scheduling/test_lasting.py
@@ -0,0 +1,89 @@
+"""Tasks that last, tasks that fill beside them, and what their steps allow."""
+
+from harness import SMALL, Harness
+
+from ragwortshelf.core.scheduling import JobSpec, Resources, Step
+from ragwortshelf.core.scheduling.actions import PaceTask
+from ragwortshelf.core.scheduling.fleet import EndpointListing, RunEnd, RunningTask
+
+WHOLE = Resources(8_000, 8_000, 8)
+
+
+def _lasting(harness, **step):
+    step.setdefault("request", SMALL)
+    harness.submit("l", "p1", is_long_running=True, **step)
+    started = harness.accept_starts()
+    for start in started:
+        harness.list(start.endpoint_id, percent={start.task: 100})
+    return started
+
+
+def test_a_lasting_task_is_restarted_however_it_ends():
+    harness = Harness(attempts=1)
+    (start,) = _lasting(harness)
+    for how in (RunEnd.DONE, RunEnd.FAILED, RunEnd.FAILED, RunEnd.LAPSED):
+        harness.end(start.endpoint_id, start.task, how)
+        harness.advance(200)
+        (start,) = harness.accept_starts()
+    assert start.run == 5
+    assert harness.table.job_by_id["l"].state.value == "running"
+
+
+def test_a_lasting_task_that_ended_takes_room_back_when_all_is_full():
+    harness = Harness(endpoints=1)
+    (start,) = _lasting(harness, request=WHOLE)
+    harness.submit("other", "p2", "b", request=WHOLE)
+    harness.end(start.endpoint_id, start.task, RunEnd.FAILED)
+    harness.accept_starts()
+    assert {m for m in harness.running["e0"]} in ({"other.0.0.0"}, {start.task})
+    if "other.0.0.0" in harness.running["e0"]:
+        harness.advance(1_000)
+        harness.obey_stops()
+        assert [s.task for s in harness.starts] == [start.task]
+
+
+def test_no_more_lasting_tasks_are_stopped_than_may_be_missed():
+    # Pattern: urgent work reclaims endpoints that all hold tasks of one lasting step.
+    harness = Harness(endpoints=3, guaranteed=24)
+    _lasting(harness, count=3, request=WHOLE, unavailable_max=1)
+    harness.submit("u", "p0", "b", count=3, is_gang=True, request=WHOLE)
+    assert len(harness.stops) <= 1
+
+
+def _listing(harness, endpoint, figures):
+    rows = tuple(
+        RunningTask(task, run, "", 100 if task.startswith("s") else 10, figures[task])
+        for task, run in harness.running[endpoint].items()
+    )
+    harness.now += 300
+    listing = EndpointListing(endpoint, 1, harness.now, rows)
+    harness.scheduler.listed(listing, harness.now, harness.now)
+    return [
+        action.percent
+        for action in harness.scheduler.take_actions()
+        if isinstance(action, PaceTask)
+    ]
+
+
+def test_filling_tasks_are_slowed_while_a_serving_task_is_over_its_target():
+    harness = Harness(endpoints=1)
+    serving = Step(1, SMALL, is_long_running=True, tail_target_ms=100)
+    harness.submit_spec(JobSpec("s", "p1", "pool", "a", "", (serving,)))
+    filling = Step(1, Resources(9_000, 1_000), 60_000, fills=True)
+    harness.submit_spec(JobSpec("f", "p2", "pool", "a", "", (filling,)))
+    harness.accept_starts()
+    high = {"s.0.0.0": 150, "f.0.0.0": 0}
+    low = {"s.0.0.0": 20, "f.0.0.0": 0}
+    slowed = [p for _ in range(5) for p in _listing(harness, "e0", high)]
+    assert slowed == sorted(slowed, reverse=True)
+    assert slowed[-1] == 0
+    raised = [p for _ in range(20) for p in _listing(harness, "e0", low)]
+    assert raised == sorted(raised)
+    assert raised[-1] == 100
+
+
+def test_the_processors_of_filling_tasks_do_not_count():
+    harness = Harness(endpoints=1)
+    filling = Step(1, Resources(40_000, 1_000), 60_000, fills=True)
+    harness.submit_spec(JobSpec("f", "p2", "pool", "a", "", (filling,)))
+    assert len(harness.accept_starts()) == 1
--- a/tests/scheduler/fakes.py
+++ b/tests/scheduler/fakes.py
@@ -231,7 +231,7 @@
             tuple(endpoint.finished),
         )
 
-    async def start(self, task, run, text, checkpoint, until_ms, timeout_ms):
+    async def start(self, task, run, text, checkpoint, ticket, until_ms, timeout_ms):
         if not await self._cross(timeout_ms):
             return StartOutcome.UNANSWERED
         outcome = self._endpoint.start(task, run, until_ms, self._token)
@@ -246,6 +246,9 @@
             return False
         return self._endpoint.stop(task, run, self._token)
 
+    async def pace(self, task, run, percent, timeout_ms):
+        return await self._cross(timeout_ms)
+
     async def aclose(self):
         pass
 
@@ -269,6 +272,10 @@
         self.reports = SharedLog()
         self.endpoint_by_id = {info.id: FakeEndpoint(info) for info in endpoints}
         self.operator.put("config", b"1")
+        self.advice = lambda step, endpoint_ids: None
+        self.hosts = None
+        self.waves = {}
+        self.wave_states = []
         for info in endpoints:
             self.reports.put(info.id, b"1")
 
@@ -301,6 +308,19 @@
         endpoint = self.platform.endpoint_by_id[info.id]
         return FakeClient(endpoint, token, self.faults)
 
+    async def ask_advice(self, step, endpoint_ids):
+        return self.platform.advice(step, endpoint_ids)
+
+    def host_service(self):
+        return self.platform.hosts
+
+    async def publish_wave(self, wave, is_completed):
+        self.platform.wave_states.append((wave, is_completed))
+        return True
+
+    def decode_waves(self, entries):
+        return self.platform.waves
+
     def decode_configuration(self, entries):
         return self.platform.configuration
 
