Bound the logs, serve metrics, and put changed settings in force

Cause: engineers on call have logs and metrics alone. Lines went to standard error without a limit, a reader that stopped reading would have blocked the loop, and a changed settings file was not noticed.

Change: JSON lines on standard output with a budget a second for each kind and a count of what was left out; a line is written only where the pipe takes it whole. Calls carry their reason, time and the age and version of what decided them. One registry of counters and histograms is served on the metrics address. The settings file is looked at each second and on SIGHUP; faults in it are logged and the old settings stay.

--- a/ragwortshelf/net/http_client.py
+++ b/ragwortshelf/net/http_client.py
@@ -124,6 +124,12 @@
             data += connection.send(h11.Data(data=body))
         return data + connection.send(h11.EndOfMessage())
 
+    def move(self, address: str) -> None:
+        """Call another address from now on; idle connections are not used again."""
+        if address != self.address:
+            self.address = address
+            self._idle.clear()
+
     async def aclose(self) -> None:
         """Close the idle connections."""
         while self._idle:
--- a/ragwortshelf/scheduler/configuration.py
+++ b/ragwortshelf/scheduler/configuration.py
@@ -10,7 +10,7 @@
 from ..core.scheduling.upkeep import UpkeepWave
 from ..daemon.logs import log_event
 from .clock import boot_ms
-from .interfaces import Entry, LogGap, LogPage, NewestPage, OutsideWorld
+from .interfaces import Entry, KeyedLog, LogGap, LogPage, NewestPage, OutsideWorld
 from .settings import SchedulingSettings
 
 __all__ = ["ConfigurationFollower"]
@@ -27,10 +27,12 @@
     before then is missing. Versions only rise.
     """
 
-    def __init__(self, world: OutsideWorld, settings: SchedulingSettings):
+    def __init__(
+        self, world: OutsideWorld, log: KeyedLog, settings: SchedulingSettings
+    ):
         self._world = world
-        self._log = world.operator_log()
-        self._settings = settings
+        self._log = log
+        self.settings = settings
         self.current: ServiceConfiguration | None = None
         self.confirmed_boot_ms: int | None = None
         self.on_change: Callable[[ServiceConfiguration], None] = lambda newest: None
@@ -48,7 +50,7 @@
     def is_trusted(self) -> bool:
         """Whether keys may be accepted under the configuration at hand."""
         age = self.age_ms()
-        limit = self._settings.revocation_ms - REVOCATION_MARGIN_MS
+        limit = self.settings.revocation_ms - REVOCATION_MARGIN_MS
         return age is not None and age < limit
 
     async def run(self) -> None:
@@ -61,14 +63,14 @@
                 detail = await self._read(sent)
             if detail is not None:
                 self._note_lost(detail)
-                await trio.sleep(self._settings.log_retry_ms / 1000)
+                await trio.sleep(self.settings.log_retry_ms / 1000)
 
     async def _load(self, sent_boot_ms: int) -> str | None:
         key: str | None = None
         end: int | None = None
         while True:
             page = await self._log.newest(
-                key, timeout_ms=self._settings.log_call_timeout_ms
+                key, timeout_ms=self.settings.log_call_timeout_ms
             )
             if not isinstance(page, NewestPage):
                 return page.detail
@@ -81,11 +83,11 @@
                 return None
 
     async def _read(self, sent_boot_ms: int) -> str | None:
-        wait_ms = self._settings.configuration_wait_ms
+        wait_ms = self.settings.configuration_wait_ms
         page = await self._log.read(
             self._next_offset,
             wait_ms=wait_ms,
-            timeout_ms=wait_ms + self._settings.log_call_timeout_ms,
+            timeout_ms=wait_ms + self.settings.log_call_timeout_ms,
         )
         match page:
             case LogPage():
--- a/ragwortshelf/scheduler/directory.py
+++ b/ragwortshelf/scheduler/directory.py
@@ -8,7 +8,7 @@
 
 from ..core.scheduling.fleet import EndpointInfo
 from ..daemon.logs import log_event
-from .interfaces import Entry, LogGap, LogPage, NewestPage, OutsideWorld
+from .interfaces import Entry, KeyedLog, LogGap, LogPage, NewestPage, OutsideWorld
 from .settings import SchedulingSettings
 
 __all__ = ["EndpointDirectory"]
@@ -20,12 +20,13 @@
     def __init__(
         self,
         world: OutsideWorld,
+        log: KeyedLog,
         settings: SchedulingSettings,
         on_seen: Callable[[EndpointInfo], None],
         on_gone: Callable[[str], None],
     ):
         self._world = world
-        self._log = world.endpoint_log()
+        self._log = log
         self._settings = settings
         self._on_seen = on_seen
         self._on_gone = on_gone
--- a/ragwortshelf/scheduler/election.py
+++ b/ragwortshelf/scheduler/election.py
@@ -10,9 +10,10 @@
 from ..daemon.logs import log_event
 from .clock import boot_ms, wall_ms
 from .configuration import ConfigurationFollower
-from .interfaces import Appended, KeyedLog, OutsideWorld, ProducerFence
+from .interfaces import Appended, OutsideWorld, ProducerFence
 from .leadership import PRODUCER, Leadership
 from .log_follower import LogFollower
+from .logs import Logs
 from .settings import SchedulingSettings
 
 __all__ = ["Election"]
@@ -38,15 +39,17 @@
     def __init__(
         self,
         world: OutsideWorld,
+        logs: Logs,
         settings: SchedulingSettings,
         follower: LogFollower,
         configuration: ConfigurationFollower,
     ):
         self._world = world
-        self._settings = settings
+        self._logs = logs
+        self.settings = settings
         self._follower = follower
         self._configuration = configuration
-        self._log: KeyedLog = world.job_log()
+        self._metrics = logs.metrics
         self.leadership: Leadership | None = None
         self.is_stopping = False
 
@@ -58,7 +61,7 @@
                 continue
             await trio.sleep(random.uniform(0, JITTER_MS) / 1000)
             # A slow log takes 240 ms a read, so the state is rarely younger than that.
-            limit_ms = self._settings.log_call_timeout_ms
+            limit_ms = self.settings.log_call_timeout_ms
             if not await self._follower.refresh(limit_ms, limit_ms):
                 continue
             if self._should_claim():
@@ -84,27 +87,28 @@
         term = follower.table.term
         if term is None or term.is_resigned:
             return True
-        if term.holder == self._settings.instance:
+        if term.holder == self.settings.instance:
             # An earlier process of this instance held the role; it has ended.
             return True
         now = boot_ms()
         seen = max(follower.term_seen_boot_ms or 0, follower.streak_boot_ms)
-        return now - seen > self._settings.term_timeout_ms
+        return now - seen > self.settings.term_timeout_ms
 
     async def _claim(self) -> None:
         follower = self._follower
         previous = follower.table.term
         offset = follower.next_offset
-        claim = TermHeld(offset + 1, self._settings.instance, wall_ms())
+        claim = TermHeld(offset + 1, self.settings.instance, wall_ms())
         # The log answers a repeated sequence number as it answered the first, so the
         # numbers of two instances that claim the same offset have to differ.
         sequence = random.randrange(FIRST_SEQUENCE_MAX)
-        outcome = await self._log.append(
+        outcome = await self._logs.jobs.append(
             [encode_record(claim)],
-            timeout_ms=self._settings.log_call_timeout_ms,
+            timeout_ms=self.settings.log_call_timeout_ms,
             at=offset,
             fence=ProducerFence(PRODUCER, claim.term, sequence),
         )
+        self._metrics.count("term_claims_total", outcome=type(outcome).__name__.lower())
         log_event(
             "term_claimed",
             term=claim.term,
@@ -115,15 +119,14 @@
             follower.wake()
             await trio.sleep(JITTER_MS / 1000)
             return
-        if not await follower.reach(
-            outcome.end, 4 * self._settings.log_call_timeout_ms
-        ):
+        if not await follower.reach(outcome.end, 4 * self.settings.log_call_timeout_ms):
             return
         follower.own_term = claim.term
         self.leadership = Leadership(
             claim,
             self._world,
-            self._settings,
+            self._logs,
+            self.settings,
             follower,
             self._configuration,
             previous,
--- a/ragwortshelf/scheduler/front.py
+++ b/ragwortshelf/scheduler/front.py
@@ -9,6 +9,7 @@
 from ..core.scheduling.configuration import Queue, ServiceConfiguration
 from ..core.scheduling.records import JobCancelled, JobSubmitted, encode_record
 from ..daemon.logs import log_event
+from ..daemon.metrics import Metrics
 from .clock import monotonic_ms, wall_ms
 from .configuration import ConfigurationFollower
 from .election import Election
@@ -94,17 +95,19 @@
         writer: GroupWriter,
         configuration: ConfigurationFollower,
         election: Election,
+        metrics: Metrics,
     ):
-        self._settings = settings
+        self.settings = settings
         self._follower = follower
         self._writer = writer
         self._configuration = configuration
         self._election = election
+        self._metrics = metrics
 
     def is_ready(self) -> bool:
         """Whether callers may be sent here."""
         age = self._follower.age_ms()
-        limit = self._settings.revocation_ms * 3 // 5
+        limit = self.settings.revocation_ms * 3 // 5
         if age is None or age > limit or not self._follower.is_answered:
             return False
         configured = self._configuration.age_ms()
@@ -178,7 +181,7 @@
 
     async def pending(self, queue: Queue) -> int | Declined:
         """Count the queue's accepted jobs of which no task has started."""
-        limit = self._settings.follow_interval_ms * 2
+        limit = self.settings.follow_interval_ms * 2
         if not await self._follower.refresh(limit, STATE_READ_TIMEOUT_MS):
             age = self._follower.age_ms()
             return Declined(Reason.NOT_READY, f"state age {age} ms", RETRY_AFTER_MS)
@@ -191,16 +194,32 @@
             return JobState.RUNNING
         return state
 
-    @staticmethod
-    def log_call(kind: str, job_id: str, outcome, access: Access | None) -> None:
-        """Write the line that tells what became of a call."""
+    def note_call(
+        self, kind: str, job_id: str, outcome, access: Access | None, began_ms: int
+    ) -> None:
+        """Count a call, and write the line that tells what became of it and why.
+
+        Answered questions about states and counts are counted only.
+        """
+        took_ms = monotonic_ms() - began_ms
+        name = type(outcome).__name__.lower()
+        reason = getattr(outcome, "reason", "")
+        self._metrics.count("calls_total", call=kind, outcome=name, reason=reason)
+        self._metrics.observe_ms("call_ms", took_ms, call=kind, outcome=name)
+        if isinstance(outcome, (int, Shown)):
+            return
+        current = self._configuration.current
         log_event(
             "call",
             call=kind,
             job=job_id,
-            outcome=type(outcome).__name__.lower(),
-            reason=getattr(outcome, "reason", None),
+            outcome=name,
+            reason=reason or None,
             detail=getattr(outcome, "detail", None) or None,
+            took_ms=took_ms,
             queue=access.queue.name if access else None,
             organisation=access.organisation if access else None,
+            configuration=current.version if current else None,
+            configuration_age_ms=self._configuration.age_ms(),
+            jobs_age_ms=self._follower.age_ms(),
         )
--- a/ragwortshelf/scheduler/instance.py
+++ b/ragwortshelf/scheduler/instance.py
@@ -4,12 +4,15 @@
 
 import trio
 
+from ..daemon.logs import lines_left_out
+from ..daemon.metrics import Metrics
 from .configuration import ConfigurationFollower
 from .election import Election
 from .front import Front
 from .interfaces import OutsideWorld
 from .log_follower import LogFollower
 from .log_writer import GroupWriter
+from .logs import open_logs
 from .settings import SchedulingSettings
 
 __all__ = ["Instance"]
@@ -23,14 +26,24 @@
 
     def __init__(self, world: OutsideWorld, settings: SchedulingSettings):
         self.settings = settings
-        self.follower = LogFollower(world.job_log(), settings)
-        self.writer = GroupWriter(world.job_log(), settings)
-        self.configuration = ConfigurationFollower(world, settings)
-        self.election = Election(world, settings, self.follower, self.configuration)
+        self.metrics = Metrics()
+        logs = open_logs(world, self.metrics)
+        self.follower = LogFollower(logs.jobs, settings)
+        self.writer = GroupWriter(logs.jobs, settings)
+        self.configuration = ConfigurationFollower(world, logs.operator, settings)
+        self.election = Election(
+            world, logs, settings, self.follower, self.configuration
+        )
         self.front = Front(
-            settings, self.follower, self.writer, self.configuration, self.election
+            settings,
+            self.follower,
+            self.writer,
+            self.configuration,
+            self.election,
+            self.metrics,
         )
         self.is_draining = False
+        self._add_gauges()
 
     async def run(self) -> None:
         """Run until cancelled."""
@@ -40,7 +53,32 @@
             nursery.start_soon(self.configuration.run)
             nursery.start_soon(self.election.run)
 
+    def reconfigure(self, settings: SchedulingSettings) -> None:
+        """Put changed settings in force; a term under way keeps its own."""
+        self.settings = settings
+        for part in (
+            self.follower,
+            self.writer,
+            self.configuration,
+            self.election,
+            self.front,
+        ):
+            part.settings = settings
+
+    def _add_gauges(self) -> None:
+        gauge = self.metrics.gauge
+        gauge("jobs", lambda: len(self.follower.table.job_by_id))
+        gauge("job_state_age_ms", lambda: _known(self.follower.age_ms()))
+        gauge("configuration_age_ms", lambda: _known(self.configuration.age_ms()))
+        gauge("is_scheduler", lambda: int(self.election.leadership is not None))
+        gauge("log_lines_left_out", lines_left_out)
+
     async def drain(self) -> None:
         """Give the scheduler's role up; callers are served on."""
         self.is_draining = True
         await self.election.stop(RESIGN_TIMEOUT_MS)
+
+
+def _known(age_ms: int | None) -> int:
+    """Return an age for a gauge; -1 while it is not known."""
+    return -1 if age_ms is None else age_ms
--- a/ragwortshelf/scheduler/leadership.py
+++ b/ragwortshelf/scheduler/leadership.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import time
+
 import trio
 
 from ..core.scheduling import Scheduler, ServiceConfiguration
@@ -14,7 +16,7 @@
     StopTask,
 )
 from ..core.scheduling.fleet import EndpointInfo, EndpointListing
-from ..core.scheduling.model import UnitKey
+from ..core.scheduling.model import UnitKey, UnitPhase
 from ..core.scheduling.records import (
     TermHeld,
     encode_record,
@@ -27,6 +29,7 @@
 from .endpoint_session import CLOCK_DRIFT, EndpointSession
 from .interfaces import Appended, Deposed, Entry, OutsideWorld, ProducerFence
 from .log_follower import LogFollower
+from .logs import Logs
 from .settings import SchedulingSettings
 from .upkeep import UpkeepRunner
 
@@ -58,6 +61,7 @@
         self,
         claim: TermHeld,
         world: OutsideWorld,
+        logs: Logs,
         settings: SchedulingSettings,
         follower: LogFollower,
         configuration: ConfigurationFollower,
@@ -69,7 +73,9 @@
         self._settings = settings
         self._follower = follower
         self._configuration = configuration
-        self._log = world.job_log()
+        self._logs = logs
+        self._log = logs.jobs
+        self._metrics = logs.metrics
         self._sequence = sequence
         self._scheduler = Scheduler(claim.term, follower.table, configuration.current)
         self._upkeep = UpkeepRunner(
@@ -99,7 +105,11 @@
         self._configuration.on_change = self._configured
         self._scheduler.adopt(monotonic_ms(), wall_ms())
         directory = EndpointDirectory(
-            self._world, self._settings, self._endpoint_seen, self._endpoint_gone
+            self._world,
+            self._logs.endpoints,
+            self._settings,
+            self._endpoint_seen,
+            self._endpoint_gone,
         )
         try:
             async with trio.open_nursery() as nursery:
@@ -228,7 +238,10 @@
     async def _plan_loop(self) -> None:
         while True:
             self._dirty = trio.Event()
+            began_s = time.perf_counter()
             self._scheduler.plan(monotonic_ms(), wall_ms())
+            took_ms = (time.perf_counter() - began_s) * 1000
+            self._metrics.observe_ms("plan_ms", took_ms)
             self._dispatch()
             with trio.move_on_after(self._next_plan_ms() / 1000):
                 await self._dirty.wait()
@@ -281,6 +294,7 @@
         if session is None:
             return
         outcome, was_unanswered = await session.start(order)
+        self._metrics.count("orders_total", order="start", outcome=outcome.value)
         log_event(
             "start",
             task=order.task,
@@ -303,7 +317,12 @@
 
     async def _stop(self, order: StopTask) -> None:
         session = self._session_by_id.get(order.endpoint_id)
-        if session is not None and await session.stop(order):
+        if session is None:
+            return
+        is_confirmed = await session.stop(order)
+        outcome = "confirmed" if is_confirmed else "unconfirmed"
+        self._metrics.count("orders_total", order="stop", outcome=outcome)
+        if is_confirmed:
             self._scheduler.stop_confirmed(
                 order.endpoint_id, order.task, order.run, monotonic_ms()
             )
@@ -313,6 +332,8 @@
         if session is None:
             return
         is_confirmed = await session.pace(order)
+        outcome = "confirmed" if is_confirmed else "unconfirmed"
+        self._metrics.count("orders_total", order="pace", outcome=outcome)
         log_event(
             "pace",
             task=order.task,
@@ -401,11 +422,18 @@
 
     def _log_decision(self, action: PersistUnit) -> None:
         record = action.record
+        phase = record.phase.name.lower()
+        self._metrics.count("unit_changes_total", phase=phase, reason=action.reason)
+        if record.phase is UnitPhase.PLACED and record.run == 1:
+            job = self._follower.table.job_by_id.get(record.key.job_id)
+            if job is not None:
+                waited = record.changed_wall_ms - job.spec.accepted_wall_ms
+                self._metrics.observe_ms("first_start_wait_ms", waited)
         log_event(
             "unit",
             job=record.key.job_id,
             unit="/".join(map(str, record.key[1:])),
-            phase=record.phase.name.lower(),
+            phase=phase,
             run=record.run,
             failed=record.failed_runs,
             endpoints=record.endpoints,
--- a/ragwortshelf/scheduler/log_follower.py
+++ b/ragwortshelf/scheduler/log_follower.py
@@ -27,7 +27,7 @@
 
     def __init__(self, log: KeyedLog, settings: SchedulingSettings):
         self._log = log
-        self._settings = settings
+        self.settings = settings
         self.table = JobTable()
         self.next_offset: int | None = None
         self.confirmed_boot_ms: int | None = None
@@ -44,7 +44,7 @@
         """Follow the log until cancelled."""
         while True:
             if self._needs_snapshot and not await self._load_snapshot():
-                await trio.sleep(self._settings.log_retry_ms / 1000)
+                await trio.sleep(self.settings.log_retry_ms / 1000)
                 continue
             await self._read_once()
 
@@ -101,7 +101,7 @@
     async def _read_once(self) -> None:
         is_waiting = self.is_waiting_for_records
         self._wanted = trio.Event()
-        is_whole = await self._read(self._settings.term_renewal_ms if is_waiting else 0)
+        is_whole = await self._read(self.settings.term_renewal_ms if is_waiting else 0)
         if is_whole and not is_waiting:
             await self._pause()
 
@@ -112,7 +112,7 @@
         page = await self._log.read(
             offset,
             wait_ms=wait_ms,
-            timeout_ms=wait_ms + self._settings.log_call_timeout_ms,
+            timeout_ms=wait_ms + self.settings.log_call_timeout_ms,
         )
         if self._needs_snapshot:
             return False
@@ -129,11 +129,11 @@
                 self._needs_snapshot = True
             case _:
                 self._note_failure(page.detail)
-                await trio.sleep(self._settings.log_retry_ms / 1000)
+                await trio.sleep(self.settings.log_retry_ms / 1000)
         return False
 
     async def _pause(self) -> None:
-        with trio.move_on_after(self._settings.follow_interval_ms / 1000):
+        with trio.move_on_after(self.settings.follow_interval_ms / 1000):
             await self._wanted.wait()
 
     async def _load_snapshot(self) -> bool:
@@ -142,7 +142,7 @@
         end: int | None = None
         while True:
             page = await self._log.newest(
-                key, timeout_ms=self._settings.log_call_timeout_ms
+                key, timeout_ms=self.settings.log_call_timeout_ms
             )
             if not isinstance(page, NewestPage):
                 self._note_failure(page.detail)
--- a/ragwortshelf/scheduler/log_writer.py
+++ b/ragwortshelf/scheduler/log_writer.py
@@ -59,7 +59,7 @@
 
     def __init__(self, log: KeyedLog, settings: SchedulingSettings):
         self._log = log
-        self._settings = settings
+        self.settings = settings
         self._waiting: list[_Item] = []
         self._wake = trio.Event()
 
@@ -96,7 +96,7 @@
     async def _append(self, group: list[_Item]) -> None:
         entries = [entry for item in group for entry in item.entries]
         outcome = await self._log.append(
-            entries, timeout_ms=self._settings.log_call_timeout_ms
+            entries, timeout_ms=self.settings.log_call_timeout_ms
         )
         if isinstance(outcome, Appended):
             for item in group:
@@ -104,7 +104,7 @@
             return
         was_refused = isinstance(outcome, LogRefused)
         retry: list[_Item] = []
-        next_try_ms = monotonic_ms() + self._settings.log_retry_ms
+        next_try_ms = monotonic_ms() + self.settings.log_retry_ms
         for item in group:
             item.may_be_appended |= not was_refused
             if next_try_ms < item.deadline_ms:
@@ -114,4 +114,4 @@
                 item.end(NotCommitted(detail, item.may_be_appended))
         if retry:
             self._waiting[:0] = retry
-            await trio.sleep(self._settings.log_retry_ms / 1000)
+            await trio.sleep(self.settings.log_retry_ms / 1000)
--- /dev/null
+++ b/tests/daemon/test_logs.py
@@ -0,0 +1,75 @@
+"""Log lines are bounded, and a reader that stops reading blocks nothing."""
+
+import json
+import logging
+import os
+import time
+
+from ragwortshelf.daemon.logs import LineBudget, LineWriter
+
+
+def _record(message, **fields):
+    record = logging.LogRecord("absl", logging.INFO, "", 0, message, (), None)
+    record.fields = fields
+    return record
+
+
+def _lines(descriptor):
+    os.set_blocking(descriptor, False)
+    data = b""
+    while True:
+        try:
+            part = os.read(descriptor, 1 << 16)
+        except BlockingIOError:
+            break
+        if not part:
+            break
+        data += part
+    return [json.loads(line) for line in data.splitlines()]
+
+
+def test_a_line_holds_its_fields_and_the_instance():
+    reader, writer = os.pipe()
+    LineWriter("i1", writer).emit(_record("call", job="j", outcome="accepted"))
+    (line,) = _lines(reader)
+    assert line["instance"] == "i1"
+    assert line["message"] == "call"
+    assert line["job"] == "j"
+
+
+def test_a_flood_of_one_kind_is_cut_and_counted():
+    now = [10.0]
+    reader, writer = os.pipe()
+    budget = LineBudget(lines_per_second=5, clock=lambda: now[0])
+    handler = LineWriter("i1", writer, budget)
+    for _ in range(20):
+        handler.emit(_record("start"))
+    handler.emit(_record("other"))
+    now[0] += 1
+    handler.emit(_record("start"))
+    lines = _lines(reader)
+    assert [line["message"] for line in lines] == ["start"] * 5 + ["other", "start"]
+    assert lines[-1]["left_out"] == 15
+    assert budget.left_out == 15
+
+
+def test_a_reader_that_stops_reading_costs_lines_and_no_time():
+    reader, writer = os.pipe()
+    handler = LineWriter("i1", writer, LineBudget(lines_per_second=100_000))
+    began = time.monotonic()
+    for _ in range(3_000):
+        handler.emit(_record("start", text="x" * 100))
+    assert time.monotonic() - began < 5
+    assert handler.budget.left_out > 0
+    _lines(reader)
+    handler.emit(_record("start"))
+    (line,) = _lines(reader)
+    assert line["left_out"] == handler.budget.left_out
+
+
+def test_a_closed_reader_is_no_error():
+    reader, writer = os.pipe()
+    os.close(reader)
+    handler = LineWriter("i1", writer)
+    handler.emit(_record("start"))
+    assert handler.budget.left_out == 1
