Test the adapter, and refuse entries whose capacity is no number

Cause: an entry of another writer with a list for a number was taken for an endpoint without room; found by the new tests.

--- /dev/null
+++ b/tests/platform/test_callers.py
@@ -0,0 +1,71 @@
+"""Callers' requests: statuses and what they promise."""
+
+import json
+import sys
+from pathlib import Path
+
+import pytest
+import trio
+from platform_adapter.callers import CallerApi
+
+from ragwortshelf.net.http_messages import HttpRequest
+
+sys.path.insert(0, str(Path(__file__).parents[1] / "scheduler"))
+
+from test_term import _instances, _platform
+
+JOB = {"spec": "s", "steps": [{"count": 1, "cpu": 500, "gpu": 1, "estimated_ms": 900}]}
+ID = "5c0e7a21d94b36f8"
+
+
+@pytest.fixture
+def autojump_clock():
+    from trio.testing import MockClock
+
+    return MockClock(autojump_threshold=0)
+
+
+class Caller:
+    def __init__(self, api):
+        self._api = api
+
+    async def __call__(self, method, path, key="key", body=None, host="h"):
+        headers = (("host", f"{host}:80"), ("authorization", f"Bearer {key}"))
+        data = b"" if body is None else json.dumps(body).encode()
+        response = await self._api.handle(HttpRequest(method, path, headers, data))
+        return response.status, json.loads(response.body), response
+
+
+async def test_the_life_of_a_job_as_its_caller_sees_it(autojump_clock):
+    platform = _platform()
+    instance = _instances(platform, 1)[0]
+    call = Caller(CallerApi(instance.front))
+    async with trio.open_nursery() as nursery:
+        status, _, response = await call("POST", f"/q/{ID}", body=JOB)
+        assert status == 503
+        assert int(response.header("retry-after")) >= 1
+        nursery.start_soon(instance.run)
+        await trio.sleep(1)
+        assert (await call("GET", f"/q/{ID}"))[0] == 410
+        assert (await call("POST", f"/q/{ID}", body=JOB))[0] == 200
+        assert (await call("POST", f"/q/{ID}", body=JOB))[0] == 200
+        await trio.sleep(0.3)
+        assert (await call("GET", f"/q/{ID}"))[1] == {"state": "running"}
+        assert (await call("GET", "/q/"))[1] == {"pending": 0}
+        await trio.sleep(3)
+        assert (await call("GET", f"/q/{ID}"))[1] == {"state": "completed"}
+        assert (await call("DELETE", f"/q/{ID}"))[0] == 200
+        assert (await call("GET", f"/q/{ID}"))[1] == {"state": "completed"}
+        assert (await call("DELETE", f"/q/{'0' * 16}"))[0] == 410
+        assert (await call("GET", f"/q/{ID}", key="no"))[0] == 401
+        assert (await call("GET", "/none/"))[0] == 404
+        assert (await call("GET", "/q/", host="other"))[0] == 404
+        assert (await call("POST", f"/q/{ID}x", body={}))[0] == 400
+        assert (await call("PUT", f"/q/{ID}"))[0] == 400
+        nursery.cancel_scope.cancel()
+    text = instance.metrics.text()
+    assert 'calls_total{call="POST",outcome="accepted",reason=""} 2' in text
+    assert 'orders_total{order="start",outcome="started"} 1' in text
+    assert 'log_calls_total{call="append",log="jobs",outcome="appended"}' in text
+    assert 'unit_changes_total{phase="done",reason="done"} 1' in text
+    assert "first_start_wait_ms_count 1" in text
--- /dev/null
+++ b/tests/platform/test_decoding.py
@@ -0,0 +1,184 @@
+"""Names of the wire, decoded into the product's types."""
+
+import json
+
+import pytest
+from platform_adapter.callers import decode_job
+from platform_adapter.configuration import decode_configuration
+from platform_adapter.endpoints import decode_minion
+from platform_adapter.hosts import decode_waves
+from platform_adapter.settings import BadSettings, parse_settings
+
+from ragwortshelf.core.scheduling import Resources
+from ragwortshelf.core.scheduling.configuration import Queue
+from ragwortshelf.net.http_messages import Malformed
+from ragwortshelf.scheduler.front import Access
+
+ENTRY = {
+    "service": "pool",
+    "address": "10.128.0.9:8080",
+    "zone": "a",
+    "state": "ready",
+    "capacity": {"cpu": 16000, "mem_mb": 32768, "gpu": 8},
+    "labels": ["a", "r1-3"],
+    "sequence": 4,
+}
+
+
+def _bytes(value):
+    return json.dumps(value).encode()
+
+
+def test_an_endpoint_is_decoded_with_its_rack():
+    info = decode_minion("i-1", _bytes(ENTRY))
+    assert info.capacity == Resources(16000, 32768, 8)
+    assert info.rack == "r1-3"
+    assert not info.is_draining
+    assert info.remaining_ms is None
+
+
+def test_a_beat_that_changes_nothing_decodes_to_an_equal_value():
+    later = decode_minion("i-1", _bytes(ENTRY | {"sequence": 5, "clock_ms": 9}))
+    assert later == decode_minion("i-1", _bytes(ENTRY))
+
+
+@pytest.mark.parametrize(
+    "value",
+    [
+        b"\xff\x00",
+        b"[]",
+        _bytes({}),
+        _bytes(ENTRY | {"state": "odd"}),
+        _bytes(ENTRY | {"state": ["ready"]}),
+        _bytes(ENTRY | {"address": 7}),
+        _bytes(ENTRY | {"address": "nowhere"}),
+        _bytes(ENTRY | {"capacity": "much"}),
+        _bytes(ENTRY | {"capacity": {"cpu": []}}),
+        _bytes(ENTRY | {"labels": 3}),
+        _bytes({k: v for k, v in ENTRY.items() if k != "service"}),
+    ],
+)
+def test_entries_of_other_writers_name_no_endpoint(value):
+    assert decode_minion("i-1", value) is None
+
+
+def test_a_configuration_is_decoded_as_a_whole():
+    value = _bytes(
+        {
+            "version": 7,
+            "routes": [
+                {
+                    "name": "r",
+                    "host": "H.example",
+                    "path_prefix": "/q/",
+                    "service": "pool",
+                    "priority": 1,
+                    "max_attempts": 4,
+                    "slack_factor": 3.0,
+                    "target_latency_ms": 1000,
+                    "public": True,
+                }
+            ],
+            "services": [{"name": "pool", "admission_control": True}],
+            "tenants": [
+                {"name": "t", "api_keys": ["k1", "k2"], "guaranteed": {"gpu": 32}}
+            ],
+        }
+    )
+    configuration = decode_configuration(value)
+    queue = configuration.queue_for("h.example", "/q/1")
+    assert (queue.attempts_max, queue.slack_factor, queue.is_public) == (4, 3.0, True)
+    assert configuration.organisation_by_key["k2"].guaranteed_gpus == 32
+    assert configuration.queue_for("h.example", "/other/1") is None
+
+
+@pytest.mark.parametrize("value", [b"", b"{}", _bytes({"version": 1, "routes": [{}]})])
+def test_a_configuration_that_cannot_be_read_is_left(value):
+    assert decode_configuration(value) is None
+
+
+def test_waves_are_decoded_and_others_left_out():
+    wave = {"wave": 1, "machines": ["m1", "m2"], "duration_s": 20, "cap": 1}
+    entries = {"wave/1": _bytes(wave), "wave/2": b"?", "config": b"{}"}
+    (decoded,) = decode_waves(entries).values()
+    assert decoded.host_ids == ("m1", "m2")
+    assert decoded.duration_ms == 20_000
+
+
+ACCESS = Access(Queue("q", "h", "/q/", "pool", attempts_max=4), "org")
+
+
+def test_a_job_is_decoded_with_what_its_fields_mean():
+    body = {
+        "spec": "text",
+        "steps": [
+            {"count": 4, "cpu": 500, "estimated_ms": 900, "affinity": "r1-3"},
+            {
+                "count": 2,
+                "gpu": 8,
+                "depends_on": [0],
+                "gang": True,
+                "rack_sensitive": True,
+                "checkpointing": True,
+                "anti_affinity": 1,
+                "requirements": "b",
+            },
+        ],
+        "repeat_count": 3,
+        "first_run_ms": 5_000,
+        "interval_ms": 100,
+    }
+    spec = decode_job("0" * 16, ACCESS, _bytes(body))
+    first, second = spec.steps
+    assert first.preferred_rack == "r1-3"
+    assert first.request == Resources(500, 0, 0)
+    assert second.is_gang
+    assert second.is_rack_sensitive
+    assert second.is_checkpointing
+    assert second.tasks_per_endpoint_max == 1
+    assert second.required_label == "b"
+    assert second.depends_on == (0,)
+    assert spec.due_wall_ms(2) == 5_200
+    assert spec.attempts_max == 4
+
+
+@pytest.mark.parametrize(
+    "body",
+    [b"", b"[]", b"{}", b'{"steps":[{}]}', b'{"steps":[{"count":1,"depends_on":[0]}]}'],
+)
+def test_a_body_that_is_no_job_is_malformed(body):
+    assert isinstance(decode_job("0" * 16, ACCESS, body), Malformed)
+
+
+SETTINGS = {
+    "node_name": "edge-a-1",
+    "ip": "10.1.0.19",
+    "zone": "a",
+    "bind_addresses": {"frontend": "10.1.0.19:8521", "readiness": "10.1.0.19:8523"},
+    "bounds": {"revoke_ms": 4000, "grace_s": 6, "hold_max_ms": 5000},
+    "platform": {"address": "10.200.1.7:8524"},
+    "unknown": {"field": 1},
+}
+
+
+def test_settings_are_checked_and_decoded():
+    settings = parse_settings(_bytes(SETTINGS))
+    assert settings.callers_address == "10.1.0.19:8521"
+    assert settings.scheduling.revocation_ms == 4000
+    assert settings.scheduling.lease_ms == 5000
+
+
+def test_each_fault_of_the_settings_is_named_at_once():
+    broken = SETTINGS | {
+        "node_name": "",
+        "bind_addresses": {"frontend": "x", "readiness": 3},
+        "bounds": {"revoke_ms": "soon"},
+    }
+    faults = parse_settings(_bytes(broken)).faults
+    assert [fault.partition(":")[0] for fault in faults] == [
+        "node_name",
+        "revoke_ms",
+        "frontend",
+        "readiness",
+    ]
+    assert isinstance(parse_settings(b"{"), BadSettings)
