Notice the log's return sooner, and let the holder outlast outages of 9 s

Change: while the log is away calls wait for nothing and end after 0.4 s; a holder keeps its role for 9 s without a confirmation.

--- a/ragwortshelf/scheduler/settings.py
+++ b/ragwortshelf/scheduler/settings.py
@@ -37,8 +37,9 @@
     term_timeout_ms: int = 1_200
 
     # A holder that the log has not confirmed for this long gives its role up, so that
-    # a successor can bound the leases which the holder has granted.
-    term_confirmation_max_ms: int = 6_000
+    # a successor can bound the leases which the holder has granted. Outages of the log
+    # last 4 to 7 s, which the holder should outlast.
+    term_confirmation_max_ms: int = 9_000
 
     # State shown to callers may be 2 s old; 250 ms keeps the calls to the log low.
     follow_interval_ms: int = 250
@@ -52,5 +53,9 @@
     log_call_timeout_ms: int = 700
     log_retry_ms: int = 100
 
+    # While the log is away, calls end sooner, so that its return is noticed at once;
+    # a call that began during a silent outage is never answered.
+    log_probe_timeout_ms: int = 400
+
     # Calls to an endpoint cross one link of at most 3 ms; a lost answer costs this.
     endpoint_timeout_ms: int = 400
--- a/tests/scheduler/test_front.py
+++ b/tests/scheduler/test_front.py
@@ -121,3 +121,24 @@
         assert front.authorise("h", "/q/x", "other").reason is Reason.UNKNOWN_KEY
         assert (await front.state("0" * 16)).reason is Reason.NO_JOB
         nursery.cancel_scope.cancel()
+
+
+async def test_an_instance_serves_again_soon_after_a_silent_outage(autojump_clock):
+    # Pattern: the log is silent for 6 s, and returns while calls still wait for it.
+    platform = _platform()
+    instance = _instances(platform, 1)[0]
+    async with trio.open_nursery() as nursery:
+        nursery.start_soon(instance.run)
+        await trio.sleep(1)
+        faults = instance.configuration._world.faults
+        for length_s in (5.9, 6.1, 6.3, 6.5):
+            faults.store = "silent"
+            await trio.sleep(length_s)
+            faults.store = ""
+            await trio.sleep(0.7)
+            outcome = instance.front.authorise("h", "/q/x", "key")
+            assert not isinstance(outcome, Declined)
+            assert instance.front.is_ready()
+            await trio.sleep(2)
+        assert instance.election.leadership is not None
+        nursery.cancel_scope.cancel()
