--- /dev/null
+++ b/ragwortshelf/cli/commands/explain.py
@@ -0,0 +1,51 @@
+"""The command that tells the story of one job from logs."""
+
+from __future__ import annotations
+
+import contextlib
+import sys
+from collections.abc import Iterator
+
+from ..status import CommandFailure, ExitStatus
+from ..story import tell
+from .context import Command, Context
+
+__all__ = ["EXPLAIN_COMMANDS"]
+
+
+async def _explain(context: Context, job_id: str):
+    try:
+        story = tell(job_id, _lines(context.flags.logs))
+    except OSError as error:
+        return CommandFailure(ExitStatus.USAGE, str(error))
+    if not story:
+        return CommandFailure(
+            ExitStatus.NOT_FOUND,
+            f"no line names {job_id}",
+            "read the logs of all instances that were up at the time",
+        )
+    rows = [
+        {
+            "time": line.time,
+            "instance": line.instance,
+            "event": f"({line.message})" if line.is_context else line.message,
+            "details": line.details,
+        }
+        for line in story
+    ]
+    columns = ("time", "instance", "event", "details")
+    context.output.table({"job": job_id, "lines": rows}, "lines", columns)
+    return ExitStatus.SUCCESS
+
+
+def _lines(paths: list[str]) -> Iterator[str]:
+    if not paths:
+        yield from sys.stdin
+    for path in paths:
+        with contextlib.closing(open(path, errors="replace")) as file:
+            yield from file
+
+
+EXPLAIN_COMMANDS = (
+    Command(("explain",), ("ID",), "tell a job's story from log lines", _explain),
+)
--- a/ragwortshelf/cli/main.py
+++ b/ragwortshelf/cli/main.py
@@ -47,6 +47,9 @@
     flags.DEFINE_multi_string(
         "header", [], "request send: NAME=VALUE.", flag_values=values
     )
+    flags.DEFINE_list(
+        "logs", [], "explain: log files; standard input without.", flag_values=values
+    )
     switch("release", False, "worker quarantine: take it back into use.")
 
 
--- /dev/null
+++ b/tests/cli/test_story.py
@@ -0,0 +1,64 @@
+"""The story of a job from the lines of several instances."""
+
+import json
+
+from ragwortshelf.cli.main import main
+from ragwortshelf.cli.story import tell
+
+JOB = "5c0e7a21d94b36f8"
+
+
+def _line(second, message, instance="i1", prefix="", **fields):
+    time = f"2026-01-01T00:00:{second:02d}.000Z"
+    record = {"time": time, "instance": instance, "message": message, **fields}
+    return prefix + json.dumps(record)
+
+
+LINES = [
+    _line(5, "start", "i2", task=f"{JOB}.0.0.1", run=1, endpoint="e1"),
+    _line(1, "term_started", "i2", term=7),
+    _line(2, "call", job=JOB, outcome="accepted", prefix="  2.0 i1 "),
+    _line(3, "job_log_lost", "i2", detail="timeout"),
+    _line(4, "unit", "i2", job=JOB, phase="placed", endpoints=["e1"]),
+    _line(6, "endpoint_lost", "i2", endpoint="e1"),
+    _line(6, "endpoint_lost", "i2", endpoint="e9"),
+    _line(7, "unit", "i2", job="0" * 16, phase="done"),
+    _line(8, "unit", "i2", job=JOB, phase="failed", reason="attempts spent"),
+    _line(9, "term_ended", "i2", term=7),
+    "no json",
+    "{broken",
+]
+
+
+def test_the_story_is_in_order_and_holds_what_changed_meanwhile():
+    story = tell(JOB, LINES)
+    assert [line.message for line in story] == [
+        "call",
+        "job_log_lost",
+        "unit",
+        "start",
+        "endpoint_lost",
+        "unit",
+    ]
+    assert [line.is_context for line in story] == [
+        False,
+        True,
+        False,
+        False,
+        True,
+        False,
+    ]
+    assert "reason=attempts spent" in story[-1].details
+
+
+def test_a_job_that_no_line_names_has_no_story():
+    assert tell("f" * 16, LINES) == []
+
+
+def test_the_command_reads_files_and_says_what_it_does_not_find(tmp_path, capsys):
+    path = tmp_path / "i1.log"
+    path.write_text("\n".join(LINES))
+    assert main(["ragwortshelf", "explain", JOB, f"--logs={path}"]) == 0
+    assert "attempts spent" in capsys.readouterr().out
+    assert main(["ragwortshelf", "explain", "f" * 16, f"--logs={path}"]) == 5
+    assert main(["ragwortshelf", "explain", JOB, "--logs=/nowhere"]) == 2
