--- a/ragwortshelf/cli/commands/__init__.py
+++ b/ragwortshelf/cli/commands/__init__.py
@@ -5,7 +5,6 @@
 """
 
 from .context import Command, Context
-from .explain import EXPLAIN_COMMANDS
 from .jobs import JOB_COMMANDS
 from .operations import OPERATION_COMMANDS
 from .releases import RELEASE_COMMANDS
@@ -18,5 +17,4 @@
     *JOB_COMMANDS,
     *REQUEST_COMMANDS,
     *OPERATION_COMMANDS,
-    *EXPLAIN_COMMANDS,
 )
--- a/ragwortshelf/cli/commands/explain.py
+++ b/ragwortshelf/cli/commands/explain.py
@@ -1,4 +1,4 @@
-"""The command that tells the story of one job from logs."""
+"""Tells the story of one job from logs, for `ragwortshelf explain ID --logs`."""
 
 from __future__ import annotations
 
@@ -8,12 +8,13 @@
 
 from ..status import CommandFailure, ExitStatus
 from ..story import tell
-from .context import Command, Context
+from .context import Context
 
-__all__ = ["EXPLAIN_COMMANDS"]
+__all__ = ["explain_from_logs"]
 
 
-async def _explain(context: Context, job_id: str):
+def explain_from_logs(context: Context, job_id: str) -> ExitStatus | CommandFailure:
+    """Print what the lines of ``--logs`` say of a job; ``-`` is standard input."""
     try:
         story = tell(job_id, _lines(context.flags.logs))
     except OSError as error:
@@ -39,13 +40,9 @@
 
 
 def _lines(paths: list[str]) -> Iterator[str]:
-    if not paths:
-        yield from sys.stdin
     for path in paths:
+        if path == "-":
+            yield from sys.stdin
+            continue
         with contextlib.closing(open(path, errors="replace")) as file:
             yield from file
-
-
-EXPLAIN_COMMANDS = (
-    Command(("explain",), ("ID",), "tell a job's story from log lines", _explain),
-)
--- a/ragwortshelf/cli/commands/jobs.py
+++ b/ragwortshelf/cli/commands/jobs.py
@@ -7,6 +7,7 @@
 
 from ..status import CommandFailure, ExitStatus
 from .context import Command, Context, refusal
+from .explain import explain_from_logs
 
 __all__ = ["JOB_COMMANDS"]
 
@@ -113,6 +114,8 @@
 
 
 async def _explain(context: Context, job_id: str):
+    if context.flags.logs:
+        return explain_from_logs(context, job_id)
     reply = await context.client.get(f"/v1/jobs/{quote(job_id, safe='')}/explanation")
     if isinstance(reply, CommandFailure):
         return reply
--- a/ragwortshelf/cli/main.py
+++ b/ragwortshelf/cli/main.py
@@ -48,7 +48,10 @@
         "header", [], "request send: NAME=VALUE.", flag_values=values
     )
     flags.DEFINE_list(
-        "logs", [], "explain: log files; standard input without.", flag_values=values
+        "logs",
+        [],
+        "explain: read these log files; - is standard input.",
+        flag_values=values,
     )
     switch("release", False, "worker quarantine: take it back into use.")
 
