Grant a lease before an endpoint counts as reachable

Change: the first answer only tells the clock; the endpoint is listed with the renewal that follows at once.

--- a/ragwortshelf/scheduler/endpoint_session.py
+++ b/ragwortshelf/scheduler/endpoint_session.py
@@ -172,6 +172,9 @@
             self._until_ms = until_ms
             remaining = (until_ms - answer.clock_ms) / CLOCK_DRIFT
             self._lapse_ms = now_ms + int(remaining) + 1
+        if self._until_ms is None:
+            # Nothing can be started before a lease is granted, which needs the clock.
+            return
         if not self._is_reachable:
             log_event(
                 "endpoint_regained", endpoint=self.info.id, born=answer.born_wall_ms
--- a/tests/scheduler/fakes.py
+++ b/tests/scheduler/fakes.py
@@ -30,6 +30,7 @@
 )
 
 CALL_S = 0.004
+CROSS_S = 0.001
 REPEATS_KEPT = 5
 
 
@@ -203,7 +204,7 @@
         if self._endpoint.is_cut or self._faults.is_cut:
             await trio.sleep(timeout_ms / 1000)
             return False
-        await trio.sleep(0.001)
+        await trio.sleep(CROSS_S)
         return True
 
     async def renew(self, *, until_ms, ack_number, wait_ms, timeout_ms):
--- a/tests/scheduler/test_term.py
+++ b/tests/scheduler/test_term.py
@@ -263,3 +263,27 @@
         await trio.sleep(1.5)
         assert _holders(instances)
         nursery.cancel_scope.cancel()
+
+
+async def test_a_successor_starts_what_waits_at_once(autojump_clock, monkeypatch):
+    # Pattern: a job is accepted while nobody schedules, and endpoints answer more
+    # slowly than the log.
+    monkeypatch.setattr("fakes.CROSS_S", 0.02)
+    platform = _platform(6)
+    instances = _instances(platform, 2)
+    async with trio.open_nursery() as nursery:
+        for instance in instances:
+            nursery.start_soon(instance.run)
+        await trio.sleep(1)
+        (holder,) = _holders(instances)
+        (other,) = [i for i in instances if i is not holder]
+        holder.election.is_stopping = True
+        holder.election.leadership.resign()
+        await trio.sleep(0.02)
+        await _submit(other, _job("a" * 16, count=12))
+        await trio.sleep(0.6)
+        assert _holders(instances) == [other]
+        runs = platform.runs()
+        assert len(runs) == 12
+        assert {run for _, run, *_ in runs} == {1}
+        nursery.cancel_scope.cancel()
