Split the scheduler by subject, and send no start that was given up meanwhile

While splitting them: a start waits for its records; if the log was away for longer than a lease, its endpoint may have lapsed and the unit may be placed anew, and both starts would have been sent once the log was back.

--- a/ragwortshelf/scheduler/election.py
+++ b/ragwortshelf/scheduler/election.py
@@ -11,10 +11,11 @@
 from .clock import boot_ms, wall_ms
 from .configuration import ConfigurationFollower
 from .interfaces import Appended, OutsideWorld, ProducerFence
-from .leadership import PRODUCER, Leadership
+from .leadership import Leadership
 from .log_follower import LogFollower
 from .logs import Logs
 from .settings import SchedulingSettings
+from .term_writer import PRODUCER
 
 __all__ = ["Election"]
 
--- a/ragwortshelf/scheduler/leadership.py
+++ b/ragwortshelf/scheduler/leadership.py
@@ -8,18 +8,14 @@
 
 from ..core.scheduling import Scheduler, ServiceConfiguration
 from ..core.scheduling.actions import (
-    Action,
     AskAdvice,
     PaceTask,
-    PersistUnit,
-    StartTask,
     StopTask,
 )
 from ..core.scheduling.fleet import EndpointInfo, EndpointListing
-from ..core.scheduling.model import UnitKey, UnitPhase
+from ..core.scheduling.model import UnitKey
 from ..core.scheduling.records import (
     TermHeld,
-    encode_record,
     forgetting_records,
 )
 from ..daemon.logs import log_event
@@ -27,23 +23,19 @@
 from .configuration import ConfigurationFollower
 from .directory import EndpointDirectory
 from .endpoint_session import CLOCK_DRIFT, EndpointSession
-from .interfaces import Appended, Deposed, Entry, OutsideWorld, ProducerFence
+from .interfaces import Appended, Entry, OutsideWorld
 from .log_follower import LogFollower
 from .logs import Logs
+from .orders import OrderSender
 from .settings import SchedulingSettings
+from .term_writer import TermWriter
 from .upkeep import UpkeepRunner
 
-__all__ = ["PRODUCER", "Leadership"]
-
-PRODUCER = "scheduler"
-"""The producer's name under which the log fences earlier terms."""
+__all__ = ["Leadership"]
 
 PLAN_INTERVAL_MS = 250
 """Time between plans without news; it bounds when timed jobs and retries start."""
 
-ADVICE_RETRY_MS = 300
-"""Pause after a question that the policy service did not answer."""
-
 FORGET_INTERVAL_MS = 5_000
 """Time between two looks for ended jobs whose state need not be kept any longer."""
 
@@ -76,24 +68,22 @@
         self._logs = logs
         self._log = logs.jobs
         self._metrics = logs.metrics
-        self._sequence = sequence
         self._scheduler = Scheduler(claim.term, follower.table, configuration.current)
         self._upkeep = UpkeepRunner(
             world, settings, follower, self._scheduler, self._commit, claim.term
         )
         self._session_by_id: dict[str, EndpointSession] = {}
-        self._uncommitted: list[Action] = []
-        self._committed = trio.Event()
-        self._commits_wanted = 0
-        self._commits_done = 0
-        self._advice_lock = trio.Lock()
+        self._writer = TermWriter(claim, sequence, logs, settings, follower.table)
+        self._orders = OrderSender(
+            self._scheduler,
+            self._session_by_id,
+            world,
+            logs.metrics,
+            self._order_ended,
+        )
         self._dirty = trio.Event()
-        self._write_wanted = trio.Event()
-        self._confirmed_boot_ms = boot_ms()
-        self._is_resigning = False
         self._nursery: trio.Nursery | None = None
         self._unknown_lapse_ms = self._earlier_leases_end_ms(previous)
-        self.uncommitted_jobs: dict[str, int] = {}
         self.end_reason = ""
 
     async def run(self) -> str:
@@ -116,7 +106,7 @@
                 self._nursery = nursery
                 nursery.start_soon(directory.run)
                 nursery.start_soon(self._plan_loop)
-                nursery.start_soon(self._write_loop)
+                nursery.start_soon(self._write)
                 nursery.start_soon(self._watch_confirmation)
                 nursery.start_soon(self._forget_loop)
                 nursery.start_soon(self._release_placeholders)
@@ -130,12 +120,11 @@
 
     def resign(self) -> None:
         """Give the role up: a successor may go on at once."""
-        self._is_resigning = True
-        self._write_wanted.set()
+        self._writer.resign()
 
     def is_committed(self, job_id: str) -> bool:
         """Whether all that is shown of a job is in the log."""
-        return job_id not in self.uncommitted_jobs
+        return job_id not in self._writer.uncommitted_jobs
 
     def _end(self, reason: str) -> None:
         if not self.end_reason:
@@ -213,7 +202,7 @@
         if session is not None:
             session.is_shared = self._scheduler.is_shared(listing.endpoint_id)
         if listing.finished:
-            await self._wait_committed()
+            await self._writer.wait_committed()
         self._end_idle_session(listing.endpoint_id)
 
     def _unreachable(self, endpoint_id: str) -> None:
@@ -255,191 +244,26 @@
     def _dispatch(self) -> None:
         """Send stops now, and starts after the records before them are in the log."""
         for action in self._scheduler.take_actions():
-            if isinstance(action, StopTask):
-                log_event(
-                    "stop",
-                    task=action.task,
-                    run=action.run,
-                    endpoint=action.endpoint_id,
-                    reason=action.reason,
-                )
-                self._nursery.start_soon(self._stop, action)
-            elif isinstance(action, PaceTask):
-                self._nursery.start_soon(self._pace, action)
-            elif isinstance(action, AskAdvice):
-                self._nursery.start_soon(self._ask_advice, action)
-            else:
-                if isinstance(action, PersistUnit):
-                    self._note_uncommitted(action, 1)
-                self._uncommitted.append(action)
-        if self._uncommitted:
-            self._commits_wanted += 1
-            self._write_wanted.set()
-
-    def _note_uncommitted(self, action: PersistUnit, change: int) -> None:
-        job_id = action.record.key.job_id
-        count = self.uncommitted_jobs.get(job_id, 0) + change
-        if count:
-            self.uncommitted_jobs[job_id] = count
-        else:
-            self.uncommitted_jobs.pop(job_id, None)
-
-    async def _wait_committed(self) -> None:
-        wanted = self._commits_wanted
-        while self._commits_done < wanted:
-            await self._committed.wait()
-
-    async def _start(self, order: StartTask) -> None:
-        session = self._session_by_id.get(order.endpoint_id)
-        if session is None:
-            return
-        outcome, was_unanswered = await session.start(order)
-        self._metrics.count("orders_total", order="start", outcome=outcome.value)
-        log_event(
-            "start",
-            task=order.task,
-            run=order.run,
-            endpoint=order.endpoint_id,
-            outcome=outcome.value,
-        )
-        self._scheduler.start_ended(
-            order.endpoint_id,
-            order.task,
-            order.run,
-            outcome,
-            was_unanswered,
-            monotonic_ms(),
-            wall_ms(),
-        )
+            match action:
+                case StopTask():
+                    self._nursery.start_soon(self._orders.stop, action)
+                case PaceTask():
+                    self._nursery.start_soon(self._orders.pace, action)
+                case AskAdvice():
+                    self._nursery.start_soon(self._orders.ask_advice, action)
+                case _:
+                    self._writer.add(action)
+
+    def _order_ended(self, should_plan: bool) -> None:
         self._dispatch()
-        if outcome.value != "started":
+        if should_plan:
             self._dirty.set()
 
-    async def _stop(self, order: StopTask) -> None:
-        session = self._session_by_id.get(order.endpoint_id)
-        if session is None:
-            return
-        is_confirmed = await session.stop(order)
-        outcome = "confirmed" if is_confirmed else "unconfirmed"
-        self._metrics.count("orders_total", order="stop", outcome=outcome)
-        if is_confirmed:
-            self._scheduler.stop_confirmed(
-                order.endpoint_id, order.task, order.run, monotonic_ms()
-            )
-
-    async def _pace(self, order: PaceTask) -> None:
-        session = self._session_by_id.get(order.endpoint_id)
-        if session is None:
-            return
-        is_confirmed = await session.pace(order)
-        outcome = "confirmed" if is_confirmed else "unconfirmed"
-        self._metrics.count("orders_total", order="pace", outcome=outcome)
-        log_event(
-            "pace",
-            task=order.task,
-            run=order.run,
-            endpoint=order.endpoint_id,
-            percent=order.percent,
-            confirmed=is_confirmed,
-        )
-        if not is_confirmed:
-            self._scheduler.pace_lost(order)
-
-    async def _ask_advice(self, question: AskAdvice) -> None:
-        # The service handles one call of an instance at a time; the lock keeps the
-        # others from filling its queue.
-        async with self._advice_lock:
-            asked_ms = monotonic_ms()
-            answer = await self._world.ask_advice(question.step, question.endpoint_ids)
-        log_event(
-            "advice",
-            step=question.step,
-            asked=len(question.endpoint_ids),
-            approved=len(answer.ticket_by_id) if answer else None,
-        )
-        if answer is None:
-            retry_ms = monotonic_ms() + ADVICE_RETRY_MS
-            self._scheduler.advice.unanswered(question.step, retry_ms)
-            return
-        self._scheduler.advised(
-            question.step,
-            question.endpoint_ids,
-            answer.ticket_by_id,
-            asked_ms + answer.valid_ms,
-        )
-        self._dirty.set()
-
-    # Appends.
-
-    async def _write_loop(self) -> None:
-        while True:
-            with trio.move_on_after(self._settings.term_renewal_ms / 1000):
-                await self._write_wanted.wait()
-            self._write_wanted = trio.Event()
-            actions, self._uncommitted = self._uncommitted, []
-            commits = self._commits_wanted
-            entries: list[Entry] = []
-            for action in actions:
-                if isinstance(action, PersistUnit):
-                    self._log_decision(action)
-                    entries.append(encode_record(action.record))
-            entries.append(encode_record(self._renewal()))
-            if not await self._append(entries):
-                return
-            self._commits_done = commits
-            self._committed.set()
-            self._committed = trio.Event()
-            for action in actions:
-                if isinstance(action, PersistUnit):
-                    self._note_uncommitted(action, -1)
-                else:
-                    self._nursery.start_soon(self._start, action)
-            if self._is_resigning:
-                self._end("resigned")
-                return
-
-    def _renewal(self) -> TermHeld:
-        return TermHeld(
-            self.claim.term, self.claim.holder, wall_ms(), self._is_resigning
-        )
-
-    async def _append(self, entries: list[Entry]) -> bool:
-        """Append under the term's fence, again while no answer comes."""
-        self._sequence += 1
-        fence = ProducerFence(PRODUCER, self.claim.term, self._sequence)
-        while True:
-            sent = boot_ms()
-            outcome = await self._log.append(
-                entries, timeout_ms=self._settings.log_call_timeout_ms, fence=fence
-            )
-            if isinstance(outcome, Appended):
-                self._confirmed_boot_ms = sent
-                return True
-            if isinstance(outcome, Deposed):
-                self._end(f"deposed: {outcome.detail}")
-                return False
-            await trio.sleep(self._settings.log_retry_ms / 1000)
-
-    def _log_decision(self, action: PersistUnit) -> None:
-        record = action.record
-        phase = record.phase.name.lower()
-        self._metrics.count("unit_changes_total", phase=phase, reason=action.reason)
-        if record.phase is UnitPhase.PLACED and record.run == 1:
-            job = self._follower.table.job_by_id.get(record.key.job_id)
-            if job is not None:
-                waited = record.changed_wall_ms - job.spec.accepted_wall_ms
-                self._metrics.observe_ms("first_start_wait_ms", waited)
-        log_event(
-            "unit",
-            job=record.key.job_id,
-            unit="/".join(map(str, record.key[1:])),
-            phase=phase,
-            run=record.run,
-            failed=record.failed_runs,
-            endpoints=record.endpoints,
-            reason=action.reason,
-            term=record.term,
+    async def _write(self) -> None:
+        reason = await self._writer.run(
+            lambda order: self._nursery.start_soon(self._orders.start, order)
         )
+        self._end(reason)
 
     async def _watch_confirmation(self) -> None:
         limit = self._settings.term_confirmation_max_ms
@@ -448,7 +272,7 @@
             newest = self._follower.table.term
             if newest is not None and newest.term > self.claim.term:
                 self._end("a later term was claimed")
-            elif boot_ms() - self._confirmed_boot_ms > limit:
+            elif boot_ms() - self._writer.confirmed_boot_ms > limit:
                 self._end("the log has not confirmed the term in time")
 
     async def _forget_loop(self) -> None:
--- /dev/null
+++ b/ragwortshelf/scheduler/orders.py
@@ -0,0 +1,133 @@
+"""Sends the scheduler's orders and tells it what became of them."""
+
+from __future__ import annotations
+
+from collections.abc import Callable, Mapping
+
+import trio
+
+from ..core.scheduling import Scheduler
+from ..core.scheduling.actions import AskAdvice, PaceTask, StartTask, StopTask
+from ..core.scheduling.fleet import StartOutcome
+from ..daemon.logs import log_event
+from ..daemon.metrics import Metrics
+from .clock import monotonic_ms, wall_ms
+from .endpoint_session import EndpointSession
+from .interfaces import OutsideWorld
+
+__all__ = ["OrderSender"]
+
+ADVICE_RETRY_MS = 300
+"""Pause after a question that the policy service did not answer."""
+
+
+class OrderSender:
+    """Carries out single actions; each method is run as a task of its own.
+
+    ``on_outcome`` is called after the scheduler has been told, with whether it should
+    plan again.
+    """
+
+    def __init__(
+        self,
+        scheduler: Scheduler,
+        session_by_id: Mapping[str, EndpointSession],
+        world: OutsideWorld,
+        metrics: Metrics,
+        on_outcome: Callable[[bool], None],
+    ):
+        self._scheduler = scheduler
+        self._session_by_id = session_by_id
+        self._world = world
+        self._metrics = metrics
+        self._on_outcome = on_outcome
+        self._advice_lock = trio.Lock()
+
+    async def start(self, order: StartTask) -> None:
+        """Order a start, unless its run was given up while it was logged."""
+        session = self._session_by_id.get(order.endpoint_id)
+        if session is None or not self._scheduler.is_wanted(order):
+            return
+        outcome, was_unanswered = await session.start(order)
+        self._metrics.count("orders_total", order="start", outcome=outcome.value)
+        log_event(
+            "start",
+            task=order.task,
+            run=order.run,
+            endpoint=order.endpoint_id,
+            outcome=outcome.value,
+        )
+        self._scheduler.start_ended(
+            order.endpoint_id,
+            order.task,
+            order.run,
+            outcome,
+            was_unanswered,
+            monotonic_ms(),
+            wall_ms(),
+        )
+        self._on_outcome(outcome is not StartOutcome.STARTED)
+
+    async def stop(self, order: StopTask) -> None:
+        """Order a stop."""
+        log_event(
+            "stop",
+            task=order.task,
+            run=order.run,
+            endpoint=order.endpoint_id,
+            reason=order.reason,
+        )
+        session = self._session_by_id.get(order.endpoint_id)
+        if session is None:
+            return
+        is_confirmed = await session.stop(order)
+        outcome = "confirmed" if is_confirmed else "unconfirmed"
+        self._metrics.count("orders_total", order="stop", outcome=outcome)
+        if is_confirmed:
+            self._scheduler.stop_confirmed(
+                order.endpoint_id, order.task, order.run, monotonic_ms()
+            )
+
+    async def pace(self, order: PaceTask) -> None:
+        """Order a pace."""
+        session = self._session_by_id.get(order.endpoint_id)
+        if session is None:
+            return
+        is_confirmed = await session.pace(order)
+        outcome = "confirmed" if is_confirmed else "unconfirmed"
+        self._metrics.count("orders_total", order="pace", outcome=outcome)
+        log_event(
+            "pace",
+            task=order.task,
+            run=order.run,
+            endpoint=order.endpoint_id,
+            percent=order.percent,
+            confirmed=is_confirmed,
+        )
+        if not is_confirmed:
+            self._scheduler.pace_lost(order)
+
+    async def ask_advice(self, question: AskAdvice) -> None:
+        """Ask the policy service about a step."""
+        # The service handles one call of an instance at a time; the lock keeps the
+        # others from filling its queue.
+        async with self._advice_lock:
+            asked_ms = monotonic_ms()
+            answer = await self._world.ask_advice(question.step, question.endpoint_ids)
+        log_event(
+            "advice",
+            step=question.step,
+            asked=len(question.endpoint_ids),
+            approved=len(answer.ticket_by_id) if answer else None,
+        )
+        if answer is None:
+            retry_ms = monotonic_ms() + ADVICE_RETRY_MS
+            self._scheduler.advice.unanswered(question.step, retry_ms)
+            return
+        self._scheduler.advised(
+            question.step,
+            question.endpoint_ids,
+            answer.ticket_by_id,
+            asked_ms + answer.valid_ms,
+        )
+        self._on_outcome(True)
--- /dev/null
+++ b/ragwortshelf/scheduler/term_writer.py
@@ -0,0 +1,159 @@
+"""Appends the scheduler's decisions and renewals under the fence of its term."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+
+import trio
+
+from ..core.scheduling.actions import PersistUnit, StartTask
+from ..core.scheduling.model import UnitPhase
+from ..core.scheduling.records import TermHeld, encode_record
+from ..core.scheduling.table import JobTable
+from ..daemon.logs import log_event
+from .clock import boot_ms, wall_ms
+from .interfaces import Appended, Deposed, Entry, ProducerFence
+from .logs import Logs
+from .settings import SchedulingSettings
+
+__all__ = ["PRODUCER", "TermWriter"]
+
+PRODUCER = "scheduler"
+"""The producer's name under which the log fences earlier terms."""
+
+ACTIONS_MAX = 2_000
+"""Decisions of one append: at some 150 bytes each a sixth of what the log takes."""
+
+
+class TermWriter:
+    """Writes what the scheduler decides, in order, and renews its term with it.
+
+    ``uncommitted_jobs`` counts, by job, the decisions that are not in the log yet.
+    """
+
+    def __init__(
+        self,
+        claim: TermHeld,
+        sequence: int,
+        logs: Logs,
+        settings: SchedulingSettings,
+        table: JobTable,
+    ):
+        self._claim = claim
+        self._sequence = sequence
+        self._log = logs.jobs
+        self._metrics = logs.metrics
+        self._settings = settings
+        self._table = table
+        self._waiting: list[PersistUnit | StartTask] = []
+        self._wanted = trio.Event()
+        self._committed = trio.Event()
+        self._added = 0
+        self._done = 0
+        self._is_resigning = False
+        self.confirmed_boot_ms = boot_ms()
+        self.uncommitted_jobs: dict[str, int] = {}
+
+    def add(self, action: PersistUnit | StartTask) -> None:
+        """Write a decision, or release a start once all before it is written."""
+        if isinstance(action, PersistUnit):
+            self._note_uncommitted(action, 1)
+        self._waiting.append(action)
+        self._added += 1
+        self._wanted.set()
+
+    def resign(self) -> None:
+        """Write what waits, and with it that the role is free."""
+        self._is_resigning = True
+        self._wanted.set()
+
+    async def wait_committed(self) -> None:
+        """Return once all that was added before is in the log."""
+        wanted = self._added
+        while self._done < wanted:
+            await self._committed.wait()
+
+    async def run(self, on_start: Callable[[StartTask], None]) -> str:
+        """Write until resigned or deposed; returns why it ended.
+
+        ``on_start`` is called for each start whose records are in the log.
+        """
+        while True:
+            if not self._waiting and not self._is_resigning:
+                with trio.move_on_after(self._settings.term_renewal_ms / 1000):
+                    await self._wanted.wait()
+            self._wanted = trio.Event()
+            actions = self._waiting[:ACTIONS_MAX]
+            del self._waiting[:ACTIONS_MAX]
+            is_last = self._is_resigning and not self._waiting
+            deposed = await self._append(self._entries(actions, is_last))
+            if deposed is not None:
+                return f"deposed: {deposed.detail}"
+            self._finish(actions, on_start)
+            if is_last:
+                return "resigned"
+
+    def _entries(self, actions, is_last: bool) -> list[Entry]:
+        entries: list[Entry] = []
+        for action in actions:
+            if isinstance(action, PersistUnit):
+                self._note_decision(action)
+                entries.append(encode_record(action.record))
+        claim = self._claim
+        renewal = TermHeld(claim.term, claim.holder, wall_ms(), is_last)
+        return [*entries, encode_record(renewal)]
+
+    def _finish(self, actions, on_start: Callable[[StartTask], None]) -> None:
+        self._done += len(actions)
+        self._committed.set()
+        self._committed = trio.Event()
+        for action in actions:
+            if isinstance(action, PersistUnit):
+                self._note_uncommitted(action, -1)
+            else:
+                on_start(action)
+
+    async def _append(self, entries: list[Entry]) -> Deposed | None:
+        """Append under the term's fence, again while no answer comes."""
+        self._sequence += 1
+        fence = ProducerFence(PRODUCER, self._claim.term, self._sequence)
+        while True:
+            sent = boot_ms()
+            outcome = await self._log.append(
+                entries, timeout_ms=self._settings.log_call_timeout_ms, fence=fence
+            )
+            if isinstance(outcome, Appended):
+                self.confirmed_boot_ms = sent
+                return None
+            if isinstance(outcome, Deposed):
+                return outcome
+            await trio.sleep(self._settings.log_retry_ms / 1000)
+
+    def _note_uncommitted(self, action: PersistUnit, change: int) -> None:
+        job_id = action.record.key.job_id
+        count = self.uncommitted_jobs.get(job_id, 0) + change
+        if count:
+            self.uncommitted_jobs[job_id] = count
+        else:
+            self.uncommitted_jobs.pop(job_id, None)
+
+    def _note_decision(self, action: PersistUnit) -> None:
+        record = action.record
+        phase = record.phase.name.lower()
+        self._metrics.count("unit_changes_total", phase=phase, reason=action.reason)
+        if record.phase is UnitPhase.PLACED and record.run == 1:
+            job = self._table.job_by_id.get(record.key.job_id)
+            if job is not None:
+                waited = record.changed_wall_ms - job.spec.accepted_wall_ms
+                self._metrics.observe_ms("first_start_wait_ms", waited)
+        log_event(
+            "unit",
+            job=record.key.job_id,
+            unit="/".join(map(str, record.key[1:])),
+            phase=phase,
+            run=record.run,
+            failed=record.failed_runs,
+            endpoints=record.endpoints,
+            reason=action.reason,
+            term=record.term,
+        )
--- a/tests/core/scheduling/test_listing.py
+++ b/tests/core/scheduling/test_listing.py
@@ -149,3 +149,17 @@
         harness.advance(200)
     assert not harness.starts
     assert harness.table.job_by_id["j"].state.value == "failed"
+
+
+def test_a_start_that_was_given_up_while_it_was_logged_is_not_sent():
+    # Pattern: the log is away for longer than a lease, then takes all at once.
+    harness = Harness(endpoints=1)
+    harness.submit("t")
+    (first,) = harness.starts
+    harness.scheduler.endpoint_lapsed("e0", harness.now, harness.now)
+    harness.add_endpoint("e1")
+    harness.advance(200)
+    second = harness.starts[-1]
+    assert second.run == 2
+    assert not harness.scheduler.is_wanted(first)
+    assert harness.scheduler.is_wanted(second)
