Renew leases while ends wait for the log

Cause: an endpoint that listed an end was not listed again until that end was in the log.

Change: the wait is put aside after 0.5 s; the lease is renewed and the ends are listed again until they are taken.

--- a/ragwortshelf/scheduler/endpoint_session.py
+++ b/ragwortshelf/scheduler/endpoint_session.py
@@ -28,6 +28,10 @@
 
 _RETRY_MS = 200
 
+COMMIT_WAIT_MS = 500
+"""How long a renewal is put off for ends that are not in the log yet; an append takes
+8 ms, and 0.5 s on a slow log."""
+
 
 class EndpointSession:
     """One endpoint under one term.
@@ -43,7 +47,7 @@
         client: EndpointClient,
         settings: SchedulingSettings,
         *,
-        on_listing: Callable[[EndpointListing], Awaitable[None]],
+        on_listing: Callable[[EndpointListing], Callable[[], Awaitable[None]]],
         on_unreachable: Callable[[str], None],
         on_lapsed: Callable[[str], None],
         on_fenced: Callable[[str], None],
@@ -189,9 +193,19 @@
             answer.running,
             answer.finished,
         )
-        await self._on_listing(listing)
+        wait_committed = self._on_listing(listing)
         if answer.finished:
-            # The listing is processed once its ends are in the log.
+            await self._acknowledge_when(wait_committed, answer)
+
+    async def _acknowledge_when(self, wait_committed, answer: EndpointAnswer) -> None:
+        """Take the listed ends once they are in the log.
+
+        While the log is away the lease is renewed all the same, and the ends are
+        listed again.
+        """
+        with trio.move_on_after(COMMIT_WAIT_MS / 1000) as scope:
+            await wait_committed()
+        if not scope.cancelled_caught:
             self._ack_number = max(row.number for row in answer.finished)
 
     def _extend_grant(self, until_ms: int | None) -> None:
--- a/ragwortshelf/scheduler/leadership.py
+++ b/ragwortshelf/scheduler/leadership.py
@@ -3,6 +3,8 @@
 from __future__ import annotations
 
 import time
+from collections.abc import Awaitable, Callable
+from functools import partial
 
 import trio
 
@@ -194,16 +196,16 @@
             if session is not None:
                 session.end()
 
-    async def _listed(self, listing: EndpointListing) -> None:
+    def _listed(self, listing: EndpointListing) -> Callable[[], Awaitable[None]]:
+        """Take a listing; returns what to wait for before its ends are taken."""
         self._scheduler.listed(listing, monotonic_ms(), wall_ms())
         self._dispatch()
         self._dirty.set()
         session = self._session_by_id.get(listing.endpoint_id)
         if session is not None:
             session.is_shared = self._scheduler.is_shared(listing.endpoint_id)
-        if listing.finished:
-            await self._writer.wait_committed()
         self._end_idle_session(listing.endpoint_id)
+        return partial(self._writer.wait_committed, self._writer.mark())
 
     def _unreachable(self, endpoint_id: str) -> None:
         self._scheduler.endpoint_unreachable(endpoint_id)
--- a/ragwortshelf/scheduler/term_writer.py
+++ b/ragwortshelf/scheduler/term_writer.py
@@ -67,10 +67,13 @@
         self._is_resigning = True
         self._wanted.set()
 
-    async def wait_committed(self) -> None:
-        """Return once all that was added before is in the log."""
-        wanted = self._added
-        while self._done < wanted:
+    def mark(self) -> int:
+        """Return a mark of all that was added until now."""
+        return self._added
+
+    async def wait_committed(self, mark: int) -> None:
+        """Return once all that was added before the mark is in the log."""
+        while self._done < mark:
             await self._committed.wait()
 
     async def run(self, on_start: Callable[[StartTask], None]) -> str:
--- a/tests/scheduler/fakes.py
+++ b/tests/scheduler/fakes.py
@@ -157,6 +157,9 @@
             if now - since >= self.work_ms:
                 self._end(task, RunEnd.DONE)
 
+    def finish(self, task):
+        self._end(task, RunEnd.DONE)
+
     def _end(self, task, end):
         run, _ = self.running.pop(task)
         self.number += 1
--- a/tests/scheduler/test_term.py
+++ b/tests/scheduler/test_term.py
@@ -287,3 +287,26 @@
         assert len(runs) == 12
         assert {run for _, run, *_ in runs} == {1}
         nursery.cancel_scope.cancel()
+
+
+async def test_leases_are_renewed_while_ends_wait_for_the_log(autojump_clock):
+    # Pattern: a short task ends beside a long one while the log is away for 8 s.
+    platform = _platform(1)
+    instance = _instances(platform, 1)[0]
+    endpoint = platform.endpoint_by_id["e0"]
+    async with trio.open_nursery() as nursery:
+        nursery.start_soon(instance.run)
+        await trio.sleep(1)
+        endpoint.work_ms = 12_000
+        await _submit(instance, _job("a" * 16, count=2))
+        await trio.sleep(0.5)
+        ended = next(iter(endpoint.running))
+        instance.configuration._world.faults.store = "busy"
+        endpoint.finish(ended)
+        await trio.sleep(8)
+        instance.configuration._world.faults.store = ""
+        await trio.sleep(8)
+        assert await _state(instance, "a" * 16) is JobState.COMPLETED
+        assert len(platform.runs()) == 2
+        assert not endpoint.finished
+        nursery.cancel_scope.cancel()
