Find endpoints again that were cut off at a takeover, and plan within a third of the processor

The successor was an instance with half a core; planning for 176 endpoints took 10 to 80 ms after each event, and 58 endpoints that did not answer were asked 100 times a second.

Change: any answer ends the count; grants of first renewals count for the lapse; pauses between questions grow to 0.8 s; instances with less than a core claim later; plans leave twice their own time to the rest, estimate each unit once, and look again only at endpoints that a choice changed.

--- a/ragwortshelf/core/scheduling/planning.py
+++ b/ragwortshelf/core/scheduling/planning.py
@@ -59,6 +59,8 @@
     def __init__(self, scheduler: Scheduler):
         self._scheduler = scheduler
         self._reservation_by_unit: dict[UnitKey, _Reservation] = {}
+        self._remaining_by_unit: dict[UnitKey, float] = {}
+        self._lost_by_unit: dict[UnitKey, float] = {}
         self._now_ms = 0
         self._wall_ms = 0
 
@@ -66,6 +68,8 @@
         """Go through the waiting units once, the most urgent first."""
         self._now_ms = now_ms
         self._wall_ms = wall_ms
+        self._remaining_by_unit.clear()
+        self._lost_by_unit.clear()
         usable = [
             endpoint
             for endpoint in self._scheduler.endpoint_by_id.values()
@@ -130,9 +134,13 @@
         return queue is not None and queue.needs_advice
 
     def _fit(self, work: Work, candidates: list[Endpoint]) -> list[Endpoint] | None:
+        needed = work.step.occupied
+
         def slots(endpoint: Endpoint) -> int:
-            room = self._room(endpoint, work)
-            fits = work.step.occupied.times_in(room)
+            if self._reservation_by_unit:
+                fits = needed.times_in(self._room(endpoint, work))
+            else:
+                fits = endpoint.slots(needed)
             cap = work.step.tasks_per_endpoint_max
             if cap:
                 fits = min(fits, cap - self._same_step(endpoint, work))
@@ -211,7 +219,7 @@
             candidates,
             lambda endpoint: self._room_when_stopped(endpoint, work),
             borrowed,
-            lambda victim: victim.lost_core_ms(self._now_ms),
+            self._lost,
         )
         if plan is None:
             return
@@ -264,7 +272,7 @@
             v for v in plan.victims if _stops_cheaply(v, work) and self._may_stop(v)
         ]
         rest = [v for v in plan.victims if not _stops_cheaply(v, work)]
-        wait_ms = max((v.remaining_ms(self._now_ms) for v in rest), default=0)
+        wait_ms = max(map(self._remaining, rest), default=0)
         if wait_ms <= CHEAP_STOP_WAIT_MS:
             self._stop_all(cheap, "yields")
 
@@ -291,11 +299,11 @@
             candidates,
             lambda endpoint: self._room_when_stopped(endpoint, work),
             borrowed,
-            lambda victim: victim.lost_core_ms(self._now_ms),
+            self._lost,
         )
         if plan is None:
             return False
-        lost = sum(victim.lost_core_ms(self._now_ms) for victim in plan.victims)
+        lost = sum(map(self._lost, plan.victims))
         if lost > PREEMPTION_LOSS_SHARE * work.cores * work.step.estimate_ms:
             return False
         self._reserve(work, plan)
@@ -310,8 +318,23 @@
         is_placed = holder is not None and holder.phase is UnitPhase.PLACED
         return holder if is_placed else None
 
+    def _remaining(self, work: Work) -> float:
+        """Return how long a unit still runs, estimated once a plan."""
+        remaining = self._remaining_by_unit.get(work.key)
+        if remaining is None:
+            remaining = work.remaining_ms(self._now_ms)
+            self._remaining_by_unit[work.key] = remaining
+        return remaining
+
+    def _lost(self, work: Work) -> float:
+        """Return what a stop throws away, computed once a plan."""
+        lost = self._lost_by_unit.get(work.key)
+        if lost is None:
+            lost = self._lost_by_unit[work.key] = work.lost_core_ms(self._now_ms)
+        return lost
+
     def _wait_ms(self, victim: Work, claimant: Work) -> float:
-        remaining = victim.remaining_ms(self._now_ms)
+        remaining = self._remaining(victim)
         if _stops_cheaply(victim, claimant):
             return min(remaining, CHEAP_STOP_WAIT_MS)
         return remaining
--- a/ragwortshelf/core/scheduling/reclaim.py
+++ b/ragwortshelf/core/scheduling/reclaim.py
@@ -71,29 +71,40 @@
 
     def run(self) -> Reclaim | None:
         """Return the plan, or None if the tasks do not fit even so."""
+        offer_by_id = {e.id: self._next_slot(e) for e in self._candidates}
+        endpoint_by_id = {e.id: e for e in self._candidates}
         while len(self._chosen) < self._count:
-            best = None
-            for endpoint in self._candidates:
-                offer = self._next_slot(endpoint)
-                if offer is not None and (best is None or offer[0] < best[0]):
-                    best = (*offer, endpoint)
-            if best is None:
+            best_id = min(
+                (i for i, offer in offer_by_id.items() if offer is not None),
+                key=lambda i: offer_by_id[i][0],
+                default=None,
+            )
+            if best_id is None:
                 return None
-            _, victims, endpoint = best
-            for work in victims:
-                self._stop(work)
-            self._chosen.append(endpoint)
-            self._used_by_id[endpoint.id] += 1
-            room = self._room_by_id[endpoint.id]
-            self._room_by_id[endpoint.id] = room.plus(self._step.occupied, -1)
+            changed = {best_id}
+            for work in offer_by_id[best_id][1]:
+                changed |= self._stop(work)
+            self._choose(endpoint_by_id[best_id])
+            for endpoint_id in changed:
+                offer_by_id[endpoint_id] = self._next_slot(endpoint_by_id[endpoint_id])
         return Reclaim(tuple(self._chosen), tuple(self._victim_by_key.values()))
 
-    def _stop(self, work: Work) -> None:
+    def _choose(self, endpoint: Endpoint) -> None:
+        self._chosen.append(endpoint)
+        self._used_by_id[endpoint.id] += 1
+        room = self._room_by_id[endpoint.id]
+        self._room_by_id[endpoint.id] = room.plus(self._step.occupied, -1)
+
+    def _stop(self, work: Work) -> set[str]:
+        """Count on a unit's room; returns the candidates that it changes."""
         self._victim_by_key[work.key] = work
+        changed = set()
         for member in work.members:
             room = self._room_by_id.get(member.endpoint_id)
             if room is not None:
                 self._room_by_id[member.endpoint_id] = room.plus(member.occupied)
+                changed.add(member.endpoint_id)
+        return changed
 
     def _next_slot(self, endpoint: Endpoint):
         """Return the cost of one more task here, and whom to stop for it."""
--- a/ragwortshelf/scheduler/election.py
+++ b/ragwortshelf/scheduler/election.py
@@ -26,6 +26,12 @@
 """Spread of the claims, so that most instances see the first one instead of losing
 to it; a claim costs one append of 6 ms and is seen at the next read."""
 
+HANDICAP_MS_PER_CORE = 800
+HANDICAP_MAX_MS = 500
+"""Delay of the claims of instances with less than a core: beyond the jitter of larger
+ones, and short against the term's timeout. The scheduler of 176 endpoints needs more
+than half a core."""
+
 FIRST_SEQUENCE_MAX = 1 << 48
 """Bound of the first sequence number of a term, below the integers of any JSON reader;
 two claims of one offset agree by chance once in some 10^14."""
@@ -60,7 +66,8 @@
             await trio.sleep(CHECK_MS / 1000)
             if not self._should_claim():
                 continue
-            await trio.sleep(random.uniform(0, JITTER_MS) / 1000)
+            delay_ms = self._handicap_ms() + random.uniform(0, JITTER_MS)
+            await trio.sleep(delay_ms / 1000)
             # A slow log takes 240 ms a read, so the state is rarely younger than that.
             limit_ms = self.settings.log_call_timeout_ms
             if not await self._follower.refresh(limit_ms, limit_ms):
@@ -95,6 +102,11 @@
         seen = max(follower.term_seen_boot_ms or 0, follower.streak_boot_ms)
         return now - seen > self.settings.term_timeout_ms
 
+    def _handicap_ms(self) -> float:
+        """Return how much later than a full core this instance claims."""
+        missing = max(0.0, 1.0 - self.settings.cores)
+        return min(missing * HANDICAP_MS_PER_CORE, HANDICAP_MAX_MS)
+
     async def _claim(self) -> None:
         follower = self._follower
         previous = follower.table.term
--- a/ragwortshelf/scheduler/endpoint_session.py
+++ b/ragwortshelf/scheduler/endpoint_session.py
@@ -26,7 +26,10 @@
 """Unanswered listings in a row after which an endpoint gets nothing new. One answer
 may be lost; the second question asks for an answer at once."""
 
-_RETRY_MS = 200
+RETRY_MS = 200
+RETRY_MAX_MS = 800
+"""Pause between questions to an endpoint that does not answer. Dozens of endpoints may
+be cut off at once, and each question costs a connection."""
 
 COMMIT_WAIT_MS = 500
 """How long a renewal is put off for ends that are not in the log yet; an append takes
@@ -148,7 +151,7 @@
         if self._failures >= FAILURES_BEFORE_LOST:
             self._note_unreachable(answer.detail)
             self._check_lapse()
-            await trio.sleep(_RETRY_MS / 1000)
+            await trio.sleep(self._pause_ms() / 1000)
 
     def _listing_wait_ms(self) -> int:
         if self.is_shared:
@@ -164,8 +167,14 @@
         until = clock + self._settings.lease_ms
         return until if self._until_ms is None else max(until, self._until_ms)
 
+    def _pause_ms(self) -> int:
+        """Return the pause after an unanswered listing; it grows up to a bound."""
+        beyond = self._failures - FAILURES_BEFORE_LOST
+        return min(RETRY_MAX_MS, RETRY_MS * (1 + beyond))
+
     async def _answered(self, answer: EndpointAnswer, sent_ms, until_ms) -> None:
         now_ms = monotonic_ms()
+        self._failures = 0
         is_reborn = answer.born_wall_ms != self._born_wall_ms
         if is_reborn:
             self._ack_number = 0
@@ -184,7 +193,6 @@
                 "endpoint_regained", endpoint=self.info.id, born=answer.born_wall_ms
             )
         self._is_reachable = True
-        self._failures = 0
         self._has_lapsed = False
         listing = EndpointListing(
             self.info.id,
@@ -209,9 +217,9 @@
             self._ack_number = max(row.number for row in answer.finished)
 
     def _extend_grant(self, until_ms: int | None) -> None:
-        if until_ms is not None and self._until_ms is not None:
+        if until_ms is not None:
             # The renewal may have been carried out, or be carried out later.
-            granted = max(until_ms, self._until_ms)
+            granted = max(until_ms, self._until_ms or 0)
             self._until_ms = granted
             remaining = (granted - self._clock_ms) / CLOCK_DRIFT
             self._lapse_ms = self._clock_read_ms + int(remaining) + 1
--- a/ragwortshelf/scheduler/leadership.py
+++ b/ragwortshelf/scheduler/leadership.py
@@ -35,6 +35,13 @@
 
 __all__ = ["Leadership"]
 
+PLAN_GAP_MIN_MS = 2
+"""Least time between two plans, so that news that comes together is planned once."""
+
+PLAN_GAP_FACTOR = 2
+"""Time between two plans as a multiple of the last one's: under load plans take a third
+of the processor at most, and orders and listings get the rest."""
+
 PLAN_INTERVAL_MS = 250
 """Time between plans without news; it bounds when timed jobs and retries start."""
 
@@ -234,6 +241,7 @@
             took_ms = (time.perf_counter() - began_s) * 1000
             self._metrics.observe_ms("plan_ms", took_ms)
             self._dispatch()
+            await trio.sleep(max(PLAN_GAP_MIN_MS, PLAN_GAP_FACTOR * took_ms) / 1000)
             with trio.move_on_after(self._next_plan_ms() / 1000):
                 await self._dirty.wait()
 
--- a/ragwortshelf/scheduler/settings.py
+++ b/ragwortshelf/scheduler/settings.py
@@ -13,7 +13,8 @@
 
     ``revocation_ms`` is how long after its revocation a key may still be accepted;
     ``status_retention_ms`` how long an ended job's state is kept; ``drain_ms`` how
-    long a planned stop may take; ``maintenance_ms`` how long a host's upkeep takes, and
+    long a planned stop may take; ``cores`` is the processor time a second that this
+    instance may use; ``maintenance_ms`` how long a host's upkeep takes, and
     ``host_lease_ms`` how long two holders must not order for one host in turn.
     """
 
@@ -23,6 +24,7 @@
     drain_ms: int = 6_000
     lease_max_ms: int = 10_000
     stop_timeout_ms: int = 900
+    cores: float = 1.0
     maintenance_ms: int = 2_000
     host_lease_ms: int = 3_000
 
--- a/tests/scheduler/test_term.py
+++ b/tests/scheduler/test_term.py
@@ -310,3 +310,34 @@
         assert len(platform.runs()) == 2
         assert not endpoint.finished
         nursery.cancel_scope.cancel()
+
+
+async def test_an_endpoint_that_was_cut_off_at_the_start_is_found_again(autojump_clock):
+    platform = _platform(2)
+    instance = _instances(platform, 1)[0]
+    endpoint = platform.endpoint_by_id["e0"]
+    endpoint.is_cut = True
+    async with trio.open_nursery() as nursery:
+        nursery.start_soon(instance.run)
+        await trio.sleep(5)
+        endpoint.is_cut = False
+        await trio.sleep(1.5)
+        scheduler = instance.election.leadership._scheduler
+        assert scheduler.endpoint_by_id["e0"].is_reachable
+        nursery.cancel_scope.cancel()
+
+
+async def test_small_instances_leave_the_term_to_larger_ones(autojump_clock):
+    for _ in range(5):
+        platform = _platform()
+        small = [
+            Instance(FakeWorld(platform), SchedulingSettings(f"s{n}", cores=0.5))
+            for n in range(4)
+        ]
+        large = Instance(FakeWorld(platform), SchedulingSettings("l", cores=2.0))
+        async with trio.open_nursery() as nursery:
+            for instance in (*small, large):
+                nursery.start_soon(instance.run)
+            await trio.sleep(2)
+            assert _holders([*small, large]) == [large]
+            nursery.cancel_scope.cancel()
