Soak the real program against stand-ins, under faults from outside

What callers were told is compared with what endpoints ran. The stand-ins of the log and of endpoints are shared with the tests in virtual time.

--- /dev/null
+++ b/ragwortshelf/standins/platform_endpoint.py
@@ -0,0 +1,130 @@
+"""Stand-in for an endpoint of the platform: leases, fencing, lists of runs."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from dataclasses import dataclass
+
+import trio
+
+from ..core.scheduling.fleet import (
+    EndpointInfo,
+    FinishedRun,
+    RunEnd,
+    RunningTask,
+    StartOutcome,
+)
+
+__all__ = ["EndpointState", "StartedRun"]
+
+
+@dataclass(frozen=True, slots=True)
+class StartedRun:
+    """A run that an endpoint began; ``end`` is set once it has ended."""
+
+    task: str
+    run: int
+    started_ms: int
+    token: int
+    ended_ms: int | None = None
+    end: RunEnd | None = None
+
+
+class EndpointState:
+    """What one incarnation runs. Its clock is trio's, in milliseconds.
+
+    ``work_ms`` returns how long a run takes; it may also be one number for all.
+    """
+
+    def __init__(self, info: EndpointInfo, work_ms: int | Callable[[str], int] = 1_000):
+        self.info = info
+        self.born = 1
+        self.token = 0
+        self.until_ms = 0
+        self.work_ms = work_ms
+        self.running: dict[str, tuple[int, int]] = {}
+        self.finished: list[FinishedRun] = []
+        self.history: dict[tuple[str, int], StartedRun] = {}
+        self._number = 0
+        self._top_run: dict[str, int] = {}
+
+    @staticmethod
+    def clock_ms() -> int:
+        """Return the endpoint's clock."""
+        return int(trio.current_time() * 1000)
+
+    def advance(self) -> None:
+        """End what is due: leases that ran out, and work that is done."""
+        now = self.clock_ms()
+        if self.running and now > self.until_ms:
+            for task in list(self.running):
+                self.end(task, RunEnd.LAPSED)
+        for task, (_, since) in list(self.running.items()):
+            work_ms = self.work_ms(task) if callable(self.work_ms) else self.work_ms
+            if now - since >= work_ms:
+                self.end(task, RunEnd.DONE)
+
+    def end(self, task: str, how: RunEnd) -> None:
+        """End a run and list it."""
+        run, since = self.running.pop(task)
+        self._number += 1
+        self.finished.append(FinishedRun(self._number, task, run, how, ""))
+        started = self.history[task, run]
+        self.history[task, run] = StartedRun(
+            task, run, since, started.token, self.clock_ms(), how
+        )
+
+    def start(self, task: str, run: int, until_ms: int, token: int) -> StartOutcome:
+        """Begin a run, or say why not."""
+        self.advance()
+        if token < self.token:
+            return StartOutcome.FENCED
+        self.token = token
+        if task in self.running and self.running[task][0] == run:
+            return StartOutcome.STARTED
+        if run <= self._top_run.get(task, 0):
+            return StartOutcome.OUTDATED
+        if until_ms < self.clock_ms():
+            return StartOutcome.LATE
+        self.until_ms = max(self.until_ms, until_ms)
+        now = self.clock_ms()
+        self.running[task] = (run, now)
+        self._top_run[task] = run
+        self.history[task, run] = StartedRun(task, run, now, token)
+        return StartOutcome.STARTED
+
+    def stop(self, task: str, run: int, token: int) -> bool:
+        """Stop a run, and refuse it from now on."""
+        self.advance()
+        if token < self.token:
+            return False
+        self.token = token
+        self._top_run[task] = max(run, self._top_run.get(task, 0))
+        if task in self.running and self.running[task][0] <= run:
+            self.end(task, RunEnd.STOPPED)
+        return True
+
+    async def renew(
+        self, until_ms: int | None, ack_number: int, wait_ms: int, token: int
+    ) -> bool:
+        """Extend the lease and wait for an end; returns False for an old token."""
+        if token < self.token:
+            return False
+        self.token = token
+        self.advance()
+        self.finished = [row for row in self.finished if row.number > ack_number]
+        if until_ms is not None:
+            self.until_ms = max(self.until_ms, until_ms)
+        deadline = trio.current_time() + wait_ms / 1000
+        while not self.finished and trio.current_time() < deadline:
+            await trio.sleep(0.01)
+            self.advance()
+        return True
+
+    def rows(self) -> tuple[RunningTask, ...]:
+        """Return what runs, with the milliseconds it has run as progress."""
+        now = self.clock_ms()
+        return tuple(
+            RunningTask(task, run, "", now - since)
+            for task, (run, since) in self.running.items()
+        )
--- /dev/null
+++ b/soak/callers.py
@@ -0,0 +1,109 @@
+"""Callers that submit, ask and cancel, and remember what they were told."""
+
+from __future__ import annotations
+
+import json
+import random
+from dataclasses import dataclass, field
+
+import trio
+
+from ragwortshelf.core.model import Unreachable
+from ragwortshelf.net.http_client import HttpClient
+
+__all__ = ["Callers", "JobRecord"]
+
+KEY = "soak-key"
+PREFIX = "/jobs/"
+TRIES = 5
+TIMEOUT_MS = 3_000
+
+
+@dataclass(slots=True)
+class JobRecord:
+    """What callers were told of one job. Times are trio's, in milliseconds."""
+
+    id: str
+    tasks: int
+    is_accepted: bool = False
+    is_uncertain: bool = False
+    refusals: int = 0
+    cancelled_ms: int | None = None
+    states: list[str] = field(default_factory=list)
+
+
+class Callers:
+    """Random load on all instances; connections are kept while they last."""
+
+    def __init__(self, addresses: list[str], seed: int):
+        self._random = random.Random(seed)
+        self._client_by_address = {
+            address: HttpClient(address, connections=16, timeout_ms=TIMEOUT_MS)
+            for address in addresses
+        }
+        self.job_by_id: dict[str, JobRecord] = {}
+        self.is_stopping = False
+
+    async def run(self) -> None:
+        """Submit jobs until told to stop."""
+        async with trio.open_nursery() as nursery:
+            while not self.is_stopping:
+                nursery.start_soon(self._live)
+                await trio.sleep(self._random.uniform(0.05, 0.35))
+
+    async def state(self, job_id: str) -> tuple[int, str]:
+        """Ask any instance for a job's state."""
+        answer = await self._call("GET", job_id)
+        if isinstance(answer, Unreachable):
+            return 0, ""
+        state = json.loads(answer.body).get("state", "") if answer.body else ""
+        return answer.status, state
+
+    async def _live(self) -> None:
+        job = self._new_job()
+        body = self._body(job)
+        for _ in range(TRIES):
+            answer = await self._call("POST", job.id, body)
+            if not isinstance(answer, Unreachable) and answer.status == 200:
+                job.is_accepted = True
+                break
+            if isinstance(answer, Unreachable) or answer.status == 504:
+                job.is_uncertain = True
+            else:
+                job.refusals += 1
+            await trio.sleep(self._random.uniform(0.2, 1.2))
+        if job.is_accepted and self._random.random() < 0.15:
+            await self._cancel(job)
+        elif job.is_accepted and self._random.random() < 0.2:
+            await trio.sleep(1)
+            await self._call("POST", job.id, body)
+
+    async def _cancel(self, job: JobRecord) -> None:
+        await trio.sleep(self._random.uniform(0, 1))
+        for _ in range(TRIES):
+            answer = await self._call("DELETE", job.id)
+            is_known = not isinstance(answer, Unreachable)
+            if is_known and answer.status in (200, 410):
+                job.cancelled_ms = int(trio.current_time() * 1000)
+                return
+            await trio.sleep(0.5)
+
+    def _new_job(self) -> JobRecord:
+        job_id = f"{self._random.getrandbits(64):016x}"
+        job = JobRecord(job_id, self._random.choice((1, 1, 2, 3, 6)))
+        self.job_by_id[job_id] = job
+        return job
+
+    def _body(self, job: JobRecord) -> bytes:
+        step = {"count": job.tasks, "cpu": 1000, "gpu": 1, "estimated_ms": 600}
+        if self._random.random() < 0.4:
+            step["gang"] = True
+        return json.dumps({"spec": job.id, "steps": [step]}).encode()
+
+    async def _call(self, method: str, job_id: str, body: bytes = b""):
+        client = self._random.choice(list(self._client_by_address.values()))
+        headers = (
+            ("authorization", f"Bearer {KEY}"),
+            ("x-deadline-ms", str(TIMEOUT_MS)),
+        )
+        return await client.call(method, PREFIX + job_id, body, headers)
--- /dev/null
+++ b/soak/platform_server.py
@@ -0,0 +1,150 @@
+"""The platform's store and endpoints over HTTP, on the stand-ins' state."""
+
+from __future__ import annotations
+
+import base64
+import json
+import struct
+
+from ragwortshelf.core.scheduling.fleet import RunEnd, StartOutcome
+from ragwortshelf.net.http_messages import HttpRequest, HttpResponse, json_response
+from ragwortshelf.scheduler.interfaces import Appended, Moved, ProducerFence
+from ragwortshelf.standins.platform_endpoint import EndpointState
+from ragwortshelf.standins.platform_log import KeyedTopic
+
+__all__ = ["EndpointServer", "StoreServer"]
+
+_REASONS = {
+    StartOutcome.FENCED: "fence",
+    StartOutcome.OUTDATED: "old",
+    StartOutcome.LATE: "late",
+}
+
+
+class StoreServer:
+    """Topics by name; each is made on first use."""
+
+    def __init__(self):
+        self.topic_by_name: dict[str, KeyedTopic] = {}
+
+    def topic(self, name: str) -> KeyedTopic:
+        """Return a topic."""
+        return self.topic_by_name.setdefault(name, KeyedTopic())
+
+    async def handle(self, request: HttpRequest) -> HttpResponse:
+        """Answer one call."""
+        query = request.query
+        topic = self.topic(query.get("topic", ""))
+        match request.path:
+            case "/api/log-append":
+                return self._append(topic, query, request.body)
+            case "/api/log-read":
+                offset = int(query["from"])
+                await topic.wait(offset, int(query.get("wait_ms", 0)))
+                head = struct.pack(">QQ", len(topic.entries), 0)
+                records = map(_encode, topic.entries[offset:])
+                return HttpResponse(200, (), head + b"".join(records))
+            case "/api/log-newest":
+                items = [
+                    {"key": key, "value": base64.b64encode(value).decode()}
+                    for key, value in topic.newest()
+                ]
+                end = len(topic.entries)
+                fields = {"items": items, "has_more": False, "end": end}
+                return json_response(200, fields)
+        return HttpResponse(404)
+
+    def _append(self, topic: KeyedTopic, query, body: bytes) -> HttpResponse:
+        fence = None
+        if "producer" in query:
+            fence = ProducerFence(
+                query["producer"], int(query["epoch"]), int(query["sequence"])
+            )
+        at = int(query["at"]) if "at" in query else None
+        outcome = topic.append(_decode_all(body), at, fence)
+        match outcome:
+            case Appended(offset, end):
+                return json_response(200, {"offset": offset, "end": end})
+            case Moved(end):
+                return json_response(412, {"end": end})
+        return json_response(409, {"reason": outcome.detail})
+
+
+class EndpointServer:
+    """One endpoint."""
+
+    def __init__(self, state: EndpointState):
+        self.state = state
+
+    async def handle(self, request: HttpRequest) -> HttpResponse:
+        """Answer one order."""
+        fields = json.loads(request.body)
+        token = fields["fencing_token"]
+        match request.path:
+            case "/api/hold":
+                return await self._hold(fields, token)
+            case "/api/run-start":
+                outcome = self.state.start(
+                    fields["task"], fields["run"], fields["until_ms"], token
+                )
+                if outcome is StartOutcome.STARTED:
+                    return json_response(200, {"clock_ms": self.state.clock_ms()})
+                return self._refusal(_REASONS[outcome])
+            case "/api/run-stop":
+                if self.state.stop(fields["task"], fields["run"], token):
+                    return json_response(200, {"clock_ms": self.state.clock_ms()})
+                return self._refusal("fence")
+        return HttpResponse(404)
+
+    async def _hold(self, fields, token) -> HttpResponse:
+        is_current = await self.state.renew(
+            fields.get("until_ms"),
+            fields.get("ack_cursor", 0),
+            fields.get("wait_ms", 0),
+            token,
+        )
+        if not is_current:
+            return self._refusal("fence")
+        running = [
+            [row.task, row.run, row.checkpoint, row.percent]
+            for row in self.state.rows()
+        ]
+        finished = [
+            [row.number, row.task, row.run, row.end.value, row.checkpoint]
+            for row in self.state.finished
+        ]
+        return json_response(
+            200,
+            {
+                "clock_ms": self.state.clock_ms(),
+                "born": self.state.born,
+                "running": running,
+                "finished": finished,
+            },
+        )
+
+    def _refusal(self, reason: str) -> HttpResponse:
+        fields = {"clock_ms": self.state.clock_ms(), "reason": reason}
+        return json_response(409, fields)
+
+    def fail_one(self) -> None:
+        """Let one running task fail."""
+        self.state.advance()
+        if self.state.running:
+            self.state.end(next(iter(self.state.running)), RunEnd.FAILED)
+
+
+def _encode(entry) -> bytes:
+    key, value = entry
+    content = bytes([len(key)]) + key.encode() + value
+    return struct.pack(">I", len(content)) + content
+
+
+def _decode_all(body: bytes) -> list:
+    entries = []
+    while body:
+        (length,) = struct.unpack_from(">I", body)
+        record, body = body[4 : 4 + length], body[4 + length :]
+        size = 1 + record[0]
+        entries.append((record[1:size].decode(), record[size:]))
+    return entries
--- /dev/null
+++ b/tests/soak/test_checks.py
@@ -0,0 +1,72 @@
+"""The soak's checks tell kept promises from broken ones."""
+
+import pytest
+
+from ragwortshelf.core.scheduling import Resources
+from ragwortshelf.core.scheduling.fleet import EndpointInfo, RunEnd
+from ragwortshelf.standins.platform_endpoint import EndpointState, StartedRun
+from soak.callers import JobRecord
+from soak.checks import check
+
+JOB = "a" * 16
+TASK = f"{JOB}.0.0.0"
+
+
+def _endpoint(*runs):
+    info = EndpointInfo("e", "pool", "", "a", Resources())
+    endpoint = EndpointState(info)
+    endpoint.history = {(run.task, run.run): run for run in runs}
+    return endpoint
+
+
+def _run(number, started, ended, end):
+    return StartedRun(TASK, number, started, 1, ended, end)
+
+
+DONE = _run(1, 0, 100, RunEnd.DONE)
+
+
+def _check(job, *endpoints, state="completed"):
+    return check({job.id: job}, endpoints, {job.id: state})
+
+
+def test_a_job_that_ran_once_keeps_every_promise():
+    assert _check(JobRecord(JOB, 1, is_accepted=True), _endpoint(DONE)) == []
+
+
+@pytest.mark.parametrize(
+    ("job", "runs", "state", "expected"),
+    [
+        (
+            JobRecord(JOB, 1, is_accepted=True),
+            (DONE, _run(2, 50, 200, RunEnd.DONE)),
+            "completed",
+            "overlap",
+        ),
+        (
+            JobRecord(JOB, 1, is_accepted=True),
+            (DONE, _run(2, 150, 200, RunEnd.DONE)),
+            "completed",
+            "was done",
+        ),
+        (JobRecord(JOB, 1, refusals=3), (DONE,), "", "refused"),
+        (JobRecord(JOB, 1, is_accepted=True), (), "410", "shown as 410"),
+        (JobRecord(JOB, 1, is_accepted=True), (), "completed", "no task done"),
+        (JobRecord(JOB, 1, is_accepted=True), (DONE,), "failed", "shown as failed"),
+        (
+            JobRecord(JOB, 1, is_accepted=True, cancelled_ms=0),
+            (_run(1, 4_000, 5_000, RunEnd.DONE),),
+            "cancelled",
+            "after its cancellation",
+        ),
+    ],
+)
+def test_a_broken_promise_is_named(job, runs, state, expected):
+    (fault,) = _check(job, _endpoint(*runs), state=state)
+    assert expected in fault
+
+
+def test_an_uncertain_submission_may_run_or_not():
+    job = JobRecord(JOB, 1, is_uncertain=True)
+    assert _check(job, _endpoint(DONE)) == []
+    assert _check(job, _endpoint()) == []
