--- a/soak/run.py
+++ b/soak/run.py
@@ -30,6 +30,7 @@
 
 START_S = 2.0
 NETWORKS = 250
+GUARD_PORT = 8520
 READY_PORT = 8523
 CALLER_PORT = 8521
 
@@ -54,8 +55,7 @@
         store = StoreServer()
         store_address = await _serve(nursery, store.handle)
         states = await _open_endpoints(nursery, store, endpoints, seed)
-        # Runs of other seeds may share the machine; each has addresses of its own.
-        network = 2 + seed % NETWORKS
+        network = await _claim_network(nursery)
         ips = [f"127.{network}.{n // 200}.{n % 200 + 1}" for n in range(instances)]
         store.topic("keyed.op").append([("config", _configuration(ips))])
         processes = ProcessSet(directory)
@@ -152,6 +152,24 @@
     return work_ms
 
 
+async def _claim_network(nursery) -> int:
+    """Take addresses that no other run on this machine has, for as long as we run."""
+    for network in range(2, 2 + NETWORKS):
+        try:
+            guards = await trio.open_tcp_listeners(
+                GUARD_PORT, host=f"127.{network}.255.254"
+            )
+        except OSError:
+            continue
+        nursery.start_soon(trio.serve_listeners, _refuse, guards)
+        return network
+    raise RuntimeError("no free network on the loopback range")
+
+
+async def _refuse(stream: trio.SocketStream) -> None:
+    await stream.aclose()
+
+
 async def _serve(nursery, handler) -> tuple[str, int]:
     return await _listen(nursery, HttpServer(handler).serve)
 
