--- a/ragwortshelf/cli/story.py
+++ b/ragwortshelf/cli/story.py
@@ -25,7 +25,13 @@
 """Changes of an instance's beliefs that bear on every job."""
 
 ENDPOINT_MESSAGES = frozenset(
-    {"endpoint_lost", "endpoint_regained", "endpoint_lapsed", "endpoint_unlisted"}
+    {
+        "endpoint_excluded",
+        "endpoint_lapsed",
+        "endpoint_lost",
+        "endpoint_regained",
+        "endpoint_unlisted",
+    }
 )
 
 _HIDDEN_FIELDS = frozenset({"time", "instance", "message", "level", "job"})
--- a/ragwortshelf/core/scheduling/actions.py
+++ b/ragwortshelf/core/scheduling/actions.py
@@ -7,7 +7,15 @@
 from .model import UnitKey
 from .records import UnitRecord
 
-__all__ = ["Action", "AskAdvice", "PaceTask", "PersistUnit", "StartTask", "StopTask"]
+__all__ = [
+    "Action",
+    "AskAdvice",
+    "NoteExclusion",
+    "PaceTask",
+    "PersistUnit",
+    "StartTask",
+    "StopTask",
+]
 
 
 @dataclass(frozen=True, slots=True)
@@ -59,4 +67,13 @@
     endpoint_ids: tuple[str, ...]
 
 
-Action = AskAdvice | PaceTask | PersistUnit | StartTask | StopTask
+@dataclass(frozen=True, slots=True)
+class NoteExclusion:
+    """Tell operators that an endpoint gets nothing new for ``length_ms``."""
+
+    endpoint_id: str
+    length_ms: int
+    reason: str
+
+
+Action = AskAdvice | NoteExclusion | PaceTask | PersistUnit | StartTask | StopTask
--- a/ragwortshelf/core/scheduling/fleet.py
+++ b/ragwortshelf/core/scheduling/fleet.py
@@ -285,18 +285,15 @@
         """Place nothing new here before ``until_ms``."""
         self.excluded_until_ms = max(self.excluded_until_ms, until_ms)
 
-    def note_end(self, job_id: str, end: RunEnd, now_ms: int) -> bool:
-        """Learn from an end; returns whether the endpoint was left out for it."""
+    def note_end(self, job_id: str, end: RunEnd) -> bool:
+        """Learn from an end; returns whether the endpoint is to be left out for it."""
         if end is RunEnd.DONE:
             self.failed_jobs.clear()
             return False
         if end is not RunEnd.FAILED:
             return False
         self.failed_jobs.add(job_id)
-        if len(self.failed_jobs) < PROBATION_FAILURES:
-            return False
-        self.exclude(now_ms + PROBATION_MS)
-        return True
+        return len(self.failed_jobs) >= PROBATION_FAILURES
 
     def members(self) -> Iterable[Member]:
         """Return the members, safe to release from while iterating."""
--- a/ragwortshelf/core/scheduling/scheduler.py
+++ b/ragwortshelf/core/scheduling/scheduler.py
@@ -8,12 +8,14 @@
 
 from __future__ import annotations
 
-from .actions import AskAdvice, PaceTask, StartTask, StopTask
+from .actions import AskAdvice, NoteExclusion, PaceTask, StartTask, StopTask
 from .advice import step_name
 from .availability import may_be_stopped
 from .configuration import ServiceConfiguration
 from .departures import work_to_move
 from .fleet import (
+    PROBATION_MS,
+    SUSPECT_MS,
     Endpoint,
     EndpointInfo,
     EndpointListing,
@@ -39,9 +41,6 @@
 NO_ROOM_EXCLUSION_MS = 300
 """Pause of an endpoint that had no room; its listing is renewed in that time."""
 
-_SUSPECT_MS = 2_000
-"""Pause of an endpoint that refused as unhealthy, a little over one heartbeat."""
-
 STALL_MS = 3_500
 """Time without progress after which a run counts as standing still.
 
@@ -255,7 +254,7 @@
                 if self._stands_still(member, now_ms):
                     endpoint = self.endpoint_by_id[member.endpoint_id]
                     if endpoint.is_reachable:
-                        endpoint.exclude(now_ms + 2 * STALL_MS)
+                        self._exclude(endpoint, now_ms, 2 * STALL_MS, "no progress")
                         work.avoided.add(endpoint.id)
                         self._stop_members(work, "no progress", now_ms)
                         break
@@ -278,9 +277,15 @@
     ) -> None:
         endpoint = self.endpoint_by_id[endpoint_id]
         if outcome is StartOutcome.NO_ROOM:
-            endpoint.exclude(now_ms + NO_ROOM_EXCLUSION_MS)
+            self._exclude(endpoint, now_ms, NO_ROOM_EXCLUSION_MS, outcome.value)
         elif outcome in (StartOutcome.UNHEALTHY, StartOutcome.UNANSWERED):
-            endpoint.exclude(now_ms + _SUSPECT_MS)
+            self._exclude(endpoint, now_ms, SUSPECT_MS, outcome.value)
+
+    def _exclude(
+        self, endpoint: Endpoint, now_ms: int, length_ms: int, reason: str
+    ) -> None:
+        endpoint.exclude(now_ms + length_ms)
+        self._actions.append(NoteExclusion(endpoint.id, length_ms, reason))
 
     def _note_rebirth(self, endpoint, listing, now_ms, wall_ms) -> None:
         # Nothing outlives an incarnation, except what was ordered but not confirmed.
@@ -329,7 +334,8 @@
             return
         # A run that is done counts even if the lease ran out before this listing: an
         # earlier term may have acknowledged it, so it must not be started again.
-        endpoint.note_end(member.unit.job_id, row.end, now_ms)
+        if endpoint.note_end(member.unit.job_id, row.end):
+            self._exclude(endpoint, now_ms, PROBATION_MS, "fails what it starts")
         self._member_ended(member, row.end, row.checkpoint, now_ms, wall_ms)
 
     def _absent(self, member: Member, sent_ms: int, now_ms: int, wall_ms: int) -> None:
--- a/ragwortshelf/scheduler/leadership.py
+++ b/ragwortshelf/scheduler/leadership.py
@@ -11,6 +11,7 @@
 from ..core.scheduling import Scheduler, ServiceConfiguration
 from ..core.scheduling.actions import (
     AskAdvice,
+    NoteExclusion,
     PaceTask,
     StopTask,
 )
@@ -259,6 +260,13 @@
                     self._nursery.start_soon(self._orders.stop, action)
                 case PaceTask():
                     self._nursery.start_soon(self._orders.pace, action)
+                case NoteExclusion():
+                    log_event(
+                        "endpoint_excluded",
+                        endpoint=action.endpoint_id,
+                        length_ms=action.length_ms,
+                        reason=action.reason,
+                    )
                 case AskAdvice():
                     self._nursery.start_soon(self._orders.ask_advice, action)
                 case _:
--- a/tests/core/scheduling/test_listing.py
+++ b/tests/core/scheduling/test_listing.py
@@ -163,3 +163,20 @@
     assert second.run == 2
     assert not harness.scheduler.is_wanted(first)
     assert harness.scheduler.is_wanted(second)
+
+
+def test_an_endpoint_that_fails_all_it_starts_is_left_out_for_a_while():
+    harness = Harness(endpoints=1, attempts=1)
+    for number in range(3):
+        harness.submit(f"f{number}")
+        (start,) = harness.accept_starts()
+        harness.end(start.endpoint_id, start.task, RunEnd.FAILED)
+    endpoint = harness.scheduler.endpoint_by_id["e0"]
+    assert not endpoint.is_usable(harness.now)
+    harness.submit("next")
+    assert not harness.starts
+    harness.add_endpoint("e1")
+    harness.advance(10)
+    assert [start.endpoint_id for start in harness.starts] == ["e1"]
+    harness.advance(6_000)
+    assert endpoint.is_usable(harness.now)
