--- a/tests/platform/conftest.py
+++ b/tests/platform/conftest.py
@@ -1,6 +1,9 @@
-"""Makes the adapter's package importable; it stands outside the product's."""
+"""Makes the adapter's package and shared test helpers importable."""
 
 import sys
 from pathlib import Path
 
-sys.path.insert(0, str(Path(__file__).parents[2] / "platform"))
+HERE = Path(__file__).parent
+
+sys.path.insert(0, str(HERE))
+sys.path.insert(0, str(HERE.parents[1] / "platform"))
--- /dev/null
+++ b/tests/platform/test_daemon.py
@@ -0,0 +1,63 @@
+"""Settings that change while the process runs, and what the process shows of itself."""
+
+import json
+from types import SimpleNamespace
+
+import pytest
+from platform_adapter.daemon import METRICS_PATH, READY_PATH, _MetricsPage, _Reloader
+from platform_adapter.daemon import _Readiness as Readiness
+from platform_adapter.settings import parse_settings
+from platform_adapter.world import PlatformWorld
+from test_decoding import SETTINGS
+
+from ragwortshelf.net.http_messages import HttpRequest
+from ragwortshelf.scheduler.instance import Instance
+
+
+@pytest.fixture
+def running(tmp_path):
+    path = tmp_path / "node.json"
+    path.write_text(json.dumps(SETTINGS))
+    settings = parse_settings(path.read_bytes())
+    world = PlatformWorld(settings)
+    instance = Instance(world, settings.scheduling)
+    reloader = _Reloader(path, settings, world, instance)
+    return SimpleNamespace(path=path, world=world, instance=instance, reloader=reloader)
+
+
+def _change(running, **fields):
+    running.path.write_text(json.dumps(SETTINGS | fields))
+    running.reloader.reload()
+
+
+def test_changed_settings_are_in_force_after_a_reload(running):
+    bounds = SETTINGS["bounds"] | {"revoke_ms": 2_000}
+    _change(running, bounds=bounds, platform={"address": "10.9.9.9:1"})
+    assert running.instance.front.settings.revocation_ms == 2_000
+    assert running.instance.configuration.settings.revocation_ms == 2_000
+    assert running.world._store.address == "10.9.9.9:1"
+
+
+def test_faulty_settings_change_nothing(running):
+    before = running.instance.settings
+    _change(running, bounds={"revoke_ms": "soon"})
+    assert running.instance.settings is before
+    running.path.write_text("{")
+    running.reloader.reload()
+    assert running.instance.settings is before
+    running.path.unlink()
+    running.reloader.reload()
+    assert running.instance.settings is before
+
+
+async def test_a_process_without_a_configuration_is_not_ready(running):
+    readiness = Readiness(running.instance)
+    assert (await readiness.handle(HttpRequest("GET", READY_PATH))).status == 503
+    assert (await readiness.handle(HttpRequest("GET", "/other"))).status == 404
+
+
+async def test_metrics_are_text(running):
+    page = _MetricsPage(running.instance)
+    response = await page.handle(HttpRequest("GET", METRICS_PATH))
+    assert response.status == 200
+    assert b"ragwortshelf_is_scheduler 0" in response.body
--- /dev/null
+++ b/tests/platform/test_world.py
@@ -0,0 +1,133 @@
+"""The policy service, hosts and endpoints: what is sent, and how answers are read."""
+
+import json
+
+import pytest
+from platform_adapter.endpoints import MinionClient
+from platform_adapter.hosts import MachineService
+from platform_adapter.settings import parse_settings
+from platform_adapter.world import PlatformWorld
+from test_decoding import SETTINGS
+from test_store import Client, _json
+
+from ragwortshelf.core.model import Unreachable
+from ragwortshelf.core.scheduling import Resources
+from ragwortshelf.core.scheduling.fleet import EndpointInfo, RunEnd, StartOutcome
+from ragwortshelf.core.scheduling.upkeep import HostState, UpkeepOutcome
+from ragwortshelf.net.http_messages import HttpResponse
+from ragwortshelf.scheduler.interfaces import EndpointUnreachable
+
+
+def _endpoint(*responses):
+    info = EndpointInfo("i-1", "pool", "10.0.0.1:1", "a", Resources())
+    client = MinionClient(info, 7)
+    client._client = Client(*responses)
+    return client
+
+
+async def _start(client, **fields):
+    arguments = {"checkpoint": "", "ticket": "", "until_ms": 9, "timeout_ms": 100}
+    return await client.start("t", 2, "text", **(arguments | fields))
+
+
+@pytest.mark.parametrize(
+    ("response", "outcome"),
+    [
+        (_json(200, {"clock_ms": 1}), StartOutcome.STARTED),
+        (_json(409, {"reason": "fence"}), StartOutcome.FENCED),
+        (_json(409, {"reason": "old"}), StartOutcome.OUTDATED),
+        (_json(409, {"reason": "late"}), StartOutcome.LATE),
+        (_json(409, {"reason": "room"}), StartOutcome.NO_ROOM),
+        (_json(409, {"reason": "ticket"}), StartOutcome.NO_TICKET),
+        (HttpResponse(400), StartOutcome.INVALID),
+        (HttpResponse(421), StartOutcome.OTHER_INCARNATION),
+        (HttpResponse(429), StartOutcome.UNHEALTHY),
+        (HttpResponse(503), StartOutcome.UNHEALTHY),
+        (Unreachable("lost"), StartOutcome.UNANSWERED),
+        (Unreachable("refused", False), StartOutcome.UNHEALTHY),
+    ],
+)
+async def test_each_answer_to_a_start_is_told_apart(response, outcome):
+    assert await _start(_endpoint(response)) is outcome
+
+
+async def test_a_start_carries_what_resumes_and_allows_it():
+    client = _endpoint(_json(200, {}))
+    await _start(client, checkpoint="saved", ticket="ticket")
+    ((_, target, body),) = client._client.calls
+    assert target == "/api/run-start"
+    assert json.loads(body) == {
+        "task": "t",
+        "run": 2,
+        "spec": "text",
+        "until_ms": 9,
+        "fencing_token": 7,
+        "checkpoint": "saved",
+        "ticket": "ticket",
+    }
+
+
+async def test_lists_are_decoded_and_unreadable_ones_are_no_answer():
+    lists = {
+        "clock_ms": 5,
+        "born": 3,
+        "running": [["t", 2, "saved", 41, 12.5]],
+        "finished": [[58, "u", 1, "done", ""]],
+    }
+    client = _endpoint(_json(200, lists), _json(200, {"clock_ms": 5, "running": [[]]}))
+    ask = {"until_ms": 9, "ack_number": 4, "wait_ms": 0, "timeout_ms": 100}
+    answer = await client.renew(**ask)
+    assert answer.running[0].figure == 12.5
+    assert answer.finished[0].end is RunEnd.DONE
+    assert isinstance(await client.renew(**ask), EndpointUnreachable)
+
+
+async def test_a_later_token_is_told_from_other_refusals():
+    client = _endpoint(_json(409, {"reason": "fence"}), HttpResponse(503))
+    ask = {"until_ms": None, "ack_number": 0, "wait_ms": 0, "timeout_ms": 100}
+    assert (await client.renew(**ask)).is_fenced
+    assert not (await client.renew(**ask)).is_fenced
+
+
+async def test_advice_holds_the_tickets_of_what_is_approved():
+    world = PlatformWorld(parse_settings(json.dumps(SETTINGS).encode()))
+    assert await world.ask_advice("s", ("i-1",)) is None
+    world._advice = Client(
+        _json(200, {"approved": [["i-1", "t"]], "valid_ms": 3000}), HttpResponse(429)
+    )
+    advice = await world.ask_advice("s", ("i-1", "i-2"))
+    assert advice.ticket_by_id == {"i-1": "t"}
+    assert advice.valid_ms == 3000
+    assert await world.ask_advice("s", ("i-1",)) is None
+
+
+async def test_hosts_are_listed_over_all_pages_or_not_at_all():
+    row = {"machine": "m1", "pool": "p", "state": "up", "id": "i-1"}
+    pages = (
+        _json(200, {"machines": [row], "next_token": "x"}),
+        _json(200, {"machines": [row | {"machine": "m2", "state": "odd"}]}),
+    )
+    service = MachineService("10.0.0.1:1")
+    service._client = Client(*pages)
+    hosts = await service.list_hosts()
+    assert [host.state for host in hosts] == [HostState.UP, HostState.DOWN]
+    service._client = Client(pages[0], HttpResponse(429))
+    assert await service.list_hosts() is None
+
+
+@pytest.mark.parametrize(
+    ("response", "outcome"),
+    [
+        (HttpResponse(200), UpkeepOutcome.BEGUN),
+        (HttpResponse(400), UpkeepOutcome.NO_HOST),
+        (_json(409, {"reason": "fence"}), UpkeepOutcome.FENCED),
+        (_json(409, {"reason": "busy"}), UpkeepOutcome.BUSY),
+        (_json(409, {"reason": "wave"}), UpkeepOutcome.OTHER_WAVE),
+        (HttpResponse(429), UpkeepOutcome.LIMITED),
+        (Unreachable("lost"), UpkeepOutcome.UNANSWERED),
+    ],
+)
+async def test_each_answer_to_an_upkeep_is_told_apart(response, outcome):
+    service = MachineService("10.0.0.1:1")
+    service._client = Client(response)
+    assert await service.begin_upkeep("m1", 1, "holder", 7) is outcome
