List a fault of the request path that the share machine found

The state machine of shares failed in a whole run: hypothesis draws constants from the modules that are loaded, and the new ones led it to another example. It reproduces by hand, also without them: two instances hold all slots of a minion at once after one was dropped from the list, paused and resumed, while another was dropped too. The request path is not used on the users' platform and was not changed here.

--- a/tests/core/requests/test_shares.py
+++ b/tests/core/requests/test_shares.py
@@ -421,3 +421,13 @@
     assert keeper.limit("m1", 0) == before
     keeper.end()
     assert keeper.limit("m1", 0) == 0
+
+
+def test_a_replaced_instance_that_resumes_while_another_is_unlisted_keeps_the_limit():
+    # Found by the state machine above.
+    state = ShareMachine()
+    state.begin(seed=0)
+    state.replace(alias="a", ending="pauses")
+    state.heal()
+    state.drop_or_list(alias="b")
+    state.advance_again(duration_ms=6_500)
