Have listed instances confirm the shares of one that the list left out

Cause: an instance ignored a list that did not name it. Two that were dropped confirmed each other's right for ever, and the one that the list named, which had never heard of them, acquired the same slots after its wait (16 of 8 in use).

Change: the names of such a list become possible holders, who have to confirm the right and so learn of the instance.

--- a/ragwortshelf/core/requests/shares.py
+++ b/ragwortshelf/core/requests/shares.py
@@ -66,6 +66,11 @@
         """Take in the names that the list gives for this data centre."""
         self._check_lapse(now_ms)
         if self._instance not in live | leaving:
+            # Those that are named may acquire tokens without knowing of this instance,
+            # so its right has to be confirmed by them too.
+            for name in live | leaving:
+                self._peer(name, now_ms)
+            self._refresh(now_ms)
             return
         self._is_leaving = self._instance in leaving
         if self._first_named_asked_ms is None:
