Correct the test of a guarantee that a finished gang frees

The first version expected a stop where the finished gang's own room is enough; it now expects that room to be kept for the next job. It fails on the earlier accounting.

--- a/tests/core/scheduling/test_planning.py
+++ b/tests/core/scheduling/test_planning.py
@@ -188,4 +188,9 @@
     harness.advance(3_000)
     harness.end(started[0].endpoint_id, started[0].task)
     harness.submit("next", "p0", "a", 3_000, count=2, is_gang=True, request=WHOLE)
-    assert len(_stopped_jobs(harness) & {"b0", "b1"}) == 1
+    # The room of the finished gang is enough, and is kept for the next job at once.
+    assert not harness.stops
+    harness.submit("beyond", "p0", "c", 0, request=WHOLE, estimate_ms=10)
+    assert not harness.starts
+    harness.end(started[1].endpoint_id, started[1].task)
+    assert {start.unit.job_id for start in harness.starts} == {"next"}
