Bound the leases of an endpoint that restarts, and share the tests' platform

Cause: after a restart under the same id, deadlines on the earlier clock may reach the new incarnation, which shortens them to the longest lease; the time after which its runs are over was still that of the earlier clock.

Change: it is at least the longest lease from the first answer of the new incarnation.

--- a/ragwortshelf/core/scheduling/planning.py
+++ b/ragwortshelf/core/scheduling/planning.py
@@ -24,7 +24,6 @@
 A stop takes at most 0.9 s on the stated sites; what is left covers lost orders.
 """
 
-
 GUARANTEE_RETRY_MS = 400
 """The same for guaranteed work, which has to start within 2.7 s: planning anew counts
 on the stops under way, so it costs nothing where they only take their time."""
@@ -37,13 +36,11 @@
 """How soon the rest of a unit's room must become free by itself before work that saves
 its progress is stopped for it; a stop takes about as long."""
 
-
 PREEMPTION_LOSS_SHARE = 0.25
 """Work that may be thrown away so that urgent work is on time, as a share of that work.
 An urgent job on time is worth about four times what its work costs when lost, and the
 room that is lost is missing elsewhere."""
 
-
 _HOLDING = (UnitPhase.PLACED, UnitPhase.ENDING)
 
 
--- a/ragwortshelf/scheduler/endpoint_session.py
+++ b/ragwortshelf/scheduler/endpoint_session.py
@@ -39,9 +39,9 @@
 class EndpointSession:
     """One endpoint under one term.
 
-    ``until_ms`` is the latest deadline sent, on the endpoint's clock. ``lapse_ms`` is
-    when it has passed for sure, on this process's clock; None before the first
-    answer, when only ``unknown_lapse_ms`` bounds what earlier terms have granted.
+    It keeps the latest deadline sent, on the endpoint's clock, and when that has passed
+    for sure on this process's clock. Before the first answer only ``unknown_lapse_ms``
+    bounds what earlier terms have granted. ``is_shared`` asks for listings more often.
     """
 
     def __init__(
@@ -75,11 +75,6 @@
         self._has_lapsed = False
         self.scope = trio.CancelScope()
 
-    @property
-    def is_reachable(self) -> bool:
-        """Whether the last listing was answered."""
-        return self._is_reachable
-
     async def run(self) -> None:
         """Renew and list until cancelled."""
         with self.scope:
@@ -177,8 +172,7 @@
         self._failures = 0
         is_reborn = answer.born_wall_ms != self._born_wall_ms
         if is_reborn:
-            self._ack_number = 0
-            self._until_ms = None
+            self._forget_incarnation(now_ms)
         self._born_wall_ms = answer.born_wall_ms
         self._clock_ms, self._clock_read_ms = answer.clock_ms, now_ms
         if until_ms is not None and not is_reborn:
@@ -205,6 +199,18 @@
         if answer.finished:
             await self._acknowledge_when(wait_committed, answer)
 
+    def _forget_incarnation(self, now_ms: int) -> None:
+        """Start anew with an endpoint that has: its clock and its numbers are others.
+
+        Deadlines on the earlier clock may reach it too; it shortens them to the longest
+        lease.
+        """
+        self._ack_number = 0
+        if self._until_ms is not None:
+            longest = int(self._settings.lease_max_ms / CLOCK_DRIFT) + 1
+            self._lapse_ms = max(self._lapse_ms, now_ms + longest)
+        self._until_ms = None
+
     async def _acknowledge_when(self, wait_committed, answer: EndpointAnswer) -> None:
         """Take the listed ends once they are in the log.
 
--- a/tests/platform/conftest.py
+++ b/tests/platform/conftest.py
@@ -6,4 +6,5 @@
 HERE = Path(__file__).parent
 
 sys.path.insert(0, str(HERE))
+sys.path.insert(0, str(HERE.parent / "scheduler"))
 sys.path.insert(0, str(HERE.parents[1] / "platform"))
--- a/tests/platform/test_callers.py
+++ b/tests/platform/test_callers.py
@@ -1,19 +1,14 @@
 """Callers' requests: statuses and what they promise."""
 
 import json
-import sys
-from pathlib import Path
 
 import pytest
 import trio
+from cluster import make_instances, make_platform
 from platform_adapter.callers import CallerApi
 
 from ragwortshelf.net.http_messages import HttpRequest
 
-sys.path.insert(0, str(Path(__file__).parents[1] / "scheduler"))
-
-from test_term import _instances, _platform
-
 JOB = {"spec": "s", "steps": [{"count": 1, "cpu": 500, "gpu": 1, "estimated_ms": 900}]}
 ID = "5c0e7a21d94b36f8"
 
@@ -37,8 +32,8 @@
 
 
 async def test_the_life_of_a_job_as_its_caller_sees_it(autojump_clock):
-    platform = _platform()
-    instance = _instances(platform, 1)[0]
+    platform = make_platform()
+    instance = make_instances(platform, 1)[0]
     call = Caller(CallerApi(instance.front))
     async with trio.open_nursery() as nursery:
         status, _, response = await call("POST", f"/q/{ID}", body=JOB)
--- /dev/null
+++ b/tests/scheduler/cluster.py
@@ -0,0 +1,56 @@
+"""A small platform with instances on it, for the tests beside this file."""
+
+from fakes import FakeWorld, Platform
+
+from ragwortshelf.core.scheduling import JobSpec, Resources, Step
+from ragwortshelf.core.scheduling.configuration import (
+    EndpointService,
+    GuaranteedOrganisation,
+    Queue,
+    ServiceConfiguration,
+)
+from ragwortshelf.core.scheduling.fleet import EndpointInfo
+from ragwortshelf.scheduler.clock import monotonic_ms
+from ragwortshelf.scheduler.front import Accepted
+from ragwortshelf.scheduler.instance import Instance
+from ragwortshelf.scheduler.settings import SchedulingSettings
+
+QUEUE = Queue("q", "h", "/q/", "pool", priority=1, attempts_max=3)
+CONFIGURATION = ServiceConfiguration(
+    1,
+    (QUEUE,),
+    {"pool": EndpointService("pool")},
+    (GuaranteedOrganisation("org", frozenset({"key"}), 8),),
+)
+
+
+def make_platform(endpoints=3):
+    infos = [
+        EndpointInfo(f"e{i}", "pool", f"e{i}", "dc", Resources(8000, 8000, 8))
+        for i in range(endpoints)
+    ]
+    return Platform(CONFIGURATION, infos)
+
+
+def make_job(job_id, count=2, gang=False):
+    step = Step(count, Resources(1000, 100, 2), 1000, is_gang=gang)
+    return JobSpec(job_id, "q", "pool", "org", "text", (step,))
+
+
+def make_instances(platform, count):
+    return [
+        Instance(FakeWorld(platform), SchedulingSettings(f"i{n}")) for n in range(count)
+    ]
+
+
+async def submit(instance, spec):
+    outcome = await instance.front.submit(spec, monotonic_ms() + 2_000)
+    assert isinstance(outcome, Accepted)
+
+
+async def state_of(instance, job_id):
+    return (await instance.front.state(job_id)).state
+
+
+def holders(instances):
+    return [i for i in instances if i.election.leadership is not None]
--- a/tests/scheduler/test_front.py
+++ b/tests/scheduler/test_front.py
@@ -1,7 +1,7 @@
 """What callers are told, above all when something is away."""
 
 import trio
-from test_term import _instances, _job, _platform, _submit
+from cluster import make_instances, make_job, make_platform, submit
 
 from ragwortshelf.scheduler.clock import monotonic_ms
 from ragwortshelf.scheduler.front import Accepted, Declined, Reason, Uncertain
@@ -15,14 +15,14 @@
 
 async def test_a_submission_is_refused_at_once_while_the_log_is_away(autojump_clock):
     # Pattern: the whole log is silent for seconds while callers press on.
-    platform = _platform()
-    instance = _instances(platform, 1)[0]
+    platform = make_platform()
+    instance = make_instances(platform, 1)[0]
     async with trio.open_nursery() as nursery:
         nursery.start_soon(instance.run)
         await trio.sleep(1)
         instance.configuration._world.faults.store = "silent"
         await trio.sleep(1.5)
-        outcome, took_ms = await _timed_submit(instance, _job("a" * 16))
+        outcome, took_ms = await _timed_submit(instance, make_job("a" * 16))
         assert isinstance(outcome, Declined)
         assert outcome.reason is Reason.LOG_UNAVAILABLE
         assert outcome.retry_after_ms
@@ -32,13 +32,13 @@
 
 
 async def test_an_unanswered_append_is_reported_uncertain_in_time(autojump_clock):
-    platform = _platform()
-    instance = _instances(platform, 1)[0]
+    platform = make_platform()
+    instance = make_instances(platform, 1)[0]
     async with trio.open_nursery() as nursery:
         nursery.start_soon(instance.run)
         await trio.sleep(1)
         instance.configuration._world.faults.lose_append_answers = 100
-        outcome, took_ms = await _timed_submit(instance, _job("a" * 16))
+        outcome, took_ms = await _timed_submit(instance, make_job("a" * 16))
         # The record is read back from the log, or the caller learns within a second.
         assert isinstance(outcome, (Accepted, Uncertain))
         assert took_ms <= 1_600
@@ -46,8 +46,8 @@
 
 
 async def test_an_instance_without_the_log_is_not_ready(autojump_clock):
-    platform = _platform()
-    instance = _instances(platform, 1)[0]
+    platform = make_platform()
+    instance = make_instances(platform, 1)[0]
     async with trio.open_nursery() as nursery:
         nursery.start_soon(instance.run)
         await trio.sleep(1)
@@ -64,39 +64,39 @@
 async def test_a_cancellation_also_covers_a_submission_that_comes_later(
     autojump_clock,
 ):
-    platform = _platform()
-    instance = _instances(platform, 1)[0]
+    platform = make_platform()
+    instance = make_instances(platform, 1)[0]
     async with trio.open_nursery() as nursery:
         nursery.start_soon(instance.run)
         await trio.sleep(1)
         deadline = monotonic_ms() + 2_000
         outcome = await instance.front.cancel("a" * 16, deadline)
         assert outcome == Declined(Reason.NO_JOB)
-        await _submit(instance, _job("a" * 16))
+        await submit(instance, make_job("a" * 16))
         await trio.sleep(2)
         assert not platform.runs()
         nursery.cancel_scope.cancel()
 
 
 async def test_a_repeated_submission_stays_one_job(autojump_clock):
-    platform = _platform()
-    instances = _instances(platform, 3)
+    platform = make_platform()
+    instances = make_instances(platform, 3)
     async with trio.open_nursery() as nursery:
         for instance in instances:
             nursery.start_soon(instance.run)
         await trio.sleep(1)
         for instance in instances:
-            await _submit(instance, _job("a" * 16))
+            await submit(instance, make_job("a" * 16))
         await trio.sleep(3)
-        await _submit(instances[1], _job("a" * 16))
+        await submit(instances[1], make_job("a" * 16))
         await trio.sleep(2)
         assert len(platform.runs()) == 2
         nursery.cancel_scope.cancel()
 
 
 async def test_a_revoked_key_is_refused_by_a_cut_off_instance_in_time(autojump_clock):
-    platform = _platform()
-    instance = _instances(platform, 1)[0]
+    platform = make_platform()
+    instance = make_instances(platform, 1)[0]
     async with trio.open_nursery() as nursery:
         nursery.start_soon(instance.run)
         await trio.sleep(1)
@@ -109,8 +109,8 @@
 
 
 async def test_the_reasons_of_refusals_are_told_apart(autojump_clock):
-    platform = _platform()
-    instance = _instances(platform, 1)[0]
+    platform = make_platform()
+    instance = make_instances(platform, 1)[0]
     async with trio.open_nursery() as nursery:
         front = instance.front
         assert front.authorise("h", "/q/x", "key").reason is Reason.NOT_READY
@@ -125,8 +125,8 @@
 
 async def test_an_instance_serves_again_soon_after_a_silent_outage(autojump_clock):
     # Pattern: the log is silent for 6 s, and returns while calls still wait for it.
-    platform = _platform()
-    instance = _instances(platform, 1)[0]
+    platform = make_platform()
+    instance = make_instances(platform, 1)[0]
     async with trio.open_nursery() as nursery:
         nursery.start_soon(instance.run)
         await trio.sleep(1)
