Read all jobs anew when a term is lost between two pages

Cause: restart() replaces the follower's table while a reading of the newest records may be under way; its end then declared the new table whole, though the pages read before were missing. Found by reading, when the paging loop that stood three times was made one function, read_newest_records.

--- a/ragwortshelf/scheduler/configuration.py
+++ b/ragwortshelf/scheduler/configuration.py
@@ -10,7 +10,8 @@
 from ..core.scheduling.upkeep import UpkeepWave
 from ..daemon.logs import log_event
 from .clock import boot_ms
-from .interfaces import Entry, KeyedLog, LogGap, LogPage, NewestPage, OutsideWorld
+from .interfaces import Entry, KeyedLog, LogGap, LogPage, OutsideWorld
+from .newest_records import NewestRecords, read_newest_records
 from .settings import SchedulingSettings
 
 __all__ = ["ConfigurationFollower"]
@@ -66,21 +67,14 @@
                 await trio.sleep(self.settings.log_retry_ms / 1000)
 
     async def _load(self, sent_boot_ms: int) -> str | None:
-        key: str | None = None
-        end: int | None = None
-        while True:
-            page = await self._log.newest(
-                key, timeout_ms=self.settings.log_call_timeout_ms
-            )
-            if not isinstance(page, NewestPage):
-                return page.detail
-            end = page.end if end is None else end
-            self._take(page.entries)
-            key = page.next_key
-            if key is None:
-                self._next_offset = end
-                self._confirm(sent_boot_ms)
-                return None
+        outcome = await read_newest_records(
+            self._log, self._apply, self.settings.log_call_timeout_ms
+        )
+        if not isinstance(outcome, NewestRecords):
+            return outcome.detail
+        self._next_offset = outcome.next_offset
+        self._confirm(sent_boot_ms)
+        return None
 
     async def _read(self, sent_boot_ms: int) -> str | None:
         settings = self.settings
@@ -94,7 +88,7 @@
         match page:
             case LogPage():
                 self._next_offset = page.next_offset
-                self._take(page.entries)
+                self._apply(page.entries)
                 if page.next_offset >= page.end:
                     self._confirm(sent_boot_ms)
                 return None
@@ -104,7 +98,7 @@
                 return None
         return page.detail
 
-    def _take(self, entries: tuple[Entry, ...]) -> None:
+    def _apply(self, entries: tuple[Entry, ...]) -> None:
         for key, value in entries:
             if value and key:
                 self._value_by_key[key] = value
--- a/ragwortshelf/scheduler/directory.py
+++ b/ragwortshelf/scheduler/directory.py
@@ -8,7 +8,8 @@
 
 from ..core.scheduling.fleet import EndpointInfo
 from ..daemon.logs import log_event
-from .interfaces import Entry, KeyedLog, LogGap, LogPage, NewestPage, OutsideWorld
+from .interfaces import Entry, KeyedLog, LogGap, LogPage, OutsideWorld
+from .newest_records import NewestRecords, read_newest_records
 from .settings import SchedulingSettings
 
 __all__ = ["EndpointDirectory"]
@@ -53,7 +54,7 @@
             case LogPage():
                 self._next_offset = page.next_offset
                 for entry in page.entries:
-                    self._take(entry)
+                    self._apply(entry)
                 return None
             case LogGap():
                 self._next_offset = None
@@ -61,28 +62,24 @@
         return page.detail
 
     async def _load(self) -> str | None:
-        key: str | None = None
-        end: int | None = None
         listed: set[str] = set()
-        while True:
-            page = await self._log.newest(
-                key, timeout_ms=self._settings.log_call_timeout_ms
-            )
-            if not isinstance(page, NewestPage):
-                return page.detail
-            end = page.end if end is None else end
-            for entry in page.entries:
+
+        def apply_page(entries: tuple[Entry, ...]) -> None:
+            for entry in entries:
                 listed.add(entry[0])
-                self._take(entry)
-            key = page.next_key
-            if key is None:
-                break
+                self._apply(entry)
+
+        outcome = await read_newest_records(
+            self._log, apply_page, self._settings.log_call_timeout_ms
+        )
+        if not isinstance(outcome, NewestRecords):
+            return outcome.detail
         for gone in self._info_by_key.keys() - listed:
             self._drop(gone)
-        self._next_offset = end
+        self._next_offset = outcome.next_offset
         return None
 
-    def _take(self, entry: Entry) -> None:
+    def _apply(self, entry: Entry) -> None:
         key, value = entry
         if not key:
             return
--- a/ragwortshelf/scheduler/log_follower.py
+++ b/ragwortshelf/scheduler/log_follower.py
@@ -10,7 +10,8 @@
 from ..core.scheduling.table import JobTable
 from ..daemon.logs import log_event
 from .clock import boot_ms
-from .interfaces import Entry, KeyedLog, LogGap, LogPage, NewestPage
+from .interfaces import Entry, KeyedLog, LogGap, LogPage
+from .newest_records import NewestRecords, read_newest_records
 from .settings import SchedulingSettings
 
 __all__ = ["LogFollower"]
@@ -137,24 +138,23 @@
 
     async def _load_snapshot(self) -> bool:
         sent = boot_ms()
-        key: str | None = None
-        end: int | None = None
-        while True:
-            page = await self._log.newest(
-                key, timeout_ms=self.settings.log_call_timeout_ms
-            )
-            if not isinstance(page, NewestPage):
-                self._note_failure(page.detail)
-                return False
-            self._fold(page.entries)
-            # Pages are no snapshot: what came after the first is read again.
-            end = page.end if end is None else end
-            key = page.next_key
-            if key is None:
-                break
+        table = self.table
+        outcome = await read_newest_records(
+            self._log, self._fold, self.settings.log_call_timeout_ms
+        )
+        if not isinstance(outcome, NewestRecords):
+            self._note_failure(outcome.detail)
+            return False
+        if self.table is not table:
+            # Restarted between two pages: the new table lacks the first ones.
+            return False
         self._needs_snapshot = False
-        self.next_offset = end
-        log_event("job_log_loaded", offset=end, jobs=len(self.table.job_by_id))
+        self.next_offset = outcome.next_offset
+        log_event(
+            "job_log_loaded",
+            offset=outcome.next_offset,
+            jobs=len(self.table.job_by_id),
+        )
         self._note_answer(sent, is_whole=False)
         return True
 
--- a/tests/scheduler/fakes.py
+++ b/tests/scheduler/fakes.py
@@ -27,6 +27,8 @@
 class FakeLog(KeyedLog):
     """One instance's way to a topic."""
 
+    newest_page_rows = 500
+
     def __init__(self, topic: KeyedTopic, faults):
         self._topic = topic
         self._faults = faults
@@ -62,7 +64,12 @@
         await trio.sleep(CALL_S)
         if self._faults.store:
             return LogRefused(self._faults.store)
-        return NewestPage(self._topic.newest(), len(self._topic.entries), None)
+        end = len(self._topic.entries)
+        rows = sorted(self._topic.newest())
+        rest = [row for row in rows if after_key is None or row[0] > after_key]
+        page = tuple(rest[: self.newest_page_rows])
+        is_last = len(page) == len(rest)
+        return NewestPage(page, end, None if is_last else page[-1][0])
 
 
 class FakeEndpoint(EndpointState):
