--- a/ragwortshelf/core/scheduling/planning.py
+++ b/ragwortshelf/core/scheduling/planning.py
@@ -10,7 +10,8 @@
 from .fleet import Endpoint, Member
 from .model import Resources, UnitKey, UnitPhase
 from .packing import allows, find_endpoints, rack_could_hold
-from .reclaim import Reclaim, plan_reclaim
+from .reclaim import Borrowed, Cost, Reclaim, plan_reclaim
+from .reservations import Reservations
 from .work import Work
 
 if TYPE_CHECKING:
@@ -44,39 +45,12 @@
 _HOLDING = (UnitPhase.PLACED, UnitPhase.ENDING)
 
 
-class _Reservation:
-    """Room that is reclaimed or awaited for a unit and is kept for it."""
-
-    __slots__ = ("is_guaranteed", "made_ms", "order", "resources_by_id")
-
-    def __init__(
-        self,
-        made_ms: int,
-        order: tuple,
-        is_guaranteed: bool,
-        resources_by_id: dict[str, Resources],
-    ):
-        self.made_ms = made_ms
-        self.order = order
-        self.is_guaranteed = is_guaranteed
-        self.resources_by_id = resources_by_id
-
-    def binds(self, work: Work) -> bool:
-        """Whether a unit must leave this room alone.
-
-        What is reclaimed for a guarantee is open to no unit but earlier guaranteed
-        ones, which have reservations of their own; other room is open to all that is
-        more urgent.
-        """
-        return self.is_guaranteed or self.order <= work.order
-
-
 class Planner:
     """Places waiting units on the scheduler's endpoints."""
 
     def __init__(self, scheduler: Scheduler):
         self._scheduler = scheduler
-        self._reservation_by_unit: dict[UnitKey, _Reservation] = {}
+        self._reservations = Reservations()
         self._remaining_by_unit: dict[UnitKey, float] = {}
         self._lost_by_unit: dict[UnitKey, float] = {}
         self._now_ms = 0
@@ -105,7 +79,7 @@
 
     def forget(self, work: Work) -> None:
         """Give up what was reserved for a unit."""
-        self._reservation_by_unit.pop(work.key, None)
+        self._reservations.forget(work)
 
     def _consider(self, work, usable, guaranteed, without_room) -> None:
         shape = _shape(work)
@@ -155,8 +129,8 @@
         needed = work.step.occupied
 
         def slots(endpoint: Endpoint) -> int:
-            if self._reservation_by_unit:
-                fits = needed.times_in(self._room(endpoint, work))
+            if len(self._reservations):
+                fits = needed.times_in(self._reservations.room(endpoint, work))
             else:
                 fits = endpoint.slots(needed)
             cap = work.step.tasks_per_endpoint_max
@@ -182,16 +156,6 @@
         key = work.key[:3]
         return sum(m.unit[:3] == key for m in endpoint.member_by_task.values())
 
-    def _room(self, endpoint: Endpoint, work: Work) -> Resources:
-        room = endpoint.free
-        for unit, reservation in self._reservation_by_unit.items():
-            if unit == work.key or not reservation.binds(work):
-                continue
-            reserved = reservation.resources_by_id.get(endpoint.id)
-            if reserved is not None:
-                room = room.plus(reserved, -1)
-        return room
-
     # Guarantees.
 
     def _guaranteed_in_use(self) -> defaultdict[str, int]:
@@ -214,11 +178,9 @@
         return in_use[name] + work.gpus <= organisation.guaranteed_gpus
 
     def _reclaim(self, work: Work, candidates: list[Endpoint]) -> None:
-        reservation = self._reservation_by_unit.get(work.key)
-        if reservation is not None:
-            if self._now_ms - reservation.made_ms < GUARANTEE_RETRY_MS:
-                return
-            self.forget(work)
+        if self._reservations.is_younger(work, GUARANTEE_RETRY_MS, self._now_ms):
+            return
+        self.forget(work)
         over_guarantee = self._organisations_over_guarantee()
 
         def borrowed(member: Member) -> Work | None:
@@ -233,14 +195,7 @@
                 return holder
             return None
 
-        plan = plan_reclaim(
-            work.step,
-            work.count,
-            candidates,
-            lambda endpoint: self._room_when_stopped(endpoint, work),
-            borrowed,
-            self._lost,
-        )
+        plan = self._plan(work, candidates, borrowed, self._lost)
         if plan is None:
             return
         self._reserve(work, plan, is_guaranteed=True)
@@ -252,33 +207,35 @@
             if self._may_stop(victim):
                 self._scheduler.stop_work(victim, reason, self._now_ms)
 
-    def _reserve(self, work: Work, plan: Reclaim, is_guaranteed: bool = False) -> None:
-        reserved: dict[str, Resources] = {}
-        for endpoint in plan.endpoints:
-            before = reserved.get(endpoint.id, Resources())
-            reserved[endpoint.id] = before.plus(work.step.occupied)
-        self._reservation_by_unit[work.key] = _Reservation(
-            self._now_ms, work.order, is_guaranteed, reserved
+    def _plan(
+        self, work: Work, candidates: list[Endpoint], borrowed: Borrowed, cost: Cost
+    ) -> Reclaim | None:
+        return plan_reclaim(
+            work.step,
+            work.count,
+            candidates,
+            lambda endpoint: self._room_when_stopped(endpoint, work),
+            borrowed,
+            cost,
         )
 
+    def _reserve(self, work: Work, plan: Reclaim, is_guaranteed: bool = False) -> None:
+        self._reservations.put(work, plan, self._now_ms, is_guaranteed)
+
     def _await_room(self, work: Work, candidates: list[Endpoint]) -> None:
         """Keep the room that becomes free soonest, so that smaller work leaves it.
 
         Less urgent work that saves its progress is stopped for it once the rest of
         the room is about to be free.
         """
-        reservation = self._reservation_by_unit.get(work.key)
-        if reservation is not None:
-            if self._now_ms - reservation.made_ms < RECLAIM_RETRY_MS:
-                return
-            self.forget(work)
-        if len(self._reservation_by_unit) >= WAITING_RESERVATIONS_MAX:
+        if self._reservations.is_younger(work, RECLAIM_RETRY_MS, self._now_ms):
             return
-        plan = plan_reclaim(
-            work.step,
-            work.count,
+        self.forget(work)
+        if len(self._reservations) >= WAITING_RESERVATIONS_MAX:
+            return
+        plan = self._plan(
+            work,
             candidates,
-            lambda endpoint: self._room_when_stopped(endpoint, work),
             self._placed_holder,
             lambda victim: self._wait_ms(victim, work),
         )
@@ -288,10 +245,9 @@
         if self._would_be_late(work, wait_ms) and self._preempt(work, candidates):
             return
         self._reserve(work, plan)
-        cheap = [
-            v for v in plan.victims if _stops_cheaply(v, work) and self._may_stop(v)
-        ]
-        rest = [v for v in plan.victims if not _stops_cheaply(v, work)]
+        cheap, rest = [], []
+        for victim in plan.victims:
+            (cheap if _stops_cheaply(victim, work) else rest).append(victim)
         wait_ms = max(map(self._remaining, rest), default=0)
         if wait_ms <= CHEAP_STOP_WAIT_MS:
             self._stop_all(cheap, "yields")
@@ -313,14 +269,7 @@
                 return None
             return holder if self._may_stop(holder) else None
 
-        plan = plan_reclaim(
-            work.step,
-            work.count,
-            candidates,
-            lambda endpoint: self._room_when_stopped(endpoint, work),
-            borrowed,
-            self._lost,
-        )
+        plan = self._plan(work, candidates, borrowed, self._lost)
         if plan is None:
             return False
         lost = sum(map(self._lost, plan.victims))
@@ -361,7 +310,7 @@
 
     def _room_when_stopped(self, endpoint: Endpoint, work: Work) -> Resources:
         """Return the room once the stops in progress have taken effect."""
-        room = self._room(endpoint, work)
+        room = self._reservations.room(endpoint, work)
         for member in endpoint.member_by_task.values():
             holder = self._scheduler.work_by_key.get(member.unit)
             if holder is None or holder.phase is not UnitPhase.PLACED:
--- a/ragwortshelf/core/scheduling/reclaim.py
+++ b/ragwortshelf/core/scheduling/reclaim.py
@@ -10,11 +10,16 @@
 from .model import Resources, Step, UnitKey
 from .work import Work
 
-__all__ = ["Reclaim", "plan_reclaim"]
+__all__ = ["Borrowed", "Cost", "Reclaim", "Room", "plan_reclaim"]
 
 Borrowed = Callable[[Member], Work | None]
+"""Returns the unit of a member whose room may be counted on, else None."""
+
 Cost = Callable[[Work], float]
+"""Returns what it costs to have a unit go."""
+
 Room = Callable[[Endpoint], Resources]
+"""Returns what of an endpoint is free for the claimant."""
 
 
 @dataclass(frozen=True, slots=True)
