--- a/ragwortshelf/core/scheduling/fleet.py
+++ b/ragwortshelf/core/scheduling/fleet.py
@@ -139,7 +139,6 @@
         "figure",
         "index",
         "is_adopted",
-        "is_unanswered",
         "occupied",
         "ordered_ms",
         "pace_percent",
@@ -170,7 +169,6 @@
         self.occupied = occupied
         self.stage = MemberStage.LOGGED
         self.ordered_ms = now_ms
-        self.is_unanswered = False
         self.is_adopted = False
         self.confirmed_ms: int | None = None
         self.fenced_ms: int | None = None
--- a/ragwortshelf/core/scheduling/lifecycle.py
+++ b/ragwortshelf/core/scheduling/lifecycle.py
@@ -233,7 +233,6 @@
     ) -> None:
         if work.phase is UnitPhase.PLACED:
             work.phase = UnitPhase.ENDING
-            work.stopping_for = reason
         for member in work.members:
             if member is not but and member.stage is not MemberStage.STOPPING:
                 self._stop(member, reason, now_ms)
@@ -296,7 +295,6 @@
 
     def _wait_again(self, work: Work, now_ms: int) -> None:
         work.phase = UnitPhase.WAITING
-        work.stopping_for = ""
         work.waiting_since_ms = now_ms
         self.waiting[work.key] = work
 
--- a/ragwortshelf/core/scheduling/table.py
+++ b/ragwortshelf/core/scheduling/table.py
@@ -139,10 +139,6 @@
             for job in self.job_by_id.values()
         )
 
-    def cancellation_known(self, job_id: str) -> bool:
-        """Whether a cancellation came before the job itself."""
-        return job_id in self._cancelled_wall_by_id
-
     def expired(self, wall_ms: int, retention_ms: int) -> Iterator[Job]:
         """Yield the jobs that ended longer than ``retention_ms`` ago."""
         for job in self.job_by_id.values():
--- a/ragwortshelf/core/scheduling/work.py
+++ b/ragwortshelf/core/scheduling/work.py
@@ -40,7 +40,6 @@
         "priority",
         "record",
         "step",
-        "stopping_for",
         "waiting_since_ms",
     )
 
@@ -57,7 +56,6 @@
         self.order: tuple = ()
         self.latest_start_wall_ms = 0
         self.priority = 0
-        self.stopping_for = ""
         self.waiting_since_ms = now_ms
 
     @property
--- a/ragwortshelf/scheduler/settings.py
+++ b/ragwortshelf/scheduler/settings.py
@@ -23,7 +23,6 @@
     status_retention_ms: int = 120_000
     drain_ms: int = 6_000
     lease_max_ms: int = 10_000
-    stop_timeout_ms: int = 900
     cores: float = 1.0
     maintenance_ms: int = 2_000
     host_lease_ms: int = 3_000
--- a/tests/scheduler/cluster.py
+++ b/tests/scheduler/cluster.py
@@ -1,5 +1,8 @@
 """A small platform with instances on it, for the tests beside this file."""
 
+from contextlib import asynccontextmanager
+
+import trio
 from fakes import FakeWorld, Platform
 
 from ragwortshelf.core.scheduling import JobSpec, Resources, Step
@@ -43,6 +46,16 @@
     ]
 
 
+@asynccontextmanager
+async def running(*runnables):
+    """Run instances, or whatever else has a ``run`` method, while the block lasts."""
+    async with trio.open_nursery() as nursery:
+        for runnable in runnables:
+            nursery.start_soon(runnable.run)
+        yield
+        nursery.cancel_scope.cancel()
+
+
 async def submit(instance, spec):
     outcome = await instance.front.submit(spec, monotonic_ms() + 2_000)
     assert isinstance(outcome, Accepted)
--- a/tests/scheduler/test_front.py
+++ b/tests/scheduler/test_front.py
@@ -1,7 +1,7 @@
 """What callers are told, above all when something is away."""
 
 import trio
-from cluster import make_instances, make_job, make_platform, submit
+from cluster import make_instances, make_job, make_platform, running, submit
 
 from ragwortshelf.scheduler.clock import monotonic_ms
 from ragwortshelf.scheduler.front import Accepted, Declined, Reason, Uncertain
@@ -17,8 +17,7 @@
     # Pattern: the whole log is silent for seconds while callers press on.
     platform = make_platform()
     instance = make_instances(platform, 1)[0]
-    async with trio.open_nursery() as nursery:
-        nursery.start_soon(instance.run)
+    async with running(instance):
         await trio.sleep(1)
         instance.configuration._world.faults.store = "silent"
         await trio.sleep(1.5)
@@ -27,29 +26,25 @@
         assert outcome.reason is Reason.LOG_UNAVAILABLE
         assert outcome.retry_after_ms
         assert took_ms < 10
-        nursery.cancel_scope.cancel()
     assert not any(key.startswith("j/") for key, _ in platform.jobs.entries)
 
 
 async def test_an_unanswered_append_is_reported_uncertain_in_time(autojump_clock):
     platform = make_platform()
     instance = make_instances(platform, 1)[0]
-    async with trio.open_nursery() as nursery:
-        nursery.start_soon(instance.run)
+    async with running(instance):
         await trio.sleep(1)
         instance.configuration._world.faults.lose_append_answers = 100
         outcome, took_ms = await _timed_submit(instance, make_job("a" * 16))
         # The record is read back from the log, or the caller learns within a second.
         assert isinstance(outcome, (Accepted, Uncertain))
         assert took_ms <= 1_600
-        nursery.cancel_scope.cancel()
 
 
 async def test_an_instance_without_the_log_is_not_ready(autojump_clock):
     platform = make_platform()
     instance = make_instances(platform, 1)[0]
-    async with trio.open_nursery() as nursery:
-        nursery.start_soon(instance.run)
+    async with running(instance):
         await trio.sleep(1)
         assert instance.front.is_ready()
         instance.configuration._world.faults.store = "silent"
@@ -58,7 +53,6 @@
         instance.configuration._world.faults.store = ""
         await trio.sleep(2.5)
         assert instance.front.is_ready()
-        nursery.cancel_scope.cancel()
 
 
 async def test_a_cancellation_also_covers_a_submission_that_comes_later(
@@ -66,8 +60,7 @@
 ):
     platform = make_platform()
     instance = make_instances(platform, 1)[0]
-    async with trio.open_nursery() as nursery:
-        nursery.start_soon(instance.run)
+    async with running(instance):
         await trio.sleep(1)
         deadline = monotonic_ms() + 2_000
         outcome = await instance.front.cancel("a" * 16, deadline)
@@ -75,15 +68,12 @@
         await submit(instance, make_job("a" * 16))
         await trio.sleep(2)
         assert not platform.runs()
-        nursery.cancel_scope.cancel()
 
 
 async def test_a_repeated_submission_stays_one_job(autojump_clock):
     platform = make_platform()
     instances = make_instances(platform, 3)
-    async with trio.open_nursery() as nursery:
-        for instance in instances:
-            nursery.start_soon(instance.run)
+    async with running(*instances):
         await trio.sleep(1)
         for instance in instances:
             await submit(instance, make_job("a" * 16))
@@ -91,44 +81,38 @@
         await submit(instances[1], make_job("a" * 16))
         await trio.sleep(2)
         assert len(platform.runs()) == 2
-        nursery.cancel_scope.cancel()
 
 
 async def test_a_revoked_key_is_refused_by_a_cut_off_instance_in_time(autojump_clock):
     platform = make_platform()
     instance = make_instances(platform, 1)[0]
-    async with trio.open_nursery() as nursery:
-        nursery.start_soon(instance.run)
+    async with running(instance):
         await trio.sleep(1)
         assert not isinstance(instance.front.authorise("h", "/q/x", "key"), Declined)
         instance.configuration._world.faults.store = "silent"
         await trio.sleep(instance.settings.revocation_ms / 1000)
         refused = instance.front.authorise("h", "/q/x", "key")
         assert refused.reason is Reason.NOT_READY
-        nursery.cancel_scope.cancel()
 
 
 async def test_the_reasons_of_refusals_are_told_apart(autojump_clock):
     platform = make_platform()
     instance = make_instances(platform, 1)[0]
-    async with trio.open_nursery() as nursery:
-        front = instance.front
-        assert front.authorise("h", "/q/x", "key").reason is Reason.NOT_READY
-        nursery.start_soon(instance.run)
+    front = instance.front
+    assert front.authorise("h", "/q/x", "key").reason is Reason.NOT_READY
+    async with running(instance):
         await trio.sleep(1)
         assert front.authorise("h", "/none/x", "key").reason is Reason.NO_QUEUE
         assert front.authorise("g", "/q/x", "key").reason is Reason.NO_QUEUE
         assert front.authorise("h", "/q/x", "other").reason is Reason.UNKNOWN_KEY
         assert (await front.state("0" * 16)).reason is Reason.NO_JOB
-        nursery.cancel_scope.cancel()
 
 
 async def test_an_instance_serves_again_soon_after_a_silent_outage(autojump_clock):
     # Pattern: the log is silent for 6 s, and returns while calls still wait for it.
     platform = make_platform()
     instance = make_instances(platform, 1)[0]
-    async with trio.open_nursery() as nursery:
-        nursery.start_soon(instance.run)
+    async with running(instance):
         await trio.sleep(1)
         faults = instance.configuration._world.faults
         for length_s in (5.9, 6.1, 6.3, 6.5):
@@ -141,4 +125,3 @@
             assert instance.front.is_ready()
             await trio.sleep(2)
         assert instance.election.leadership is not None
-        nursery.cancel_scope.cancel()
--- a/tests/scheduler/test_log_follower.py
+++ b/tests/scheduler/test_log_follower.py
@@ -1,7 +1,7 @@
 """The follower's table is whole, however the reading of it was disturbed."""
 
 import trio
-from cluster import make_job
+from cluster import make_job, running
 from fakes import FakeLog, Faults
 
 from ragwortshelf.core.scheduling.records import JobSubmitted, encode_record
@@ -23,21 +23,17 @@
 
 async def test_all_pages_of_the_newest_records_are_read(autojump_clock):
     follower = make_follower(page_rows=1)
-    async with trio.open_nursery() as nursery:
-        nursery.start_soon(follower.run)
+    async with running(follower):
         await trio.sleep(1)
-        nursery.cancel_scope.cancel()
     assert sorted(follower.table.job_by_id) == JOB_IDS
 
 
 async def test_a_restart_between_two_pages_loses_no_job(autojump_clock):
     # Pattern: a term is lost while the follower, behind a gap, reads all jobs anew.
     follower = make_follower(page_rows=1)
-    async with trio.open_nursery() as nursery:
-        nursery.start_soon(follower.run)
+    async with running(follower):
         while not follower.table.job_by_id:
             await trio.sleep(0.001)
         follower.restart()
         await trio.sleep(1)
-        nursery.cancel_scope.cancel()
     assert sorted(follower.table.job_by_id) == JOB_IDS
--- a/tests/scheduler/test_term.py
+++ b/tests/scheduler/test_term.py
@@ -1,7 +1,15 @@
 """One instance schedules at a time, and a successor goes on where it stopped."""
 
 import trio
-from cluster import holders, make_instances, make_job, make_platform, state_of, submit
+from cluster import (
+    holders,
+    make_instances,
+    make_job,
+    make_platform,
+    running,
+    state_of,
+    submit,
+)
 from fakes import FakeWorld
 
 from ragwortshelf.core.scheduling import JobState
@@ -15,22 +23,17 @@
     for _ in range(20):
         platform = make_platform()
         instances = make_instances(platform, 6)
-        async with trio.open_nursery() as nursery:
-            for instance in instances:
-                nursery.start_soon(instance.run)
+        async with running(*instances):
             for _ in range(100):
                 await trio.sleep(0.01)
                 assert len(holders(instances)) <= 1
             assert len(holders(instances)) == 1
-            nursery.cancel_scope.cancel()
 
 
 async def test_a_job_runs_to_its_end_and_every_instance_shows_it(autojump_clock):
     platform = make_platform()
     instances = make_instances(platform, 3)
-    async with trio.open_nursery() as nursery:
-        for instance in instances:
-            nursery.start_soon(instance.run)
+    async with running(*instances):
         await trio.sleep(1)
         await submit(instances[0], make_job("a" * 16))
         await trio.sleep(0.5)
@@ -40,7 +43,6 @@
         for instance in instances:
             assert await state_of(instance, "a" * 16) is JobState.COMPLETED
         assert len(platform.runs()) == 2
-        nursery.cancel_scope.cancel()
 
 
 async def test_a_successor_goes_on_without_starting_anything_twice(autojump_clock):
@@ -74,24 +76,19 @@
 async def test_a_planned_stop_hands_over_at_once(autojump_clock):
     platform = make_platform()
     instances = make_instances(platform, 3)
-    async with trio.open_nursery() as nursery:
-        for instance in instances:
-            nursery.start_soon(instance.run)
+    async with running(*instances):
         await trio.sleep(1)
         holder = holders(instances)[0]
         await holder.drain()
         await trio.sleep(0.8)
         assert holders(instances) and holder not in holders(instances)
-        nursery.cancel_scope.cancel()
 
 
 async def test_a_store_that_is_down_changes_nobody(autojump_clock):
     platform = make_platform()
     instances = make_instances(platform, 3)
     worlds = [instance.configuration._world for instance in instances]
-    async with trio.open_nursery() as nursery:
-        for instance in instances:
-            nursery.start_soon(instance.run)
+    async with running(*instances):
         await trio.sleep(1)
         holder = holders(instances)[0]
         for world in worlds:
@@ -101,35 +98,30 @@
             world.faults.store = ""
         await trio.sleep(3)
         assert holders(instances) == [holder]
-        nursery.cancel_scope.cancel()
 
 
 async def test_an_append_without_answer_is_made_once(autojump_clock):
     platform = make_platform()
     instance = make_instances(platform, 1)[0]
-    async with trio.open_nursery() as nursery:
-        nursery.start_soon(instance.run)
+    async with running(instance):
         await trio.sleep(1)
         instance.configuration._world.faults.lose_append_answers = 2
         await submit(instance, make_job("c" * 16))
         await trio.sleep(4)
         assert await state_of(instance, "c" * 16) is JobState.COMPLETED
         assert len(platform.runs()) == 2
-        nursery.cancel_scope.cancel()
 
 
 async def test_a_start_without_answer_is_ordered_again(autojump_clock):
     platform = make_platform(1)
     instance = make_instances(platform, 1)[0]
     platform.endpoint_by_id["e0"].lose_start_answers = 1
-    async with trio.open_nursery() as nursery:
-        nursery.start_soon(instance.run)
+    async with running(instance):
         await trio.sleep(1)
         await submit(instance, make_job("d" * 16, gang=True))
         await trio.sleep(3)
         assert await state_of(instance, "d" * 16) is JobState.COMPLETED
         assert [run for _, run, *_ in platform.runs()] == [1, 1]
-        nursery.cancel_scope.cancel()
 
 
 async def test_tasks_of_a_lost_endpoint_start_elsewhere_after_its_lease(
@@ -139,8 +131,7 @@
     instance = make_instances(platform, 1)[0]
     for endpoint in platform.endpoint_by_id.values():
         endpoint.work_ms = 4_000
-    async with trio.open_nursery() as nursery:
-        nursery.start_soon(instance.run)
+    async with running(instance):
         await trio.sleep(1)
         await submit(instance, make_job("e" * 16, count=1))
         await trio.sleep(0.5)
@@ -155,7 +146,6 @@
         later = max(at for _, _, _, at, _ in starts)
         assert later >= cut_at + 5_000
         assert await state_of(instance, "e" * 16) is JobState.COMPLETED
-        nursery.cancel_scope.cancel()
 
 
 async def test_work_done_while_nobody_scheduled_is_not_started_again(autojump_clock):
@@ -164,9 +154,7 @@
     worlds = [instance.configuration._world for instance in instances]
     for endpoint in platform.endpoint_by_id.values():
         endpoint.work_ms = 10_000
-    async with trio.open_nursery() as nursery:
-        for instance in instances:
-            nursery.start_soon(instance.run)
+    async with running(*instances):
         await trio.sleep(1)
         await submit(instances[0], make_job("f" * 16))
         await trio.sleep(1)
@@ -179,7 +167,6 @@
         await trio.sleep(5)
         assert await state_of(instances[0], "f" * 16) is JobState.COMPLETED
         assert len(platform.runs()) == 2
-        nursery.cancel_scope.cancel()
 
 
 async def test_a_restarted_holder_goes_on_at_once(autojump_clock):
@@ -192,11 +179,9 @@
             assert first.election.leadership is not None
             scope.cancel()
     restarted = make_instances(platform, 1)[0]
-    async with trio.open_nursery() as nursery:
-        nursery.start_soon(restarted.run)
+    async with running(restarted):
         await trio.sleep(0.5)
         assert restarted.election.leadership is not None
-        nursery.cancel_scope.cancel()
 
 
 async def test_a_slow_log_does_not_keep_a_successor_from_the_term(
@@ -204,9 +189,7 @@
 ):
     platform = make_platform()
     instances = make_instances(platform, 3)
-    async with trio.open_nursery() as nursery:
-        for instance in instances:
-            nursery.start_soon(instance.run)
+    async with running(*instances):
         await trio.sleep(1)
         monkeypatch.setattr("fakes.CALL_S", 0.24)
         await trio.sleep(3)
@@ -214,7 +197,6 @@
         await holder.drain()
         await trio.sleep(1.5)
         assert holders(instances)
-        nursery.cancel_scope.cancel()
 
 
 async def test_a_successor_starts_what_waits_at_once(autojump_clock, monkeypatch):
@@ -223,9 +205,7 @@
     monkeypatch.setattr("fakes.CROSS_S", 0.02)
     platform = make_platform(6)
     instances = make_instances(platform, 2)
-    async with trio.open_nursery() as nursery:
-        for instance in instances:
-            nursery.start_soon(instance.run)
+    async with running(*instances):
         await trio.sleep(1)
         (holder,) = holders(instances)
         (other,) = [i for i in instances if i is not holder]
@@ -238,7 +218,6 @@
         runs = platform.runs()
         assert len(runs) == 12
         assert {run for _, run, *_ in runs} == {1}
-        nursery.cancel_scope.cancel()
 
 
 async def test_leases_are_renewed_while_ends_wait_for_the_log(autojump_clock):
@@ -246,8 +225,7 @@
     platform = make_platform(1)
     instance = make_instances(platform, 1)[0]
     endpoint = platform.endpoint_by_id["e0"]
-    async with trio.open_nursery() as nursery:
-        nursery.start_soon(instance.run)
+    async with running(instance):
         await trio.sleep(1)
         endpoint.work_ms = 12_000
         await submit(instance, make_job("a" * 16, count=2))
@@ -261,7 +239,6 @@
         assert await state_of(instance, "a" * 16) is JobState.COMPLETED
         assert len(platform.runs()) == 2
         assert not endpoint.finished
-        nursery.cancel_scope.cancel()
 
 
 async def test_an_endpoint_that_was_cut_off_at_the_start_is_found_again(autojump_clock):
@@ -269,14 +246,12 @@
     instance = make_instances(platform, 1)[0]
     endpoint = platform.endpoint_by_id["e0"]
     endpoint.is_cut = True
-    async with trio.open_nursery() as nursery:
-        nursery.start_soon(instance.run)
+    async with running(instance):
         await trio.sleep(5)
         endpoint.is_cut = False
         await trio.sleep(1.5)
         scheduler = instance.election.leadership._scheduler
         assert scheduler.endpoint_by_id["e0"].is_reachable
-        nursery.cancel_scope.cancel()
 
 
 async def test_small_instances_leave_the_term_to_larger_ones(autojump_clock):
@@ -300,8 +275,7 @@
     instance = make_instances(platform, 1)[0]
     endpoint = platform.endpoint_by_id["e0"]
     endpoint.work_ms = 3_000
-    async with trio.open_nursery() as nursery:
-        nursery.start_soon(instance.run)
+    async with running(instance):
         await trio.sleep(1)
         await submit(instance, make_job("a" * 16))
         await trio.sleep(0.5)
@@ -312,4 +286,3 @@
         await trio.sleep(6)
         assert await state_of(instance, "a" * 16) is JobState.COMPLETED
         assert sorted(run for _, run, *_ in platform.runs()) == [1, 1, 2, 2]
-        nursery.cancel_scope.cancel()
