Grant a returning endpoint a lease before it gets work

Cause: a renewal that goes unanswered is repeated with the same deadline, so that the lease of a lost endpoint runs out. Ruled out: clocks of endpoints, which were read right.

An answer whose lease is shorter than the tries of a start now only leads to the next renewal, at once. Test: an endpoint is cut off for 9 s while a job waits for it; before, 2 of 2 first starts are late, after, none.

--- a/ragwortshelf/scheduler/endpoint_session.py
+++ b/ragwortshelf/scheduler/endpoint_session.py
@@ -126,9 +126,9 @@
         )
 
     async def _renew(self) -> None:
-        is_first = self._until_ms is None or self._failures > 0
-        wait_ms = 0 if is_first else self._listing_wait_ms()
         sent_ms = monotonic_ms()
+        is_urgent = self._failures > 0 or not self._has_lease(sent_ms)
+        wait_ms = 0 if is_urgent else self._listing_wait_ms()
         until_ms = self._next_until(sent_ms)
         answer = await self._client.renew(
             until_ms=until_ms,
@@ -148,6 +148,14 @@
             self._check_lapse()
             await trio.sleep(self._pause_ms() / 1000)
 
+    def _has_lease(self, now_ms: int) -> bool:
+        """Whether a start that is sent now reaches the endpoint within its lease."""
+        if self._until_ms is None:
+            return False
+        clock = self._clock_ms + (now_ms - self._clock_read_ms)
+        needed_ms = min(sum(START_TRIES_MS), self._settings.lease_ms / 2)
+        return self._until_ms - clock > needed_ms
+
     def _listing_wait_ms(self) -> int:
         if self.is_shared:
             return self._settings.shared_listing_wait_ms
@@ -179,8 +187,9 @@
             self._until_ms = until_ms
             remaining = (until_ms - answer.clock_ms) / CLOCK_DRIFT
             self._lapse_ms = now_ms + int(remaining) + 1
-        if self._until_ms is None:
-            # Nothing can be started before a lease is granted, which needs the clock.
+        if not self._has_lease(now_ms):
+            # Nothing can be started before a lease is granted, which needs the clock;
+            # a renewal that was repeated after failures may have run out meanwhile.
             return
         if not self._is_reachable:
             log_event(
--- a/tests/scheduler/test_term.py
+++ b/tests/scheduler/test_term.py
@@ -13,6 +13,7 @@
 from fakes import FakeWorld
 
 from ragwortshelf.core.scheduling import JobState
+from ragwortshelf.core.scheduling.fleet import StartOutcome
 from ragwortshelf.scheduler.instance import Instance
 from ragwortshelf.scheduler.settings import SchedulingSettings
 
@@ -254,6 +255,24 @@
         assert scheduler.endpoint_by_id["e0"].is_reachable
 
 
+async def test_an_endpoint_that_returns_gets_starts_within_a_new_lease(autojump_clock):
+    # Pattern: endpoints are cut off for longer than a lease, and work waits for them.
+    platform = make_platform(1)
+    instance = make_instances(platform, 1)[0]
+    endpoint = platform.endpoint_by_id["e0"]
+    outcomes = []
+    start = endpoint.start
+    endpoint.start = lambda *order: outcomes.append(start(*order)) or outcomes[-1]
+    async with running(instance):
+        await trio.sleep(1)
+        endpoint.is_cut = True
+        await trio.sleep(9)
+        await submit(instance, make_job("a" * 16, count=2))
+        endpoint.is_cut = False
+        await trio.sleep(1)
+    assert outcomes == [StartOutcome.STARTED] * 2
+
+
 async def test_small_instances_leave_the_term_to_larger_ones(autojump_clock):
     for _ in range(5):
         platform = make_platform()
