Send callers of an instance that is cut off alone to the others at once

Instances announce themselves in the job log. One that cannot serve asks those of its data centre every 0.3 s whether they are ready, and some of the others once callers may reach those; where one is, the refusal says 0. A reset of the follower keeps the known instances. Tests: cut off alone, all cut off, a data centre cut off, and the return.

--- a/ragwortshelf/core/scheduling/records.py
+++ b/ragwortshelf/core/scheduling/records.py
@@ -11,6 +11,7 @@
 ``c/ID``       the instance that was asked to cancel   time of day
 ``u/ID/K/S/M`` the scheduler                           state of the unit
 ``w/N``        the scheduler                           progress of a wave
+``i/NAME``     the instance itself                     where it is asked
 ``term``       the scheduler                           claim or renewal
 =============  ======================================  ======================
 """
@@ -25,6 +26,7 @@
 
 __all__ = [
     "TERM_KEY",
+    "InstanceAnnounced",
     "JobCancelled",
     "JobForgotten",
     "JobSubmitted",
@@ -105,8 +107,24 @@
     is_completed: bool
 
 
+@dataclass(frozen=True, slots=True)
+class InstanceAnnounced:
+    """An instance tells the others where it says whether it serves callers."""
+
+    name: str
+    data_centre: str
+    readiness_address: str
+    announced_wall_ms: int
+
+
 Record = (
-    UpkeepNoted | JobSubmitted | JobCancelled | JobForgotten | UnitRecord | TermHeld
+    InstanceAnnounced
+    | JobCancelled
+    | JobForgotten
+    | JobSubmitted
+    | TermHeld
+    | UnitRecord
+    | UpkeepNoted
 )
 
 
@@ -147,6 +165,8 @@
             return f"j/{job_id}", b""
         case UpkeepNoted(wave, begun, is_completed):
             return f"w/{wave}", cbor2.dumps((begun, is_completed))
+        case InstanceAnnounced(name, data_centre, address, wall_ms):
+            return f"i/{name}", cbor2.dumps((data_centre, address, wall_ms))
 
 
 def decode_record(key: str, value: bytes) -> Record | None:
@@ -169,6 +189,8 @@
                 return _decode_unit(rest, fields)
             case "w":
                 return UpkeepNoted(int(rest), tuple(fields[0]), bool(fields[1]))
+            case "i":
+                return InstanceAnnounced(rest, *fields)
             case "term":
                 return TermHeld(*fields)
     except (ValueError, TypeError, IndexError, cbor2.CBORDecodeError):
--- a/ragwortshelf/core/scheduling/table.py
+++ b/ragwortshelf/core/scheduling/table.py
@@ -10,6 +10,7 @@
 
 from .model import JobSpec, JobState, UnitKey, UnitPhase
 from .records import (
+    InstanceAnnounced,
     JobCancelled,
     JobForgotten,
     JobSubmitted,
@@ -109,6 +110,7 @@
         self.job_by_id: dict[str, Job] = {}
         self.term: TermHeld | None = None
         self.upkeep_by_wave: dict[int, UpkeepNoted] = {}
+        self.instance_by_name: dict[str, InstanceAnnounced] = {}
         self._cancelled_wall_by_id: dict[str, int] = {}
         self._early_units_by_id: dict[str, list[UnitRecord]] = {}
 
@@ -127,6 +129,9 @@
             case UpkeepNoted(wave):
                 self.upkeep_by_wave[wave] = record
                 return False
+            case InstanceAnnounced(name):
+                self.instance_by_name[name] = record
+                return False
             case TermHeld():
                 if self.term is None or record.term >= self.term.term:
                     self.term = record
--- a/ragwortshelf/scheduler/front.py
+++ b/ragwortshelf/scheduler/front.py
@@ -16,6 +16,7 @@
 from .log_follower import LogFollower
 from .log_writer import Commit, GroupWriter
 from .settings import SchedulingSettings
+from .siblings import Siblings
 
 __all__ = ["Accepted", "Access", "Declined", "Front", "Reason", "Shown", "Uncertain"]
 
@@ -25,12 +26,9 @@
 STATE_READ_TIMEOUT_MS = 600
 """Time to read on for a caller; one read takes 8 ms, and 240 ms on a slow log."""
 
-RETRY_AFTER_MS = 1_000
-"""When a caller should come back after a refusal; other instances may serve it now."""
-
-LOG_RETRY_AFTER_MS = 2_000
-"""When to come back while the log is away. Outages last 4 to 6 s and callers try five
-times, so that they still have tries left when it returns."""
+OUTAGE_RETRY_AFTER_MS = 2_000
+"""When to come back while no instance serves. Outages of the log last 4 to 6 s and
+callers try five times, so that they still have tries left when it returns."""
 
 APPEND_WAIT_MS = 900
 """How long a submission waits for the log before its caller is told that the outcome
@@ -95,6 +93,7 @@
         writer: GroupWriter,
         configuration: ConfigurationFollower,
         election: Election,
+        siblings: Siblings,
         metrics: Metrics,
     ):
         self.settings = settings
@@ -102,6 +101,7 @@
         self._writer = writer
         self._configuration = configuration
         self._election = election
+        self._siblings = siblings
         self._metrics = metrics
 
     def is_ready(self) -> bool:
@@ -117,11 +117,8 @@
     def authorise(self, host: str, path: str, key: str) -> Access | Declined:
         """Return the queue and the organisation of a call."""
         if not self._configuration.is_trusted():
-            return Declined(
-                Reason.NOT_READY,
-                f"configuration age {self._configuration.age_ms()} ms",
-                RETRY_AFTER_MS,
-            )
+            age = self._configuration.age_ms()
+            return self._unavailable(Reason.NOT_READY, f"configuration age {age} ms")
         current: ServiceConfiguration = self._configuration.current
         queue = current.queue_for(host, path)
         if queue is None:
@@ -138,9 +135,7 @@
         if spec.id in self._follower.table.job_by_id:
             return Accepted()
         if not self._follower.is_answered:
-            return Declined(
-                Reason.LOG_UNAVAILABLE, "the log does not answer", LOG_RETRY_AFTER_MS
-            )
+            return self._unavailable(Reason.LOG_UNAVAILABLE, "the log does not answer")
         entry = encode_record(JobSubmitted(spec))
         deadline_ms = min(deadline_ms, monotonic_ms() + APPEND_WAIT_MS)
         outcome = await self._writer.commit([entry], deadline_ms)
@@ -151,7 +146,7 @@
             return Accepted()
         if outcome.may_be_appended:
             return Uncertain(outcome.detail)
-        return Declined(Reason.LOG_UNAVAILABLE, outcome.detail, LOG_RETRY_AFTER_MS)
+        return self._unavailable(Reason.LOG_UNAVAILABLE, outcome.detail)
 
     async def cancel(
         self, job_id: str, deadline_ms: int
@@ -176,7 +171,7 @@
             return Shown(self._committed_state(job_id, job.state))
         if not is_fresh:
             age = self._follower.age_ms()
-            return Declined(Reason.NOT_READY, f"state age {age} ms", RETRY_AFTER_MS)
+            return self._unavailable(Reason.NOT_READY, f"state age {age} ms")
         return Declined(Reason.NO_JOB)
 
     async def pending(self, queue: Queue) -> int | Declined:
@@ -184,9 +179,14 @@
         limit = self.settings.follow_interval_ms * 2
         if not await self._follower.refresh(limit, STATE_READ_TIMEOUT_MS):
             age = self._follower.age_ms()
-            return Declined(Reason.NOT_READY, f"state age {age} ms", RETRY_AFTER_MS)
+            return self._unavailable(Reason.NOT_READY, f"state age {age} ms")
         return self._follower.table.pending(queue.name)
 
+    def _unavailable(self, reason: Reason, detail: str) -> Declined:
+        """Decline a call that other instances may serve."""
+        retry_after_ms = 0 if self._siblings.are_serving() else OUTAGE_RETRY_AFTER_MS
+        return Declined(reason, detail, retry_after_ms)
+
     def _committed_state(self, job_id: str, state: JobState) -> JobState:
         leadership = self._election.leadership
         is_end = state in (JobState.COMPLETED, JobState.FAILED)
--- a/ragwortshelf/scheduler/instance.py
+++ b/ragwortshelf/scheduler/instance.py
@@ -14,6 +14,7 @@
 from .log_writer import GroupWriter
 from .logs import open_logs
 from .settings import SchedulingSettings
+from .siblings import Siblings
 
 __all__ = ["Instance"]
 
@@ -34,12 +35,20 @@
         self.election = Election(
             world, logs, settings, self.follower, self.configuration
         )
+        self.siblings = Siblings(
+            world,
+            self.follower,
+            self.writer,
+            settings,
+            lambda: self.front.is_ready(),
+        )
         self.front = Front(
             settings,
             self.follower,
             self.writer,
             self.configuration,
             self.election,
+            self.siblings,
             self.metrics,
         )
         self.is_draining = False
@@ -52,6 +61,7 @@
             nursery.start_soon(self.writer.run)
             nursery.start_soon(self.configuration.run)
             nursery.start_soon(self.election.run)
+            nursery.start_soon(self.siblings.run)
 
     def reconfigure(self, settings: SchedulingSettings) -> None:
         """Put changed settings in force; a term under way keeps its own."""
@@ -61,6 +71,7 @@
             self.writer,
             self.configuration,
             self.election,
+            self.siblings,
             self.front,
         ):
             part.settings = settings
--- a/ragwortshelf/scheduler/interfaces.py
+++ b/ragwortshelf/scheduler/interfaces.py
@@ -252,6 +252,10 @@
     ) -> Advice | None:
         """Ask the policy service about a step; None without an answer."""
 
+    @abc.abstractmethod
+    async def is_instance_ready(self, address: str, *, timeout_ms: int) -> bool:
+        """Ask another instance whether it serves callers; False without an answer."""
+
     @abc.abstractmethod
     def host_service(self) -> HostService:
         """Return the service that looks after hosts."""
--- a/ragwortshelf/scheduler/log_follower.py
+++ b/ragwortshelf/scheduler/log_follower.py
@@ -50,8 +50,13 @@
             await self._read_once()
 
     def restart(self) -> None:
-        """Forget all state and read it anew from the log."""
+        """Forget all jobs and read them anew from the log.
+
+        Other instances stay known: they are asked when the log does not answer.
+        """
+        instance_by_name = self.table.instance_by_name
         self.table = JobTable()
+        self.table.instance_by_name.update(instance_by_name)
         self.next_offset = None
         self.own_term = None
         self._needs_snapshot = True
--- a/ragwortshelf/scheduler/settings.py
+++ b/ragwortshelf/scheduler/settings.py
@@ -11,6 +11,9 @@
 class SchedulingSettings:
     """What differs from site to site, with defaults for the stated sites.
 
+    ``readiness_address`` is where this instance says whether it serves callers; without
+    one the others are not told of it.
+
     ``revocation_ms`` is how long after its revocation a key may still be accepted;
     ``status_retention_ms`` how long an ended job's state is kept; ``drain_ms`` how
     long a planned stop may take; ``cores`` is the processor time a second that this
@@ -19,6 +22,8 @@
     """
 
     instance: str
+    data_centre: str = ""
+    readiness_address: str = ""
     revocation_ms: int = 5_000
     status_retention_ms: int = 120_000
     drain_ms: int = 6_000
--- a/tests/scheduler/cluster.py
+++ b/tests/scheduler/cluster.py
@@ -1,6 +1,7 @@
 """A small platform with instances on it, for the tests beside this file."""
 
 from contextlib import asynccontextmanager
+from dataclasses import replace
 
 import trio
 from fakes import FakeWorld, Platform
@@ -65,5 +66,16 @@
     return (await instance.front.state(job_id)).state
 
 
+def announce_in(platform, instances, data_centre="dc"):
+    """Give instances an address each, at which the others can ask them."""
+    for instance in instances:
+        name = instance.settings.instance
+        settings = replace(
+            instance.settings, data_centre=data_centre, readiness_address=name
+        )
+        instance.reconfigure(settings)
+        platform.is_ready_by_address[name] = instance.front.is_ready
+
+
 def holders(instances):
     return [i for i in instances if i.election.leadership is not None]
--- a/tests/scheduler/fakes.py
+++ b/tests/scheduler/fakes.py
@@ -153,6 +153,7 @@
         self.reports = KeyedTopic()
         self.endpoint_by_id = {info.id: FakeEndpoint(info) for info in endpoints}
         self.operator.append([("config", b"1")])
+        self.is_ready_by_address = {}
         self.advice = lambda step, endpoint_ids: None
         self.hosts = None
         self.waves = {}
@@ -192,6 +193,10 @@
     async def ask_advice(self, step, endpoint_ids):
         return self.platform.advice(step, endpoint_ids)
 
+    async def is_instance_ready(self, address, *, timeout_ms):
+        await trio.sleep(CROSS_S)
+        return self.platform.is_ready_by_address.get(address, lambda: False)()
+
     def host_service(self):
         return self.platform.hosts
 
--- /dev/null
+++ b/tests/scheduler/test_siblings.py
@@ -0,0 +1,89 @@
+"""When a refused caller is told to come back, by who else serves it."""
+
+import trio
+from cluster import announce_in, make_instances, make_job, make_platform, running
+
+from ragwortshelf.core.scheduling.records import InstanceAnnounced
+from ragwortshelf.scheduler.clock import monotonic_ms
+from ragwortshelf.scheduler.front import OUTAGE_RETRY_AFTER_MS, Declined
+from ragwortshelf.scheduler.siblings import ANNOUNCEMENT_VALID_MS, siblings_to_ask
+
+
+async def _retry_after_ms(instance):
+    declined = await instance.front.submit(make_job("a" * 16), monotonic_ms() + 2_700)
+    assert isinstance(declined, Declined)
+    return declined.retry_after_ms
+
+
+def _cut_from_log(*instances):
+    for instance in instances:
+        instance.configuration._world.faults.store = "silent"
+
+
+async def test_a_caller_of_an_instance_cut_off_alone_comes_back_at_once(autojump_clock):
+    # Pattern: one instance loses the log while the others of its data centre serve.
+    platform = make_platform()
+    instances = make_instances(platform, 3)
+    announce_in(platform, instances)
+    async with running(*instances):
+        await trio.sleep(6)
+        _cut_from_log(instances[0])
+        await trio.sleep(2)
+        assert await _retry_after_ms(instances[0]) == 0
+
+
+async def test_callers_wait_while_no_instance_reaches_the_log(autojump_clock):
+    # Pattern: the log is silent for all; callers have few tries.
+    platform = make_platform()
+    instances = make_instances(platform, 3)
+    announce_in(platform, instances)
+    async with running(*instances):
+        await trio.sleep(6)
+        _cut_from_log(*instances)
+        await trio.sleep(2)
+        for instance in instances:
+            assert await _retry_after_ms(instance) == OUTAGE_RETRY_AFTER_MS
+
+
+async def test_other_data_centres_count_once_callers_are_sent_there(autojump_clock):
+    # Pattern: a whole data centre is cut off from the log.
+    platform = make_platform()
+    instances = make_instances(platform, 4)
+    announce_in(platform, instances[:2], "near")
+    announce_in(platform, instances[2:], "far")
+    async with running(*instances):
+        await trio.sleep(6)
+        _cut_from_log(*instances[:2])
+        await trio.sleep(2)
+        assert await _retry_after_ms(instances[0]) == OUTAGE_RETRY_AFTER_MS
+        await trio.sleep(2.5)
+        assert await _retry_after_ms(instances[0]) == 0
+
+
+async def test_an_instance_knows_no_more_others_after_the_log_returned(autojump_clock):
+    platform = make_platform()
+    instances = make_instances(platform, 2)
+    announce_in(platform, instances)
+    async with running(*instances):
+        await trio.sleep(6)
+        _cut_from_log(instances[0])
+        await trio.sleep(2)
+        instances[0].configuration._world.faults.store = ""
+        await trio.sleep(3)
+        _cut_from_log(*instances)
+        # A silent log is noticed within 1.3 s, and the next question follows 0.6 s
+        # later at the most.
+        await trio.sleep(2)
+        assert await _retry_after_ms(instances[0]) == OUTAGE_RETRY_AFTER_MS
+
+
+def test_old_announcements_and_the_own_one_are_not_asked():
+    now = 1_000_000
+    own = InstanceAnnounced("own", "dc", "a:1", now)
+    near = InstanceAnnounced("near", "dc", "a:2", now - ANNOUNCEMENT_VALID_MS)
+    gone = InstanceAnnounced("gone", "dc", "a:3", now - ANNOUNCEMENT_VALID_MS - 1)
+    far = [InstanceAnnounced(f"far{n}", "else", f"b:{n}", now) for n in range(5)]
+    asked = siblings_to_ask([own, near, gone, *far], "own", "dc", now)
+    assert asked[0] == near
+    assert len(asked) == 3
+    assert all(row in far for row in asked[1:])
