--- a/ragwortshelf/scheduler/siblings.py
+++ b/ragwortshelf/scheduler/siblings.py
@@ -106,9 +106,11 @@
             if self._is_serving_here():
                 self._lost_boot_ms = None
                 self._is_near_ready = self._is_far_ready = False
+            elif self._lost_boot_ms is None:
+                # In an outage of the whole log the others notice it up to 0.35 s later,
+                # and would still call themselves ready.
+                self._lost_boot_ms = boot_ms()
             else:
-                if self._lost_boot_ms is None:
-                    self._lost_boot_ms = boot_ms()
                 await self._ask_all()
             self._note_change()
 
