Do not lose a run to a listing asked for in the same millisecond

Cause: times are whole milliseconds. At 12.8073 s an end was acknowledged with the next listing, at 12.8079 s a start was answered; both fell into one millisecond, so the run counted as known before the listing, which had been taken before the start arrived and did not show it. Ruled out: a restart of the endpoint, a lapsed lease, two schedulers.

Both comparisons, for starts and for stops, are strict now. Tests: a listing in the millisecond of a start, and of a confirmed stop; both failed before.

--- a/ragwortshelf/core/scheduling/fleet.py
+++ b/ragwortshelf/core/scheduling/fleet.py
@@ -180,12 +180,15 @@
         self.percent_ms = now_ms
 
     def was_seen(self, before_ms: int) -> bool:
-        """Whether the run was known to be there by then."""
-        return self.confirmed_ms is not None and self.confirmed_ms <= before_ms
+        """Whether the run was known to be there before then.
+
+        Two events of one millisecond may have come in either order.
+        """
+        return self.confirmed_ms is not None and self.confirmed_ms < before_ms
 
     def is_fenced(self, before_ms: int) -> bool:
-        """Whether the endpoint had confirmed a stop by then."""
-        return self.fenced_ms is not None and self.fenced_ms <= before_ms
+        """Whether the endpoint had confirmed a stop before then."""
+        return self.fenced_ms is not None and self.fenced_ms < before_ms
 
 
 class Endpoint:
--- a/tests/core/scheduling/test_listing.py
+++ b/tests/core/scheduling/test_listing.py
@@ -68,6 +68,30 @@
     assert not harness.starts
 
 
+def test_a_listing_sent_in_the_millisecond_of_the_start_does_not_lose_it():
+    # Pattern: an end is acknowledged at the moment at which the next start is answered;
+    # the listing may have been taken just before the start arrived.
+    harness = Harness(endpoints=1)
+    harness.submit("t")
+    harness.accept_starts()
+    harness.running["e0"].clear()
+    harness.list("e0", sent=harness.now)
+    harness.advance(500)
+    assert not harness.starts
+
+
+def test_a_listing_sent_in_the_millisecond_of_a_stop_does_not_release_it():
+    harness = Harness(endpoints=2)
+    harness.submit("t")
+    harness.refuse_start(StartOutcome.UNANSWERED)
+    harness.advance(300)
+    (stop,) = harness.stops
+    harness.scheduler.stop_confirmed(stop.endpoint_id, stop.task, stop.run, harness.now)
+    harness.list(stop.endpoint_id, sent=harness.now)
+    harness.advance(500)
+    assert not harness.starts
+
+
 def test_a_checkpoint_goes_with_the_next_start():
     harness = Harness()
     harness.submit("t", is_checkpointing=True)
