--- a/ragwortshelf/core/scheduling/packing.py
+++ b/ragwortshelf/core/scheduling/packing.py
@@ -1,7 +1,7 @@
 """Where a unit fits, given the endpoints' free room.
 
-Endpoints are filled tightly, so that whole endpoints and whole racks stay free for
-gangs of large tasks.
+Endpoints are filled tightly, and among equally full ones those of the fullest rack come
+first, so that whole endpoints and whole racks stay free for gangs of large tasks.
 """
 
 from __future__ import annotations
@@ -83,14 +83,16 @@
     cap = step.tasks_per_endpoint_max or count
     offers = []
     total = 0
+    free_by_rack: dict[str, int] = defaultdict(int)
     for endpoint in candidates:
+        free_by_rack[endpoint.info.rack] += endpoint.free_gpus
         fits = min(cap, count, slots(endpoint))
         if fits > 0:
             offers.append((fits, endpoint))
             total += fits
     if total < count:
         return None
-    offers.sort(key=lambda offer: _left_over(offer, step))
+    offers.sort(key=lambda offer: _left_over(offer, step, free_by_rack))
     placed: list[Endpoint] = []
     for fits, endpoint in offers:
         placed.extend([endpoint] * min(fits, count - len(placed)))
@@ -99,11 +101,12 @@
     return placed
 
 
-def _left_over(offer, step: Step):
+def _left_over(offer, step: Step, free_by_rack: dict[str, int]):
     fits, endpoint = offer
     request = step.occupied
     return (
         endpoint.free_gpus - fits * request.gpus,
+        free_by_rack[endpoint.info.rack],
         endpoint.free_cpu_milli - fits * request.cpu_milli,
         endpoint.id,
     )
--- a/tests/core/scheduling/test_planning.py
+++ b/tests/core/scheduling/test_planning.py
@@ -124,6 +124,22 @@
     assert len(racks) == 1
 
 
+def test_small_work_leaves_whole_racks_to_rack_sensitive_gangs():
+    # Pattern: a batch of small tasks fills whole endpoints, and gangs that need whole
+    # endpoints of one rack come after it.
+    harness = Harness(endpoints=8, racks=2)
+    harness.submit("b", "p2", count=32)
+    racks = {
+        harness.scheduler.endpoint_by_id[s.endpoint_id].info.rack
+        for s in harness.starts
+    }
+    assert len(racks) == 1
+    harness.submit(
+        "g", "p1", count=4, is_gang=True, is_rack_sensitive=True, request=WHOLE
+    )
+    assert sum(s.unit.job_id == "g" for s in harness.starts) == 4
+
+
 def test_a_failed_unit_ends_its_job_after_its_attempts_only():
     harness = Harness(endpoints=4, attempts=2)
     harness.submit("f")
