--- a/ragwortshelf/core/scheduling/planning.py
+++ b/ragwortshelf/core/scheduling/planning.py
@@ -37,10 +37,10 @@
 """How soon the rest of a unit's room must become free by itself before work that saves
 its progress is stopped for it; a stop takes about as long."""
 
-PREEMPTION_LOSS_SHARE = 0.25
+PREEMPTION_LOSS_SHARE = 1.0
 """Work that may be thrown away so that urgent work is on time, as a share of that work.
-An urgent job on time is worth about four times what its work costs when lost, and the
-room that is lost is missing elsewhere."""
+An urgent job on time is worth about four times what its work costs when lost; beyond its
+own work, the room that is lost makes as much other work late."""
 
 _HOLDING = (UnitPhase.PLACED, UnitPhase.ENDING)
 
