--- a/ragwortshelf/core/scheduling/planning.py
+++ b/ragwortshelf/core/scheduling/planning.py
@@ -38,9 +38,9 @@
 its progress is stopped for it; a stop takes about as long."""
 
 PREEMPTION_LOSS_SHARE = 1.0
-"""Work that may be thrown away so that urgent work is on time, as a share of that work.
-An urgent job on time is worth about four times what its work costs when lost; beyond its
-own work, the room that is lost makes as much other work late."""
+"""Work that may be thrown away so that urgent work is on time, as a share of that
+work. An urgent job on time is worth about four times what its work costs when lost;
+beyond its own work, the room that is lost makes as much other work late."""
 
 _HOLDING = (UnitPhase.PLACED, UnitPhase.ENDING)
 
