--- a/tests/scheduler/test_term.py
+++ b/tests/scheduler/test_term.py
@@ -269,7 +269,8 @@
         await trio.sleep(9)
         await submit(instance, make_job("a" * 16, count=2))
         endpoint.is_cut = False
-        await trio.sleep(1)
+        # The question under way lasts 0.4 s and the pause after it 0.8 s at the most.
+        await trio.sleep(1.5)
     assert outcomes == [StartOutcome.STARTED] * 2
 
 
