Log how much slack a unit had when it was placed

Cause: whether a late job was placed too late or ran too long could not be told from the lines. No decision changes.

--- a/ragwortshelf/core/scheduling/actions.py
+++ b/ragwortshelf/core/scheduling/actions.py
@@ -20,10 +20,16 @@
 
 @dataclass(frozen=True, slots=True)
 class PersistUnit:
-    """Append this record. Starts that follow it wait until it is in the log."""
+    """Append this record. Starts that follow it wait until it is in the log.
+
+    ``slack_ms`` tells how long the unit could still have waited; None where it was
+    not placed. ``accelerators`` is the size of the unit.
+    """
 
     record: UnitRecord
     reason: str
+    slack_ms: int | None = None
+    accelerators: int = 0
 
 
 @dataclass(frozen=True, slots=True)
--- a/ragwortshelf/core/scheduling/lifecycle.py
+++ b/ragwortshelf/core/scheduling/lifecycle.py
@@ -74,7 +74,8 @@
             endpoints=tuple(endpoint.id for endpoint in endpoints),
             changed_wall_ms=wall_ms,
         )
-        self._persist(work, record, "placed")
+        slack_ms = work.latest_start_wall_ms - wall_ms
+        self._persist(work, record, "placed", slack_ms)
         work.phase = UnitPhase.PLACED
         del self.waiting[work.key]
         for index, endpoint in enumerate(endpoints):
@@ -325,10 +326,12 @@
         )
         self._persist(work, record, reason)
 
-    def _persist(self, work: Work, record, reason: str) -> None:
+    def _persist(
+        self, work: Work, record, reason: str, slack_ms: int | None = None
+    ) -> None:
         work.record = record
         work.job.put(record)
-        self._actions.append(PersistUnit(record, reason))
+        self._actions.append(PersistUnit(record, reason, slack_ms, work.gpus))
 
     def _forget_plans(self, work: Work) -> None:
         """Give up what is kept for a unit that is gone; for subclasses."""
--- a/ragwortshelf/scheduler/term_writer.py
+++ b/ragwortshelf/scheduler/term_writer.py
@@ -158,5 +158,7 @@
             failed=record.failed_runs,
             endpoints=record.endpoints,
             reason=action.reason,
+            slack_ms=action.slack_ms,
+            accelerators=action.accelerators,
             term=record.term,
         )
