Stop less urgent work that keeps a waiting unit's room idle

It was late already, so nothing was stopped for it, and 30 of 192 accelerators stood idle.

A unit that waits may now stop less urgent work if that loses less than the idle part of its room could do meanwhile. Tests: the gang beside one small task; no stop where most of the room is at work.

--- a/ragwortshelf/core/scheduling/planning.py
+++ b/ragwortshelf/core/scheduling/planning.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from collections import defaultdict
+from collections import Counter, defaultdict
 from collections.abc import Sequence
 from typing import TYPE_CHECKING
 
@@ -12,7 +12,7 @@
 from .packing import allows, find_endpoints, rack_could_hold
 from .reclaim import Borrowed, Cost, Reclaim, plan_reclaim
 from .reservations import Reservations
-from .work import Work
+from .work import GPU_CORES, Work
 
 if TYPE_CHECKING:
     from .scheduler import Scheduler
@@ -242,7 +242,10 @@
         if plan is None:
             return
         wait_ms = max((self._wait_ms(v, work) for v in plan.victims), default=0)
-        if self._would_be_late(work, wait_ms) and self._preempt(work, candidates):
+        allowed = self._idle_core_ms(work, plan, wait_ms)
+        if work.priority == 0 and self._would_be_late(work, wait_ms):
+            allowed += PREEMPTION_LOSS_SHARE * work.cores * work.step.estimate_ms
+        if allowed and self._preempt(work, candidates, allowed):
             return
         self._reserve(work, plan)
         cheap, rest = [], []
@@ -258,10 +261,21 @@
             return False
         return self._wall_ms + wait_ms > work.latest_start_wall_ms
 
-    def _preempt(self, work: Work, candidates: list[Endpoint]) -> bool:
-        """Stop less urgent work if that throws away far less than the unit's own."""
-        if work.priority > 0:
-            return False
+    def _idle_core_ms(self, work: Work, plan: Reclaim, wait_ms: float) -> float:
+        """Return the work that the idle part of a unit's room could do while it waits."""
+        free_by_id = {endpoint.id: endpoint.free_gpus for endpoint in plan.endpoints}
+        tasks_by_id = Counter(endpoint.id for endpoint in plan.endpoints)
+        each = work.step.request.gpus
+        idle = sum(
+            min(free_by_id[endpoint_id], each * tasks)
+            for endpoint_id, tasks in tasks_by_id.items()
+        )
+        return GPU_CORES * idle * max(0.0, wait_ms - CHEAP_STOP_WAIT_MS)
+
+    def _preempt(
+        self, work: Work, candidates: list[Endpoint], lost_max_core_ms: float
+    ) -> bool:
+        """Stop less urgent work if no more than this is thrown away by it."""
 
         def borrowed(member: Member) -> Work | None:
             holder = self._placed_holder(member)
@@ -270,10 +284,7 @@
             return holder if self._may_stop(holder) else None
 
         plan = self._plan(work, candidates, borrowed, self._lost)
-        if plan is None:
-            return False
-        lost = sum(map(self._lost, plan.victims))
-        if lost > PREEMPTION_LOSS_SHARE * work.cores * work.step.estimate_ms:
+        if plan is None or sum(map(self._lost, plan.victims)) > lost_max_core_ms:
             return False
         self._reserve(work, plan)
         self._stop_all(plan.victims, "preempted")
--- a/tests/core/scheduling/test_order.py
+++ b/tests/core/scheduling/test_order.py
@@ -66,3 +66,29 @@
     (work,) = harness.scheduler.work_by_key.values()
     # The objective is twice the chain of 4 s and 0.5 s more.
     assert work.latest_start_wall_ms == 10_000 + 8_500 - 4_000
+
+
+def test_small_work_does_not_keep_the_room_of_a_large_gang_idle():
+    # Pattern: a gang needs four whole endpoints; three are empty, and one small task of
+    # less urgent work, which has just begun, holds the fourth.
+    harness = Harness(endpoints=4, guaranteed=0)
+    harness.now = 10_000
+    harness.submit("s", "p2", "b", estimate_ms=20_000)
+    harness.accept_starts()
+    harness.advance(1_000)
+    harness.submit("g", "p1", "a", count=4, is_gang=True, request=WHOLE, accepted=0)
+    assert {stop.task for stop in harness.stops} == {"s.0.0.0"}
+
+
+def test_work_is_not_stopped_for_room_that_is_hardly_idle():
+    # Pattern: most of the room that a waiting unit needs is at work.
+    harness = Harness(endpoints=1, guaranteed=0)
+    harness.now = 10_000
+    seven = Resources(7_000, 7_000, 7)
+    harness.submit("s", "p2", "b", request=seven, estimate_ms=9_000)
+    harness.accept_starts()
+    for percent in (27, 55):
+        harness.advance(2_500)
+        harness.list("e0", percent={"s.0.0.0": percent})
+    harness.submit("g", "p1", "a", request=WHOLE, accepted=0)
+    assert not harness.stops
