--- a/ragwortshelf/core/scheduling/planning.py
+++ b/ragwortshelf/core/scheduling/planning.py
@@ -262,7 +262,7 @@
         return self._wall_ms + wait_ms > work.latest_start_wall_ms
 
     def _idle_core_ms(self, work: Work, plan: Reclaim, wait_ms: float) -> float:
-        """Return the work that the idle part of a unit's room could do while it waits."""
+        """Return the work that the idle part of a unit's room could do meanwhile."""
         free_by_id = {endpoint.id: endpoint.free_gpus for endpoint in plan.endpoints}
         tasks_by_id = Counter(endpoint.id for endpoint in plan.endpoints)
         each = work.step.request.gpus
