--- a/benchmarks/capacity.py
+++ b/benchmarks/capacity.py
@@ -14,8 +14,8 @@
 import tracemalloc
 from pathlib import Path
 
-from ragwortshelf.core.charging import ChargeBook
-from ragwortshelf.core.jobs import JobBook
+from ragwortshelf.core.charging import ChargeLedger
+from ragwortshelf.core.jobs import JobLedger
 from ragwortshelf.core.model import (
     Adjacency,
     Configuration,
@@ -42,26 +42,26 @@
 SETTLE_S = 5.0
 MEASURE_S = 20.0
 
-# The two-year size: 1,700 jobs in progress, and the ended ones that the books keep.
+# The two-year size: 1,700 jobs in progress, and the ended ones that the ledgers keep.
 TWO_YEARS = {"jobs": 21_700, "charges": 11_700, "workers": 139, "organisations": 390}
 
 
-def _jobs(count: int) -> JobBook:
-    book = JobBook()
+def _jobs(count: int) -> JobLedger:
+    ledger = JobLedger()
     for number in range(count):
         job_id = f"instance-1.1800000000000.{number}"
         spec = JobSpec(job_id, f"org-{number % 390}", "dc", 8, Adjacency.WORKER)
         grants = (Grant(f"dc-w{number % 139}", tuple(range(8))),)
         boots = ("b" * 12,)
-        book.apply(JobAccepted(spec, "instance-1"))
-        book.apply(AttemptClaimed(job_id, 1, "instance-1", "dc", grants, boots, 1))
+        ledger.apply(JobAccepted(spec, "instance-1"))
+        ledger.apply(AttemptClaimed(job_id, 1, "instance-1", "dc", grants, boots, 1))
         reason = Reason.TASK_SUCCEEDED
-        book.apply(JobEnded(job_id, 1, JobPhase.COMPLETED, reason, "", number))
-    return book
+        ledger.apply(JobEnded(job_id, 1, JobPhase.COMPLETED, reason, "", number))
+    return ledger
 
 
-def _charges(count: int) -> ChargeBook:
-    book = ChargeBook()
+def _charges(count: int) -> ChargeLedger:
+    ledger = ChargeLedger()
     for number in range(count):
         job_id = f"instance-1.1800000000000.{number}"
         organisation = f"org-{number % 390}"
@@ -70,8 +70,8 @@
             for task in range(6)
             for sequence in range(1, 4)
         )
-        book.apply(UsageRecorded(reports))
-    return book
+        ledger.apply(UsageRecorded(reports))
+    return ledger
 
 
 def _organisations(count: int) -> Scheduler:
--- a/benchmarks/requests/policies.py
+++ b/benchmarks/requests/policies.py
@@ -26,7 +26,7 @@
     PeerLoadNoted,
     RequestMachine,
     Send,
-    ShareKeeper,
+    ShareManager,
     ShareSettings,
     Spill,
     Submitted,
@@ -65,7 +65,7 @@
         self._clock = clock
         self._deployment = deployment
         self._endpoints = endpoints
-        self._shares = ShareKeeper(name, data_centre, 1, ShareSettings())
+        self._shares = ShareManager(name, data_centre, 1, ShareSettings())
         self._machine = RequestMachine(data_centre, self._shares, rng)
         self._arrival_by_id: dict[str, tuple[Arrival, Callable]] = {}
         self._connections_by_endpoint: dict[str, list[Connection]] = {}
--- a/ragwortshelf/core/charging/__init__.py
+++ b/ragwortshelf/core/charging/__init__.py
@@ -1,16 +1,16 @@
 """Charges: what ran for each organisation, counted once, the wasted part apart.
 
-`ChargeBook` folds the usage stream. Reports may lag, repeat and arrive in any order;
+`ChargeLedger` folds the usage stream. Reports may lag, repeat and arrive in any order;
 corrections are records and never edits.
 """
 
 from .account import AttemptUsage, JobAccount, JobCharge
-from .book import ChargeBook, ChargeSnapshot, Statement
+from .ledger import ChargeLedger, ChargeSnapshot, Statement
 from .ranges import ForgottenIds, ForgottenIdSet, IntegerRanges
 
 __all__ = [
     "AttemptUsage",
-    "ChargeBook",
+    "ChargeLedger",
     "ChargeSnapshot",
     "ForgottenIdSet",
     "ForgottenIds",
--- a/ragwortshelf/core/charging/book.py
+++ b/ragwortshelf/core/charging/ledger.py
@@ -6,11 +6,11 @@
 from dataclasses import dataclass
 
 from ..model import UsageReport
-from ..streams import Book, Record, UsageCorrected, UsageRecorded
+from ..streams import Record, StreamLedger, UsageCorrected, UsageRecorded
 from .account import AccountSnapshot, JobAccount, JobCharge
 from .ranges import ForgottenIds, ForgottenIdSet
 
-__all__ = ["ChargeBook", "ChargeSnapshot", "Statement"]
+__all__ = ["ChargeLedger", "ChargeSnapshot", "Statement"]
 
 ENDED_ACCOUNTS_KEPT = 10_000
 PREFIXES_KEPT = 20_000
@@ -49,7 +49,7 @@
 
 @dataclass(frozen=True, slots=True)
 class ChargeSnapshot:
-    """All that a `ChargeBook` holds."""
+    """All that a `ChargeLedger` holds."""
 
     accounts: tuple[AccountSnapshot, ...]
     closed: tuple[Statement, ...]
@@ -57,7 +57,7 @@
     forgotten: tuple[ForgottenIds, ...]
 
 
-class ChargeBook(Book):
+class ChargeLedger(StreamLedger):
     """Counts every report once by (job, attempt, task, sequence).
 
     Reports may lag, repeat and come in any order, also before the job is known and
@@ -66,11 +66,11 @@
     that ended first is closed into its organisation's sum.
 
     >>> from ragwortshelf.core.model import UsageReport
-    >>> book = ChargeBook()
+    >>> ledger = ChargeLedger()
     >>> record = UsageRecorded((UsageReport("org", "a.1.1", 1, 0, 1, 500),))
-    >>> book.apply(record)
-    >>> book.apply(record)
-    >>> book.statement("org").charged_ms
+    >>> ledger.apply(record)
+    >>> ledger.apply(record)
+    >>> ledger.statement("org").charged_ms
     500
     """
 
@@ -137,7 +137,7 @@
         return None if account is None else account.charge()
 
     def to_snapshot(self) -> ChargeSnapshot:
-        """Return everything that the book holds."""
+        """Return everything that the ledger holds."""
         return ChargeSnapshot(
             tuple(account.to_snapshot() for account in self._accounts_in_order()),
             tuple(self._closed_by_organisation.values()),
--- a/ragwortshelf/core/jobs/__init__.py
+++ b/ragwortshelf/core/jobs/__init__.py
@@ -1,6 +1,6 @@
 """Jobs: their life in the log, and the machine that runs them as gangs on workers.
 
-`JobBook` folds the jobs stream, so that every instance tells the same truth of every
+`JobLedger` folds the jobs stream, so that every instance tells the same truth of every
 job. `PlacerMachine` is one data centre's placer: it takes events and returns actions.
 `Gang` is one attempt, from its leases to the proof of how it ended.
 """
@@ -20,7 +20,6 @@
     StartTask,
 )
 from .admission import admit, job_id
-from .book import BookSnapshot, JobBook
 from .entry import JobEntry
 from .events import (
     AppendAnswered,
@@ -44,6 +43,7 @@
     WorkerUnreachable,
 )
 from .gang import Gang
+from .ledger import JobLedger, LedgerSnapshot
 from .placer import PlacerMachine
 from .rehoming import rehome
 from .stages import Stage
@@ -54,7 +54,7 @@
     "AnswerSubmission",
     "AppendAnswered",
     "AppendRecord",
-    "BookSnapshot",
+    "LedgerSnapshot",
     "CommandAnswered",
     "CommandTask",
     "ConfigurationChanged",
@@ -63,7 +63,7 @@
     "FenceJob",
     "Gang",
     "GangCommand",
-    "JobBook",
+    "JobLedger",
     "JobEntry",
     "JobSubmittedOffLog",
     "LeaseAnswered",
--- a/ragwortshelf/core/jobs/admission.py
+++ b/ragwortshelf/core/jobs/admission.py
@@ -1,4 +1,4 @@
-"""Whether a submitted job is taken in, and where its home is."""
+"""Whether a submitted job is accepted, and where its home is."""
 
 from __future__ import annotations
 
@@ -6,7 +6,7 @@
 
 from ..model import Configuration, JobSpec, NotRun, Reason
 from ..placement import fits_catalogue, home_data_centre
-from .book import JobBook
+from .ledger import JobLedger
 
 __all__ = ["admit", "job_id"]
 
@@ -27,13 +27,13 @@
 def admit(
     spec: JobSpec,
     configuration: Configuration,
-    book: JobBook,
+    ledger: JobLedger,
     is_log_up: bool,
     now_wall_ms: int,
     *,
     data_centre: str = "",
 ) -> JobSpec | NotRun:
-    """Return the job with its home data centre, or why it is not taken in.
+    """Return the job with its home data centre, or why it is not accepted.
 
     While the log is down a job can only be placed at once by the accepting instance,
     so its home is ``data_centre``, where that instance is.
@@ -49,7 +49,7 @@
     if not fits_catalogue(spec, configuration):
         detail = f"{spec.accelerators} accelerators per {spec.adjacency} fit nowhere"
         return NotRun(Reason.NEVER_FITS, detail)
-    if book.active_count >= MAX_ACTIVE_JOBS:
+    if ledger.active_count >= MAX_ACTIVE_JOBS:
         return NotRun(
             Reason.QUEUE_FULL, "too many unfinished jobs", QUEUE_FULL_RETRY_AFTER_MS
         )
--- a/ragwortshelf/core/jobs/adoption.py
+++ b/ragwortshelf/core/jobs/adoption.py
@@ -69,7 +69,7 @@
 
     def _is_over(self, lease, entry: JobEntry | None) -> bool:
         """Whether the log or ourselves have no more use for the lease."""
-        if self.book.has_ended(lease.job_id):
+        if self.ledger.has_ended(lease.job_id):
             return True
         if entry is None or lease.job_id in self.gang_by_id:
             return False
--- a/ragwortshelf/core/jobs/book.py
+++ b/ragwortshelf/core/jobs/ledger.py
@@ -11,16 +11,16 @@
     AttemptClaimed,
     AttemptEnded,
     AttemptStarted,
-    Book,
     CancelRequested,
     JobAccepted,
     JobEnded,
     JobMoved,
     Record,
+    StreamLedger,
 )
 from .entry import JobEntry, LostWork
 
-__all__ = ["BookSnapshot", "JobBook"]
+__all__ = ["LedgerSnapshot", "JobLedger"]
 
 ENDED_JOBS_KEPT = 20_000
 SUBMITTERS_KEPT = 20_000
@@ -28,15 +28,15 @@
 
 
 @dataclass(frozen=True, slots=True)
-class BookSnapshot:
-    """All that a `JobBook` holds, in an order that keeps its behaviour."""
+class LedgerSnapshot:
+    """All that a `JobLedger` holds, in an order that keeps its behaviour."""
 
     entries: tuple[JobEntry, ...]
     ended_ids: tuple[str, ...]
     forgotten: tuple[ForgottenIds, ...]
 
 
-class JobBook(Book):
+class JobLedger(StreamLedger):
     """Jobs by id, as the records up to the last applied offset tell it.
 
     Only the order of records decides, so all instances agree. A claim wins if the job
@@ -49,7 +49,7 @@
     them run again.
     """
 
-    SNAPSHOT_TYPE = BookSnapshot
+    SNAPSHOT_TYPE = LedgerSnapshot
 
     def __init__(self, *, ended_kept: int = ENDED_JOBS_KEPT) -> None:
         self._ended_kept = ended_kept
@@ -103,15 +103,15 @@
             self._end(job_id)
         return changed
 
-    def to_snapshot(self) -> BookSnapshot:
-        """Return everything that the book holds."""
-        return BookSnapshot(
+    def to_snapshot(self) -> LedgerSnapshot:
+        """Return everything that the ledger holds."""
+        return LedgerSnapshot(
             tuple(self._entry_by_id.values()),
             tuple(self._ended_ids),
             self._forgotten.to_tuple(),
         )
 
-    def _load(self, snapshot: BookSnapshot) -> None:
+    def _load(self, snapshot: LedgerSnapshot) -> None:
         self._entry_by_id = {entry.spec.job_id: entry for entry in snapshot.entries}
         self._ended_ids = dict.fromkeys(snapshot.ended_ids)
         self._active_ids = {
--- a/ragwortshelf/core/jobs/placer.py
+++ b/ragwortshelf/core/jobs/placer.py
@@ -26,12 +26,12 @@
     ReleaseLease,
 )
 from .adoption import WorkerSync
-from .book import JobBook
 from .gang import Gang
-from .keeper import ENDING_RECORDS, REFUSED_RETRY_AFTER_MS
+from .ledger import JobLedger
 from .members import canonical_grants
 from .overruns import OverrunRules
 from .stages import Stage
+from .tracker import ENDING_RECORDS, REFUSED_RETRY_AFTER_MS
 
 __all__ = ["PlacerMachine"]
 
@@ -41,7 +41,7 @@
 
     ``holder`` names this instance and its incarnation, so no other process ever
     speaks for the same leases. Each instance of a data centre runs a machine, and all
-    of them fold the jobs stream into ``book``; only while it has the role of placer
+    of them fold the jobs stream into ``ledger``; only while it has the role of placer
     does a machine act. Two machines with the role at once cost work, never safety:
     workers arbitrate leases, and the log arbitrates claims.
     """
@@ -65,7 +65,7 @@
 
     def _record_read(self, event: events.RecordRead, now_ms: int) -> list[Action]:
         record = event.record
-        entry = self.book.apply(record)
+        entry = self.ledger.apply(record)
         if isinstance(record, JobAccepted):
             job_id = record.spec.job_id
         else:
@@ -80,7 +80,7 @@
 
     def _record_without_effect(self, job_id, record, now_ms: int) -> list[Action]:
         """Another record came first; what we had on its way may be void."""
-        entry = self.book.get(job_id) if job_id is not None else None
+        entry = self.ledger.get(job_id) if job_id is not None else None
         if entry is None:
             return []
         self.outbox.drop(job_id, type(record))
@@ -119,7 +119,7 @@
                 continue
             else:
                 self._forget(job_id, now_ms)
-        for entry in self.book.active():
+        for entry in self.ledger.active():
             self._scheduler.remove(entry.spec.job_id, now_ms)
         return actions
 
@@ -130,7 +130,7 @@
         self.is_log_up = is_up
         if not is_up and self.outbox.is_empty:
             # The log knows all jobs that were accepted in earlier outages.
-            self._off_log = JobBook()
+            self._off_log = JobLedger()
         return self._sync_all(now_ms)
 
     def _gang_answered(self, event, now_ms: int) -> list[Action]:
@@ -189,7 +189,7 @@
         actions: list[Action] = []
         wall_ms = self._wall_ms(now_ms)
         while self._deadlines and self._deadlines[0][0] <= wall_ms:
-            entry = self.book.get(heapq.heappop(self._deadlines)[1])
+            entry = self.ledger.get(heapq.heappop(self._deadlines)[1])
             if entry is None or not entry.is_waiting:
                 continue
             if entry.spec.job_id in self.gang_by_id:
@@ -226,7 +226,7 @@
 
     def _place(self, place: Place, now_ms: int) -> list[Action]:
         job_id = place.spec.job_id
-        entry = self.book.get(job_id)
+        entry = self.ledger.get(job_id)
         is_off_log = job_id in self._submitted_by_id
         is_placeable = is_off_log or (
             self.is_log_up and entry is not None and entry.is_waiting
@@ -272,7 +272,7 @@
 
     def _reject(self, decision: Reject, now_ms: int) -> list[Action]:
         """End a job that can never run here, or move it to where it can."""
-        entry = self.book.get(decision.job_id)
+        entry = self.ledger.get(decision.job_id)
         if entry is None or not entry.is_waiting:
             return []
         home = self._new_home(entry.spec)
--- a/ragwortshelf/core/jobs/rehoming.py
+++ b/ragwortshelf/core/jobs/rehoming.py
@@ -7,14 +7,14 @@
 from ..model import Configuration, Reason
 from ..placement import home_data_centre
 from ..streams import AttemptEnded, JobMoved
-from .book import JobBook
 from .entry import JobEntry
+from .ledger import JobLedger
 
 __all__ = ["rehome"]
 
 
 def rehome(
-    book: JobBook, lost_data_centre: str, configuration: Configuration, wall_ms: int
+    ledger: JobLedger, lost_data_centre: str, configuration: Configuration, wall_ms: int
 ) -> tuple[AttemptEnded | JobMoved, ...]:
     """Return the records that give the jobs of ``lost_data_centre`` new homes.
 
@@ -32,7 +32,7 @@
     }
     elsewhere = replace(configuration, data_centres_by_name=others)
     records: list[AttemptEnded | JobMoved] = []
-    for entry in book.active():
+    for entry in ledger.active():
         if entry.home_data_centre != lost_data_centre:
             continue
         if entry.is_open and not entry.spec.is_idempotent:
--- a/ragwortshelf/core/jobs/syncing.py
+++ b/ragwortshelf/core/jobs/syncing.py
@@ -20,18 +20,18 @@
 )
 from .entry import JobEntry
 from .gang import Gang
-from .keeper import ENDING_RECORDS, GangKeeper
 from .stages import Stage
+from .tracker import ENDING_RECORDS, GangTracker
 
 __all__ = ["JobSync"]
 
 
-class JobSync(GangKeeper):
+class JobSync(GangTracker):
     """Follows the log: what it says of a job decides what its gang may do."""
 
     def _sync_all(self, now_ms: int) -> list[Action]:
         actions: list[Action] = []
-        for entry in list(self.book.active()):
+        for entry in list(self.ledger.active()):
             actions += self._sync(entry, now_ms)
         return actions
 
--- a/ragwortshelf/core/jobs/keeper.py
+++ b/ragwortshelf/core/jobs/tracker.py
@@ -17,22 +17,22 @@
     Action,
     AnswerSubmission,
 )
-from .book import JobBook
 from .conclusion import conclude, end_without_attempt
 from .entry import JobEntry
 from .gang import Gang
+from .ledger import JobLedger
 from .outbox import Outbox
 from .overruns import OverrunRules
 from .stages import Stage
 from .workers import WorkerTable
 
-__all__ = ["ENDING_RECORDS", "REFUSED_RETRY_AFTER_MS", "GangKeeper"]
+__all__ = ["ENDING_RECORDS", "REFUSED_RETRY_AFTER_MS", "GangTracker"]
 
 REFUSED_RETRY_AFTER_MS = 2_000
 ENDING_RECORDS = (AttemptEnded, JobEnded, JobMoved)
 
 
-class GangKeeper:
+class GangTracker:
     """Keeps gangs and records what becomes of them.
 
     Subclasses bring gangs in line with the log and with the workers.
@@ -43,11 +43,11 @@
         data_centre: str,
         holder: str,
         scheduler: Scheduler,
-        book: JobBook | None = None,
+        ledger: JobLedger | None = None,
     ) -> None:
         self.data_centre = data_centre
         self.holder = holder
-        self.book = JobBook() if book is None else book
+        self.ledger = JobLedger() if ledger is None else ledger
         self.is_placer = False
         self.is_log_up = False
         self.gang_by_id: dict[str, Gang] = {}
@@ -55,7 +55,7 @@
         self._scheduler = scheduler
         self._workers = WorkerTable(scheduler)
         self._configuration = Configuration()
-        self._off_log = JobBook()
+        self._off_log = JobLedger()
         self._submitted_by_id: dict[str, JobSpec] = {}
         self._attempt_floor_by_id: dict[str, int] = {}
         self._stage_by_id: dict[str, Stage] = {}
@@ -65,7 +65,7 @@
 
     def entry(self, job_id: str) -> JobEntry | None:
         """Return the job as the log tells it, or as accepted while the log is down."""
-        return self.book.get(job_id) or self._off_log.get(job_id)
+        return self.ledger.get(job_id) or self._off_log.get(job_id)
 
     def _add_gang(self, gang: Gang, now_ms: int) -> None:
         self.gang_by_id[gang.spec.job_id] = gang
@@ -102,7 +102,7 @@
                 Reason.LOG_UNAVAILABLE, gang.detail, REFUSED_RETRY_AFTER_MS
             )
             return [AnswerSubmission(job_id, refusal)]
-        entry = self.book.get(job_id)
+        entry = self.ledger.get(job_id)
         if entry is None:
             self._scheduler.remove(job_id, now_ms)
             return []
@@ -119,7 +119,7 @@
         if entry is None or entry.phase is JobPhase.STARTED:
             return answer
         record = AttemptStarted(job_id, gang.claim.attempt, self._wall_ms(now_ms))
-        if self.book.get(job_id) is None:
+        if self.ledger.get(job_id) is None:
             self._off_log.apply(record)
             self.outbox.push_backlog(record)
         else:
@@ -138,7 +138,7 @@
                 # Nobody was told that it is accepted, and it can start no more.
                 return gang.release() + self._dropped(gang, now_ms)
             actions += self._record_off_log(gang)
-        entry = self.book.get(job_id)
+        entry = self.ledger.get(job_id)
         if entry is None or self.outbox.has_pending(job_id, *ENDING_RECORDS):
             return actions
         record = conclude(gang, entry, self._configuration, self._wall_ms(now_ms))
--- a/ragwortshelf/core/requests/__init__.py
+++ b/ragwortshelf/core/requests/__init__.py
@@ -1,7 +1,7 @@
 """Routing, limits, retries and outcomes of requests.
 
 ``RequestMachine`` queues, routes and retries the requests of one instance;
-``ShareKeeper`` divides the slots and connections of endpoints among the instances of a
+``ShareManager`` divides the slots and connections of endpoints among the instances of a
 data centre; ``IdReserver`` and ``KeptOutcomes`` hold what an id's owner has to know.
 """
 
@@ -47,7 +47,7 @@
 from .retries import RetryBudget, backoff_ms
 from .routing import least_loaded_of_two
 from .run_times import RunTimes
-from .shares import ShareKeeper, ShareSettings
+from .shares import ShareManager, ShareSettings
 
 __all__ = [
     "Abort",
@@ -94,6 +94,6 @@
     "backoff_ms",
     "least_loaded_of_two",
     "RunTimes",
-    "ShareKeeper",
+    "ShareManager",
     "ShareSettings",
 ]
--- a/ragwortshelf/core/requests/capacity.py
+++ b/ragwortshelf/core/requests/capacity.py
@@ -2,10 +2,10 @@
 
 from __future__ import annotations
 
-from .entries import EntryBook
+from .entries import EntryTable
 from .health import EndpointHealth
 from .routing import EndpointPool, PeerLoads
-from .shares import ShareKeeper
+from .shares import ShareManager
 
 __all__ = ["Capacity"]
 
@@ -15,11 +15,11 @@
 
     def __init__(
         self,
-        shares: ShareKeeper,
+        shares: ShareManager,
         pool: EndpointPool,
         health: EndpointHealth,
         loads: PeerLoads,
-        entries: EntryBook,
+        entries: EntryTable,
     ):
         self._shares = shares
         self._pool = pool
--- a/ragwortshelf/core/requests/endings.py
+++ b/ragwortshelf/core/requests/endings.py
@@ -5,7 +5,7 @@
 from ..model import NotRun, Reason, RequestOutcome, Unknown
 from .attempts import RETRY_AFTER_FAILURE_MS
 from .capacity import Capacity
-from .entries import Entry, EntryBook
+from .entries import Entry, EntryTable
 from .events import Abort, Action, Finish, Suspect
 from .fair_queue import FairQueue
 from .outcomes import failure_outcome
@@ -28,7 +28,7 @@
 
     def __init__(
         self,
-        entries: EntryBook,
+        entries: EntryTable,
         queue: FairQueue,
         progress: ProgressRules,
         run_times: RunTimes,
--- a/ragwortshelf/core/requests/entries.py
+++ b/ragwortshelf/core/requests/entries.py
@@ -8,7 +8,7 @@
 
 from ..model import Request
 
-__all__ = ["Entry", "EntryBook"]
+__all__ = ["Entry", "EntryTable"]
 
 
 @dataclass(slots=True)
@@ -42,7 +42,7 @@
         return self.endpoint is not None or self.peer is not None
 
 
-class EntryBook:
+class EntryTable:
     """Entries by request id, counts of open attempts, and timers."""
 
     def __init__(self):
--- a/ragwortshelf/core/requests/machine.py
+++ b/ragwortshelf/core/requests/machine.py
@@ -3,7 +3,7 @@
 It ties together the fair queue, routing, retries, health of endpoints and the outcome
 rules. It sends nothing itself: whoever drives it carries out the actions and reports
 how each attempt ended. Time is passed in, and the shares of slots are asked of a
-``ShareKeeper``.
+``ShareManager``.
 """
 
 from __future__ import annotations
@@ -21,7 +21,7 @@
 from .attempts import SERVER_ERROR, Retry, RetryRules
 from .capacity import Capacity
 from .endings import Endings, no_free_slot
-from .entries import Entry, EntryBook
+from .entries import Entry, EntryTable
 from .events import (
     QUEUE_LIMIT,
     Action,
@@ -49,7 +49,7 @@
 from .retries import RetryBudget
 from .routing import EndpointPool, PeerLoads, least_loaded_of_two, routed
 from .run_times import RunTimes
-from .shares import ShareKeeper
+from .shares import ShareManager
 
 __all__ = ["RequestMachine"]
 
@@ -61,7 +61,7 @@
 class RequestMachine:
     """Queues, routes and retries requests, and gives each one outcome."""
 
-    def __init__(self, data_centre: str, shares: ShareKeeper, rng: random.Random):
+    def __init__(self, data_centre: str, shares: ShareManager, rng: random.Random):
         self._data_centre = data_centre
         self._shares = shares
         self._rng = rng
@@ -71,7 +71,7 @@
         self._health = EndpointHealth(rng)
         self._budget = RetryBudget()
         self._run_times = RunTimes()
-        self._entries = EntryBook()
+        self._entries = EntryTable()
         self._progress = ProgressRules(self._entries, self._run_times)
         self._rules = RetryRules(self._budget, self._run_times, rng)
         self._capacity = Capacity(
--- a/ragwortshelf/core/requests/progress.py
+++ b/ragwortshelf/core/requests/progress.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from .entries import Entry, EntryBook
+from .entries import Entry, EntryTable
 from .run_times import RunTimes
 
 __all__ = ["ProgressRules"]
@@ -20,7 +20,7 @@
     what runs on them for longer than twice the 95th percentile of its class is cut off.
     """
 
-    def __init__(self, entries: EntryBook, run_times: RunTimes):
+    def __init__(self, entries: EntryTable, run_times: RunTimes):
         self._entries = entries
         self._run_times = run_times
 
--- a/ragwortshelf/core/requests/routing.py
+++ b/ragwortshelf/core/requests/routing.py
@@ -49,7 +49,7 @@
         self._refused_until_ms: dict[str, int] = {}
 
     def set_endpoints(self, endpoints: tuple[ServingEndpoint, ...]) -> bool:
-        """Take in the list; False if it tells nothing and is passed over."""
+        """Apply the list; False if it tells nothing and is passed over."""
         own = {m.name: m for m in endpoints if m.data_centre == self._data_centre}
         if not own:
             return False
@@ -83,7 +83,7 @@
         self._timed_by_peer: dict[str, _TimedLoad] = {}
 
     def note(self, peer: str, load: LoadReport, now_ms: int) -> None:
-        """Take in a report."""
+        """Record a report."""
         self._timed_by_peer[peer] = _TimedLoad(load, now_ms)
 
     def forget(self, peer: str) -> None:
--- a/ragwortshelf/core/requests/run_times.py
+++ b/ragwortshelf/core/requests/run_times.py
@@ -58,7 +58,7 @@
         }
 
     def note(self, request_class: RequestClass, run_ms: int) -> None:
-        """Take in the run time of a whole answer."""
+        """Record the run time of a whole answer."""
         self._window_by_class[request_class].add(run_ms)
 
     def mean_ms(self, request_class: RequestClass) -> float:
--- a/ragwortshelf/core/requests/shares.py
+++ b/ragwortshelf/core/requests/shares.py
@@ -22,10 +22,10 @@
 from .share_assignment import assigned_tokens
 from .share_members import ShareMember, ShareSettings
 
-__all__ = ["ShareKeeper", "ShareSettings"]
+__all__ = ["ShareManager", "ShareSettings"]
 
 
-class ShareKeeper:
+class ShareManager:
     """The tokens of one instance over all endpoints of its data centre.
 
     Every method takes ``now_ms`` of the instance's monotonic clock, and those that
@@ -63,7 +63,7 @@
     def note_list(
         self, live: set[str], leaving: set[str], asked_ms: int, now_ms: int
     ) -> None:
-        """Take in the names that the list gives for this data centre."""
+        """Apply the names that the list gives for this data centre."""
         self._check_lapse(now_ms)
         if self._instance not in live | leaving:
             # Those that are named may acquire tokens without knowing of this instance,
@@ -231,7 +231,7 @@
     def note_reply(
         self, sender: str, reply: ShareReply, asked_ms: int, now_ms: int
     ) -> None:
-        """Take in a peer's answer to this instance's last heartbeat to it."""
+        """Apply a peer's answer to this instance's last heartbeat to it."""
         self._check_lapse(now_ms)
         peer = self._peer(sender, now_ms)
         is_current = reply.sequence == peer.sent_sequence >= self._first_valid_sequence
--- a/ragwortshelf/core/scheduling/advice.py
+++ b/ragwortshelf/core/scheduling/advice.py
@@ -12,7 +12,7 @@
 from .fleet import Endpoint
 from .work import Work
 
-__all__ = ["AdviceBook", "Approval", "step_name"]
+__all__ = ["AdviceCache", "Approval", "step_name"]
 
 ASKED_MAX = 30
 """Endpoints named in one question; the objective of a job counts 30 for each step."""
@@ -48,7 +48,7 @@
     return f"{work.key.job_id}.{work.key.occurrence}.{work.key.step}"
 
 
-class AdviceBook:
+class AdviceCache:
     """What the policy service has said of each step."""
 
     def __init__(self):
--- a/ragwortshelf/core/scheduling/lifecycle.py
+++ b/ragwortshelf/core/scheduling/lifecycle.py
@@ -8,8 +8,8 @@
 
 from dataclasses import replace
 
-from .actions import Action, PersistUnit, StartTask, StopTask
-from .advice import AdviceBook
+from .actions import Action, AskAdvice, PersistUnit, StartTask, StopTask
+from .advice import AdviceCache, step_name
 from .configuration import ServiceConfiguration
 from .fleet import Endpoint, EndpointInfo, Member, MemberStage, RunEnd
 from .model import Resources, UnitKey, UnitPhase
@@ -35,7 +35,7 @@
         self.work_by_key: dict[UnitKey, Work] = {}
         self.waiting: dict[UnitKey, Work] = {}
         self.next_due_wall_ms: int | None = None
-        self.advice = AdviceBook()
+        self.advice = AdviceCache()
         self._timed_jobs: dict[str, int] = {}
         self._actions: list[Action] = []
 
@@ -88,6 +88,12 @@
         """Stop a unit so that it waits again; its checkpoint is kept."""
         self._stop_members(work, reason, now_ms)
 
+    def ask_advice(self, work: Work, endpoints: list[Endpoint], now_ms: int) -> None:
+        """Ask which of these endpoints may run a unit, if no answer is awaited."""
+        asked = self.advice.question(work, endpoints, now_ms)
+        if asked:
+            self._actions.append(AskAdvice(step_name(work), asked))
+
     def take_actions(self) -> list[Action]:
         """Return the collected actions, oldest first, and forget them."""
         actions, self._actions = self._actions, []
--- a/ragwortshelf/core/scheduling/planning.py
+++ b/ragwortshelf/core/scheduling/planning.py
@@ -4,19 +4,16 @@
 
 from collections import Counter, defaultdict
 from collections.abc import Sequence
-from typing import TYPE_CHECKING
 
 from .availability import may_be_stopped
 from .fleet import Endpoint, Member
+from .lifecycle import UnitLifecycle
 from .model import Resources, UnitKey, UnitPhase
 from .packing import allows, find_endpoints, rack_could_hold
 from .reclaim import Borrowed, Cost, Reclaim, plan_reclaim
 from .reservations import Reservations
 from .work import GPU_CORES, Work
 
-if TYPE_CHECKING:
-    from .scheduler import Scheduler
-
 __all__ = ["Planner"]
 
 RECLAIM_RETRY_MS = 1_500
@@ -48,7 +45,7 @@
 class Planner:
     """Places waiting units on the scheduler's endpoints."""
 
-    def __init__(self, scheduler: Scheduler):
+    def __init__(self, scheduler: UnitLifecycle):
         self._scheduler = scheduler
         self._reservations = Reservations()
         self._remaining_by_unit: dict[UnitKey, float] = {}
--- a/ragwortshelf/core/scheduling/scheduler.py
+++ b/ragwortshelf/core/scheduling/scheduler.py
@@ -8,8 +8,7 @@
 
 from __future__ import annotations
 
-from .actions import AskAdvice, NoteExclusion, PaceTask, StartTask, StopTask
-from .advice import step_name
+from .actions import NoteExclusion, PaceTask, StartTask, StopTask
 from .availability import may_be_stopped
 from .configuration import ServiceConfiguration
 from .departures import work_to_move
@@ -219,12 +218,6 @@
         if member is not None:
             member.pace_percent = FULL_PERCENT
 
-    def ask_advice(self, work: Work, endpoints: list[Endpoint], now_ms: int) -> None:
-        """Ask which of these endpoints may run a unit, if no answer is awaited."""
-        asked = self.advice.question(work, endpoints, now_ms)
-        if asked:
-            self._actions.append(AskAdvice(step_name(work), asked))
-
     def plan(self, now_ms: int, wall_ms: int) -> None:
         """Start what fits, stop what has to yield, and repeat lost stops."""
         self._open_due_occurrences(now_ms, wall_ms)
--- a/ragwortshelf/core/streams/__init__.py
+++ b/ragwortshelf/core/streams/__init__.py
@@ -8,11 +8,11 @@
 in a stream, group commit, the search for appends whose answer was lost, and snapshots.
 """
 
-from .books import Book
 from .codec import Undecodable, decode, encode
 from .follower import Delivery, Skipped, StreamFollower
 from .group_commit import Batch, CommitLimits, Full, GroupCommitter, Queued
 from .health import LogHealth
+from .ledgers import StreamLedger
 from .records import (
     JOBS_STREAM,
     RELEASES_STREAM,
@@ -43,7 +43,7 @@
 )
 
 __all__ = [
-    "Book",
+    "StreamLedger",
     "Undecodable",
     "decode",
     "encode",
--- a/ragwortshelf/core/streams/books.py
+++ b/ragwortshelf/core/streams/ledgers.py
@@ -1,4 +1,4 @@
-"""What the books that streams fold into have in common: their snapshots."""
+"""What the ledgers that streams fold into have in common: their snapshots."""
 
 from __future__ import annotations
 
@@ -7,10 +7,10 @@
 
 from .codec import decode, encode
 
-__all__ = ["Book"]
+__all__ = ["StreamLedger"]
 
 
-class Book(abc.ABC):
+class StreamLedger(abc.ABC):
     """State folded from one stream, which snapshots carry whole.
 
     ``SNAPSHOT_TYPE`` is the frozen data class of a snapshot.
@@ -20,7 +20,7 @@
 
     @abc.abstractmethod
     def to_snapshot(self) -> object:
-        """Return everything that the book holds."""
+        """Return everything that the ledger holds."""
 
     @abc.abstractmethod
     def _load(self, snapshot) -> None:
@@ -28,10 +28,10 @@
 
     @classmethod
     def from_snapshot(cls, snapshot, **limits: int):
-        """Return a book that goes on where ``snapshot`` was taken."""
-        book = cls(**limits)
-        book._load(snapshot)
-        return book
+        """Return a ledger that goes on where ``snapshot`` was taken."""
+        ledger = cls(**limits)
+        ledger._load(snapshot)
+        return ledger
 
     def snapshot(self) -> bytes:
         """Return ``to_snapshot`` as bytes."""
@@ -40,7 +40,7 @@
     def restore(self, data: bytes) -> None:
         """Replace the contents by those of ``snapshot`` bytes.
 
-        Raises `ValueError` if the bytes are no snapshot of such a book.
+        Raises `ValueError` if the bytes are no snapshot of such a ledger.
         """
         snapshot = decode(data, {self.SNAPSHOT_TYPE.__name__: self.SNAPSHOT_TYPE})
         if not isinstance(snapshot, self.SNAPSHOT_TYPE):
--- a/ragwortshelf/daemon/api/jobs.py
+++ b/ragwortshelf/daemon/api/jobs.py
@@ -62,11 +62,11 @@
 class JobApi:
     """Submits, shows and cancels jobs.
 
-    ``front`` accepts and cancels jobs, and reads the book of all jobs.
+    ``gateway`` accepts and cancels jobs, and reads the ledger of all jobs.
     """
 
-    def __init__(self, front):
-        self._front = front
+    def __init__(self, gateway):
+        self._gateway = gateway
 
     def add_routes(self, router: Router) -> None:
         """Add this subject's routes."""
@@ -88,7 +88,7 @@
             return error(403, "forbidden", "this organisation is not yours")
         if job_key and not all(c.isalnum() or c in "-_" for c in job_key):
             return error(400, "bad_fields", "job_key: use letters, digits, - and _")
-        outcome = await self._front.submit(spec, job_key)
+        outcome = await self._gateway.submit(spec, job_key)
         if isinstance(outcome, NotRun):
             return not_run_response(outcome)
         if isinstance(outcome, Unknown):
@@ -105,7 +105,7 @@
         limit = _query_integer(query, "limit", 100, _ROWS_MAX)
         if isinstance(limit, HttpResponse):
             return limit
-        entries = self._front.newest_jobs(organisation, query.get("phase"), limit)
+        entries = self._gateway.newest_jobs(organisation, query.get("phase"), limit)
         return json_response(200, {"jobs": [job_fields(entry) for entry in entries]})
 
     async def _show(self, call: ApiCall) -> HttpResponse:
@@ -116,15 +116,15 @@
         if isinstance(entry, HttpResponse):
             return entry
         with trio.move_on_after(wait_ms / 1000):
-            await self._front.wait_final(entry.spec.job_id)
-        return json_response(200, job_fields(self._front.get(entry.spec.job_id)))
+            await self._gateway.wait_final(entry.spec.job_id)
+        return json_response(200, job_fields(self._gateway.get(entry.spec.job_id)))
 
     async def _cancel(self, call: ApiCall) -> HttpResponse:
         entry = await self._find(call)
         if isinstance(entry, HttpResponse):
             return entry
         by = call.principal.organisation or "operator"
-        outcome = await self._front.cancel(entry.spec.job_id, by)
+        outcome = await self._gateway.cancel(entry.spec.job_id, by)
         if isinstance(outcome, NotRun):
             return not_run_response(outcome)
         if isinstance(outcome, Unknown):
@@ -135,12 +135,12 @@
         entry = await self._find(call)
         if isinstance(entry, HttpResponse):
             return entry
-        return json_response(200, await self._front.explain(entry))
+        return json_response(200, await self._gateway.explain(entry))
 
     async def _find(self, call: ApiCall) -> JobEntry | HttpResponse:
         """Return the job, hiding those of other organisations as unknown."""
         job_id = call.parts["job_id"]
-        entry = self._front.get(job_id)
+        entry = self._gateway.get(job_id)
         if entry is None or not call.principal.may_see(entry.spec.organisation):
             return error(404, "no_such_job", job_id)
         return entry
--- a/ragwortshelf/daemon/api/operations.py
+++ b/ragwortshelf/daemon/api/operations.py
@@ -28,7 +28,7 @@
         router.add("GET", "/v1/instances", self._instances, operators_only=True)
 
     async def _organisations(self, call: ApiCall) -> HttpResponse:
-        tables = await self._node.front.desk.worker_tables()
+        tables = await self._node.gateway.placer_queries.worker_tables()
         shortfalls = [text for table in tables for text in table.shortfalls]
         rows = [
             _organisation_row(organisation, shortfalls)
@@ -47,10 +47,10 @@
         withdrawn = self._node.configuration.withdrawn_organisations_by_name
         if name not in known and name not in withdrawn:
             return error(404, "no_such_organisation", name)
-        return json_response(200, self._node.front.usage_fields(name))
+        return json_response(200, self._node.gateway.usage_fields(name))
 
     async def _workers(self, call: ApiCall) -> HttpResponse:
-        tables = await self._node.front.desk.worker_tables()
+        tables = await self._node.gateway.placer_queries.worker_tables()
         rows = [
             {
                 "name": row.name,
@@ -75,7 +75,7 @@
         if faults := reader.finish():
             return field_faults(faults)
         name = call.parts["name"]
-        if not await self._node.front.desk.quarantine(name, is_quarantined):
+        if not await self._node.gateway.placer_queries.quarantine(name, is_quarantined):
             return error(
                 503, "placer_unreachable", "the worker's placer did not answer"
             )
--- a/ragwortshelf/daemon/dispatcher.py
+++ b/ragwortshelf/daemon/dispatcher.py
@@ -1,6 +1,6 @@
 """The service that carries requests from callers to endpoints.
 
-It drives ``RequestMachine`` and ``ShareKeeper``: their actions become sends over
+It drives ``RequestMachine`` and ``ShareManager``: their actions become sends over
 connections to endpoints and calls to peers. Ownership of ids is in
 ``dispatcher_ownership``, heartbeats are in ``dispatcher_heartbeats``.
 """
@@ -41,7 +41,7 @@
     PeerLoadNoted,
     RequestMachine,
     Send,
-    ShareKeeper,
+    ShareManager,
     ShareSettings,
     Spill,
     Submitted,
@@ -107,7 +107,7 @@
         self._observe = observer
         self._ids = IdReserver(instance, incarnation)
         settings = share_settings or ShareSettings()
-        self._shares = ShareKeeper(instance, data_centre, incarnation, settings)
+        self._shares = ShareManager(instance, data_centre, incarnation, settings)
         self._machine = RequestMachine(data_centre, self._shares, rng)
         self._connections = ConnectionPool(
             open_endpoint, lambda name: self._shares.connections(name, monotonic_ms())
@@ -126,14 +126,14 @@
     # What the daemon tells
 
     def set_endpoints(self, endpoints: tuple[ServingEndpoint, ...]) -> None:
-        """Take in the endpoints of all data centres from the list."""
+        """Apply the endpoints of all data centres from the list."""
         self._attempts.endpoint_by_name.update({m.name: m for m in endpoints})
         self._handle(EndpointsListed(tuple(endpoints)))
 
     def set_instances(
         self, instances: tuple[InstanceInfo, ...], *, asked_ms: int | None = None
     ) -> None:
-        """Take in the instances of all data centres from one answer of the list.
+        """Apply the instances of all data centres from one answer of the list.
 
         To be called for every answer, changed or not, since each one renews this
         instance's right to its share. ``asked_ms`` is when the list was asked.
@@ -150,14 +150,14 @@
         self._ownership.set_instances(instances)
 
     def set_configuration(self, configuration: Configuration) -> None:
-        """Take in the weights of the organisations and the limit of their queues."""
+        """Apply the weights of the organisations and the limit of their queues."""
         organisations = configuration.organisations_by_name
         weights = {name: org.weight for name, org in organisations.items()}
         queue_limit = int(rule_value(configuration, "queue_limit"))
         self._handle(OrganisationsChanged(weights, queue_limit))
 
     def note_peer_load(self, peer: str, load: LoadReport) -> None:
-        """Take in a peer's load report."""
+        """Apply a peer's load report."""
         self._handle(PeerLoadNoted(peer, load))
 
     # What the daemon asks
--- a/ragwortshelf/daemon/dispatcher_heartbeats.py
+++ b/ragwortshelf/daemon/dispatcher_heartbeats.py
@@ -8,7 +8,7 @@
 import trio
 
 from ..core.model import InstanceInfo
-from ..core.requests import LoadReport, ShareHeartbeat, ShareKeeper, ShareReply
+from ..core.requests import LoadReport, ShareHeartbeat, ShareManager, ShareReply
 from ..net.interfaces import Peers
 from .clock import monotonic_ms
 
@@ -33,7 +33,7 @@
     """Exchanges shares within the data centre, and load with a few others."""
 
     def __init__(
-        self, service: _Service, shares: ShareKeeper, peers: Peers, rng: random.Random
+        self, service: _Service, shares: ShareManager, peers: Peers, rng: random.Random
     ):
         self._service = service
         self._shares = shares
@@ -45,7 +45,7 @@
         peers.handle(LoadReport, self._on_load)
 
     def set_instances(self, instances: tuple[InstanceInfo, ...]) -> None:
-        """Take in the names of all listed instances."""
+        """Apply the names of all listed instances."""
         if instances:
             self._known = tuple(info.name for info in instances)
 
--- a/ragwortshelf/daemon/dispatcher_ownership.py
+++ b/ragwortshelf/daemon/dispatcher_ownership.py
@@ -75,7 +75,7 @@
         self._peers.handle(HandedOver, self._on_handed_over)
 
     def set_instances(self, instances: tuple[InstanceInfo, ...]) -> None:
-        """Take in the list; an empty one changes nothing."""
+        """Apply the list; an empty one changes nothing."""
         if instances:
             self._live_peers = tuple(
                 info
--- a/ragwortshelf/daemon/job_front.py
+++ b/ragwortshelf/daemon/job_gateway.py
@@ -1,8 +1,8 @@
 """Jobs as callers and operators see them, at any instance of the platform.
 
-The front accepts jobs into the log, or, while the log is out, hands them to the placer
-of its own data centre. Questions about workers and decisions go to the placer of the
-data centre they are about.
+The gateway accepts jobs into the log, or, while the log is out, hands them to the
+placer of its own data centre. Questions about workers and decisions go to the placer
+of the data centre they are about.
 """
 
 from __future__ import annotations
@@ -11,12 +11,11 @@
 import itertools
 from collections.abc import Iterable
 from dataclasses import replace
-from typing import TYPE_CHECKING
 
 import trio
 
-from ..core.charging import ChargeBook
-from ..core.jobs import JobBook, JobEntry, admit, job_id
+from ..core.charging import ChargeLedger
+from ..core.jobs import JobEntry, JobLedger, admit, job_id
 from ..core.model import (
     Configuration,
     Decision,
@@ -40,16 +39,14 @@
 from ..net.interfaces import Appended
 from ..net.workers import HttpWorker
 from .clock import monotonic_ms, wall_ms
+from .instance_context import InstanceContext
 from .job_upkeep import Capacity, JobUpkeep
 from .logs import log_decision
 from .peer_messages import ExplainJob, Explanation, JobAnswer, PlaceOffLog
 from .placer import PlacerService
-from .placer_desk import PlacerDesk
+from .placer_queries import PlacerQueries
 
-if TYPE_CHECKING:
-    from .node import Node
-
-__all__ = ["JobFront"]
+__all__ = ["JobGateway"]
 
 _APPEND_TIMEOUT_MS = 5_000
 _READ_BACK_TIMEOUT_MS = 5_000
@@ -60,17 +57,17 @@
 _RETRY_AFTER_MS = 2_000
 
 
-class JobFront:
+class JobGateway:
     """Accepts, shows and cancels jobs, and runs this instance's placer."""
 
-    def __init__(self, node: Node):
+    def __init__(self, node: InstanceContext):
         self._node = node
         self._numbers = itertools.count(1)
         self._changed = trio.Event()
         data_centre = node.settings.data_centre
         self._holder = f"{node.settings.instance}.{node.incarnation}"
-        self.book = JobBook()
-        self.charges = ChargeBook()
+        self.ledger = JobLedger()
+        self.charges = ChargeLedger()
         self._scheduler = Scheduler(data_centre)
         self.placer = PlacerService(
             data_centre,
@@ -81,13 +78,15 @@
             self._append_job_record,
             self._scheduler,
             log_decision,
-            book=self.book,
+            ledger=self.ledger,
             charges=self.charges,
             record_usage=self._record_usage,
         )
-        self._upkeep = JobUpkeep(data_centre, self._scheduler, self.book)
+        self._upkeep = JobUpkeep(data_centre, self._scheduler, self.ledger)
         node.membership.register(Capacity)
-        self.desk = PlacerDesk(node, self.placer, self._scheduler, self._place_now)
+        self.placer_queries = PlacerQueries(
+            node, self.placer, self._scheduler, self._place_now
+        )
 
     # What the node tells
 
@@ -97,13 +96,13 @@
         self._notify()
 
     def restored(self) -> None:
-        """Hear that the book was replaced by a newer one."""
+        """Hear that the ledger was replaced by a newer one."""
         self.placer.set_role(False)
         self.placer.settle_all()
         self._notify()
 
     def set_workers(self, workers: Iterable[WorkerInfo]) -> None:
-        """Take in the workers of all data centres from the list."""
+        """Apply the workers of all data centres from the list."""
         data_centre = self._node.settings.data_centre
         mine = [info for info in workers if info.data_centre == data_centre]
         # A list that lost every worker is more likely wrong than true.
@@ -118,7 +117,7 @@
         """Run the placer and keep its role up to date."""
         async with trio.open_nursery() as nursery:
             nursery.start_soon(self.placer.run)
-            nursery.start_soon(self._look_after_jobs)
+            nursery.start_soon(self._maintain_jobs)
             while True:
                 self._update_role()
                 await trio.sleep(_ROLE_CHECK_S)
@@ -149,7 +148,7 @@
             return await self._submit_off_log(spec, job_key)
         if job_key:
             spec = replace(spec, job_id=f"{spec.organisation}.key.{job_key}")
-            known = self.book.get(spec.job_id)
+            known = self.ledger.get(spec.job_id)
             if known is not None:
                 return known
         else:
@@ -182,9 +181,9 @@
     ) -> list[JobEntry]:
         """Return the newest jobs of an organisation, or of all if it is empty."""
         if organisation:
-            entries: Iterable[JobEntry] = self.book.of_organisation(organisation)
+            entries: Iterable[JobEntry] = self.ledger.of_organisation(organisation)
         else:
-            entries = self.book.entries()
+            entries = self.ledger.entries()
         if phase:
             entries = (entry for entry in entries if entry.phase.value == phase)
         return heapq.nlargest(
@@ -202,7 +201,7 @@
         if entry.ended is not None:
             detail = entry.ended.detail or entry.ended.reason.value
             return {**fields, "choice": "ended", "reason": detail}
-        answer = await self.desk.ask(
+        answer = await self.placer_queries.ask(
             entry.home_data_centre, ExplainJob(entry.spec.job_id)
         )
         if not isinstance(answer, Explanation) or answer.decision is None:
@@ -253,7 +252,9 @@
         if job_key:
             detail = "a job with a key needs the log, which is out"
             return NotRun(Reason.LOG_UNAVAILABLE, detail, _RETRY_AFTER_MS)
-        answer = await self.desk.ask(self._node.settings.data_centre, PlaceOffLog(spec))
+        answer = await self.placer_queries.ask(
+            self._node.settings.data_centre, PlaceOffLog(spec)
+        )
         if isinstance(answer, Unreachable):
             return _without_answer(answer, "the placer gave no answer")
         if answer.is_unknown:
@@ -275,7 +276,7 @@
         admitted = admit(
             spec,
             self._node.configuration,
-            self.book,
+            self.ledger,
             is_log_up,
             wall_ms(),
             data_centre=self._node.settings.data_centre,
@@ -324,7 +325,7 @@
         if is_placer != self.placer.machine.is_placer:
             self.placer.set_role(is_placer)
 
-    async def _look_after_jobs(self) -> None:
+    async def _maintain_jobs(self) -> None:
         while True:
             await trio.sleep(_UPKEEP_INTERVAL_S)
             if not self.placer.machine.is_placer:
@@ -359,7 +360,7 @@
             return
         specs = tuple(entry.spec for entry in entry_by_id.values())
         here = self._node.settings.data_centre
-        homes = await self.desk.cheapest_homes(specs, here)
+        homes = await self.placer_queries.cheapest_homes(specs, here)
         for moved_id, home in homes.items():
             move = entry_by_id[moved_id].moves + 1
             record = JobMoved(moved_id, move, home, Reason.NO_CAPACITY)
--- a/ragwortshelf/daemon/job_upkeep.py
+++ b/ragwortshelf/daemon/job_upkeep.py
@@ -11,7 +11,7 @@
 from collections.abc import Iterable
 from dataclasses import dataclass
 
-from ..core.jobs import JobBook, JobEntry, rehome
+from ..core.jobs import JobEntry, JobLedger, rehome
 from ..core.membership import MemberStatus, View
 from ..core.model import Configuration
 from ..core.placement import Scheduler
@@ -40,10 +40,10 @@
 class JobUpkeep:
     """The upkeep of one placer; ``look`` returns the records to append."""
 
-    def __init__(self, data_centre: str, scheduler: Scheduler, book: JobBook):
+    def __init__(self, data_centre: str, scheduler: Scheduler, ledger: JobLedger):
         self._data_centre = data_centre
         self._scheduler = scheduler
-        self._book = book
+        self._ledger = ledger
         self._held_organisations: set[str] = set()
         self._absent_since_ms: dict[str, int] = {}
 
@@ -54,9 +54,9 @@
         )
 
     def note_elsewhere(self, capacities: Iterable[Capacity]) -> None:
-        """Take in what organisations hold and what is free in other data centres."""
+        """Record what organisations hold and what is free in other data centres."""
         held: Counter[str] = Counter()
-        for entry in self._book.active():
+        for entry in self._ledger.active():
             if entry.is_open and entry.home_data_centre != self._data_centre:
                 held[entry.spec.organisation] += entry.spec.accelerators
         for organisation in self._held_organisations | set(held):
@@ -74,7 +74,7 @@
         One of a shape a round, since what takes it may have room for no second one.
         """
         oldest_by_shape: dict[tuple, JobEntry] = {}
-        for entry in self._book.active():
+        for entry in self._ledger.active():
             spec = entry.spec
             is_here = entry.home_data_centre == self._data_centre
             if is_here and entry.is_waiting and self._scheduler.is_waiting(spec.job_id):
@@ -96,10 +96,10 @@
     ) -> list[Record]:
         """Return records that withdrawals and lost data centres call for."""
         records: list[Record] = list(
-            withdrawals(self._book.active(), configuration, self._data_centre)
+            withdrawals(self._ledger.active(), configuration, self._data_centre)
         )
         for name in self._lost(configuration, view, now_ms):
-            records += rehome(self._book, name, configuration, wall_ms())
+            records += rehome(self._ledger, name, configuration, wall_ms())
         return records
 
     def _lost(self, configuration: Configuration, view: View, now_ms: int) -> list[str]:
--- a/ragwortshelf/daemon/main.py
+++ b/ragwortshelf/daemon/main.py
@@ -36,7 +36,7 @@
     router = Router(Access(node.settings))
     HealthApi(node).add_routes(router)
     RequestApi(node.requests).add_routes(router)
-    JobApi(node.front).add_routes(router)
+    JobApi(node.gateway).add_routes(router)
     ReleaseApi(node).add_routes(router)
     OperationApi(node).add_routes(router)
     return router
--- a/ragwortshelf/daemon/node.py
+++ b/ragwortshelf/daemon/node.py
@@ -29,8 +29,9 @@
 from ..net.peers import PeerNetwork
 from .clock import monotonic_ms, wall_ms
 from .dispatcher import RequestService
-from .folds import BookFold
-from .job_front import JobFront
+from .folds import LedgerFold
+from .instance_context import InstanceContext
+from .job_gateway import JobGateway
 from .logs import log_decision, log_event
 from .membership import MembershipService, new_incarnation
 from .metrics import Metrics
@@ -81,7 +82,7 @@
         return await self._inner.fetch()
 
 
-class Node:
+class Node(InstanceContext):
     """All services of one instance and what flows between them."""
 
     def __init__(self, settings: Settings):
@@ -107,7 +108,7 @@
         self.membership = MembershipService(
             self.info, self.incarnation, self._list, self.network, rng
         )
-        self.front = JobFront(self)
+        self.gateway = JobGateway(self)
         self._build_streams(rng)
         self.requests = RequestService(
             settings.instance,
@@ -128,8 +129,8 @@
         self.releases = ReleaseFold()
         folds = {
             RELEASES_STREAM: self.releases,
-            JOBS_STREAM: BookFold(self.front.book, self.front.deliver),
-            USAGE_STREAM: BookFold(self.front.charges),
+            JOBS_STREAM: LedgerFold(self.gateway.ledger, self.gateway.deliver),
+            USAGE_STREAM: LedgerFold(self.gateway.charges),
         }
         log = HttpLog(settings.log_address, timeout_ms=settings.platform_timeout_ms)
         self.streams = StreamService(log, settings.instance, folds, rng)
@@ -143,12 +144,12 @@
         self.membership.on_change(self._members_changed)
         self.streams.on_record(RELEASES_STREAM, lambda *_: self._bring_into_force())
         self.streams.on_restored(RELEASES_STREAM, lambda _: self._bring_into_force())
-        self.streams.on_restored(JOBS_STREAM, lambda _: self.front.restored())
+        self.streams.on_restored(JOBS_STREAM, lambda _: self.gateway.restored())
         self.network.register(*_REPLY_TYPES)
         self.network.handle(StateRequested, self._give_state)
         self.metrics.gauge("requests_waiting", self.requests.waiting)
         self.metrics.gauge("revision", lambda: self.revision_in_force)
-        self.metrics.gauge("jobs_active", lambda: self.front.book.active_count)
+        self.metrics.gauge("jobs_active", lambda: self.gateway.ledger.active_count)
 
     @property
     def configuration(self) -> Configuration:
@@ -191,7 +192,7 @@
             nursery.start_soon(self.membership.run)
             nursery.start_soon(self.streams.run)
             await nursery.start(self.requests.run)
-            nursery.start_soon(self.front.run)
+            nursery.start_soon(self.gateway.run)
             nursery.start_soon(self._publish_revision)
             nursery.start_soon(self._settle_when_caught_up)
             nursery.start_soon(self._take_state_from_peer)
@@ -204,7 +205,7 @@
         self.membership.set_draining()
         async with trio.open_nursery() as nursery:
             nursery.start_soon(self.requests.drain)
-            nursery.start_soon(self.front.drain)
+            nursery.start_soon(self.gateway.drain)
 
     def revision_rows(self) -> list[dict]:
         """Return each known instance's revision in force and its age."""
@@ -235,7 +236,7 @@
     def _list_fetched(self, members: Membership) -> None:
         self.requests.set_endpoints(members.endpoints)
         self.requests.set_instances(members.instances, asked_ms=self._list.asked_ms)
-        self.front.set_workers(members.workers)
+        self.gateway.set_workers(members.workers)
 
     def _members_changed(self, view: View) -> None:
         live = sum(member.status == "alive" for member in view.members_by_name.values())
@@ -249,7 +250,7 @@
         self._since_now_wall_ms = wall_ms()
         log_event("configuration in force", revision=configuration.revision)
         self.requests.set_configuration(configuration)
-        self.front.set_configuration(configuration)
+        self.gateway.set_configuration(configuration)
         self.membership.publish(_REVISION_KEY, self._revision())
 
     def _revision(self) -> Revision:
--- a/ragwortshelf/daemon/placer.py
+++ b/ragwortshelf/daemon/placer.py
@@ -8,15 +8,15 @@
 
 import trio
 
-from ..core.charging import ChargeBook
+from ..core.charging import ChargeLedger
 from ..core.jobs import (
     AnswerSubmission,
     AppendAnswered,
     AppendRecord,
     ConfigurationChanged,
     Event,
-    JobBook,
     JobEntry,
+    JobLedger,
     JobSubmittedOffLog,
     LogDecision,
     LogReachable,
@@ -91,16 +91,16 @@
         scheduler: Scheduler,
         log_decision: Callable[[Decision], None],
         *,
-        book: JobBook | None = None,
-        charges: ChargeBook | None = None,
+        ledger: JobLedger | None = None,
+        charges: ChargeLedger | None = None,
         record_usage: RecordUsage = _discard_usage,
         wall_s: Callable[[], float] = time.time,
     ) -> None:
-        self.machine = PlacerMachine(data_centre, holder, scheduler, book)
+        self.machine = PlacerMachine(data_centre, holder, scheduler, ledger)
         self._worker_factory = worker_factory
         self._append = append
         self._log_decision = log_decision
-        self._charges = ChargeBook() if charges is None else charges
+        self._charges = ChargeLedger() if charges is None else charges
         self._record_usage = record_usage
         self._wall_s = wall_s
         self._nursery: trio.Nursery | None = None
@@ -115,9 +115,9 @@
         self._refusal_by_id: dict[str, NotRun | None] = {}
 
     @property
-    def book(self) -> JobBook:
+    def ledger(self) -> JobLedger:
         """All jobs as the delivered records tell them."""
-        return self.machine.book
+        return self.machine.ledger
 
     async def run(self) -> None:
         """Work until cancelled."""
@@ -137,11 +137,11 @@
         self._handle(RecordRead(offset, record))
         is_accepted = isinstance(record, JobAccepted)
         job_id = record.spec.job_id if is_accepted else getattr(record, "job_id", "")
-        self._settle(self.book.get(job_id))
+        self._settle(self.ledger.get(job_id))
 
     def settle_all(self) -> None:
-        """Tell the charges of all jobs, after the book was restored."""
-        for entry in self.book.entries():
+        """Tell the charges of all jobs, after the ledger was restored."""
+        for entry in self.ledger.entries():
             self._settle(entry)
 
     def _settle(self, entry: JobEntry | None) -> None:
@@ -208,7 +208,7 @@
             if not may_be_in:
                 detail = "the log takes no records"
                 return NotRun(Reason.LOG_UNAVAILABLE, detail, RETRY_AFTER_MS)
-            if self.book.get(spec.job_id) is not None:
+            if self.ledger.get(spec.job_id) is not None:
                 return None
             if trio.current_time() >= deadline_s:
                 return Unknown(Reason.LOG_UNAVAILABLE, "the log does not answer")
--- a/ragwortshelf/daemon/placer_desk.py
+++ b/ragwortshelf/daemon/placer_queries.py
@@ -7,13 +7,13 @@
 from __future__ import annotations
 
 from collections.abc import Awaitable, Callable, Iterable
-from typing import TYPE_CHECKING
 
 import trio
 
 from ..core.model import JobSpec, Unreachable
 from ..core.placement import Scheduler
 from .clock import monotonic_ms
+from .instance_context import InstanceContext
 from .peer_messages import (
     Acknowledged,
     ExplainJob,
@@ -29,17 +29,14 @@
 )
 from .placer import PlacerService
 
-if TYPE_CHECKING:
-    from .node import Node
-
-__all__ = ["PlacerDesk"]
+__all__ = ["PlacerQueries"]
 
 _PEER_TIMEOUT_MS = 5_000
 
 PlaceNow = Callable[[JobSpec], Awaitable[JobAnswer]]
 
 
-class PlacerDesk:
+class PlacerQueries:
     """Asks placers, and answers for this instance's own.
 
     ``place_now`` accepts a job while the log is out, if it can be placed at once.
@@ -47,7 +44,7 @@
 
     def __init__(
         self,
-        node: Node,
+        node: InstanceContext,
         placer: PlacerService,
         scheduler: Scheduler,
         place_now: PlaceNow,
--- a/ragwortshelf/scheduler/front.py
+++ b/ragwortshelf/scheduler/gateway.py
@@ -18,7 +18,7 @@
 from .settings import SchedulingSettings
 from .siblings import Siblings
 
-__all__ = ["Accepted", "Access", "Declined", "Front", "Reason", "Shown", "Uncertain"]
+__all__ = ["Accepted", "Access", "Declined", "Gateway", "Reason", "Shown", "Uncertain"]
 
 STATE_AGE_MAX_MS = 150
 """Age of the state that is shown without reading the log again."""
@@ -83,7 +83,7 @@
     state: JobState
 
 
-class Front:
+class Gateway:
     """What callers may ask of one instance."""
 
     def __init__(
--- a/ragwortshelf/scheduler/instance.py
+++ b/ragwortshelf/scheduler/instance.py
@@ -8,7 +8,7 @@
 from ..daemon.metrics import Metrics
 from .configuration import ConfigurationFollower
 from .election import Election
-from .front import Front
+from .gateway import Gateway
 from .interfaces import OutsideWorld
 from .log_follower import LogFollower
 from .log_writer import GroupWriter
@@ -40,9 +40,9 @@
             self.follower,
             self.writer,
             settings,
-            lambda: self.front.is_ready(),
+            lambda: self.gateway.is_ready(),
         )
-        self.front = Front(
+        self.gateway = Gateway(
             settings,
             self.follower,
             self.writer,
@@ -72,7 +72,7 @@
             self.configuration,
             self.election,
             self.siblings,
-            self.front,
+            self.gateway,
         ):
             part.settings = settings
 
--- a/tests/core/charging/test_charge_book.py
+++ b/tests/core/charging/test_ledger.py
@@ -5,7 +5,7 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
-from ragwortshelf.core.charging import ChargeBook, IntegerRanges, Statement
+from ragwortshelf.core.charging import ChargeLedger, IntegerRanges, Statement
 from ragwortshelf.core.model import UsageReport
 from ragwortshelf.core.streams import UsageCorrected, UsageRecorded
 
@@ -39,21 +39,21 @@
     steps += [("correct", number) for number in range(fixes)]
     steps += rng.choices(steps, k=len(steps)) if steps else []
     rng.shuffle(steps)
-    book = ChargeBook()
+    ledger = ChargeLedger()
     for kind, item in steps:
         if kind == "report":
-            fresh = book.unknown_of([report(item), report(item)])
-            book.apply(UsageRecorded(fresh))
+            fresh = ledger.unknown_of([report(item), report(item)])
+            ledger.apply(UsageRecorded(fresh))
         elif kind == "correct":
-            book.apply(correction(item))
+            ledger.apply(correction(item))
         else:
             job_id, lost_by_attempt = item
             organisation = f"org{job_id[-1] in '01'}"
-            book.settle(job_id, organisation, lost_by_attempt, True)
+            ledger.settle(job_id, organisation, lost_by_attempt, True)
         if rng.random() < 0.2:
-            data = book.snapshot()
-            book = ChargeBook()
-            book.restore(data)
+            data = ledger.snapshot()
+            ledger = ChargeLedger()
+            ledger.restore(data)
     for organisation in ("orgTrue", "orgFalse"):
         mine = [report(key) for key in known]
         mine = [item for item in mine if item.organisation == organisation]
@@ -69,22 +69,22 @@
         expected = Statement(
             organisation, sum(ran_by_attempt.values()), wasted, corrected
         )
-        assert book.statement(organisation) == expected
+        assert ledger.statement(organisation) == expected
 
 
 def test_closed_accounts_stay_in_the_sum_and_count_nothing_twice():
-    book = ChargeBook(ended_kept=2)
+    ledger = ChargeLedger(ended_kept=2)
     for job_id in JOBS:
-        book.apply(UsageRecorded((report((job_id, 1, 0, 1)),)))
-        book.settle(job_id, report((job_id, 1, 0, 1)).organisation, {1: None}, True)
-    before = book.statement("orgTrue")
+        ledger.apply(UsageRecorded((report((job_id, 1, 0, 1)),)))
+        ledger.settle(job_id, report((job_id, 1, 0, 1)).organisation, {1: None}, True)
+    before = ledger.statement("orgTrue")
     assert before == Statement("orgTrue", 202, 202)
-    assert book.charge(JOBS[0]) is None
+    assert ledger.charge(JOBS[0]) is None
     late = report((JOBS[0], 1, 0, 1))
-    assert book.unknown_of([late]) == ()
-    book.apply(UsageRecorded((late,)))
-    assert book.statement("orgTrue") == Statement("orgTrue", 202, 202, 0, 101)
-    assert len(book.to_snapshot().accounts) == 2
+    assert ledger.unknown_of([late]) == ()
+    ledger.apply(UsageRecorded((late,)))
+    assert ledger.statement("orgTrue") == Statement("orgTrue", 202, 202, 0, 101)
+    assert len(ledger.to_snapshot().accounts) == 2
 
 
 @given(st.lists(st.integers(0, 30)))
@@ -99,8 +99,8 @@
 
 
 def test_long_job_costs_one_range_a_task():
-    book = ChargeBook()
+    ledger = ChargeLedger()
     for sequence in range(1, 2_000):
-        book.apply(UsageRecorded((report((JOBS[0], 1, 0, sequence)),)))
-    (account,) = book.to_snapshot().accounts
+        ledger.apply(UsageRecorded((report((JOBS[0], 1, 0, sequence)),)))
+    (account,) = ledger.to_snapshot().accounts
     assert account.seen[0].ranges == ((1, 1_999),)
--- a/tests/core/jobs/conftest.py
+++ b/tests/core/jobs/conftest.py
@@ -235,7 +235,7 @@
 
     def outcome(self, job_id):
         self.placers[0].read()
-        entry = self.placers[0].machine.book.get(job_id)
+        entry = self.placers[0].machine.ledger.get(job_id)
         return None if entry is None else entry.outcome
 
     def live_leases(self):
--- a/tests/core/jobs/test_job_book.py
+++ b/tests/core/jobs/test_ledger.py
@@ -4,7 +4,7 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
-from ragwortshelf.core.jobs import JobBook, admit
+from ragwortshelf.core.jobs import JobLedger, admit
 from ragwortshelf.core.model import (
     Configuration,
     DataCentre,
@@ -74,14 +74,14 @@
 
 @given(st.lists(records, max_size=30), st.integers(0, 30))
 def test_copies_and_snapshots_change_nothing(log, cut):
-    once, twice = JobBook(), JobBook()
+    once, twice = JobLedger(), JobLedger()
     for index, record in enumerate(log):
         once.apply(record)
         twice.apply(decode_record(encode_record(record)))
         twice.apply(record)
         if index == cut:
             data = twice.snapshot()
-            twice = JobBook()
+            twice = JobLedger()
             twice.restore(data)
     assert once.to_snapshot() == twice.to_snapshot()
 
@@ -89,12 +89,12 @@
 @given(st.lists(records, max_size=30))
 @settings(max_examples=200)
 def test_what_is_final_or_claimed_stays(log):
-    book = JobBook()
+    ledger = JobLedger()
     for record in [accepted(job_id) for job_id in IDS] + log:
-        before = {job_id: book.get(job_id) for job_id in IDS}
-        book.apply(record)
+        before = {job_id: ledger.get(job_id) for job_id in IDS}
+        ledger.apply(record)
         for job_id, old in before.items():
-            new = book.get(job_id)
+            new = ledger.get(job_id)
             if old is None:
                 continue
             if old.phase.is_final:
@@ -107,46 +107,46 @@
 
 
 def test_claim_counts_only_in_the_home_of_its_offset():
-    book = JobBook()
+    ledger = JobLedger()
     moved = JobMoved(IDS[0], 1, "far", Reason.OWNER_UNREACHABLE)
-    assert book.apply(accepted(IDS[0])) is not None
-    assert book.apply(claimed(IDS[0], 1, "p", "far")) is None
-    assert book.apply(moved) is not None
-    assert book.apply(claimed(IDS[0], 1, "p", "dc")) is None
-    assert book.apply(claimed(IDS[0], 1, "q", "far")).claim.holder == "q"
+    assert ledger.apply(accepted(IDS[0])) is not None
+    assert ledger.apply(claimed(IDS[0], 1, "p", "far")) is None
+    assert ledger.apply(moved) is not None
+    assert ledger.apply(claimed(IDS[0], 1, "p", "dc")) is None
+    assert ledger.apply(claimed(IDS[0], 1, "q", "far")).claim.holder == "q"
 
 
 def test_second_attempt_is_claimed_only_after_the_first_has_ended():
-    book = JobBook()
-    book.apply(accepted(IDS[0]))
-    assert book.apply(claimed(IDS[0], 1)) is not None
-    assert book.apply(claimed(IDS[0], 2, "q")) is None
-    book.apply(AttemptEnded(IDS[0], 1, False, Reason.INSTANCE_LOST, 0, 0))
-    assert book.apply(claimed(IDS[0], 2, "q")).claim.holder == "q"
+    ledger = JobLedger()
+    ledger.apply(accepted(IDS[0]))
+    assert ledger.apply(claimed(IDS[0], 1)) is not None
+    assert ledger.apply(claimed(IDS[0], 2, "q")) is None
+    ledger.apply(AttemptEnded(IDS[0], 1, False, Reason.INSTANCE_LOST, 0, 0))
+    assert ledger.apply(claimed(IDS[0], 2, "q")).claim.holder == "q"
 
 
 def test_not_run_is_void_after_a_claim_that_came_first():
-    book = JobBook()
+    ledger = JobLedger()
     ended = JobEnded(IDS[0], 0, JobPhase.NOT_RUN, Reason.CANCELLED, "", 0)
     for record in (accepted(IDS[0]), claimed(IDS[0], 1), ended):
-        book.apply(record)
-    assert book.get(IDS[0]).outcome is None
-    book.apply(JobEnded(IDS[0], 1, JobPhase.NOT_RUN, Reason.CANCELLED, "", 0))
-    assert book.get(IDS[0]).outcome == NotRun(Reason.CANCELLED)
-    assert book.apply(claimed(IDS[0], 2)) is None
+        ledger.apply(record)
+    assert ledger.get(IDS[0]).outcome is None
+    ledger.apply(JobEnded(IDS[0], 1, JobPhase.NOT_RUN, Reason.CANCELLED, "", 0))
+    assert ledger.get(IDS[0]).outcome == NotRun(Reason.CANCELLED)
+    assert ledger.apply(claimed(IDS[0], 2)) is None
 
 
 def test_forgotten_jobs_cannot_come_back():
-    book = JobBook(ended_kept=1)
+    ledger = JobLedger(ended_kept=1)
     for job_id in IDS:
-        book.apply(accepted(job_id))
-        book.apply(JobEnded(job_id, 0, JobPhase.NOT_RUN, Reason.CANCELLED, "", 0))
-    assert book.get(IDS[0]) is None
-    restored = JobBook.from_snapshot(book.to_snapshot(), ended_kept=1)
-    for one in (book, restored):
+        ledger.apply(accepted(job_id))
+        ledger.apply(JobEnded(job_id, 0, JobPhase.NOT_RUN, Reason.CANCELLED, "", 0))
+    assert ledger.get(IDS[0]) is None
+    restored = JobLedger.from_snapshot(ledger.to_snapshot(), ended_kept=1)
+    for one in (ledger, restored):
         assert one.apply(accepted(IDS[0])) is None
         assert one.has_ended(IDS[0])
-    assert [entry.spec.job_id for entry in book.of_organisation("org")] == [IDS[1]]
+    assert [entry.spec.job_id for entry in ledger.of_organisation("org")] == [IDS[1]]
 
 
 CONFIGURATION = Configuration(
@@ -170,7 +170,7 @@
 def test_admission_gives_a_home_or_the_reason(fields, reason):
     asked = {"organisation": "org", "home_data_centre": "", "accelerators": 8}
     spec = JobSpec("e.1.0", **{**asked, **fields})
-    answer = admit(spec, CONFIGURATION, JobBook(), True, 5)
+    answer = admit(spec, CONFIGURATION, JobLedger(), True, 5)
     if reason is None:
         assert (answer.home_data_centre, answer.submitted_wall_ms) == ("dc", 5)
     else:
--- a/tests/core/jobs/test_placer_faults.py
+++ b/tests/core/jobs/test_placer_faults.py
@@ -213,10 +213,10 @@
     def books_equal_the_naive_fold(self):
         for placer in self.world.placers:
             specs, _, ended = naive_fold(self.world.log[: placer.offset])
-            book = placer.machine.book
-            assert {e.spec.job_id for e in book.active()} == specs.keys() - ended
+            ledger = placer.machine.ledger
+            assert {e.spec.job_id for e in ledger.active()} == specs.keys() - ended
             for job_id, record in ended.items():
-                assert book.get(job_id).ended == record
+                assert ledger.get(job_id).ended == record
 
     def teardown(self):
         """Once faults stop, each accepted job comes to exactly one outcome."""
--- a/tests/core/jobs/test_placer_machine.py
+++ b/tests/core/jobs/test_placer_machine.py
@@ -348,14 +348,14 @@
     world.run(1_000)
     old = world.placers[0]
     old.read()
-    book = jobs.JobBook.from_snapshot(old.machine.book.to_snapshot())
+    ledger = jobs.JobLedger.from_snapshot(old.machine.ledger.to_snapshot())
     world.accept(make_spec("wait", accelerators=4))
-    book.apply(world.log[-1])
+    ledger.apply(world.log[-1])
     rack = Rack("far", ("v1", "v2"), 4)
     data_centres = {"dc": DataCentre("dc", "r"), "far": DataCentre("far", "r", (rack,))}
     organisations = {"org": Organisation("org")}
     configuration = Configuration(1, organisations, data_centres)
-    moved = jobs.rehome(book, "dc", configuration, 0)
+    moved = jobs.rehome(ledger, "dc", configuration, 0)
     assert [(type(record), record.job_id) for record in moved] == [
         (AttemptEnded, "run"),
         (JobMoved, "run"),
@@ -364,13 +364,13 @@
     world.log += moved
     world.log.append(AttemptClaimed("run", 2, "f", "far", (), (), 0))
     world.run(15_000)
-    book = old.machine.book
+    ledger = old.machine.ledger
     assert {s.job_id for s in world.starts} == {"run", "once"}
-    assert book.get("run").claim.holder == "f"
-    assert book.get("wait").home_data_centre == "far"
-    assert book.get("wait").outcome is None
+    assert ledger.get("run").claim.holder == "f"
+    assert ledger.get("wait").home_data_centre == "far"
+    assert ledger.get("wait").outcome is None
     assert world.outcome("once") == Completed(Reason.TASK_SUCCEEDED)
-    assert book.get("run").lost_by_attempt == {1: None}
+    assert ledger.get("run").lost_by_attempt == {1: None}
     assert world.live_leases() == []
 
 
--- a/tests/core/requests/test_machine.py
+++ b/tests/core/requests/test_machine.py
@@ -33,7 +33,7 @@
     PeerLoadNoted,
     RequestMachine,
     Send,
-    ShareKeeper,
+    ShareManager,
     ShareSettings,
     Spill,
     Submitted,
@@ -47,7 +47,7 @@
 
 def ready_machine(endpoints=2, slots=8, seed=1, weights=None):
     """A machine whose instance is alone in its data centre and holds all slots."""
-    shares = ShareKeeper("i", "d", 1, SETTINGS)
+    shares = ShareManager("i", "d", 1, SETTINGS)
     machine = RequestMachine("d", shares, random.Random(seed))
     infos = tuple(
         ServingEndpoint(f"m{n}", "d", "", slots, 64) for n in range(endpoints)
@@ -346,7 +346,7 @@
 
 
 def test_what_runs_past_a_lapsed_right_is_cut():
-    shares = ShareKeeper("i", "d", 1, ShareSettings(isolated_slots=0))
+    shares = ShareManager("i", "d", 1, ShareSettings(isolated_slots=0))
     machine = RequestMachine("d", shares, random.Random(1))
     machine.handle(EndpointsListed((ServingEndpoint("m", "d", ""),)), 0)
     for now_ms in range(0, READY_MS, 500):
--- a/tests/core/requests/test_shares.py
+++ b/tests/core/requests/test_shares.py
@@ -12,7 +12,7 @@
     rule,
 )
 
-from ragwortshelf.core.requests import LoadReport, ShareKeeper, ShareSettings
+from ragwortshelf.core.requests import LoadReport, ShareManager, ShareSettings
 
 SLOTS = 8
 CONNECTIONS = 64
@@ -45,9 +45,9 @@
         self.list_history.append((self.now_ms, frozenset(names)))
 
     def start(self, name, incarnation=1):
-        keeper = ShareKeeper(name, "d", incarnation, self.settings)
-        keeper.set_endpoints({"m": (SLOTS, CONNECTIONS)})
-        self.keeper_by_name[name] = keeper
+        manager = ShareManager(name, "d", incarnation, self.settings)
+        manager.set_endpoints({"m": (SLOTS, CONNECTIONS)})
+        self.keeper_by_name[name] = manager
         self.in_use_by_name[name] = 0
 
     def kill(self, name):
@@ -75,8 +75,8 @@
 
         def receive(reply):
             if asker in self.keeper_by_name and asker not in self.paused:
-                keeper = self.keeper_by_name[asker]
-                keeper.note_reply(answerer, reply, asked_ms, self.now_ms)
+                manager = self.keeper_by_name[asker]
+                manager.note_reply(answerer, reply, asked_ms, self.now_ms)
                 self.sent_ms_by_pair.pop((asker, answerer), None)
 
         self.deliver(asker, answerer, delays_ms[0], arrive)
@@ -92,8 +92,8 @@
     def fetch_list(self, name, lag_ms=0):
         if name not in self.cut_from_list:
             names = self.listed(self.now_ms - lag_ms)
-            keeper = self.keeper_by_name[name]
-            keeper.note_list(set(names), set(), self.now_ms, self.now_ms)
+            manager = self.keeper_by_name[name]
+            manager.note_list(set(names), set(), self.now_ms, self.now_ms)
 
     def run(self, duration_ms, step_ms=250, max_delay_ms=0):
         """Let time pass; the limit is checked at every step."""
@@ -119,7 +119,7 @@
 
     def total(self):
         return sum(
-            keeper.limit("m", self.now_ms) for keeper in self.keeper_by_name.values()
+            manager.limit("m", self.now_ms) for manager in self.keeper_by_name.values()
         )
 
 
@@ -289,8 +289,8 @@
     a, b = site.keeper_by_name["a"], site.keeper_by_name["b"]
 
     def tell(live, leaving):
-        for keeper in (a, b):
-            keeper.note_list(live, leaving, site.now_ms, site.now_ms)
+        for manager in (a, b):
+            manager.note_list(live, leaving, site.now_ms, site.now_ms)
 
     tell({"a"}, {"b"})
     old = a.heartbeat("b", LOAD, site.now_ms)
@@ -413,14 +413,14 @@
 
 
 def test_a_planned_stop_cuts_off_nothing_of_an_instance_that_holds_no_share_yet():
-    keeper = ShareKeeper("a", "dc", 1, ShareSettings())
-    keeper.set_endpoints({"m1": (8, 64)})
-    before = keeper.limit("m1", 0)
+    manager = ShareManager("a", "dc", 1, ShareSettings())
+    manager.set_endpoints({"m1": (8, 64)})
+    before = manager.limit("m1", 0)
     assert before > 0
-    keeper.drain()
-    assert keeper.limit("m1", 0) == before
-    keeper.end()
-    assert keeper.limit("m1", 0) == 0
+    manager.drain()
+    assert manager.limit("m1", 0) == before
+    manager.end()
+    assert manager.limit("m1", 0) == 0
 
 
 def test_a_replaced_instance_that_resumes_while_another_is_unlisted_keeps_the_limit():
--- a/tests/daemon/test_job_upkeep.py
+++ b/tests/daemon/test_job_upkeep.py
@@ -4,7 +4,7 @@
 
 import pytest
 
-from ragwortshelf.core.jobs import JobBook, admit
+from ragwortshelf.core.jobs import JobLedger, admit
 from ragwortshelf.core.membership import Member, MemberStatus, View
 from ragwortshelf.core.model import (
     Adjacency,
@@ -46,11 +46,11 @@
     return AttemptClaimed(job_id, 1, "i.1", home, grants, ("b",), 0)
 
 
-def book_of(*records):
-    book = JobBook()
+def ledger_of(*records):
+    ledger = JobLedger()
     for record in records:
-        book.apply(record)
-    return book
+        ledger.apply(record)
+    return ledger
 
 
 def view(status):
@@ -66,8 +66,8 @@
 
 
 def test_jobs_move_only_after_their_data_centre_has_been_gone_for_a_while():
-    book = book_of(JobAccepted(spec("i.1.1", "south"), "i"))
-    upkeep = JobUpkeep("north", Scheduler("north"), book)
+    ledger = ledger_of(JobAccepted(spec("i.1.1", "south"), "i"))
+    upkeep = JobUpkeep("north", Scheduler("north"), ledger)
     dead, alive = view(MemberStatus.DEAD), view(MemberStatus.ALIVE)
     assert upkeep.look(CONFIGURATION, dead, 0) == []
     assert upkeep.look(CONFIGURATION, dead, 59_999) == []
@@ -76,7 +76,7 @@
     assert upkeep.look(CONFIGURATION, dead, 70_000) == []
     (moved,) = upkeep.look(CONFIGURATION, dead, 130_000)
     assert isinstance(moved, JobMoved) and moved.to_data_centre == "north"
-    book.apply(moved)
+    ledger.apply(moved)
     assert upkeep.look(CONFIGURATION, dead, 140_000) == []
 
 
@@ -90,7 +90,7 @@
     ],
 )
 def test_a_withdrawn_organisations_jobs_end_as_its_note_says(waiting, running, ended):
-    book = book_of(
+    ledger = ledger_of(
         JobAccepted(spec("i.1.1", "north"), "i"),
         JobAccepted(spec("i.1.2", "north"), "i"),
         claim("i.1.2", "north"),
@@ -98,12 +98,12 @@
     )
     withdrawal = Withdrawal("org", waiting, running)
     configuration = Configuration(withdrawn_organisations_by_name={"org": withdrawal})
-    records = withdrawals(book.active(), configuration, "north")
+    records = withdrawals(ledger.active(), configuration, "north")
     assert [record.job_id for record in records] == ended
 
 
 def test_a_quota_counts_what_is_held_in_other_data_centres():
-    book = book_of(
+    ledger = ledger_of(
         JobAccepted(spec("i.1.1", "south", 8), "i"), claim("i.1.1", "south", 8)
     )
     scheduler = Scheduler("north")
@@ -111,11 +111,11 @@
     scheduler.set_worker("north-w", "north-r", 8, 0)
     scheduler.set_worker_usable("north-w", True, "", 0)
     scheduler.add_waiting(spec("i.1.2", "north"), 0)
-    upkeep = JobUpkeep("north", scheduler, book)
+    upkeep = JobUpkeep("north", scheduler, ledger)
     upkeep.note_elsewhere([Capacity("south", 0, ())])
     assert not any(isinstance(action, Place) for action in scheduler.decide(0))
     done = JobEnded("i.1.1", 1, JobPhase.COMPLETED, Reason.TASK_SUCCEEDED, "", 0)
-    book.apply(done)
+    ledger.apply(done)
     upkeep.note_elsewhere([Capacity("south", 8, ())])
     assert any(isinstance(action, Place) for action in scheduler.decide(1_000))
 
@@ -125,7 +125,7 @@
     [("", "north"), ("south", "south"), ("nowhere", Reason.NEVER_FITS)],
 )
 def test_a_job_is_at_home_where_its_submitter_wants_it(home, expected):
-    admitted = admit(spec("i.1.1", home), CONFIGURATION, JobBook(), True, 0)
+    admitted = admit(spec("i.1.1", home), CONFIGURATION, JobLedger(), True, 0)
     found = getattr(admitted, "reason", None) or admitted.home_data_centre
     assert found == expected
 
@@ -134,10 +134,10 @@
     urgent = replace(spec("i.1.4", "north", 2), priority=Priority.URGENT)
     waiting = [spec("i.1.1", "north"), spec("i.1.2", "north"), urgent]
     away = spec("i.1.3", "south")
-    book = book_of(*(JobAccepted(each, "i") for each in (*waiting, away)))
+    ledger = ledger_of(*(JobAccepted(each, "i") for each in (*waiting, away)))
     scheduler = Scheduler("north")
     scheduler.set_configuration(CONFIGURATION, 0)
     for each in waiting:
         scheduler.add_waiting(each, 0)
-    blocked = JobUpkeep("north", scheduler, book).blocked()
+    blocked = JobUpkeep("north", scheduler, ledger).blocked()
     assert [entry.spec.job_id for entry in blocked] == ["i.1.4", "i.1.1"]
--- a/tests/daemon/test_placer_service.py
+++ b/tests/daemon/test_placer_service.py
@@ -7,7 +7,7 @@
 import pytest
 import trio
 
-from ragwortshelf.core.charging import ChargeBook
+from ragwortshelf.core.charging import ChargeLedger
 from ragwortshelf.core.model import (
     Completed,
     Configuration,
@@ -118,7 +118,7 @@
         self.log = []
         self.fault = None
         self.lines = []
-        self.charges = ChargeBook()
+        self.charges = ChargeLedger()
         self.service = PlacerService(
             "dc",
             "e1.1",
@@ -162,7 +162,7 @@
 async def test_submitted_job_completes_and_is_charged_once(site, autojump_clock):
     assert await site.service.submit(spec_of("e1.1.0", 5_000)) is None
     await trio.sleep(12)
-    assert site.service.book.get("e1.1.0").outcome == Completed(Reason.TASK_SUCCEEDED)
+    assert site.service.ledger.get("e1.1.0").outcome == Completed(Reason.TASK_SUCCEEDED)
     statement = site.charges.statement("org")
     assert (statement.ran_ms, statement.wasted_ms) == (8 * 5_000, 0)
     assert any(line.kind == "place_job" for line in site.lines)
@@ -192,6 +192,6 @@
     site.fault = None
     site.service.set_log_reachable(True)
     await trio.sleep(5)
-    assert site.service.book.get("e1.1.0").outcome == Completed(Reason.TASK_SUCCEEDED)
+    assert site.service.ledger.get("e1.1.0").outcome == Completed(Reason.TASK_SUCCEEDED)
     accepted = [record for record in site.log if isinstance(record, JobAccepted)]
     assert [record.spec.job_id for record in accepted] == ["e1.1.0"]
--- a/tests/platform/test_callers.py
+++ b/tests/platform/test_callers.py
@@ -34,7 +34,7 @@
 async def test_the_life_of_a_job_as_its_caller_sees_it(autojump_clock):
     platform = make_platform()
     instance = make_instances(platform, 1)[0]
-    call = Caller(CallerApi(instance.front))
+    call = Caller(CallerApi(instance.gateway))
     async with trio.open_nursery() as nursery:
         status, _, response = await call("POST", f"/q/{ID}", body=JOB)
         assert status == 503
--- a/tests/platform/test_daemon.py
+++ b/tests/platform/test_daemon.py
@@ -33,7 +33,7 @@
 def test_changed_settings_are_in_force_after_a_reload(running):
     bounds = SETTINGS["bounds"] | {"revoke_ms": 2_000}
     _change(running, bounds=bounds, platform={"address": "10.9.9.9:1"})
-    assert running.instance.front.settings.revocation_ms == 2_000
+    assert running.instance.gateway.settings.revocation_ms == 2_000
     assert running.instance.configuration.settings.revocation_ms == 2_000
     assert running.world._store.address == "10.9.9.9:1"
 
--- a/tests/platform/test_decoding.py
+++ b/tests/platform/test_decoding.py
@@ -12,7 +12,7 @@
 from ragwortshelf.core.scheduling import Resources
 from ragwortshelf.core.scheduling.configuration import Queue
 from ragwortshelf.net.http_messages import Malformed
-from ragwortshelf.scheduler.front import Access
+from ragwortshelf.scheduler.gateway import Access
 
 ENTRY = {
     "service": "pool",
--- a/tests/scheduler/cluster.py
+++ b/tests/scheduler/cluster.py
@@ -15,7 +15,7 @@
 )
 from ragwortshelf.core.scheduling.fleet import EndpointInfo
 from ragwortshelf.scheduler.clock import monotonic_ms
-from ragwortshelf.scheduler.front import Accepted
+from ragwortshelf.scheduler.gateway import Accepted
 from ragwortshelf.scheduler.instance import Instance
 from ragwortshelf.scheduler.settings import SchedulingSettings
 
@@ -58,12 +58,12 @@
 
 
 async def submit(instance, spec):
-    outcome = await instance.front.submit(spec, monotonic_ms() + 2_000)
+    outcome = await instance.gateway.submit(spec, monotonic_ms() + 2_000)
     assert isinstance(outcome, Accepted)
 
 
 async def state_of(instance, job_id):
-    return (await instance.front.state(job_id)).state
+    return (await instance.gateway.state(job_id)).state
 
 
 def announce_in(platform, instances, data_centre="dc"):
@@ -74,7 +74,7 @@
             instance.settings, data_centre=data_centre, readiness_address=name
         )
         instance.reconfigure(settings)
-        platform.is_ready_by_address[name] = instance.front.is_ready
+        platform.is_ready_by_address[name] = instance.gateway.is_ready
 
 
 def holders(instances):
--- a/tests/scheduler/test_front.py
+++ b/tests/scheduler/test_gateway.py
@@ -4,12 +4,12 @@
 from cluster import make_instances, make_job, make_platform, running, submit
 
 from ragwortshelf.scheduler.clock import monotonic_ms
-from ragwortshelf.scheduler.front import Accepted, Declined, Reason, Uncertain
+from ragwortshelf.scheduler.gateway import Accepted, Declined, Reason, Uncertain
 
 
 async def _timed_submit(instance, spec):
     began = monotonic_ms()
-    outcome = await instance.front.submit(spec, began + 2_700)
+    outcome = await instance.gateway.submit(spec, began + 2_700)
     return outcome, monotonic_ms() - began
 
 
@@ -46,13 +46,13 @@
     instance = make_instances(platform, 1)[0]
     async with running(instance):
         await trio.sleep(1)
-        assert instance.front.is_ready()
+        assert instance.gateway.is_ready()
         instance.configuration._world.faults.store = "silent"
         await trio.sleep(1.5)
-        assert not instance.front.is_ready()
+        assert not instance.gateway.is_ready()
         instance.configuration._world.faults.store = ""
         await trio.sleep(2.5)
-        assert instance.front.is_ready()
+        assert instance.gateway.is_ready()
 
 
 async def test_a_cancellation_also_covers_a_submission_that_comes_later(
@@ -63,7 +63,7 @@
     async with running(instance):
         await trio.sleep(1)
         deadline = monotonic_ms() + 2_000
-        outcome = await instance.front.cancel("a" * 16, deadline)
+        outcome = await instance.gateway.cancel("a" * 16, deadline)
         assert outcome == Declined(Reason.NO_JOB)
         await submit(instance, make_job("a" * 16))
         await trio.sleep(2)
@@ -88,24 +88,24 @@
     instance = make_instances(platform, 1)[0]
     async with running(instance):
         await trio.sleep(1)
-        assert not isinstance(instance.front.authorise("h", "/q/x", "key"), Declined)
+        assert not isinstance(instance.gateway.authorise("h", "/q/x", "key"), Declined)
         instance.configuration._world.faults.store = "silent"
         await trio.sleep(instance.settings.revocation_ms / 1000)
-        refused = instance.front.authorise("h", "/q/x", "key")
+        refused = instance.gateway.authorise("h", "/q/x", "key")
         assert refused.reason is Reason.NOT_READY
 
 
 async def test_the_reasons_of_refusals_are_told_apart(autojump_clock):
     platform = make_platform()
     instance = make_instances(platform, 1)[0]
-    front = instance.front
-    assert front.authorise("h", "/q/x", "key").reason is Reason.NOT_READY
+    gateway = instance.gateway
+    assert gateway.authorise("h", "/q/x", "key").reason is Reason.NOT_READY
     async with running(instance):
         await trio.sleep(1)
-        assert front.authorise("h", "/none/x", "key").reason is Reason.NO_QUEUE
-        assert front.authorise("g", "/q/x", "key").reason is Reason.NO_QUEUE
-        assert front.authorise("h", "/q/x", "other").reason is Reason.UNKNOWN_KEY
-        assert (await front.state("0" * 16)).reason is Reason.NO_JOB
+        assert gateway.authorise("h", "/none/x", "key").reason is Reason.NO_QUEUE
+        assert gateway.authorise("g", "/q/x", "key").reason is Reason.NO_QUEUE
+        assert gateway.authorise("h", "/q/x", "other").reason is Reason.UNKNOWN_KEY
+        assert (await gateway.state("0" * 16)).reason is Reason.NO_JOB
 
 
 async def test_an_instance_serves_again_soon_after_a_silent_outage(autojump_clock):
@@ -120,8 +120,8 @@
             await trio.sleep(length_s)
             faults.store = ""
             await trio.sleep(0.7)
-            outcome = instance.front.authorise("h", "/q/x", "key")
+            outcome = instance.gateway.authorise("h", "/q/x", "key")
             assert not isinstance(outcome, Declined)
-            assert instance.front.is_ready()
+            assert instance.gateway.is_ready()
             await trio.sleep(2)
         assert instance.election.leadership is not None
--- a/tests/scheduler/test_siblings.py
+++ b/tests/scheduler/test_siblings.py
@@ -5,12 +5,12 @@
 
 from ragwortshelf.core.scheduling.records import InstanceAnnounced
 from ragwortshelf.scheduler.clock import monotonic_ms
-from ragwortshelf.scheduler.front import OUTAGE_RETRY_AFTER_MS, Declined
+from ragwortshelf.scheduler.gateway import OUTAGE_RETRY_AFTER_MS, Declined
 from ragwortshelf.scheduler.siblings import ANNOUNCEMENT_VALID_MS, siblings_to_ask
 
 
 async def _retry_after_ms(instance):
-    declined = await instance.front.submit(make_job("a" * 16), monotonic_ms() + 2_700)
+    declined = await instance.gateway.submit(make_job("a" * 16), monotonic_ms() + 2_700)
     assert isinstance(declined, Declined)
     return declined.retry_after_ms
 
--- a/tests/specification/test_code_follows_models.py
+++ b/tests/specification/test_code_follows_models.py
@@ -6,7 +6,7 @@
 
 import pytest
 
-from ragwortshelf.core.jobs import JobBook
+from ragwortshelf.core.jobs import JobLedger
 from ragwortshelf.core.model import Grant, JobPhase, JobSpec, Reason
 from ragwortshelf.core.releases import Accepted, Duplicate, ReleaseState, fold
 from ragwortshelf.core.requests import IdReserver, parse_request_id
@@ -36,8 +36,8 @@
         self.workers = [WorkerLeases(1) for _ in range(leases.WORKERS)]
         self.boots = [[worker.boot_id] for worker in self.workers]
         self.now_s = 0.0
-        self.book = JobBook()
-        self.book.apply(JobAccepted(JobSpec(JOB, "org", "dc", 2), "e"))
+        self.ledger = JobLedger()
+        self.ledger.apply(JobAccepted(JobSpec(JOB, "org", "dc", 2), "e"))
 
     def take(self, label, before, after):
         """Take the step; fail if the code's verdict is not the model's."""
@@ -96,7 +96,7 @@
             self._roll_back(index, placer)
         elif words[0] == "fences":
             reply = self.workers[left[0]].fence(JOB, placer.attempt, self.now_s)
-            claim = self.book.get(JOB).claim
+            claim = self.ledger.get(JOB).claim
             boot_id = claim.boot_ids[placer.group.index(left[0])]
             is_unproved = reply["has_started"] or reply["boot_id"] != boot_id
             has_seen = after.placers[index].has_seen_start
@@ -105,7 +105,7 @@
             record = AttemptEnded(
                 JOB, placer.attempt, words[1] == "maybe", Reason.WORKER_LOST, 0, 0
             )
-            assert self.book.apply(record) is not None
+            assert self.ledger.apply(record) is not None
 
     def _acquire(self, worker, index, placer):
         fields = {
@@ -123,7 +123,7 @@
             worker.release(self._lease_id(placer.attempt, f"p{index}"), self.now_s)
 
     def _claim(self, index, placer, boots):
-        return self.book.apply(
+        return self.ledger.apply(
             AttemptClaimed(
                 JOB,
                 placer.attempt,
@@ -136,11 +136,11 @@
         )
 
     def _outcome(self, outcome):
-        attempt = self.book.get(JOB).attempt
+        attempt = self.ledger.get(JOB).attempt
         ended = JobEnded(JOB, attempt, JobPhase(outcome), Reason.CANCELLED, "", 0)
-        assert self.book.apply(ended) is not None
+        assert self.ledger.apply(ended) is not None
         if outcome == "completed":
-            holder = self.book.get(JOB).claim.holder
+            holder = self.ledger.get(JOB).claim.holder
             for worker in self.workers:
                 worker.command(self._lease_id(attempt, holder), "stop", self.now_s)
 
@@ -153,7 +153,7 @@
             if not state.outcome:
                 assert (held or [None]) == [state.leases[worker]]
             assert code.fence_by_job.get(JOB, 0) == state.fences[worker]
-        entry = self.book.get(JOB)
+        entry = self.ledger.get(JOB)
         claims = [i + 1 for i, claim in enumerate(state.claims) if claim]
         assert entry.attempt == max(claims, default=0)
         if claims and not state.outcome:
