Test a line for each outcome, and that each metric moves

Calls with each reason, an uncertain submission, a job with a failed run, each change of belief, and the metrics that docs/OPERATIONS.md names.

--- /dev/null
+++ b/tests/scheduler/test_observability.py
@@ -0,0 +1,177 @@
+"""A line for each outcome and each change of belief, and metrics that move."""
+
+import logging as standard_logging
+
+import pytest
+import trio
+from absl import logging
+from cluster import make_instances, make_job, make_platform, running, submit
+
+from ragwortshelf.core.scheduling.fleet import RunEnd
+from ragwortshelf.scheduler.clock import monotonic_ms
+from ragwortshelf.scheduler.gateway import Declined, Reason
+
+
+class _Lines(standard_logging.Handler):
+    def __init__(self):
+        super().__init__()
+        self.rows = []
+
+    def emit(self, record):
+        self.rows.append((record.getMessage(), record.fields))
+
+    def named(self, message):
+        return [fields for name, fields in self.rows if name == message]
+
+
+@pytest.fixture
+def lines():
+    handler = _Lines()
+    logger = logging.get_absl_logger()
+    before = logging.get_verbosity()
+    logging.set_verbosity(logging.INFO)
+    logger.addHandler(handler)
+    yield handler
+    logger.removeHandler(handler)
+    logging.set_verbosity(before)
+
+
+def _faults(instance):
+    return instance.configuration._world.faults
+
+
+async def _call(
+    instance, path="/q/", key="key", host="h", kind="POST", job_id="a" * 16
+):
+    """Make a call as the callers' server does, and return its line's fields."""
+    began_ms = monotonic_ms()
+    gateway = instance.gateway
+    access = outcome = gateway.authorise("h", path, key)
+    if isinstance(access, Declined):
+        gateway.note_call(kind, path, access, None, began_ms)
+        return
+    if kind == "POST":
+        outcome = await gateway.submit(make_job(job_id), began_ms + 2_700)
+    elif kind == "DELETE":
+        outcome = await gateway.cancel(job_id, began_ms + 2_700)
+    gateway.note_call(kind, job_id, outcome, access, began_ms)
+
+
+async def test_each_outcome_of_a_call_has_a_line_with_its_reason(autojump_clock, lines):
+    instance = make_instances(make_platform(), 1)[0]
+    await _call(instance)
+    async with running(instance):
+        await trio.sleep(1)
+        await _call(instance)
+        await _call(instance, kind="DELETE")
+        await _call(instance, kind="DELETE", job_id="f" * 16)
+        await _call(instance, path="/none/")
+        await _call(instance, key="other")
+        _faults(instance).store = "silent"
+        await _call(instance, job_id="b" * 16)
+        await trio.sleep(1.5)
+        await _call(instance, job_id="c" * 16)
+    rows = lines.named("call")
+    assert [(row["outcome"], row["reason"]) for row in rows] == [
+        ("declined", Reason.NOT_READY),
+        ("accepted", None),
+        ("accepted", None),
+        ("declined", Reason.NO_JOB),
+        ("declined", Reason.NO_QUEUE),
+        ("declined", Reason.UNKNOWN_KEY),
+        ("uncertain", None),
+        ("declined", Reason.LOG_UNAVAILABLE),
+    ]
+    for row in rows[1:]:
+        assert row["configuration"] == 1
+        assert row["configuration_age_ms"] >= 0
+
+
+async def test_each_change_of_belief_has_a_line(autojump_clock, lines):
+    platform = make_platform(2)
+    instance = make_instances(platform, 1)[0]
+    async with running(instance):
+        await trio.sleep(1)
+        platform.endpoint_by_id["e1"].is_cut = True
+        await trio.sleep(10)
+        platform.endpoint_by_id["e1"].is_cut = False
+        await trio.sleep(2)
+        _faults(instance).store = "silent"
+        await trio.sleep(3)
+        _faults(instance).store = ""
+        await trio.sleep(2)
+        platform.reports.append([("e1", b"")])
+        await trio.sleep(1)
+        await instance.drain()
+    told = {message for message, _ in lines.rows}
+    assert told >= {
+        "configuration_in_force",
+        "endpoint_lapsed",
+        "endpoint_lost",
+        "endpoint_regained",
+        "endpoint_unlisted",
+        "job_log_loaded",
+        "job_log_lost",
+        "job_log_regained",
+        "operator_log_lost",
+        "operator_log_regained",
+        "term_claimed",
+        "term_ended",
+        "term_started",
+    }
+
+
+async def test_each_step_of_a_job_has_a_line(autojump_clock, lines):
+    platform = make_platform()
+    instance = make_instances(platform, 1)[0]
+    async with running(instance):
+        await trio.sleep(1)
+        await submit(instance, make_job("a" * 16, count=1))
+        await trio.sleep(0.2)
+        for endpoint in platform.endpoint_by_id.values():
+            for task in list(endpoint.running):
+                endpoint.end(task, RunEnd.FAILED)
+        await trio.sleep(3)
+    phases = [(r["phase"], r["run"], r["reason"]) for r in lines.named("unit")]
+    assert phases == [
+        ("placed", 1, "placed"),
+        ("ending", 1, "failed"),
+        ("placed", 2, "placed"),
+        ("done", 2, "done"),
+    ]
+    assert [r["outcome"] for r in lines.named("start")] == ["started", "started"]
+
+
+async def test_each_metric_of_the_operators_page_moves(autojump_clock):
+    platform = make_platform()
+    instance = make_instances(platform, 1)[0]
+    async with running(instance):
+        await trio.sleep(1)
+        before = instance.metrics.text()
+        await _call(instance)
+        await trio.sleep(0.2)
+        await _call(instance, kind="DELETE")
+        await trio.sleep(2)
+        after = instance.metrics.text()
+    for name in (
+        "call_ms",
+        "calls_total",
+        "first_start_wait_ms",
+        "jobs",
+        "log_append_ms",
+        "log_bytes_total",
+        "log_calls_total",
+        "orders_total",
+        "plan_ms",
+        "unit_changes_total",
+    ):
+        values = [_samples(text, name) for text in (before, after)]
+        assert values[1], name
+        assert values[0] != values[1], name
+    assert _samples(after, "is_scheduler") == ["ragwortshelf_is_scheduler 1"]
+    assert _samples(after, "term_claims_total")
+
+
+def _samples(text, name):
+    prefix = f"ragwortshelf_{name}"
+    return [line for line in text.splitlines() if line.startswith(prefix)]
