Inject faults on endpoint links, endpoint clocks and the store's history

The soak cut only the way to the store. Endpoints are called through proxies now, some of whose cuts outlast a lease; their clocks start anywhere and run up to 2% slow; the store deletes its history. The stand-in keeps the times of runs on one clock, so that those of several endpoints can be compared.

--- a/ragwortshelf/standins/platform_endpoint.py
+++ b/ragwortshelf/standins/platform_endpoint.py
@@ -31,13 +31,25 @@
 
 
 class EndpointState:
-    """What one incarnation runs. Its clock is trio's, in milliseconds.
+    """What one incarnation runs.
 
-    ``work_ms`` returns how long a run takes; it may also be one number for all.
+    ``work_ms`` returns how long a run takes; it may also be one number for all. The
+    endpoint's clock, by which its lease ends, starts anywhere and runs at
+    ``clock_rate``. The times of runs are trio's, so that those of several endpoints
+    can be compared. All are in milliseconds.
     """
 
-    def __init__(self, info: EndpointInfo, work_ms: int | Callable[[str], int] = 1_000):
+    def __init__(
+        self,
+        info: EndpointInfo,
+        work_ms: int | Callable[[str], int] = 1_000,
+        *,
+        clock_rate: float = 1.0,
+        clock_offset_ms: int = 0,
+    ):
         self.info = info
+        self._clock_rate = clock_rate
+        self._clock_offset_ms = clock_offset_ms
         self.born = 1
         self.token = 0
         self.until_ms = 0
@@ -48,15 +60,14 @@
         self._number = 0
         self._top_run: dict[str, int] = {}
 
-    @staticmethod
-    def clock_ms() -> int:
+    def clock_ms(self) -> int:
         """Return the endpoint's clock."""
-        return int(trio.current_time() * 1000)
+        return self._clock_offset_ms + int(_now_ms() * self._clock_rate)
 
     def advance(self) -> None:
         """End what is due: leases that ran out, and work that is done."""
-        now = self.clock_ms()
-        if self.running and now > self.until_ms:
+        now = _now_ms()
+        if self.running and self.clock_ms() > self.until_ms:
             for task in list(self.running):
                 self.end(task, RunEnd.LAPSED)
         for task, (_, since) in list(self.running.items()):
@@ -71,7 +82,7 @@
         self.finished.append(FinishedRun(self._number, task, run, how, ""))
         started = self.history[task, run]
         self.history[task, run] = StartedRun(
-            task, run, since, started.token, self.clock_ms(), how
+            task, run, since, started.token, _now_ms(), how
         )
 
     def start(self, task: str, run: int, until_ms: int, token: int) -> StartOutcome:
@@ -87,7 +98,7 @@
         if until_ms < self.clock_ms():
             return StartOutcome.LATE
         self.until_ms = max(self.until_ms, until_ms)
-        now = self.clock_ms()
+        now = _now_ms()
         self.running[task] = (run, now)
         self._top_run[task] = run
         self.history[task, run] = StartedRun(task, run, now, token)
@@ -123,8 +134,12 @@
 
     def rows(self) -> tuple[RunningTask, ...]:
         """Return what runs, with the milliseconds it has run as progress."""
-        now = self.clock_ms()
+        now = _now_ms()
         return tuple(
             RunningTask(task, run, "", now - since)
             for task, (run, since) in self.running.items()
         )
+
+
+def _now_ms() -> int:
+    return int(trio.current_time() * 1000)
--- a/ragwortshelf/standins/platform_log.py
+++ b/ragwortshelf/standins/platform_log.py
@@ -21,10 +21,11 @@
 
 
 class KeyedTopic:
-    """Records in memory, all of them kept."""
+    """Records in memory. What lies before ``first`` is shown only as newest records."""
 
     def __init__(self):
         self.entries: list[Entry] = []
+        self.first = 0
         self.grown = trio.Event()
         self._last_by_producer: dict[str, tuple[int, int]] = {}
         self._recent_by_producer: dict[str, deque] = {}
@@ -56,6 +57,10 @@
         newest = dict(self.entries)
         return tuple((key, value) for key, value in sorted(newest.items()) if value)
 
+    def forget(self) -> None:
+        """Delete all records but the newest of each key."""
+        self.first = len(self.entries)
+
     async def wait(self, offset: int, wait_ms: int) -> None:
         """Return once there is a record at ``offset``, or after ``wait_ms``."""
         with trio.move_on_after(wait_ms / 1000):
--- a/soak/faults.py
+++ b/soak/faults.py
@@ -9,7 +9,7 @@
 import trio
 
 from .instances import ProcessSet
-from .platform_server import EndpointServer
+from .platform_server import EndpointServer, StoreServer
 from .proxy import Proxy, ProxyMode
 
 __all__ = ["FaultSeries"]
@@ -31,11 +31,15 @@
         processes: ProcessSet,
         proxies: Sequence[Proxy],
         endpoints: Sequence[EndpointServer],
+        endpoint_proxies: Sequence[Proxy],
+        store: StoreServer,
     ):
         self._random = random.Random(seed)
         self._processes = processes
         self._proxies = proxies
         self._endpoints = endpoints
+        self._endpoint_proxies = endpoint_proxies
+        self._store = store
         self.log: list[str] = []
 
     async def run(self, seconds: float) -> None:
@@ -49,6 +53,9 @@
             self._cut_all,
             self._reset,
             self._fail_task,
+            self._cut_endpoints,
+            self._reset_endpoints,
+            self._forget_history,
         )
         deadline = trio.current_time() + seconds
         async with trio.open_nursery() as nursery:
@@ -100,7 +107,7 @@
     async def _change(self, proxies: Sequence[Proxy], length_s: float) -> None:
         modes = [mode for mode in ProxyMode if mode is not ProxyMode.OPEN]
         mode = self._random.choice(modes)
-        self._note(f"{mode.value} for {len(proxies)} instances {length_s:.1f} s")
+        self._note(f"{mode.value} for {len(proxies)} links {length_s:.1f} s")
         for proxy in proxies:
             proxy.mode = mode
         await trio.sleep(length_s)
@@ -113,5 +120,21 @@
         for proxy in self._proxies:
             proxy.reset_all()
 
+    async def _cut_endpoints(self, length_s: float) -> None:
+        # Some cuts outlast a lease, so that its tasks have to start elsewhere.
+        count = self._random.randint(1, max(1, len(self._endpoint_proxies) // 2))
+        cut = self._random.sample(self._endpoint_proxies, count)
+        await self._change(cut, length_s * self._random.choice((1, 3)))
+
+    async def _reset_endpoints(self, length_s: float) -> None:
+        self._note("reset all connections to endpoints")
+        for proxy in self._endpoint_proxies:
+            proxy.reset_all()
+
+    async def _forget_history(self, length_s: float) -> None:
+        self._note("the store deletes its history")
+        for topic in self._store.topic_by_name.values():
+            topic.forget()
+
     async def _fail_task(self, length_s: float) -> None:
         self._random.choice(self._endpoints).fail_one()
--- a/soak/platform_server.py
+++ b/soak/platform_server.py
@@ -40,8 +40,10 @@
                 return self._append(topic, query, request.body)
             case "/api/log-read":
                 offset = int(query["from"])
+                if offset < topic.first:
+                    return json_response(410, {"first": topic.first})
                 await topic.wait(offset, int(query.get("wait_ms", 0)))
-                head = struct.pack(">QQ", len(topic.entries), 0)
+                head = struct.pack(">QQ", len(topic.entries), topic.first)
                 records = map(_encode, topic.entries[offset:])
                 return HttpResponse(200, (), head + b"".join(records))
             case "/api/log-newest":
--- a/soak/run.py
+++ b/soak/run.py
@@ -29,6 +29,11 @@
 an endpoint that a successor could not reach, and the work itself."""
 
 START_S = 2.0
+
+CLOCK_RATE_MIN = 0.98
+CLOCK_OFFSET_MAX_MS = 10**9
+"""Clocks of endpoints start anywhere and may be 2% slow, by the platform's pages."""
+
 NETWORKS = 250
 GUARD_PORT = 8520
 READY_PORT = 8523
@@ -54,7 +59,7 @@
     async with trio.open_nursery() as nursery:
         store = StoreServer()
         store_address = await _serve(nursery, store.handle)
-        states = await _open_endpoints(nursery, store, endpoints, seed)
+        servers, links = await _open_endpoints(nursery, store, endpoints, seed)
         network = await _claim_network(nursery)
         ips = [f"127.{network}.{n // 200}.{n % 200 + 1}" for n in range(instances)]
         store.topic("keyed.op").append([("config", _configuration(ips))])
@@ -69,16 +74,16 @@
             processes.add(name, _settings(name, ip, proxy_address))
             processes.start(name)
         try:
-            verdict = await _play(seed, seconds, processes, proxies, states, addresses)
+            series = FaultSeries(seed, processes, proxies, servers, links, store)
+            verdict = await _play(seed, seconds, processes, series, servers, addresses)
         finally:
             processes.end_all()
         nursery.cancel_scope.cancel()
     return verdict
 
 
-async def _play(seed, seconds, processes, proxies, servers, addresses) -> Verdict:
+async def _play(seed, seconds, processes, series, servers, addresses) -> Verdict:
     callers = Callers(addresses, seed)
-    series = FaultSeries(seed, processes, proxies, servers)
     await trio.sleep(START_S)
     async with trio.open_nursery() as nursery:
         nursery.start_soon(callers.run)
@@ -123,12 +128,20 @@
 
 
 async def _open_endpoints(nursery, store, count: int, seed: int):
-    servers = []
+    """Return the endpoints' servers, and the proxies through which they are called."""
+    servers, links = [], []
     for number in range(count):
         lengths = random.Random(f"{seed}/{number}")
         info = EndpointInfo(f"e{number}", "pool", "", "a", Resources(8000, 8000, 8))
-        server = EndpointServer(EndpointState(info, _work(lengths)))
-        host, port = await _serve(nursery, server.handle)
+        state = EndpointState(
+            info,
+            _work(lengths),
+            clock_rate=lengths.uniform(CLOCK_RATE_MIN, 1.0),
+            clock_offset_ms=lengths.randrange(CLOCK_OFFSET_MAX_MS),
+        )
+        server = EndpointServer(state)
+        link = Proxy(await _serve(nursery, server.handle))
+        host, port = await _listen(nursery, link.serve)
         report = {
             "service": "pool",
             "address": f"{host}:{port}",
@@ -139,7 +152,8 @@
         }
         store.topic("keyed.servers").append([(info.id, json.dumps(report).encode())])
         servers.append(server)
-    return servers
+        links.append(link)
+    return servers, links
 
 
 def _work(lengths: random.Random):
