Stop no lasting task for room that a waiting unit keeps idle

Since units of any priority may stop less urgent work for idle room, a gang of priority 1 stopped a lasting task of priority 2, which earns by being at work; reclaim spares these. The planner's long method is split on the way.

--- a/ragwortshelf/core/scheduling/planning.py
+++ b/ragwortshelf/core/scheduling/planning.py
@@ -238,13 +238,13 @@
         )
         if plan is None:
             return
-        wait_ms = max((self._wait_ms(v, work) for v in plan.victims), default=0)
-        allowed = self._idle_core_ms(work, plan, wait_ms)
-        if work.priority == 0 and self._would_be_late(work, wait_ms):
-            allowed += PREEMPTION_LOSS_SHARE * work.cores * work.step.estimate_ms
-        if allowed and self._preempt(work, candidates, allowed):
+        lost_max = self._lost_max_core_ms(work, plan)
+        if lost_max > 0 and self._preempt(work, candidates, lost_max):
             return
         self._reserve(work, plan)
+        self._stop_cheap(work, plan)
+
+    def _stop_cheap(self, work: Work, plan: Reclaim) -> None:
         cheap, rest = [], []
         for victim in plan.victims:
             (cheap if _stops_cheaply(victim, work) else rest).append(victim)
@@ -252,6 +252,14 @@
         if wait_ms <= CHEAP_STOP_WAIT_MS:
             self._stop_all(cheap, "yields")
 
+    def _lost_max_core_ms(self, work: Work, plan: Reclaim) -> float:
+        """Return how much work may be thrown away so that a unit need not wait."""
+        wait_ms = max((self._wait_ms(v, work) for v in plan.victims), default=0)
+        lost_max = self._idle_core_ms(work, plan, wait_ms)
+        if work.priority == 0 and self._would_be_late(work, wait_ms):
+            lost_max += PREEMPTION_LOSS_SHARE * work.cores * work.step.estimate_ms
+        return lost_max
+
     def _would_be_late(self, work: Work, wait_ms: float) -> bool:
         """Whether waiting makes a unit late that is still in time now."""
         if work.is_late(self._wall_ms):
@@ -264,7 +272,7 @@
         tasks_by_id = Counter(endpoint.id for endpoint in plan.endpoints)
         each = work.step.request.gpus
         idle = sum(
-            min(free_by_id[endpoint_id], each * tasks)
+            max(0, min(free_by_id[endpoint_id], each * tasks))
             for endpoint_id, tasks in tasks_by_id.items()
         )
         return GPU_CORES * idle * max(0.0, wait_ms - CHEAP_STOP_WAIT_MS)
@@ -278,6 +286,8 @@
             holder = self._placed_holder(member)
             if holder is None or holder.priority <= work.priority:
                 return None
+            if holder.step.is_long_running and work.priority > 0:
+                return None
             return holder if self._may_stop(holder) else None
 
         plan = self._plan(work, candidates, borrowed, self._lost)
--- a/tests/core/scheduling/test_order.py
+++ b/tests/core/scheduling/test_order.py
@@ -92,3 +92,14 @@
         harness.list("e0", percent={"s.0.0.0": percent})
     harness.submit("g", "p1", "a", request=WHOLE, accepted=0)
     assert not harness.stops
+
+
+def test_lasting_tasks_are_not_stopped_for_room_kept_idle():
+    # Pattern: a lasting task of less urgent work runs where a gang waits for room.
+    harness = Harness(endpoints=4, guaranteed=0)
+    harness.now = 10_000
+    harness.submit("s", "p2", "b", is_long_running=True, unavailable_max=1)
+    harness.accept_starts()
+    harness.advance(100)
+    harness.submit("g", "p1", "a", count=4, is_gang=True, request=WHOLE, accepted=0)
+    assert not harness.stops
