End runs of the endpoint stand-in when they are due, and judge repeats rightly

So the stand-in and the check were wrong, the program was right.

The stand-in now ends runs at the times at which they were due, and notes ends whose lease ran out before they were acknowledged; only a repeat after that passes the check, a repeat before it is still named.

--- a/soak/checks.py
+++ b/soak/checks.py
@@ -7,7 +7,7 @@
 from collections.abc import Iterable
 
 from ragwortshelf.core.scheduling.fleet import RunEnd
-from ragwortshelf.standins.platform_endpoint import EndpointState
+from ragwortshelf.standins.platform_endpoint import EndpointState, StartedRun
 
 from .callers import JobRecord
 
@@ -40,13 +40,18 @@
     for before, after in itertools.pairwise(runs):
         if before.ended_ms is None or after.started_ms < before.ended_ms:
             faults.append(f"{task}: runs {before.run} and {after.run} overlap")
-        elif before.end is RunEnd.DONE:
+        elif before.end is RunEnd.DONE and not _is_voided(before, after.started_ms):
             faults.append(
                 f"{task}: run {after.run} started after {before.run} was done"
             )
     return faults
 
 
+def _is_voided(run: StartedRun, by_ms: int) -> bool:
+    """Whether the lease ran out by then, before the run's end was acknowledged."""
+    return run.voided_ms is not None and run.voided_ms <= by_ms
+
+
 def _check_job(job: JobRecord, runs_by_task, final_state: str) -> list[str]:
     tasks = [t for t in runs_by_task if t.startswith(f"{job.id}.")]
     if not job.is_accepted and not job.is_uncertain:
--- a/tests/soak/test_checks.py
+++ b/tests/soak/test_checks.py
@@ -66,6 +66,14 @@
     assert expected in fault
 
 
+@pytest.mark.parametrize(("voided_ms", "count"), [(120, 0), (160, 1)])
+def test_a_done_run_may_be_repeated_once_its_lease_ran_out_first(voided_ms, count):
+    first = StartedRun(TASK, 1, 0, 1, 100, RunEnd.DONE, voided_ms)
+    again = _run(2, 150, 250, RunEnd.DONE)
+    job = JobRecord(JOB, 1, is_accepted=True)
+    assert len(_check(job, _endpoint(first, again))) == count
+
+
 def test_an_uncertain_submission_may_run_or_not():
     job = JobRecord(JOB, 1, is_uncertain=True)
     assert _check(job, _endpoint(DONE)) == []
--- /dev/null
+++ b/tests/standins/test_platform_endpoint.py
@@ -0,0 +1,55 @@
+"""The endpoint stand-in ends runs when they are due, however late it is asked."""
+
+import trio
+
+from ragwortshelf.core.scheduling import Resources
+from ragwortshelf.core.scheduling.fleet import EndpointInfo, RunEnd
+from ragwortshelf.standins.platform_endpoint import EndpointState
+
+
+def _state(work_ms, **clock):
+    info = EndpointInfo("e", "pool", "", "a", Resources(8_000, 8_000, 8))
+    return EndpointState(info, work_ms, **clock)
+
+
+async def _started(state, lease_ms):
+    state.start("t", 1, state.clock_ms() + lease_ms, 1)
+    return state.history["t", 1].started_ms
+
+
+async def test_a_lease_that_ran_out_unasked_ended_the_run_then(autojump_clock):
+    state = _state(work_ms=5_000)
+    began = await _started(state, lease_ms=1_000)
+    await trio.sleep(8)
+    state.advance()
+    run = state.history["t", 1]
+    assert (run.end, run.ended_ms) == (RunEnd.LAPSED, began + 1_000)
+
+
+async def test_work_that_was_done_before_the_lease_ran_out_is_done(autojump_clock):
+    state = _state(work_ms=500)
+    began = await _started(state, lease_ms=1_000)
+    await trio.sleep(8)
+    state.advance()
+    run = state.history["t", 1]
+    assert (run.end, run.ended_ms) == (RunEnd.DONE, began + 500)
+    assert run.voided_ms == began + 1_000
+
+
+async def test_an_acknowledged_end_is_not_voided(autojump_clock):
+    state = _state(work_ms=500)
+    await _started(state, lease_ms=1_000)
+    await trio.sleep(0.6)
+    await state.renew(None, 0, 0, 1)
+    await state.renew(None, 1, 0, 1)
+    await trio.sleep(8)
+    state.advance()
+    assert state.history["t", 1].voided_ms is None
+
+
+async def test_a_slow_clock_lengthens_the_lease(autojump_clock):
+    state = _state(work_ms=5_000, clock_rate=0.5, clock_offset_ms=10**6)
+    began = await _started(state, lease_ms=1_000)
+    await trio.sleep(8)
+    state.advance()
+    assert state.history["t", 1].ended_ms == began + 2_000
