Let one piece of code serve where the scheduler had two

Found by reading the whole change; behaviour stays as it is. - Endpoint.slots repeated Resources.times_in; both use times_in_amounts. - Reclaim and preemption each tested whether a holder may be stopped for a unit, the second as a copy made later; _stoppable_holder serves both. - Deadlines on an endpoint's clock were converted in five places, and a grant noted in two; longest_ms, _endpoint_clock_ms and _grant_until. - The followers of the job log and of the configuration each chose between the timeouts of a usual read and a probe; SchedulingSettings.read_times_ms. - Stops and paces counted their outcomes alike; OrderSender._count.

--- a/ragwortshelf/core/scheduling/fleet.py
+++ b/ragwortshelf/core/scheduling/fleet.py
@@ -262,14 +262,9 @@
 
     def slots(self, request: Resources) -> int:
         """Return how many tasks of ``request`` fit into the free room."""
-        fits = 1 << 30
-        if request.cpu_milli:
-            fits = self.free_cpu_milli // request.cpu_milli
-        if request.memory_mb:
-            fits = min(fits, self.free_memory_mb // request.memory_mb)
-        if request.gpus:
-            fits = min(fits, self.free_gpus // request.gpus)
-        return max(0, fits)
+        return request.times_in_amounts(
+            self.free_cpu_milli, self.free_memory_mb, self.free_gpus
+        )
 
     def hold(self, member: Member) -> None:
         """Count a member against the free room."""
--- a/ragwortshelf/core/scheduling/model.py
+++ b/ragwortshelf/core/scheduling/model.py
@@ -38,13 +38,17 @@
         >>> Resources(500, 100, 0).times_in(Resources(2000, 1000, 8))
         4
         """
+        return self.times_in_amounts(room.cpu_milli, room.memory_mb, room.gpus)
+
+    def times_in_amounts(self, cpu_milli: int, memory_mb: int, gpus: int) -> int:
+        """Return how often this fits into these amounts; none need be an object."""
         fits = 1 << 30
         if self.cpu_milli:
-            fits = room.cpu_milli // self.cpu_milli
+            fits = cpu_milli // self.cpu_milli
         if self.memory_mb:
-            fits = min(fits, room.memory_mb // self.memory_mb)
+            fits = min(fits, memory_mb // self.memory_mb)
         if self.gpus:
-            fits = min(fits, room.gpus // self.gpus)
+            fits = min(fits, gpus // self.gpus)
         return max(0, fits)
 
     def plus(self, other: Resources, times: int = 1) -> Resources:
--- a/ragwortshelf/core/scheduling/planning.py
+++ b/ragwortshelf/core/scheduling/planning.py
@@ -181,16 +181,13 @@
         over_guarantee = self._organisations_over_guarantee()
 
         def borrowed(member: Member) -> Work | None:
-            holder = self._placed_holder(member)
-            if holder is None or not self._may_stop(holder):
+            holder = self._stoppable_holder(member, work)
+            if holder is None:
                 return None
-            if holder.step.is_long_running and work.priority > 0:
-                return None
-            if holder.priority > 0:
-                return holder
-            if holder.job.spec.organisation in over_guarantee:
-                return holder
-            return None
+            is_borrowed = (
+                holder.priority > 0 or holder.job.spec.organisation in over_guarantee
+            )
+            return holder if is_borrowed else None
 
         plan = self._plan(work, candidates, borrowed, self._lost)
         if plan is None:
@@ -283,12 +280,9 @@
         """Stop less urgent work if no more than this is thrown away by it."""
 
         def borrowed(member: Member) -> Work | None:
-            holder = self._placed_holder(member)
-            if holder is None or holder.priority <= work.priority:
-                return None
-            if holder.step.is_long_running and work.priority > 0:
-                return None
-            return holder if self._may_stop(holder) else None
+            holder = self._stoppable_holder(member, work)
+            is_less_urgent = holder is not None and holder.priority > work.priority
+            return holder if is_less_urgent else None
 
         plan = self._plan(work, candidates, borrowed, self._lost)
         if plan is None or sum(map(self._lost, plan.victims)) > lost_max_core_ms:
@@ -300,6 +294,18 @@
     def _may_stop(self, holder: Work) -> bool:
         return may_be_stopped(holder, self._scheduler.work_by_key)
 
+    def _stoppable_holder(self, member: Member, claimant: Work) -> Work | None:
+        """Return a member's unit if it may be stopped at all for the claimant.
+
+        Lasting work yields to urgent work only.
+        """
+        holder = self._placed_holder(member)
+        if holder is None or not self._may_stop(holder):
+            return None
+        if holder.step.is_long_running and claimant.priority > 0:
+            return None
+        return holder
+
     def _placed_holder(self, member: Member) -> Work | None:
         holder = self._scheduler.work_by_key.get(member.unit)
         is_placed = holder is not None and holder.phase is UnitPhase.PLACED
--- a/ragwortshelf/scheduler/configuration.py
+++ b/ragwortshelf/scheduler/configuration.py
@@ -77,11 +77,9 @@
         return None
 
     async def _read(self, sent_boot_ms: int) -> str | None:
-        settings = self.settings
-        wait_ms, timeout_ms = 0, settings.log_probe_timeout_ms
-        if self.is_answered:
-            wait_ms = settings.configuration_wait_ms
-            timeout_ms = wait_ms + settings.log_call_timeout_ms
+        wait_ms, timeout_ms = self.settings.read_times_ms(
+            self.settings.configuration_wait_ms, self.is_answered
+        )
         page = await self._log.read(
             self._next_offset, wait_ms=wait_ms, timeout_ms=timeout_ms
         )
--- a/ragwortshelf/scheduler/endpoint_session.py
+++ b/ragwortshelf/scheduler/endpoint_session.py
@@ -13,7 +13,7 @@
 from .interfaces import EndpointAnswer, EndpointClient
 from .settings import SchedulingSettings
 
-__all__ = ["EndpointSession"]
+__all__ = ["EndpointSession", "longest_ms"]
 
 CLOCK_DRIFT = 0.98
 """How fast an endpoint's clock may run at the least, by the platform's pages."""
@@ -36,6 +36,15 @@
 8 ms, and 0.5 s on a slow log."""
 
 
+def longest_ms(endpoint_ms: float) -> int:
+    """Return how long a time on an endpoint's clock takes at most on this one.
+
+    >>> longest_ms(980)
+    1001
+    """
+    return int(endpoint_ms / CLOCK_DRIFT) + 1
+
+
 class EndpointSession:
     """One endpoint under one term.
 
@@ -152,9 +161,8 @@
         """Whether a start that is sent now reaches the endpoint within its lease."""
         if self._until_ms is None:
             return False
-        clock = self._clock_ms + (now_ms - self._clock_read_ms)
         needed_ms = min(sum(START_TRIES_MS), self._settings.lease_ms / 2)
-        return self._until_ms - clock > needed_ms
+        return self._until_ms - self._endpoint_clock_ms(now_ms) > needed_ms
 
     def _listing_wait_ms(self) -> int:
         if self.is_shared:
@@ -166,10 +174,18 @@
             # An unanswered renewal may still be carried out, so only answered ones
             # are extended; else the leases of a lost endpoint would never run out.
             return self._until_ms
-        clock = self._clock_ms + (now_ms - self._clock_read_ms)
-        until = clock + self._settings.lease_ms
+        until = self._endpoint_clock_ms(now_ms) + self._settings.lease_ms
         return until if self._until_ms is None else max(until, self._until_ms)
 
+    def _endpoint_clock_ms(self, now_ms: int) -> int:
+        """Return what the endpoint's clock shows, if it runs like this one."""
+        return self._clock_ms + (now_ms - self._clock_read_ms)
+
+    def _grant_until(self, until_ms: int) -> None:
+        """Note a deadline that the endpoint may hold, and when it has passed."""
+        self._until_ms = until_ms
+        self._lapse_ms = self._clock_read_ms + longest_ms(until_ms - self._clock_ms)
+
     def _pause_ms(self) -> int:
         """Return the pause after an unanswered listing; it grows up to a bound."""
         beyond = self._failures - FAILURES_BEFORE_LOST
@@ -184,9 +200,7 @@
         self._born_wall_ms = answer.born_wall_ms
         self._clock_ms, self._clock_read_ms = answer.clock_ms, now_ms
         if until_ms is not None and not is_reborn:
-            self._until_ms = until_ms
-            remaining = (until_ms - answer.clock_ms) / CLOCK_DRIFT
-            self._lapse_ms = now_ms + int(remaining) + 1
+            self._grant_until(until_ms)
         if not self._has_lease(now_ms):
             # Nothing can be started before a lease is granted, which needs the clock;
             # a renewal that was repeated after failures may have run out meanwhile.
@@ -216,8 +230,8 @@
         """
         self._ack_number = 0
         if self._until_ms is not None:
-            longest = int(self._settings.lease_max_ms / CLOCK_DRIFT) + 1
-            self._lapse_ms = max(self._lapse_ms, now_ms + longest)
+            lapse_ms = now_ms + longest_ms(self._settings.lease_max_ms)
+            self._lapse_ms = max(self._lapse_ms, lapse_ms)
         self._until_ms = None
 
     async def _acknowledge_when(self, wait_committed, answer: EndpointAnswer) -> None:
@@ -234,10 +248,7 @@
     def _extend_grant(self, until_ms: int | None) -> None:
         if until_ms is not None:
             # The renewal may have been carried out, or be carried out later.
-            granted = max(until_ms, self._until_ms or 0)
-            self._until_ms = granted
-            remaining = (granted - self._clock_ms) / CLOCK_DRIFT
-            self._lapse_ms = self._clock_read_ms + int(remaining) + 1
+            self._grant_until(max(until_ms, self._until_ms or 0))
 
     def _note_unreachable(self, detail: str) -> None:
         if self._is_reachable:
--- a/ragwortshelf/scheduler/leadership.py
+++ b/ragwortshelf/scheduler/leadership.py
@@ -25,7 +25,7 @@
 from .clock import boot_ms, monotonic_ms, wall_ms
 from .configuration import ConfigurationFollower
 from .directory import EndpointDirectory
-from .endpoint_session import CLOCK_DRIFT, EndpointSession
+from .endpoint_session import EndpointSession, longest_ms
 from .interfaces import Appended, Entry, OutsideWorld
 from .log_follower import LogFollower
 from .logs import Logs
@@ -153,7 +153,7 @@
         grants_on_ms = 0
         if not previous.is_resigned:
             grants_on_ms = self._settings.term_confirmation_max_ms
-        return now + grants_on_ms + int(self._settings.lease_ms / CLOCK_DRIFT) + 1
+        return now + grants_on_ms + longest_ms(self._settings.lease_ms)
 
     # Events from the log and the configuration.
 
--- a/ragwortshelf/scheduler/log_follower.py
+++ b/ragwortshelf/scheduler/log_follower.py
@@ -115,9 +115,7 @@
         """Read once and fold; returns whether the log's end was reached."""
         sent = boot_ms()
         offset = self.next_offset
-        timeout_ms = wait_ms + self.settings.log_call_timeout_ms
-        if not self.is_answered:
-            wait_ms, timeout_ms = 0, self.settings.log_probe_timeout_ms
+        wait_ms, timeout_ms = self.settings.read_times_ms(wait_ms, self.is_answered)
         page = await self._log.read(offset, wait_ms=wait_ms, timeout_ms=timeout_ms)
         if self._needs_snapshot:
             return False
--- a/ragwortshelf/scheduler/orders.py
+++ b/ragwortshelf/scheduler/orders.py
@@ -81,8 +81,7 @@
         if session is None:
             return
         is_confirmed = await session.stop(order)
-        outcome = "confirmed" if is_confirmed else "unconfirmed"
-        self._metrics.count("orders_total", order="stop", outcome=outcome)
+        self._count("stop", is_confirmed)
         if is_confirmed:
             self._scheduler.stop_confirmed(
                 order.endpoint_id, order.task, order.run, monotonic_ms()
@@ -94,8 +93,7 @@
         if session is None:
             return
         is_confirmed = await session.pace(order)
-        outcome = "confirmed" if is_confirmed else "unconfirmed"
-        self._metrics.count("orders_total", order="pace", outcome=outcome)
+        self._count("pace", is_confirmed)
         log_event(
             "pace",
             task=order.task,
@@ -107,6 +105,10 @@
         if not is_confirmed:
             self._scheduler.pace_lost(order)
 
+    def _count(self, order: str, is_confirmed: bool) -> None:
+        outcome = "confirmed" if is_confirmed else "unconfirmed"
+        self._metrics.count("orders_total", order=order, outcome=outcome)
+
     async def ask_advice(self, question: AskAdvice) -> None:
         """Ask the policy service about a step."""
         # The service handles one call of an instance at a time; the lock keeps the
--- a/ragwortshelf/scheduler/settings.py
+++ b/ragwortshelf/scheduler/settings.py
@@ -65,3 +65,13 @@
 
     # Calls to an endpoint cross one link of at most 3 ms; a lost answer costs this.
     endpoint_timeout_ms: int = 400
+
+    def read_times_ms(self, wait_ms: int, is_answered: bool) -> tuple[int, int]:
+        """Return how long a read of the log waits for a record, and its timeout.
+
+        >>> SchedulingSettings("i").read_times_ms(1_000, is_answered=True)
+        (1000, 1700)
+        """
+        if not is_answered:
+            return 0, self.log_probe_timeout_ms
+        return wait_ms, wait_ms + self.log_call_timeout_ms
