--- a/ragwortshelf/net/http_messages.py
+++ b/ragwortshelf/net/http_messages.py
@@ -16,6 +16,7 @@
     "Malformed",
     "json_response",
     "parse_json",
+    "response_fields",
 ]
 
 Headers = tuple[tuple[str, str], ...]
@@ -122,3 +123,13 @@
     if not isinstance(value, dict):
         return Malformed("expected a JSON object")
     return value
+
+
+def response_fields(response: HttpResponse) -> dict:
+    """Return the JSON object of a response, empty where there is none to be read.
+
+    >>> response_fields(HttpResponse(503))
+    {}
+    """
+    fields = parse_json(response.body)
+    return {} if isinstance(fields, Malformed) else fields
--- a/tests/scheduler/cluster.py
+++ b/tests/scheduler/cluster.py
@@ -57,6 +57,11 @@
         nursery.cancel_scope.cancel()
 
 
+def faults_of(instance):
+    """Return what is wrong between an instance and the platform, to be changed."""
+    return instance.configuration._world.faults
+
+
 async def submit(instance, spec):
     outcome = await instance.gateway.submit(spec, monotonic_ms() + 2_000)
     assert isinstance(outcome, Accepted)
--- a/tests/scheduler/test_gateway.py
+++ b/tests/scheduler/test_gateway.py
@@ -1,7 +1,7 @@
 """What callers are told, above all when something is away."""
 
 import trio
-from cluster import make_instances, make_job, make_platform, running, submit
+from cluster import faults_of, make_instances, make_job, make_platform, running, submit
 
 from ragwortshelf.scheduler.clock import monotonic_ms
 from ragwortshelf.scheduler.gateway import Accepted, Declined, Reason, Uncertain
@@ -19,7 +19,7 @@
     instance = make_instances(platform, 1)[0]
     async with running(instance):
         await trio.sleep(1)
-        instance.configuration._world.faults.store = "silent"
+        faults_of(instance).store = "silent"
         await trio.sleep(1.5)
         outcome, took_ms = await _timed_submit(instance, make_job("a" * 16))
         assert isinstance(outcome, Declined)
@@ -34,7 +34,7 @@
     instance = make_instances(platform, 1)[0]
     async with running(instance):
         await trio.sleep(1)
-        instance.configuration._world.faults.lose_append_answers = 100
+        faults_of(instance).lose_append_answers = 100
         outcome, took_ms = await _timed_submit(instance, make_job("a" * 16))
         # The record is read back from the log, or the caller learns within a second.
         assert isinstance(outcome, (Accepted, Uncertain))
@@ -47,10 +47,10 @@
     async with running(instance):
         await trio.sleep(1)
         assert instance.gateway.is_ready()
-        instance.configuration._world.faults.store = "silent"
+        faults_of(instance).store = "silent"
         await trio.sleep(1.5)
         assert not instance.gateway.is_ready()
-        instance.configuration._world.faults.store = ""
+        faults_of(instance).store = ""
         await trio.sleep(2.5)
         assert instance.gateway.is_ready()
 
@@ -89,7 +89,7 @@
     async with running(instance):
         await trio.sleep(1)
         assert not isinstance(instance.gateway.authorise("h", "/q/x", "key"), Declined)
-        instance.configuration._world.faults.store = "silent"
+        faults_of(instance).store = "silent"
         await trio.sleep(instance.settings.revocation_ms / 1000)
         refused = instance.gateway.authorise("h", "/q/x", "key")
         assert refused.reason is Reason.NOT_READY
@@ -114,7 +114,7 @@
     instance = make_instances(platform, 1)[0]
     async with running(instance):
         await trio.sleep(1)
-        faults = instance.configuration._world.faults
+        faults = faults_of(instance)
         for length_s in (5.9, 6.1, 6.3, 6.5):
             faults.store = "silent"
             await trio.sleep(length_s)
--- a/tests/scheduler/test_observability.py
+++ b/tests/scheduler/test_observability.py
@@ -5,7 +5,7 @@
 import pytest
 import trio
 from absl import logging
-from cluster import make_instances, make_job, make_platform, running, submit
+from cluster import faults_of, make_instances, make_job, make_platform, running, submit
 
 from ragwortshelf.core.scheduling.fleet import RunEnd
 from ragwortshelf.scheduler.clock import monotonic_ms
@@ -36,13 +36,7 @@
     logging.set_verbosity(before)
 
 
-def _faults(instance):
-    return instance.configuration._world.faults
-
-
-async def _call(
-    instance, path="/q/", key="key", host="h", kind="POST", job_id="a" * 16
-):
+async def _call(instance, path="/q/", key="key", kind="POST", job_id="a" * 16):
     """Make a call as the callers' server does, and return its line's fields."""
     began_ms = monotonic_ms()
     gateway = instance.gateway
@@ -67,7 +61,7 @@
         await _call(instance, kind="DELETE", job_id="f" * 16)
         await _call(instance, path="/none/")
         await _call(instance, key="other")
-        _faults(instance).store = "silent"
+        faults_of(instance).store = "silent"
         await _call(instance, job_id="b" * 16)
         await trio.sleep(1.5)
         await _call(instance, job_id="c" * 16)
@@ -96,9 +90,9 @@
         await trio.sleep(10)
         platform.endpoint_by_id["e1"].is_cut = False
         await trio.sleep(2)
-        _faults(instance).store = "silent"
+        faults_of(instance).store = "silent"
         await trio.sleep(3)
-        _faults(instance).store = ""
+        faults_of(instance).store = ""
         await trio.sleep(2)
         platform.reports.append([("e1", b"")])
         await trio.sleep(1)
--- a/tests/scheduler/test_siblings.py
+++ b/tests/scheduler/test_siblings.py
@@ -1,7 +1,14 @@
 """When a refused caller is told to come back, by who else serves it."""
 
 import trio
-from cluster import announce_in, make_instances, make_job, make_platform, running
+from cluster import (
+    announce_in,
+    faults_of,
+    make_instances,
+    make_job,
+    make_platform,
+    running,
+)
 
 from ragwortshelf.core.scheduling.records import InstanceAnnounced
 from ragwortshelf.scheduler.clock import monotonic_ms
@@ -17,7 +24,7 @@
 
 def _cut_from_log(*instances):
     for instance in instances:
-        instance.configuration._world.faults.store = "silent"
+        faults_of(instance).store = "silent"
 
 
 async def test_a_caller_of_an_instance_cut_off_alone_comes_back_at_once(autojump_clock):
@@ -68,7 +75,7 @@
         await trio.sleep(6)
         _cut_from_log(instances[0])
         await trio.sleep(2)
-        instances[0].configuration._world.faults.store = ""
+        faults_of(instances[0]).store = ""
         await trio.sleep(3)
         _cut_from_log(*instances)
         # A silent log is noticed within 1.3 s, and the next question follows 0.6 s
--- a/tests/scheduler/test_term.py
+++ b/tests/scheduler/test_term.py
@@ -2,6 +2,7 @@
 
 import trio
 from cluster import (
+    faults_of,
     holders,
     make_instances,
     make_job,
@@ -106,7 +107,7 @@
     instance = make_instances(platform, 1)[0]
     async with running(instance):
         await trio.sleep(1)
-        instance.configuration._world.faults.lose_append_answers = 2
+        faults_of(instance).lose_append_answers = 2
         await submit(instance, make_job("c" * 16))
         await trio.sleep(4)
         assert await state_of(instance, "c" * 16) is JobState.COMPLETED
@@ -232,10 +233,10 @@
         await submit(instance, make_job("a" * 16, count=2))
         await trio.sleep(0.5)
         ended = next(iter(endpoint.running))
-        instance.configuration._world.faults.store = "busy"
+        faults_of(instance).store = "busy"
         endpoint.finish(ended)
         await trio.sleep(8)
-        instance.configuration._world.faults.store = ""
+        faults_of(instance).store = ""
         await trio.sleep(8)
         assert await state_of(instance, "a" * 16) is JobState.COMPLETED
         assert len(platform.runs()) == 2
