Count only listed time as time without progress

Cause: a run counted as stalled 3.5 s after its progress last changed, by this process's clock. After a pause of the scheduler, or of an endpoint with its tasks, the next plan stopped everything that ran there, though nothing was known to stand still.

Change: each listing with unchanged progress adds the time since the one before, at most 1.5 s; a task paced down adds nothing. Detection of a real stall comes with the first listing past 3.5 s, up to a second later than before.

--- a/ragwortshelf/core/scheduling/fleet.py
+++ b/ragwortshelf/core/scheduling/fleet.py
@@ -33,6 +33,10 @@
 failures of three different jobs in a row point to the endpoint.
 """
 
+LISTING_GAP_MAX_MS = 1_500
+"""Longest time between two listings that counts as time without progress. Listings of a
+reachable endpoint are about a second apart."""
+
 FAILURE_EXCLUSION_MS = 5_000
 """Exclusion time after runs of several jobs in a row failed on an endpoint."""
 
@@ -154,9 +158,10 @@
 
     ``confirmed_ms`` is when the run was first known to be on the endpoint, and
     ``fenced_ms`` when the endpoint confirmed a stop. ``next_stop_ms`` is when an order
-    to stop is repeated. ``progress_changed_ms`` is when ``progress_percent`` last
-    changed, or the run was confirmed. An adopted placement was made in an earlier
-    term, and no listing has confirmed or refuted it in this one yet.
+    to stop is repeated. ``without_progress_ms`` is how long the listings have shown the
+    same ``progress_percent``; ``listed_ms`` is when the last of them arrived. An adopted
+    placement was made in an earlier term, and no listing has confirmed or refuted it in
+    this one yet.
     """
 
     __slots__ = (
@@ -166,17 +171,18 @@
         "fenced_ms",
         "index",
         "is_adopted",
+        "listed_ms",
         "load_metric",
         "next_stop_ms",
         "occupied",
         "ordered_ms",
         "pace_percent",
-        "progress_changed_ms",
         "progress_percent",
         "run",
         "stage",
         "task",
         "unit_key",
+        "without_progress_ms",
     )
 
     def __init__(
@@ -205,7 +211,24 @@
         self.progress_percent = 0.0
         self.pace_percent = 100
         self.load_metric = 0.0
-        self.progress_changed_ms = now_ms
+        self.listed_ms = now_ms
+        self.without_progress_ms = 0
+
+    def record_progress(self, percent: float, now_ms: int) -> None:
+        """Note the progress that a listing shows.
+
+        A listing that is late says nothing about the time since the one before: the
+        endpoint or this process may have been paused, or the network cut. So each one
+        adds at most ``LISTING_GAP_MAX_MS`` to the time without progress.
+        """
+        is_unchanged = percent == self.progress_percent
+        if is_unchanged and self.confirmed_ms is not None and self.pace_percent == 100:
+            gap_ms = min(now_ms - self.listed_ms, LISTING_GAP_MAX_MS)
+            self.without_progress_ms += gap_ms
+        else:
+            self.progress_percent = percent
+            self.without_progress_ms = 0
+        self.listed_ms = now_ms
 
     def was_confirmed(self, before_ms: int) -> bool:
         """Whether the run was confirmed strictly before ``before_ms``.
--- a/ragwortshelf/core/scheduling/scheduler.py
+++ b/ragwortshelf/core/scheduling/scheduler.py
@@ -41,7 +41,7 @@
 """Exclusion time after an endpoint had no room; a new listing arrives within it."""
 
 STALL_TIMEOUT_MS = 3_500
-"""Time without progress after which a run counts as stalled.
+"""Listed time without progress after which a run counts as stalled.
 
 Endpoints report whole percents, and the slowest specified task takes 3 s for one
 percent on an endpoint that is slowed down 6.5 times.
@@ -176,7 +176,7 @@
             if placement.stage in (RunStage.LOGGED, RunStage.ORDERED):
                 placement.stage = RunStage.RUNNING
                 placement.confirmed_ms = now_ms
-                placement.progress_changed_ms = now_ms
+                placement.listed_ms = now_ms
             return
         self._note_refusal(endpoint_id, outcome, now_ms)
         unit = self.unit_by_key.get(placement.unit_key)
@@ -257,7 +257,7 @@
             for placement in unit.placements:
                 if placement.stage is not RunStage.RUNNING:
                     continue
-                if self._is_stalled(placement, now_ms):
+                if self._is_stalled(placement):
                     endpoint = self.endpoint_by_id[placement.endpoint_id]
                     if endpoint.is_reachable:
                         self._exclude(
@@ -274,14 +274,14 @@
                     self._stop_placements(unit, "endpoint leaves", now_ms)
 
     @staticmethod
-    def _is_stalled(placement: TaskPlacement, now_ms: int) -> bool:
+    def _is_stalled(placement: TaskPlacement) -> bool:
         # A finished task of a gang waits for the others, and a throttled one is slow.
         if (
             placement.progress_percent >= FINISHED_PERCENT
             or placement.pace_percent < FULL_PERCENT
         ):
             return False
-        return now_ms - placement.progress_changed_ms > STALL_TIMEOUT_MS
+        return placement.without_progress_ms > STALL_TIMEOUT_MS
 
     def _note_refusal(
         self, endpoint_id: str, outcome: StartOutcome, now_ms: int
@@ -322,9 +322,7 @@
             return
         if row.checkpoint:
             placement.checkpoint = row.checkpoint
-        if row.percent != placement.progress_percent or placement.confirmed_ms is None:
-            placement.progress_percent = row.percent
-            placement.progress_changed_ms = now_ms
+        placement.record_progress(row.percent, now_ms)
         if placement.confirmed_ms is None:
             placement.confirmed_ms = now_ms
         placement.load_metric = row.load_metric
