Hold back orders of a holder whose role may have run out

Cause: a holder checked every 350 ms whether the log had confirmed its term in time. After a pause (SIGSTOP, a suspended machine) its sessions could send before that check: a renewal that extended leases past the bound by which a successor takes them for expired, so that a task could be started elsewhere while it still ran, and upkeep orders to hosts that do not check the token.

Change: each renewal, start, stop and pace first checks the age of the last confirmation on the clock that counts suspensions; upkeep orders check it against the time after which another instance may claim. What is held back waits; the end of the term cancels it. A deadline is computed after the check, on the endpoint's clock, so a pause between check and send grants nothing more.

--- a/ragwortshelf/core/scheduling/fleet.py
+++ b/ragwortshelf/core/scheduling/fleet.py
@@ -159,9 +159,9 @@
     ``confirmed_ms`` is when the run was first known to be on the endpoint, and
     ``fenced_ms`` when the endpoint confirmed a stop. ``next_stop_ms`` is when an order
     to stop is repeated. ``without_progress_ms`` is how long the listings have shown the
-    same ``progress_percent``; ``listed_ms`` is when the last of them arrived. An adopted
-    placement was made in an earlier term, and no listing has confirmed or refuted it in
-    this one yet.
+    same ``progress_percent``; ``listed_ms`` is when the last of them arrived. An
+    adopted placement was made in an earlier term, and no listing has confirmed or
+    refuted it in this one yet.
     """
 
     __slots__ = (
--- a/ragwortshelf/scheduler/endpoint_session.py
+++ b/ragwortshelf/scheduler/endpoint_session.py
@@ -31,6 +31,9 @@
 """Initial and maximum pause between renewals of an unresponsive endpoint. Dozens of
 endpoints may become unreachable at once, and each attempt opens a connection."""
 
+ROLE_CHECK_INTERVAL_MS = 50
+"""Interval between checks whether an order that is held back may be sent."""
+
 COMMIT_WAIT_MS = 500
 """Maximum delay of a renewal while finished runs are being committed to the log. An
 append takes 8 ms, or 0.5 s while the log is slow."""
@@ -54,6 +57,9 @@
     clock, and the local time by which that deadline has certainly passed. Until the
     first answer, ``earlier_leases_expiry_ms`` (local time) bounds the leases granted in
     earlier terms. ``is_shared`` requests more frequent listings.
+
+    While ``may_order`` returns False nothing is sent: a process that was paused may
+    have lost the role meanwhile, and its successor bounds the leases granted before.
     """
 
     def __init__(
@@ -66,6 +72,7 @@
         on_unreachable: Callable[[str], None],
         on_lease_expired: Callable[[str], None],
         on_fenced: Callable[[str], None],
+        may_order: Callable[[], bool],
         earlier_leases_expiry_ms: int,
     ):
         self.info = info
@@ -75,6 +82,7 @@
         self._on_unreachable = on_unreachable
         self._on_lease_expired = on_lease_expired
         self._on_fenced = on_fenced
+        self._may_order = may_order
         self._lease_expiry_ms = earlier_leases_expiry_ms
         self._deadline_ms: int | None = None
         self._clock_ms = 0
@@ -109,6 +117,7 @@
         was_unanswered = False
         outcome = StartOutcome.UNANSWERED
         for timeout_ms in START_TIMEOUTS_MS:
+            await self._wait_for_role()
             if self._deadline_ms is None:
                 return StartOutcome.UNHEALTHY, was_unanswered
             outcome = await self._client.start(
@@ -127,17 +136,25 @@
 
     async def stop(self, order: StopTask) -> bool:
         """Send one stop order; the scheduler repeats it while the run is listed."""
+        await self._wait_for_role()
         return await self._client.stop(
             order.task, order.run, self._settings.endpoint_timeout_ms
         )
 
     async def pace(self, order: PaceTask) -> bool:
         """Send one pace order; returns whether the endpoint confirmed it."""
+        await self._wait_for_role()
         return await self._client.pace(
             order.task, order.run, order.percent, self._settings.endpoint_timeout_ms
         )
 
+    async def _wait_for_role(self) -> None:
+        """Wait while orders are held back; the end of the term cancels it."""
+        while not self._may_order():
+            await trio.sleep(ROLE_CHECK_INTERVAL_MS / 1000)
+
     async def _renew(self) -> None:
+        await self._wait_for_role()
         sent_ms = monotonic_ms()
         is_urgent = self._failures > 0 or not self._has_time_to_start(sent_ms)
         wait_ms = 0 if is_urgent else self._listing_wait_ms()
--- a/ragwortshelf/scheduler/leadership.py
+++ b/ragwortshelf/scheduler/leadership.py
@@ -22,7 +22,7 @@
     deletion_records,
 )
 from ..daemon.logs import log_event
-from .clock import boot_ms, monotonic_ms, wall_ms
+from .clock import monotonic_ms, wall_ms
 from .configuration_follower import ConfigurationFollower
 from .endpoint_directory import EndpointDirectory
 from .endpoint_session import EndpointSession, max_local_duration_ms
@@ -84,11 +84,17 @@
         self._log = logs.jobs
         self._metrics = logs.metrics
         self._scheduler = Scheduler(claim.term, follower.table, configuration.current)
-        self._upkeep = UpkeepRunner(
-            adapter, settings, follower, self._scheduler, self._commit, claim.term
-        )
         self._session_by_id: dict[str, EndpointSession] = {}
         self._writer = TermWriter(claim, sequence, logs, settings, follower.table)
+        self._upkeep = UpkeepRunner(
+            adapter,
+            settings,
+            follower,
+            self._scheduler,
+            self._commit,
+            claim.term,
+            self._may_order_hosts,
+        )
         self._orders = OrderSender(
             self._scheduler,
             self._session_by_id,
@@ -143,6 +149,19 @@
         """Whether all decisions about a job are in the log."""
         return job_id not in self._writer.uncommitted_jobs
 
+    def _may_order_endpoints(self) -> bool:
+        """Whether a successor would still take leases of this term into account."""
+        limit = self._settings.term_confirmation_max_ms
+        return self._writer.confirmation_age_ms() <= limit
+
+    def _may_order_hosts(self) -> bool:
+        """Whether no other instance can hold the role yet.
+
+        Hosts may not check the fencing token, so a successor waits ``host_lease_ms``
+        before its first order, and this holder orders nothing once there may be one.
+        """
+        return self._writer.confirmation_age_ms() <= self._settings.term_timeout_ms
+
     def _end(self, reason: str) -> None:
         if not self.end_reason:
             self.end_reason = reason
@@ -194,6 +213,7 @@
             on_unreachable=self._endpoint_unreachable,
             on_lease_expired=self._endpoint_lease_expired,
             on_fenced=lambda _: self._end("an endpoint has seen a later term"),
+            may_order=self._may_order_endpoints,
             earlier_leases_expiry_ms=self._earlier_leases_expiry_ms,
         )
         self._session_by_id[info.id] = session
@@ -299,13 +319,12 @@
         self._end(reason)
 
     async def _watch_confirmation(self) -> None:
-        limit = self._settings.term_confirmation_max_ms
         while True:
             await trio.sleep(self._settings.term_renewal_ms / 1000)
             newest = self._follower.table.term
             if newest is not None and newest.term > self.claim.term:
                 self._end("a later term was claimed")
-            elif boot_ms() - self._writer.confirmed_boot_ms > limit:
+            elif not self._may_order_endpoints():
                 self._end("the log has not confirmed the term in time")
 
     async def _deletion_loop(self) -> None:
--- a/ragwortshelf/scheduler/term_writer.py
+++ b/ragwortshelf/scheduler/term_writer.py
@@ -68,6 +68,13 @@
         self._is_resigning = True
         self._wake_event.set()
 
+    def confirmation_age_ms(self) -> int:
+        """Return the time since the last successful append was sent.
+
+        Time during which the process or its machine was suspended counts.
+        """
+        return boot_ms() - self.confirmed_boot_ms
+
     def mark(self) -> int:
         """Return how many actions were added so far, for ``wait_committed``."""
         return self._added_count
--- a/ragwortshelf/scheduler/upkeep.py
+++ b/ragwortshelf/scheduler/upkeep.py
@@ -28,13 +28,17 @@
 WAVE_IDLE_INTERVAL_MS = 500
 """Interval between checks for a new wave."""
 
+ROLE_CHECK_INTERVAL_MS = 50
+"""Interval between checks whether an order that is held back may be sent."""
+
 CommitEntries = Callable[[list[Entry]], Awaitable[bool]]
 
 
 class UpkeepRunner:
     """Carries out the upkeep of every host in each wave.
 
-    ``token`` is the term's fencing token.
+    ``token`` is the term's fencing token. Orders are held back while ``may_order``
+    returns False, as another instance may hold the role.
     """
 
     def __init__(
@@ -45,6 +49,7 @@
         scheduler: Scheduler,
         commit: CommitEntries,
         token: int,
+        may_order: Callable[[], bool],
     ):
         self._hosts: HostService = adapter.host_service()
         self._adapter = adapter
@@ -53,6 +58,7 @@
         self._scheduler = scheduler
         self._commit = commit
         self._token = token
+        self._may_order = may_order
         self._first_seen_ms_by_wave: dict[int, int] = {}
 
     async def run(self, waves: Callable[[], dict[int, UpkeepWave]]) -> None:
@@ -102,6 +108,8 @@
 
     async def _order(self, progress: WaveProgress, host: HostInfo) -> None:
         wave = progress.wave.number
+        while not self._may_order():
+            await trio.sleep(ROLE_CHECK_INTERVAL_MS / 1000)
         outcome = await self._hosts.begin_upkeep(
             host.id, wave, self._settings.instance, self._token
         )
--- a/tests/scheduler/fakes.py
+++ b/tests/scheduler/fakes.py
@@ -6,10 +6,12 @@
 
 from ragwortshelf.core.scheduling import ServiceConfiguration
 from ragwortshelf.core.scheduling.fleet import RunEnd, StartOutcome
+from ragwortshelf.core.scheduling.upkeep import UpkeepOutcome
 from ragwortshelf.scheduler.interfaces import (
     EndpointAnswer,
     EndpointClient,
     EndpointUnreachable,
+    HostService,
     KeyedLog,
     LogPage,
     LogRefused,
@@ -79,6 +81,7 @@
         super().__init__(info)
         self.is_disconnected = False
         self.lose_start_answers = 0
+        self.renewals = []
 
     def finish(self, task):
         self.end(task, RunEnd.DONE)
@@ -100,6 +103,7 @@
         return True
 
     async def renew(self, *, until_ms, ack_number, wait_ms, timeout_ms):
+        self._endpoint.renewals.append((self._token, until_ms))
         if not await self._cross_link(timeout_ms):
             return EndpointUnreachable("timeout")
         endpoint = self._endpoint
@@ -134,6 +138,25 @@
         pass
 
 
+class HostOrders(HostService):
+    """Lists the given hosts once ``may_answer`` is set, and records the orders."""
+
+    def __init__(self, hosts):
+        self._hosts = list(hosts)
+        self.listed = trio.Event()
+        self.may_answer = trio.Event()
+        self.orders = []
+
+    async def list_hosts(self):
+        self.listed.set()
+        await self.may_answer.wait()
+        return self._hosts
+
+    async def begin_upkeep(self, host_id, wave, holder, token):
+        self.orders.append((host_id, holder, token))
+        return UpkeepOutcome.BEGUN
+
+
 class Faults:
     """Faults between one instance and the platform.
 
