Check the type of every field that another process sends

Cause: decoders passed values on unchecked, or converted them with int(). What took a whole process down, or the scheduler of every successor in turn: - a caller's id of more than 254 bytes, which the log's key format can't hold, raised in the group writer; one with a slash made records unreadable; - a list as a step's required label, which the planner uses as a hash key; - a count of 2^40 tasks or occurrences; - a row of an endpoint's list with a string for a run number or percent; - a number such as 1e999, which JSON reads as infinite, in any whole field; - an address with a port like '²', raised when a connection was opened; - an answer of the store, the hosts or the policy service without its fields.

A list with one unreadable row is refused whole: skipping the row would report its run as lost. An advice address that a reload adds is used. Log lines over 4,095 bytes are cut within their texts and stay valid JSON.

--- a/ragwortshelf/daemon/logs.py
+++ b/ragwortshelf/daemon/logs.py
@@ -26,6 +26,7 @@
     "dropped_line_count",
     "log_decision",
     "log_event",
+    "log_failure",
 ]
 
 LINES_PER_SECOND = 300
@@ -111,8 +112,7 @@
         fields = self._fields(record)
         if dropped:
             fields["left_out"] = dropped
-        line = json.dumps(fields, default=str).encode()[: PIPE_ATOMIC_BYTES - 1]
-        if not self._write(line + b"\n"):
+        if not self._write(_encode_line(fields)):
             self.budget.count_dropped(kind, 1 + dropped)
 
     def _write(self, line: bytes) -> bool:
@@ -142,6 +142,28 @@
         return fields
 
 
+def _encode_line(fields: dict) -> bytes:
+    """Return the fields as a line of JSON, with long texts cut if it is too long."""
+    line = json.dumps(fields, default=str).encode()
+    text_max = PIPE_ATOMIC_BYTES // 2
+    while len(line) >= PIPE_ATOMIC_BYTES and text_max:
+        fields = {name: _shorten(value, text_max) for name, value in fields.items()}
+        line = json.dumps(fields, default=str).encode()
+        text_max //= 2
+    if len(line) >= PIPE_ATOMIC_BYTES:
+        kept = {name: fields[name] for name in ("time", "level", "instance")}
+        line = json.dumps(kept | {"message": "a line with too many fields"}).encode()
+    return line + b"\n"
+
+
+def _shorten(value, text_max: int):
+    """Return the end of a long text, which holds the error of a traceback."""
+    if value is None or isinstance(value, (bool, int, float)):
+        return value
+    text = value if isinstance(value, str) else str(value)
+    return text if len(text) <= text_max else "…" + text[-text_max:]
+
+
 _writer: LineWriter | None = None
 
 
@@ -165,6 +187,11 @@
     logging.info(message, extra={"fields": fields})
 
 
+def log_failure(message: str, **fields) -> None:
+    """Log the exception that is being handled, with its traceback."""
+    logging.error(message, exc_info=True, extra={"fields": fields})
+
+
 def log_decision(decision: Decision) -> None:
     """Log one routing or placement decision with its reason."""
     logging.info("decision", extra={"fields": {"decision": asdict(decision)}})
--- a/ragwortshelf/net/http_messages.py
+++ b/ragwortshelf/net/http_messages.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import json
+import math
 from collections.abc import Mapping
 from dataclasses import dataclass
 from urllib.parse import parse_qsl
@@ -112,8 +113,15 @@
     raise ValueError(f"{name} is not JSON")
 
 
+def _parse_finite(digits: str) -> float:
+    value = float(digits)
+    if math.isinf(value):
+        raise ValueError(f"{digits:.40} is too large")
+    return value
+
+
 def parse_json(body: bytes) -> dict | Malformed:
-    """Parse a JSON object; constants that are not standard JSON, like NaN, are refused.
+    """Parse a JSON object; constants like NaN and numbers too large are refused.
 
     >>> parse_json(b'{"count": 2}')
     {'count': 2}
@@ -121,7 +129,9 @@
     Malformed(detail='expected a JSON object')
     """
     try:
-        value = json.loads(body, parse_constant=_reject_constant)
+        value = json.loads(
+            body, parse_constant=_reject_constant, parse_float=_parse_finite
+        )
     except (ValueError, RecursionError) as error:
         return Malformed(f"body is not JSON: {error}")
     if not isinstance(value, dict):
--- a/tests/daemon/test_logs.py
+++ b/tests/daemon/test_logs.py
@@ -73,3 +73,14 @@
     handler = LineWriter("i1", writer)
     handler.emit(_record("start"))
     assert handler.budget.dropped == 1
+
+
+def test_a_line_that_is_too_long_is_cut_within_its_texts():
+    reader, writer = os.pipe()
+    handler = LineWriter("i1", writer)
+    handler.emit(_record("long", detail="x" * 9_000 + "the error", task="t"))
+    handler.emit(_record("many", **{f"field{n}": "y" * 100 for n in range(900)}))
+    first, second = _lines(reader)
+    assert first["detail"].endswith("the error")
+    assert (first["message"], first["task"]) == ("long", "t")
+    assert second["instance"] == "i1"
--- /dev/null
+++ b/tests/platform/test_malformed.py
@@ -0,0 +1,286 @@
+"""No message that another process sends makes a decoder or the scheduler raise."""
+
+import json
+
+import pytest
+import trio
+from cluster import make_instances, make_platform, running
+from hypothesis import given
+from hypothesis import strategies as st
+from platform_adapter.adapter import HttpPlatformAdapter
+from platform_adapter.callers import CallerApi, decode_job
+from platform_adapter.configuration import decode_configuration
+from platform_adapter.endpoints import MinionClient, decode_minion
+from platform_adapter.hosts import MachineService, decode_waves
+from platform_adapter.settings import parse_settings
+from platform_adapter.store import StoreTopic
+from test_decoding import ACCESS, REPORT, SETTINGS
+
+from ragwortshelf.core.scheduling import JobTable, Scheduler
+from ragwortshelf.core.scheduling.configuration import ServiceConfiguration
+from ragwortshelf.core.scheduling.fleet import EndpointInfo
+from ragwortshelf.core.scheduling.model import Resources
+from ragwortshelf.core.scheduling.records import (
+    JobSubmitted,
+    decode_record,
+    encode_record,
+)
+from ragwortshelf.net.http_messages import HttpRequest, HttpResponse, Malformed
+from ragwortshelf.scheduler.interfaces import (
+    EndpointAnswer,
+    EndpointUnreachable,
+    LogUnanswered,
+)
+
+ID = "5c0e7a21d94b36f8"
+
+SCALARS = (
+    st.none()
+    | st.booleans()
+    | st.integers()
+    | st.floats()
+    | st.sampled_from([10**400, -1, 1e308, "²", "\ud800", "x" * 300])
+    | st.text(max_size=5)
+)
+VALUES = st.recursive(
+    SCALARS,
+    lambda inner: (
+        st.lists(inner, max_size=3)
+        | st.dictionaries(st.text(max_size=4), inner, max_size=3)
+    ),
+    max_leaves=6,
+)
+
+
+def _mutations(fields: dict):
+    """Return variants of an object in which some fields have another value."""
+    changes = st.dictionaries(st.sampled_from(sorted(fields)), VALUES, max_size=3)
+    return changes.map(lambda changed: json.dumps(fields | changed).encode())
+
+
+STEP = {
+    "count": 2,
+    "cpu": 500,
+    "gpu": 1,
+    "mem_mb": 10,
+    "estimated_ms": 900,
+    "depends_on": [],
+    "requirements": "a",
+    "affinity": "r1",
+    "anti_affinity": 1,
+    "image": "i",
+    "target_ms": 5,
+    "may_miss": 1,
+    "gang": True,
+}
+JOB_FIELDS = {"spec": "s", "repeat_count": 0, "first_run_ms": 0, "interval_ms": 0}
+RUN = ["t", 1, "", 40, 3.0]
+END = [1, "t", 1, "done", ""]
+LISTS = {"clock_ms": 5, "born": 7, "running": [RUN], "finished": [END]}
+
+
+@given(_mutations(REPORT) | st.binary(max_size=20) | VALUES.map(json.dumps))
+def test_reports_of_endpoints(value):
+    value = value.encode(errors="replace") if isinstance(value, str) else value
+    info = decode_minion("e", value)
+    assert info is None or isinstance(hash(info), int)
+
+
+@given(_mutations({"version": 1, "routes": [], "services": [], "tenants": []}))
+def test_configurations(value):
+    configuration = decode_configuration(value)
+    if configuration is not None:
+        configuration.queue_for("h", "/")
+        assert configuration.organisation_by_key.get("k") is None
+
+
+@given(st.data())
+def test_rows_of_configurations(data):
+    queue = {"name": "q", "host": "h", "path_prefix": "/", "service": "s"}
+    queue |= {"priority": 0, "max_attempts": 1, "slack_factor": 2, "advice": {}}
+    organisation = {"name": "o", "api_keys": ["k"], "guaranteed": {"gpu": 1}}
+    value = {
+        "version": 1,
+        "routes": [json.loads(data.draw(_mutations(queue)))],
+        "tenants": [json.loads(data.draw(_mutations(organisation)))],
+    }
+    configuration = decode_configuration(json.dumps(value).encode())
+    if configuration is not None:
+        configuration.queue_for("h", "/x")
+        assert isinstance(configuration.organisation_by_key, dict)
+
+
+@given(_mutations({"wave": 1, "machines": ["m"], "duration_s": 2, "cap": 1}))
+def test_waves(value):
+    assert isinstance(decode_waves({"wave/1": value}), dict)
+
+
+@given(_mutations(SETTINGS | {"cloud_api": {}, "advice": "", "limits": {}}))
+def test_settings(value):
+    assert parse_settings(value) is not None
+
+
+@given(_mutations(STEP), _mutations(JOB_FIELDS))
+def test_jobs_are_refused_or_can_be_stored_and_planned(step, job):
+    fields = json.loads(job) | {"steps": [json.loads(step)]}
+    spec = decode_job(ID, ACCESS, json.dumps(fields).encode())
+    if isinstance(spec, Malformed):
+        return
+    record = JobSubmitted(spec)
+    assert decode_record(*encode_record(record)) == record
+    table = JobTable()
+    scheduler = Scheduler(1, table, ServiceConfiguration(1, (ACCESS.queue,)))
+    info = EndpointInfo("e", "pool", "e", "dc", Resources(8000, 8000, 8))
+    scheduler.endpoint_updated(info, 0)
+    scheduler.endpoint_by_id["e"].is_reachable = True
+    table.apply(record)
+    scheduler.job_changed(spec.id, 0, 0)
+    scheduler.plan(0, 0)
+
+
+@pytest.mark.parametrize(
+    "job_id", ["", "x" * 300, "a/b", "0" * 15, "0" * 17, "²" * 16, "é"]
+)
+async def test_ids_in_another_form_are_refused(autojump_clock, job_id):
+    # A key of the log has at most 255 bytes and its parts are separated by slashes.
+    platform = make_platform()
+    (instance,) = make_instances(platform, 1)
+    api = CallerApi(instance.gateway)
+    body = json.dumps({"steps": [STEP]}).encode()
+    headers = (("host", "h"), ("authorization", "Bearer key"))
+    async with running(instance):
+        await trio.sleep(1)
+        for method, status in (("POST", 400), ("DELETE", 410), ("GET", 410)):
+            if not job_id and method != "POST":
+                continue
+            request = HttpRequest(method, f"/q/{job_id}", headers, body)
+            assert (await api.handle(request)).status == status
+        spec = {"steps": [{"count": 1, "gpu": 1, "estimated_ms": 100}]}
+        request = HttpRequest("POST", f"/q/{ID}", headers, json.dumps(spec).encode())
+        assert (await api.handle(request)).status == 200
+
+
+@pytest.mark.parametrize(
+    "fields",
+    [
+        {"steps": [STEP | {"count": 1 << 40}]},
+        {"steps": [STEP] * 300},
+        {"steps": [STEP], "repeat_count": 1 << 40},
+        {"steps": [STEP], "spec": "x" * 5_000},
+        {"steps": [STEP | {"requirements": ["a"]}]},
+        {"steps": [STEP | {"count": 0}]},
+    ],
+)
+def test_jobs_that_no_instance_could_keep_are_refused(fields):
+    body = json.dumps(fields).encode()
+    assert isinstance(decode_job(ID, ACCESS, body), Malformed)
+
+
+@pytest.mark.parametrize("deadline", ["²", "9" * 5_000, "-1", ""])
+def test_deadlines_in_another_form_are_replaced_by_the_usual_one(deadline):
+    from platform_adapter.callers import DEADLINE_DEFAULT_MS, _time_limit_ms
+
+    request = HttpRequest("GET", "/", (("x-deadline-ms", deadline),))
+    assert 0 < _time_limit_ms(request) <= DEADLINE_DEFAULT_MS
+
+
+class Client:
+    """Answers every call with one response."""
+
+    def __init__(self, status, body):
+        self._response = HttpResponse(status, (), body)
+
+    async def call(self, *arguments, **options):
+        return self._response
+
+
+def _endpoint_client(body):
+    info = EndpointInfo("e", "pool", "127.0.0.1:1", "dc", Resources())
+    client = MinionClient(info, 1)
+    client._client = Client(200, body)
+    return client
+
+
+@given(_mutations(LISTS), _mutations({"row": RUN}), _mutations({"row": END}))
+def test_lists_of_endpoints(lists, run, end):
+    fields = json.loads(lists)
+    for bodies in (
+        fields,
+        fields | {"running": [json.loads(run)["row"]]},
+        fields | {"finished": [json.loads(end)["row"]]},
+    ):
+        client = _endpoint_client(json.dumps(bodies).encode())
+
+        async def renew(client=client):
+            return await client.renew(
+                until_ms=1, ack_number=0, wait_ms=0, timeout_ms=100
+            )
+
+        answer = trio.run(renew)
+        assert isinstance(answer, (EndpointAnswer, EndpointUnreachable))
+        for row in getattr(answer, "running", ()):
+            assert isinstance(row.task, str) and isinstance(row.run, int)
+            assert isinstance(row.percent, (int, float))
+        for row in getattr(answer, "finished", ()):
+            assert isinstance(row.task, str) and isinstance(row.number, int)
+
+
+async def test_a_list_with_one_unreadable_row_reports_no_other_run_as_missing():
+    rows = [RUN, ["u", "1", "", 0]]
+    client = _endpoint_client(json.dumps(LISTS | {"running": rows}).encode())
+    answer = await client.renew(until_ms=1, ack_number=0, wait_ms=0, timeout_ms=100)
+    assert isinstance(answer, EndpointUnreachable)
+
+
+@given(
+    _mutations({"offset": 1, "end": 2, "first": 0, "items": [], "has_more": False})
+    | _mutations({"items": [{"key": "k", "value": "eA=="}], "end": 1})
+    | st.binary(max_size=40),
+    st.sampled_from([200, 400, 409, 410, 412, 429, 500, 502, 503, 507]),
+)
+def test_answers_of_the_store(body, status):
+    topic = StoreTopic(Client(status, body), "keyed.jobs")
+
+    async def call():
+        await topic.append([("k", b"v")], timeout_ms=100)
+        await topic.read(0, wait_ms=0, timeout_ms=100)
+        await topic.newest(None, timeout_ms=100)
+
+    trio.run(call)
+
+
+@pytest.mark.parametrize("status", [200, 412, 500, 502, 504])
+async def test_an_append_whose_answer_says_nothing_may_have_taken_effect(status):
+    topic = StoreTopic(Client(status, b"{}"), "keyed.jobs")
+    outcome = await topic.append([("k", b"v")], timeout_ms=100)
+    assert isinstance(outcome, LogUnanswered)
+
+
+@given(_mutations({"machines": [{"machine": "m", "state": "up"}], "next_token": ""}))
+def test_lists_of_hosts(body):
+    if json.loads(body).get("next_token"):
+        return
+    service = MachineService("127.0.0.1:1")
+    service._client = Client(200, body)
+    trio.run(service.list_hosts)
+
+
+@given(_mutations({"approved": [["e", "t"]], "valid_ms": 100}))
+def test_advice(body):
+    fields = SETTINGS | {"advice": "127.0.0.1:1"}
+    adapter = HttpPlatformAdapter(parse_settings(json.dumps(fields).encode()))
+    adapter._advice = Client(200, body)
+    trio.run(adapter.ask_advice, "step", ("e",))
+
+
+def test_an_advice_address_that_a_reload_adds_is_used():
+    adapter = HttpPlatformAdapter(parse_settings(json.dumps(SETTINGS).encode()))
+    fields = SETTINGS | {"advice": "127.0.0.1:9"}
+    adapter.reconfigure(parse_settings(json.dumps(fields).encode()))
+    assert adapter._advice.address == "127.0.0.1:9"
+
+
+@given(st.text(max_size=10), st.binary(max_size=30))
+def test_records_of_the_log(key, value):
+    for kind in ("j/", "c/", "u/", "w/", "i/", "term", ""):
+        decode_record(kind + key, value)
