--- a/ragwortshelf/daemon/logs.py
+++ b/ragwortshelf/daemon/logs.py
@@ -36,6 +36,9 @@
 PIPE_ATOMIC_BYTES = 4_096
 """Longest line. A pipe that polls as writable accepts this much without blocking."""
 
+TEXT_MIN_CHARACTERS = 64
+"""Length below which the texts of a line that is too long are not cut."""
+
 STANDARD_OUTPUT = 1
 
 _LEVELS = {
@@ -146,7 +149,7 @@
     """Return the fields as a line of JSON, with long texts cut if it is too long."""
     line = json.dumps(fields, default=str).encode()
     text_max = PIPE_ATOMIC_BYTES // 2
-    while len(line) >= PIPE_ATOMIC_BYTES and text_max:
+    while len(line) >= PIPE_ATOMIC_BYTES and text_max >= TEXT_MIN_CHARACTERS:
         fields = {name: _shorten(value, text_max) for name, value in fields.items()}
         line = json.dumps(fields, default=str).encode()
         text_max //= 2
