Confine unexpected errors to one job, endpoint, order or call

Cause: no boundary stood between a callback and the process's nursery.

Change: errors are caught and logged with their traceback at the seams that docs/design/style.md lists. A term that cannot go on is given up, and the instance pauses for 5 s, doubled up to 5 min, before it claims again.

--- a/ragwortshelf/core/scheduling/actions.py
+++ b/ragwortshelf/core/scheduling/actions.py
@@ -11,6 +11,7 @@
     "Action",
     "AskAdvice",
     "ReportExclusion",
+    "ReportPlanningFault",
     "PaceTask",
     "PersistUnit",
     "StartTask",
@@ -87,4 +88,20 @@
     reason: str
 
 
-Action = AskAdvice | ReportExclusion | PaceTask | PersistUnit | StartTask | StopTask
+@dataclass(frozen=True, slots=True)
+class ReportPlanningFault:
+    """Report an unexpected error in planning one unit, which then waits for a while."""
+
+    unit_key: UnitKey
+    error: Exception
+
+
+Action = (
+    AskAdvice
+    | ReportExclusion
+    | ReportPlanningFault
+    | PaceTask
+    | PersistUnit
+    | StartTask
+    | StopTask
+)
--- a/ragwortshelf/core/scheduling/lifecycle.py
+++ b/ragwortshelf/core/scheduling/lifecycle.py
@@ -8,7 +8,14 @@
 
 from dataclasses import replace
 
-from .actions import Action, AskAdvice, PersistUnit, StartTask, StopTask
+from .actions import (
+    Action,
+    AskAdvice,
+    PersistUnit,
+    ReportPlanningFault,
+    StartTask,
+    StopTask,
+)
 from .advice import AdviceCache, step_name
 from .configuration import ServiceConfiguration
 from .fleet import Endpoint, EndpointInfo, RunEnd, RunStage, TaskPlacement
@@ -21,6 +28,9 @@
 STOP_RETRY_MS = 500
 """Interval at which a stop is repeated, in case the order was lost."""
 
+PLANNING_FAULT_DELAY_MS = 5_000
+"""Delay before a unit is planned again whose planning raised an unexpected error."""
+
 _TERMINAL_PHASES = frozenset({UnitPhase.DONE, UnitPhase.FAILED})
 
 
@@ -92,6 +102,11 @@
         """Stop a unit, which is requeued when its runs end; its checkpoint is kept."""
         self._stop_placements(unit, reason, now_ms)
 
+    def report_planning_fault(self, unit: Unit, error: Exception, now_ms: int) -> None:
+        """Delay a unit whose planning raised an unexpected error, and report it."""
+        unit.not_before_ms = now_ms + PLANNING_FAULT_DELAY_MS
+        self._actions.append(ReportPlanningFault(unit.key, error))
+
     def ask_advice(self, unit: Unit, endpoints: list[Endpoint], now_ms: int) -> None:
         """Ask which of these endpoints may run a unit, unless a question is open."""
         endpoint_ids = self.advice.open_question(unit, endpoints, now_ms)
--- a/ragwortshelf/core/scheduling/planning.py
+++ b/ragwortshelf/core/scheduling/planning.py
@@ -76,7 +76,11 @@
         for unit in waiting:
             if unit.not_before_ms > now_ms:
                 continue
-            self._plan_unit(unit, usable, gpus_in_use, unplaceable_shapes)
+            try:
+                self._plan_unit(unit, usable, gpus_in_use, unplaceable_shapes)
+            except Exception as error:
+                # Costs this unit a delay, and no other unit anything.
+                self._scheduler.report_planning_fault(unit, error, now_ms)
 
     def drop_reservation(self, unit: Unit) -> None:
         """Drop the reservation of a unit."""
--- a/ragwortshelf/daemon/logs.py
+++ b/ragwortshelf/daemon/logs.py
@@ -190,9 +190,9 @@
     logging.info(message, extra={"fields": fields})
 
 
-def log_failure(message: str, **fields) -> None:
-    """Log the exception that is being handled, with its traceback."""
-    logging.error(message, exc_info=True, extra={"fields": fields})
+def log_failure(message: str, error: Exception | None = None, **fields) -> None:
+    """Log an exception with its traceback: ``error``, or the one being handled."""
+    logging.error(message, exc_info=error or True, extra={"fields": fields})
 
 
 def log_decision(decision: Decision) -> None:
--- a/ragwortshelf/scheduler/election.py
+++ b/ragwortshelf/scheduler/election.py
@@ -7,7 +7,7 @@
 import trio
 
 from ..core.scheduling.records import TermHeld, encode_record
-from ..daemon.logs import log_event
+from ..daemon.logs import log_event, log_failure
 from .clock import boot_ms, wall_ms
 from .configuration_follower import ConfigurationFollower
 from .interfaces import Appended, PlatformAdapter, ProducerFence
@@ -34,6 +34,11 @@
 the maximum is short compared with the term's timeout. Scheduling 176 endpoints needs
 more than half a core."""
 
+FAILED_TERM_PAUSE_MS = 5_000
+FAILED_TERM_DOUBLINGS_MAX = 6
+"""Pause before the next claim of an instance whose term was ended by an unexpected
+error. It is longer than a successor needs, and grows to about five minutes."""
+
 FIRST_SEQUENCE_MAX = 1 << 48
 """Upper bound of a term's first sequence number. Every JSON reader represents smaller
 integers exactly, and two claims at one offset collide about once in 10^14 cases."""
@@ -62,6 +67,8 @@
         self._metrics = logs.metrics
         self.leadership: Leadership | None = None
         self.is_stopping = False
+        self._failed_term_count = 0
+        self._no_claim_until_boot_ms = 0
 
     async def run(self) -> None:
         """Watch the current term, and claim and hold the role, until cancelled."""
@@ -98,6 +105,8 @@
         follower = self._follower
         if self.is_stopping or not self._configuration.is_trusted():
             return False
+        if boot_ms() < self._no_claim_until_boot_ms:
+            return False
         if (
             follower.answering_since_boot_ms is None
             or follower.confirmed_boot_ms is None
@@ -162,6 +171,22 @@
         )
         try:
             await self.leadership.run()
+        except Exception:
+            self._note_failed_term(claim)
+        else:
+            self._failed_term_count = 0
         finally:
             self.leadership = None
             follower.restart()
+
+    def _note_failed_term(self, claim: TermHeld) -> None:
+        """Log an unexpected error that ended a term, and pause before the next claim.
+
+        The pause doubles with each failed term in a row, so that an error that repeats
+        does not make this instance claim the role without end.
+        """
+        doublings = min(self._failed_term_count, FAILED_TERM_DOUBLINGS_MAX)
+        pause_ms = FAILED_TERM_PAUSE_MS << doublings
+        self._failed_term_count += 1
+        self._no_claim_until_boot_ms = boot_ms() + pause_ms
+        log_failure("term_failed", term=claim.term, no_claim_ms=pause_ms)
--- a/ragwortshelf/scheduler/endpoint_session.py
+++ b/ragwortshelf/scheduler/endpoint_session.py
@@ -8,7 +8,7 @@
 
 from ..core.scheduling.actions import PaceTask, StartTask, StopTask
 from ..core.scheduling.fleet import EndpointInfo, EndpointListing, StartOutcome
-from ..daemon.logs import log_event
+from ..daemon.logs import log_event, log_failure
 from .clock import monotonic_ms
 from .interfaces import EndpointAnswer, EndpointClient
 from .settings import SchedulingSettings
@@ -100,7 +100,7 @@
         with self.scope:
             try:
                 while True:
-                    await self._renew()
+                    await self._renew_or_pause()
             finally:
                 with trio.CancelScope(shield=True):
                     await self._client.aclose()
@@ -153,6 +153,16 @@
         while not self._may_order():
             await trio.sleep(ROLE_CHECK_INTERVAL_MS / 1000)
 
+    async def _renew_or_pause(self) -> None:
+        try:
+            await self._renew()
+        except Exception as error:
+            # Costs this endpoint new tasks, and no other endpoint anything. Its lease
+            # is renewed further, as its tasks may be at work.
+            log_failure("endpoint_failed", endpoint=self.info.id)
+            self._mark_unreachable(repr(error))
+            await trio.sleep(RETRY_MAX_MS / 1000)
+
     async def _renew(self) -> None:
         await self._wait_for_role()
         sent_ms = monotonic_ms()
--- a/ragwortshelf/scheduler/instance.py
+++ b/ragwortshelf/scheduler/instance.py
@@ -15,6 +15,7 @@
 from .log_writer import GroupWriter
 from .peer_readiness import PeerReadiness
 from .settings import SchedulingSettings
+from .supervision import run_supervised
 
 __all__ = ["Instance"]
 
@@ -57,11 +58,14 @@
     async def run(self) -> None:
         """Run until cancelled."""
         async with trio.open_nursery() as nursery:
-            nursery.start_soon(self.follower.run)
-            nursery.start_soon(self.writer.run)
-            nursery.start_soon(self.configuration.run)
-            nursery.start_soon(self.election.run)
-            nursery.start_soon(self.peer_readiness.run)
+            for name, component in (
+                ("job log", self.follower),
+                ("group writer", self.writer),
+                ("configuration", self.configuration),
+                ("election", self.election),
+                ("peer readiness", self.peer_readiness),
+            ):
+                nursery.start_soon(run_supervised, name, component.run)
 
     def reconfigure(self, settings: SchedulingSettings) -> None:
         """Apply changed settings; a term in progress keeps its initial ones."""
--- a/ragwortshelf/scheduler/leadership.py
+++ b/ragwortshelf/scheduler/leadership.py
@@ -13,6 +13,7 @@
     AskAdvice,
     PaceTask,
     ReportExclusion,
+    ReportPlanningFault,
     StopTask,
 )
 from ..core.scheduling.fleet import EndpointInfo, EndpointListing
@@ -21,7 +22,7 @@
     TermHeld,
     deletion_records,
 )
-from ..daemon.logs import log_event
+from ..daemon.logs import log_event, log_failure
 from .clock import monotonic_ms, wall_ms
 from .configuration_follower import ConfigurationFollower
 from .endpoint_directory import EndpointDirectory
@@ -31,6 +32,7 @@
 from .log_topics import LogTopics
 from .orders import OrderSender
 from .settings import SchedulingSettings
+from .supervision import run_supervised
 from .term_writer import TermWriter
 from .upkeep import UpkeepRunner
 
@@ -46,6 +48,9 @@
 PLAN_INTERVAL_MS = 250
 """Maximum pause between plans, which bounds the delay of timed jobs and retries."""
 
+JOB_CHANGE_RETRY_MS = 5_000
+"""Delay before a change of a job is processed again that raised an unexpected error."""
+
 DELETION_INTERVAL_MS = 5_000
 """Interval between checks for ended jobs whose retention time has passed."""
 
@@ -127,13 +132,17 @@
         try:
             async with trio.open_nursery() as nursery:
                 self._nursery = nursery
-                nursery.start_soon(directory.run)
-                nursery.start_soon(self._plan_loop)
+                for name, run in (
+                    ("endpoint directory", directory.run),
+                    ("planning", self._plan_loop),
+                    ("deletion", self._deletion_loop),
+                    ("unlisted endpoints", self._release_unlisted_endpoints),
+                    ("upkeep", partial(self._upkeep.run, self._configuration.waves)),
+                ):
+                    nursery.start_soon(run_supervised, name, run)
+                # Without these two the term cannot go on, so their errors end it.
                 nursery.start_soon(self._write)
                 nursery.start_soon(self._watch_confirmation)
-                nursery.start_soon(self._deletion_loop)
-                nursery.start_soon(self._release_unlisted_endpoints)
-                nursery.start_soon(self._upkeep.run, self._configuration.waves)
         finally:
             self._follower.on_job_changed = lambda job_id: None
             self._follower.is_waiting_for_records = False
@@ -184,9 +193,17 @@
     # Changes of the log and the configuration.
 
     def _job_changed(self, job_id: str) -> None:
-        self._scheduler.job_changed(job_id, monotonic_ms(), wall_ms())
+        try:
+            self._scheduler.job_changed(job_id, monotonic_ms(), wall_ms())
+        except Exception:
+            log_failure("job_change_failed", job=job_id)
+            self._nursery.start_soon(self._repeat_job_change, job_id)
         self._plan_event.set()
 
+    async def _repeat_job_change(self, job_id: str) -> None:
+        await trio.sleep(JOB_CHANGE_RETRY_MS / 1000)
+        self._job_changed(job_id)
+
     def _configuration_changed(self, newest: ServiceConfiguration) -> None:
         self._scheduler.configure(newest)
         self._plan_event.set()
@@ -302,6 +319,13 @@
                         length_ms=action.length_ms,
                         reason=action.reason,
                     )
+                case ReportPlanningFault():
+                    log_failure(
+                        "unit_planning_failed",
+                        error=action.error,
+                        job=action.unit_key.job_id,
+                        step=action.unit_key.step,
+                    )
                 case AskAdvice():
                     self._nursery.start_soon(self._orders.ask_advice, action)
                 case _:
--- a/ragwortshelf/scheduler/log_follower.py
+++ b/ragwortshelf/scheduler/log_follower.py
@@ -8,7 +8,7 @@
 
 from ..core.scheduling.job_table import JobTable
 from ..core.scheduling.records import Record, UnitRecord, decode_record, job_id_of
-from ..daemon.logs import log_event
+from ..daemon.logs import log_event, log_failure
 from .clock import boot_ms
 from .interfaces import Entry, KeyedLog, LogGap, LogPage
 from .newest_records import NewestRecords, read_newest_records
@@ -185,7 +185,12 @@
                 if value and key:
                     log_event("job_record_ignored", key=key, bytes=len(value))
                 continue
-            self._apply(record)
+            try:
+                self._apply(record)
+            except Exception:
+                # Records of this topic are written by all instances, and a newer one
+                # may write what this one cannot apply.
+                log_failure("job_record_failed", key=key, bytes=len(value))
 
     def _apply(self, record: Record) -> None:
         if isinstance(record, UnitRecord) and self.own_term is not None:
--- a/ragwortshelf/scheduler/log_writer.py
+++ b/ragwortshelf/scheduler/log_writer.py
@@ -6,6 +6,7 @@
 
 import trio
 
+from ..daemon.logs import log_failure
 from .clock import monotonic_ms
 from .interfaces import Appended, Entry, KeyedLog, LogRefused
 from .settings import SchedulingSettings
@@ -82,7 +83,7 @@
                 await self._wake.wait()
             group = self._take_group()
             if group:
-                await self._append(group)
+                await self._append_or_end(group)
 
     def _take_group(self) -> list[_PendingAppend]:
         group: list[_PendingAppend] = []
@@ -94,6 +95,15 @@
             size += sum(len(key) + len(value) for key, value in item.entries)
         return group
 
+    async def _append_or_end(self, group: list[_PendingAppend]) -> None:
+        try:
+            await self._append(group)
+        except Exception as error:
+            log_failure("group_append_failed", entries=len(group))
+            for item in group:
+                if item.outcome is None:
+                    item.end(NotCommitted(repr(error), may_be_appended=True))
+
     async def _append(self, group: list[_PendingAppend]) -> None:
         entries = [entry for item in group for entry in item.entries]
         outcome = await self._log.append(
--- a/ragwortshelf/scheduler/orders.py
+++ b/ragwortshelf/scheduler/orders.py
@@ -3,13 +3,14 @@
 from __future__ import annotations
 
 from collections.abc import Callable, Mapping
+from contextlib import contextmanager
 
 import trio
 
 from ..core.scheduling import Scheduler
 from ..core.scheduling.actions import AskAdvice, PaceTask, StartTask, StopTask
 from ..core.scheduling.fleet import StartOutcome
-from ..daemon.logs import log_event
+from ..daemon.logs import log_event, log_failure
 from ..daemon.metrics import Metrics
 from .clock import monotonic_ms, wall_ms
 from .endpoint_session import EndpointSession
@@ -45,6 +46,37 @@
 
     async def start(self, order: StartTask) -> None:
         """Start a task, unless its run was abandoned while its record was written."""
+        try:
+            await self._start(order)
+        except Exception:
+            log_failure("order_failed", order=repr(order))
+            with self._boundary(order):
+                self._report_start(order, StartOutcome.UNANSWERED, True)
+
+    async def stop(self, order: StopTask) -> None:
+        """Stop a run and report a confirmed stop to the scheduler."""
+        with self._boundary(order):
+            await self._stop(order)
+
+    async def pace(self, order: PaceTask) -> None:
+        """Set a run's pace and report an unconfirmed order to the scheduler."""
+        with self._boundary(order):
+            await self._pace(order)
+
+    async def ask_advice(self, question: AskAdvice) -> None:
+        """Ask the policy service which endpoints may run a step."""
+        with self._boundary(question):
+            await self._ask_advice(question)
+
+    @contextmanager
+    def _boundary(self, order: StartTask | StopTask | PaceTask | AskAdvice):
+        """Log an unexpected error in one order, which costs no other order anything."""
+        try:
+            yield
+        except Exception:
+            log_failure("order_failed", order=repr(order))
+
+    async def _start(self, order: StartTask) -> None:
         session = self._session_by_id.get(order.endpoint_id)
         if session is None or not self._scheduler.is_still_ordered(order):
             return
@@ -57,6 +89,11 @@
             endpoint=order.endpoint_id,
             outcome=outcome.value,
         )
+        self._report_start(order, outcome, was_unanswered)
+
+    def _report_start(
+        self, order: StartTask, outcome: StartOutcome, was_unanswered: bool
+    ) -> None:
         self._scheduler.start_answered(
             order.endpoint_id,
             order.task,
@@ -68,8 +105,7 @@
         )
         self._on_outcome(outcome is not StartOutcome.STARTED)
 
-    async def stop(self, order: StopTask) -> None:
-        """Stop a run and report a confirmed stop to the scheduler."""
+    async def _stop(self, order: StopTask) -> None:
         log_event(
             "stop",
             task=order.task,
@@ -87,8 +123,7 @@
                 order.endpoint_id, order.task, order.run, monotonic_ms()
             )
 
-    async def pace(self, order: PaceTask) -> None:
-        """Set a run's pace and report an unconfirmed order to the scheduler."""
+    async def _pace(self, order: PaceTask) -> None:
         session = self._session_by_id.get(order.endpoint_id)
         if session is None:
             return
@@ -109,8 +144,7 @@
         outcome = "confirmed" if is_confirmed else "unconfirmed"
         self._metrics.count("orders_total", order=order, outcome=outcome)
 
-    async def ask_advice(self, question: AskAdvice) -> None:
-        """Ask the policy service which endpoints may run a step."""
+    async def _ask_advice(self, question: AskAdvice) -> None:
         # The service handles one call per instance at a time. The lock prevents further
         # calls from filling its queue.
         async with self._advice_lock:
--- a/tests/platform/test_callers.py
+++ b/tests/platform/test_callers.py
@@ -4,10 +4,11 @@
 
 import pytest
 import trio
-from cluster import make_instances, make_platform
+from cluster import make_instances, make_platform, running
 from platform_adapter.callers import CallerApi
 
 from ragwortshelf.net.http_messages import HttpRequest
+from ragwortshelf.scheduler.gateway import Gateway
 
 JOB = {"spec": "s", "steps": [{"count": 1, "cpu": 500, "gpu": 1, "estimated_ms": 900}]}
 ID = "5c0e7a21d94b36f8"
@@ -64,3 +65,25 @@
     assert 'log_calls_total{call="append",log="jobs",outcome="appended"}' in text
     assert 'unit_changes_total{phase="done",reason="done"} 1' in text
     assert "first_start_wait_ms_count 1" in text
+
+
+async def test_an_error_in_a_call_is_not_reported_as_a_refusal(
+    monkeypatch, autojump_clock
+):
+    submit = Gateway.submit
+    outcomes = [RuntimeError("injected")]
+
+    async def fail_once(self, spec, deadline_ms):
+        if outcomes:
+            raise outcomes.pop()
+        return await submit(self, spec, deadline_ms)
+
+    monkeypatch.setattr(Gateway, "submit", fail_once)
+    platform = make_platform()
+    (instance,) = make_instances(platform, 1)
+    api = CallerApi(instance.gateway)
+    call = Caller(api)
+    async with running(instance):
+        await trio.sleep(1)
+        assert (await call("POST", f"/q/{ID}", body=JOB))[0] == 504
+        assert (await call("POST", f"/q/{ID}", body=JOB))[0] == 200
