Answer a repeated submission as uncertain while the first may be in the log

Open: an instance that has lost the log cannot know what another one appended in the moments before; its 503 speaks of its own attempt.

--- a/ragwortshelf/scheduler/gateway.py
+++ b/ragwortshelf/scheduler/gateway.py
@@ -17,6 +17,7 @@
 from .log_writer import Committed, GroupWriter
 from .peer_readiness import PeerReadiness
 from .settings import SchedulingSettings
+from .uncertain_submissions import UncertainSubmissions
 
 __all__ = ["Accepted", "Access", "Declined", "Gateway", "Reason", "Shown", "Uncertain"]
 
@@ -103,6 +104,7 @@
         self._election = election
         self._peer_readiness = peer_readiness
         self._metrics = metrics
+        self._uncertain = UncertainSubmissions()
 
     def is_ready(self) -> bool:
         """Whether the load balancer may send callers to this instance."""
@@ -134,18 +136,24 @@
         """Accept a job; submitting the same id again has no effect."""
         if spec.id in self._follower.table.job_by_id:
             return Accepted()
+        was_uncertain = spec.id in self._uncertain
         if not self._follower.is_log_answering:
+            if was_uncertain:
+                return Uncertain("an earlier append of this job was not answered")
             return self._unavailable(Reason.LOG_UNAVAILABLE, "the log does not answer")
         entry = encode_record(JobSubmitted(spec))
         deadline_ms = min(deadline_ms, monotonic_ms() + APPEND_WAIT_MS)
+        # Also remembered if the caller disconnects, which cancels this call.
+        self._uncertain.add(spec.id)
         outcome = await self._writer.commit([entry], deadline_ms)
         if isinstance(outcome, Committed):
             self._follower.wake()
             return Accepted()
         if spec.id in self._follower.table.job_by_id:
             return Accepted()
-        if outcome.may_be_appended:
+        if outcome.may_be_appended or was_uncertain:
             return Uncertain(outcome.detail)
+        self._uncertain.discard(spec.id)
         return self._unavailable(Reason.LOG_UNAVAILABLE, outcome.detail)
 
     async def cancel(
--- a/tests/scheduler/fakes.py
+++ b/tests/scheduler/fakes.py
@@ -43,6 +43,9 @@
                 return LogUnanswered("silent")
             case "busy":
                 return LogRefused("busy")
+            case "append_lost":
+                await trio.sleep(timeout_ms / 1000)
+                return LogUnanswered("lost")
         outcome = self._topic.append(entries, at, fence)
         if self._faults.lose_append_answers > 0:
             self._faults.lose_append_answers -= 1
@@ -160,7 +163,8 @@
 class Faults:
     """Faults between one instance and the platform.
 
-    ``store`` is "silent" (calls time out), "busy" (calls are refused) or empty.
+    ``store`` is "silent" (calls time out), "busy" (calls are refused), "append_lost"
+    (only appends time out) or empty.
     """
 
     def __init__(self):
--- a/tests/scheduler/test_gateway.py
+++ b/tests/scheduler/test_gateway.py
@@ -129,3 +129,41 @@
             assert instance.gateway.is_ready()
             await trio.sleep(2)
         assert instance.election.leadership is not None
+
+
+async def test_a_repeated_submission_is_not_refused_while_the_first_may_be_in_the_log(
+    autojump_clock,
+):
+    # The answer to the first append was lost, then the log stopped answering.
+    platform = make_platform()
+    instance = make_instances(platform, 1)[0]
+    spec = make_job("a" * 16)
+    async with running(instance):
+        await trio.sleep(1)
+        faults_of(instance).store = "append_lost"
+        outcome, _ = await _timed_submit(instance, spec)
+        assert isinstance(outcome, Uncertain)
+        faults_of(instance).store = "silent"
+        await trio.sleep(1.5)
+        outcome, took_ms = await _timed_submit(instance, spec)
+        assert isinstance(outcome, Uncertain)
+        assert took_ms < 10
+        other, _ = await _timed_submit(instance, make_job("b" * 16))
+        assert other.reason is Reason.LOG_UNAVAILABLE
+
+
+async def test_a_submission_whose_caller_left_is_not_refused_when_repeated(
+    autojump_clock,
+):
+    platform = make_platform()
+    instance = make_instances(platform, 1)[0]
+    spec = make_job("a" * 16)
+    async with running(instance):
+        await trio.sleep(1)
+        faults_of(instance).store = "append_lost"
+        with trio.move_on_after(0.1):
+            await _timed_submit(instance, spec)
+        faults_of(instance).store = "silent"
+        await trio.sleep(1.5)
+        outcome, _ = await _timed_submit(instance, spec)
+        assert isinstance(outcome, Uncertain)
