Grant no leases once the resignation may be in the log

Cause: a successor counts the leases of a holder that resigned from the resignation on.

Change: from the first attempt at the resignation on, sessions and upkeep send nothing, unless the log refused it.

Test: five lost answers at a planned stop; before, renewals of the old term went on after the resignation was in the log.

--- a/ragwortshelf/scheduler/leadership.py
+++ b/ragwortshelf/scheduler/leadership.py
@@ -161,7 +161,9 @@
     def _may_order_endpoints(self) -> bool:
         """Whether a successor would still take leases of this term into account."""
         limit = self._settings.term_confirmation_max_ms
-        return self._writer.confirmation_age_ms() <= limit
+        return not (
+            self._writer.may_have_resigned or self._writer.confirmation_age_ms() > limit
+        )
 
     def _may_order_hosts(self) -> bool:
         """Whether no other instance can hold the role yet.
@@ -169,7 +171,10 @@
         Hosts may not check the fencing token, so a successor waits ``host_lease_ms``
         before its first order, and this holder orders nothing once there may be one.
         """
-        return self._writer.confirmation_age_ms() <= self._settings.term_timeout_ms
+        limit = self._settings.term_timeout_ms
+        return not (
+            self._writer.may_have_resigned or self._writer.confirmation_age_ms() > limit
+        )
 
     def _end(self, reason: str) -> None:
         if not self.end_reason:
@@ -343,12 +348,13 @@
         self._end(reason)
 
     async def _watch_confirmation(self) -> None:
+        limit = self._settings.term_confirmation_max_ms
         while True:
             await trio.sleep(self._settings.term_renewal_ms / 1000)
             newest = self._follower.table.term
             if newest is not None and newest.term > self.claim.term:
                 self._end("a later term was claimed")
-            elif not self._may_order_endpoints():
+            elif self._writer.confirmation_age_ms() > limit:
                 self._end("the log has not confirmed the term in time")
 
     async def _deletion_loop(self) -> None:
--- a/ragwortshelf/scheduler/term_writer.py
+++ b/ragwortshelf/scheduler/term_writer.py
@@ -12,7 +12,7 @@
 from ..core.scheduling.records import TermHeld, encode_record
 from ..daemon.logs import log_event
 from .clock import boot_ms, wall_ms
-from .interfaces import Appended, Deposed, Entry, ProducerFence
+from .interfaces import Appended, Deposed, Entry, LogUnanswered, ProducerFence
 from .log_topics import LogTopics
 from .settings import SchedulingSettings
 
@@ -30,6 +30,8 @@
 
     ``uncommitted_jobs`` maps a job's id to its number of decisions not yet in the log.
     ``confirmed_boot_ms`` is the send time of the last successful append.
+    ``may_have_resigned`` is set while the resignation may be in the log, so that a
+    successor may hold the role already.
     """
 
     def __init__(
@@ -53,6 +55,7 @@
         self._committed_count = 0
         self._is_resigning = False
         self.confirmed_boot_ms = boot_ms()
+        self.may_have_resigned = False
         self.uncommitted_jobs: dict[str, int] = {}
 
     def add(self, action: PersistUnit | StartTask) -> None:
@@ -97,7 +100,7 @@
             actions = self._waiting[:ACTIONS_MAX]
             del self._waiting[:ACTIONS_MAX]
             is_last = self._is_resigning and not self._waiting
-            deposed = await self._append(self._entries(actions, is_last))
+            deposed = await self._append(self._entries(actions, is_last), is_last)
             if deposed is not None:
                 return f"deposed: {deposed.detail}"
             self._finish(actions, on_start)
@@ -124,12 +127,17 @@
             else:
                 on_start(action)
 
-    async def _append(self, entries: list[Entry]) -> Deposed | None:
-        """Append with the term's fence, retrying until it succeeds or is fenced."""
+    async def _append(self, entries: list[Entry], is_last: bool) -> Deposed | None:
+        """Append with the term's fence, retrying until it succeeds or is fenced.
+
+        ``is_last`` is set if the entries hold the resignation.
+        """
         self._sequence += 1
         fence = ProducerFence(PRODUCER, self._claim.term, self._sequence)
+        was_unanswered = False
         while True:
             sent = boot_ms()
+            self.may_have_resigned = is_last
             outcome = await self._log.append(
                 entries, timeout_ms=self._settings.log_call_timeout_ms, fence=fence
             )
@@ -138,6 +146,8 @@
                 return None
             if isinstance(outcome, Deposed):
                 return outcome
+            was_unanswered |= isinstance(outcome, LogUnanswered)
+            self.may_have_resigned = is_last and was_unanswered
             await trio.sleep(self._settings.log_retry_ms / 1000)
 
     def _count_uncommitted(self, action: PersistUnit, change: int) -> None:
--- a/tests/scheduler/test_term.py
+++ b/tests/scheduler/test_term.py
@@ -15,6 +15,7 @@
 
 from ragwortshelf.core.scheduling import JobState
 from ragwortshelf.core.scheduling.fleet import StartOutcome
+from ragwortshelf.core.scheduling.records import TermHeld, decode_record
 from ragwortshelf.scheduler.instance import Instance
 from ragwortshelf.scheduler.settings import SchedulingSettings
 
@@ -314,3 +315,37 @@
         await trio.sleep(6)
         assert await state_of(instance, "a" * 16) is JobState.COMPLETED
         assert sorted(run for _, run, *_ in platform.runs()) == [1, 1, 2, 2]
+
+
+async def test_a_holder_whose_resignation_is_not_answered_grants_no_more_leases(
+    autojump_clock,
+):
+    # The successor counts the leases of a holder that resigned from its resignation on.
+    platform = make_platform(2)
+    instances = make_instances(platform, 2)
+    async with running(*instances):
+        await trio.sleep(1)
+        (holder,) = holders(instances)
+        term = holder.election.leadership.claim.term
+        faults_of(holder).lose_append_answers = 5
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(holder.drain)
+            while not _has_resigned(platform, term):
+                await trio.sleep(0.001)
+            for endpoint in platform.endpoint_by_id.values():
+                endpoint.renewals.clear()
+        await trio.sleep(2)
+        assert holders(instances)
+        for endpoint in platform.endpoint_by_id.values():
+            tokens = {token for token, _ in endpoint.renewals}
+            assert tokens and term not in tokens
+
+
+def _has_resigned(platform, term):
+    return any(
+        record.term == term and record.is_resigned
+        for record in (
+            decode_record(key, value) for key, value in platform.jobs.entries
+        )
+        if isinstance(record, TermHeld)
+    )
