Look at every endpoint in a plan only where a unit may fit

Cause: on a full fleet each plan searched all endpoints for each waiting shape, walked every reservation for each endpoint, and walked all placements for stalled runs and due stops.

Change: FreeRoom counts endpoints by free accelerators and tells in a few steps that a unit fits nowhere; reservations are indexed by endpoint; eligible endpoints are collected once a plan for each service and label; stalled runs are looked for when a listing shows them; repeats of stops every 100 ms.

--- a/ragwortshelf/core/scheduling/packing.py
+++ b/ragwortshelf/core/scheduling/packing.py
@@ -40,8 +40,10 @@
     ``may_leave_rack``, tasks stay on their preferred rack, and a rack-sensitive gang
     stays on a single rack.
     """
-    on_preferred_rack = [e for e in candidates if e.info.rack == step.preferred_rack]
     if step.preferred_rack:
+        on_preferred_rack = [
+            e for e in candidates if e.info.rack == step.preferred_rack
+        ]
         placed = _pack(step, count, on_preferred_rack, slots)
         if placed is not None or not may_leave_rack:
             return placed
--- a/ragwortshelf/core/scheduling/planning.py
+++ b/ragwortshelf/core/scheduling/planning.py
@@ -7,6 +7,7 @@
 
 from .availability import may_be_stopped
 from .fleet import Endpoint, TaskPlacement
+from .free_room import FreeRoom
 from .lifecycle import UnitLifecycle
 from .model import Resources, UnitKey, UnitPhase
 from .packing import find_endpoints, is_eligible, rack_could_hold
@@ -54,6 +55,8 @@
         self._reservations = UnitReservations()
         self._remaining_ms_by_key: dict[UnitKey, float] = {}
         self._lost_core_ms_by_key: dict[UnitKey, float] = {}
+        self._free_room = FreeRoom(())
+        self._eligible_by_need: dict[tuple[str, str], list[Endpoint]] = {}
         self._now_ms = 0
         self._wall_ms = 0
 
@@ -68,6 +71,8 @@
             for endpoint in self._scheduler.endpoint_by_id.values()
             if endpoint.is_usable(now_ms)
         ]
+        self._free_room = FreeRoom(usable)
+        self._eligible_by_need.clear()
         gpus_in_use = self._urgent_gpus_in_use()
         unplaceable_shapes: set[tuple] = set()
         waiting = sorted(
@@ -92,9 +97,30 @@
         is_guaranteed = self._is_guaranteed(unit, gpus_in_use)
         if shape in unplaceable_shapes and not is_guaranteed:
             return
+        endpoints = self._find_room(unit, usable)
+        if endpoints is not None:
+            self.drop_reservation(unit)
+            if unit.priority == 0:
+                gpus_in_use[organisation] += unit.gpus
+            self._scheduler.place(unit, endpoints, self._now_ms, self._wall_ms)
+            self._free_room.update(endpoints)
+            return
+        unplaceable_shapes.add(shape)
+        if is_guaranteed:
+            gpus_in_use[organisation] += unit.gpus
+            self._reclaim(unit, usable)
+        elif _must_restart(unit):
+            self._reclaim(unit, usable)
+        elif _needs_reservation(unit):
+            self._plan_reservation(unit, usable)
+
+    def _find_room(self, unit: Unit, usable: list[Endpoint]) -> list[Endpoint] | None:
+        """Return an endpoint for each task of the unit, or None if they do not fit."""
+        if not self._free_room.may_hold(unit.step, unit.count):
+            return None
         candidates = self._candidates(unit, usable)
         if self._needs_advice(unit):
-            allowed = self._scheduler.advice.with_ticket(unit, candidates, self._now_ms)
+            allowed = self._allowed(unit, candidates)
             if len(allowed) < len(candidates) and not self._find_endpoints(
                 unit, allowed
             ):
@@ -106,26 +132,29 @@
             endpoints = self._find_endpoints(unit, preferred)
         if endpoints is None:
             endpoints = self._find_endpoints(unit, candidates)
-        if endpoints is not None:
-            self.drop_reservation(unit)
-            if unit.priority == 0:
-                gpus_in_use[organisation] += unit.gpus
-            self._scheduler.place(unit, endpoints, self._now_ms, self._wall_ms)
-            return
-        unplaceable_shapes.add(shape)
-        if is_guaranteed:
-            gpus_in_use[organisation] += unit.gpus
-            self._reclaim(unit, candidates)
-        elif _must_restart(unit):
-            self._reclaim(unit, candidates)
-        elif _needs_reservation(unit):
-            self._plan_reservation(unit, candidates)
+        return endpoints
 
     def _candidates(self, unit: Unit, usable: list[Endpoint]) -> list[Endpoint]:
+        """Return the usable endpoints of the unit's service that have its label."""
         spec = unit.job.spec
         queue = self._scheduler.configuration.queue_by_name.get(spec.queue)
         service = queue.service if queue else spec.service
-        return [e for e in usable if is_eligible(e, unit.step, service)]
+        need = (service, unit.step.required_label)
+        eligible = self._eligible_by_need.get(need)
+        if eligible is None:
+            eligible = [e for e in usable if is_eligible(e, unit.step, service)]
+            self._eligible_by_need[need] = eligible
+        return eligible
+
+    def _allowed(self, unit: Unit, candidates: list[Endpoint]) -> list[Endpoint]:
+        """Return the candidates that the policy service has approved."""
+        return self._scheduler.advice.with_ticket(unit, candidates, self._now_ms)
+
+    def _reclaim_candidates(self, unit: Unit, usable: list[Endpoint]):
+        candidates = self._candidates(unit, usable)
+        if not self._needs_advice(unit):
+            return candidates
+        return self._allowed(unit, candidates)
 
     def _needs_advice(self, unit: Unit) -> bool:
         queues = self._scheduler.configuration.queue_by_name
@@ -138,6 +167,8 @@
         needed = unit.step.occupied
 
         def slots(endpoint: Endpoint) -> int:
+            if endpoint.free_gpus < needed.gpus:
+                return 0
             if len(self._reservations):
                 fits = needed.times_in(self._reservations.room(endpoint, unit))
             else:
@@ -148,7 +179,9 @@
             return max(0, fits)
 
         step = unit.step
-        may_leave = not rack_could_hold(step, unit.count, candidates)
+        may_leave = True
+        if step.preferred_rack or step.is_rack_sensitive:
+            may_leave = not rack_could_hold(step, unit.count, candidates)
         if step.preferred_rack and not may_leave and not step.is_rack_sensitive:
             may_leave = self._has_waited_for_rack(unit)
         return find_endpoints(
@@ -189,9 +222,10 @@
             return False
         return gpus_in_use[name] + unit.gpus <= organisation.guaranteed_gpus
 
-    def _reclaim(self, unit: Unit, candidates: list[Endpoint]) -> None:
+    def _reclaim(self, unit: Unit, usable: list[Endpoint]) -> None:
         if self._reservations.is_recent(unit, GUARANTEE_RETRY_MS, self._now_ms):
             return
+        candidates = self._reclaim_candidates(unit, usable)
         self.drop_reservation(unit)
         over_guarantee = self._organisations_over_guarantee()
 
@@ -237,7 +271,7 @@
     ) -> None:
         self._reservations.reserve(unit, plan, self._now_ms, is_exclusive)
 
-    def _plan_reservation(self, unit: Unit, candidates: list[Endpoint]) -> None:
+    def _plan_reservation(self, unit: Unit, usable: list[Endpoint]) -> None:
         """Reserve the room that becomes free soonest, to keep smaller units out of it.
 
         Less urgent units that save checkpoints are stopped for it once the rest of the
@@ -248,6 +282,7 @@
         self.drop_reservation(unit)
         if len(self._reservations) >= WAITING_RESERVATIONS_MAX:
             return
+        candidates = self._reclaim_candidates(unit, usable)
         plan = self._plan_reclaim(
             unit,
             candidates,
--- a/ragwortshelf/core/scheduling/reservations.py
+++ b/ragwortshelf/core/scheduling/reservations.py
@@ -45,6 +45,7 @@
 
     def __init__(self) -> None:
         self._reservation_by_key: dict[UnitKey, _Reservation] = {}
+        self._by_endpoint_id: dict[str, dict[UnitKey, _Reservation]] = {}
 
     def __len__(self) -> int:
         return len(self._reservation_by_key)
@@ -53,17 +54,28 @@
         self, unit: Unit, plan: EndpointReclaimPlan, now_ms: int, is_exclusive: bool
     ) -> None:
         """Reserve the room of a plan for a unit, replacing its earlier reservation."""
+        self.drop(unit)
         resources_by_id: dict[str, Resources] = {}
         for endpoint in plan.endpoints:
             before = resources_by_id.get(endpoint.id, Resources())
             resources_by_id[endpoint.id] = before.plus(unit.step.occupied)
-        self._reservation_by_key[unit.key] = _Reservation(
+        reservation = self._reservation_by_key[unit.key] = _Reservation(
             now_ms, unit.sort_key, is_exclusive, resources_by_id
         )
+        for endpoint_id in resources_by_id:
+            by_key = self._by_endpoint_id.setdefault(endpoint_id, {})
+            by_key[unit.key] = reservation
 
     def drop(self, unit: Unit) -> None:
         """Drop the reservation of a unit."""
-        self._reservation_by_key.pop(unit.key, None)
+        reservation = self._reservation_by_key.pop(unit.key, None)
+        if reservation is None:
+            return
+        for endpoint_id in reservation.resources_by_id:
+            by_key = self._by_endpoint_id[endpoint_id]
+            del by_key[unit.key]
+            if not by_key:
+                del self._by_endpoint_id[endpoint_id]
 
     def is_recent(self, unit: Unit, age_ms: int, now_ms: int) -> bool:
         """Whether a unit's reservation was made less than ``age_ms`` ago."""
@@ -73,10 +85,7 @@
     def room(self, endpoint: Endpoint, unit: Unit) -> Resources:
         """Return an endpoint's free resources that no reservation denies to a unit."""
         room = endpoint.free
-        for key, reservation in self._reservation_by_key.items():
-            if key == unit.key or not reservation.excludes(unit):
-                continue
-            reserved = reservation.resources_by_id.get(endpoint.id)
-            if reserved is not None:
-                room = room.plus(reserved, -1)
+        for key, reservation in self._by_endpoint_id.get(endpoint.id, {}).items():
+            if key != unit.key and reservation.excludes(unit):
+                room = room.plus(reservation.resources_by_id[endpoint.id], -1)
         return room
--- a/ragwortshelf/core/scheduling/scheduler.py
+++ b/ragwortshelf/core/scheduling/scheduler.py
@@ -47,6 +47,10 @@
 percent on an endpoint that is slowed down 6.5 times.
 """
 
+STOP_CHECK_INTERVAL_MS = 100
+"""Interval between checks whether a stop must be repeated; a repeat is due 500 ms after
+the order before."""
+
 FINISHED_PERCENT = 99
 """Progress from which a task counts as finished; percents are rounded down."""
 
@@ -60,6 +64,7 @@
     def __init__(self, term: int, table: JobTable, configuration: ServiceConfiguration):
         super().__init__(term, table, configuration)
         self._planner = Planner(self)
+        self._next_stop_check_ms = 0
 
     def cordon(self, endpoint_id: str) -> None:
         """Place nothing more on an endpoint."""
@@ -146,6 +151,7 @@
         for row in listing.running:
             seen.add((row.task, row.run))
             self._handle_running(endpoint, row, now_ms)
+        self._stop_stalled(endpoint, now_ms)
         self._actions.extend(plan_paces(endpoint, self.unit_by_key))
         if len(listing.finished) >= FINISHED_PAGE_SIZE:
             # The page is full: the ends of missing runs may be on a later page.
@@ -237,11 +243,13 @@
         """Start units that fit, stop units that must yield, and repeat lost stops."""
         self._open_due_occurrences(now_ms, wall_ms)
         self._repeat_stops(now_ms)
-        self._stop_stalled(now_ms)
         self._stop_on_departing(now_ms)
         self._planner.run(now_ms, wall_ms)
 
     def _repeat_stops(self, now_ms: int) -> None:
+        if now_ms < self._next_stop_check_ms:
+            return
+        self._next_stop_check_ms = now_ms + STOP_CHECK_INTERVAL_MS
         for endpoint in self.endpoint_by_id.values():
             if not endpoint.is_reachable:
                 continue
@@ -250,22 +258,17 @@
                 if placement.stage is RunStage.STOPPING and is_due:
                     self._stop(placement, "still listed", now_ms)
 
-    def _stop_stalled(self, now_ms: int) -> None:
-        for unit in list(self.unit_by_key.values()):
-            if unit.phase is not UnitPhase.PLACED or unit.step.is_long_running:
+    def _stop_stalled(self, endpoint: Endpoint, now_ms: int) -> None:
+        for placement in endpoint.placements():
+            unit = self.unit_by_key.get(placement.unit_key)
+            if unit is None or unit.phase is not UnitPhase.PLACED:
+                continue
+            if unit.step.is_long_running or placement.stage is not RunStage.RUNNING:
                 continue
-            for placement in unit.placements:
-                if placement.stage is not RunStage.RUNNING:
-                    continue
-                if self._is_stalled(placement):
-                    endpoint = self.endpoint_by_id[placement.endpoint_id]
-                    if endpoint.is_reachable:
-                        self._exclude(
-                            endpoint, now_ms, 2 * STALL_TIMEOUT_MS, "no progress"
-                        )
-                        unit.avoided_ids.add(endpoint.id)
-                        self._stop_placements(unit, "no progress", now_ms)
-                        break
+            if self._is_stalled(placement):
+                self._exclude(endpoint, now_ms, 2 * STALL_TIMEOUT_MS, "no progress")
+                unit.avoided_ids.add(endpoint.id)
+                self._stop_placements(unit, "no progress", now_ms)
 
     def _stop_on_departing(self, now_ms: int) -> None:
         for endpoint in list(self.endpoint_by_id.values()):
