Search only endpoints with enough free accelerators

Cause: of the planning left, two thirds went into walking endpoints without room, and into summing free accelerators by rack for each search.

Change: candidates are filtered by their free accelerators first, and the sums by rack are kept during a plan. Ties between racks now count all usable endpoints where those that a unit avoids were left out before.

--- a/ragwortshelf/core/scheduling/fleet.py
+++ b/ragwortshelf/core/scheduling/fleet.py
@@ -262,11 +262,13 @@
         "is_in_store",
         "is_reachable",
         "placement_by_task",
+        "rack",
         "started_wall_ms",
     )
 
     def __init__(self, info: EndpointInfo):
         self.info = info
+        self.rack = info.rack
         self.started_wall_ms = info.started_wall_ms
         self.is_reachable = False
         self.is_in_store = True
@@ -301,6 +303,7 @@
             self.departure_ms = None
         before, after = self.info.capacity, info.capacity
         self.info = info
+        self.rack = info.rack
         self.is_in_store = True
         self._add_free(after.plus(before, -1), 1)
 
--- a/ragwortshelf/core/scheduling/free_room.py
+++ b/ragwortshelf/core/scheduling/free_room.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from collections import Counter
+from collections import Counter, defaultdict
 from collections.abc import Iterable
 
 from .fleet import Endpoint
@@ -15,11 +15,15 @@
     """Number of endpoints by their free accelerators, during one plan.
 
     On a full fleet most waiting units fit nowhere. This index has a few entries where a
-    search looks at every endpoint.
+    search looks at every endpoint. ``free_gpus_by_rack`` is the sum for each rack.
     """
 
     def __init__(self, endpoints: Iterable[Endpoint]):
-        self._free_gpus_by_id = {e.id: e.free_gpus for e in endpoints}
+        self._free_gpus_by_id: dict[str, int] = {}
+        self.free_gpus_by_rack: dict[str, int] = defaultdict(int)
+        for endpoint in endpoints:
+            self._free_gpus_by_id[endpoint.id] = endpoint.free_gpus
+            self.free_gpus_by_rack[endpoint.rack] += endpoint.free_gpus
         self._count_by_free_gpus = Counter(self._free_gpus_by_id.values())
 
     def update(self, endpoints: Iterable[Endpoint]) -> None:
@@ -29,6 +33,7 @@
             self._count_by_free_gpus[before] -= 1
             self._count_by_free_gpus[endpoint.free_gpus] += 1
             self._free_gpus_by_id[endpoint.id] = endpoint.free_gpus
+            self.free_gpus_by_rack[endpoint.rack] += endpoint.free_gpus - before
 
     def may_hold(self, step: Step, count: int) -> bool:
         """Whether ``count`` tasks may fit; False only if they certainly do not.
--- a/ragwortshelf/core/scheduling/planning.py
+++ b/ragwortshelf/core/scheduling/planning.py
@@ -167,8 +167,6 @@
         needed = unit.step.occupied
 
         def slots(endpoint: Endpoint) -> int:
-            if endpoint.free_gpus < needed.gpus:
-                return 0
             if len(self._reservations):
                 fits = needed.times_in(self._reservations.room(endpoint, unit))
             else:
@@ -184,8 +182,14 @@
             may_leave = not rack_could_hold(step, unit.count, candidates)
         if step.preferred_rack and not may_leave and not step.is_rack_sensitive:
             may_leave = self._has_waited_for_rack(unit)
+        with_room = [e for e in candidates if e.free_gpus >= needed.gpus]
         return find_endpoints(
-            step, unit.count, candidates, slots, may_leave_rack=may_leave
+            step,
+            unit.count,
+            with_room,
+            slots,
+            self._free_room.free_gpus_by_rack,
+            may_leave_rack=may_leave,
         )
 
     def _has_waited_for_rack(self, unit: Unit) -> bool:
--- a/ragwortshelf/core/scheduling/reclaim.py
+++ b/ragwortshelf/core/scheduling/reclaim.py
@@ -51,7 +51,7 @@
     if step.is_rack_sensitive and count > 1:
         by_rack: dict[str, list[Endpoint]] = defaultdict(list)
         for endpoint in candidates:
-            by_rack[endpoint.info.rack].append(endpoint)
+            by_rack[endpoint.rack].append(endpoint)
         plans = [
             _ReclaimSearch(step, count, endpoints, room, reclaimable, cost).run()
             for endpoints in by_rack.values()
--- a/tests/core/scheduling/test_free_room.py
+++ b/tests/core/scheduling/test_free_room.py
@@ -44,7 +44,9 @@
     def slots(endpoint):
         return step.occupied.times_in(endpoint.free)
 
-    found = find_endpoints(step, count, endpoints, slots, may_leave_rack=True)
+    found = find_endpoints(
+        step, count, endpoints, slots, index.free_gpus_by_rack, may_leave_rack=True
+    )
     if gpus == 0:
         assert index.may_hold(step, count)
     else:
