--- a/ragwortshelf/core/scheduling/fleet.py
+++ b/ragwortshelf/core/scheduling/fleet.py
@@ -159,7 +159,8 @@
     ``confirmed_ms`` is when the run was first known to be on the endpoint, and
     ``fenced_ms`` when the endpoint confirmed a stop. ``next_stop_ms`` is when an order
     to stop is repeated. ``without_progress_ms`` is how long the listings have shown the
-    same ``progress_percent``; ``listed_ms`` is when the last of them arrived. An
+    same ``progress_percent``; ``listed_ms`` is when the last of them arrived, and
+    ``first_percent`` what the first one showed, at ``first_listed_ms``. An
     adopted placement was made in an earlier term, and no listing has confirmed or
     refuted it in this one yet.
     """
@@ -169,6 +170,8 @@
         "confirmed_ms",
         "endpoint_id",
         "fenced_ms",
+        "first_listed_ms",
+        "first_percent",
         "index",
         "is_adopted",
         "listed_ms",
@@ -213,6 +216,8 @@
         self.load_metric = 0.0
         self.listed_ms = now_ms
         self.without_progress_ms = 0
+        self.first_listed_ms = now_ms
+        self.first_percent: float | None = None
 
     def record_progress(self, percent: float, now_ms: int) -> None:
         """Note the progress that a listing shows.
@@ -228,6 +233,8 @@
         else:
             self.progress_percent = percent
             self.without_progress_ms = 0
+        if self.first_percent is None:
+            self.first_percent, self.first_listed_ms = percent, now_ms
         self.listed_ms = now_ms
 
     def was_confirmed(self, before_ms: int) -> bool:
--- a/ragwortshelf/core/scheduling/planning.py
+++ b/ragwortshelf/core/scheduling/planning.py
@@ -50,6 +50,10 @@
 PROOF_WAIT_MS = 4_000
 """Time for which the last attempt of a unit waits for endpoints that are proven."""
 
+SLOW_ENDPOINT_SHARE = 0.25
+"""Extra run time on a slow endpoint, as a share of the estimate; the speeds of sound
+endpoints differ by a quarter either way."""
+
 _OCCUPYING_PHASES = (UnitPhase.PLACED, UnitPhase.ENDING)
 
 
@@ -359,7 +363,8 @@
         """Whether waiting makes a unit late that can still be on time."""
         if unit.is_late(self._wall_ms):
             return False
-        return self._wall_ms + wait_ms > unit.latest_start_wall_ms
+        slow_ms = SLOW_ENDPOINT_SHARE * unit.step.estimate_ms
+        return self._wall_ms + wait_ms + slow_ms > unit.latest_start_wall_ms
 
     def _idle_core_ms(
         self, unit: Unit, plan: EndpointReclaimPlan, wait_ms: float
