Place gangs on endpoints of like speed, and urgent units on fast ones

Cause: endpoints differ in speed (0.8, 1 and 1.25 on the large fleet). A gang is as slow as its slowest member, so mixed gangs waste the faster ones; and urgent jobs have a slack of half their run time.

Change: SpeedTracker compares the tasks of a step once the last is done, and the members of a gang by their progress. Gangs look for room on endpoints of one class first, the slow ones before the others; urgent units on fast ones; of equally full endpoints single tasks take the slower one.

--- a/ragwortshelf/core/scheduling/fleet.py
+++ b/ragwortshelf/core/scheduling/fleet.py
@@ -3,12 +3,14 @@
 from __future__ import annotations
 
 import enum
+import math
 from collections.abc import Iterable
 from dataclasses import dataclass
 
 from .model import Resources, UnitKey
 
 __all__ = [
+    "FINISHED_PERCENT",
     "Endpoint",
     "EndpointInfo",
     "EndpointListing",
@@ -37,6 +39,18 @@
 """Longest time between two listings that counts as time without progress. Listings of a
 reachable endpoint are about a second apart."""
 
+FINISHED_PERCENT = 99
+"""Progress from which a task counts as finished; percents are rounded down."""
+
+SPEED_PRIOR_RUNS = 1
+"""Weight of the assumption that an endpoint's speed is usual, in runs."""
+
+SPEED_RUNS_MAX = 30
+"""Runs that count for an endpoint's speed; older ones fade."""
+
+SPEED_LOG_MAX = 0.7
+"""Limit of what one run says, as a logarithm: a factor of two."""
+
 FAILURE_EXCLUSION_MS = 5_000
 """Exclusion time after runs of several jobs in a row failed on an endpoint."""
 
@@ -160,7 +174,9 @@
     ``fenced_ms`` when the endpoint confirmed a stop. ``next_stop_ms`` is when an order
     to stop is repeated. ``without_progress_ms`` is how long the listings have shown the
     same ``progress_percent``; ``listed_ms`` is when the last of them arrived, and
-    ``first_percent`` what the first one showed, at ``first_listed_ms``. An
+    ``first_percent`` what the first one showed, at ``first_listed_ms``;
+    ``unfinished_percent`` and ``unfinished_ms`` are those of the last one that showed
+    the run unfinished. An
     adopted placement was made in an earlier term, and no listing has confirmed or
     refuted it in this one yet.
     """
@@ -184,6 +200,8 @@
         "run",
         "stage",
         "task",
+        "unfinished_ms",
+        "unfinished_percent",
         "unit_key",
         "without_progress_ms",
     )
@@ -218,6 +236,8 @@
         self.without_progress_ms = 0
         self.first_listed_ms = now_ms
         self.first_percent: float | None = None
+        self.unfinished_ms = now_ms
+        self.unfinished_percent = 0.0
 
     def record_progress(self, percent: float, now_ms: int) -> None:
         """Note the progress that a listing shows.
@@ -235,6 +255,8 @@
             self.without_progress_ms = 0
         if self.first_percent is None:
             self.first_percent, self.first_listed_ms = percent, now_ms
+        if percent < FINISHED_PERCENT:
+            self.unfinished_percent, self.unfinished_ms = percent, now_ms
         self.listed_ms = now_ms
 
     def was_confirmed(self, before_ms: int) -> bool:
@@ -259,7 +281,7 @@
     ``accuser_ids`` holds the jobs whose runs failed here as soon as they started, since
     a later start survived; ``suspected_start_ms`` is when the latest of these runs was
     ordered. ``proven_start_ms`` is when the latest run was ordered that survived, None
-    before the first one.
+    before the first one. ``speed`` is relative to the other endpoints.
     """
 
     __slots__ = (
@@ -278,6 +300,9 @@
         "proven_start_ms",
         "quick_failure_count",
         "rack",
+        "speed",
+        "speed_log_sum",
+        "speed_run_count",
         "started_wall_ms",
         "suspected_start_ms",
         "suspected_until_ms",
@@ -294,6 +319,7 @@
         self.excluded_until_ms = 0
         self.failed_job_ids: set[str] = set()
         self.accuser_ids: set[str] = set()
+        self.forget_speed()
         self.quick_failure_count = 0
         self.suspected_start_ms = 0
         self.suspected_until_ms = 0
@@ -387,6 +413,23 @@
         self.failed_job_ids.add(job_id)
         return len(self.failed_job_ids) >= FAILED_JOBS_BEFORE_EXCLUSION
 
+    def record_speed(self, log_speed: float) -> None:
+        """Take one more run into account, by the logarithm of its relative speed."""
+        limit = SPEED_LOG_MAX
+        self.speed_log_sum += max(-limit, min(limit, log_speed))
+        self.speed_run_count += 1
+        if self.speed_run_count > SPEED_RUNS_MAX:
+            self.speed_log_sum *= SPEED_RUNS_MAX / self.speed_run_count
+            self.speed_run_count = SPEED_RUNS_MAX
+        runs = self.speed_run_count + SPEED_PRIOR_RUNS
+        self.speed = math.exp(self.speed_log_sum / runs)
+
+    def forget_speed(self) -> None:
+        """Forget what is known of the speed, as the endpoint may be another machine."""
+        self.speed = 1.0
+        self.speed_log_sum = 0.0
+        self.speed_run_count = 0
+
     def placements(self) -> Iterable[TaskPlacement]:
         """Return a copy of the placements, which may be released while iterating."""
         return list(self.placement_by_task.values())
--- a/ragwortshelf/core/scheduling/lifecycle.py
+++ b/ragwortshelf/core/scheduling/lifecycle.py
@@ -21,6 +21,7 @@
 from .fleet import Endpoint, EndpointInfo, RunEnd, RunStage, TaskPlacement
 from .job_table import Job, JobTable
 from .model import Resources, UnitKey, UnitPhase
+from .speed import SpeedTracker
 from .suspicion import SuspicionTracker
 from .unit import Unit
 
@@ -52,6 +53,7 @@
         self.next_due_wall_ms: int | None = None
         self.advice = AdviceCache()
         self.suspicion = SuspicionTracker(self.endpoint_by_id, self.unit_by_key)
+        self.speeds = SpeedTracker()
         self._next_occurrence_by_job: dict[str, int] = {}
         self._actions: list[Action] = []
 
@@ -183,7 +185,7 @@
     def _end_job(self, job: Job, now_ms: int) -> None:
         self._next_occurrence_by_job.pop(job.spec.id, None)
         self.advice.forget(job.spec.id)
-        self.suspicion.forget_job(job.spec.id)
+        self._forget_job(job.spec.id)
         state = job.state.value
         for number, step in enumerate(job.spec.steps):
             for occurrence in range(job.spec.occurrence_count):
@@ -309,7 +311,9 @@
         if unit.job.is_active:
             self._open_occurrence(unit.job, unit.key.occurrence, now_ms)
         else:
-            self.suspicion.forget_job(unit.job.spec.id)
+            self._forget_job(unit.job.spec.id)
+        if unit.job.is_step_done(unit.key.occurrence, unit.key.step):
+            self.speeds.step_done(unit.key._replace(member=0))
 
     def _run_interrupted(
         self, unit, end, checkpoint, placement, now_ms, wall_ms
@@ -335,6 +339,10 @@
         if not unit.placements and unit.job.is_active:
             self._requeue(unit, now_ms)
 
+    def _forget_job(self, job_id: str) -> None:
+        self.suspicion.forget_job(job_id)
+        self.speeds.forget_job(job_id)
+
     def _has_exhausted_attempts(self, unit: Unit) -> bool:
         if unit.step.is_long_running:
             return False
--- a/ragwortshelf/core/scheduling/packing.py
+++ b/ragwortshelf/core/scheduling/packing.py
@@ -1,7 +1,8 @@
 """Best-fit packing of a unit's tasks onto endpoints.
 
 Endpoints are filled tightly; among equally full ones, those of the fullest rack come
-first. This keeps whole endpoints and whole racks free for gangs of large tasks.
+first. This keeps whole endpoints and whole racks free for gangs of large tasks. Slow
+endpoints come before equally full faster ones, which urgent units prefer.
 """
 
 from __future__ import annotations
@@ -11,6 +12,7 @@
 
 from .fleet import Endpoint
 from .model import Step
+from .speed import speed_class
 
 __all__ = ["is_eligible", "find_endpoints", "rack_could_hold"]
 
@@ -112,6 +114,7 @@
     request = step.occupied
     return (
         endpoint.free_gpus - fits * request.gpus,
+        speed_class(endpoint),
         free_gpus_by_rack[endpoint.rack],
         endpoint.free_cpu_milli - fits * request.cpu_milli,
         endpoint.id,
--- a/ragwortshelf/core/scheduling/planning.py
+++ b/ragwortshelf/core/scheduling/planning.py
@@ -13,6 +13,7 @@
 from .packing import find_endpoints, is_eligible, rack_could_hold
 from .reclaim import EndpointReclaimPlan, ReclaimableUnit, StopCost, plan_reclaim
 from .reservations import UnitReservations
+from .speed import preferred_classes, speed_class
 from .unit import CORES_PER_GPU, Unit
 
 __all__ = ["Planner"]
@@ -140,6 +141,15 @@
         endpoints = None
         if self._needs_proof(unit):
             return self._find_endpoints(unit, self._proven(candidates))
+        for classes in preferred_classes(unit)[:-1]:
+            alike = [
+                e
+                for e in candidates
+                if speed_class(e) in classes and e.id not in unit.avoided_ids
+            ]
+            endpoints = self._find_endpoints(unit, alike)
+            if endpoints is not None:
+                return endpoints
         if unit.avoided_ids:
             preferred = [e for e in candidates if e.id not in unit.avoided_ids]
             endpoints = self._find_endpoints(unit, preferred)
--- a/ragwortshelf/core/scheduling/scheduler.py
+++ b/ragwortshelf/core/scheduling/scheduler.py
@@ -14,6 +14,7 @@
 from .departures import units_to_move
 from .fleet import (
     FAILURE_EXCLUSION_MS,
+    FINISHED_PERCENT,
     UNHEALTHY_EXCLUSION_MS,
     Endpoint,
     EndpointInfo,
@@ -56,9 +57,6 @@
 """Interval between checks whether a stop must be repeated; a repeat is due 500 ms after
 the order before."""
 
-FINISHED_PERCENT = 99
-"""Progress from which a task counts as finished; percents are rounded down."""
-
 FINISHED_PAGE_SIZE = 500
 """Ended runs on one page of a listing, as set by the platform."""
 
@@ -313,6 +311,7 @@
         endpoint.started_wall_ms = listing.started_wall_ms
         if is_first:
             return
+        endpoint.forget_speed()
         rows = {(row.task, row.run) for row in listing.running}
         for placement in endpoint.placements():
             is_running = placement.stage is RunStage.RUNNING
@@ -365,8 +364,23 @@
             self._note_failure(endpoint, placement, now_ms)
         elif row.end is RunEnd.DONE:
             self.suspicion.run_survived(endpoint, placement)
+            self._note_speed(endpoint, placement, now_ms)
         self._placement_ended(placement, row.end, row.checkpoint, now_ms, wall_ms)
 
+    def _note_speed(
+        self, endpoint: Endpoint, placement: TaskPlacement, now_ms: int
+    ) -> None:
+        unit = self.unit_by_key.get(placement.unit_key)
+        if unit is None or unit.step.is_long_running or placement.checkpoint:
+            return
+        if unit.count == 1:
+            self.speeds.run_done(endpoint, placement, now_ms)
+        elif unit.phase is UnitPhase.PLACED:
+            self.speeds.gang_done(
+                (self.endpoint_by_id[member.endpoint_id], member)
+                for member in unit.placements
+            )
+
     def _note_failure(
         self, endpoint: Endpoint, placement: TaskPlacement, now_ms: int
     ) -> None:
