Show a revision's age, jobs forgotten meanwhile, and folded lines of many instances

Faults that reading the code had shown, each with a test that failed before, but for the cancellation of a forgotten job, which is mended without one: - the daemon wrote the time since when a revision is in force, and its last confirmation, to attributes that nothing reads, so both showed 0; - a job that the ledger forgot while its caller waited raised an error; - explain printed a line for each of 97 instances that reported the same change, and a traceback when its reader, such as head, ended first.

--- a/ragwortshelf/cli/main.py
+++ b/ragwortshelf/cli/main.py
@@ -140,7 +140,15 @@
 
 def run() -> None:
     """Run the tool as the console script ``ragwortshelf``."""
-    sys.exit(main(sys.argv))
+    try:
+        status = main(sys.argv)
+        sys.stdout.flush()
+    except BrokenPipeError:
+        # The reader, such as `head`, has all it wanted. Standard output is replaced,
+        # since the interpreter flushes it once more as it exits.
+        os.dup2(os.open(os.devnull, os.O_WRONLY), sys.stdout.fileno())
+        status = ExitStatus.SUCCESS
+    sys.exit(status)
 
 
 if __name__ == "__main__":
--- a/ragwortshelf/cli/timeline.py
+++ b/ragwortshelf/cli/timeline.py
@@ -4,7 +4,7 @@
 
 import json
 from collections.abc import Iterable, Iterator, Mapping
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 
 __all__ = ["TimelineEntry", "build_timeline"]
 
@@ -72,7 +72,38 @@
         is_within_span = first <= record.get("time", "") <= last
         if is_about_job or (is_within_span and _is_context(record, endpoints)):
             timeline.append(_timeline_entry(record, not is_about_job))
-    return timeline
+    return list(_fold(timeline))
+
+
+def _fold(timeline: Iterable[TimelineEntry]) -> Iterator[TimelineEntry]:
+    """Merge equal lines of several instances that follow each other into one.
+
+    A change of the configuration or an outage of the log is reported by every instance.
+    """
+    entries: list[TimelineEntry] = []
+    for entry in timeline:
+        if entries and not _are_alike(entries[0], entry):
+            yield _merge(entries)
+            entries = []
+        entries.append(entry)
+    if entries:
+        yield _merge(entries)
+
+
+def _are_alike(first: TimelineEntry, other: TimelineEntry) -> bool:
+    return (
+        first.is_context
+        and other.is_context
+        and (first.message, first.details) == (other.message, other.details)
+    )
+
+
+def _merge(entries: list[TimelineEntry]) -> TimelineEntry:
+    """Return the first entry, with the number of instances that reported it."""
+    instances = {entry.instance for entry in entries}
+    if len(instances) == 1:
+        return entries[0]
+    return replace(entries[0], instance=f"{len(instances)} instances")
 
 
 def _parse(lines: Iterable[str]) -> Iterator[Mapping]:
--- a/ragwortshelf/daemon/api/jobs.py
+++ b/ragwortshelf/daemon/api/jobs.py
@@ -116,7 +116,9 @@
             return entry
         with trio.move_on_after(wait_ms / 1000):
             await self._gateway.wait_final(entry.spec.job_id)
-        return json_response(200, job_fields(self._gateway.get(entry.spec.job_id)))
+        # The ledger may forget an ended job while its caller waits.
+        newest = self._gateway.get(entry.spec.job_id) or entry
+        return json_response(200, job_fields(newest))
 
     async def _cancel(self, call: ApiCall) -> HttpResponse:
         entry = await self._find(call)
--- a/ragwortshelf/daemon/job_gateway.py
+++ b/ragwortshelf/daemon/job_gateway.py
@@ -159,7 +159,7 @@
     async def cancel(
         self, job_id_: str, requested_by: str
     ) -> JobEntry | NotRun | Unknown:
-        """Record a request to stop a job, and return the job."""
+        """Record a request to stop a job, and return the job as last known."""
         entry = self.get(job_id_)
         if entry.phase.is_final:
             return entry
@@ -171,7 +171,7 @@
             answer.first_offset,
             self._node.deadline_ms(_READ_BACK_TIMEOUT_MS),
         )
-        return self.get(job_id_)
+        return self.get(job_id_) or entry
 
     def get(self, job_id_: str) -> JobEntry | None:
         """Return a job by its id, or None if it is unknown."""
--- a/ragwortshelf/daemon/node.py
+++ b/ragwortshelf/daemon/node.py
@@ -254,7 +254,7 @@
         if not self._may_activate or configuration.revision <= self.revision_in_force:
             return
         self.revision_in_force = configuration.revision
-        self._since_now_wall_ms = wall_ms()
+        self._since_wall_ms = wall_ms()
         log_event("configuration in force", revision=configuration.revision)
         self.requests.set_configuration(configuration)
         self.gateway.set_configuration(configuration)
@@ -262,7 +262,7 @@
 
     def _revision(self) -> Revision:
         if self.streams.is_log_up() and self.streams.is_caught_up(RELEASES_STREAM):
-            self._confirmed_now_wall_ms = wall_ms()
+            self._confirmed_wall_ms = wall_ms()
         return Revision(
             self.revision_in_force, self._since_wall_ms, self._confirmed_wall_ms
         )
--- a/tests/cli/test_timeline.py
+++ b/tests/cli/test_timeline.py
@@ -1,6 +1,8 @@
 """The timeline of a job from the log lines of several instances."""
 
 import json
+import subprocess
+import sys
 
 from ragwortshelf.cli.main import main
 from ragwortshelf.cli.timeline import build_timeline
@@ -56,3 +58,38 @@
     assert "attempts spent" in capsys.readouterr().out
     assert main(["ragwortshelf", "explain", "f" * 16, f"--logs={path}"]) == 5
     assert main(["ragwortshelf", "explain", JOB, "--logs=/nowhere"]) == 2
+
+
+def test_equal_lines_of_many_instances_are_folded_into_one():
+    lines = [
+        _line(1, "call", job=JOB, outcome="accepted"),
+        *(
+            _line(2, "configuration_in_force", f"i{n}", version=9, before=7)
+            for n in range(97)
+        ),
+        _line(3, "configuration_in_force", "i3", version=11, before=9),
+        _line(4, "unit", "i2", job=JOB, phase="done"),
+    ]
+    timeline = build_timeline(JOB, lines)
+    assert [(entry.instance, entry.message) for entry in timeline] == [
+        ("i1", "call"),
+        ("97 instances", "configuration_in_force"),
+        ("i3", "configuration_in_force"),
+        ("i2", "unit"),
+    ]
+
+
+def test_a_reader_that_has_enough_ends_the_command_quietly(tmp_path):
+    path = tmp_path / "i1.log"
+    unit = _line(4, "unit", "i2", job=JOB, phase="placed", endpoints=["e1"])
+    path.write_text("\n".join([unit] * 20_000))
+    command = [sys.executable, "-c", "from ragwortshelf.cli.main import run; run()"]
+    process = subprocess.Popen(
+        [*command, "explain", JOB, f"--logs={path}"],
+        stdout=subprocess.PIPE,
+        stderr=subprocess.PIPE,
+    )
+    process.stdout.readline()
+    process.stdout.close()
+    assert process.stderr.read() == b""
+    assert process.wait() == 0
--- a/tests/daemon/test_api.py
+++ b/tests/daemon/test_api.py
@@ -7,7 +7,17 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
-from ragwortshelf.core.model import Answered, NotRun, Priority, Reason, Unknown
+from ragwortshelf.core.jobs import JobEntry
+from ragwortshelf.core.model import (
+    Adjacency,
+    Answered,
+    JobSpec,
+    NotRun,
+    Priority,
+    Reason,
+    Unknown,
+)
+from ragwortshelf.daemon.api.jobs import JobApi
 from ragwortshelf.daemon.api.requests import RequestApi
 from ragwortshelf.daemon.api.router import ApiCall, Router
 from ragwortshelf.daemon.authentication import Authenticator, Principal
@@ -182,3 +192,19 @@
     for index in range(5_000):
         metrics.count("requests", organisation=str(index))
     assert len(metrics.text().splitlines()) <= 2_001
+
+
+async def test_a_job_that_is_forgotten_while_its_caller_waits_is_shown_as_last_known(
+    autojump_clock,
+):
+    spec = JobSpec("j", "org", "dc", 1, Adjacency.DATA_CENTRE)
+    entries = [JobEntry(spec, "i1", "dc"), None]
+
+    async def wait_final(job_id):
+        pass
+
+    gateway = SimpleNamespace(get=lambda job_id: entries.pop(0), wait_final=wait_final)
+    router = Router(Authenticator(SETTINGS))
+    JobApi(gateway).add_routes(router)
+    response = await router.handle(request("GET", "/v1/jobs/j?wait_ms=100", CALLER))
+    assert (response.status, json.loads(response.body)["phase"]) == (200, "accepted")
--- a/tests/daemon/test_node.py
+++ b/tests/daemon/test_node.py
@@ -8,7 +8,8 @@
 
 from ragwortshelf.core.releases import ReleaseNote, note_to_json, parse_note
 from ragwortshelf.core.streams import RELEASES_STREAM, ReleaseSubmitted
-from ragwortshelf.daemon.node import Node
+from ragwortshelf.daemon.clock import wall_ms
+from ragwortshelf.daemon.node import Node, _revision_fields
 from ragwortshelf.daemon.peer_messages import StreamState
 from ragwortshelf.daemon.settings import define_flags, load_settings
 
@@ -77,3 +78,17 @@
     is_log_up = False
     assert await node._adopt_state_of("ankara-1-b")
     assert node.unready_reason() == ""
+
+
+async def test_a_revision_has_the_time_since_when_it_is_in_force_and_its_age(
+    node, monkeypatch, autojump_clock
+):
+    monkeypatch.setattr(node.streams, "is_caught_up", lambda stream=None: True)
+    monkeypatch.setattr(node.streams, "is_log_up", lambda: True)
+    began_ms = wall_ms()
+    node._allow_activation()
+    apply_first_note(node)
+    fields = _revision_fields(node._revision(), wall_ms())
+    assert fields["revision"] == 0
+    assert fields["in_force_since_wall_ms"] >= began_ms
+    assert fields["age_ms"] < 60_000
