--- a/ragwortshelf/core/scheduling/fleet.py
+++ b/ragwortshelf/core/scheduling/fleet.py
@@ -176,9 +176,8 @@
     same ``progress_percent``; ``listed_ms`` is when the last of them arrived, and
     ``first_percent`` what the first one showed, at ``first_listed_ms``;
     ``unfinished_percent`` and ``unfinished_ms`` are those of the last one that showed
-    the run unfinished. An
-    adopted placement was made in an earlier term, and no listing has confirmed or
-    refuted it in this one yet.
+    the run unfinished. An adopted placement was made in an earlier term, and no listing
+    has confirmed or refuted it in this one yet.
     """
 
     __slots__ = (
