Judge whether a rack could hold a gang by all eligible endpoints

Cause: a search among endpoints of one speed class, or among proven ones, asked whether a rack could hold the tasks of the endpoints in that class alone.

Change: the search is told all eligible endpoints for that question.

Tests: a rack-sensitive gang, and one with a preferred rack, on racks with endpoints of three known speeds; both failed before.

--- a/ragwortshelf/core/scheduling/planning.py
+++ b/ragwortshelf/core/scheduling/planning.py
@@ -140,14 +140,14 @@
             candidates = allowed
         endpoints = None
         if self._needs_proof(unit):
-            return self._find_endpoints(unit, self._proven(candidates))
+            return self._find_endpoints(unit, self._proven(candidates), candidates)
         for classes in preferred_classes(unit)[:-1]:
             alike = [
                 e
                 for e in candidates
                 if speed_class(e) in classes and e.id not in unit.avoided_ids
             ]
-            endpoints = self._find_endpoints(unit, alike)
+            endpoints = self._find_endpoints(unit, alike, candidates)
             if endpoints is not None:
                 return endpoints
         if unit.avoided_ids:
@@ -203,8 +203,16 @@
         return queue is not None and queue.needs_advice
 
     def _find_endpoints(
-        self, unit: Unit, candidates: list[Endpoint]
+        self,
+        unit: Unit,
+        candidates: list[Endpoint],
+        eligible: list[Endpoint] | None = None,
     ) -> list[Endpoint] | None:
+        """Return a candidate for each task, or None if the tasks do not fit.
+
+        Whether a rack could hold the tasks at all is judged by ``eligible``, if that is
+        given, of which the candidates are a part.
+        """
         needed = unit.step.occupied
 
         def slots(endpoint: Endpoint) -> int:
@@ -224,7 +232,7 @@
         step = unit.step
         may_leave = True
         if step.preferred_rack or step.is_rack_sensitive:
-            may_leave = not rack_could_hold(step, unit.count, candidates)
+            may_leave = not rack_could_hold(step, unit.count, eligible or candidates)
         if step.preferred_rack and not may_leave and not step.is_rack_sensitive:
             may_leave = self._has_waited_for_rack(unit)
         with_room = [e for e in candidates if e.free_gpus >= needed.gpus]
--- a/tests/core/scheduling/test_speed.py
+++ b/tests/core/scheduling/test_speed.py
@@ -52,8 +52,8 @@
     return starts
 
 
-def _harness_that_knows_the_speeds(**step):
-    harness = Harness(endpoints=ENDPOINTS)
+def _harness_that_knows_the_speeds(racks=1, **step):
+    harness = Harness(endpoints=ENDPOINTS, racks=racks)
     for number in range(8):
         harness.submit(f"w{number}", "p2", estimate_ms=WORK_MS, **step)
         _run_to_the_end(harness, listing_ms=100)
@@ -107,6 +107,33 @@
     assert len({order.endpoint_id for order in harness.starts}) == ENDPOINTS
 
 
+def test_a_rack_sensitive_gang_stays_on_one_rack_with_endpoints_of_several_speeds():
+    # Away from one rack it takes three times as long, on slow endpoints a quarter more.
+    harness = _harness_that_knows_the_speeds(racks=2, count=2 * ENDPOINTS, request=HALF)
+    harness.submit(
+        "g", "p1", count=5, request=LARGE, is_gang=True, is_rack_sensitive=True
+    )
+    _check_rack(harness, "g")
+    harness.submit(
+        "u", "p0", count=5, request=LARGE, is_gang=True, is_rack_sensitive=True
+    )
+    _check_rack(harness, "u")
+
+
+def test_a_gang_stays_on_the_rack_of_its_data_with_endpoints_of_several_speeds():
+    harness = _harness_that_knows_the_speeds(racks=2, count=2 * ENDPOINTS, request=HALF)
+    harness.submit("g", "p1", count=5, request=LARGE, is_gang=True, preferred_rack="r1")
+    assert _check_rack(harness, "g") == "r1"
+
+
+def _check_rack(harness, job_id):
+    """Check that a job's tasks are on one rack, and return that rack."""
+    orders = [o for o in harness.starts if o.unit_key.job_id == job_id]
+    endpoints = harness.scheduler.endpoint_by_id
+    (rack,) = {endpoints[order.endpoint_id].rack for order in orders}
+    return rack
+
+
 def test_another_incarnation_of_an_endpoint_has_no_known_speed():
     harness = _harness_that_knows_the_speeds(count=2 * ENDPOINTS, request=HALF)
     endpoint = harness.scheduler.endpoint_by_id["e0"]
