Log how much of a cut answer arrived, and that a log stays lost

Change: the detail of a failed call names the limit and the bytes that had arrived; log_bytes_total counts them as way="discarded"; a log that stays lost is reported every 5 s with the number of failed calls. The soak's store keeps the platform's limits of a page, as the tests of slow links need them.

Tests: test_a_log_that_stays_lost_is_reported_again, test_bytes_of_incomplete_answers_are_counted.

--- a/ragwortshelf/core/model/outcomes.py
+++ b/ragwortshelf/core/model/outcomes.py
@@ -108,10 +108,12 @@
     """An external system gave no usable answer.
 
     ``may_have_applied`` is False only if the message was provably not sent.
+    ``received_bytes`` is the size of the partial answer that had arrived.
     """
 
     detail: str
     may_have_applied: bool = True
+    received_bytes: int = 0
 
 
 RequestOutcome = Answered | NotRun | Unknown
--- a/ragwortshelf/net/http_client.py
+++ b/ragwortshelf/net/http_client.py
@@ -51,12 +51,12 @@
         The timeout includes the wait for a free connection. ``may_have_applied`` of an
         ``Unreachable`` result is False only if no byte of the request was sent.
         """
-        seconds = (timeout_ms or self._timeout_ms) / 1000
-        progress = _SendProgress()
-        with trio.move_on_after(seconds):
+        limit_ms = timeout_ms or self._timeout_ms
+        progress = _Progress()
+        with trio.move_on_after(limit_ms / 1000):
             async with self._limiter:
                 return await self._call(method, target, body, headers, progress)
-        return Unreachable(f"{self.address}: timeout", progress.has_sent)
+        return progress.unreachable(f"{self.address}: timeout after {limit_ms} ms")
 
     async def _call(self, method, target, body, headers, progress):
         # The server may have closed an idle connection in the meantime. A GET that
@@ -73,7 +73,7 @@
         try:
             stream = await trio.open_tcp_stream(*split_address(self.address))
         except OSError as error:
-            return Unreachable(f"{self.address}: {error}", progress.has_sent)
+            return progress.unreachable(f"{self.address}: {error}")
         return await self._exchange(
             stream,
             h11.Connection(h11.CLIENT),
@@ -92,7 +92,7 @@
             data = self._encode(connection, method, target, body, headers)
             progress.has_sent = True
             await stream.send_all(data)
-            response = await _read_response(stream, connection)
+            response = await _read_response(stream, connection, progress)
             is_reusable = (
                 connection.our_state is h11.DONE and connection.their_state is h11.DONE
             )
@@ -101,7 +101,7 @@
             trio.ClosedResourceError,
             h11.RemoteProtocolError,
         ) as error:
-            return Unreachable(f"{self.address}: {error}")
+            return progress.unreachable(f"{self.address}: {error}")
         finally:
             if is_reusable:
                 self._idle.append((stream, connection))
@@ -137,20 +137,29 @@
             await trio.aclose_forcefully(stream)
 
 
-class _SendProgress:
-    """Records whether any byte of a call may have been sent."""
+class _Progress:
+    """Records how far one call has come, to report it if the call fails."""
 
-    has_sent = False
+    def __init__(self):
+        self.has_sent = False
+        self.received_bytes = 0
 
+    def unreachable(self, reason: str) -> Unreachable:
+        received = self.received_bytes
+        detail = f"{reason}, {received} bytes received" if received else reason
+        return Unreachable(detail, self.has_sent, received)
 
-async def _read_response(stream, connection) -> HttpResponse:
+
+async def _read_response(stream, connection, progress: _Progress) -> HttpResponse:
     head = None
     parts = []
     size = 0
     while True:
         event = connection.next_event()
         if event is h11.NEED_DATA:
-            connection.receive_data(await stream.receive_some(_READ_BYTES))
+            data = await stream.receive_some(_READ_BYTES)
+            progress.received_bytes += len(data)
+            connection.receive_data(data)
         elif isinstance(event, h11.Response):
             head = event
         elif isinstance(event, h11.Data):
--- a/ragwortshelf/scheduler/configuration_follower.py
+++ b/ragwortshelf/scheduler/configuration_follower.py
@@ -11,6 +11,7 @@
 from ..daemon.logs import log_event
 from .clock import boot_ms
 from .interfaces import Entry, KeyedLog, LogGap, LogPage, PlatformAdapter
+from .loss_reporter import LossReporter
 from .newest_records import NewestRecords, read_newest_records
 from .settings import SchedulingSettings
 
@@ -41,6 +42,7 @@
         self._waves: dict[int, UpkeepWave] = {}
         self._value_by_key: dict[str, bytes] = {}
         self._next_offset: int | None = None
+        self._loss_reporter = LossReporter("operator_log_lost")
         self.is_log_answering = False
 
     def age_ms(self) -> int | None:
@@ -125,10 +127,10 @@
     def _confirm(self, sent_boot_ms: int) -> None:
         if not self.is_log_answering:
             self.is_log_answering = True
+            self._loss_reporter.call_answered()
             log_event("operator_log_regained", age_ms=self.age_ms())
         self.confirmed_boot_ms = sent_boot_ms
 
     def _log_lost(self, detail: str) -> None:
-        if self.is_log_answering:
-            self.is_log_answering = False
-            log_event("operator_log_lost", detail=detail, age_ms=self.age_ms())
+        self._loss_reporter.call_failed(detail, self.age_ms())
+        self.is_log_answering = False
--- a/ragwortshelf/scheduler/interfaces.py
+++ b/ragwortshelf/scheduler/interfaces.py
@@ -86,9 +86,13 @@
 
 @dataclass(frozen=True, slots=True)
 class LogUnanswered:
-    """No answer arrived; an append may have taken effect, or may do so later."""
+    """No whole answer arrived; an append may have taken effect, or may do so later.
+
+    ``received_bytes`` is the size of the partial answer that had arrived.
+    """
 
     detail: str
+    received_bytes: int = 0
 
 
 @dataclass(frozen=True, slots=True)
--- a/ragwortshelf/scheduler/log_follower.py
+++ b/ragwortshelf/scheduler/log_follower.py
@@ -11,6 +11,7 @@
 from ..daemon.logs import log_event, log_failure
 from .clock import boot_ms
 from .interfaces import Entry, KeyedLog, LogGap, LogPage
+from .loss_reporter import LossReporter
 from .newest_records import NewestRecords, read_newest_records
 from .settings import SchedulingSettings
 
@@ -41,6 +42,7 @@
         self.is_waiting_for_records = False
         self.on_job_changed: Callable[[str], None] = lambda job_id: None
         self._needs_reload = True
+        self._loss_reporter = LossReporter("job_log_lost")
         self._wake_event = trio.Event()
         self._answer_event = trio.Event()
 
@@ -205,6 +207,7 @@
     def _record_answer(self, sent_boot_ms: int, reached_end: bool) -> None:
         if self.answering_since_boot_ms is None:
             self.answering_since_boot_ms = sent_boot_ms
+            self._loss_reporter.call_answered()
             log_event("job_log_regained", offset=self.next_offset)
         if reached_end:
             self.confirmed_boot_ms = sent_boot_ms
@@ -212,6 +215,5 @@
         self._answer_event = trio.Event()
 
     def _record_failure(self, detail: str) -> None:
-        if self.answering_since_boot_ms is not None:
-            log_event("job_log_lost", detail=detail, age_ms=self.age_ms())
+        self._loss_reporter.call_failed(detail, self.age_ms())
         self.answering_since_boot_ms = None
--- a/ragwortshelf/scheduler/metered_log.py
+++ b/ragwortshelf/scheduler/metered_log.py
@@ -13,7 +13,8 @@
     """Forwards calls to ``log`` and records their outcomes, sizes and durations.
 
     ``name`` is the metrics' ``log`` label. The ``outcome`` label is the class name of
-    the outcome in lower case.
+    the outcome in lower case. Bytes of answers that did not arrive whole are counted
+    under ``way="discarded"``.
     """
 
     def __init__(self, log: KeyedLog, name: str, metrics: Metrics):
@@ -58,6 +59,11 @@
         self._metrics.count("log_bytes_total", size, log=self._name, way="in")
 
     def _count_outcome(self, call: str, outcome):
+        received_bytes = getattr(outcome, "received_bytes", 0)
+        if received_bytes:
+            self._metrics.count(
+                "log_bytes_total", received_bytes, log=self._name, way="discarded"
+            )
         self._metrics.count(
             "log_calls_total",
             log=self._name,
--- a/soak/platform_server.py
+++ b/soak/platform_server.py
@@ -17,6 +17,13 @@
 
 __all__ = ["EndpointServer", "StoreServer"]
 
+READ_KB_MAX = 1024
+"""Size of the records that a read returns if the request gives none."""
+
+PAGE_ROWS_MAX = 500
+PAGE_BYTES_MAX = 1_000_000
+"""Limits of a page of newest records, as the platform states them."""
+
 _REASONS = {
     StartOutcome.FENCED: "fence",
     StartOutcome.OUTDATED: "old",
@@ -47,16 +54,10 @@
                     return json_response(410, {"first": topic.first})
                 await topic.wait(offset, int(query.get("wait_ms", 0)))
                 head = struct.pack(">QQ", len(topic.entries), topic.first)
-                records = map(_encode, topic.entries[offset:])
-                return HttpResponse(200, (), head + b"".join(records))
+                size_max = 1024 * int(query.get("max_kb", READ_KB_MAX))
+                return HttpResponse(200, (), head + _records(topic, offset, size_max))
             case "/api/log-newest":
-                items = [
-                    {"key": key, "value": base64.b64encode(value).decode()}
-                    for key, value in topic.newest()
-                ]
-                end = len(topic.entries)
-                fields = {"items": items, "has_more": False, "end": end}
-                return json_response(200, fields)
+                return _newest_page(topic, query.get("depends_on"))
         return HttpResponse(404)
 
     def _append(self, topic: KeyedTopic, query, body: bytes) -> HttpResponse:
@@ -139,6 +140,35 @@
             self.state.end(next(iter(self.state.running)), RunEnd.FAILED)
 
 
+def _records(topic: KeyedTopic, offset: int, size_max: int) -> bytes:
+    """Encode records from ``offset``: as many as fit, and at least one if any exist."""
+    records = b""
+    for entry in topic.entries[offset:]:
+        record = _encode(entry)
+        if records and len(records) + len(record) > size_max:
+            break
+        records += record
+    return records
+
+
+def _newest_page(topic: KeyedTopic, after_key: str | None) -> HttpResponse:
+    rows = sorted(topic.newest())
+    rest = [row for row in rows if after_key is None or row[0] > after_key]
+    items = []
+    size = 0
+    for key, value in rest[:PAGE_ROWS_MAX]:
+        size += len(key) + len(value)
+        if items and size > PAGE_BYTES_MAX:
+            break
+        items.append({"key": key, "value": base64.b64encode(value).decode()})
+    fields = {
+        "items": items,
+        "has_more": len(items) < len(rest),
+        "end": len(topic.entries),
+    }
+    return json_response(200, fields)
+
+
 def _encode(entry) -> bytes:
     key, value = entry
     content = bytes([len(key)]) + key.encode() + value
--- a/tests/scheduler/test_observability.py
+++ b/tests/scheduler/test_observability.py
@@ -6,10 +6,12 @@
 import trio
 from absl import logging
 from cluster import faults_of, make_instances, make_job, make_platform, running, submit
+from fakes import FakeLog
 
 from ragwortshelf.core.scheduling.fleet import RunEnd
 from ragwortshelf.scheduler.clock import monotonic_ms
 from ragwortshelf.scheduler.gateway import Declined, Reason
+from ragwortshelf.scheduler.interfaces import LogUnanswered
 
 
 class _LogLines(standard_logging.Handler):
@@ -115,6 +117,39 @@
     }
 
 
+async def test_a_log_that_stays_lost_is_reported_again(autojump_clock, lines):
+    instance = make_instances(make_platform(), 1)[0]
+    async with running(instance):
+        await trio.sleep(1)
+        faults_of(instance).store = "silent"
+        await trio.sleep(14)
+        faults_of(instance).store = ""
+        await trio.sleep(2)
+        faults_of(instance).store = "silent"
+        await trio.sleep(3)
+    for message in ("job_log_lost", "operator_log_lost"):
+        rows = lines.named(message)
+        failed_calls = [row["failed_calls"] for row in rows]
+        assert len(rows) == 4, message
+        assert failed_calls[0] == failed_calls[3] == 1
+        assert 5 < failed_calls[1] < failed_calls[2]
+        assert rows[1]["age_ms"] >= rows[0]["age_ms"] + 5_000
+
+
+async def test_bytes_of_incomplete_answers_are_counted(autojump_clock, monkeypatch):
+    instance = make_instances(make_platform(), 1)[0]
+
+    async def cut(self, offset, *, wait_ms, timeout_ms):
+        await trio.sleep(timeout_ms / 1000)
+        return LogUnanswered("timeout", received_bytes=400_000)
+
+    monkeypatch.setattr(FakeLog, "read", cut)
+    async with running(instance):
+        await trio.sleep(2)
+    text = instance.metrics.text()
+    assert 'log_bytes_total{log="operator",way="discarded"} 400000' in text
+
+
 async def test_each_step_of_a_job_is_logged(autojump_clock, lines):
     platform = make_platform()
     instance = make_instances(platform, 1)[0]
