--- /dev/null
+++ b/tests/net/test_http_client.py
@@ -0,0 +1,87 @@
+"""A call ends when its answer is complete, or when the server makes no progress."""
+
+import trio
+from slow_link import SlowLink
+
+from ragwortshelf.core.model import Unreachable
+from ragwortshelf.net.http_client import HttpClient
+from ragwortshelf.net.http_messages import HttpResponse
+
+LIMIT_MS = 700
+
+
+def _connect(monkeypatch, link):
+    monkeypatch.setattr(trio, "open_tcp_stream", link.open_stream)
+    return HttpClient("10.0.0.1:80", timeout_ms=LIMIT_MS)
+
+
+# Guards against a large answer that a slow link never delivers, because each call is
+# cut at its time limit while data still arrives and the next one starts over.
+async def test_an_answer_that_keeps_arriving_is_received_whole(
+    autojump_clock, monkeypatch
+):
+    async def answer(request):
+        return HttpResponse(200, (), b"x" * 900_000)
+
+    link = SlowLink()
+    client = _connect(monkeypatch, link)
+    async with link.serving(answer):
+        response = await client.call("GET", "/")
+    assert not isinstance(response, Unreachable), response.detail
+    assert len(response.body) == 900_000
+
+
+async def test_a_call_without_an_answer_ends_at_its_time_limit(
+    autojump_clock, monkeypatch
+):
+    async def answer(request):
+        await trio.sleep_forever()
+
+    link = SlowLink()
+    client = _connect(monkeypatch, link)
+    async with link.serving(answer):
+        began = trio.current_time()
+        response = await client.call("GET", "/")
+        took_ms = (trio.current_time() - began) * 1000
+    assert isinstance(response, Unreachable)
+    assert response.may_have_applied
+    assert response.received_bytes == 0
+    assert LIMIT_MS <= took_ms <= LIMIT_MS + 10
+
+
+async def test_an_answer_that_stops_arriving_ends_the_call(autojump_clock, monkeypatch):
+    async def answer(request):
+        return HttpResponse(200, (), b"x" * 900_000)
+
+    link = SlowLink()
+    client = _connect(monkeypatch, link)
+    async with link.serving(answer), trio.open_nursery() as nursery:
+
+        async def cut_the_link():
+            await trio.sleep(0.5)
+            link.bytes_per_s = 1e-3
+
+        nursery.start_soon(cut_the_link)
+        began = trio.current_time()
+        response = await client.call("GET", "/")
+        took_ms = (trio.current_time() - began) * 1000
+    assert isinstance(response, Unreachable)
+    assert 250_000 < response.received_bytes < 350_000
+    assert f"{response.received_bytes} bytes received" in response.detail
+    assert took_ms <= 500 + LIMIT_MS + 50
+
+
+async def test_a_trickle_of_bytes_does_not_hold_a_call_open(
+    autojump_clock, monkeypatch
+):
+    async def answer(request):
+        return HttpResponse(200, (), b"x" * 900_000)
+
+    link = SlowLink(bytes_per_s=SlowLink().bytes_per_s / 100)
+    client = _connect(monkeypatch, link)
+    async with link.serving(answer):
+        began = trio.current_time()
+        response = await client.call("GET", "/")
+        took_ms = (trio.current_time() - began) * 1000
+    assert isinstance(response, Unreachable)
+    assert took_ms <= 2 * LIMIT_MS
