Bound a call by its time without progress, not by its whole duration

Cause: HttpClient cut each call at a fixed time, 0.7 s after its wait and 0.4 s once the log counted as lost, although data still arrived. 600 KB take 0.97 s on a link of 5 Mbit/s, so the read was cut, repeated from the same offset and cut again, for ever. Class of fault: a limit on a whole transfer, whose size nobody bounds, with a retry that starts over.

Change: the timeout bounds the time until the answer begins and each pause within it. An answer slower than 32 KiB/s is still cut, so a trickle holds no call open. A silent log is noticed as soon as before.

This holds for every user of HttpClient: topics of the store, endpoints, hosts, advice, the log and instance list of the product's own interface.

--- a/ragwortshelf/net/http_client.py
+++ b/ragwortshelf/net/http_client.py
@@ -13,6 +13,10 @@
 _READ_BYTES = 64 * 1024
 _MAX_BODY_BYTES = 64 * 1024 * 1024
 
+MIN_ANSWER_BYTES_PER_S = 32 * 1024
+"""Rate below which an answer that still arrives counts as stalled. A link of 5 Mbit/s
+that twenty answers share gives each as much."""
+
 
 def split_address(address: str) -> tuple[str, int]:
     """Split ``IP:port`` into host and port; IPv6 addresses are in brackets.
@@ -27,7 +31,9 @@
 class HttpClient:
     """Client of one server that makes at most ``connections`` calls at a time.
 
-    A call is cancelled at its timeout. A connection returns to the pool only after a
+    A call is cancelled once it has made no progress for its timeout, however large its
+    answer is: an answer may be larger than a slow link carries within the timeout, and
+    a repeated call would start over. A connection returns to the pool only after a
     complete response; otherwise it is closed.
     """
 
@@ -48,15 +54,17 @@
     ) -> HttpResponse | Unreachable:
         """Send one request and return its complete response.
 
-        The timeout includes the wait for a free connection. ``may_have_applied`` of an
-        ``Unreachable`` result is False only if no byte of the request was sent.
+        The timeout bounds the time until the answer begins, including the wait for a
+        free connection, and then each pause within the answer. An answer that arrives
+        more slowly than ``MIN_ANSWER_BYTES_PER_S`` is also cut. ``may_have_applied`` of
+        an ``Unreachable`` result is False only if no byte of the request was sent.
         """
         limit_ms = timeout_ms or self._timeout_ms
-        progress = _Progress()
-        with trio.move_on_after(limit_ms / 1000):
+        with trio.move_on_after(limit_ms / 1000) as scope:
+            progress = _Progress(scope, limit_ms / 1000)
             async with self._limiter:
                 return await self._call(method, target, body, headers, progress)
-        return progress.unreachable(f"{self.address}: timeout after {limit_ms} ms")
+        return progress.unreachable(f"{self.address}: no progress in {limit_ms} ms")
 
     async def _call(self, method, target, body, headers, progress):
         # The server may have closed an idle connection in the meantime. A GET that
@@ -138,12 +146,23 @@
 
 
 class _Progress:
-    """Records how far one call has come, to report it if the call fails."""
+    """How far one call has come, which moves the deadline of its cancel scope."""
 
-    def __init__(self):
+    def __init__(self, scope: trio.CancelScope, limit_s: float):
+        self._scope = scope
+        self._limit_s = limit_s
+        self._first_deadline = scope.deadline
         self.has_sent = False
         self.received_bytes = 0
 
+    def received(self, size_bytes: int) -> None:
+        """Extend the deadline, since a part of the answer has arrived."""
+        self.received_bytes += size_bytes
+        at_min_rate = self.received_bytes / MIN_ANSWER_BYTES_PER_S
+        self._scope.deadline = min(
+            trio.current_time() + self._limit_s, self._first_deadline + at_min_rate
+        )
+
     def unreachable(self, reason: str) -> Unreachable:
         received = self.received_bytes
         detail = f"{reason}, {received} bytes received" if received else reason
@@ -158,7 +177,7 @@
         event = connection.next_event()
         if event is h11.NEED_DATA:
             data = await stream.receive_some(_READ_BYTES)
-            progress.received_bytes += len(data)
+            progress.received(len(data))
             connection.receive_data(data)
         elif isinstance(event, h11.Response):
             head = event
