Let no fast beginning of an answer pay for a trickle after it

Change: each part of an answer extends the deadline by its size at the minimum rate, and never past one limit from now.

Evidence: test_a_trickle_after_a_fast_beginning_ends_the_call failed before.

--- a/ragwortshelf/net/http_client.py
+++ b/ragwortshelf/net/http_client.py
@@ -151,16 +151,15 @@
     def __init__(self, scope: trio.CancelScope, limit_s: float):
         self._scope = scope
         self._limit_s = limit_s
-        self._first_deadline = scope.deadline
         self.has_sent = False
         self.received_bytes = 0
 
     def received(self, size_bytes: int) -> None:
         """Extend the deadline, since a part of the answer has arrived."""
         self.received_bytes += size_bytes
-        at_min_rate = self.received_bytes / MIN_ANSWER_BYTES_PER_S
         self._scope.deadline = min(
-            trio.current_time() + self._limit_s, self._first_deadline + at_min_rate
+            trio.current_time() + self._limit_s,
+            self._scope.deadline + size_bytes / MIN_ANSWER_BYTES_PER_S,
         )
 
     def unreachable(self, reason: str) -> Unreachable:
--- a/tests/net/test_http_client.py
+++ b/tests/net/test_http_client.py
@@ -71,6 +71,51 @@
     assert took_ms <= 500 + LIMIT_MS + 50
 
 
+# Guards against a stalled call that a fast beginning of its answer keeps open for many
+# times its limit.
+async def test_a_trickle_after_a_fast_beginning_ends_the_call(
+    autojump_clock, monkeypatch
+):
+    async def answer(request):
+        return HttpResponse(200, (), b"x" * 900_000)
+
+    link = SlowLink()
+    client = _connect(monkeypatch, link)
+    async with link.serving(answer), trio.open_nursery() as nursery:
+
+        async def slow_the_link():
+            await trio.sleep(1)
+            link.bytes_per_s /= 40
+
+        nursery.start_soon(slow_the_link)
+        began = trio.current_time()
+        response = await client.call("GET", "/")
+        took_ms = (trio.current_time() - began) * 1000
+    assert isinstance(response, Unreachable)
+    assert took_ms <= 1_000 + 2 * LIMIT_MS
+
+
+# Guards against calls that go to the old address for ever after a change of settings,
+# because a call under way at that moment gives its connection back to the pool.
+async def test_no_connection_to_an_old_address_is_used_again(
+    autojump_clock, monkeypatch
+):
+    async def answer(request):
+        await trio.sleep(0.5)
+        return HttpResponse(200, (), request.header("host").encode())
+
+    link = SlowLink()
+    client = _connect(monkeypatch, link)
+    async with link.serving(answer), trio.open_nursery() as nursery:
+        nursery.start_soon(client.call, "GET", "/")
+        await trio.sleep(0.1)
+        client.set_address("10.0.0.2:80")
+        await trio.sleep(1)
+        opened_before = link.opened
+        await client.call("GET", "/")
+    assert link.opened == [*opened_before, "10.0.0.2"]
+
+
 async def test_a_trickle_of_bytes_does_not_hold_a_call_open(
     autojump_clock, monkeypatch
 ):
--- a/tests/slow_link.py
+++ b/tests/slow_link.py
@@ -17,18 +17,21 @@
     """Accepts connections like a listener and carries their answers at a fixed rate.
 
     All connections share the bandwidth. Requests, which are small, are not delayed.
-    ``carried_bytes`` counts what clients have received.
+    ``carried_bytes`` counts what clients have received, and ``opened`` lists the hosts
+    that they have connected to.
     """
 
     def __init__(self, bytes_per_s=SLOWEST_LINK_BYTES_PER_S):
         self.bytes_per_s = bytes_per_s
         self.carried_bytes = 0
+        self.opened = []
         self._free_at_s = 0.0
         self._nursery = None
         self._send, self._receive = trio.open_memory_channel(1000)
 
     async def open_stream(self, host, port):
         """Connect; replaces ``trio.open_tcp_stream``."""
+        self.opened = [*self.opened, host]
         client, client_end = memory_stream_pair()
         server_end, server = memory_stream_pair()
         self._nursery.start_soon(self._carry, client_end, server_end, False)
