Return no connection to the pool after a change of address

Callers would have seen: after a change of the store's address in the settings, an instance that goes on talking to the old one for as long as that answers.

Cause: a call under way during set_address gave its connection back to the pool; a long poll nearly always is under way. The last connection returned is the first used again.

Change: a connection is pooled only if its address still is the client's.

--- a/ragwortshelf/net/http_client.py
+++ b/ragwortshelf/net/http_client.py
@@ -67,6 +67,7 @@
         return progress.unreachable(f"{self.address}: no progress in {limit_ms} ms")
 
     async def _call(self, method, target, body, headers, progress):
+        address = self.address
         # The server may have closed an idle connection in the meantime. A GET that
         # fails on one is repeated once on a new connection. Other methods are not
         # repeated, because the server may have acted on the first request.
@@ -74,15 +75,16 @@
             stream, connection = self._idle.pop()
             connection.start_next_cycle()
             answer = await self._exchange(
-                stream, connection, method, target, body, headers, progress
+                address, stream, connection, method, target, body, headers, progress
             )
             if not isinstance(answer, Unreachable) or method != "GET":
                 return answer
         try:
-            stream = await trio.open_tcp_stream(*split_address(self.address))
+            stream = await trio.open_tcp_stream(*split_address(address))
         except OSError as error:
-            return progress.unreachable(f"{self.address}: {error}")
+            return progress.unreachable(f"{address}: {error}")
         return await self._exchange(
+            address,
             stream,
             h11.Connection(h11.CLIENT),
             method,
@@ -93,23 +95,26 @@
         )
 
     async def _exchange(
-        self, stream, connection, method, target, body, headers, progress
+        self, address, stream, connection, method, target, body, headers, progress
     ):
         is_reusable = False
         try:
-            data = self._encode(connection, method, target, body, headers)
+            data = _encode(connection, address, method, target, body, headers)
             progress.has_sent = True
             await stream.send_all(data)
             response = await _read_response(stream, connection, progress)
+            # The address may have been changed during the call.
             is_reusable = (
-                connection.our_state is h11.DONE and connection.their_state is h11.DONE
+                address == self.address
+                and connection.our_state is h11.DONE
+                and connection.their_state is h11.DONE
             )
         except (
             trio.BrokenResourceError,
             trio.ClosedResourceError,
             h11.RemoteProtocolError,
         ) as error:
-            return progress.unreachable(f"{self.address}: {error}")
+            return progress.unreachable(f"{address}: {error}")
         finally:
             if is_reusable:
                 self._idle.append((stream, connection))
@@ -117,21 +122,6 @@
                 await trio.aclose_forcefully(stream)
         return response
 
-    def _encode(self, connection, method, target, body, headers) -> bytes:
-        head = h11.Request(
-            method=method,
-            target=target,
-            headers=[
-                ("host", self.address),
-                ("content-length", str(len(body))),
-                *headers,
-            ],
-        )
-        data = connection.send(head)
-        if body:
-            data += connection.send(h11.Data(data=body))
-        return data + connection.send(h11.EndOfMessage())
-
     def set_address(self, address: str) -> None:
         """Use another address for further calls and drop the idle connections."""
         if address != self.address:
@@ -168,6 +158,22 @@
         return Unreachable(detail, self.has_sent, received)
 
 
+def _encode(connection, address, method, target, body, headers) -> bytes:
+    head = h11.Request(
+        method=method,
+        target=target,
+        headers=[
+            ("host", address),
+            ("content-length", str(len(body))),
+            *headers,
+        ],
+    )
+    data = connection.send(head)
+    if body:
+        data += connection.send(h11.Data(data=body))
+    return data + connection.send(h11.EndOfMessage())
+
+
 async def _read_response(stream, connection, progress: _Progress) -> HttpResponse:
     head = None
     parts = []
