Let callers share one read beside the scheduler's own

Callers would have seen: stale states, 503s and late starts while the scheduler's instance catches up with the job log across a slow link.

Cause: while the follower waits for new records, each GET of a state or a count started a read of its own from the same offset, and its time limit of 600 ms discarded the answer.

Change: callers wait for the next answer; one read at a time is made for all of them, which no caller's time limit cancels.

Evidence: test_callers_do_not_multiply_what_a_scheduler_reads failed before and passes.

--- a/ragwortshelf/scheduler/log_follower.py
+++ b/ragwortshelf/scheduler/log_follower.py
@@ -27,7 +27,8 @@
     ``term_activity_boot_ms`` is the time at which a term or unit record was last seen.
     While ``own_term`` is set, unit records are skipped, because the scheduler applies
     its decisions to the table before it appends them. While ``is_waiting_for_records``
-    is set, each read waits for new records, and no pause follows it.
+    is set, each read waits for new records, and no pause follows it. Callers that need
+    recent state meanwhile share one separate read at a time.
     """
 
     def __init__(self, log: KeyedLog, settings: SchedulingSettings):
@@ -45,9 +46,15 @@
         self._loss_reporter = LossReporter("job_log_lost")
         self._wake_event = trio.Event()
         self._answer_event = trio.Event()
+        self._refresh_event = trio.Event()
 
     async def run(self) -> None:
         """Follow the log until cancelled."""
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(self._follow)
+            nursery.start_soon(self._refresh_on_demand)
+
+    async def _follow(self) -> None:
         while True:
             if self._needs_reload and not await self._reload():
                 await trio.sleep(self.settings.log_retry_ms / 1000)
@@ -109,15 +116,21 @@
         self._wake_event.set()
 
     async def _wait_for_answer(self) -> None:
-        """Wait for the next answered read.
+        """Wait for the next answered read, and make it come soon.
 
-        If the current read is waiting for new records, make a separate one instead.
+        Read timeouts of callers do not cancel it, since its answer serves all of them.
         """
         self._wake_event.set()
-        if self.is_waiting_for_records and not self._needs_reload:
-            await self._read(wait_ms=0)
-        else:
-            await self._answer_event.wait()
+        self._refresh_event.set()
+        await self._answer_event.wait()
+
+    async def _refresh_on_demand(self) -> None:
+        """Read beside a read that waits for new records, once per demand."""
+        while True:
+            self._refresh_event = trio.Event()
+            await self._refresh_event.wait()
+            if self.is_waiting_for_records and not self._needs_reload:
+                await self._read(wait_ms=0)
 
     async def _read_once(self) -> None:
         is_waiting = self.is_waiting_for_records
--- a/tests/platform/test_slow_link.py
+++ b/tests/platform/test_slow_link.py
@@ -149,3 +149,37 @@
             lambda: len(follower.table.job_by_id) == 2_000, RECOVERED_S
         )
         nursery.cancel_scope.cancel()
+
+
+# Guards against a scheduler that falls behind because each caller who asks for a state
+# starts a read of its own, of which the caller's time limit discards the answer.
+async def test_callers_do_not_multiply_what_a_scheduler_reads(
+    autojump_clock, monkeypatch
+):
+    store, link = StoreServer(), SlowLink()
+    jobs = store.topic(JOB_TOPIC)
+    adapter, settings = _connect(monkeypatch, link)
+    follower = LogFollower(adapter.job_log(), settings)
+    async with link.serving(store.handle), trio.open_nursery() as nursery:
+        nursery.start_soon(follower.run)
+        await trio.sleep(1)
+        # As the scheduler does for the time of its term.
+        follower.is_waiting_for_records = True
+        follower.wake()
+        await trio.sleep(1)
+        for number in range(2_000):
+            jobs.append([encode_record(JobSubmitted(_job(number)))])
+        log_bytes = sum(len(key) + len(value) for key, value in jobs.entries)
+
+        async def ask_often():
+            while True:
+                nursery.start_soon(follower.refresh, 150, 600)
+                await trio.sleep(0.05)
+
+        nursery.start_soon(ask_often)
+        assert await _wait_until(
+            lambda: len(follower.table.job_by_id) == 2_000,
+            3 * log_bytes / link.bytes_per_s,
+        )
+        nursery.cancel_scope.cancel()
+    assert link.carried_bytes < 2.5 * log_bytes
