Let the tests' log lose pages of the newest records and expire records

The fake log of the scheduler's tests answered every call for the newest records unless the whole store was down, and returned records that had expired. So no test could see what a load does after one failed page, or after a gap.

Change: LossyLog refuses or does not answer chosen calls, with pages of one row; reads before the topic's first offset return LogGap, as on the platform.

No change of the product.

--- a/tests/scheduler/fakes.py
+++ b/tests/scheduler/fakes.py
@@ -13,6 +13,7 @@
     EndpointUnreachable,
     HostService,
     KeyedLog,
+    LogGap,
     LogPage,
     LogRefused,
     LogUnanswered,
@@ -60,6 +61,8 @@
             return LogUnanswered("silent")
         if self._faults.store == "busy":
             return LogRefused("busy")
+        if offset < self._topic.first:
+            return LogGap(self._topic.first)
         await self._topic.wait(offset, wait_ms)
         entries = tuple(self._topic.entries[offset:])
         end = len(self._topic.entries)
@@ -77,6 +80,40 @@
         return NewestPage(page, end, None if is_last else page[-1][0])
 
 
+class LossyLog(FakeLog):
+    """A log whose pages of newest records hold one row, and of which some fail.
+
+    Calls fail whose number, from 1, is a multiple of ``failing_period``, or is in
+    ``failing_calls``. ``loss`` is "refused" or "unanswered". ``on_failure`` is called
+    at each failure. ``after_keys`` lists the arguments of all calls.
+    """
+
+    newest_page_rows = 1
+
+    def __init__(
+        self, topic: KeyedTopic, loss, *, failing_period=None, failing_calls=()
+    ):
+        super().__init__(topic, Faults())
+        self.loss = loss
+        self.failing_period = failing_period
+        self.failing_calls = failing_calls
+        self.on_failure = lambda: None
+        self.after_keys = []
+
+    async def newest(self, after_key, *, timeout_ms):
+        self.after_keys.append(after_key)
+        call = len(self.after_keys)
+        is_periodic = self.failing_period and call % self.failing_period == 0
+        if not is_periodic and call not in self.failing_calls:
+            return await super().newest(after_key, timeout_ms=timeout_ms)
+        self.on_failure()
+        if self.loss == "refused":
+            await trio.sleep(LOG_CALL_S)
+            return LogRefused("busy")
+        await trio.sleep(timeout_ms / 1000)
+        return LogUnanswered("lost")
+
+
 class FakeEndpoint(EndpointState):
     """An endpoint that can be disconnected or lose its answers."""
 
