Continue an interrupted load of the job log with the page that failed

What callers see, according to the tests: an instance that starts while the store loses or refuses every third call never has the jobs, and a job that was deleted between two tries of a load stays in the table.

Cause: one failed page of the newest records ended the load, and the next try began with the first page. With every third call failing, no load of more than two pages ends. A deletion between two tries was on no page and before the offset of the second try.

Change: NewestReader keeps its position and the log's end at the first page, so each failed page costs one more call. LogFollower replaces the reader with each restart and after each load. read_newest_records still begins with the first page.

An interrupted load never begins again on account of its age. All records since its first page are read after the last one; if they have expired, that read returns LogGap and a new load begins.

The test of a restart after a failed page passed before, and fails if restart() keeps the reader.

test_a_load_begins_again_if_later_records_have_expired guards the new code: before, the state was right, and only the calls differed, as the load began again before the gap (6 calls, now 8). It fails if the reader is kept after a load.

Conclusion: the time of a load grows with the number of failed calls, and no longer depends on a series of calls without a failure.

--- a/ragwortshelf/scheduler/log_follower.py
+++ b/ragwortshelf/scheduler/log_follower.py
@@ -12,7 +12,7 @@
 from .clock import boot_ms
 from .interfaces import Entry, KeyedLog, LogGap, LogPage
 from .loss_reporter import LossReporter
-from .newest_records import NewestRecords, read_newest_records
+from .newest_records import NewestReader, NewestRecords
 from .settings import SchedulingSettings
 
 __all__ = ["LogFollower"]
@@ -42,6 +42,7 @@
         self.is_waiting_for_records = False
         self.on_job_changed: Callable[[str], None] = lambda job_id: None
         self._needs_reload = True
+        self._newest_reader = NewestReader(log)
         self._loss_reporter = LossReporter("job_log_lost")
         self._wake_event = trio.Event()
         self._answer_event = trio.Event()
@@ -66,6 +67,7 @@
         self.next_offset = None
         self.own_term = None
         self._needs_reload = True
+        self._newest_reader = NewestReader(self._log)
         self.answering_since_boot_ms = None
         self._wake_event.set()
 
@@ -160,16 +162,17 @@
 
     async def _reload(self) -> bool:
         sent = boot_ms()
-        table = self.table
-        outcome = await read_newest_records(
-            self._log, self._apply_entries, self.settings.log_call_timeout_ms
+        reader = self._newest_reader
+        outcome = await reader.read(
+            self._apply_entries, self.settings.log_call_timeout_ms
         )
         if not isinstance(outcome, NewestRecords):
             self._record_failure(outcome.detail)
             return False
-        if self.table is not table:
+        if self._newest_reader is not reader:
             # Restarted while loading: the new table lacks the records of earlier pages.
             return False
+        self._newest_reader = NewestReader(self._log)
         self._needs_reload = False
         self.next_offset = outcome.next_offset
         log_event(
--- a/ragwortshelf/scheduler/newest_records.py
+++ b/ragwortshelf/scheduler/newest_records.py
@@ -7,7 +7,7 @@
 
 from .interfaces import Entry, KeyedLog, LogRefused, LogUnanswered, NewestPage
 
-__all__ = ["NewestRecords", "read_newest_records"]
+__all__ = ["NewestReader", "NewestRecords", "read_newest_records"]
 
 
 @dataclass(frozen=True, slots=True)
@@ -21,21 +21,45 @@
     next_offset: int
 
 
+class NewestReader:
+    """Reads all pages once, over as many calls of ``read`` as failed pages require.
+
+    Any time may pass between two calls. What is appended or deleted meanwhile follows
+    ``next_offset``, and the caller reads it after the last page. If those records have
+    expired by then, that read returns `LogGap`, and a new reader is needed.
+    """
+
+    def __init__(self, log: KeyedLog):
+        self._log = log
+        self._after_key: str | None = None
+        self._next_offset: int | None = None
+
+    async def read(
+        self, on_page: Callable[[tuple[Entry, ...]], None], timeout_ms: int
+    ) -> NewestRecords | LogRefused | LogUnanswered:
+        """Pass each page to ``on_page``; ``timeout_ms`` applies to each separately.
+
+        Stops at the first page that is refused or unanswered and returns that outcome.
+        The next call continues with that page. Not to be called again once it has
+        returned `NewestRecords`.
+        """
+        while True:
+            page = await self._log.newest(self._after_key, timeout_ms=timeout_ms)
+            if not isinstance(page, NewestPage):
+                return page
+            on_page(page.entries)
+            if self._next_offset is None:
+                self._next_offset = page.end
+            self._after_key = page.next_key
+            if self._after_key is None:
+                return NewestRecords(self._next_offset)
+
+
 async def read_newest_records(
     log: KeyedLog, on_page: Callable[[tuple[Entry, ...]], None], timeout_ms: int
 ) -> NewestRecords | LogRefused | LogUnanswered:
-    """Pass each page to ``on_page``; ``timeout_ms`` applies to each page separately.
+    """Read all pages in one call of `NewestReader.read`.
 
-    Stops at the first page that is refused or unanswered and returns that outcome.
+    For callers to whom the time at which the first page was sent is significant.
     """
-    after_key: str | None = None
-    next_offset: int | None = None
-    while True:
-        page = await log.newest(after_key, timeout_ms=timeout_ms)
-        if not isinstance(page, NewestPage):
-            return page
-        on_page(page.entries)
-        next_offset = page.end if next_offset is None else next_offset
-        after_key = page.next_key
-        if after_key is None:
-            return NewestRecords(next_offset)
+    return await NewestReader(log).read(on_page, timeout_ms)
--- a/tests/scheduler/test_log_follower.py
+++ b/tests/scheduler/test_log_follower.py
@@ -1,24 +1,53 @@
 """The follower's table is complete, also when loading it is interrupted."""
 
+import random
+
+import pytest
 import trio
 from cluster import make_job, running
-from fakes import FakeLog, Faults
+from fakes import LOG_CALL_S, FakeLog, Faults, LossyLog
 
-from ragwortshelf.core.scheduling.records import JobSubmitted, encode_record
+from ragwortshelf.core.scheduling.records import (
+    JobForgotten,
+    JobSubmitted,
+    encode_record,
+)
 from ragwortshelf.scheduler.log_follower import LogFollower
 from ragwortshelf.scheduler.settings import SchedulingSettings
 from ragwortshelf.standins.keyed_topic import KeyedTopic
 
 JOB_IDS = [letter * 16 for letter in "abcd"]
+SETTINGS = SchedulingSettings("i0")
+FAILED_CALL_S_BY_LOSS = {
+    "refused": LOG_CALL_S,
+    "unanswered": SETTINGS.log_call_timeout_ms / 1000,
+}
+RETRY_S = SETTINGS.log_retry_ms / 1000
 
 
-def make_follower(page_rows):
+def submit_to(topic, job_id):
+    topic.append([encode_record(JobSubmitted(make_job(job_id)))])
+
+
+def forget_in(topic, job_id):
+    topic.append([encode_record(JobForgotten(job_id))])
+
+
+def make_topic(job_ids):
     topic = KeyedTopic()
-    for job_id in JOB_IDS:
-        topic.append([encode_record(JobSubmitted(make_job(job_id)))])
-    log = FakeLog(topic, Faults())
+    for job_id in job_ids:
+        submit_to(topic, job_id)
+    return topic
+
+
+def make_follower(page_rows):
+    log = FakeLog(make_topic(JOB_IDS), Faults())
     log.newest_page_rows = page_rows
-    return LogFollower(log, SchedulingSettings("i0"))
+    return LogFollower(log, SETTINGS)
+
+
+def make_follower_of(topic):
+    return LogFollower(FakeLog(topic, Faults()), SETTINGS)
 
 
 async def test_all_pages_of_the_newest_records_are_read(autojump_clock):
@@ -38,3 +67,96 @@
         follower.restart()
         await trio.sleep(1)
     assert sorted(follower.table.job_by_id) == JOB_IDS
+
+
+# Guards against loads that begin again at the first page after each failed one, and so
+# never end on a lossy log.
+@pytest.mark.parametrize("loss", FAILED_CALL_S_BY_LOSS)
+async def test_each_failed_page_is_read_once_more(autojump_clock, loss):
+    job_ids = [f"{number:016x}" for number in range(40)]
+    log = LossyLog(make_topic(job_ids), loss, failing_period=3)
+    follower = LogFollower(log, SETTINGS)
+    # Two of three calls return a page, and the third is repeated after a pause.
+    failures_max = len(job_ids) // 2
+    failure_s = FAILED_CALL_S_BY_LOSS[loss] + RETRY_S
+    async with running(follower):
+        await trio.sleep(len(job_ids) * LOG_CALL_S + failures_max * failure_s)
+    assert follower.next_offset == len(job_ids)
+    assert sorted(follower.table.job_by_id) == job_ids
+    assert len(log.after_keys) <= len(job_ids) + failures_max
+
+
+# Guards against a job that remains forever since its deletion, between a failed page
+# and the next try, is before the offset from which that try continues.
+@pytest.mark.parametrize("loss", FAILED_CALL_S_BY_LOSS)
+async def test_a_job_deleted_while_a_load_is_interrupted_is_gone(autojump_clock, loss):
+    topic = make_topic(JOB_IDS)
+    log = LossyLog(topic, loss, failing_calls=(3,))
+    log.on_failure = lambda: forget_in(topic, JOB_IDS[0])
+    follower = LogFollower(log, SETTINGS)
+    async with running(follower):
+        await trio.sleep(2)
+    assert sorted(follower.table.job_by_id) == JOB_IDS[1:]
+
+
+# Guards against a load that continues with a later page although its table is gone.
+@pytest.mark.parametrize("loss", FAILED_CALL_S_BY_LOSS)
+async def test_a_restart_after_a_failed_page_loses_no_job(autojump_clock, loss):
+    log = LossyLog(make_topic(JOB_IDS), loss, failing_calls=(3,))
+    follower = LogFollower(log, SETTINGS)
+    async with running(follower):
+        while len(log.after_keys) < 3:
+            await trio.sleep(0.001)
+        # In the middle of the pause after the failed call.
+        await trio.sleep(FAILED_CALL_S_BY_LOSS[loss] + RETRY_S / 2)
+        assert len(log.after_keys) == 3
+        follower.restart()
+        await trio.sleep(2)
+    assert sorted(follower.table.job_by_id) == JOB_IDS
+
+
+# Guards against the loss of records that expired while a load was interrupted, and
+# against loads that follow each other without end since each begins at that offset.
+@pytest.mark.parametrize("loss", FAILED_CALL_S_BY_LOSS)
+async def test_a_load_begins_again_if_later_records_have_expired(autojump_clock, loss):
+    topic = make_topic(JOB_IDS[1:])
+    log = LossyLog(topic, loss, failing_calls=(2,))
+
+    def submit_and_expire():
+        submit_to(topic, JOB_IDS[0])
+        topic.compact()
+
+    log.on_failure = submit_and_expire
+    follower = LogFollower(log, SETTINGS)
+    async with running(follower):
+        await trio.sleep(2)
+    assert sorted(follower.table.job_by_id) == JOB_IDS
+    assert follower.next_offset == len(topic.entries)
+    a, b, c, _ = (key for key, _ in topic.newest())
+    assert log.after_keys == [None, b, b, c, None, a, b, c]
+
+
+# Guards against differences from the log when jobs come and go while a load is
+# interrupted.
+@pytest.mark.parametrize("loss", FAILED_CALL_S_BY_LOSS)
+@pytest.mark.parametrize("seed", range(5))
+async def test_a_continued_load_ends_with_the_state_of_the_log(
+    autojump_clock, seed, loss
+):
+    generator = random.Random(seed)
+    topic = make_topic([f"{number:016x}" for number in range(0, 40, 2)])
+    log = LossyLog(topic, loss, failing_period=3)
+
+    def change_jobs():
+        for _ in range(generator.randrange(4)):
+            change = generator.choice((submit_to, forget_in))
+            change(topic, f"{generator.randrange(40):016x}")
+
+    log.on_failure = change_jobs
+    follower = LogFollower(log, SETTINGS)
+    async with running(follower):
+        await trio.sleep(60)
+    expected = make_follower_of(topic)
+    async with running(expected):
+        await trio.sleep(1)
+    assert follower.table.job_by_id.keys() == expected.table.job_by_id.keys()
