Continue an interrupted load of the endpoints with the page that failed

What callers see, according to the tests: while the store loses or refuses every third call, a new holder of the role knows only the endpoints of the first pages, and so has no others to start tasks on.

Change: the directory keeps its reader, and the keys on the pages read so far, until the load ends. An endpoint that was removed since its page was read is removed by the records that follow, or, if these have expired, by the new load, which begins with no keys.

Evidence, on the code before: - test_each_failed_page_is_read_once_more: only {'e0', 'e1'} of 20 endpoints, ever - test_a_continued_load_removes_only_unlisted_endpoints: [None, 'e0', None, 'e0', 'e1'] read in place of [None, 'e0', 'e0', 'e1']

test_an_endpoint_that_a_new_load_lacks_is_removed passed before, and fails if the keys outlive the load.

--- a/ragwortshelf/scheduler/endpoint_directory.py
+++ b/ragwortshelf/scheduler/endpoint_directory.py
@@ -9,7 +9,7 @@
 from ..core.scheduling.fleet import EndpointInfo
 from ..daemon.logs import log_event
 from .interfaces import Entry, KeyedLog, LogGap, LogPage, PlatformAdapter
-from .newest_records import NewestRecords, read_newest_records
+from .newest_records import NewestReader, NewestRecords
 from .settings import SchedulingSettings
 
 __all__ = ["EndpointDirectory"]
@@ -37,6 +37,9 @@
         self._on_removed = on_removed
         self._info_by_key: dict[str, EndpointInfo] = {}
         self._next_offset: int | None = None
+        self._newest_reader = NewestReader(log)
+        # Keys on the pages that the reader has read.
+        self._listed_keys: set[str] = set()
 
     async def run(self) -> None:
         """Poll the endpoint log until cancelled."""
@@ -66,23 +69,23 @@
         return page.detail
 
     async def _load(self) -> str | None:
-        listed: set[str] = set()
-
-        def apply_page(entries: tuple[Entry, ...]) -> None:
-            for entry in entries:
-                listed.add(entry[0])
-                self._apply(entry)
-
-        outcome = await read_newest_records(
-            self._log, apply_page, self._settings.log_call_timeout_ms
+        outcome = await self._newest_reader.read(
+            self._apply_newest, self._settings.log_call_timeout_ms
         )
         if not isinstance(outcome, NewestRecords):
             return outcome.detail
-        for removed_key in self._info_by_key.keys() - listed:
+        for removed_key in self._info_by_key.keys() - self._listed_keys:
             self._remove(removed_key)
         self._next_offset = outcome.next_offset
+        self._newest_reader = NewestReader(self._log)
+        self._listed_keys = set()
         return None
 
+    def _apply_newest(self, entries: tuple[Entry, ...]) -> None:
+        for entry in entries:
+            self._listed_keys.add(entry[0])
+            self._apply(entry)
+
     def _apply(self, entry: Entry) -> None:
         key, value = entry
         if not key:
