Confirm a large configuration as soon as it has arrived

Cause: the records of a read are as old as its sending, 2.6 s when they come last in a wait of 1 s and then take 1.6 s; the next read waited for another second before it confirmed.

Change: the read after one that brought records does not wait. One more call for each change of the operator's records.

Evidence: test_a_large_configuration_is_confirmed_once_it_has_arrived failed before. The test of the rotation held before as well.

--- a/ragwortshelf/scheduler/configuration_follower.py
+++ b/ragwortshelf/scheduler/configuration_follower.py
@@ -59,6 +59,7 @@
         self._value_by_key: dict[str, bytes] = {}
         self._next_offset: int | None = None
         self._load_in_progress: _Load | None = None
+        self._is_confirmation_due = False
         self._loss_reporter = LossReporter("operator_log_lost")
         self.is_log_answering = False
 
@@ -96,6 +97,7 @@
             return outcome.detail
         self._load_in_progress = None
         self._next_offset = outcome.next_offset
+        self._is_confirmation_due = True
         # Records deleted since the last load are on no page.
         deleted = self._value_by_key.keys() - load.value_by_key.keys()
         self._apply((*load.value_by_key.items(), *((key, b"") for key in deleted)))
@@ -103,8 +105,10 @@
         return None
 
     async def _read(self, sent_boot_ms: int) -> str | None:
+        # Records that took long to arrive are confirmed without waiting for more.
+        is_due = self._is_confirmation_due
         wait_ms, timeout_ms = self.settings.read_times_ms(
-            self.settings.configuration_wait_ms, self.is_log_answering
+            0 if is_due else self.settings.configuration_wait_ms, self.is_log_answering
         )
         page = await self._log.read(
             self._next_offset, wait_ms=wait_ms, timeout_ms=timeout_ms
@@ -112,6 +116,7 @@
         match page:
             case LogPage():
                 self._next_offset = page.next_offset
+                self._is_confirmation_due = bool(page.entries)
                 self._apply(page.entries)
                 if page.next_offset >= page.end:
                     self._confirm(sent_boot_ms)
--- a/tests/platform/test_slow_link.py
+++ b/tests/platform/test_slow_link.py
@@ -5,6 +5,7 @@
 
 import json
 
+import pytest
 import trio
 from platform_adapter.adapter import (
     JOB_TOPIC,
@@ -25,6 +26,13 @@
 CONFIGURATION_APPLIED_S = 3
 """Bound for a configuration to be in force, as stated for the grown deployments."""
 
+REVOKED_MS = 5_000
+"""Bound for a withdrawn key to be refused, as stated for all deployments."""
+
+ROTATION_CHECK_S = 1
+"""Interval of the load balancer's checks. An instance that misses two of them receives
+no new connections."""
+
 RECOVERED_S = 15
 """Bound for all instances to serve after a loss of power, as stated for them."""
 
@@ -63,7 +71,8 @@
 def _connect(monkeypatch, link):
     """Return an adapter whose store is at the far end of ``link``, and settings."""
     monkeypatch.setattr(trio, "open_tcp_stream", link.open_stream)
-    settings = parse_settings(json.dumps(SETTINGS).encode())
+    bounds = SETTINGS["bounds"] | {"revoke_ms": REVOKED_MS}
+    settings = parse_settings(json.dumps(SETTINGS | {"bounds": bounds}).encode())
     return HttpPlatformAdapter(settings), settings.scheduling
 
 
@@ -94,6 +103,54 @@
         nursery.cancel_scope.cancel()
 
 
+# Guards against instances on slow links that are not ready for seconds after each large
+# configuration, because the next read waits before it confirms that one.
+async def test_a_large_configuration_is_confirmed_once_it_has_arrived(
+    autojump_clock, monkeypatch
+):
+    store, link = StoreServer(), SlowLink()
+    topic = store.topic(OPERATOR_TOPIC)
+    topic.append([("config", _configuration(1, 40))])
+    adapter, settings = _connect(monkeypatch, link)
+    follower = ConfigurationFollower(adapter, adapter.operator_log(), settings)
+    async with link.serving(store.handle), trio.open_nursery() as nursery:
+        nursery.start_soon(follower.run)
+        await trio.sleep(2)
+        topic.append([("config", _configuration(2, 2_840))])
+        assert await _wait_until(lambda: follower.current.version == 2, 3)
+        assert await _wait_until(lambda: follower.age_ms() < 100, 0.1)
+        nursery.cancel_scope.cancel()
+
+
+# Guards against instances on slow links that all leave the rotation at once when a
+# large configuration is published.
+@pytest.mark.parametrize("phase_ms", [0, 300, 600, 900])
+async def test_an_instance_stays_in_rotation_when_a_large_configuration_comes(
+    autojump_clock, monkeypatch, phase_ms
+):
+    store, link = StoreServer(), SlowLink()
+    topic = store.topic(OPERATOR_TOPIC)
+    topic.append([("config", _configuration(1, 40))])
+    adapter, settings = _connect(monkeypatch, link)
+    instance = Instance(adapter, settings)
+    async with link.serving(store.handle), trio.open_nursery() as nursery:
+        nursery.start_soon(instance.run)
+        assert await _wait_until(instance.gateway.is_ready, RECOVERED_S)
+        await trio.sleep(2 + phase_ms / 1000)
+        for version, routes in ((2, 2_840), (3, 4_240)):
+            topic.append([("config", _configuration(version, routes))])
+            last_ready_s = trio.current_time()
+            with trio.move_on_after(5):
+                while True:
+                    await trio.sleep(0.01)
+                    assert instance.configuration.is_trusted()
+                    if instance.gateway.is_ready():
+                        last_ready_s = trio.current_time()
+                    assert trio.current_time() - last_ready_s < ROTATION_CHECK_S
+            assert instance.configuration.current.version == version
+        nursery.cancel_scope.cancel()
+
+
 # Guards against an instance that falls ever further behind while it reads every
 # version of a large configuration in turn.
 async def test_the_last_of_many_large_configurations_comes_into_force(
