Bound a group append by what the slowest link carries in time

What callers saw: with many records waiting, all callers of a group ended "uncertain". A group could have 1 MB, which takes 1.6 s at 5 Mbit/s, but an append is cut at 700 ms; it was retried whole and cut again until the callers' deadlines.

Cause: the size of a group was derived from the log's limit for one append alone.

Change: a group ends before the record that would make it larger than what 5 Mbit/s carries in a quarter of the append's timeout, 109 KB. A larger record is appended alone. The fake log can cut appends that need longer than their timeout to cross the link.

Conclusion: many records in a group are no longer cut. A single record above 437 KB still is, on a link of 5 Mbit/s.

--- a/ragwortshelf/scheduler/log_writer.py
+++ b/ragwortshelf/scheduler/log_writer.py
@@ -14,11 +14,7 @@
 __all__ = ["Committed", "GroupWriter", "NotCommitted"]
 
 GROUP_ENTRIES_MAX = 400
-"""Number of entries at which a group is full; 400 of a few hundred bytes each stay
-far below the 2 MB limit of an append."""
-
-GROUP_BYTES_MAX = 1_000_000
-"""Size at which a group is full, half of the log's 2 MB limit for one append."""
+"""Number of entries at which a group is full."""
 
 
 @dataclass(frozen=True, slots=True)
@@ -42,6 +38,7 @@
 class _PendingAppend:
     def __init__(self, entries: list[Entry], deadline_ms: int):
         self.entries = entries
+        self.bytes = sum(len(key.encode()) + len(value) for key, value in entries)
         self.deadline_ms = deadline_ms
         self.may_be_appended = False
         self.outcome: Committed | NotCommitted | None = None
@@ -86,13 +83,17 @@
                 await self._append_or_end(group)
 
     def _take_group(self) -> list[_PendingAppend]:
+        """Return the first items that fit into one append; a larger one is alone."""
+        bytes_max = self.settings.append_bytes_max()
         group: list[_PendingAppend] = []
         entries = size = 0
-        while self._waiting and entries < GROUP_ENTRIES_MAX and size < GROUP_BYTES_MAX:
-            item = self._waiting.pop(0)
-            group.append(item)
+        for item in self._waiting:
             entries += len(item.entries)
-            size += sum(len(key) + len(value) for key, value in item.entries)
+            size += item.bytes
+            if group and (entries > GROUP_ENTRIES_MAX or size > bytes_max):
+                break
+            group.append(item)
+        del self._waiting[: len(group)]
         return group
 
     async def _append_or_end(self, group: list[_PendingAppend]) -> None:
--- a/ragwortshelf/scheduler/settings.py
+++ b/ragwortshelf/scheduler/settings.py
@@ -4,7 +4,15 @@
 
 from dataclasses import dataclass
 
-__all__ = ["SchedulingSettings"]
+__all__ = ["SLOWEST_LINK_BYTES_PER_S", "SchedulingSettings"]
+
+SLOWEST_LINK_BYTES_PER_S = 625_000
+"""The slowest link of the supported deployments, 5 Mbit/s, which all transfers of an
+instance share."""
+
+APPEND_TIMEOUT_DIVISOR = 4
+"""An append crosses the slowest link in this part of its timeout; the rest is left for
+other transfers on the link and for the log."""
 
 
 @dataclass(frozen=True, slots=True)
@@ -79,3 +87,12 @@
         if not is_log_answering:
             return 0, self.log_probe_timeout_ms
         return wait_ms, wait_ms + self.log_call_timeout_ms
+
+    def append_bytes_max(self) -> int:
+        """Return the size to which appends of several records are limited.
+
+        >>> SchedulingSettings("i").append_bytes_max()
+        109375
+        """
+        sending_ms = self.log_call_timeout_ms // APPEND_TIMEOUT_DIVISOR
+        return SLOWEST_LINK_BYTES_PER_S * sending_ms // 1000
--- a/tests/scheduler/fakes.py
+++ b/tests/scheduler/fakes.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import math
+
 import trio
 
 from ragwortshelf.core.scheduling import ServiceConfiguration
@@ -36,7 +38,12 @@
         self._faults = faults
 
     async def append(self, entries, *, timeout_ms, at=None, fence=None):
-        await trio.sleep(LOG_CALL_S)
+        self._faults.append_sizes.append(sum(len(k) + len(v) for k, v in entries))
+        sending_s = self._faults.append_sizes[-1] / self._faults.append_bytes_per_s
+        if LOG_CALL_S + sending_s > timeout_ms / 1000:
+            await trio.sleep(timeout_ms / 1000)
+            return LogUnanswered("cut while sending")
+        await trio.sleep(LOG_CALL_S + sending_s)
         match self._faults.store:
             case "silent":
                 await trio.sleep(timeout_ms / 1000)
@@ -164,13 +171,17 @@
     """Faults between one instance and the platform.
 
     ``store`` is "silent" (calls time out), "busy" (calls are refused), "append_lost"
-    (only appends time out) or empty.
+    (only appends time out) or empty. An append that needs longer than its time limit to
+    cross the link, at ``append_bytes_per_s``, is cut; ``append_sizes`` has the size of
+    each one tried.
     """
 
     def __init__(self):
         self.store = ""
         self.is_disconnected = False
         self.lose_append_answers = 0
+        self.append_bytes_per_s = math.inf
+        self.append_sizes = []
 
 
 class Platform:
