Answer callers of a group append at their deadlines

What callers saw: a call whose record was being appended, or waited behind an append, ended only when that append did, up to 700 ms after the call's own deadline. A record whose deadline had passed while it waited was still appended, as was that of a caller who had disconnected.

Cause: `commit` waited for its outcome without a bound of its own, and deadlines were compared only after an attempt.

Change: `commit` returns at its deadline. `may_be_appended` is set if an attempt is under way or an earlier one may have taken effect; a record without an attempt is taken out and never appended. The detail says which of these it was.

Conclusion: a caller's wait no longer depends on how long an append lasts.

--- a/ragwortshelf/scheduler/log_writer.py
+++ b/ragwortshelf/scheduler/log_writer.py
@@ -28,7 +28,7 @@
 class NotCommitted:
     """The append was not confirmed by the deadline.
 
-    ``may_be_appended`` is False only if the log refused every attempt.
+    ``may_be_appended`` is False only if there was no attempt, or the log refused each.
     """
 
     detail: str
@@ -40,13 +40,21 @@
         self.entries = entries
         self.bytes = sum(len(key.encode()) + len(value) for key, value in entries)
         self.deadline_ms = deadline_ms
+        self.is_in_flight = False
         self.may_be_appended = False
+        self.detail = "not tried by the deadline"
         self.outcome: Committed | NotCommitted | None = None
         self.done = trio.Event()
 
     def end(self, outcome: Committed | NotCommitted) -> None:
-        self.outcome = outcome
-        self.done.set()
+        """Set the outcome, unless the append has ended already."""
+        if self.outcome is None:
+            self.outcome = outcome
+            self.done.set()
+
+    def end_not_committed(self) -> None:
+        may_be_appended = self.may_be_appended or self.is_in_flight
+        self.end(NotCommitted(self.detail, may_be_appended))
 
 
 class GroupWriter:
@@ -65,11 +73,14 @@
     async def commit(
         self, entries: list[Entry], deadline_ms: int
     ) -> Committed | NotCommitted:
-        """Append ``entries``; returns when that is confirmed or retrying ends."""
+        """Append ``entries``; returns when that is confirmed, or by the deadline."""
         item = _PendingAppend(entries, deadline_ms)
         self._waiting.append(item)
         self._wake.set()
-        await item.done.wait()
+        remaining_ms = max(0, deadline_ms - monotonic_ms())
+        with trio.move_on_after(remaining_ms / 1000):
+            await item.done.wait()
+        item.end_not_committed()
         return item.outcome
 
     async def run(self) -> None:
@@ -84,6 +95,7 @@
 
     def _take_group(self) -> list[_PendingAppend]:
         """Return the first items that fit into one append; a larger one is alone."""
+        self._drop_ended_items()
         bytes_max = self.settings.append_bytes_max()
         group: list[_PendingAppend] = []
         entries = size = 0
@@ -96,14 +108,23 @@
         del self._waiting[: len(group)]
         return group
 
+    def _drop_ended_items(self) -> None:
+        now = monotonic_ms()
+        for item in self._waiting:
+            if item.deadline_ms <= now:
+                item.end_not_committed()
+        self._waiting = [item for item in self._waiting if item.outcome is None]
+
     async def _append_or_end(self, group: list[_PendingAppend]) -> None:
+        for item in group:
+            item.is_in_flight = True
+            item.detail = "no answer by the deadline"
         try:
             await self._append(group)
         except Exception as error:
             log_failure("group_append_failed", entries=len(group))
             for item in group:
-                if item.outcome is None:
-                    item.end(NotCommitted(repr(error), may_be_appended=True))
+                item.end(NotCommitted(repr(error), may_be_appended=True))
 
     async def _append(self, group: list[_PendingAppend]) -> None:
         entries = [entry for item in group for entry in item.entries]
@@ -118,12 +139,13 @@
         retry: list[_PendingAppend] = []
         next_try_ms = monotonic_ms() + self.settings.log_retry_ms
         for item in group:
+            item.is_in_flight = False
             item.may_be_appended |= not was_refused
+            item.detail = getattr(outcome, "detail", "not appended")
             if next_try_ms < item.deadline_ms:
                 retry.append(item)
             else:
-                detail = getattr(outcome, "detail", "not appended")
-                item.end(NotCommitted(detail, item.may_be_appended))
+                item.end_not_committed()
         if retry:
             self._waiting[:0] = retry
             await trio.sleep(self.settings.log_retry_ms / 1000)
