Bound the scheduler's appends by bytes as well

What callers saw: no job was started or changed state on a slow link while a term had many decisions of large units to write; unconfirmed for 9 s, the term is given up.

Cause: an append could have 2,000 decisions of any size, and is cut at 700 ms. 400 decisions of units with 64 endpoints need more than that at 5 Mbit/s; the same append was repeated for ever. 2,000 decisions of units with 8 endpoints, 256 KB, fitted only on a link with no other transfer.

Change: an append takes decisions, in order, up to what 5 Mbit/s carries in a quarter of the append's timeout, 109 KB; a larger decision is alone. The resignation stays in the last one.

Evidence, before the change, in test_term.py: test_many_decisions_are_written_across_a_slow_link[400-64]: nothing written after 10 s test_many_decisions_are_written_across_a_slow_link[4000-8]: append of 256018 bytes test_a_decision_larger_than_an_append_is_written_alone: all three in one append All pass after it; they also check the order, the starts and the resignation.

Conclusion: decisions are no longer cut because there are many of them. One above 437 KB still would be, on a link of 5 Mbit/s.

--- a/ragwortshelf/scheduler/interfaces.py
+++ b/ragwortshelf/scheduler/interfaces.py
@@ -37,12 +37,23 @@
     "NewestPage",
     "PlatformAdapter",
     "ProducerFence",
+    "entry_bytes",
 ]
 
 Entry = tuple[str, bytes]
 """A key and a value; an empty value deletes the key."""
 
 
+def entry_bytes(entry: Entry) -> int:
+    """Return the size of an entry's key and value.
+
+    >>> entry_bytes(("term", b"123"))
+    7
+    """
+    key, value = entry
+    return len(key.encode()) + len(value)
+
+
 @dataclass(frozen=True, slots=True)
 class ProducerFence:
     """Lets the log reject appends from earlier holders of a role, and detect repeats.
--- a/ragwortshelf/scheduler/log_writer.py
+++ b/ragwortshelf/scheduler/log_writer.py
@@ -8,7 +8,7 @@
 
 from ..daemon.logs import log_failure
 from .clock import monotonic_ms
-from .interfaces import Appended, Entry, KeyedLog, LogRefused
+from .interfaces import Appended, Entry, KeyedLog, LogRefused, entry_bytes
 from .settings import SchedulingSettings
 
 __all__ = ["Committed", "GroupWriter", "NotCommitted"]
@@ -38,7 +38,7 @@
 class _PendingAppend:
     def __init__(self, entries: list[Entry], deadline_ms: int):
         self.entries = entries
-        self.bytes = sum(len(key.encode()) + len(value) for key, value in entries)
+        self.bytes = sum(map(entry_bytes, entries))
         self.deadline_ms = deadline_ms
         self.is_in_flight = False
         self.may_be_appended = False
--- a/ragwortshelf/scheduler/term_writer.py
+++ b/ragwortshelf/scheduler/term_writer.py
@@ -12,7 +12,14 @@
 from ..core.scheduling.records import TermHeld, encode_record
 from ..daemon.logs import log_event
 from .clock import boot_ms, wall_ms
-from .interfaces import Appended, Deposed, Entry, LogUnanswered, ProducerFence
+from .interfaces import (
+    Appended,
+    Deposed,
+    Entry,
+    LogUnanswered,
+    ProducerFence,
+    entry_bytes,
+)
 from .log_topics import LogTopics
 from .settings import SchedulingSettings
 
@@ -22,7 +29,7 @@
 """Producer name that all instances share, so that the log fences earlier terms."""
 
 ACTIONS_MAX = 2_000
-"""Decisions per append; at about 150 bytes each, a sixth of the log's 2 MB limit."""
+"""Decisions and starts per append, which bounds how long the starts wait."""
 
 
 class TermWriter:
@@ -97,25 +104,41 @@
                 with trio.move_on_after(self._settings.term_renewal_ms / 1000):
                     await self._wake_event.wait()
             self._wake_event = trio.Event()
-            actions = self._waiting[:ACTIONS_MAX]
-            del self._waiting[:ACTIONS_MAX]
+            actions, entries = self._take_actions()
             is_last = self._is_resigning and not self._waiting
-            deposed = await self._append(self._entries(actions, is_last), is_last)
+            entries.append(self._renewal(is_last))
+            deposed = await self._append(entries, is_last)
             if deposed is not None:
                 return f"deposed: {deposed.detail}"
             self._finish(actions, on_start)
             if is_last:
                 return "resigned"
 
-    def _entries(self, actions, is_last: bool) -> list[Entry]:
+    def _take_actions(self) -> tuple[list[PersistUnit | StartTask], list[Entry]]:
+        """Return the first actions that fit into one append, and their entries.
+
+        A decision that is larger than an append should be is alone.
+        """
+        size = entry_bytes(self._renewal(is_last=True))
+        bytes_max = self._settings.append_bytes_max()
         entries: list[Entry] = []
-        for action in actions:
+        count = 0
+        for action in self._waiting[:ACTIONS_MAX]:
             if isinstance(action, PersistUnit):
+                entry = encode_record(action.record)
+                size += entry_bytes(entry)
+                if entries and size > bytes_max:
+                    break
                 self._record_decision(action)
-                entries.append(encode_record(action.record))
+                entries.append(entry)
+            count += 1
+        actions = self._waiting[:count]
+        del self._waiting[:count]
+        return actions, entries
+
+    def _renewal(self, is_last: bool) -> Entry:
         claim = self._claim
-        renewal = TermHeld(claim.term, claim.holder, wall_ms(), is_last)
-        return [*entries, encode_record(renewal)]
+        return encode_record(TermHeld(claim.term, claim.holder, wall_ms(), is_last))
 
     def _finish(self, actions, on_start: Callable[[StartTask], None]) -> None:
         self._committed_count += len(actions)
--- a/tests/scheduler/test_term.py
+++ b/tests/scheduler/test_term.py
@@ -1,5 +1,6 @@
 """One instance schedules at a time, and a successor continues its work."""
 
+import pytest
 import trio
 from cluster import (
     faults_of,
@@ -14,10 +15,23 @@
 from fakes import FakePlatformAdapter
 
 from ragwortshelf.core.scheduling import JobState
+from ragwortshelf.core.scheduling.actions import PersistUnit, StartTask
 from ragwortshelf.core.scheduling.fleet import StartOutcome
-from ragwortshelf.core.scheduling.records import TermHeld, decode_record
+from ragwortshelf.core.scheduling.job_table import JobTable
+from ragwortshelf.core.scheduling.model import UnitKey, UnitPhase
+from ragwortshelf.core.scheduling.records import (
+    TermHeld,
+    UnitRecord,
+    decode_record,
+    encode_record,
+)
+from ragwortshelf.daemon.metrics import Metrics
 from ragwortshelf.scheduler.instance import Instance
+from ragwortshelf.scheduler.log_topics import open_logs
 from ragwortshelf.scheduler.settings import SchedulingSettings
+from ragwortshelf.scheduler.term_writer import TermWriter
+
+SLOWEST_LINK_BYTES_PER_S = 625_000
 
 
 async def test_simultaneous_claims_result_in_one_holder(autojump_clock):
@@ -349,3 +363,71 @@
         )
         if isinstance(record, TermHeld)
     )
+
+
+def _make_term_writer(adapter):
+    return TermWriter(
+        TermHeld(1, "i", 0),
+        0,
+        open_logs(adapter, Metrics()),
+        SchedulingSettings("i"),
+        JobTable(),
+    )
+
+
+def _decision(number, endpoint_count):
+    endpoints = tuple(f"endpoint-{n:04}.rack.example" for n in range(endpoint_count))
+    key = UnitKey(f"{number:016x}", 0, 0, 0)
+    record = UnitRecord(key, 1, UnitPhase.FAILED, 1, 0, endpoints)
+    return PersistUnit(record, "test")
+
+
+# Guards against a term that ends unconfirmed because its decisions, of units with many
+# endpoints or of many units, never cross a slow link within the timeout of an append.
+@pytest.mark.parametrize(("count", "endpoint_count"), [(400, 64), (4_000, 8)])
+async def test_many_decisions_are_written_across_a_slow_link(
+    autojump_clock, count, endpoint_count
+):
+    platform = make_platform()
+    adapter = FakePlatformAdapter(platform)
+    adapter.faults.append_bytes_per_s = SLOWEST_LINK_BYTES_PER_S
+    writer = _make_term_writer(adapter)
+    started = []
+
+    def start(action):
+        # Starts are sent once all earlier decisions are in the log.
+        written = sum(key.startswith("u/") for key, _ in platform.jobs.entries)
+        started.append((action.run, written >= action.run))
+
+    decisions = [_decision(number, endpoint_count) for number in range(count)]
+    for number, decision in enumerate(decisions, 1):
+        writer.add(decision)
+        writer.add(StartTask("e", decision.record.key, "t", number, "", ""))
+    writer.resign()
+    with trio.move_on_after(10):
+        assert await writer.run(start) == "resigned"
+    entries = platform.jobs.entries
+    written = [entry for entry in entries if entry[0].startswith("u/")]
+    assert written == [encode_record(decision.record) for decision in decisions]
+    assert started == [(number, True) for number in range(1, count + 1)]
+    renewals = [decode_record(*entry) for entry in entries if entry[0] == "term"]
+    assert [renewal.is_resigned for renewal in renewals[:-1]] == [False] * (
+        len(renewals) - 1
+    )
+    assert renewals[-1].is_resigned and entries[-1][0] == "term"
+    assert not writer.uncommitted_jobs
+    limit_s = SchedulingSettings("i").log_call_timeout_ms / 1000
+    assert max(adapter.faults.append_sizes) <= SLOWEST_LINK_BYTES_PER_S * limit_s / 4
+
+
+async def test_a_decision_larger_than_an_append_is_written_alone(autojump_clock):
+    platform = make_platform()
+    adapter = FakePlatformAdapter(platform)
+    writer = _make_term_writer(adapter)
+    decisions = [_decision(0, 1), _decision(1, 8_000), _decision(2, 1)]
+    for decision in decisions:
+        writer.add(decision)
+    writer.resign()
+    assert await writer.run(lambda action: None) == "resigned"
+    keys = [key.partition("/")[0] for key, _ in platform.jobs.entries]
+    assert keys == ["u", "term"] * 3
