Read a request's body for as long as it makes progress

What callers saw: a body of 500 KB that arrived steadily at 62 KB/s, a tenth of a link of 5 Mbit/s, was answered 408; by default a body had 10 s, however it moved.

Cause: `_read_body` bounded the whole body by `read_timeout_ms`.

Change: the limit bounds the time without progress. A body must also arrive at 6,250 bytes/s on the whole, apart from the limit, so that a trickle of bytes does not hold a connection open. The head of a request keeps its fixed limit.

Evidence, in test_http_server.py: test_a_body_that_keeps_arriving_is_read_whole failed before (answer 408 in place of 200) and passes. Bodies that stop or trickle were refused before and are after it; without the minimum rate, two of these three cases fail. A body whose stream ends early was suspected to be waited for until the limit: it is not, since h11 raises once it is told of the end. test_a_body_that_ends_early_is_refused_at_once passes before and after the change.

Conclusion: the limit no longer depends on the size of a body or the speed of a link.

--- a/ragwortshelf/daemon/settings.py
+++ b/ragwortshelf/daemon/settings.py
@@ -199,7 +199,7 @@
         "caller_read_timeout_ms",
         "10000",
         _integer_parser(100, _DAY_MS),
-        "Milliseconds in which a caller has to send a request.",
+        "Milliseconds for a request's head, and without progress of its body.",
     ),
     Setting(
         "platform_timeout_ms",
--- a/ragwortshelf/net/http_server.py
+++ b/ragwortshelf/net/http_server.py
@@ -21,6 +21,7 @@
     HttpResponse,
     json_response,
 )
+from .transfer_deadline import TransferDeadline
 
 __all__ = ["Handler", "HttpServer"]
 
@@ -215,12 +216,15 @@
             )
         parts = []
         size = 0
-        with trio.move_on_after(self._limits.read_timeout_ms / 1000):
+        deadline = TransferDeadline(self._limits.read_timeout_ms)
+        with deadline.scope:
             while True:
                 event = self._h11.next_event()
                 if event is h11.NEED_DATA:
+                    # If the stream has ended, h11 raises in its next event.
                     await self._receive()
                 elif isinstance(event, h11.Data):
+                    deadline.advance(len(event.data))
                     parts.append(bytes(event.data))
                     size += len(event.data)
                     if size > self._limits.body_bytes:
--- a/tests/net/test_http_server.py
+++ b/tests/net/test_http_server.py
@@ -4,8 +4,13 @@
 
 import pytest
 import trio
+from trio.testing import lockstep_stream_pair
 
-from ragwortshelf.net.http_messages import HttpLimits, json_response, parse_json
+from ragwortshelf.net.http_messages import (
+    HttpLimits,
+    json_response,
+    parse_json,
+)
 from ragwortshelf.net.http_server import HttpServer
 
 LIMITS = HttpLimits(
@@ -152,3 +157,101 @@
 )
 def test_a_body_that_is_not_a_json_object_is_malformed(body):
     assert hasattr(parse_json(body), "detail")
+
+
+SLOW_BYTES_PER_S = 62_500
+"""Share of one of ten transfers on a link of 5 Mbit/s."""
+
+SLOW_LIMITS = HttpLimits(read_timeout_ms=1000)
+
+
+class MemoryListener:
+    """Accepts connections in memory, on which a sender waits for the receiver."""
+
+    def __init__(self):
+        self._send, self._receive = trio.open_memory_channel(1)
+
+    async def connect(self):
+        client, server = lockstep_stream_pair()
+        await self._send.send(server)
+        return client
+
+    async def accept(self):
+        return await self._receive.receive()
+
+    async def aclose(self):
+        self._receive.close()
+
+
+@contextlib.asynccontextmanager
+async def connected(handler, limits=SLOW_LIMITS):
+    listener = MemoryListener()
+    server = HttpServer(handler, limits)
+    async with trio.open_nursery() as nursery:
+        nursery.start_soon(server.serve, [listener])
+        yield server, await listener.connect()
+        nursery.cancel_scope.cancel()
+
+
+async def send_slowly(stream, data, part_bytes, interval_s):
+    with contextlib.suppress(trio.BrokenResourceError):
+        for start in range(0, len(data), part_bytes):
+            await stream.send_all(data[start : start + part_bytes])
+            await trio.sleep(interval_s)
+
+
+async def post_slowly(stream, size, part_bytes, interval_s):
+    """Return the answer to a body sent in parts, and after how long it arrived."""
+    await stream.send_all(POST + CLOSE + b"Content-Length: %d\r\n\r\n" % size)
+    began = trio.current_time()
+    async with trio.open_nursery() as nursery:
+        nursery.start_soon(send_slowly, stream, b"x" * size, part_bytes, interval_s)
+        answer = await stream.receive_some(65536)
+        nursery.cancel_scope.cancel()
+    return answer, trio.current_time() - began
+
+
+async def count_bytes(request):
+    return json_response(200, {"bytes": len(request.body)})
+
+
+# Guards against bodies that are refused on a slow link although they keep arriving.
+async def test_a_body_that_keeps_arriving_is_read_whole(autojump_clock):
+    async with connected(count_bytes) as (_, stream):
+        part_bytes = SLOW_BYTES_PER_S // 10
+        answer, took_s = await post_slowly(stream, 500_000, part_bytes, 0.1)
+    assert answer.startswith(b"HTTP/1.1 200")
+    assert b'{"bytes":500000}' in answer
+    assert took_s >= 7
+
+
+# Guards against bodies that stop arriving, or trickle, and hold a connection open.
+@pytest.mark.parametrize(
+    ("part_bytes", "interval_s", "limit_s"),
+    [(100_000, 60, 1.1), (1, 0.5, 1.1), (1_000, 0.5, 2)],
+)
+async def test_a_body_that_stops_or_trickles_is_refused(
+    autojump_clock, part_bytes, interval_s, limit_s
+):
+    async with connected(count_bytes) as (_, stream):
+        answer, took_s = await post_slowly(stream, 500_000, part_bytes, interval_s)
+    assert answer.startswith(b"HTTP/1.1 408")
+    assert 1 <= took_s <= limit_s
+
+
+# Guards against bodies that end early and are waited for until the time limit.
+@pytest.mark.parametrize(
+    "head",
+    [
+        b"Content-Length: 20\r\n\r\n",
+        b"Transfer-Encoding: chunked\r\n\r\n14\r\n",
+    ],
+)
+async def test_a_body_that_ends_early_is_refused_at_once(autojump_clock, head):
+    async with connected(count_bytes) as (_, stream):
+        await stream.send_all(POST + head + b"half of it")
+        await stream.send_eof()
+        answer = await stream.receive_some(65536)
+        assert trio.current_time() < 0.1
+    assert answer.startswith(b"HTTP/1.1 400")
+    assert b"without sending complete message body" in answer
