Send a response for as long as it makes progress

What callers saw: a large response over a slow link was cut after `read_timeout_ms`, 10 s by default, although the caller kept reading it; a retry started over.

Cause: `_send_response` bounded the whole sending by that limit.

Change: the response is sent in parts of 16 KB, and the limit bounds the time without progress, with the same minimum rate as for a request's body.

Evidence, in test_http_server.py: test_a_response_that_keeps_moving_is_sent_whole failed before (69,940 of 500,000 bytes at 62 KB/s with a limit of 1 s) and passes. Callers that stop reading or read in a trickle were cut before and are after it; without the minimum rate, one that reads 16 KB every 9 s held its connection for 270 s.

Conclusion: the limit no longer depends on the size of a response or the speed of a link.

--- a/ragwortshelf/net/http_messages.py
+++ b/ragwortshelf/net/http_messages.py
@@ -27,9 +27,9 @@
 class HttpLimits:
     """Limits of an HTTP server, in bytes, milliseconds and open connections.
 
-    ``read_timeout_ms`` bounds the headers of a request, the time without progress while
-    its body is read, and the sending of a response. ``idle_timeout_ms`` bounds the wait
-    for the next request.
+    ``read_timeout_ms`` bounds the reading of a request's headers, and the time without
+    progress while its body is read or a response is sent, both of which also have a
+    minimum rate. ``idle_timeout_ms`` bounds the wait for the next request.
     """
 
     header_bytes: int = 16 * 1024
--- a/ragwortshelf/net/http_server.py
+++ b/ragwortshelf/net/http_server.py
@@ -28,6 +28,9 @@
 Handler = Callable[[HttpRequest], Awaitable[HttpResponse | CloseConnection]]
 
 _READ_BYTES = 64 * 1024
+_SEND_BYTES = 16 * 1024
+"""Size of the parts of a response whose sending counts as progress."""
+
 _REASON_PHRASES = {
     400: b"Bad Request",
     408: b"Request Timeout",
@@ -298,8 +301,17 @@
         if response.body:
             data += self._h11.send(h11.Data(data=response.body))
         data += self._h11.send(h11.EndOfMessage())
-        with trio.fail_after(self._limits.read_timeout_ms / 1000):
-            await self._stream.send_all(data)
+        await self._send(data)
+
+    async def _send(self, data: bytes) -> None:
+        deadline = TransferDeadline(self._limits.read_timeout_ms)
+        with deadline.scope:
+            for start in range(0, len(data), _SEND_BYTES):
+                part = data[start : start + _SEND_BYTES]
+                await self._stream.send_all(part)
+                deadline.advance(len(part))
+        if deadline.scope.cancelled_caught:
+            raise trio.TooSlowError
 
     async def _send_event(self, event) -> None:
         await self._stream.send_all(self._h11.send(event))
