--- a/ragwortshelf/net/http_server.py
+++ b/ragwortshelf/net/http_server.py
@@ -21,12 +21,16 @@
     HttpResponse,
     json_response,
 )
+from .transfer_deadline import TransferDeadline
 
 __all__ = ["Handler", "HttpServer"]
 
 Handler = Callable[[HttpRequest], Awaitable[HttpResponse | CloseConnection]]
 
 _READ_BYTES = 64 * 1024
+_SEND_BYTES = 16 * 1024
+"""Size of the parts of a response whose sending counts as progress."""
+
 _REASON_PHRASES = {
     400: b"Bad Request",
     408: b"Request Timeout",
@@ -215,12 +219,15 @@
             )
         parts = []
         size = 0
-        with trio.move_on_after(self._limits.read_timeout_ms / 1000):
+        deadline = TransferDeadline(self._limits.read_timeout_ms)
+        with deadline.scope:
             while True:
                 event = self._h11.next_event()
                 if event is h11.NEED_DATA:
+                    # If the stream has ended, h11 raises in its next event.
                     await self._receive()
                 elif isinstance(event, h11.Data):
+                    deadline.advance(len(event.data))
                     parts.append(bytes(event.data))
                     size += len(event.data)
                     if size > self._limits.body_bytes:
@@ -294,8 +301,17 @@
         if response.body:
             data += self._h11.send(h11.Data(data=response.body))
         data += self._h11.send(h11.EndOfMessage())
-        with trio.fail_after(self._limits.read_timeout_ms / 1000):
-            await self._stream.send_all(data)
+        await self._send(data)
+
+    async def _send(self, data: bytes) -> None:
+        deadline = TransferDeadline(self._limits.read_timeout_ms)
+        with deadline.scope:
+            for start in range(0, len(data), _SEND_BYTES):
+                part = data[start : start + _SEND_BYTES]
+                await self._stream.send_all(part)
+                deadline.advance(len(part))
+        if deadline.scope.cancelled_caught:
+            raise trio.TooSlowError
 
     async def _send_event(self, event) -> None:
         await self._stream.send_all(self._h11.send(event))
--- a/ragwortshelf/scheduler/log_writer.py
+++ b/ragwortshelf/scheduler/log_writer.py
@@ -8,17 +8,13 @@
 
 from ..daemon.logs import log_failure
 from .clock import monotonic_ms
-from .interfaces import Appended, Entry, KeyedLog, LogRefused
+from .interfaces import Appended, Entry, KeyedLog, LogRefused, entry_bytes
 from .settings import SchedulingSettings
 
 __all__ = ["Committed", "GroupWriter", "NotCommitted"]
 
 GROUP_ENTRIES_MAX = 400
-"""Number of entries at which a group is full; 400 of a few hundred bytes each stay
-far below the 2 MB limit of an append."""
-
-GROUP_BYTES_MAX = 1_000_000
-"""Size at which a group is full, half of the log's 2 MB limit for one append."""
+"""Number of entries at which a group is full."""
 
 
 @dataclass(frozen=True, slots=True)
@@ -32,7 +28,7 @@
 class NotCommitted:
     """The append was not confirmed by the deadline.
 
-    ``may_be_appended`` is False only if the log refused every attempt.
+    ``may_be_appended`` is False only if there was no attempt, or the log refused each.
     """
 
     detail: str
@@ -42,14 +38,23 @@
 class _PendingAppend:
     def __init__(self, entries: list[Entry], deadline_ms: int):
         self.entries = entries
+        self.bytes = sum(map(entry_bytes, entries))
         self.deadline_ms = deadline_ms
+        self.is_in_flight = False
         self.may_be_appended = False
+        self.detail = "not tried by the deadline"
         self.outcome: Committed | NotCommitted | None = None
         self.done = trio.Event()
 
     def end(self, outcome: Committed | NotCommitted) -> None:
-        self.outcome = outcome
-        self.done.set()
+        """Set the outcome, unless the append has ended already."""
+        if self.outcome is None:
+            self.outcome = outcome
+            self.done.set()
+
+    def end_not_committed(self) -> None:
+        may_be_appended = self.may_be_appended or self.is_in_flight
+        self.end(NotCommitted(self.detail, may_be_appended))
 
 
 class GroupWriter:
@@ -68,11 +73,14 @@
     async def commit(
         self, entries: list[Entry], deadline_ms: int
     ) -> Committed | NotCommitted:
-        """Append ``entries``; returns when that is confirmed or retrying ends."""
+        """Append ``entries``; returns when that is confirmed, or by the deadline."""
         item = _PendingAppend(entries, deadline_ms)
         self._waiting.append(item)
         self._wake.set()
-        await item.done.wait()
+        remaining_ms = max(0, deadline_ms - monotonic_ms())
+        with trio.move_on_after(remaining_ms / 1000):
+            await item.done.wait()
+        item.end_not_committed()
         return item.outcome
 
     async def run(self) -> None:
@@ -86,23 +94,37 @@
                 await self._append_or_end(group)
 
     def _take_group(self) -> list[_PendingAppend]:
+        """Return the first items that fit into one append; a larger one is alone."""
+        self._drop_ended_items()
+        bytes_max = self.settings.append_bytes_max()
         group: list[_PendingAppend] = []
         entries = size = 0
-        while self._waiting and entries < GROUP_ENTRIES_MAX and size < GROUP_BYTES_MAX:
-            item = self._waiting.pop(0)
-            group.append(item)
+        for item in self._waiting:
             entries += len(item.entries)
-            size += sum(len(key) + len(value) for key, value in item.entries)
+            size += item.bytes
+            if group and (entries > GROUP_ENTRIES_MAX or size > bytes_max):
+                break
+            group.append(item)
+        del self._waiting[: len(group)]
         return group
 
+    def _drop_ended_items(self) -> None:
+        now = monotonic_ms()
+        for item in self._waiting:
+            if item.deadline_ms <= now:
+                item.end_not_committed()
+        self._waiting = [item for item in self._waiting if item.outcome is None]
+
     async def _append_or_end(self, group: list[_PendingAppend]) -> None:
+        for item in group:
+            item.is_in_flight = True
+            item.detail = "no answer by the deadline"
         try:
             await self._append(group)
         except Exception as error:
             log_failure("group_append_failed", entries=len(group))
             for item in group:
-                if item.outcome is None:
-                    item.end(NotCommitted(repr(error), may_be_appended=True))
+                item.end(NotCommitted(repr(error), may_be_appended=True))
 
     async def _append(self, group: list[_PendingAppend]) -> None:
         entries = [entry for item in group for entry in item.entries]
@@ -117,12 +139,13 @@
         retry: list[_PendingAppend] = []
         next_try_ms = monotonic_ms() + self.settings.log_retry_ms
         for item in group:
+            item.is_in_flight = False
             item.may_be_appended |= not was_refused
+            item.detail = getattr(outcome, "detail", "not appended")
             if next_try_ms < item.deadline_ms:
                 retry.append(item)
             else:
-                detail = getattr(outcome, "detail", "not appended")
-                item.end(NotCommitted(detail, item.may_be_appended))
+                item.end_not_committed()
         if retry:
             self._waiting[:0] = retry
             await trio.sleep(self.settings.log_retry_ms / 1000)
