Await an append under way beyond the time for new tries

Callers would have seen, since appends are answered at their deadlines: on a slow log, a submission that waits 0.5 s behind another append and needs 0.5 s itself is answered 504 after 0.9 s, just before it succeeds.

Change: the gateway gives the writer two times, the last one at which a try may begin and the caller's deadline. The server and the client bound their transfers with one class.

--- a/ragwortshelf/net/http_client.py
+++ b/ragwortshelf/net/http_client.py
@@ -7,6 +7,7 @@
 
 from ..core.model import Unreachable
 from .http_messages import HttpResponse
+from .transfer_deadline import TransferDeadline
 
 __all__ = ["HttpClient", "split_address"]
 
@@ -60,8 +61,9 @@
         an ``Unreachable`` result is False only if no byte of the request was sent.
         """
         limit_ms = timeout_ms or self._timeout_ms
-        with trio.move_on_after(limit_ms / 1000) as scope:
-            progress = _Progress(scope, limit_ms / 1000)
+        deadline = TransferDeadline(limit_ms, MIN_ANSWER_BYTES_PER_S)
+        progress = _Progress(deadline)
+        with deadline.scope:
             async with self._limiter:
                 return await self._call(method, target, body, headers, progress)
         return progress.unreachable(f"{self.address}: no progress in {limit_ms} ms")
@@ -136,21 +138,17 @@
 
 
 class _Progress:
-    """How far one call has come, which moves the deadline of its cancel scope."""
+    """How far one call has come, which moves its deadline."""
 
-    def __init__(self, scope: trio.CancelScope, limit_s: float):
-        self._scope = scope
-        self._limit_s = limit_s
+    def __init__(self, deadline: TransferDeadline):
+        self._deadline = deadline
         self.has_sent = False
         self.received_bytes = 0
 
     def received(self, size_bytes: int) -> None:
         """Extend the deadline, since a part of the answer has arrived."""
         self.received_bytes += size_bytes
-        self._scope.deadline = min(
-            trio.current_time() + self._limit_s,
-            self._scope.deadline + size_bytes / MIN_ANSWER_BYTES_PER_S,
-        )
+        self._deadline.advance(size_bytes)
 
     def unreachable(self, reason: str) -> Unreachable:
         received = self.received_bytes
--- a/ragwortshelf/net/http_server.py
+++ b/ragwortshelf/net/http_server.py
@@ -31,6 +31,9 @@
 _SEND_BYTES = 16 * 1024
 """Size of the parts of a response whose sending counts as progress."""
 
+MIN_BYTES_PER_S = 6_250
+"""Rate below which a body or a response counts as stalled."""
+
 _REASON_PHRASES = {
     400: b"Bad Request",
     408: b"Request Timeout",
@@ -219,7 +222,7 @@
             )
         parts = []
         size = 0
-        deadline = TransferDeadline(self._limits.read_timeout_ms)
+        deadline = TransferDeadline(self._limits.read_timeout_ms, MIN_BYTES_PER_S)
         with deadline.scope:
             while True:
                 event = self._h11.next_event()
@@ -304,7 +307,7 @@
         await self._send(data)
 
     async def _send(self, data: bytes) -> None:
-        deadline = TransferDeadline(self._limits.read_timeout_ms)
+        deadline = TransferDeadline(self._limits.read_timeout_ms, MIN_BYTES_PER_S)
         with deadline.scope:
             for start in range(0, len(data), _SEND_BYTES):
                 part = data[start : start + _SEND_BYTES]
--- a/ragwortshelf/net/transfer_deadline.py
+++ b/ragwortshelf/net/transfer_deadline.py
@@ -4,27 +4,25 @@
 
 import trio
 
-__all__ = ["TRANSFER_MIN_BYTES_PER_S", "TransferDeadline"]
-
-TRANSFER_MIN_BYTES_PER_S = 6_250
-"""Rate below which a transfer is ended; a hundredth of the slowest supported link."""
+__all__ = ["TransferDeadline"]
 
 
 class TransferDeadline:
-    """Cancels ``scope`` once a transfer has stopped, or is too slow on the whole.
+    """Cancels ``scope`` once a transfer has stopped or become too slow.
 
-    The deadline is ``timeout_ms`` after the last progress, and no later than
-    ``timeout_ms`` after the time at which the minimum rate would have moved as much.
+    The deadline moves by what each part of the transfer takes at ``min_bytes_per_s``,
+    and never past ``limit_ms`` from now, so a fast beginning does not pay for a trickle
+    after it.
     """
 
-    def __init__(self, timeout_ms: int):
-        self._timeout_s = timeout_ms / 1000
-        self._due_s = trio.current_time()
-        self.scope = trio.CancelScope(deadline=self._due_s + self._timeout_s)
-
-    def advance(self, size: int) -> None:
-        """Record that ``size`` further bytes were moved."""
-        if size:
-            self._due_s += size / TRANSFER_MIN_BYTES_PER_S
-            progress_s = min(trio.current_time(), self._due_s)
-            self.scope.deadline = progress_s + self._timeout_s
+    def __init__(self, limit_ms: int, min_bytes_per_s: int):
+        self._limit_s = limit_ms / 1000
+        self._min_bytes_per_s = min_bytes_per_s
+        self.scope = trio.move_on_after(self._limit_s)
+
+    def advance(self, size_bytes: int) -> None:
+        """Record that ``size_bytes`` further bytes were moved."""
+        self.scope.deadline = min(
+            trio.current_time() + self._limit_s,
+            self.scope.deadline + size_bytes / self._min_bytes_per_s,
+        )
--- a/ragwortshelf/scheduler/gateway.py
+++ b/ragwortshelf/scheduler/gateway.py
@@ -31,9 +31,9 @@
 """Retry delay given to callers while no instance can serve them. Outages of the log
 last 4 to 6 s and callers make five attempts, so some remain when it recovers."""
 
-APPEND_WAIT_MS = 900
-"""Time limit for the append of a submission, after which the caller is told that the
-outcome is uncertain and can still retry at another instance within its deadline. An
+APPEND_TRIES_MS = 900
+"""Time in which the append of a submission may be tried. A caller who is then told that
+the outcome is uncertain can still retry at another instance within its deadline. An
 append takes 0.5 s while the log is slow."""
 
 
@@ -142,10 +142,10 @@
                 return Uncertain("an earlier append of this job was not answered")
             return self._unavailable(Reason.LOG_UNAVAILABLE, "the log does not answer")
         entry = encode_record(JobSubmitted(spec))
-        deadline_ms = min(deadline_ms, monotonic_ms() + APPEND_WAIT_MS)
+        last_try_ms = monotonic_ms() + APPEND_TRIES_MS
         # Also remembered if the caller disconnects, which cancels this call.
         self._uncertain.add(spec.id)
-        outcome = await self._writer.commit([entry], deadline_ms)
+        outcome = await self._writer.commit([entry], deadline_ms, last_try_ms)
         if isinstance(outcome, Committed):
             self._follower.wake()
             return Accepted()
--- a/ragwortshelf/scheduler/log_writer.py
+++ b/ragwortshelf/scheduler/log_writer.py
@@ -36,13 +36,13 @@
 
 
 class _PendingAppend:
-    def __init__(self, entries: list[Entry], deadline_ms: int):
+    def __init__(self, entries: list[Entry], last_try_ms: int):
         self.entries = entries
         self.bytes = sum(map(entry_bytes, entries))
-        self.deadline_ms = deadline_ms
+        self.last_try_ms = last_try_ms
         self.is_in_flight = False
         self.may_be_appended = False
-        self.detail = "not tried by the deadline"
+        self.detail = "not tried in time"
         self.outcome: Committed | NotCommitted | None = None
         self.done = trio.Event()
 
@@ -60,7 +60,7 @@
 class GroupWriter:
     """Appends the records of concurrent callers, each of which awaits its own outcome.
 
-    A failed append is retried until the callers' deadlines. Records may be in the log
+    A failed append is retried while the callers allow it. Records may be in the log
     twice after a lost answer; the table ignores the repetition.
     """
 
@@ -71,10 +71,14 @@
         self._wake = trio.Event()
 
     async def commit(
-        self, entries: list[Entry], deadline_ms: int
+        self, entries: list[Entry], deadline_ms: int, last_try_ms: int | None = None
     ) -> Committed | NotCommitted:
-        """Append ``entries``; returns when that is confirmed, or by the deadline."""
-        item = _PendingAppend(entries, deadline_ms)
+        """Append ``entries``; returns when that is confirmed, or by the deadline.
+
+        No attempt begins after ``last_try_ms``, by default the deadline.
+        """
+        last_try_ms = deadline_ms if last_try_ms is None else last_try_ms
+        item = _PendingAppend(entries, min(deadline_ms, last_try_ms))
         self._waiting.append(item)
         self._wake.set()
         remaining_ms = max(0, deadline_ms - monotonic_ms())
@@ -111,7 +115,7 @@
     def _drop_ended_items(self) -> None:
         now = monotonic_ms()
         for item in self._waiting:
-            if item.deadline_ms <= now:
+            if item.last_try_ms <= now:
                 item.end_not_committed()
         self._waiting = [item for item in self._waiting if item.outcome is None]
 
@@ -142,7 +146,7 @@
             item.is_in_flight = False
             item.may_be_appended |= not was_refused
             item.detail = getattr(outcome, "detail", "not appended")
-            if next_try_ms < item.deadline_ms:
+            if next_try_ms < item.last_try_ms:
                 retry.append(item)
             else:
                 item.end_not_committed()
--- a/tests/scheduler/test_gateway.py
+++ b/tests/scheduler/test_gateway.py
@@ -1,5 +1,6 @@
 """Answers to callers, in particular while the log or the configuration is missing."""
 
+import fakes
 import trio
 from cluster import faults_of, make_instances, make_job, make_platform, running, submit
 
@@ -44,6 +45,29 @@
         assert took_ms <= 1_600
 
 
+# Guards against callers that are sent away while their append is about to succeed,
+# because it began late behind another one on a slow log.
+async def test_a_submission_behind_another_append_on_a_slow_log_is_accepted(
+    autojump_clock, monkeypatch
+):
+    platform = make_platform()
+    instance = make_instances(platform, 1)[0]
+    outcomes = []
+    async with running(instance):
+        await trio.sleep(1)
+        monkeypatch.setattr(fakes, "LOG_CALL_S", 0.5)
+        async with trio.open_nursery() as nursery:
+
+            async def submit_and_note(spec):
+                outcomes.append(await _timed_submit(instance, spec))
+
+            for letter in "abcdef":
+                nursery.start_soon(submit_and_note, make_job(letter * 16))
+                await trio.sleep(0.09)
+    assert [type(outcome) for outcome, _ in outcomes] == [Accepted] * 6
+    assert max(took_ms for _, took_ms in outcomes) > 900
+
+
 async def test_an_instance_without_the_log_is_not_ready(autojump_clock):
     platform = make_platform()
     instance = make_instances(platform, 1)[0]
