Refuse no submission beside another of the same job that may be in the log

Callers would have seen: 'not accepted' (503) for a job that then ran. Of two submissions of one job on one instance, the first was given up without a try and refused, while the append of the second was under way; the refusal also made the instance forget that the job may be in the log, so a third could be refused as well.

Cause: the memory of uncertain submissions held ids, not how many submissions of each may be in the log.

Change: it counts them, and a submission is refused only if no other remains.

Evidence: test_a_submission_beside_another_of_the_same_job_is_not_refused and test_a_refused_submission_leaves_another_of_the_same_job_uncertain failed before.

--- a/ragwortshelf/scheduler/gateway.py
+++ b/ragwortshelf/scheduler/gateway.py
@@ -136,9 +136,8 @@
         """Accept a job; submitting the same id again has no effect."""
         if spec.id in self._follower.table.job_by_id:
             return Accepted()
-        was_uncertain = spec.id in self._uncertain
         if not self._follower.is_log_answering:
-            if was_uncertain:
+            if spec.id in self._uncertain:
                 return Uncertain("an earlier append of this job was not answered")
             return self._unavailable(Reason.LOG_UNAVAILABLE, "the log does not answer")
         entry = encode_record(JobSubmitted(spec))
@@ -151,9 +150,8 @@
             return Accepted()
         if spec.id in self._follower.table.job_by_id:
             return Accepted()
-        if outcome.may_be_appended or was_uncertain:
+        if outcome.may_be_appended or not self._uncertain.discard(spec.id):
             return Uncertain(outcome.detail)
-        self._uncertain.discard(spec.id)
         return self._unavailable(Reason.LOG_UNAVAILABLE, outcome.detail)
 
     async def cancel(
--- a/ragwortshelf/scheduler/uncertain_submissions.py
+++ b/ragwortshelf/scheduler/uncertain_submissions.py
@@ -22,19 +22,24 @@
 
     def __init__(self, submissions_max: int = SUBMISSIONS_MAX):
         self._submissions_max = submissions_max
-        # An ordered set: a dict keeps the order of insertion.
-        self._job_ids: dict[str, None] = {}
+        # In the order of each job's last submission.
+        self._count_by_job_id: dict[str, int] = {}
 
     def __contains__(self, job_id: str) -> bool:
-        return job_id in self._job_ids
+        return job_id in self._count_by_job_id
 
     def add(self, job_id: str) -> None:
         """Remember a submission that is about to be appended."""
-        self._job_ids.pop(job_id, None)
-        self._job_ids[job_id] = None
-        if len(self._job_ids) > self._submissions_max:
-            del self._job_ids[next(iter(self._job_ids))]
-
-    def discard(self, job_id: str) -> None:
-        """Forget a submission that the log refused."""
-        self._job_ids.pop(job_id, None)
+        self._count_by_job_id[job_id] = self._count_by_job_id.pop(job_id, 0) + 1
+        if len(self._count_by_job_id) > self._submissions_max:
+            del self._count_by_job_id[next(iter(self._count_by_job_id))]
+
+    def discard(self, job_id: str) -> bool:
+        """Forget a submission that is not in the log.
+
+        Returns whether no other submission of the same job may be in the log.
+        """
+        count = self._count_by_job_id.pop(job_id, 0) - 1
+        if count > 0:
+            self._count_by_job_id[job_id] = count
+        return count <= 0
--- a/tests/scheduler/test_gateway.py
+++ b/tests/scheduler/test_gateway.py
@@ -1,11 +1,14 @@
 """Answers to callers, in particular while the log or the configuration is missing."""
 
+from dataclasses import replace
+
 import fakes
 import trio
 from cluster import faults_of, make_instances, make_job, make_platform, running, submit
 
 from ragwortshelf.scheduler.clock import monotonic_ms
 from ragwortshelf.scheduler.gateway import Accepted, Declined, Reason, Uncertain
+from ragwortshelf.scheduler.uncertain_submissions import UncertainSubmissions
 
 
 async def _timed_submit(instance, spec):
@@ -68,6 +71,45 @@
     assert max(took_ms for _, took_ms in outcomes) > 900
 
 
+# Guards against the claim that a job was not accepted while the append of another
+# submission of the same job is under way, or may have taken effect.
+async def test_a_submission_beside_another_of_the_same_job_is_not_refused(
+    autojump_clock, monkeypatch
+):
+    platform = make_platform()
+    instance = make_instances(platform, 1)[0]
+    outcome_by_name = {}
+
+    async def submit_as(name, spec):
+        outcome_by_name[name], _ = await _timed_submit(instance, spec)
+
+    async with running(instance):
+        await trio.sleep(1)
+        monkeypatch.setattr(fakes, "LOG_CALL_S", 0.5)
+        async with trio.open_nursery() as nursery:
+            # Two appends, each full with one job, keep the writer busy for 1 s.
+            for letter in "bc":
+                spec = replace(make_job(letter * 16), text="x" * 120_000)
+                nursery.start_soon(submit_as, letter, spec)
+                await trio.sleep(0.01)
+            nursery.start_soon(submit_as, "first", make_job("a" * 16))
+            await trio.sleep(0.1)
+            nursery.start_soon(submit_as, "second", make_job("a" * 16))
+    assert outcome_by_name["second"] == Accepted()
+    assert not isinstance(outcome_by_name["first"], Declined)
+    assert any(key == "j/" + "a" * 16 for key, _ in platform.jobs.entries)
+
+
+def test_a_refused_submission_leaves_another_of_the_same_job_uncertain():
+    uncertain = UncertainSubmissions()
+    uncertain.add("a")
+    uncertain.add("a")
+    assert not uncertain.discard("a")
+    assert "a" in uncertain
+    assert uncertain.discard("a")
+    assert "a" not in uncertain
+
+
 async def test_an_instance_without_the_log_is_not_ready(autojump_clock):
     platform = make_platform()
     instance = make_instances(platform, 1)[0]
