Confirm no configuration whose successor could not be decoded

Callers would have seen: a revoked key accepted without limit, after an unexpected error in decoding the version that revoked it. No input is known that raises one.

Cause: the follower noted the new records and offset before it decoded them. After the error the records counted as unchanged, and the next read confirmed the version before.

Change: records and offset are kept once they are decoded, so the error repeats and the configuration is refused when it is too old. One more record behind a page is read rather than loaded anew, since a load carries the large version a second time (1.56 MB for 0.67).

Evidence: test_a_configuration_that_was_not_decoded_is_never_confirmed[False, True] and test_a_large_configuration_before_a_small_record_is_read_once failed before.

--- a/ragwortshelf/scheduler/configuration_follower.py
+++ b/ragwortshelf/scheduler/configuration_follower.py
@@ -34,6 +34,7 @@
         self.value_by_key: dict[str, bytes] = {}
 
     def add_page(self, entries: tuple[Entry, ...]) -> None:
+        """Add the records of one page."""
         self.value_by_key.update(entries)
 
 
@@ -96,11 +97,9 @@
         if not isinstance(outcome, NewestRecords):
             return outcome.detail
         self._load_in_progress = None
+        self._replace_records(load.value_by_key)
         self._next_offset = outcome.next_offset
         self._is_confirmation_due = True
-        # Records deleted since the last load are on no page.
-        deleted = self._value_by_key.keys() - load.value_by_key.keys()
-        self._apply((*load.value_by_key.items(), *((key, b"") for key in deleted)))
         self._confirm(load.sent_boot_ms)
         return None
 
@@ -115,13 +114,13 @@
         )
         match page:
             case LogPage():
+                self._replace_records(self._value_by_key | dict(page.entries))
                 self._next_offset = page.next_offset
                 self._is_confirmation_due = bool(page.entries)
-                self._apply(page.entries)
                 if page.next_offset >= page.end:
                     self._confirm(sent_boot_ms)
-                else:
-                    # The newest version alone is smaller than all versions up to it.
+                elif page.end - page.next_offset > 1:
+                    # Superseded versions are not worth their transfer.
                     self._next_offset = None
                 return None
             case LogGap():
@@ -130,24 +129,24 @@
                 return None
         return page.detail
 
-    def _apply(self, entries: tuple[Entry, ...]) -> None:
-        is_changed = False
-        for key, value in entries:
-            if value and key:
-                is_changed |= self._value_by_key.get(key) != value
-                self._value_by_key[key] = value
-            else:
-                is_changed |= self._value_by_key.pop(key, None) is not None
-        if is_changed:
-            self._decode()
+    def _replace_records(self, value_by_key: dict[str, bytes]) -> None:
+        """Decode the records if any has changed; those without a value are deleted.
+
+        They are kept only once they are decoded, so that an unexpected error is
+        repeated rather than ignored.
+        """
+        present = {key: value for key, value in value_by_key.items() if key and value}
+        if present != self._value_by_key:
+            self._decode(present)
+            self._value_by_key = present
 
     def waves(self) -> dict[int, UpkeepWave]:
         """Return the upkeep waves that operators have requested, by number."""
         return self._waves
 
-    def _decode(self) -> None:
-        self._waves = self._adapter.decode_waves(self._value_by_key)
-        newest = self._adapter.decode_configuration(self._value_by_key)
+    def _decode(self, value_by_key: dict[str, bytes]) -> None:
+        self._waves = self._adapter.decode_waves(value_by_key)
+        newest = self._adapter.decode_configuration(value_by_key)
         if newest is None:
             return
         if self.current is not None and newest.version <= self.current.version:
--- a/tests/platform/test_slow_link.py
+++ b/tests/platform/test_slow_link.py
@@ -151,6 +151,28 @@
         nursery.cancel_scope.cancel()
 
 
+# Guards against a large configuration that crosses the link twice, because a small
+# record follows it.
+async def test_a_large_configuration_before_a_small_record_is_read_once(
+    autojump_clock, monkeypatch
+):
+    store, link = StoreServer(), SlowLink()
+    topic = store.topic(OPERATOR_TOPIC)
+    topic.append([("config", _configuration(1, 40))])
+    adapter, settings = _connect(monkeypatch, link)
+    follower = ConfigurationFollower(adapter, adapter.operator_log(), settings)
+    async with link.serving(store.handle), trio.open_nursery() as nursery:
+        nursery.start_soon(follower.run)
+        await trio.sleep(2)
+        value = _configuration(2, 2_840)
+        carried_before = link.carried_bytes
+        topic.append([("config", value), ("wave/1", b"{}")])
+        await trio.sleep(5)
+        nursery.cancel_scope.cancel()
+    assert follower.current.version == 2
+    assert link.carried_bytes - carried_before < 1.1 * len(value)
+
+
 # Guards against an instance that falls ever further behind while it reads every
 # version of a large configuration in turn.
 async def test_the_last_of_many_large_configurations_comes_into_force(
--- a/tests/scheduler/test_configuration_follower.py
+++ b/tests/scheduler/test_configuration_follower.py
@@ -1,11 +1,13 @@
 """The follower holds the newest configuration and waves, and confirms their age."""
 
+import pytest
 import trio
 from cluster import make_platform, running
 from fakes import FakePlatformAdapter, LossyLog
 
 from ragwortshelf.scheduler.configuration_follower import ConfigurationFollower
 from ragwortshelf.scheduler.settings import SchedulingSettings
+from ragwortshelf.scheduler.supervision import run_supervised
 
 
 class CountingAdapter(FakePlatformAdapter):
@@ -87,3 +89,37 @@
         platform.operator.append([("config", b"1")])
         await trio.sleep(2)
     assert adapter.decoded == 1
+
+
+# Guards against an old configuration that counts as confirmed, so that a revoked key is
+# accepted without limit, after an unexpected error while a newer one was decoded.
+@pytest.mark.parametrize("has_gap", [False, True])
+async def test_a_configuration_that_was_not_decoded_is_never_confirmed(
+    autojump_clock, monkeypatch, has_gap
+):
+    platform = make_platform()
+    follower, adapter = make_follower(platform)
+    settings = SchedulingSettings("i0")
+
+    def fail(entries):
+        raise RuntimeError("decoder")
+
+    async with trio.open_nursery() as nursery:
+        nursery.start_soon(run_supervised, "configuration", follower.run)
+        await trio.sleep(1)
+        assert follower.is_trusted()
+        adapter.faults.store = "busy"
+        await trio.sleep(0.5)
+        monkeypatch.setattr(adapter, "decode_configuration", fail)
+        platform.operator.append([("config", b"2")])
+        if has_gap:
+            platform.operator.first = len(platform.operator.entries)
+        adapter.faults.store = ""
+        await trio.sleep(settings.revocation_ms / 1000)
+        for _ in range(20):
+            await trio.sleep(1)
+            assert not follower.is_trusted()
+        monkeypatch.undo()
+        await trio.sleep(3)
+        assert follower.is_trusted()
+        nursery.cancel_scope.cancel()
