Test that nothing starts over capacity without admission control

Endpoints of such a service start whatever they are ordered to, and no test counted the room of runs whose stop is confirmed but whose end is not listed.

With room released on the confirmation of a stop, the test fails: the urgent job starts beside the runs that are being stopped. It passes as the code is.

--- a/tests/core/scheduling/test_planning.py
+++ b/tests/core/scheduling/test_planning.py
@@ -1,8 +1,11 @@
 """Planning under load: which units start, wait or are stopped."""
 
-from harness import Harness
+from dataclasses import replace
+
+from harness import Harness, configuration
 
 from ragwortshelf.core.scheduling import Resources
+from ragwortshelf.core.scheduling.configuration import EndpointService
 from ragwortshelf.core.scheduling.fleet import RunEnd, StartOutcome
 
 WHOLE = Resources(8_000, 8_000, 8)
@@ -213,3 +216,31 @@
     assert not harness.starts
     harness.end(started[1].endpoint_id, started[1].task)
     assert {start.unit_key.job_id for start in harness.starts} == {"next"}
+
+
+# Guards against starts over capacity on endpoints that start whatever they are ordered
+# to: room is free once the end of a run is listed, not once its stop is confirmed.
+def test_nothing_starts_over_capacity_without_admission_control():
+    harness = Harness(endpoints=1)
+    service = EndpointService("pool", has_admission_control=False)
+    harness.scheduler.configure(
+        replace(configuration(), service_by_name={"pool": service})
+    )
+    harness.submit("first", "p1", "b", request=HALF)
+    harness.submit("second", "p1", "b", request=HALF)
+    harness.submit("third", "p1", "b", request=HALF)
+    assert len(harness.accept_starts()) == 2
+    harness.submit("urgent", "p0", "a", request=WHOLE)
+    assert len(harness.stops) == 2
+    for stop in harness.stops:
+        harness.scheduler.stop_confirmed(
+            stop.endpoint_id, stop.task, stop.run, harness.now
+        )
+    for _ in range(4):
+        harness.advance(300)
+        harness.list("e0")
+    assert not harness.starts
+    for task in sorted({stop.task for stop in harness.stops}):
+        assert not harness.starts
+        harness.end("e0", task, RunEnd.STOPPED)
+    assert [start.unit_key.job_id for start in harness.starts] == ["urgent"]
