Test refusals of the store from the caller to the follower

Statuses 429, 503 and 507 were tested in the decoding of appends only. Now a submission that is refused this way is answered 503 and nothing is claimed or stored, and a refused read is repeated from the same offset without a load of the whole topic.

--- a/tests/platform/test_callers.py
+++ b/tests/platform/test_callers.py
@@ -4,10 +4,13 @@
 
 import pytest
 import trio
-from cluster import make_instances, make_platform, running
+from cluster import holders, make_instances, make_platform, running
+from fakes import FakeLog
 from platform_adapter.callers import CallerApi
+from platform_adapter.store import StoreTopic
+from test_store import Client
 
-from ragwortshelf.net.http_messages import HttpRequest
+from ragwortshelf.net.http_messages import HttpRequest, HttpResponse
 from ragwortshelf.scheduler.gateway import Gateway
 
 JOB = {"spec": "s", "steps": [{"count": 1, "cpu": 500, "gpu": 1, "estimated_ms": 900}]}
@@ -87,3 +90,38 @@
         await trio.sleep(1)
         assert (await call("POST", f"/q/{ID}", body=JOB))[0] == 504
         assert (await call("POST", f"/q/{ID}", body=JOB))[0] == 200
+
+
+def _refuse_appends(monkeypatch, status):
+    """Let the store answer all appends with a status, and reads as usual."""
+
+    async def append(log, entries, **arguments):
+        topic = StoreTopic(Client(HttpResponse(status)), "keyed.jobs")
+        return await topic.append(entries, **arguments)
+
+    monkeypatch.setattr(FakeLog, "append", append)
+
+
+# Guards against refusals that count as appends without an answer: the caller would be
+# told that its job may run.
+@pytest.mark.parametrize("status", [429, 503, 507])
+async def test_a_submission_that_the_store_refuses_is_refused(
+    autojump_clock, monkeypatch, status
+):
+    platform = make_platform()
+    instance = make_instances(platform, 1)[0]
+    call = Caller(CallerApi(instance.gateway))
+    async with running(instance):
+        with monkeypatch.context() as patch:
+            _refuse_appends(patch, status)
+            await trio.sleep(3)
+            assert not holders([instance])
+            assert (await call("POST", f"/q/{ID}", body=JOB))[0] == 503
+            assert (await call("GET", f"/q/{ID}"))[0] == 410
+            assert not platform.jobs.entries
+        await trio.sleep(3)
+        assert holders([instance])
+        assert (await call("GET", f"/q/{ID}"))[0] == 410
+        assert (await call("POST", f"/q/{ID}", body=JOB))[0] == 200
+        await trio.sleep(3)
+        assert (await call("GET", f"/q/{ID}"))[1] == {"state": "completed"}
--- a/tests/platform/test_store.py
+++ b/tests/platform/test_store.py
@@ -110,3 +110,11 @@
     assert page == NewestPage((("j/1", b"x"),), 5, "j/1")
     assert (await topic.newest(page.next_key, timeout_ms=100)).next_key is None
     assert client.calls[1][1].endswith("&depends_on=j/1")
+
+
+@pytest.mark.parametrize("status", [429, 503])
+async def test_a_refused_read_is_neither_a_page_nor_a_gap(status):
+    topic = StoreTopic(Client(*2 * [HttpResponse(status)]), "keyed.jobs")
+    refused = LogRefused(f"status {status}")
+    assert await topic.read(9, wait_ms=0, timeout_ms=100) == refused
+    assert await topic.newest("j/1", timeout_ms=100) == refused
--- a/tests/scheduler/test_log_follower.py
+++ b/tests/scheduler/test_log_follower.py
@@ -225,3 +225,24 @@
         took_s = trio.current_time() - began
     assert refused
     assert took_s <= RETRY_S + 5 * LOG_CALL_S
+
+
+# Guards against loads of the whole topic, whose calls would exceed the store's budget
+# further, whenever it refuses a read.
+async def test_a_follower_continues_where_a_read_was_refused(autojump_clock):
+    topic = make_topic(JOB_IDS[:2])
+    log = LossyLog(topic, "refused")
+    follower = LogFollower(log, SETTINGS)
+    async with running(follower):
+        await trio.sleep(1)
+        page_count = len(log.after_keys)
+        log._faults.store = "busy"
+        for job_id in JOB_IDS[2:]:
+            submit_to(topic, job_id)
+            await trio.sleep(1)
+            assert not follower.is_log_answering
+            assert follower.next_offset == 2
+        log._faults.store = ""
+        await trio.sleep(1)
+        assert sorted(follower.table.job_by_id) == JOB_IDS
+    assert len(log.after_keys) == page_count
