Test upkeep, pace and the fields of tasks that last

No test covered the fields and headers of pace and upkeep orders, the term that the holder puts into them, the decoding of a job whose tasks last, or an upkeep that must wait since another task of the step is unavailable.

Trials, each of which fails its test: no token in a pace or an upkeep, a token of 0 from the holder, a may_miss of 0 taken as no limit, evictions without the limit, and a limit that is one too high.

--- a/tests/core/scheduling/test_long_running.py
+++ b/tests/core/scheduling/test_long_running.py
@@ -50,6 +50,29 @@
     assert len(harness.stops) <= 1
 
 
+def test_an_upkeep_waits_while_another_task_of_the_step_is_unavailable():
+    harness = Harness(endpoints=1)
+    _start_long_running(harness, count=2, request=SMALL, unavailable_max=1)
+    at_work = {"l.0.0.0": 100, "l.0.0.1": 100}
+    harness.list("e0", percent=at_work)
+    harness.scheduler.cordon("e0")
+    harness.scheduler.evict("e0", "upkeep", harness.now)
+    harness.collect()
+    (stopped,) = harness.obey_stops()
+    harness.add_endpoint("e1")
+    (again,) = harness.accept_starts()
+    assert (again.task, again.endpoint_id) == (stopped.task, "e1")
+    # The other task is still at work, and the one that was stopped not yet again.
+    harness.list("e0", percent=at_work)
+    harness.scheduler.evict("e0", "upkeep", harness.now)
+    harness.collect()
+    assert not harness.stops
+    harness.list("e1", percent=at_work)
+    harness.scheduler.evict("e0", "upkeep", harness.now)
+    harness.collect()
+    assert len(harness.stops) == 1
+
+
 def _listed_paces(harness, endpoint, latencies):
     """List tail latencies in milliseconds; return the paces ordered in response."""
     rows = tuple(
--- a/tests/platform/test_adapter.py
+++ b/tests/platform/test_adapter.py
@@ -67,6 +67,20 @@
     }
 
 
+async def test_a_pace_carries_its_percent_and_its_token():
+    client = _endpoint(_json(200, {}), _json(409, {"reason": "fence"}))
+    assert await client.pace("t", 2, 40, 100)
+    assert not await client.pace("t", 2, 40, 100)
+    _, target, body = client._client.calls[0]
+    assert target == "/api/pace"
+    assert json.loads(body) == {
+        "task": "t",
+        "run": 2,
+        "percent": 40,
+        "fencing_token": 7,
+    }
+
+
 async def test_task_lists_are_decoded_and_invalid_ones_count_as_no_answer():
     lists = {
         "clock_ms": 5,
@@ -131,3 +145,19 @@
     service = MachineService("10.0.0.1:1")
     service._client = Client(response)
     assert await service.begin_upkeep("m1", 1, "holder", 7) is outcome
+
+
+async def test_an_upkeep_carries_its_wave_its_holder_and_its_token():
+    class ClientWithHeaders(Client):
+        async def call(self, method, target, body=b"", headers=(), **arguments):
+            self.headers = dict(headers)
+            return await super().call(method, target, body, headers, **arguments)
+
+    service = MachineService("10.0.0.1:1")
+    service._client = ClientWithHeaders(HttpResponse(200))
+    await service.begin_upkeep("m1", 3, "holder", 7)
+    ((method, target, body),) = service._client.calls
+    assert (method, target) == ("POST", "/api/machine-upkeep")
+    assert json.loads(body) == {"machine": "m1", "wave": 3}
+    assert service._client.headers["x-lease-holder"] == "holder"
+    assert service._client.headers["x-fencing-token"] == "7"
--- a/tests/platform/test_decoding.py
+++ b/tests/platform/test_decoding.py
@@ -142,6 +142,27 @@
     assert spec.attempts_max == 4
 
 
+def test_a_job_whose_tasks_last_is_decoded():
+    row = {
+        "count": 4,
+        "long_running": True,
+        "image": "web",
+        "target_ms": 80,
+        "may_miss": 0,
+    }
+    background = {"count": 1, "fills": True, "cpu": 500, "speculative": True}
+    spec = decode_job("0" * 16, ACCESS, _bytes({"steps": [row, background]}))
+    serving, filling = spec.steps
+    assert serving.is_long_running
+    assert serving.image == "web"
+    assert serving.tail_target_ms == 80
+    # No task may be unavailable, which is not the same as no limit.
+    assert serving.unavailable_max == 0
+    assert filling.unavailable_max is None
+    assert filling.fills
+    assert filling.is_speculative
+
+
 @pytest.mark.parametrize(
     "body",
     [b"", b"[]", b"{}", b'{"steps":[{}]}', b'{"steps":[{"count":1,"depends_on":[0]}]}'],
