List a successor that starts work beside what is still being stopped

Seen by a test of the scheduler's core: when a gang's last attempt fails, its final record names no endpoints, though other members are still stopping. A successor that lists such a run stops it, but does not count its room, and places other work there. On a service without admission control that is over capacity for up to the time of a stop; with it the start is refused for want of room. Not mended yet: the change touches how listed runs occupy room.

--- a/tests/core/scheduling/test_planning.py
+++ b/tests/core/scheduling/test_planning.py
@@ -4,7 +4,7 @@
 
 from harness import Harness, configuration
 
-from ragwortshelf.core.scheduling import Resources
+from ragwortshelf.core.scheduling import Resources, Scheduler
 from ragwortshelf.core.scheduling.configuration import EndpointService
 from ragwortshelf.core.scheduling.fleet import RunEnd, StartOutcome
 
@@ -244,3 +244,23 @@
         assert not harness.starts
         harness.end("e0", task, RunEnd.STOPPED)
     assert [start.unit_key.job_id for start in harness.starts] == ["urgent"]
+
+
+# Guards against starts over capacity after a change of scheduler: the members of a gang
+# that are still being stopped after its last attempt failed count as well.
+def test_a_successor_counts_what_is_still_being_stopped():
+    harness = Harness(endpoints=2, attempts=1)
+    service = EndpointService("pool", has_admission_control=False)
+    uncontrolled = replace(configuration(attempts=1), service_by_name={"pool": service})
+    harness.scheduler.configure(uncontrolled)
+    harness.submit("gang", "p1", "a", count=2, is_gang=True, request=WHOLE)
+    failed, stopping = harness.accept_starts()
+    harness.end(failed.endpoint_id, failed.task, RunEnd.FAILED)
+    assert [stop.task for stop in harness.stops] == [stopping.task]
+    harness.scheduler = Scheduler(2, harness.table, uncontrolled)
+    harness.stops.clear()
+    harness.submit("next", "p1", "a", request=WHOLE)
+    harness.add_endpoint(stopping.endpoint_id)
+    harness.scheduler.adopt(harness.now, harness.now)
+    harness.list(stopping.endpoint_id)
+    assert not harness.starts
