--- a/ragwortshelf/scheduler/newest_records.py
+++ b/ragwortshelf/scheduler/newest_records.py
@@ -7,7 +7,7 @@
 
 from .interfaces import Entry, KeyedLog, LogRefused, LogUnanswered, NewestPage
 
-__all__ = ["NewestReader", "NewestRecords", "read_newest_records"]
+__all__ = ["NewestReader", "NewestRecords"]
 
 
 @dataclass(frozen=True, slots=True)
@@ -53,13 +53,3 @@
             self._after_key = page.next_key
             if self._after_key is None:
                 return NewestRecords(self._next_offset)
-
-
-async def read_newest_records(
-    log: KeyedLog, on_page: Callable[[tuple[Entry, ...]], None], timeout_ms: int
-) -> NewestRecords | LogRefused | LogUnanswered:
-    """Read all pages in one call of `NewestReader.read`.
-
-    For callers to whom the time at which the first page was sent is significant.
-    """
-    return await NewestReader(log).read(on_page, timeout_ms)
--- a/tests/scheduler/test_newest_records.py
+++ b/tests/scheduler/test_newest_records.py
@@ -4,11 +4,7 @@
 from fakes import LossyLog
 
 from ragwortshelf.scheduler.interfaces import LogRefused, LogUnanswered
-from ragwortshelf.scheduler.newest_records import (
-    NewestReader,
-    NewestRecords,
-    read_newest_records,
-)
+from ragwortshelf.scheduler.newest_records import NewestReader, NewestRecords
 from ragwortshelf.standins.keyed_topic import KeyedTopic
 
 KEYS = ["a", "b", "c"]
@@ -66,10 +62,10 @@
     assert [key for key, _ in entries] == KEYS
 
 
-async def test_a_read_without_a_reader_begins_with_the_first_page(autojump_clock):
+async def test_a_new_reader_begins_with_the_first_page(autojump_clock):
     log = make_log("refused", failing_calls=(2,))
-    outcome = await read_newest_records(log, lambda entries: None, TIMEOUT_MS)
+    outcome = await NewestReader(log).read(lambda entries: None, TIMEOUT_MS)
     assert outcome == LogRefused("busy")
-    outcome = await read_newest_records(log, lambda entries: None, TIMEOUT_MS)
+    outcome = await NewestReader(log).read(lambda entries: None, TIMEOUT_MS)
     assert outcome == NewestRecords(3)
     assert log.after_keys == [None, "a", None, "a", "b"]
