Log which runs were on a lost endpoint, and who answers at its address

The logs could not tell whether a lost endpoint crashed or was cut off, nor which of its runs had just been started. runs_out_of_contact names the youngest runs, unit has the endpoint whose run ended, endpoint_regained the address. A stand-in of an endpoint can crash, and come back under its id or another.

--- a/ragwortshelf/core/scheduling/actions.py
+++ b/ragwortshelf/core/scheduling/actions.py
@@ -25,13 +25,15 @@
 
     ``slack_ms`` is how much longer the unit could have waited and still be on time;
     None unless the record places the unit. ``accelerators`` is the number that all
-    tasks of the unit request.
+    tasks of the unit request. ``ended_on`` is the endpoint of the run that ended, empty
+    unless the record was written because of that.
     """
 
     record: UnitRecord
     reason: str
     slack_ms: int | None = None
     accelerators: int = 0
+    ended_on: str = ""
 
 
 @dataclass(frozen=True, slots=True)
--- a/ragwortshelf/core/scheduling/lifecycle.py
+++ b/ragwortshelf/core/scheduling/lifecycle.py
@@ -329,13 +329,21 @@
             unit.record = replace(unit.record, failed_runs=failed_runs)
             unit.avoided_ids.add(placement.endpoint_id)
         if is_failure and self._has_exhausted_attempts(unit):
-            self._persist_phase(unit, UnitPhase.FAILED, wall_ms, "attempts spent")
+            self._persist_phase(
+                unit,
+                UnitPhase.FAILED,
+                wall_ms,
+                "attempts spent",
+                placement.endpoint_id,
+            )
             unit.phase = UnitPhase.FAILED
             self._end_job(unit.job, now_ms)
             return
         unit.phase = UnitPhase.ENDING
         if is_first_end or is_failure or has_new_checkpoint:
-            self._persist_phase(unit, UnitPhase.ENDING, wall_ms, end.value)
+            self._persist_phase(
+                unit, UnitPhase.ENDING, wall_ms, end.value, placement.endpoint_id
+            )
         if not unit.placements and unit.job.is_active:
             self._requeue(unit, now_ms)
 
@@ -370,7 +378,12 @@
             self._drop_reservation(unit)
 
     def _persist_phase(
-        self, unit: Unit, phase: UnitPhase, wall_ms: int, reason: str
+        self,
+        unit: Unit,
+        phase: UnitPhase,
+        wall_ms: int,
+        reason: str,
+        ended_on: str = "",
     ) -> None:
         endpoint_by_index = {
             placement.index: placement.endpoint_id for placement in unit.placements
@@ -388,14 +401,19 @@
             endpoints=endpoints,
             changed_wall_ms=wall_ms,
         )
-        self._persist(unit, record, reason)
+        self._persist(unit, record, reason, ended_on=ended_on)
 
     def _persist(
-        self, unit: Unit, record, reason: str, slack_ms: int | None = None
+        self,
+        unit: Unit,
+        record,
+        reason: str,
+        slack_ms: int | None = None,
+        ended_on: str = "",
     ) -> None:
         unit.record = record
         unit.job.put_record(record)
-        self._actions.append(PersistUnit(record, reason, slack_ms, unit.gpus))
+        self._actions.append(PersistUnit(record, reason, slack_ms, unit.gpus, ended_on))
 
     def _drop_reservation(self, unit: Unit) -> None:
         """Drop the reservation of a finished unit; overridden by the subclass."""
--- a/ragwortshelf/core/scheduling/scheduler.py
+++ b/ragwortshelf/core/scheduling/scheduler.py
@@ -124,6 +124,12 @@
         if endpoint is not None:
             endpoint.is_reachable = False
 
+    def run_ages(self, endpoint_id: str, now_ms: int) -> dict[str, int]:
+        """Return how long ago each run on an endpoint was ordered, by ``TASK/RUN``."""
+        endpoint = self.endpoint_by_id.get(endpoint_id)
+        placements = endpoint.placements() if endpoint else ()
+        return {f"{p.task}/{p.run}": now_ms - p.ordered_ms for p in placements}
+
     def endpoint_lease_expired(
         self, endpoint_id: str, now_ms: int, wall_ms: int
     ) -> None:
--- a/ragwortshelf/scheduler/endpoint_session.py
+++ b/ragwortshelf/scheduler/endpoint_session.py
@@ -242,7 +242,10 @@
             return
         if not self._is_reachable:
             log_event(
-                "endpoint_regained", endpoint=self.info.id, born=answer.started_wall_ms
+                "endpoint_regained",
+                endpoint=self.info.id,
+                address=self.info.address,
+                born=answer.started_wall_ms,
             )
         self._is_reachable = True
         self._has_lease_expired = False
--- a/ragwortshelf/scheduler/leadership.py
+++ b/ragwortshelf/scheduler/leadership.py
@@ -51,6 +51,9 @@
 JOB_CHANGE_RETRY_MS = 5_000
 """Delay before a change of a job is processed again that raised an unexpected error."""
 
+RUNS_LOGGED_MAX = 8
+"""Runs named in the log when contact with their endpoint is lost."""
+
 DELETION_INTERVAL_MS = 5_000
 """Interval between checks for ended jobs whose retention time has passed."""
 
@@ -270,6 +273,15 @@
         return partial(self._writer.wait_committed, self._writer.mark())
 
     def _endpoint_unreachable(self, endpoint_id: str) -> None:
+        age_ms_by_run = self._scheduler.run_ages(endpoint_id, monotonic_ms())
+        log_event(
+            "runs_out_of_contact",
+            endpoint=endpoint_id,
+            runs=len(age_ms_by_run),
+            youngest=dict(
+                sorted(age_ms_by_run.items(), key=lambda r: r[1])[:RUNS_LOGGED_MAX]
+            ),
+        )
         self._scheduler.endpoint_unreachable(endpoint_id)
 
     def _endpoint_lease_expired(self, endpoint_id: str) -> None:
--- a/ragwortshelf/scheduler/term_writer.py
+++ b/ragwortshelf/scheduler/term_writer.py
@@ -201,5 +201,6 @@
             reason=action.reason,
             slack_ms=action.slack_ms,
             accelerators=action.accelerators,
+            ended_on=action.ended_on or None,
             term=record.term,
         )
--- a/ragwortshelf/standins/platform_endpoint.py
+++ b/ragwortshelf/standins/platform_endpoint.py
@@ -131,6 +131,20 @@
         self.history[task, run] = StartedRun(task, run, now_ms, token)
         return StartOutcome.STARTED
 
+    def crash(self) -> None:
+        """Lose all runs, ends and fences, as a process that ends and starts again."""
+        for task, (run, _) in self.running.items():
+            self.history[task, run] = replace(
+                self.history[task, run], ended_ms=_now_ms(), end=RunEnd.LAPSED
+            )
+        self.running.clear()
+        self.finished.clear()
+        self._highest_run_by_task.clear()
+        self._last_end_number = 0
+        self.token = 0
+        self.until_ms = 0
+        self.born += 1
+
     def stop(self, task: str, run: int, token: int) -> bool:
         """Stop a run and refuse later starts of it; False for an outdated token."""
         self.advance()
@@ -159,7 +173,10 @@
         if until_ms is not None:
             self.until_ms = max(self.until_ms, until_ms)
         deadline_s = trio.current_time() + wait_ms / 1000
+        born = self.born
         while not self.finished and trio.current_time() < deadline_s:
+            if self.born != born:
+                break
             await trio.sleep(0.01)
             self.advance()
         return True
--- a/tests/scheduler/fakes.py
+++ b/tests/scheduler/fakes.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import math
+from dataclasses import replace
 
 import trio
 
@@ -126,13 +127,39 @@
 
 
 class FakeEndpoint(EndpointState):
-    """An endpoint that can be disconnected or lose its answers."""
+    """An endpoint that can be disconnected, lose its answers or crash.
 
-    def __init__(self, info):
+    The start of a task in ``crashing_tasks`` crashes it. It is back ``downtime_s``
+    later, under its id, unless ``on_crash`` replaces it.
+    """
+
+    def __init__(self, info, crashing_tasks=frozenset()):
         super().__init__(info)
         self.is_disconnected = False
         self.lose_start_answers = 0
         self.renewals = []
+        self.crashing_tasks = crashing_tasks
+        self.downtime_s = 3.4
+        self.on_crash = lambda endpoint: None
+        self.crash_times_s = []
+
+    @property
+    def is_down(self):
+        """Whether it refuses connections."""
+        if not self.crash_times_s:
+            return False
+        return trio.current_time() < self.crash_times_s[-1] + self.downtime_s
+
+    def crash(self):
+        super().crash()
+        self.crash_times_s.append(trio.current_time())
+        self.on_crash(self)
+
+    def start(self, task, run, until_ms, token):
+        outcome = super().start(task, run, until_ms, token)
+        if outcome is StartOutcome.STARTED and task in self.crashing_tasks:
+            self.crash()
+        return outcome
 
     def finish(self, task):
         self.end(task, RunEnd.DONE)
@@ -155,11 +182,16 @@
 
     async def renew(self, *, until_ms, ack_number, wait_ms, timeout_ms):
         self._endpoint.renewals.append((self._token, until_ms))
+        endpoint = self._endpoint
+        if endpoint.is_down:
+            return EndpointUnreachable("refused")
         if not await self._cross_link(timeout_ms):
             return EndpointUnreachable("timeout")
-        endpoint = self._endpoint
+        born = endpoint.born
         if not await endpoint.renew(until_ms, ack_number, wait_ms, self._token):
             return EndpointUnreachable("fence", is_fenced=True)
+        if endpoint.born != born:
+            return EndpointUnreachable("closed")
         return EndpointAnswer(
             endpoint.clock_ms(),
             endpoint.born,
@@ -168,6 +200,8 @@
         )
 
     async def start(self, task, run, text, checkpoint, ticket, until_ms, timeout_ms):
+        if self._endpoint.is_down:
+            return StartOutcome.UNHEALTHY
         if not await self._cross_link(timeout_ms):
             return StartOutcome.UNANSWERED
         outcome = self._endpoint.start(task, run, until_ms, self._token)
@@ -178,7 +212,7 @@
         return outcome
 
     async def stop(self, task, run, timeout_ms):
-        if not await self._cross_link(timeout_ms):
+        if self._endpoint.is_down or not await self._cross_link(timeout_ms):
             return False
         return self._endpoint.stop(task, run, self._token)
 
@@ -243,6 +277,33 @@
         for info in endpoints:
             self.reports.append([(info.id, b"1")])
 
+    def make_tasks_crash(self, tasks, *, is_replaced=False):
+        """Let the starts of these tasks crash every endpoint.
+
+        With ``is_replaced`` a crashed one comes back at its address under another id.
+        """
+        for endpoint in self.endpoint_by_id.values():
+            endpoint.crashing_tasks = frozenset(tasks)
+            if is_replaced:
+                endpoint.on_crash = self._replace
+
+    def _replace(self, endpoint):
+        endpoint.downtime_s = math.inf
+        info = replace(endpoint.info, id=f"{endpoint.info.id}+")
+        successor = FakeEndpoint(info, endpoint.crashing_tasks)
+        successor.work_ms = endpoint.work_ms
+        successor.on_crash = self._replace
+        successor.crash_times_s.append(trio.current_time())
+        self.endpoint_by_id[info.id] = successor
+        self.reports.append([(info.id, b"1"), (endpoint.info.id, b"")])
+
+    def crash_count(self):
+        """Return how often an endpoint crashed."""
+        return sum(
+            len(endpoint.crash_times_s) - endpoint.info.id.endswith("+")
+            for endpoint in self.endpoint_by_id.values()
+        )
+
     def runs(self):
         """Return all starts as (task, run, endpoint id, time, token)."""
         return [
--- a/tests/scheduler/test_observability.py
+++ b/tests/scheduler/test_observability.py
@@ -211,3 +211,21 @@
 def _samples(text, name):
     prefix = f"ragwortshelf_{name}"
     return [line for line in text.splitlines() if line.startswith(prefix)]
+
+
+async def test_a_crash_shows_which_runs_were_there_and_who_took_the_address(
+    autojump_clock, lines
+):
+    platform = make_platform(1)
+    platform.make_tasks_crash([f"{'e' * 16}.0.0.0"], is_replaced=True)
+    instance = make_instances(platform, 1)[0]
+    async with running(instance):
+        await trio.sleep(1)
+        await submit(instance, make_job("e" * 16, count=1))
+        await trio.sleep(9)
+    lost = lines.named("runs_out_of_contact")[0]
+    assert lost["endpoint"] == "e0" and lost["runs"] == 1
+    assert lost["youngest"][f"{'e' * 16}.0.0.0/1"] < 100
+    assert "e0" in [row["ended_on"] for row in lines.named("unit")]
+    regained = [(r["endpoint"], r["address"]) for r in lines.named("endpoint_regained")]
+    assert regained[:2] == [("e0", "e0"), ("e0+", "e0")]
