Give up tasks that crash the endpoints that start them

Cause: a run that ended with its endpoint counted for nothing, so the unit was started again without limit; nothing was known of it in the next term; and the runs that had been together were placed together again, so that a count alone would have blamed neighbours.

Now contact that is lost while a run is fresh makes its unit suspect, in the log. The suspicion is confirmed when another incarnation answers under the endpoint's id or at its address, and withdrawn when the same one does. A suspect starts where no other run is fresh, few at a time, and is given up after two crashes one of which it alone explains. Adopted runs are no longer ordered again on an endpoint that restarted meanwhile.

--- a/ragwortshelf/core/scheduling/actions.py
+++ b/ragwortshelf/core/scheduling/actions.py
@@ -5,7 +5,7 @@
 from dataclasses import dataclass
 
 from .model import UnitKey
-from .records import UnitRecord
+from .records import EndpointForgotten, EndpointObserved, UnitCrashes, UnitRecord
 
 __all__ = [
     "Action",
@@ -13,7 +13,9 @@
     "ReportExclusion",
     "ReportPlanningFault",
     "PaceTask",
+    "PersistEvidence",
     "PersistUnit",
+    "ReportCrash",
     "StartTask",
     "StopTask",
 ]
@@ -36,6 +38,18 @@
     ended_on: str = ""
 
 
+@dataclass(frozen=True, slots=True)
+class PersistEvidence:
+    """Append what was observed of an endpoint, or of a unit whose endpoint was lost.
+
+    A successor needs it to tell crashed endpoints, and who caused that. It precedes the
+    starts that follow it, as the records of units do.
+    """
+
+    record: EndpointForgotten | EndpointObserved | UnitCrashes
+    reason: str
+
+
 @dataclass(frozen=True, slots=True)
 class StartTask:
     """Order an endpoint to start a run of a task.
@@ -90,6 +104,20 @@
     reason: str
 
 
+@dataclass(frozen=True, slots=True)
+class ReportCrash:
+    """Report to operators that an endpoint has crashed, and who may have caused it.
+
+    ``is_replaced`` is set if another endpoint now has its address, ``has_other_cause``
+    if others were lost with it whose runs do not explain it.
+    """
+
+    endpoint_id: str
+    is_replaced: bool
+    has_other_cause: bool
+    suspects: tuple[UnitKey, ...]
+
+
 @dataclass(frozen=True, slots=True)
 class ReportPlanningFault:
     """Report an unexpected error in planning one unit, which then waits for a while."""
@@ -100,6 +128,8 @@
 
 Action = (
     AskAdvice
+    | PersistEvidence
+    | ReportCrash
     | ReportExclusion
     | ReportPlanningFault
     | PaceTask
--- a/ragwortshelf/core/scheduling/fleet.py
+++ b/ragwortshelf/core/scheduling/fleet.py
@@ -7,7 +7,7 @@
 from collections.abc import Iterable
 from dataclasses import dataclass
 
-from .model import Resources, UnitKey
+from .model import Incarnation, Resources, UnitKey
 
 __all__ = [
     "FINISHED_PERCENT",
@@ -178,6 +178,10 @@
     ``unfinished_percent`` and ``unfinished_ms`` are those of the last one that showed
     the run unfinished. An adopted placement was made in an earlier term, and no listing
     has confirmed or refuted it in this one yet.
+
+    ``is_sent`` is set once its start may have reached the endpoint, and ``is_settled``
+    once the run has been listed some time after it; in between it is fresh. It
+    ``is_suspected`` if contact was lost while it was.
     """
 
     __slots__ = (
@@ -189,6 +193,9 @@
         "first_percent",
         "index",
         "is_adopted",
+        "is_sent",
+        "is_settled",
+        "is_suspected",
         "listed_ms",
         "load_metric",
         "next_stop_ms",
@@ -224,6 +231,9 @@
         self.stage = RunStage.LOGGED
         self.ordered_ms = now_ms
         self.is_adopted = False
+        self.is_sent = False
+        self.is_settled = False
+        self.is_suspected = False
         self.confirmed_ms: int | None = None
         self.fenced_ms: int | None = None
         self.next_stop_ms = 0
@@ -258,6 +268,11 @@
             self.unfinished_percent, self.unfinished_ms = percent, now_ms
         self.listed_ms = now_ms
 
+    @property
+    def is_fresh(self) -> bool:
+        """Whether the run may have started and is not known to have survived that."""
+        return self.is_sent and not self.is_settled
+
     def was_confirmed(self, before_ms: int) -> bool:
         """Whether the run was confirmed strictly before ``before_ms``.
 
@@ -333,6 +348,11 @@
         """The endpoint's id."""
         return self.info.id
 
+    @property
+    def incarnation(self) -> Incarnation:
+        """The incarnation that answered last."""
+        return Incarnation(self.id, self.info.address, self.started_wall_ms)
+
     @property
     def free(self) -> Resources:
         """The unoccupied capacity; runs being stopped still occupy theirs."""
--- a/ragwortshelf/core/scheduling/job_table.py
+++ b/ragwortshelf/core/scheduling/job_table.py
@@ -8,14 +8,17 @@
 
 from collections.abc import Iterator
 
-from .model import JobSpec, JobState, UnitKey, UnitPhase
+from .model import Incarnation, JobSpec, JobState, UnitKey, UnitPhase
 from .records import (
+    EndpointForgotten,
+    EndpointObserved,
     InstanceAnnounced,
     JobCancelled,
     JobForgotten,
     JobSubmitted,
     Record,
     TermHeld,
+    UnitCrashes,
     UnitRecord,
     UpkeepRecord,
 )
@@ -108,13 +111,19 @@
 
 
 class JobTable:
-    """The jobs, the newest claim of the role, the upkeep waves and the instances."""
+    """The jobs, the newest claim of the role, the upkeep waves and the instances.
+
+    ``incarnation_by_endpoint_id`` has the incarnation of each endpoint that answered
+    last, and ``crashes_by_job_id`` what is known of crashes at the starts of units.
+    """
 
     def __init__(self):
         self.job_by_id: dict[str, Job] = {}
         self.term: TermHeld | None = None
         self.upkeep_by_wave: dict[int, UpkeepRecord] = {}
         self.instance_by_name: dict[str, InstanceAnnounced] = {}
+        self.incarnation_by_endpoint_id: dict[str, Incarnation] = {}
+        self.crashes_by_job_id: dict[str, dict[UnitKey, UnitCrashes]] = {}
         self._cancelled_wall_ms_by_id: dict[str, int] = {}
         self._early_records_by_id: dict[str, list[UnitRecord]] = {}
 
@@ -130,6 +139,16 @@
             case JobForgotten(job_id):
                 self._forget(job_id)
                 return False
+            case UnitCrashes(key):
+                self.crashes_by_job_id.setdefault(key.job_id, {})[key] = record
+                return False
+            case EndpointObserved(incarnation):
+                endpoint_id = incarnation.endpoint_id
+                self.incarnation_by_endpoint_id[endpoint_id] = incarnation
+                return False
+            case EndpointForgotten(endpoint_id):
+                self.incarnation_by_endpoint_id.pop(endpoint_id, None)
+                return False
             case UpkeepRecord(wave):
                 self.upkeep_by_wave[wave] = record
                 return False
@@ -189,5 +208,6 @@
 
     def _forget(self, job_id: str) -> None:
         self.job_by_id.pop(job_id, None)
+        self.crashes_by_job_id.pop(job_id, None)
         self._cancelled_wall_ms_by_id.pop(job_id, None)
         self._early_records_by_id.pop(job_id, None)
--- a/ragwortshelf/core/scheduling/lifecycle.py
+++ b/ragwortshelf/core/scheduling/lifecycle.py
@@ -11,16 +11,20 @@
 from .actions import (
     Action,
     AskAdvice,
+    PersistEvidence,
     PersistUnit,
+    ReportCrash,
     ReportPlanningFault,
     StartTask,
     StopTask,
 )
 from .advice import AdviceCache, step_name
 from .configuration import ServiceConfiguration
+from .crashes import CrashTracker
 from .fleet import Endpoint, EndpointInfo, RunEnd, RunStage, TaskPlacement
 from .job_table import Job, JobTable
-from .model import Resources, UnitKey, UnitPhase
+from .model import Incarnation, Resources, UnitKey, UnitPhase
+from .records import EndpointForgotten, EndpointObserved
 from .speed import SpeedTracker
 from .suspicion import SuspicionTracker
 from .unit import Unit
@@ -30,6 +34,10 @@
 STOP_RETRY_MS = 500
 """Interval at which a stop is repeated, in case the order was lost."""
 
+ADOPTED_FRESH_MS = 15_000
+"""Age up to which a placement of an earlier term may have been started only just before
+its scheduler ended. A change of scheduler takes 2 to 3 s, a slow log included 9."""
+
 PLANNING_FAULT_DELAY_MS = 5_000
 """Delay before a unit is planned again whose planning raised an unexpected error."""
 
@@ -54,13 +62,14 @@
         self.advice = AdviceCache()
         self.suspicion = SuspicionTracker(self.endpoint_by_id, self.unit_by_key)
         self.speeds = SpeedTracker()
+        self.crashes = CrashTracker(table, self.unit_by_key)
         self._next_occurrence_by_job: dict[str, int] = {}
         self._actions: list[Action] = []
 
     def adopt(self, now_ms: int, wall_ms: int) -> None:
         """Open the units of all jobs and adopt placements of earlier terms."""
         for job in list(self.table.job_by_id.values()):
-            self._adopt_placed(job, now_ms)
+            self._adopt_placed(job, now_ms, wall_ms)
             self.job_changed(job.spec.id, now_ms, wall_ms)
 
     def job_changed(self, job_id: str, now_ms: int, wall_ms: int) -> None:
@@ -176,6 +185,7 @@
     def _add_unit(self, key: UnitKey, job: Job, now_ms: int) -> Unit:
         unit = self.unit_by_key[key] = Unit(key, job, now_ms)
         self._set_sort_key(unit)
+        self.crashes.adopt(unit)
         return unit
 
     def _set_sort_key(self, unit: Unit) -> None:
@@ -196,7 +206,7 @@
                         self._stop_placements(unit, f"job {state}", now_ms)
                         self._drop_if_finished(unit)
 
-    def _adopt_placed(self, job: Job, now_ms: int) -> None:
+    def _adopt_placed(self, job: Job, now_ms: int, wall_ms: int) -> None:
         for key, record in job.record_by_key.items():
             if record.phase not in (UnitPhase.PLACED, UnitPhase.ENDING):
                 continue
@@ -207,17 +217,105 @@
                     endpoint = self._endpoint_or_placeholder(endpoint_id)
                     placement = self._add_placement(unit, index, endpoint, now_ms)
                     placement.is_adopted = True
+                    placement.is_sent = True
+                    age_ms = wall_ms - record.changed_wall_ms
+                    is_known = endpoint.started_wall_ms != 0
+                    placement.is_settled = age_ms > ADOPTED_FRESH_MS or not is_known
             if not unit.placements:
                 self._requeue(unit, now_ms)
 
     def _endpoint_or_placeholder(self, endpoint_id: str) -> Endpoint:
         endpoint = self.endpoint_by_id.get(endpoint_id)
         if endpoint is None:
-            info = EndpointInfo(endpoint_id, "", "", "", Resources())
-            endpoint = self.endpoint_by_id[endpoint_id] = Endpoint(info)
+            observed = self.table.incarnation_by_endpoint_id.get(endpoint_id)
+            address = observed.address if observed else ""
+            info = EndpointInfo(endpoint_id, "", address, "", Resources())
+            endpoint = self._add_endpoint(info)
             endpoint.is_in_store = False
         return endpoint
 
+    def _add_endpoint(self, info: EndpointInfo) -> Endpoint:
+        """Add an endpoint, in the incarnation in which an earlier term knew it."""
+        endpoint = self.endpoint_by_id[info.id] = Endpoint(info)
+        observed = self.table.incarnation_by_endpoint_id.get(info.id)
+        if observed is not None:
+            endpoint.started_wall_ms = observed.started_wall_ms
+        return endpoint
+
+    def _drop_endpoint(self, endpoint_id: str) -> None:
+        self.endpoint_by_id.pop(endpoint_id, None)
+        if endpoint_id in self.table.incarnation_by_endpoint_id:
+            self._persist_evidence(EndpointForgotten(endpoint_id), "left")
+
+    # Crashes of endpoints.
+
+    def _contact_lost(self, endpoint: Endpoint, now_ms: int) -> None:
+        for unit in self.crashes.contact_lost(endpoint, now_ms):
+            self._persist_evidence(unit.crashes, "contact lost at its start")
+
+    def _observe(self, endpoint: Endpoint, now_ms: int, wall_ms: int) -> None:
+        """Resolve suspicions by an endpoint that answers in its present incarnation.
+
+        Endpoints that had its address before have ended, as have their runs.
+        """
+        present = endpoint.incarnation
+        for other in list(self.endpoint_by_id.values()):
+            if other is not endpoint and other.info.address == present.address:
+                self._incarnation_ended(other, now_ms, wall_ms)
+        for lost in self.crashes.suspected_incarnations():
+            if lost == present:
+                self._incarnation_returned(endpoint)
+            elif lost.endpoint_id == endpoint.id or lost.address == present.address:
+                self._confirm_crash(lost, endpoint, now_ms, wall_ms)
+        observed = self.table.incarnation_by_endpoint_id.get(endpoint.id)
+        if observed != present or observed.address != present.address:
+            self._persist_evidence(EndpointObserved(present), "observed")
+
+    def _incarnation_ended(self, endpoint: Endpoint, now_ms: int, wall_ms: int) -> None:
+        """End all runs of an endpoint whose address another one has now."""
+        if not endpoint.placement_by_task:
+            return
+        self._contact_lost(endpoint, now_ms)
+        for placement in endpoint.placements():
+            self._placement_ended(placement, RunEnd.LAPSED, "", now_ms, wall_ms)
+
+    def _incarnation_returned(self, endpoint: Endpoint) -> None:
+        for placement in endpoint.placement_by_task.values():
+            placement.is_suspected = False
+        for unit in self.crashes.incarnation_returned(endpoint.incarnation):
+            self._persist_evidence(unit.crashes, "endpoint had not crashed")
+
+    def _confirm_crash(
+        self, lost: Incarnation, endpoint: Endpoint, now_ms: int, wall_ms: int
+    ) -> None:
+        end = self.crashes.incarnation_ended(lost, lost.endpoint_id != endpoint.id)
+        keys = tuple(unit.key for unit in end.suspects)
+        self._actions.append(
+            ReportCrash(lost.endpoint_id, end.is_replaced, end.has_other_cause, keys)
+        )
+        for unit in end.suspects:
+            self._persist_evidence(unit.crashes, "endpoint crashed at its start")
+            if self.crashes.must_be_given_up(unit) and unit.job.is_active:
+                self._persist_phase(
+                    unit,
+                    UnitPhase.FAILED,
+                    wall_ms,
+                    "crashes endpoints",
+                    lost.endpoint_id,
+                )
+                unit.phase = UnitPhase.FAILED
+                self._end_job(unit.job, now_ms)
+
+    def _run_settled(self, placement: TaskPlacement) -> None:
+        placement.is_settled = True
+        unit = self.crashes.run_settled(placement)
+        if unit is not None:
+            self._persist_evidence(unit.crashes, "start settled")
+
+    def _persist_evidence(self, record, reason: str) -> None:
+        self.table.apply(record)
+        self._actions.append(PersistEvidence(record, reason))
+
     # Placements on endpoints.
 
     def _find_placement(
@@ -349,6 +447,7 @@
 
     def _forget_job(self, job_id: str) -> None:
         self.suspicion.forget_job(job_id)
+        self.crashes.forget_job(job_id)
         self.speeds.forget_job(job_id)
 
     def _has_exhausted_attempts(self, unit: Unit) -> bool:
@@ -367,6 +466,7 @@
     def _requeue(self, unit: Unit, now_ms: int) -> None:
         unit.phase = UnitPhase.WAITING
         unit.waiting_since_ms = now_ms
+        self.crashes.hold(unit, now_ms)
         self.waiting[unit.key] = unit
 
     def _drop_if_finished(self, unit: Unit) -> None:
@@ -375,6 +475,7 @@
         if unit.phase in _TERMINAL_PHASES or not unit.job.is_active:
             self.unit_by_key.pop(unit.key, None)
             self.waiting.pop(unit.key, None)
+            self.crashes.forget_unit(unit)
             self._drop_reservation(unit)
 
     def _persist_phase(
--- a/ragwortshelf/core/scheduling/model.py
+++ b/ragwortshelf/core/scheduling/model.py
@@ -3,11 +3,12 @@
 from __future__ import annotations
 
 import enum
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 from typing import NamedTuple
 
 __all__ = [
     "GANG",
+    "Incarnation",
     "JobSpec",
     "JobState",
     "Resources",
@@ -156,6 +157,18 @@
         return lengths
 
 
+@dataclass(frozen=True, slots=True)
+class Incarnation:
+    """One life of an endpoint, which its id and the time of its start identify.
+
+    ``started_wall_ms`` is the endpoint's own wall clock, and 0 if it is not known.
+    """
+
+    endpoint_id: str
+    address: str = field(compare=False)
+    started_wall_ms: int
+
+
 class JobState(enum.Enum):
     """State of a job as callers see it; the value is the name on the interface."""
 
--- a/ragwortshelf/core/scheduling/planning.py
+++ b/ragwortshelf/core/scheduling/planning.py
@@ -93,6 +93,8 @@
         for unit in waiting:
             if unit.not_before_ms > now_ms:
                 continue
+            if not self._scheduler.crashes.may_start_now(unit, len(usable), now_ms):
+                continue
             try:
                 self._plan_unit(unit, usable, gpus_in_use, unplaceable_shapes)
             except Exception as error:
@@ -139,6 +141,12 @@
                 self._scheduler.ask_advice(unit, candidates, self._now_ms)
             candidates = allowed
         endpoints = None
+        if unit.is_suspect:
+            # Its start may cost the runs of others.
+            empty = [e for e in candidates if not e.placement_by_task]
+            return self._find_endpoints(
+                unit, empty, candidates
+            ) or self._find_endpoints(unit, candidates)
         if self._needs_proof(unit):
             return self._find_endpoints(unit, self._proven(candidates), candidates)
         for classes in preferred_classes(unit)[:-1]:
@@ -218,6 +226,8 @@
         def slots(endpoint: Endpoint) -> int:
             if endpoint.is_suspected and not self._may_try_out(endpoint, unit):
                 return 0
+            if not self._scheduler.crashes.may_share(endpoint, unit):
+                return 0
             if len(self._reservations):
                 fits = needed.times_in(self._reservations.room(endpoint, unit))
             else:
@@ -506,6 +516,7 @@
     step = unit.step
     return (
         unit.job.spec.queue,
+        unit.is_suspect,
         step.occupied,
         unit.count,
         step.required_label,
--- a/ragwortshelf/core/scheduling/records.py
+++ b/ragwortshelf/core/scheduling/records.py
@@ -10,6 +10,8 @@
 ``j/ID``       the instance that accepted the job      specification
 ``c/ID``       the instance that was asked to cancel   wall-clock time
 ``u/ID/K/S/M`` the scheduler                           state of the unit
+``k/ID/K/S/M`` the scheduler                           endpoints lost at its starts
+``e/ID``       the scheduler                           incarnation of an endpoint
 ``w/N``        the scheduler                           progress of a wave
 ``i/NAME``     the instance itself                     readiness address
 ``term``       the scheduler                           claim or renewal
@@ -22,16 +24,19 @@
 
 import cbor2
 
-from .model import JobSpec, Resources, Step, UnitKey, UnitPhase
+from .model import Incarnation, JobSpec, Resources, Step, UnitKey, UnitPhase
 
 __all__ = [
     "TERM_KEY",
+    "EndpointForgotten",
+    "EndpointObserved",
     "InstanceAnnounced",
     "JobCancelled",
     "JobForgotten",
     "JobSubmitted",
     "Record",
     "TermHeld",
+    "UnitCrashes",
     "UnitRecord",
     "UpkeepRecord",
     "decode_record",
@@ -85,6 +90,35 @@
     changed_wall_ms: int = 0
 
 
+@dataclass(frozen=True, slots=True)
+class EndpointObserved:
+    """The incarnation of an endpoint that answered last, so that a successor notices
+    if another one has followed it."""
+
+    incarnation: Incarnation
+
+
+@dataclass(frozen=True, slots=True)
+class EndpointForgotten:
+    """An endpoint has left and holds no runs."""
+
+    endpoint_id: str
+
+
+@dataclass(frozen=True, slots=True)
+class UnitCrashes:
+    """The endpoints that were lost at a unit's starts, written after each change.
+
+    ``crashes`` counts those that crashed, and ``sole_crashes`` those of them whose only
+    known explanation is the unit. Of ``suspected`` it is open whether they crashed.
+    """
+
+    key: UnitKey
+    crashes: int = 0
+    sole_crashes: int = 0
+    suspected: tuple[Incarnation, ...] = ()
+
+
 @dataclass(frozen=True, slots=True)
 class TermHeld:
     """An instance claims, renews or resigns the scheduler's role.
@@ -119,11 +153,14 @@
 
 
 Record = (
-    InstanceAnnounced
+    EndpointForgotten
+    | EndpointObserved
+    | InstanceAnnounced
     | JobCancelled
     | JobForgotten
     | JobSubmitted
     | TermHeld
+    | UnitCrashes
     | UnitRecord
     | UpkeepRecord
 )
@@ -160,6 +197,15 @@
                     record.changed_wall_ms,
                 )
             )
+        case UnitCrashes():
+            suspected = [astuple(incarnation) for incarnation in record.suspected]
+            fields = (record.crashes, record.sole_crashes, suspected)
+            return _unit_key(record.key, "k"), cbor2.dumps(fields)
+        case EndpointObserved(incarnation):
+            fields = (incarnation.address, incarnation.started_wall_ms)
+            return f"e/{incarnation.endpoint_id}", cbor2.dumps(fields)
+        case EndpointForgotten(endpoint_id):
+            return f"e/{endpoint_id}", b""
         case TermHeld():
             return TERM_KEY, cbor2.dumps(astuple(record))
         case JobForgotten(job_id):
@@ -178,7 +224,12 @@
     """
     kind, _, rest = key.partition("/")
     if not value:
-        return JobForgotten(rest) if kind == "j" else None
+        match kind:
+            case "j":
+                return JobForgotten(rest)
+            case "e":
+                return EndpointForgotten(rest)
+        return None
     try:
         fields = cbor2.loads(value)
         match kind:
@@ -188,6 +239,13 @@
                 return JobCancelled(rest, int(fields))
             case "u":
                 return _decode_unit(rest, fields)
+            case "k":
+                return _decode_crashes(rest, fields)
+            case "e":
+                address, started_wall_ms, *_ = fields
+                return EndpointObserved(
+                    Incarnation(rest, str(address), int(started_wall_ms))
+                )
             case "w":
                 return UpkeepRecord(int(rest), tuple(fields[0]), bool(fields[1]))
             case "i":
@@ -201,7 +259,7 @@
 
 def deletion_records(job_id: str, units: list[UnitKey]) -> list[tuple[str, bytes]]:
     """Return the keys of a job's records with empty values, which delete them."""
-    keys = [_unit_key(unit) for unit in units]
+    keys = [_unit_key(unit, kind) for unit in units for kind in "uk"]
     return [(key, b"") for key in (*keys, f"c/{job_id}", submission_key(job_id))]
 
 
@@ -224,15 +282,32 @@
     return record.job_id
 
 
-def _unit_key(key: UnitKey) -> str:
-    return f"u/{key.job_id}/{key.occurrence}/{key.step}/{key.member}"
+def _unit_key(key: UnitKey, kind: str = "u") -> str:
+    return f"{kind}/{key.job_id}/{key.occurrence}/{key.step}/{key.member}"
 
 
-def _decode_unit(rest: str, fields) -> UnitRecord:
+def _parse_unit_key(rest: str) -> UnitKey:
     job_id, occurrence, step, member = rest.split("/")
+    return UnitKey(job_id, int(occurrence), int(step), int(member))
+
+
+def _decode_crashes(rest: str, fields) -> UnitCrashes:
+    crashes, sole_crashes, suspected, *_ = fields
+    return UnitCrashes(
+        _parse_unit_key(rest),
+        int(crashes),
+        int(sole_crashes),
+        tuple(
+            Incarnation(str(endpoint_id), str(address), int(started_wall_ms))
+            for endpoint_id, address, started_wall_ms, *_ in suspected
+        ),
+    )
+
+
+def _decode_unit(rest: str, fields) -> UnitRecord:
     term, phase, run, failed, endpoints, checkpoint, changed = fields
     return UnitRecord(
-        UnitKey(job_id, int(occurrence), int(step), int(member)),
+        _parse_unit_key(rest),
         term,
         UnitPhase(phase),
         run,
--- a/ragwortshelf/core/scheduling/scheduler.py
+++ b/ragwortshelf/core/scheduling/scheduler.py
@@ -57,6 +57,10 @@
 """Interval between checks whether a stop must be repeated; a repeat is due 500 ms after
 the order before."""
 
+START_SETTLES_MS = 1_000
+"""Time after the confirmation of a start from which a listing of the run shows that the
+start has not crashed the endpoint."""
+
 FINISHED_PAGE_SIZE = 500
 """Ended runs on one page of a listing, as set by the platform."""
 
@@ -106,7 +110,7 @@
         """Add an endpoint, or apply its newest description of itself."""
         endpoint = self.endpoint_by_id.get(info.id)
         if endpoint is None:
-            endpoint = self.endpoint_by_id[info.id] = Endpoint(info)
+            endpoint = self._add_endpoint(info)
         endpoint.update(info, now_ms)
 
     def endpoint_removed(self, endpoint_id: str) -> None:
@@ -116,13 +120,20 @@
             return
         endpoint.is_in_store = False
         if not endpoint.placement_by_task:
-            del self.endpoint_by_id[endpoint_id]
+            self._drop_endpoint(endpoint_id)
 
-    def endpoint_unreachable(self, endpoint_id: str) -> None:
+    def endpoint_unreachable(self, endpoint_id: str, now_ms: int) -> None:
         """Place nothing on an endpoint until its next listing."""
         endpoint = self.endpoint_by_id.get(endpoint_id)
         if endpoint is not None:
             endpoint.is_reachable = False
+            self._contact_lost(endpoint, now_ms)
+
+    def forget_unlisted_endpoints(self) -> None:
+        """Forget the endpoints that left while no scheduler knew of it."""
+        for endpoint_id in list(self.table.incarnation_by_endpoint_id):
+            if endpoint_id not in self.endpoint_by_id:
+                self._drop_endpoint(endpoint_id)
 
     def run_ages(self, endpoint_id: str, now_ms: int) -> dict[str, int]:
         """Return how long ago each run on an endpoint was ordered, by ``TASK/RUN``."""
@@ -138,10 +149,11 @@
         if endpoint is None:
             return
         endpoint.is_reachable = False
+        self._contact_lost(endpoint, now_ms)
         for placement in endpoint.placements():
             self._placement_ended(placement, RunEnd.LAPSED, "", now_ms, wall_ms)
         if not endpoint.is_in_store:
-            del self.endpoint_by_id[endpoint_id]
+            self._drop_endpoint(endpoint_id)
 
     def listing_received(
         self, listing: EndpointListing, now_ms: int, wall_ms: int
@@ -150,8 +162,12 @@
         endpoint = self.endpoint_by_id.get(listing.endpoint_id)
         if endpoint is None:
             return
+        was_known = endpoint.is_reachable
         if listing.started_wall_ms != endpoint.started_wall_ms:
             self._handle_restart(endpoint, listing, now_ms, wall_ms)
+            was_known = False
+        if not was_known:
+            self._observe(endpoint, now_ms, wall_ms)
         endpoint.is_reachable = True
         seen = set()
         for row in listing.finished:
@@ -187,6 +203,7 @@
         placement = self._find_placement(endpoint_id, task, run)
         if placement is None:
             return
+        placement.is_sent = True
         if outcome is StartOutcome.STARTED:
             if placement.stage in (RunStage.LOGGED, RunStage.ORDERED):
                 placement.stage = RunStage.RUNNING
@@ -218,6 +235,12 @@
         placement = self._find_placement(order.endpoint_id, order.task, order.run)
         return placement is not None and placement.stage is RunStage.ORDERED
 
+    def start_sent(self, order: StartTask) -> None:
+        """Note that an endpoint may receive a start from now on."""
+        placement = self._find_placement(order.endpoint_id, order.task, order.run)
+        if placement is not None:
+            placement.is_sent = True
+
     def stop_confirmed(
         self, endpoint_id: str, task: str, run: int, now_ms: int
     ) -> None:
@@ -314,14 +337,17 @@
         # No run outlives an incarnation, but a start that is not confirmed yet may
         # arrive at the next one.
         is_first = endpoint.started_wall_ms == 0
-        endpoint.started_wall_ms = listing.started_wall_ms
         if is_first:
+            endpoint.started_wall_ms = listing.started_wall_ms
             return
+        self._contact_lost(endpoint, now_ms)
+        endpoint.started_wall_ms = listing.started_wall_ms
         endpoint.forget_speed()
         rows = {(row.task, row.run) for row in listing.running}
         for placement in endpoint.placements():
-            is_running = placement.stage is RunStage.RUNNING
-            if is_running and (placement.task, placement.run) not in rows:
+            # Orders of earlier terms are refused once this listing was asked for.
+            is_over = placement.stage is RunStage.RUNNING or placement.is_adopted
+            if is_over and (placement.task, placement.run) not in rows:
                 self._placement_ended(placement, RunEnd.LAPSED, "", now_ms, wall_ms)
 
     def _handle_running(
@@ -338,6 +364,12 @@
         placement.record_progress(row.percent, now_ms)
         if placement.confirmed_ms is None:
             placement.confirmed_ms = now_ms
+            placement.is_sent = True
+        elif (
+            not placement.is_settled
+            and now_ms - placement.confirmed_ms >= START_SETTLES_MS
+        ):
+            self._run_settled(placement)
         is_old = now_ms - placement.ordered_ms > QUICK_FAILURE_MS
         if is_old and row.percent >= 1 and not placement.is_adopted:
             self.suspicion.run_survived(endpoint, placement)
@@ -369,6 +401,7 @@
         if row.end is RunEnd.FAILED:
             self._note_failure(endpoint, placement, now_ms)
         elif row.end is RunEnd.DONE:
+            self._run_settled(placement)
             self.suspicion.run_survived(endpoint, placement)
             self._note_speed(endpoint, placement, now_ms)
         self._placement_ended(placement, row.end, row.checkpoint, now_ms, wall_ms)
--- a/ragwortshelf/core/scheduling/unit.py
+++ b/ragwortshelf/core/scheduling/unit.py
@@ -6,7 +6,7 @@
 from .fleet import TaskPlacement
 from .job_table import Job
 from .model import GANG, Resources, Step, UnitKey, UnitPhase, task_name
-from .records import UnitRecord
+from .records import UnitCrashes, UnitRecord
 
 __all__ = ["Unit", "make_sort_key"]
 
@@ -29,10 +29,17 @@
     nowhere else. The job can be on time if the unit starts by ``latest_start_wall_ms``.
     ``last_failed_run`` is the latest run counted as failed, so that a gang's run counts
     once. ``quick_failure_count`` counts runs that failed as soon as they started.
+
+    ``crashes`` has the endpoints that were lost at its starts, ``accused_indexes`` the
+    tasks that had just been started there, and ``held_until_ms`` how long it waits for
+    word of them.
     """
 
     __slots__ = (
+        "accused_indexes",
         "avoided_ids",
+        "crashes",
+        "held_until_ms",
         "job",
         "key",
         "last_failed_run",
@@ -61,6 +68,9 @@
         self.last_failed_run = 0
         self.quick_failure_count = 0
         self.not_before_ms = 0
+        self.crashes = UnitCrashes(key)
+        self.accused_indexes: set[int] = set()
+        self.held_until_ms = 0
         self.sort_key: tuple = ()
         self.latest_start_wall_ms = 0
         self.priority = 0
@@ -71,6 +81,11 @@
         """Number of tasks of the unit."""
         return self.step.count if self.key.member == GANG else 1
 
+    @property
+    def is_suspect(self) -> bool:
+        """Whether the unit may crash the endpoints that start it."""
+        return self.crashes.crashes > 0 or bool(self.crashes.suspected)
+
     @property
     def gpus(self) -> int:
         """Accelerators requested by all tasks of the unit."""
--- a/ragwortshelf/scheduler/leadership.py
+++ b/ragwortshelf/scheduler/leadership.py
@@ -12,6 +12,7 @@
 from ..core.scheduling.actions import (
     AskAdvice,
     PaceTask,
+    ReportCrash,
     ReportExclusion,
     ReportPlanningFault,
     StopTask,
@@ -282,7 +283,8 @@
                 sorted(age_ms_by_run.items(), key=lambda r: r[1])[:RUNS_LOGGED_MAX]
             ),
         )
-        self._scheduler.endpoint_unreachable(endpoint_id)
+        self._scheduler.endpoint_unreachable(endpoint_id, monotonic_ms())
+        self._dispatch()
 
     def _endpoint_lease_expired(self, endpoint_id: str) -> None:
         self._scheduler.endpoint_lease_expired(endpoint_id, monotonic_ms(), wall_ms())
@@ -300,6 +302,8 @@
         for endpoint_id in list(self._scheduler.endpoint_by_id):
             if endpoint_id not in self._session_by_id:
                 self._endpoint_lease_expired(endpoint_id)
+        self._scheduler.forget_unlisted_endpoints()
+        self._dispatch()
 
     # Decisions and orders.
 
@@ -336,6 +340,15 @@
                         length_ms=action.length_ms,
                         reason=action.reason,
                     )
+                case ReportCrash():
+                    self._metrics.count("endpoint_crashes_total")
+                    log_event(
+                        "endpoint_crashed",
+                        endpoint=action.endpoint_id,
+                        is_replaced=action.is_replaced,
+                        has_other_cause=action.has_other_cause,
+                        suspects=["/".join(map(str, key)) for key in action.suspects],
+                    )
                 case ReportPlanningFault():
                     log_failure(
                         "unit_planning_failed",
--- a/ragwortshelf/scheduler/log_follower.py
+++ b/ragwortshelf/scheduler/log_follower.py
@@ -8,8 +8,11 @@
 
 from ..core.scheduling.job_table import JobTable
 from ..core.scheduling.records import (
+    EndpointForgotten,
+    EndpointObserved,
     JobForgotten,
     Record,
+    UnitCrashes,
     UnitRecord,
     decode_record,
     job_id_of,
@@ -24,6 +27,9 @@
 
 __all__ = ["LogFollower"]
 
+SCHEDULER_RECORDS = (EndpointForgotten, EndpointObserved, UnitCrashes, UnitRecord)
+"""Records that only the scheduler writes, which applies them to the table itself."""
+
 
 class LogFollower:
     """Keeps a ``JobTable`` a few hundred milliseconds behind an answering log.
@@ -32,7 +38,7 @@
     log. ``answering_since_boot_ms`` is the send time of the first read in the current
     series of answered reads, None while the log does not answer.
     ``term_activity_boot_ms`` is the time at which a term or unit record was last seen.
-    While ``own_term`` is set, unit records are skipped, because the scheduler applies
+    While ``own_term`` is set, the scheduler's records are skipped, because it applies
     its decisions to the table before it appends them. While ``is_waiting_for_records``
     is set, each read waits for new records, and no pause follows it. Callers that need
     recent state meanwhile share one separate read at a time.
@@ -237,7 +243,7 @@
                 log_failure("job_record_failed", key=key, bytes=len(value))
 
     def _apply(self, record: Record) -> None:
-        if isinstance(record, UnitRecord) and self.own_term is not None:
+        if isinstance(record, SCHEDULER_RECORDS) and self.own_term is not None:
             # Already applied by this scheduler, or written in an earlier term.
             return
         term_before = self.table.term
--- a/ragwortshelf/scheduler/orders.py
+++ b/ragwortshelf/scheduler/orders.py
@@ -80,6 +80,7 @@
         session = self._session_by_id.get(order.endpoint_id)
         if session is None or not self._scheduler.is_still_ordered(order):
             return
+        self._scheduler.start_sent(order)
         outcome, was_unanswered = await session.start(order)
         self._metrics.count("orders_total", order="start", outcome=outcome.value)
         log_event(
--- a/ragwortshelf/scheduler/term_writer.py
+++ b/ragwortshelf/scheduler/term_writer.py
@@ -6,10 +6,10 @@
 
 import trio
 
-from ..core.scheduling.actions import PersistUnit, StartTask
+from ..core.scheduling.actions import PersistEvidence, PersistUnit, StartTask
 from ..core.scheduling.job_table import JobTable
 from ..core.scheduling.model import UnitPhase
-from ..core.scheduling.records import TermHeld, encode_record
+from ..core.scheduling.records import TermHeld, UnitCrashes, encode_record
 from ..daemon.logs import log_event
 from .clock import boot_ms, wall_ms
 from .interfaces import (
@@ -55,7 +55,7 @@
         self._metrics = logs.metrics
         self._settings = settings
         self._table = table
-        self._waiting: list[PersistUnit | StartTask] = []
+        self._waiting: list[PersistEvidence | PersistUnit | StartTask] = []
         self._wake_event = trio.Event()
         self._committed = trio.Event()
         self._added_count = 0
@@ -65,7 +65,7 @@
         self.may_have_resigned = False
         self.uncommitted_jobs: dict[str, int] = {}
 
-    def add(self, action: PersistUnit | StartTask) -> None:
+    def add(self, action: PersistEvidence | PersistUnit | StartTask) -> None:
         """Queue a decision to write, or a start to send after the earlier decisions."""
         if isinstance(action, PersistUnit):
             self._count_uncommitted(action, 1)
@@ -114,7 +114,9 @@
             if is_last:
                 return "resigned"
 
-    def _take_actions(self) -> tuple[list[PersistUnit | StartTask], list[Entry]]:
+    def _take_actions(
+        self,
+    ) -> tuple[list[PersistEvidence | PersistUnit | StartTask], list[Entry]]:
         """Return the first actions that fit into one append, and their entries.
 
         A decision that is larger than an append should be is alone.
@@ -124,12 +126,12 @@
         entries: list[Entry] = []
         count = 0
         for action in self._waiting[:ACTIONS_MAX]:
-            if isinstance(action, PersistUnit):
+            if not isinstance(action, StartTask):
                 entry = encode_record(action.record)
                 size += entry_bytes(entry)
                 if entries and size > bytes_max:
                     break
-                self._record_decision(action)
+                self._record(action)
                 entries.append(entry)
             count += 1
         actions = self._waiting[:count]
@@ -147,7 +149,7 @@
         for action in actions:
             if isinstance(action, PersistUnit):
                 self._count_uncommitted(action, -1)
-            else:
+            elif isinstance(action, StartTask):
                 on_start(action)
 
     async def _append(self, entries: list[Entry], is_last: bool) -> Deposed | None:
@@ -181,6 +183,24 @@
         else:
             self.uncommitted_jobs.pop(job_id, None)
 
+    def _record(self, action: PersistEvidence | PersistUnit) -> None:
+        if isinstance(action, PersistUnit):
+            self._record_decision(action)
+        elif isinstance(action.record, UnitCrashes):
+            self._record_crashes(action.record, action.reason)
+
+    def _record_crashes(self, record: UnitCrashes, reason: str) -> None:
+        log_event(
+            "unit_crashes",
+            job=record.key.job_id,
+            unit="/".join(map(str, record.key[1:])),
+            crashes=record.crashes,
+            sole=record.sole_crashes,
+            suspected=[lost.endpoint_id for lost in record.suspected],
+            reason=reason,
+            term=self._claim.term,
+        )
+
     def _record_decision(self, action: PersistUnit) -> None:
         record = action.record
         phase = record.phase.name.lower()
--- a/tests/scheduler/fakes.py
+++ b/tests/scheduler/fakes.py
@@ -204,6 +204,8 @@
             return StartOutcome.UNHEALTHY
         if not await self._cross_link(timeout_ms):
             return StartOutcome.UNANSWERED
+        if self._endpoint.is_down:
+            return StartOutcome.UNANSWERED
         outcome = self._endpoint.start(task, run, until_ms, self._token)
         if self._endpoint.lose_start_answers > 0:
             self._endpoint.lose_start_answers -= 1
