Send no second start to an endpoint that was lost after the first

Cause: a start without an answer was repeated whatever had become of the endpoint. Now it is repeated only while contact has not been lost and the incarnation is the same; the run is stopped otherwise, as after the last attempt.

--- a/ragwortshelf/scheduler/endpoint_session.py
+++ b/ragwortshelf/scheduler/endpoint_session.py
@@ -92,6 +92,8 @@
         self.is_shared = False
         self._is_reachable = False
         self._failures = 0
+        # How often the endpoint was lost, or was found to have started anew.
+        self._loss_count = 0
         self._has_lease_expired = False
         self.scope = trio.CancelScope()
 
@@ -112,12 +114,17 @@
     async def start(self, order: StartTask) -> tuple[StartOutcome, bool]:
         """Start a task, retrying while no answer arrives.
 
-        Returns the last outcome and whether an earlier attempt went unanswered.
+        Returns the last outcome and whether an earlier attempt went unanswered. An
+        endpoint that is lost meanwhile may have crashed by the first attempt, and is
+        not sent another.
         """
         was_unanswered = False
         outcome = StartOutcome.UNANSWERED
+        losses = self._loss_count
         for timeout_ms in START_TIMEOUTS_MS:
             await self._wait_for_role()
+            if was_unanswered and self._loss_count != losses:
+                return StartOutcome.UNANSWERED, was_unanswered
             if self._deadline_ms is None:
                 return StartOutcome.UNHEALTHY, was_unanswered
             outcome = await self._client.start(
@@ -267,6 +274,7 @@
         deadlines to the longest permitted lease.
         """
         self._ack_number = 0
+        self._loss_count += 1
         if self._deadline_ms is not None:
             expiry_ms = now_ms + max_local_duration_ms(self._settings.lease_max_ms)
             self._lease_expiry_ms = max(self._lease_expiry_ms, expiry_ms)
@@ -293,6 +301,7 @@
     def _mark_unreachable(self, detail: str) -> None:
         if self._is_reachable:
             self._is_reachable = False
+            self._loss_count += 1
             log_event("endpoint_lost", endpoint=self.info.id, detail=detail)
             self._on_unreachable(self.info.id)
 
