--- a/ragwortshelf/core/scheduling/crashes.py
+++ b/ragwortshelf/core/scheduling/crashes.py
@@ -15,7 +15,7 @@
 from __future__ import annotations
 
 from collections import deque
-from collections.abc import Mapping
+from collections.abc import Mapping, Sequence
 from dataclasses import dataclass, replace
 
 from .fleet import Endpoint, TaskPlacement
@@ -113,11 +113,13 @@
     def contact_lost(self, endpoint: Endpoint, now_ms: int) -> list[Unit]:
         """Suspect the units of an endpoint's fresh runs; returns those that are new.
 
+        A loss is noted only once, while the endpoint still counts as reachable.
         An endpoint that leaves as planned says nothing of its runs.
         """
         is_planned = endpoint.info.is_draining or endpoint.is_cordoned
         fresh = [p for p in endpoint.placements() if p.is_fresh]
-        self._losses.append(_Loss(endpoint.id, now_ms, bool(fresh)))
+        if endpoint.is_reachable:
+            self._losses.append(_Loss(endpoint.id, now_ms, bool(fresh)))
         changed: dict[UnitKey, Unit] = {}
         for placement in fresh:
             unit = self._unit_by_key.get(placement.unit_key)
@@ -183,7 +185,7 @@
     def run_settled(self, placement: TaskPlacement) -> Unit | None:
         """Clear a suspected unit once all of its runs have settled; returns it then."""
         unit = self.suspect_by_key.get(placement.unit_key)
-        if unit is None or any(p.is_fresh or not p.is_sent for p in unit.placements):
+        if unit is None or sum(p.is_settled for p in unit.placements) < unit.count:
             return None
         self._put(unit, UnitCrashes(unit.key))
         unit.accused_indexes.clear()
@@ -233,6 +235,17 @@
             return True
         return all(other.key.job_id != job_id for other in on_trial)
 
+    @staticmethod
+    def trial_endpoint_ids(unit: Unit, endpoints: Sequence[Endpoint]) -> set[str]:
+        """Return the ids of the endpoints on which a unit's tasks start first.
+
+        For a suspected gang that is a single one, which runs a task that had just been
+        started on an endpoint that was lost.
+        """
+        if not unit.is_suspect:
+            return {endpoint.id for endpoint in endpoints}
+        return {endpoints[min(unit.accused_indexes, default=0)].id}
+
     def may_share(self, endpoint: Endpoint, unit: Unit) -> bool:
         """Whether a unit may start beside the fresh runs of others on an endpoint."""
         if not self.suspect_by_key:
--- a/ragwortshelf/core/scheduling/lifecycle.py
+++ b/ragwortshelf/core/scheduling/lifecycle.py
@@ -38,6 +38,11 @@
 """Age up to which a placement of an earlier term may have been started only just before
 its scheduler ended. A change of scheduler takes 2 to 3 s, a slow log included 9."""
 
+GANG_TRIAL_MS = 300
+"""Time for which the first members of a suspected gang run before the others start. The
+loss of an endpoint that crashes is noticed within a round trip; members wait for each
+other for 3 s and more."""
+
 PLANNING_FAULT_DELAY_MS = 5_000
 """Delay before a unit is planned again whose planning raised an unexpected error."""
 
@@ -64,6 +69,8 @@
         self.speeds = SpeedTracker()
         self.crashes = CrashTracker(table, self.unit_by_key)
         self._next_occurrence_by_job: dict[str, int] = {}
+        # Placements of suspected gangs whose starts wait for that of another member.
+        self._held_by_key: dict[UnitKey, list[TaskPlacement]] = {}
         self._actions: list[Action] = []
 
     def adopt(self, now_ms: int, wall_ms: int) -> None:
@@ -105,11 +112,14 @@
         self._persist(unit, record, "placed", slack_ms)
         unit.phase = UnitPhase.PLACED
         del self.waiting[unit.key]
+        tried_ids = self.crashes.trial_endpoint_ids(unit, endpoints)
         for index, endpoint in enumerate(endpoints):
             placement = self._add_placement(unit, index, endpoint, now_ms)
             placement.stage = RunStage.ORDERED
-            ticket = self.advice.ticket(unit, endpoint, now_ms) or ""
-            self._order_start(unit, placement, ticket)
+            if endpoint.id in tried_ids:
+                self._order_start(unit, placement, self._ticket(placement, now_ms))
+            else:
+                self._held_by_key.setdefault(unit.key, []).append(placement)
 
     def stop_unit(self, unit: Unit, reason: str, now_ms: int) -> None:
         """Stop a unit, which is requeued when its runs end; its checkpoint is kept."""
@@ -252,6 +262,8 @@
     def _contact_lost(self, endpoint: Endpoint, now_ms: int) -> None:
         for unit in self.crashes.contact_lost(endpoint, now_ms):
             self._persist_evidence(unit.crashes, "contact lost at its start")
+            if self._held_by_key.pop(unit.key, None):
+                self._stop_placements(unit, "endpoint of its trial lost", now_ms)
 
     def _observe(self, endpoint: Endpoint, now_ms: int, wall_ms: int) -> None:
         """Resolve suspicions by an endpoint that answers in its present incarnation.
@@ -354,6 +366,30 @@
             )
         )
 
+    def _ticket(self, placement: TaskPlacement, now_ms: int) -> str:
+        unit = self.unit_by_key[placement.unit_key]
+        endpoint = self.endpoint_by_id[placement.endpoint_id]
+        return self.advice.ticket(unit, endpoint, now_ms) or ""
+
+    def _release_held_starts(self, now_ms: int) -> None:
+        """Order the other starts of gangs whose first members have not crashed."""
+        for key, held in list(self._held_by_key.items()):
+            unit = self.unit_by_key.get(key)
+            if unit is None or unit.phase is not UnitPhase.PLACED:
+                del self._held_by_key[key]
+                continue
+            tried = [p for p in unit.placements if p not in held]
+            if all(self._has_passed_trial(placement, now_ms) for placement in tried):
+                del self._held_by_key[key]
+                for placement in held:
+                    self._order_start(unit, placement, self._ticket(placement, now_ms))
+
+    def _has_passed_trial(self, placement: TaskPlacement, now_ms: int) -> bool:
+        if placement.stage is not RunStage.RUNNING or placement.confirmed_ms is None:
+            return False
+        is_reachable = self.endpoint_by_id[placement.endpoint_id].is_reachable
+        return is_reachable and now_ms - placement.confirmed_ms >= GANG_TRIAL_MS
+
     def _stop(self, placement: TaskPlacement, reason: str, now_ms: int) -> None:
         placement.stage = RunStage.STOPPING
         placement.next_stop_ms = now_ms + STOP_RETRY_MS
--- a/ragwortshelf/core/scheduling/planning.py
+++ b/ragwortshelf/core/scheduling/planning.py
@@ -94,6 +94,7 @@
             if unit.not_before_ms > now_ms:
                 continue
             if not self._scheduler.crashes.may_start_now(unit, len(usable), now_ms):
+                self.drop_reservation(unit)
                 continue
             try:
                 self._plan_unit(unit, usable, gpus_in_use, unplaceable_shapes)
--- a/ragwortshelf/core/scheduling/scheduler.py
+++ b/ragwortshelf/core/scheduling/scheduler.py
@@ -126,8 +126,8 @@
         """Place nothing on an endpoint until its next listing."""
         endpoint = self.endpoint_by_id.get(endpoint_id)
         if endpoint is not None:
-            endpoint.is_reachable = False
             self._contact_lost(endpoint, now_ms)
+            endpoint.is_reachable = False
 
     def forget_unlisted_endpoints(self) -> None:
         """Forget the endpoints that left while no scheduler knew of it."""
@@ -148,8 +148,8 @@
         endpoint = self.endpoint_by_id.get(endpoint_id)
         if endpoint is None:
             return
-        endpoint.is_reachable = False
         self._contact_lost(endpoint, now_ms)
+        endpoint.is_reachable = False
         for placement in endpoint.placements():
             self._placement_ended(placement, RunEnd.LAPSED, "", now_ms, wall_ms)
         if not endpoint.is_in_store:
@@ -274,6 +274,7 @@
     def plan(self, now_ms: int, wall_ms: int) -> None:
         """Start units that fit, stop units that must yield, and repeat lost stops."""
         self._open_due_occurrences(now_ms, wall_ms)
+        self._release_held_starts(now_ms)
         self._repeat_stops(now_ms)
         self._stop_on_departing(now_ms)
         self._planner.run(now_ms, wall_ms)
@@ -456,6 +457,9 @@
         # from now on: the run is not there, and no delayed order can start it.
         placement.is_adopted = False
         unit = self.unit_by_key.get(placement.unit_key)
+        if unit is not None and unit.is_suspect and unit.count > 1:
+            # The earlier term may have held this start back.
+            self._stop_placements(unit, "trial ended with its term", now_ms)
         if unit is not None and unit.phase is UnitPhase.PLACED:
             placement.stage = RunStage.ORDERED
             placement.ordered_ms = now_ms
