Count listed runs without a placement against an endpoint's room

Cause: a unit that has ended is logged without endpoints, and a listed run without a placement was ordered to stop but not counted. Class: room computed from decisions alone, where the endpoint tells what is there. Each listing now gives the runs without a placement, with what their steps occupy; the run of an unknown job counts as the whole capacity.

--- a/ragwortshelf/core/scheduling/fleet.py
+++ b/ragwortshelf/core/scheduling/fleet.py
@@ -296,6 +296,9 @@
     a later start survived; ``suspected_start_ms`` is when the latest of these runs was
     ordered. ``proven_start_ms`` is when the latest run was ordered that survived, None
     before the first one. ``speed`` is relative to the other endpoints.
+
+    ``unplaced_by_run`` has the resources of listed runs that have no placement, by task
+    and run number, such as those that an earlier term was stopping.
     """
 
     __slots__ = (
@@ -320,6 +323,7 @@
         "started_wall_ms",
         "suspected_start_ms",
         "suspected_until_ms",
+        "unplaced_by_run",
     )
 
     def __init__(self, info: EndpointInfo):
@@ -339,6 +343,7 @@
         self.suspected_until_ms = 0
         self.proven_start_ms: int | None = None
         self.placement_by_task: dict[str, TaskPlacement] = {}
+        self.unplaced_by_run: dict[tuple[str, int], Resources] = {}
         self.free_cpu_milli = info.capacity.cpu_milli
         self.free_memory_mb = info.capacity.memory_mb
         self.free_gpus = info.capacity.gpus
@@ -418,6 +423,14 @@
             del self.placement_by_task[placement.task]
             self._add_free(placement.occupied, 1)
 
+    def set_unplaced(self, unplaced_by_run: dict[tuple[str, int], Resources]) -> None:
+        """Replace the runs without a placement, which occupy resources as well."""
+        for occupied in self.unplaced_by_run.values():
+            self._add_free(occupied, 1)
+        self.unplaced_by_run = unplaced_by_run
+        for occupied in unplaced_by_run.values():
+            self._add_free(occupied, -1)
+
     def exclude(self, until_ms: int) -> None:
         """Place nothing new here before ``until_ms``."""
         self.excluded_until_ms = max(self.excluded_until_ms, until_ms)
--- a/ragwortshelf/core/scheduling/scheduler.py
+++ b/ragwortshelf/core/scheduling/scheduler.py
@@ -28,7 +28,7 @@
 )
 from .job_table import JobTable
 from .lifecycle import UnitLifecycle
-from .model import UnitPhase
+from .model import Resources, UnitPhase
 from .pacing import FULL_PERCENT, plan_paces
 from .planning import Planner
 from .suspicion import QUICK_FAILURE_MS, is_quick
@@ -150,6 +150,7 @@
             return
         self._contact_lost(endpoint, now_ms)
         endpoint.is_reachable = False
+        endpoint.set_unplaced({})
         for placement in endpoint.placements():
             self._placement_ended(placement, RunEnd.LAPSED, "", now_ms, wall_ms)
         if not endpoint.is_in_store:
@@ -173,9 +174,13 @@
         for row in listing.finished:
             seen.add((row.task, row.run))
             self._handle_finished(endpoint, row, now_ms, wall_ms)
+        unplaced_by_run = {}
         for row in listing.running:
             seen.add((row.task, row.run))
-            self._handle_running(endpoint, row, now_ms)
+            if not self._handle_running(endpoint, row, now_ms):
+                occupied = self._occupied_by(row.task, endpoint)
+                unplaced_by_run[row.task, row.run] = occupied
+        endpoint.set_unplaced(unplaced_by_run)
         self._stop_stalled(endpoint, now_ms)
         self._actions.extend(plan_paces(endpoint, self.unit_by_key))
         if len(listing.finished) >= FINISHED_PAGE_SIZE:
@@ -353,13 +358,14 @@
 
     def _handle_running(
         self, endpoint: Endpoint, row: RunningTask, now_ms: int
-    ) -> None:
+    ) -> bool:
+        """Update the placement of a listed run; returns whether it has one."""
         placement = endpoint.placement_by_task.get(row.task)
         if placement is None or placement.run != row.run:
             self._actions.append(
                 StopTask(endpoint.id, row.task, row.run, "not placed here")
             )
-            return
+            return False
         if row.checkpoint:
             placement.checkpoint = row.checkpoint
         placement.record_progress(row.percent, now_ms)
@@ -382,6 +388,22 @@
         is_obsolete = unit is None or unit.phase is not UnitPhase.PLACED
         if is_obsolete and placement.stage is not RunStage.STOPPING:
             self._stop(placement, "no longer wanted", now_ms)
+        return True
+
+    def _occupied_by(self, task: str, endpoint: Endpoint) -> Resources:
+        """Return what a run occupies that has no placement.
+
+        That of an unknown job may occupy all of the endpoint.
+        """
+        job_id, _, rest = task.partition(".")
+        job = self.table.job_by_id.get(job_id)
+        numbers = rest.split(".")
+        if job is None or len(numbers) != 3 or not numbers[1].isdecimal():
+            return endpoint.info.capacity
+        step = int(numbers[1])
+        if step >= len(job.spec.steps):
+            return endpoint.info.capacity
+        return job.spec.steps[step].occupied
 
     def _handle_finished(
         self,
--- a/tests/core/scheduling/test_planning.py
+++ b/tests/core/scheduling/test_planning.py
@@ -248,6 +248,8 @@
 
 # Guards against starts over capacity after a change of scheduler: the members of a gang
 # that are still being stopped after its last attempt failed count as well.
+# The failure: a unit that has ended is logged without endpoints, so that a successor
+# did not count the runs of it that were still being stopped.
 def test_a_successor_counts_what_is_still_being_stopped():
     harness = Harness(endpoints=2, attempts=1)
     service = EndpointService("pool", has_admission_control=False)
@@ -264,3 +266,20 @@
     harness.scheduler.adopt(harness.now, harness.now)
     harness.list(stopping.endpoint_id)
     assert not harness.starts
+
+
+def test_listed_runs_without_a_placement_occupy_room_until_they_are_gone():
+    harness = Harness(endpoints=1)
+    harness.submit("old", request=HALF)
+    harness.accept_starts()
+    harness.cancel("old")
+    harness.scheduler = Scheduler(2, harness.table, configuration())
+    # A run of a job that nobody knows may occupy everything.
+    for foreign, room in (("old.0.0.0", 4), ("unknown.0.0.0", 0), ("x", 0)):
+        harness.running["e0"] = {foreign: 1}
+        harness.add_endpoint("e0")
+        assert harness.scheduler.endpoint_by_id["e0"].free_gpus == room
+        assert harness.stops[-1].task == foreign
+    harness.running["e0"] = {}
+    harness.list("e0")
+    assert harness.scheduler.endpoint_by_id["e0"].free_gpus == 8
