Start nothing on an endpoint whose capacity has shrunk below what it runs

What callers of an endpoint without admission control saw: it was given more work while one resource was short, as a task was compared with the resources that it requests alone. Room for an urgent unit was made in the same way, by stopping too little.

Capacity was taken not to change in the life of an endpoint, so a negative rest was never looked at. Now nothing fits while any resource is short, and a plan that reclaims room stops enough.

--- a/ragwortshelf/core/scheduling/fleet.py
+++ b/ragwortshelf/core/scheduling/fleet.py
@@ -390,6 +390,11 @@
             and now_ms >= self.suspected_until_ms
         )
 
+    @property
+    def is_overcommitted(self) -> bool:
+        """Whether the runs here exceed the capacity, which has shrunk since."""
+        return self.free_cpu_milli < 0 or self.free_memory_mb < 0 or self.free_gpus < 0
+
     @property
     def is_suspected(self) -> bool:
         """Whether runs failed here at once and no later start has survived."""
@@ -407,7 +412,12 @@
         )
 
     def slots(self, request: Resources) -> int:
-        """Return how many tasks of ``request`` fit into the free capacity."""
+        """Return how many tasks of ``request`` fit into the free capacity.
+
+        None fit while any resource is short, whether they request it or not.
+        """
+        if self.is_overcommitted:
+            return 0
         return request.times_in_amounts(
             self.free_cpu_milli, self.free_memory_mb, self.free_gpus
         )
--- a/ragwortshelf/core/scheduling/model.py
+++ b/ragwortshelf/core/scheduling/model.py
@@ -52,6 +52,11 @@
             fits = min(fits, gpus // self.gpus)
         return max(0, fits)
 
+    @property
+    def is_nonnegative(self) -> bool:
+        """Whether no resource is short."""
+        return self.cpu_milli >= 0 and self.memory_mb >= 0 and self.gpus >= 0
+
     def plus(self, other: Resources, times: int = 1) -> Resources:
         """Return this plus ``times`` times ``other``; negative ``times`` subtracts."""
         return Resources(
--- a/ragwortshelf/core/scheduling/planning.py
+++ b/ragwortshelf/core/scheduling/planning.py
@@ -229,6 +229,8 @@
                 return 0
             if not self._scheduler.crashes.may_share(endpoint, unit):
                 return 0
+            if endpoint.is_overcommitted:
+                return 0
             if len(self._reservations):
                 fits = needed.times_in(self._reservations.room(endpoint, unit))
             else:
--- a/ragwortshelf/core/scheduling/reclaim.py
+++ b/ragwortshelf/core/scheduling/reclaim.py
@@ -127,12 +127,9 @@
         if self._chosen_count_by_id[endpoint.id] >= self._cap:
             return None
         room = self._room_by_id[endpoint.id]
-        needed = self._step.occupied
-        if needed.times_in(room):
+        if self._fits(endpoint, room):
             return (0.0, endpoint.free_gpus), ()
-        victims = self._cheapest_victims(
-            needed, room, self._reclaimable_units(endpoint)
-        )
+        victims = self._cheapest_victims(endpoint, room)
         if victims is None:
             return None
         return (
@@ -140,23 +137,32 @@
             endpoint.free_gpus,
         ), victims
 
-    def _cheapest_victims(self, needed, room, rows) -> list[Unit] | None:
+    def _fits(self, endpoint: Endpoint, room: Resources) -> bool:
+        """Whether one more task fits, and nothing stays over the capacity.
+
+        Elsewhere a resource that is not requested may be reserved beyond what is free.
+        """
+        if endpoint.is_overcommitted and not room.is_nonnegative:
+            return False
+        return self._step.occupied.times_in(room) > 0
+
+    def _cheapest_victims(self, endpoint: Endpoint, room) -> list[Unit] | None:
         """Return the units to stop so that one more task fits, or None.
 
-        ``rows`` pairs units with their resources. Units are selected in that order
-        until the task fits; then unneeded ones are dropped, costliest first.
+        Units are selected, cheapest first, until the task fits; then unneeded ones are
+        dropped, costliest first.
         """
         selected = []
-        for unit, occupied in rows:
+        for unit, occupied in self._reclaimable_units(endpoint):
             selected.append((unit, occupied))
             room = room.plus(occupied)
-            if needed.times_in(room):
+            if self._fits(endpoint, room):
                 break
         else:
             return None
         for unit, occupied in sorted(selected, key=lambda row: -self._cost(row[0])):
             without = room.plus(occupied, -1)
-            if needed.times_in(without):
+            if self._fits(endpoint, without):
                 room = without
                 selected.remove((unit, occupied))
         return [unit for unit, _ in selected]
