Check the room again before a start is sent

Class: acting after a wait on what has changed meanwhile. A start whose endpoint is over its capacity by now is withdrawn like one that was refused for want of room; and where an endpoint would not refuse it, it waits until the endpoints' reports have been read in the last 2 s.

--- a/ragwortshelf/core/scheduling/scheduler.py
+++ b/ragwortshelf/core/scheduling/scheduler.py
@@ -240,6 +240,20 @@
         placement = self._find_placement(order.endpoint_id, order.task, order.run)
         return placement is not None and placement.stage is RunStage.ORDERED
 
+    def may_send(self, order: StartTask) -> bool:
+        """Whether the endpoint of a start still has the room that was found for it."""
+        endpoint = self.endpoint_by_id.get(order.endpoint_id)
+        return endpoint is not None and not endpoint.is_overcommitted
+
+    def needs_recent_capacity(self, order: StartTask) -> bool:
+        """Whether the endpoint of a start would also take what exceeds its capacity."""
+        endpoint = self.endpoint_by_id.get(order.endpoint_id)
+        if endpoint is None:
+            return False
+        services = self.configuration.service_by_name
+        service = services.get(endpoint.info.service)
+        return service is not None and not service.has_admission_control
+
     def start_sent(self, order: StartTask) -> None:
         """Note that an endpoint may receive a start from now on."""
         placement = self._find_placement(order.endpoint_id, order.task, order.run)
--- a/ragwortshelf/scheduler/endpoint_directory.py
+++ b/ragwortshelf/scheduler/endpoint_directory.py
@@ -8,6 +8,7 @@
 
 from ..core.scheduling.fleet import EndpointInfo
 from ..daemon.logs import log_event
+from .clock import boot_ms
 from .interfaces import Entry, KeyedLog, LogGap, LogPage, PlatformAdapter
 from .newest_records import NewestReader, NewestRecords
 from .settings import SchedulingSettings
@@ -37,6 +38,7 @@
         self._on_removed = on_removed
         self._info_by_key: dict[str, EndpointInfo] = {}
         self._next_offset: int | None = None
+        self._confirmed_boot_ms: int | None = None
         self._newest_reader = NewestReader(log)
         # Keys on the pages that the reader has read.
         self._listed_keys: set[str] = set()
@@ -49,7 +51,20 @@
                 log_event("endpoint_log_lost", detail=detail)
             await trio.sleep(self._settings.directory_interval_ms / 1000)
 
+    def age_ms(self) -> int | None:
+        """Return the maximum age of the reports, None before they have been loaded."""
+        if self._confirmed_boot_ms is None:
+            return None
+        return boot_ms() - self._confirmed_boot_ms
+
     async def _poll(self) -> str | None:
+        sent_boot_ms = boot_ms()
+        detail = await self._update()
+        if detail is None:
+            self._confirmed_boot_ms = sent_boot_ms
+        return detail
+
+    async def _update(self) -> str | None:
         if self._next_offset is None:
             return await self._load()
         page = await self._log.read(
--- a/ragwortshelf/scheduler/leadership.py
+++ b/ragwortshelf/scheduler/leadership.py
@@ -104,11 +104,19 @@
             claim.term,
             self._may_order_hosts,
         )
+        self._directory = EndpointDirectory(
+            adapter,
+            logs.endpoints,
+            settings,
+            self._endpoint_updated,
+            self._endpoint_removed,
+        )
         self._orders = OrderSender(
             self._scheduler,
             self._session_by_id,
             adapter,
             logs.metrics,
+            self._directory.age_ms,
             self._order_ended,
         )
         self._plan_event = trio.Event()
@@ -126,18 +134,11 @@
         self._follower.wake()
         self._configuration.on_change = self._configuration_changed
         self._scheduler.adopt(monotonic_ms(), wall_ms())
-        directory = EndpointDirectory(
-            self._adapter,
-            self._logs.endpoints,
-            self._settings,
-            self._endpoint_updated,
-            self._endpoint_removed,
-        )
         try:
             async with trio.open_nursery() as nursery:
                 self._nursery = nursery
                 for name, run in (
-                    ("endpoint directory", directory.run),
+                    ("endpoint directory", self._directory.run),
                     ("planning", self._plan_loop),
                     ("deletion", self._deletion_loop),
                     ("unlisted endpoints", self._release_unlisted_endpoints),
--- a/ragwortshelf/scheduler/orders.py
+++ b/ragwortshelf/scheduler/orders.py
@@ -18,6 +18,13 @@
 
 __all__ = ["OrderSender"]
 
+CAPACITY_AGE_MAX_MS = 2_000
+"""Maximum age of the reports of endpoints at a start that would not be refused for want
+of room. They are read every 0.4 s, and endpoints report every 1.5 s."""
+
+CAPACITY_CHECK_INTERVAL_MS = 50
+"""Interval between checks whether the reports have been read again."""
+
 ADVICE_RETRY_MS = 300
 """Delay before repeating a request that the policy service did not answer."""
 
@@ -25,8 +32,9 @@
 class OrderSender:
     """Carries out individual actions; each method runs as a separate task.
 
-    ``on_outcome`` is called after an outcome was reported to the scheduler, with True
-    if the scheduler should plan again.
+    ``reports_age_ms`` returns the age of the endpoints' reports, or None before the
+    first. ``on_outcome`` is called after an outcome was reported to the scheduler, with
+    True if the scheduler should plan again.
     """
 
     def __init__(
@@ -35,12 +43,14 @@
         session_by_id: Mapping[str, EndpointSession],
         adapter: PlatformAdapter,
         metrics: Metrics,
+        reports_age_ms: Callable[[], int | None],
         on_outcome: Callable[[bool], None],
     ):
         self._scheduler = scheduler
         self._session_by_id = session_by_id
         self._adapter = adapter
         self._metrics = metrics
+        self._reports_age_ms = reports_age_ms
         self._on_outcome = on_outcome
         self._advice_lock = trio.Lock()
 
@@ -78,10 +88,15 @@
 
     async def _start(self, order: StartTask) -> None:
         session = self._session_by_id.get(order.endpoint_id)
-        if session is None or not self._scheduler.is_still_ordered(order):
+        if session is None:
             return
-        self._scheduler.start_sent(order)
-        outcome, was_unanswered = await session.start(order)
+        await self._wait_for_reports(order)
+        if not self._scheduler.is_still_ordered(order):
+            return
+        outcome, was_unanswered = StartOutcome.NO_ROOM, False
+        if self._scheduler.may_send(order):
+            self._scheduler.start_sent(order)
+            outcome, was_unanswered = await session.start(order)
         self._metrics.count("orders_total", order="start", outcome=outcome.value)
         log_event(
             "start",
@@ -92,6 +107,14 @@
         )
         self._report_start(order, outcome, was_unanswered)
 
+    async def _wait_for_reports(self, order: StartTask) -> None:
+        """Hold a start back while the endpoint's capacity may have shrunk unnoticed."""
+        while self._scheduler.needs_recent_capacity(order):
+            age_ms = self._reports_age_ms()
+            if age_ms is not None and age_ms <= CAPACITY_AGE_MAX_MS:
+                return
+            await trio.sleep(CAPACITY_CHECK_INTERVAL_MS / 1000)
+
     def _report_start(
         self, order: StartTask, outcome: StartOutcome, was_unanswered: bool
     ) -> None:
--- a/tests/core/scheduling/test_capacity.py
+++ b/tests/core/scheduling/test_capacity.py
@@ -10,6 +10,7 @@
 
 from ragwortshelf.core.scheduling import EndpointInfo, Resources, Scheduler
 from ragwortshelf.core.scheduling.configuration import EndpointService
+from ragwortshelf.core.scheduling.fleet import StartOutcome
 
 WHOLE = Resources(32_000, 64_000, 8)
 HALF = Resources(16_000, 32_000, 4)
@@ -87,3 +88,18 @@
     harness.list("e0")
     harness.submit("b", request=Resources(0, 0, 1))
     assert not harness.starts
+
+
+# The failure: a start that waited for its record was sent though the room had shrunk.
+def test_an_order_is_withdrawn_if_the_room_shrinks_before_it_is_sent():
+    harness = _Shrinking()
+    harness.submit("a", request=HALF)
+    (order,) = harness.starts
+    assert harness.scheduler.may_send(order)
+    harness.resize("e0", Resources(8_000, 64_000, 8))
+    assert harness.scheduler.is_still_ordered(order)
+    assert not harness.scheduler.may_send(order)
+    harness.refuse_start(StartOutcome.NO_ROOM)
+    harness.resize("e0", WHOLE)
+    harness.advance(500)
+    assert [start.run for start in harness.starts] == [2]
--- a/tests/scheduler/fakes.py
+++ b/tests/scheduler/fakes.py
@@ -279,6 +279,12 @@
         for info in endpoints:
             self.reports.append([(info.id, b"1")])
 
+    def resize(self, endpoint_id, capacity):
+        """Change an endpoint's capacity, and report it."""
+        endpoint = self.endpoint_by_id[endpoint_id]
+        endpoint.info = replace(endpoint.info, capacity=capacity)
+        self.reports.append([(endpoint_id, b"1")])
+
     def make_tasks_crash(self, tasks, *, is_replaced=False):
         """Let the starts of these tasks crash every endpoint.
 
