Count crashes for each task, and hold nothing against units for a common cause

Causes: a gang counted each lost endpoint of one run; a loss counted as explained whenever any run there was fresh, which on a full fleet one always is; a loss known from the log was noted again by a successor; and a wait was not ended by the confirmation. Now each task has its count, losses at the same time have one cause unless each is explained by the job or by a suspect, starts without an answer count less, refused ones not at all, and a gang is tried with one task.

--- a/ragwortshelf/core/scheduling/crashes.py
+++ b/ragwortshelf/core/scheduling/crashes.py
@@ -14,34 +14,34 @@
 
 from __future__ import annotations
 
-from collections import deque
-from collections.abc import Mapping, Sequence
+from collections import Counter, deque
+from collections.abc import Mapping
 from dataclasses import dataclass, replace
 
 from .fleet import Endpoint, TaskPlacement
 from .job_table import JobTable
 from .model import Incarnation, UnitKey
-from .records import UnitCrashes
+from .records import Suspicion, TaskCrashes, UnitCrashes
 from .unit import Unit
 
 __all__ = ["CrashTracker", "IncarnationEnd"]
 
 CRASHES_MAX = 2
-"""Crashes under fresh runs of a unit after which it is given up, if it was the only
-explanation of one of them."""
+"""Crashes at confirmed starts of a task after which its unit is given up, if the unit
+was the only explanation of one of them."""
 
 UNEXPLAINED_CRASHES_MAX = 3
-"""Crashes after which a unit is given up even if each has another explanation."""
+"""Crashes of which each may have another explanation, after which the same holds."""
 
 COMMON_CAUSE_MS = 2_000
 """Endpoints that are lost within this time of each other may have one cause. A cut link
 is noticed 0.4 to 1.9 s later, as renewals wait up to a second for an answer."""
 
-TRIAL_ENDPOINTS_DIVISOR = 8
+TRIAL_ENDPOINTS_DIVISOR = 4
 """One suspected unit may start at a time for this many usable endpoints."""
 
-UNRESOLVED_WAIT_MS = 10_000
-UNRESOLVED_DOUBLINGS_MAX = 3
+UNRESOLVED_WAIT_MS = 5_000
+UNRESOLVED_DOUBLINGS_MAX = 2
 """Time for which a unit waits after its second loss in a row until it is known whether
 its endpoints crashed; doubled with each further one."""
 
@@ -51,11 +51,15 @@
 
 @dataclass(frozen=True, slots=True)
 class _Loss:
-    """Contact with an endpoint was lost; ``had_fresh_runs`` if that may explain it."""
+    """Contact with an endpoint was lost, on which runs of these jobs were fresh.
+
+    ``had_suspect`` is set if one of them was suspected before, which may explain it.
+    """
 
     endpoint_id: str
     lost_ms: int
-    had_fresh_runs: bool
+    fresh_job_ids: frozenset[str]
+    had_suspect: bool
 
 
 @dataclass(frozen=True, slots=True)
@@ -63,8 +67,7 @@
     """An endpoint is known to have crashed, with the units that may have caused it.
 
     ``is_replaced`` is set if another endpoint has its address, and unset if it is back
-    under its id. ``has_other_cause`` is set if others were lost at about that time that
-    had no fresh runs.
+    under its id. ``has_other_cause`` is set unless one of them is the only explanation.
     """
 
     incarnation: Incarnation
@@ -89,8 +92,6 @@
         self._unit_by_key = unit_by_key
         self.suspect_by_key: dict[UnitKey, Unit] = {}
         self._losses: deque[_Loss] = deque(maxlen=LOSSES_REMEMBERED)
-        # Incarnations on which it is not known which runs were started.
-        self._uncertain: set[Incarnation] = set()
         self._cleared_job_ids: set[str] = set()
 
     def adopt(self, unit: Unit) -> None:
@@ -119,22 +120,50 @@
         is_planned = endpoint.info.is_draining or endpoint.is_cordoned
         fresh = [p for p in endpoint.placements() if p.is_fresh]
         if endpoint.is_reachable:
-            self._losses.append(_Loss(endpoint.id, now_ms, bool(fresh)))
-        changed: dict[UnitKey, Unit] = {}
+            keys = {placement.unit_key for placement in fresh}
+            job_ids = frozenset(key.job_id for key in keys)
+            had_suspect = not keys.isdisjoint(self.suspect_by_key)
+            self._losses.append(_Loss(endpoint.id, now_ms, job_ids, had_suspect))
+        new_by_key: dict[UnitKey, list[TaskPlacement]] = {}
         for placement in fresh:
-            unit = self._unit_by_key.get(placement.unit_key)
-            if unit is None or is_planned or placement.is_suspected:
+            if not is_planned and not placement.is_suspected:
+                placement.is_suspected = True
+                new_by_key.setdefault(placement.unit_key, []).append(placement)
+        changed = []
+        for key, placements in new_by_key.items():
+            unit = self._unit_by_key.get(key)
+            if unit is None or endpoint.incarnation in _incarnations(unit.crashes):
                 continue
-            placement.is_suspected = True
-            if placement.is_adopted:
-                self._uncertain.add(endpoint.incarnation)
-            unit.accused_indexes.add(placement.index)
-            incarnation = endpoint.incarnation
-            if incarnation not in unit.crashes.suspected:
-                suspected = (*unit.crashes.suspected, incarnation)
-                self._put(unit, replace(unit.crashes, suspected=suspected))
-                changed[unit.key] = unit
-        return list(changed.values())
+            suspicion = Suspicion(
+                endpoint.incarnation,
+                tuple(placement.index for placement in placements),
+                tuple(p.index for p in placements if p.confirmed_ms is not None),
+            )
+            suspected = (*unit.crashes.suspected, suspicion)
+            self._put(unit, replace(unit.crashes, suspected=suspected))
+            changed.append(unit)
+        return changed
+
+    def start_refused(
+        self, endpoint: Endpoint, placement: TaskPlacement
+    ) -> Unit | None:
+        """Withdraw a suspicion about a start that did not take place.
+
+        Returns the unit if that changed it.
+        """
+        unit = self.suspect_by_key.get(placement.unit_key)
+        if unit is None or not placement.is_suspected:
+            return None
+        placement.is_suspected = False
+        suspected = []
+        for suspicion in unit.crashes.suspected:
+            indexes = suspicion.indexes
+            if suspicion.incarnation == endpoint.incarnation:
+                indexes = tuple(i for i in indexes if i != placement.index)
+            if indexes:
+                suspected.append(replace(suspicion, indexes=indexes))
+        self._put(unit, replace(unit.crashes, suspected=tuple(suspected)))
+        return unit
 
     def incarnation_ended(
         self, ended: Incarnation, is_replaced: bool
@@ -143,23 +172,19 @@
         suspects = tuple(
             unit
             for unit in self.suspect_by_key.values()
-            if ended in unit.crashes.suspected
+            if ended in _incarnations(unit.crashes)
+        )
+        has_other_cause = len(suspects) != 1 or self._has_other_cause(
+            ended.endpoint_id, suspects[0]
         )
-        has_other_cause = self._has_other_cause(ended.endpoint_id)
-        is_certain = ended not in self._uncertain
-        self._uncertain.discard(ended)
-        is_sole = len(suspects) == 1 and is_certain and not has_other_cause
         for unit in suspects:
             crashes = unit.crashes
-            self._put(
-                unit,
-                replace(
-                    crashes,
-                    crashes=crashes.crashes + 1,
-                    sole_crashes=crashes.sole_crashes + is_sole,
-                    suspected=tuple(i for i in crashes.suspected if i != ended),
-                ),
-            )
+            for suspicion in crashes.suspected:
+                if suspicion.incarnation == ended:
+                    crashes = _count_crash(crashes, suspicion, not has_other_cause)
+            suspected = tuple(s for s in crashes.suspected if s.incarnation != ended)
+            self._put(unit, replace(crashes, suspected=suspected))
+            unit.held_until_ms = 0
         return IncarnationEnd(ended, is_replaced, has_other_cause, suspects)
 
     def suspected_incarnations(self) -> set[Incarnation]:
@@ -167,19 +192,23 @@
         return {
             incarnation
             for unit in self.suspect_by_key.values()
-            for incarnation in unit.crashes.suspected
+            for incarnation in _incarnations(unit.crashes)
         }
 
     def incarnation_returned(self, incarnation: Incarnation) -> list[Unit]:
         """Withdraw the suspicions about an endpoint that goes on as it was."""
-        self._uncertain.discard(incarnation)
         changed = []
         for unit in list(self.suspect_by_key.values()):
-            if incarnation in unit.crashes.suspected:
-                suspected = tuple(i for i in unit.crashes.suspected if i != incarnation)
-                self._put(unit, replace(unit.crashes, suspected=suspected))
-                unit.held_until_ms = 0
-                changed.append(unit)
+            if incarnation not in _incarnations(unit.crashes):
+                continue
+            suspected = tuple(
+                suspicion
+                for suspicion in unit.crashes.suspected
+                if suspicion.incarnation != incarnation
+            )
+            self._put(unit, replace(unit.crashes, suspected=suspected))
+            unit.held_until_ms = 0
+            changed.append(unit)
         return changed
 
     def run_settled(self, placement: TaskPlacement) -> Unit | None:
@@ -188,23 +217,24 @@
         if unit is None or sum(p.is_settled for p in unit.placements) < unit.count:
             return None
         self._put(unit, UnitCrashes(unit.key))
-        unit.accused_indexes.clear()
         self._cleared_job_ids.add(unit.key.job_id)
         return unit
 
     @staticmethod
     def must_be_given_up(unit: Unit) -> bool:
         """Whether a unit is taken to crash each endpoint that starts it."""
-        crashes = unit.crashes
-        if crashes.crashes >= UNEXPLAINED_CRASHES_MAX:
-            return True
-        return crashes.crashes >= CRASHES_MAX and crashes.sole_crashes > 0
+        return any(
+            task.count >= UNEXPLAINED_CRASHES_MAX
+            or (task.certain_count >= CRASHES_MAX and unit.crashes.sole_crashes > 0)
+            for task in unit.crashes.by_task
+        )
 
     @staticmethod
     def hold(unit: Unit, now_ms: int) -> None:
         """Let a unit wait that lost two endpoints or more, while it is open why."""
         crashes = unit.crashes
-        losses = crashes.crashes + len(crashes.suspected)
+        most = max((task.count for task in crashes.by_task), default=0)
+        losses = most + len(crashes.suspected)
         if crashes.suspected and losses >= CRASHES_MAX:
             doublings = min(losses - CRASHES_MAX, UNRESOLVED_DOUBLINGS_MAX)
             unit.held_until_ms = now_ms + (UNRESOLVED_WAIT_MS << doublings)
@@ -236,15 +266,21 @@
         return all(other.key.job_id != job_id for other in on_trial)
 
     @staticmethod
-    def trial_endpoint_ids(unit: Unit, endpoints: Sequence[Endpoint]) -> set[str]:
-        """Return the ids of the endpoints on which a unit's tasks start first.
+    def first_index(unit: Unit) -> int | None:
+        """Return the task of a suspected gang that starts before the others.
 
-        For a suspected gang that is a single one, which runs a task that had just been
-        started on an endpoint that was lost.
+        It is the one at whose starts most endpoints were lost. None if the tasks of the
+        unit start together.
         """
         if not unit.is_suspect:
-            return {endpoint.id for endpoint in endpoints}
-        return {endpoints[min(unit.accused_indexes, default=0)].id}
+            return None
+        losses_by_index: Counter[int] = Counter()
+        for task in unit.crashes.by_task:
+            losses_by_index[task.index] += task.count + task.certain_count
+        for suspicion in unit.crashes.suspected:
+            losses_by_index.update(suspicion.indexes)
+            losses_by_index.update(suspicion.confirmed)
+        return min(losses_by_index, key=lambda i: (-losses_by_index[i], i))
 
     def may_share(self, endpoint: Endpoint, unit: Unit) -> bool:
         """Whether a unit may start beside the fresh runs of others on an endpoint."""
@@ -257,7 +293,11 @@
                 return False
         return True
 
-    def _has_other_cause(self, endpoint_id: str) -> bool:
+    def _has_other_cause(self, endpoint_id: str, unit: Unit) -> bool:
+        """Whether another endpoint was lost at that time that this does not explain.
+
+        Tasks of one job are alike, so each may explain a loss.
+        """
         lost_ms = max(
             (loss.lost_ms for loss in self._losses if loss.endpoint_id == endpoint_id),
             default=None,
@@ -265,7 +305,9 @@
         if lost_ms is None:
             return False
         return any(
-            not loss.had_fresh_runs and abs(loss.lost_ms - lost_ms) <= COMMON_CAUSE_MS
+            unit.key.job_id not in loss.fresh_job_ids
+            and not loss.had_suspect
+            and abs(loss.lost_ms - lost_ms) <= COMMON_CAUSE_MS
             for loss in self._losses
             if loss.endpoint_id != endpoint_id
         )
@@ -280,3 +322,23 @@
 
 def _is_on_trial(unit: Unit) -> bool:
     return any(not placement.is_settled for placement in unit.placements)
+
+
+def _incarnations(crashes: UnitCrashes) -> set[Incarnation]:
+    return {suspicion.incarnation for suspicion in crashes.suspected}
+
+
+def _count_crash(
+    crashes: UnitCrashes, suspicion: Suspicion, is_sole: bool
+) -> UnitCrashes:
+    """Return the count with one more crash of each task that was fresh there."""
+    by_index = {task.index: task for task in crashes.by_task}
+    for index in suspicion.indexes:
+        task = by_index.get(index, TaskCrashes(index, 0, 0))
+        certain_count = task.certain_count + (index in suspicion.confirmed)
+        by_index[index] = TaskCrashes(index, task.count + 1, certain_count)
+    return replace(
+        crashes,
+        by_task=tuple(by_index[index] for index in sorted(by_index)),
+        sole_crashes=crashes.sole_crashes + is_sole,
+    )
--- a/ragwortshelf/core/scheduling/lifecycle.py
+++ b/ragwortshelf/core/scheduling/lifecycle.py
@@ -39,7 +39,7 @@
 its scheduler ended. A change of scheduler takes 2 to 3 s, a slow log included 9."""
 
 GANG_TRIAL_MS = 300
-"""Time for which the first members of a suspected gang run before the others start. The
+"""Time for which the first member of a suspected gang runs before the others start. The
 loss of an endpoint that crashes is noticed within a round trip; members wait for each
 other for 3 s and more."""
 
@@ -112,11 +112,11 @@
         self._persist(unit, record, "placed", slack_ms)
         unit.phase = UnitPhase.PLACED
         del self.waiting[unit.key]
-        tried_ids = self.crashes.trial_endpoint_ids(unit, endpoints)
+        first_index = self.crashes.first_index(unit)
         for index, endpoint in enumerate(endpoints):
             placement = self._add_placement(unit, index, endpoint, now_ms)
             placement.stage = RunStage.ORDERED
-            if endpoint.id in tried_ids:
+            if first_index is None or index == first_index:
                 self._order_start(unit, placement, self._ticket(placement, now_ms))
             else:
                 self._held_by_key.setdefault(unit.key, []).append(placement)
@@ -265,6 +265,12 @@
             if self._held_by_key.pop(unit.key, None):
                 self._stop_placements(unit, "endpoint of its trial lost", now_ms)
 
+    def _start_refused(self, placement: TaskPlacement) -> None:
+        endpoint = self.endpoint_by_id[placement.endpoint_id]
+        unit = self.crashes.start_refused(endpoint, placement)
+        if unit is not None:
+            self._persist_evidence(unit.crashes, "start refused")
+
     def _observe(self, endpoint: Endpoint, now_ms: int, wall_ms: int) -> None:
         """Resolve suspicions by an endpoint that answers in its present incarnation.
 
@@ -372,7 +378,7 @@
         return self.advice.ticket(unit, endpoint, now_ms) or ""
 
     def _release_held_starts(self, now_ms: int) -> None:
-        """Order the other starts of gangs whose first members have not crashed."""
+        """Order the other starts of gangs whose first member has not crashed."""
         for key, held in list(self._held_by_key.items()):
             unit = self.unit_by_key.get(key)
             if unit is None or unit.phase is not UnitPhase.PLACED:
--- a/ragwortshelf/core/scheduling/records.py
+++ b/ragwortshelf/core/scheduling/records.py
@@ -35,6 +35,8 @@
     "JobForgotten",
     "JobSubmitted",
     "Record",
+    "Suspicion",
+    "TaskCrashes",
     "TermHeld",
     "UnitCrashes",
     "UnitRecord",
@@ -105,18 +107,41 @@
     endpoint_id: str
 
 
+@dataclass(frozen=True, slots=True)
+class Suspicion:
+    """An endpoint was lost at the start of some of a unit's tasks, given by index.
+
+    It is open whether it crashed. The starts of ``confirmed`` were answered.
+    """
+
+    incarnation: Incarnation
+    indexes: tuple[int, ...]
+    confirmed: tuple[int, ...]
+
+
+@dataclass(frozen=True, slots=True)
+class TaskCrashes:
+    """How many endpoints crashed at the starts of one task of a unit.
+
+    ``certain_count`` is without those that may have crashed before they received one.
+    """
+
+    index: int
+    count: int
+    certain_count: int
+
+
 @dataclass(frozen=True, slots=True)
 class UnitCrashes:
     """The endpoints that were lost at a unit's starts, written after each change.
 
-    ``crashes`` counts those that crashed, and ``sole_crashes`` those of them whose only
-    known explanation is the unit. Of ``suspected`` it is open whether they crashed.
+    ``sole_crashes`` counts the crashes whose only known explanation is the unit.
     """
 
     key: UnitKey
-    crashes: int = 0
+    by_task: tuple[TaskCrashes, ...] = ()
     sole_crashes: int = 0
-    suspected: tuple[Incarnation, ...] = ()
+    suspected: tuple[Suspicion, ...] = ()
 
 
 @dataclass(frozen=True, slots=True)
@@ -198,8 +223,7 @@
                 )
             )
         case UnitCrashes():
-            suspected = [astuple(incarnation) for incarnation in record.suspected]
-            fields = (record.crashes, record.sole_crashes, suspected)
+            fields = astuple(record)[1:]
             return _unit_key(record.key, "k"), cbor2.dumps(fields)
         case EndpointObserved(incarnation):
             fields = (incarnation.address, incarnation.started_wall_ms)
@@ -292,15 +316,21 @@
 
 
 def _decode_crashes(rest: str, fields) -> UnitCrashes:
-    crashes, sole_crashes, suspected, *_ = fields
+    by_task, sole_crashes, suspected, *_ = fields
     return UnitCrashes(
         _parse_unit_key(rest),
-        int(crashes),
+        tuple(TaskCrashes(*map(int, task[:3])) for task in by_task),
         int(sole_crashes),
-        tuple(
-            Incarnation(str(endpoint_id), str(address), int(started_wall_ms))
-            for endpoint_id, address, started_wall_ms, *_ in suspected
-        ),
+        tuple(map(_decode_suspicion, suspected)),
+    )
+
+
+def _decode_suspicion(fields) -> Suspicion:
+    (endpoint_id, address, started_wall_ms, *_), indexes, confirmed, *_ = fields
+    return Suspicion(
+        Incarnation(str(endpoint_id), str(address), int(started_wall_ms)),
+        tuple(map(int, indexes)),
+        tuple(map(int, confirmed)),
     )
 
 
--- a/ragwortshelf/core/scheduling/scheduler.py
+++ b/ragwortshelf/core/scheduling/scheduler.py
@@ -233,6 +233,7 @@
         if may_run:
             self._stop(placement, f"start {outcome.value}", now_ms)
         else:
+            self._start_refused(placement)
             self._placement_ended(placement, RunEnd.STOPPED, "", now_ms, wall_ms)
 
     def is_still_ordered(self, order: StartTask) -> bool:
--- a/ragwortshelf/core/scheduling/unit.py
+++ b/ragwortshelf/core/scheduling/unit.py
@@ -30,13 +30,11 @@
     ``last_failed_run`` is the latest run counted as failed, so that a gang's run counts
     once. ``quick_failure_count`` counts runs that failed as soon as they started.
 
-    ``crashes`` has the endpoints that were lost at its starts, ``accused_indexes`` the
-    tasks that had just been started there, and ``held_until_ms`` how long it waits for
-    word of them.
+    ``crashes`` has the endpoints that were lost at its starts, and ``held_until_ms`` is
+    how long it waits for word of them.
     """
 
     __slots__ = (
-        "accused_indexes",
         "avoided_ids",
         "crashes",
         "held_until_ms",
@@ -69,7 +67,6 @@
         self.quick_failure_count = 0
         self.not_before_ms = 0
         self.crashes = UnitCrashes(key)
-        self.accused_indexes: set[int] = set()
         self.held_until_ms = 0
         self.sort_key: tuple = ()
         self.latest_start_wall_ms = 0
@@ -84,7 +81,7 @@
     @property
     def is_suspect(self) -> bool:
         """Whether the unit may crash the endpoints that start it."""
-        return self.crashes.crashes > 0 or bool(self.crashes.suspected)
+        return bool(self.crashes.by_task or self.crashes.suspected)
 
     @property
     def gpus(self) -> int:
--- a/ragwortshelf/scheduler/term_writer.py
+++ b/ragwortshelf/scheduler/term_writer.py
@@ -194,9 +194,9 @@
             "unit_crashes",
             job=record.key.job_id,
             unit="/".join(map(str, record.key[1:])),
-            crashes=record.crashes,
+            crashes_by_task={task.index: task.count for task in record.by_task},
             sole=record.sole_crashes,
-            suspected=[lost.endpoint_id for lost in record.suspected],
+            suspected=[s.incarnation.endpoint_id for s in record.suspected],
             reason=reason,
             term=self._claim.term,
         )
