--- a/ragwortshelf/core/scheduling/records.py
+++ b/ragwortshelf/core/scheduling/records.py
@@ -20,6 +20,7 @@
 
 from __future__ import annotations
 
+from collections.abc import Iterable
 from dataclasses import astuple, dataclass
 
 import cbor2
@@ -281,9 +282,15 @@
     return None
 
 
-def deletion_records(job_id: str, units: list[UnitKey]) -> list[tuple[str, bytes]]:
-    """Return the keys of a job's records with empty values, which delete them."""
-    keys = [_unit_key(unit, kind) for unit in units for kind in "uk"]
+def deletion_records(
+    job_id: str, units: Iterable[UnitKey], crashed_units: Iterable[UnitKey] = ()
+) -> list[tuple[str, bytes]]:
+    """Return the keys of a job's records with empty values, which delete them.
+
+    ``crashed_units`` are those with a record of the endpoints lost at their starts.
+    """
+    keys = [_unit_key(unit) for unit in units]
+    keys += [_unit_key(unit, "k") for unit in crashed_units]
     return [(key, b"") for key in (*keys, f"c/{job_id}", submission_key(job_id))]
 
 
--- a/ragwortshelf/scheduler/leadership.py
+++ b/ragwortshelf/scheduler/leadership.py
@@ -392,7 +392,8 @@
                 await self._delete_job(job.spec.id, list(job.record_by_key))
 
     async def _delete_job(self, job_id: str, units: list[UnitKey]) -> None:
-        if await self._commit(deletion_records(job_id, units)):
+        crashed_units = list(self._follower.table.crashes_by_job_id.get(job_id, ()))
+        if await self._commit(deletion_records(job_id, units, crashed_units)):
             log_event("job_forgotten", job=job_id)
 
     async def _commit(self, entries: list[Entry]) -> bool:
--- a/tests/core/scheduling/test_crashes.py
+++ b/tests/core/scheduling/test_crashes.py
@@ -13,6 +13,7 @@
     TaskCrashes,
     UnitCrashes,
     decode_record,
+    deletion_records,
     encode_record,
 )
 
@@ -437,3 +438,10 @@
     assert not harness.starts
     harness.restart(*placed.values())
     assert len(harness.starts) == 1
+
+
+def test_evidence_is_deleted_with_its_job():
+    key = UnitKey("j", 0, 0, 1)
+    other = key._replace(member=0)
+    deleted = [key for key, _ in deletion_records("j", [other, key], [key])]
+    assert deleted == ["u/j/0/0/0", "u/j/0/0/1", "k/j/0/0/1", "c/j", "j/j"]
