Try suspects on up to half of the endpoints, and release held members of gangs

Trials were limited to a quarter of the endpoints, and a suspect that was only being stopped still took one, so the older deadly ones kept the healthy ones out. A trial now ends with the order to stop, and half of the endpoints may be on trial: the limit is there for bursts, since a stream of deadly work costs the same endpoints in the end.

Found by reading beside it: members of a gang that were held back for a trial kept their room for ever if the gang ended meanwhile.

The soak has tasks that crash endpoints, endpoints that shrink and no admission control, and checks both rules.

--- a/ragwortshelf/core/scheduling/crashes.py
+++ b/ragwortshelf/core/scheduling/crashes.py
@@ -18,7 +18,7 @@
 from collections.abc import Mapping
 from dataclasses import dataclass, replace
 
-from .fleet import Endpoint, TaskPlacement
+from .fleet import Endpoint, RunStage, TaskPlacement
 from .job_table import JobTable
 from .model import Incarnation, UnitKey
 from .records import Suspicion, TaskCrashes, UnitCrashes
@@ -37,7 +37,7 @@
 """Endpoints that are lost within this time of each other may have one cause. A cut link
 is noticed 0.4 to 1.9 s later, as renewals wait up to a second for an answer."""
 
-TRIAL_ENDPOINTS_DIVISOR = 4
+TRIAL_ENDPOINTS_DIVISOR = 2
 """One suspected unit may start at a time for this many usable endpoints."""
 
 UNRESOLVED_WAIT_MS = 5_000
@@ -321,7 +321,10 @@
 
 
 def _is_on_trial(unit: Unit) -> bool:
-    return any(not placement.is_settled for placement in unit.placements)
+    return any(
+        not placement.is_settled and placement.stage is not RunStage.STOPPING
+        for placement in unit.placements
+    )
 
 
 def _incarnations(crashes: UnitCrashes) -> set[Incarnation]:
--- a/ragwortshelf/core/scheduling/lifecycle.py
+++ b/ragwortshelf/core/scheduling/lifecycle.py
@@ -377,12 +377,18 @@
         endpoint = self.endpoint_by_id[placement.endpoint_id]
         return self.advice.ticket(unit, endpoint, now_ms) or ""
 
-    def _release_held_starts(self, now_ms: int) -> None:
+    def _release_held_starts(self, now_ms: int, wall_ms: int) -> None:
         """Order the other starts of gangs whose first member has not crashed."""
         for key, held in list(self._held_by_key.items()):
             unit = self.unit_by_key.get(key)
             if unit is None or unit.phase is not UnitPhase.PLACED:
                 del self._held_by_key[key]
+                for placement in held:
+                    # Never ordered, so that no listing would tell of its end.
+                    if placement.stage is RunStage.ORDERED:
+                        self._placement_ended(
+                            placement, RunEnd.STOPPED, "", now_ms, wall_ms
+                        )
                 continue
             tried = [p for p in unit.placements if p not in held]
             if all(self._has_passed_trial(placement, now_ms) for placement in tried):
--- a/ragwortshelf/core/scheduling/scheduler.py
+++ b/ragwortshelf/core/scheduling/scheduler.py
@@ -294,7 +294,7 @@
     def plan(self, now_ms: int, wall_ms: int) -> None:
         """Start units that fit, stop units that must yield, and repeat lost stops."""
         self._open_due_occurrences(now_ms, wall_ms)
-        self._release_held_starts(now_ms)
+        self._release_held_starts(now_ms, wall_ms)
         self._repeat_stops(now_ms)
         self._stop_on_departing(now_ms)
         self._planner.run(now_ms, wall_ms)
--- a/ragwortshelf/standins/platform_endpoint.py
+++ b/ragwortshelf/standins/platform_endpoint.py
@@ -66,6 +66,8 @@
         self.running: dict[str, tuple[int, int]] = {}
         self.finished: list[FinishedRun] = []
         self.history: dict[tuple[str, int], StartedRun] = {}
+        # Task and run number of those that were running at a crash.
+        self.crashed_runs: list[tuple[str, int]] = []
         self._last_end_number = 0
         self._highest_run_by_task: dict[str, int] = {}
 
@@ -133,6 +135,7 @@
 
     def crash(self) -> None:
         """Lose all runs, ends and fences, as a process that ends and starts again."""
+        self.crashed_runs.extend((task, run) for task, (run, _) in self.running.items())
         for task, (run, _) in self.running.items():
             self.history[task, run] = replace(
                 self.history[task, run], ended_ms=_now_ms(), end=RunEnd.LAPSED
--- a/soak/checks.py
+++ b/soak/checks.py
@@ -3,16 +3,25 @@
 from __future__ import annotations
 
 import itertools
-from collections import defaultdict
+from collections import Counter, defaultdict
 from collections.abc import Iterable
 
 from ragwortshelf.core.scheduling.fleet import RunEnd
 from ragwortshelf.standins.platform_endpoint import EndpointState, StartedRun
 
 from .callers import JobRecord
+from .platform_server import is_deadly
 
 __all__ = ["find_violations"]
 
+CRASHES_MAX = 3
+STARTS_AFTER_CRASHES_MAX = 2
+"""A task that crashes its endpoints is started at most twice more after three crashes,
+by the platform's specification."""
+
+CRASHES_BEFORE_FAILED = 2
+"""Crashes under a task from which its job may be shown as failed."""
+
 CANCEL_LIMIT_MS = 3_000
 """Time after which a cancelled job must not start any task, by the platform's
 specification."""
@@ -26,13 +35,19 @@
     """Return one line for each violated guarantee."""
     violations: list[str] = []
     runs_by_task = defaultdict(list)
+    crashes_by_task: Counter[str] = Counter()
     for endpoint in endpoints:
+        crashes_by_task.update(task for task, _ in endpoint.crashed_runs)
         for run in endpoint.history.values():
             runs_by_task[run.task].append(run)
     for task, runs in runs_by_task.items():
         violations += _check_task(task, sorted(runs, key=lambda run: run.started_ms))
     for job in jobs.values():
-        violations += _check_job(job, runs_by_task, final_state_by_id.get(job.id, ""))
+        state = final_state_by_id.get(job.id, "")
+        violations += _check_job(job, runs_by_task, crashes_by_task, state)
+    for task, crashes in crashes_by_task.items():
+        if is_deadly(task) and crashes > CRASHES_MAX + STARTS_AFTER_CRASHES_MAX:
+            violations.append(f"{task}: crashed {crashes} endpoints")
     return violations
 
 
@@ -58,7 +73,9 @@
     return run.voided_ms is not None and run.voided_ms <= at_ms
 
 
-def _check_job(job: JobRecord, runs_by_task, final_state: str) -> list[str]:
+def _check_job(
+    job: JobRecord, runs_by_task, crashes_by_task, final_state: str
+) -> list[str]:
     tasks = [t for t in runs_by_task if t.startswith(f"{job.id}.")]
     if not job.is_accepted and not job.is_uncertain:
         if tasks:
@@ -74,6 +91,9 @@
         return [f"{job.id}: {r.task} started after its cancellation" for r in late_runs]
     if final_state == "failed" and _has_failures(tasks, runs_by_task):
         return []
+    most_crashes = max((crashes_by_task[task] for task in tasks), default=0)
+    if final_state == "failed" and most_crashes >= CRASHES_BEFORE_FAILED:
+        return []
     if final_state != "completed":
         return [
             f"{job.id}: accepted, and shown as {final_state or 'unknown'} at the end"
--- a/soak/faults.py
+++ b/soak/faults.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import json
 import random
 import signal
 from collections.abc import Sequence
@@ -53,6 +54,7 @@
             self._disturb_all_store_links,
             self._reset_store_connections,
             self._fail_task,
+            self._shrink_endpoints,
             self._disturb_endpoint_links,
             self._reset_endpoint_connections,
             self._delete_history,
@@ -136,5 +138,22 @@
         for topic in self._store.topic_by_name.values():
             topic.compact()
 
+    async def _shrink_endpoints(self, duration_s: float) -> None:
+        count = self._random.randint(1, len(self._endpoints))
+        self._record(f"{count} endpoints shrink for {duration_s:.1f} s")
+        endpoints = self._random.sample(self._endpoints, count)
+        for endpoint in endpoints:
+            self._resize(endpoint, self._random.randint(0, 6))
+        await trio.sleep(duration_s * self._random.choice((1, 3)))
+        for endpoint in endpoints:
+            self._resize(endpoint, endpoint.state.info.capacity.gpus)
+
+    def _resize(self, endpoint: EndpointServer, gpus: int) -> None:
+        endpoint.resize(gpus)
+        topic = self._store.topic("keyed.servers")
+        report = json.loads(dict(topic.newest())[endpoint.state.info.id])
+        report["capacity"]["gpu"] = gpus
+        topic.append([(endpoint.state.info.id, json.dumps(report).encode())])
+
     async def _fail_task(self, duration_s: float) -> None:
         self._random.choice(self._endpoints).fail_running_task()
--- a/soak/platform_server.py
+++ b/soak/platform_server.py
@@ -9,13 +9,15 @@
 import json
 import struct
 
+import trio
+
 from ragwortshelf.core.scheduling.fleet import RunEnd, StartOutcome
 from ragwortshelf.net.http_messages import HttpRequest, HttpResponse, json_response
 from ragwortshelf.scheduler.interfaces import Appended, Moved, ProducerFence
 from ragwortshelf.standins.keyed_topic import KeyedTopic
 from ragwortshelf.standins.platform_endpoint import EndpointState
 
-__all__ = ["EndpointServer", "StoreServer"]
+__all__ = ["EndpointServer", "StoreServer", "is_deadly"]
 
 READ_KB_MAX = 1024
 """Size of the records that a read returns if the request gives none."""
@@ -24,6 +26,13 @@
 PAGE_BYTES_MAX = 1_000_000
 """Limits of a page of newest records, as the platform states them."""
 
+CAPACITY_NOTICE_S = 4.5
+"""Time after which a capacity that has shrunk counts, by the platform's specification:
+3 s and one report of the endpoint."""
+
+CRASH_DOWNTIME_S = 2.0
+"""Time after which a crashed endpoint answers again."""
+
 _REASONS = {
     StartOutcome.FENCED: "fence",
     StartOutcome.OUTDATED: "old",
@@ -76,14 +85,30 @@
         return json_response(409, {"reason": outcome.detail})
 
 
+def is_deadly(task: str) -> bool:
+    """Whether a task crashes its endpoints, as one of one job in sixteen does."""
+    return task.startswith("d") and task.endswith(".0.0.0")
+
+
 class EndpointServer:
     """Serves the HTTP interface of one endpoint stand-in."""
 
     def __init__(self, state: EndpointState):
         self.state = state
+        self.on_crash = lambda: None
+        self.overfilled: list[str] = []
+        self._down_until_s = 0.0
+        # When each capacity in accelerators began, which is one for each task.
+        self._resized: list[tuple[float, int]] = [(0.0, state.info.capacity.gpus)]
+
+    def resize(self, gpus: int) -> None:
+        """Change the capacity."""
+        self._resized.append((trio.current_time(), gpus))
 
     async def handle(self, request: HttpRequest) -> HttpResponse:
         """Handle one request."""
+        if trio.current_time() < self._down_until_s:
+            return HttpResponse(503)
         fields = json.loads(request.body)
         token = fields["fencing_token"]
         match request.path:
@@ -94,6 +119,7 @@
                     fields["task"], fields["run"], fields["until_ms"], token
                 )
                 if outcome is StartOutcome.STARTED:
+                    self._note_start(fields["task"])
                     return json_response(200, {"clock_ms": self.state.clock_ms()})
                 return self._refusal(_REASONS[outcome])
             case "/api/run-stop":
@@ -102,6 +128,23 @@
                 return self._refusal("fence")
         return HttpResponse(404)
 
+    def _note_start(self, task: str) -> None:
+        """Check the capacity, and crash if the task is of that kind."""
+        now_s = trio.current_time()
+        counted_s = now_s - CAPACITY_NOTICE_S
+        ends_s = [since_s for since_s, _ in self._resized[1:]] + [now_s]
+        limit = max(
+            gpus
+            for (_, gpus), end_s in zip(self._resized, ends_s, strict=True)
+            if end_s >= counted_s
+        )
+        if len(self.state.running) > limit:
+            self.overfilled.append(f"{self.state.info.id}: {task} over {limit}")
+        if is_deadly(task):
+            self.state.crash()
+            self._down_until_s = now_s + CRASH_DOWNTIME_S
+            self.on_crash()
+
     async def _hold(self, fields, token) -> HttpResponse:
         is_current = await self.state.renew(
             fields.get("until_ms"),
--- a/soak/run.py
+++ b/soak/run.py
@@ -110,6 +110,7 @@
     states = [server.state for server in servers]
     violations = find_violations(callers.job_by_id, states, final_state_by_id)
     violations += _unexpected_exits(processes)
+    violations += [line for server in servers for line in server.overfilled]
     accepted = sum(job.is_accepted for job in callers.job_by_id.values())
     runs = sum(len(state.history) for state in states)
     return SoakResult(
@@ -160,6 +161,7 @@
         )
         server = EndpointServer(state)
         endpoint_proxy = Proxy(await _serve(nursery, server.handle))
+        server.on_crash = endpoint_proxy.reset_all
         host, port = await _listen(nursery, endpoint_proxy.serve)
         report = {
             "service": "pool",
@@ -230,7 +232,7 @@
         for host in hosts
     ]
     tenant = {"name": "org", "api_keys": [API_KEY], "guaranteed": {"gpu": 8}}
-    service = {"name": "pool", "admission_control": True}
+    service = {"name": "pool", "admission_control": False}
     fields = {"version": 1, "routes": routes, "services": [service]}
     return json.dumps(fields | {"tenants": [tenant]}).encode()
 
--- a/tests/soak/test_checks.py
+++ b/tests/soak/test_checks.py
@@ -1,12 +1,17 @@
 """The checks of the soak accept correct histories and report each violation."""
 
+import json
+
 import pytest
+import trio
 
 from ragwortshelf.core.scheduling import Resources
 from ragwortshelf.core.scheduling.fleet import EndpointInfo, RunEnd
+from ragwortshelf.net.http_messages import HttpRequest
 from ragwortshelf.standins.platform_endpoint import EndpointState, StartedRun
 from soak.callers import JobRecord
 from soak.checks import find_violations
+from soak.platform_server import CAPACITY_NOTICE_S, EndpointServer
 
 JOB = "a" * 16
 TASK = f"{JOB}.0.0.0"
@@ -78,3 +83,39 @@
     job = JobRecord(JOB, 1, is_uncertain=True)
     assert _check(job, _endpoint(DONE)) == []
     assert _check(job, _endpoint()) == []
+
+
+@pytest.mark.parametrize(("crashes", "count"), [(1, 1), (2, 0), (5, 0)])
+def test_a_job_may_fail_after_two_crashes_under_a_task(crashes, count):
+    endpoint = _endpoint(DONE)
+    endpoint.crashed_runs = [(TASK, run) for run in range(crashes)]
+    job = JobRecord(JOB, 1, is_accepted=True)
+    assert len(_check(job, endpoint, state="failed")) == count
+
+
+def test_a_task_that_is_started_too_often_after_crashes_is_reported():
+    endpoint = _endpoint()
+    endpoint.crashed_runs = [(f"d{JOB[1:]}.0.0.0", run) for run in range(6)]
+    (violation,) = find_violations({}, [endpoint], {})
+    assert "crashed 6 endpoints" in violation
+
+
+async def test_a_start_beyond_a_capacity_that_shrank_long_ago_is_reported(
+    autojump_clock,
+):
+    info = EndpointInfo("e", "pool", "", "a", Resources(0, 0, 2))
+    server = EndpointServer(EndpointState(info))
+    server.resize(0)
+    for number in range(3):
+        fields = {"task": f"a.0.0.{number}", "run": 1, "fencing_token": 1}
+        fields["until_ms"] = 10**9
+        body = json.dumps(fields).encode()
+        await server.handle(HttpRequest("POST", "/api/run-start", (), body))
+        assert len(server.overfilled) == (1 if number == 2 else 0)
+        await trio.sleep(0.1)
+    await trio.sleep(CAPACITY_NOTICE_S)
+    server.state.running.clear()
+    fields["task"] = "b.0.0.0"
+    body = json.dumps(fields).encode()
+    await server.handle(HttpRequest("POST", "/api/run-start", (), body))
+    assert len(server.overfilled) == 2
