Suspect no unit that cannot start again

What callers saw, in a test: the next step of a job waited, or the job was given up, because of an endpoint that was lost with the last members of a gang that was done. A unit that is done, failed or cancelled is not suspected any more. A check for suspects that raises an error costs its unit a delay, as other planning does, and not the plan. The test failed before.

--- a/ragwortshelf/core/scheduling/crashes.py
+++ b/ragwortshelf/core/scheduling/crashes.py
@@ -20,7 +20,7 @@
 
 from .fleet import Endpoint, RunStage, TaskPlacement
 from .job_table import JobTable
-from .model import Incarnation, UnitKey
+from .model import Incarnation, UnitKey, UnitPhase
 from .records import Suspicion, TaskCrashes, UnitCrashes
 from .unit import Unit
 
@@ -132,7 +132,9 @@
         changed = []
         for key, placements in new_by_key.items():
             unit = self._unit_by_key.get(key)
-            if unit is None or endpoint.incarnation in _incarnations(unit.crashes):
+            if unit is None or not _is_of_interest(unit):
+                continue
+            if endpoint.incarnation in _incarnations(unit.crashes):
                 continue
             suspicion = Suspicion(
                 endpoint.incarnation,
@@ -320,6 +322,11 @@
             self.suspect_by_key.pop(unit.key, None)
 
 
+def _is_of_interest(unit: Unit) -> bool:
+    """Whether a unit may be started again."""
+    return unit.phase in (UnitPhase.PLACED, UnitPhase.ENDING) and unit.job.is_active
+
+
 def _is_on_trial(unit: Unit) -> bool:
     return any(
         not placement.is_settled and placement.stage is not RunStage.STOPPING
--- a/ragwortshelf/core/scheduling/lifecycle.py
+++ b/ragwortshelf/core/scheduling/lifecycle.py
@@ -35,8 +35,9 @@
 """Interval at which a stop is repeated, in case the order was lost."""
 
 ADOPTED_FRESH_MS = 15_000
-"""Age up to which a placement of an earlier term may have been started only just before
-its scheduler ended. A change of scheduler takes 2 to 3 s, a slow log included 9."""
+"""Age up to which a placement of an earlier term may have been started just before that
+term ended. Without answers of the log a term ends after 9 s, and the next one begins
+2 to 3 s later."""
 
 GANG_TRIAL_MS = 300
 """Time for which the first member of a suspected gang runs before the others start. The
@@ -313,16 +314,19 @@
         )
         for unit in end.suspects:
             self._persist_evidence(unit.crashes, "endpoint crashed at its start")
-            if self.crashes.must_be_given_up(unit) and unit.job.is_active:
-                self._persist_phase(
-                    unit,
-                    UnitPhase.FAILED,
-                    wall_ms,
-                    "crashes endpoints",
-                    lost.endpoint_id,
-                )
-                unit.phase = UnitPhase.FAILED
-                self._end_job(unit.job, now_ms)
+            if self.crashes.must_be_given_up(unit):
+                self._give_up(unit, lost.endpoint_id, now_ms, wall_ms)
+
+    def _give_up(self, unit: Unit, endpoint_id: str, now_ms: int, wall_ms: int) -> None:
+        """Fail a unit that crashes endpoints, and its job."""
+        if not unit.job.is_active:
+            # Another suspect of the same crash has failed the job.
+            return
+        self._persist_phase(
+            unit, UnitPhase.FAILED, wall_ms, "crashes endpoints", endpoint_id
+        )
+        unit.phase = UnitPhase.FAILED
+        self._end_job(unit.job, now_ms)
 
     def _run_settled(self, placement: TaskPlacement) -> None:
         placement.is_settled = True
@@ -454,6 +458,7 @@
             return
         self._persist_phase(unit, UnitPhase.DONE, wall_ms, "done")
         unit.phase = UnitPhase.DONE
+        self.crashes.forget_unit(unit)
         if unit.job.is_active:
             self._open_occurrence(unit.job, unit.key.occurrence, now_ms)
         else:
--- a/ragwortshelf/core/scheduling/planning.py
+++ b/ragwortshelf/core/scheduling/planning.py
@@ -93,9 +93,6 @@
         for unit in waiting:
             if unit.not_before_ms > now_ms:
                 continue
-            if not self._scheduler.crashes.may_start_now(unit, len(usable), now_ms):
-                self.drop_reservation(unit)
-                continue
             try:
                 self._plan_unit(unit, usable, gpus_in_use, unplaceable_shapes)
             except Exception as error:
@@ -107,6 +104,10 @@
         self._reservations.drop(unit)
 
     def _plan_unit(self, unit, usable, gpus_in_use, unplaceable_shapes) -> None:
+        crashes = self._scheduler.crashes
+        if not crashes.may_start_now(unit, len(usable), self._now_ms):
+            self.drop_reservation(unit)
+            return
         shape = _placement_shape(unit)
         organisation = unit.job.spec.organisation
         is_guaranteed = self._is_guaranteed(unit, gpus_in_use)
--- a/tests/core/scheduling/test_crashes.py
+++ b/tests/core/scheduling/test_crashes.py
@@ -3,7 +3,14 @@
 import pytest
 from harness import SMALL, Harness, configuration
 
-from ragwortshelf.core.scheduling import EndpointInfo, JobTable, Resources, Scheduler
+from ragwortshelf.core.scheduling import (
+    EndpointInfo,
+    JobSpec,
+    JobTable,
+    Resources,
+    Scheduler,
+    Step,
+)
 from ragwortshelf.core.scheduling.fleet import RunEnd, StartOutcome
 from ragwortshelf.core.scheduling.model import GANG, Incarnation, UnitKey
 from ragwortshelf.core.scheduling.records import (
@@ -475,3 +482,22 @@
     harness.start()
     harness.cancel("a")
     assert [start.unit_key.job_id for start in harness.starts] == ["b"]
+
+
+# The failure: a job went on to fail because of a step that was done.
+def test_crashes_that_are_known_after_the_end_of_a_gang_do_not_fail_its_job():
+    harness = _Crashes(endpoints=4)
+    first = Step(3, WHOLE, 2_000, is_gang=True)
+    last = Step(1, WHOLE, 2_000, depends_on=(0,))
+    harness.submit_spec(JobSpec("g", "p1", "pool", "a", "", (first, last)))
+    harness.crash(harness.start()["g.0.0.1"])
+    for index in (0, 2):
+        harness.end(f"e{index}", f"g.0.0.{index}", RunEnd.BROKEN)
+    placed = harness.start()
+    harness.advance(300)
+    placed |= harness.start()
+    harness.lose(placed["g.0.0.1"], placed["g.0.0.2"])
+    harness.end(placed["g.0.0.0"], "g.0.0.0")
+    harness.restart(placed["g.0.0.1"])
+    assert harness.state("g") == "running"
+    assert [start.task for start in harness.starts] == ["g.0.1.0"]
