--- a/ragwortshelf/standins/platform_endpoint.py
+++ b/ragwortshelf/standins/platform_endpoint.py
@@ -25,8 +25,8 @@
 class StartedRun:
     """A run that an endpoint has started; ``end`` is set once it has ended.
 
-    ``voided_ms`` is set if the lease expired before the end was acknowledged, and holds
-    the time of expiry. From then on the task may be started again, however it ended.
+    ``voided_ms`` is set if the lease expired, or the endpoint crashed, before the end
+    was acknowledged, and holds the time of that. From then on the task may be started again, however it ended.
     """
 
     task: str
@@ -140,6 +140,8 @@
             self.history[task, run] = replace(
                 self.history[task, run], ended_ms=_now_ms(), end=RunEnd.LAPSED
             )
+        # Nobody took note of these ends, and nobody can any more.
+        self._void_ends(_now_ms())
         self.running.clear()
         self.finished.clear()
         self._highest_run_by_task.clear()
--- a/tests/soak/test_soak.py
+++ b/tests/soak/test_soak.py
@@ -18,6 +18,13 @@
     # its end was acknowledged.
     (308, 12),
     (320, 12),
+    # Two healthy jobs that had been beside a crash waited behind the trials of deadly
+    # ones until the end.
+    (5, 12),
+    # The stand-in did not void the ends that a crash lost before anybody saw them.
+    (2006, 12),
+    (2008, 12),
+    (2012, 12),
 ]
 
 
--- a/tests/standins/test_platform_endpoint.py
+++ b/tests/standins/test_platform_endpoint.py
@@ -54,3 +54,23 @@
     await trio.sleep(8)
     state.advance()
     assert state.history["t", 1].ended_ms == started_ms + 2_000
+
+
+# The failure: the soak took the repeat of a run for a double one whose end had been lost
+# with the endpoint, before anybody had seen it.
+async def test_a_crash_voids_the_ends_that_were_not_acknowledged(autojump_clock):
+    state = _state(work_ms=500)
+    until_ms = state.clock_ms() + 60_000
+    state.start("seen", 1, until_ms, 1)
+    await trio.sleep(0.6)
+    await state.renew(until_ms, 0, 0, 1)
+    await state.renew(until_ms, 1, 0, 1)
+    state.start("lost", 1, until_ms, 1)
+    await trio.sleep(0.6)
+    state.start("cut", 1, until_ms, 1)
+    state.crash()
+    assert state.history["seen", 1].voided_ms is None
+    assert state.history["lost", 1].voided_ms is not None
+    assert state.history["cut", 1].end is RunEnd.LAPSED
+    assert state.crashed_runs == [("cut", 1)]
+    assert not state.running and not state.finished
