--- a/ragwortshelf/standins/platform_endpoint.py
+++ b/ragwortshelf/standins/platform_endpoint.py
@@ -26,7 +26,8 @@
     """A run that an endpoint has started; ``end`` is set once it has ended.
 
     ``voided_ms`` is set if the lease expired, or the endpoint crashed, before the end
-    was acknowledged, and holds the time of that. From then on the task may be started again, however it ended.
+    was acknowledged, and holds the time of that. From then on the task may be started
+    again, however it ended.
     """
 
     task: str
