--- a/tests/standins/test_platform_endpoint.py
+++ b/tests/standins/test_platform_endpoint.py
@@ -56,8 +56,8 @@
     assert state.history["t", 1].ended_ms == started_ms + 2_000
 
 
-# The failure: the soak took the repeat of a run for a double one, though its end had been
-# lost with the endpoint before anybody had seen it.
+# The failure: the soak took the repeat of a run for a double one, though its end had
+# been lost with the endpoint before anybody saw it.
 async def test_a_crash_voids_the_ends_that_were_not_acknowledged(autojump_clock):
     state = _state(work_ms=500)
     until_ms = state.clock_ms() + 60_000
