Take a crash for certain only if the run may still have been there

What callers would have seen: a healthy job shown as failed after one real crash.

Another incarnation shows that there was a crash, and not when. It began after the crash, so one that began within a lease of the loss bounds it; a later one counts as uncertain, and such a unit is given up after three.

--- a/ragwortshelf/core/scheduling/crashes.py
+++ b/ragwortshelf/core/scheduling/crashes.py
@@ -45,6 +45,10 @@
 """Time for which a unit waits after its second loss in a row until it is known whether
 its endpoints crashed; doubled with each further one."""
 
+LEASE_MS = 7_000
+"""Lease on an endpoint. One whose next incarnation began later than this after contact
+was lost may have crashed when nothing ran there any more, as after a cut link."""
+
 LOSSES_REMEMBERED = 256
 """Latest losses of contact that are compared with a crash."""
 
@@ -111,7 +115,7 @@
 
     # Evidence.
 
-    def contact_lost(self, endpoint: Endpoint, now_ms: int) -> list[Unit]:
+    def contact_lost(self, endpoint: Endpoint, now_ms: int, wall_ms: int) -> list[Unit]:
         """Suspect the units of an endpoint's fresh runs; returns those that are new.
 
         A loss is noted only once, while the endpoint still counts as reachable.
@@ -140,6 +144,7 @@
                 endpoint.incarnation,
                 tuple(placement.index for placement in placements),
                 tuple(p.index for p in placements if p.confirmed_ms is not None),
+                wall_ms,
             )
             suspected = (*unit.crashes.suspected, suspicion)
             self._put(unit, replace(unit.crashes, suspected=suspected))
@@ -168,9 +173,12 @@
         return unit
 
     def incarnation_ended(
-        self, ended: Incarnation, is_replaced: bool
+        self, ended: Incarnation, successor: Incarnation
     ) -> IncarnationEnd:
-        """Confirm the suspicions against all units that were fresh on an endpoint."""
+        """Confirm the suspicions against all units that were fresh on an endpoint.
+
+        ``successor`` answers under its id or at its address.
+        """
         suspects = tuple(
             unit
             for unit in self.suspect_by_key.values()
@@ -183,10 +191,14 @@
             crashes = unit.crashes
             for suspicion in crashes.suspected:
                 if suspicion.incarnation == ended:
+                    away_ms = successor.started_wall_ms - suspicion.lost_wall_ms
+                    if away_ms > LEASE_MS:
+                        suspicion = replace(suspicion, confirmed=())
                     crashes = _count_crash(crashes, suspicion, not has_other_cause)
             suspected = tuple(s for s in crashes.suspected if s.incarnation != ended)
             self._put(unit, replace(crashes, suspected=suspected))
             unit.held_until_ms = 0
+        is_replaced = successor.endpoint_id != ended.endpoint_id
         return IncarnationEnd(ended, is_replaced, has_other_cause, suspects)
 
     def suspected_incarnations(self) -> set[Incarnation]:
--- a/ragwortshelf/core/scheduling/lifecycle.py
+++ b/ragwortshelf/core/scheduling/lifecycle.py
@@ -260,8 +260,8 @@
 
     # Crashes of endpoints.
 
-    def _contact_lost(self, endpoint: Endpoint, now_ms: int) -> None:
-        for unit in self.crashes.contact_lost(endpoint, now_ms):
+    def _contact_lost(self, endpoint: Endpoint, now_ms: int, wall_ms: int) -> None:
+        for unit in self.crashes.contact_lost(endpoint, now_ms, wall_ms):
             self._persist_evidence(unit.crashes, "contact lost at its start")
             if self._held_by_key.pop(unit.key, None):
                 self._stop_placements(unit, "endpoint of its trial lost", now_ms)
@@ -294,7 +294,7 @@
         """End all runs of an endpoint whose address another one has now."""
         if not endpoint.placement_by_task:
             return
-        self._contact_lost(endpoint, now_ms)
+        self._contact_lost(endpoint, now_ms, wall_ms)
         for placement in endpoint.placements():
             self._placement_ended(placement, RunEnd.LAPSED, "", now_ms, wall_ms)
 
@@ -307,7 +307,7 @@
     def _confirm_crash(
         self, lost: Incarnation, endpoint: Endpoint, now_ms: int, wall_ms: int
     ) -> None:
-        end = self.crashes.incarnation_ended(lost, lost.endpoint_id != endpoint.id)
+        end = self.crashes.incarnation_ended(lost, endpoint.incarnation)
         keys = tuple(unit.key for unit in end.suspects)
         self._actions.append(
             ReportCrash(lost.endpoint_id, end.is_replaced, end.has_other_cause, keys)
--- a/ragwortshelf/core/scheduling/records.py
+++ b/ragwortshelf/core/scheduling/records.py
@@ -112,12 +112,14 @@
 class Suspicion:
     """An endpoint was lost at the start of some of a unit's tasks, given by index.
 
-    It is open whether it crashed. The starts of ``confirmed`` were answered.
+    It is open whether it crashed. The starts of ``confirmed`` were answered. Contact
+    was lost at ``lost_wall_ms``.
     """
 
     incarnation: Incarnation
     indexes: tuple[int, ...]
     confirmed: tuple[int, ...]
+    lost_wall_ms: int
 
 
 @dataclass(frozen=True, slots=True)
@@ -333,11 +335,12 @@
 
 
 def _decode_suspicion(fields) -> Suspicion:
-    (endpoint_id, address, started_wall_ms, *_), indexes, confirmed, *_ = fields
+    (endpoint_id, address, started_wall_ms, *_), indexes, confirmed, lost, *_ = fields
     return Suspicion(
         Incarnation(str(endpoint_id), str(address), int(started_wall_ms)),
         tuple(map(int, indexes)),
         tuple(map(int, confirmed)),
+        int(lost),
     )
 
 
--- a/ragwortshelf/core/scheduling/scheduler.py
+++ b/ragwortshelf/core/scheduling/scheduler.py
@@ -122,11 +122,11 @@
         if not endpoint.placement_by_task:
             self._drop_endpoint(endpoint_id)
 
-    def endpoint_unreachable(self, endpoint_id: str, now_ms: int) -> None:
+    def endpoint_unreachable(self, endpoint_id: str, now_ms: int, wall_ms: int) -> None:
         """Place nothing on an endpoint until its next listing."""
         endpoint = self.endpoint_by_id.get(endpoint_id)
         if endpoint is not None:
-            self._contact_lost(endpoint, now_ms)
+            self._contact_lost(endpoint, now_ms, wall_ms)
             endpoint.is_reachable = False
 
     def forget_unlisted_endpoints(self) -> None:
@@ -148,7 +148,7 @@
         endpoint = self.endpoint_by_id.get(endpoint_id)
         if endpoint is None:
             return
-        self._contact_lost(endpoint, now_ms)
+        self._contact_lost(endpoint, now_ms, wall_ms)
         endpoint.is_reachable = False
         endpoint.set_unplaced({})
         for placement in endpoint.placements():
@@ -361,7 +361,7 @@
         if is_first:
             endpoint.started_wall_ms = listing.started_wall_ms
             return
-        self._contact_lost(endpoint, now_ms)
+        self._contact_lost(endpoint, now_ms, wall_ms)
         endpoint.started_wall_ms = listing.started_wall_ms
         endpoint.forget_speed()
         rows = {(row.task, row.run) for row in listing.running}
--- a/ragwortshelf/scheduler/leadership.py
+++ b/ragwortshelf/scheduler/leadership.py
@@ -284,7 +284,7 @@
                 sorted(age_ms_by_run.items(), key=lambda r: r[1])[:RUNS_LOGGED_MAX]
             ),
         )
-        self._scheduler.endpoint_unreachable(endpoint_id, monotonic_ms())
+        self._scheduler.endpoint_unreachable(endpoint_id, monotonic_ms(), wall_ms())
         self._dispatch()
 
     def _endpoint_lease_expired(self, endpoint_id: str) -> None:
