Split the planner into order, selection of endpoints and making of room

Planning, selection and preemption shared one class of 460 lines, and the coming work on shares, speeds and evacuations changes each of them.

--- /dev/null
+++ b/ragwortshelf/core/scheduling/endpoint_selection.py
@@ -0,0 +1,193 @@
+"""Selection of the endpoints on which a waiting unit can start now."""
+
+from __future__ import annotations
+
+from .fleet import Endpoint
+from .free_room import FreeRoom
+from .lifecycle import UnitLifecycle
+from .packing import find_endpoints, is_eligible, rack_could_hold
+from .reservations import UnitReservations
+from .speed import preferred_classes, speed_class
+from .unit import Unit
+
+__all__ = ["EndpointSelector"]
+
+PROOF_VALID_MS = 3_000
+"""Age up to which a start that survived shows that an endpoint is sound."""
+
+PROOF_WAIT_MS = 4_000
+"""Time for which the last attempt of a unit waits for endpoints that are proven."""
+
+
+class EndpointSelector:
+    """Finds room for units during one plan, which ``begin`` starts.
+
+    ``usable`` are the endpoints on which new tasks may be placed now.
+    """
+
+    def __init__(self, scheduler: UnitLifecycle, reservations: UnitReservations):
+        self._scheduler = scheduler
+        self._reservations = reservations
+        self.usable: list[Endpoint] = []
+        self._free_room = FreeRoom(())
+        self._eligible_by_need: dict[tuple[str, str], list[Endpoint]] = {}
+        self._now_ms = 0
+
+    def begin(self, usable: list[Endpoint], now_ms: int) -> None:
+        """Start a plan on these endpoints."""
+        self._now_ms = now_ms
+        self.usable = usable
+        self._free_room = FreeRoom(usable)
+        self._eligible_by_need.clear()
+
+    def room_changed(self, endpoints: list[Endpoint]) -> None:
+        """Note that the free room of these endpoints has changed during the plan."""
+        self._free_room.update(endpoints)
+
+    def find_room(self, unit: Unit) -> list[Endpoint] | None:
+        """Return an endpoint for each task of the unit, or None if they do not fit."""
+        if not self._free_room.may_hold(unit.step, unit.count):
+            return None
+        candidates = self._candidates(unit)
+        if self._needs_advice(unit):
+            allowed = self._allowed(unit, candidates)
+            if len(allowed) < len(candidates) and not self._find_endpoints(
+                unit, allowed
+            ):
+                self._scheduler.ask_advice(unit, candidates, self._now_ms)
+            candidates = allowed
+        endpoints = None
+        if unit.is_suspect:
+            # Its start may cost the runs of others.
+            empty = [e for e in candidates if not e.placement_by_task]
+            return self._find_endpoints(
+                unit, empty, candidates
+            ) or self._find_endpoints(unit, candidates)
+        if self._needs_proof(unit):
+            return self._find_endpoints(unit, self._proven(candidates), candidates)
+        for classes in preferred_classes(unit)[:-1]:
+            alike = [
+                e
+                for e in candidates
+                if speed_class(e) in classes and e.id not in unit.avoided_ids
+            ]
+            endpoints = self._find_endpoints(unit, alike, candidates)
+            if endpoints is not None:
+                return endpoints
+        if unit.avoided_ids:
+            preferred = [e for e in candidates if e.id not in unit.avoided_ids]
+            endpoints = self._find_endpoints(unit, preferred)
+        if endpoints is None:
+            endpoints = self._find_endpoints(unit, candidates)
+        return endpoints
+
+    def _needs_proof(self, unit: Unit) -> bool:
+        """Whether a unit waits for endpoints on which a recent start has survived.
+
+        This holds for the last attempt of a unit that failed at once before. It does
+        not wait for long, since few endpoints may start anything.
+        """
+        if not unit.quick_failure_count or self._scheduler.attempts_left(unit) > 1:
+            return False
+        return self._now_ms - unit.waiting_since_ms < PROOF_WAIT_MS
+
+    def _proven(self, candidates: list[Endpoint]) -> list[Endpoint]:
+        oldest_ms = self._now_ms - PROOF_VALID_MS
+        return [
+            e
+            for e in candidates
+            if e.has_proven_start(oldest_ms) and not e.is_suspected
+        ]
+
+    def _candidates(self, unit: Unit) -> list[Endpoint]:
+        """Return the usable endpoints of the unit's service that have its label."""
+        spec = unit.job.spec
+        queue = self._scheduler.configuration.queue_by_name.get(spec.queue)
+        service = queue.service if queue else spec.service
+        need = (service, unit.step.required_label)
+        eligible = self._eligible_by_need.get(need)
+        if eligible is None:
+            eligible = [e for e in self.usable if is_eligible(e, unit.step, service)]
+            self._eligible_by_need[need] = eligible
+        return eligible
+
+    def _allowed(self, unit: Unit, candidates: list[Endpoint]) -> list[Endpoint]:
+        """Return the candidates that the policy service has approved."""
+        return self._scheduler.advice.with_ticket(unit, candidates, self._now_ms)
+
+    def reclaim_candidates(self, unit: Unit) -> list[Endpoint]:
+        """Return the endpoints on which room may be made for a unit."""
+        candidates = [e for e in self._candidates(unit) if not e.is_suspected]
+        if not self._needs_advice(unit):
+            return candidates
+        return self._allowed(unit, candidates)
+
+    def _needs_advice(self, unit: Unit) -> bool:
+        queues = self._scheduler.configuration.queue_by_name
+        queue = queues.get(unit.job.spec.queue)
+        return queue is not None and queue.needs_advice
+
+    def _find_endpoints(
+        self,
+        unit: Unit,
+        candidates: list[Endpoint],
+        eligible: list[Endpoint] | None = None,
+    ) -> list[Endpoint] | None:
+        """Return a candidate for each task, or None if the tasks do not fit.
+
+        Whether a rack could hold the tasks at all is judged by ``eligible``, if that is
+        given, of which the candidates are a part.
+        """
+        needed = unit.step.occupied
+
+        def slots(endpoint: Endpoint) -> int:
+            if endpoint.is_suspected and not self._may_try_out(endpoint, unit):
+                return 0
+            if not self._scheduler.crashes.may_share(endpoint, unit):
+                return 0
+            if endpoint.is_overcommitted:
+                return 0
+            if len(self._reservations):
+                fits = needed.times_in(self._reservations.room(endpoint, unit))
+            else:
+                fits = endpoint.slots(needed)
+            cap = unit.step.tasks_per_endpoint_max
+            if cap:
+                fits = min(fits, cap - self._count_same_step(endpoint, unit))
+            if endpoint.is_suspected:
+                fits = min(fits, 1)
+            return max(0, fits)
+
+        step = unit.step
+        may_leave = True
+        if step.preferred_rack or step.is_rack_sensitive:
+            may_leave = not rack_could_hold(step, unit.count, eligible or candidates)
+        if step.preferred_rack and not may_leave and not step.is_rack_sensitive:
+            may_leave = self._has_waited_for_rack(unit)
+        with_room = [e for e in candidates if e.free_gpus >= needed.gpus]
+        return find_endpoints(
+            step,
+            unit.count,
+            with_room,
+            slots,
+            self._free_room.free_gpus_by_rack,
+            may_leave_rack=may_leave,
+        )
+
+    def _may_try_out(self, endpoint: Endpoint, unit: Unit) -> bool:
+        """Whether a unit may be the one run that shows whether starts survive again."""
+        can_fail = unit.step.is_long_running or self._scheduler.attempts_left(unit) > 1
+        return unit.count == 1 and can_fail and not endpoint.is_on_trial()
+
+    def _has_waited_for_rack(self, unit: Unit) -> bool:
+        # Away from its data a task takes longer by the platform's `remote_factor`;
+        # waiting for twice its estimate costs as much.
+        waited_ms = self._now_ms - unit.waiting_since_ms
+        return waited_ms > 2 * unit.step.estimate_ms
+
+    def _count_same_step(self, endpoint: Endpoint, unit: Unit) -> int:
+        key = unit.key[:3]
+        return sum(
+            placement.unit_key[:3] == key
+            for placement in endpoint.placement_by_task.values()
+        )
