Count lateness in the cost of stopping a unit

Cause: the cost was the computation lost so far, so the youngest run was always the cheapest victim.

Change: stopping a unit whose job can still be on time, and would be late after a stop (0.9 s) and a restart, costs the unit's whole work as well. A reclaim first looks for a plan without units of priority 0. What a preemption may discard at most is still measured in discarded work alone.

--- a/ragwortshelf/core/scheduling/room_making.py
+++ b/ragwortshelf/core/scheduling/room_making.py
@@ -72,7 +72,7 @@
         """Start a plan."""
         self._now_ms = now_ms
         self._wall_ms = wall_ms
-        self._costs.begin(now_ms)
+        self._costs.begin(now_ms, wall_ms)
 
     def may_reclaim(self, unit: Unit) -> bool:
         """Whether the room last reclaimed for a unit is too old to wait for it."""
@@ -82,12 +82,16 @@
         """Stop borrowers for a unit that may reclaim its room.
 
         ``over_guarantee`` are the organisations whose urgent units occupy more than
-        their guarantee.
+        their guarantee. These units are stopped only if no other victims suffice.
         """
         candidates = self._selector.reclaim_candidates(unit)
         self._reservations.drop(unit)
 
-        def reclaimable(placement: TaskPlacement) -> Unit | None:
+        def less_urgent(placement: TaskPlacement) -> Unit | None:
+            holder = self._stoppable_holder(placement, unit)
+            return holder if holder is not None and holder.priority > 0 else None
+
+        def borrowed(placement: TaskPlacement) -> Unit | None:
             holder = self._stoppable_holder(placement, unit)
             if holder is None:
                 return None
@@ -96,9 +100,10 @@
             )
             return holder if is_borrowed else None
 
-        plan = self._plan_reclaim(
-            unit, candidates, reclaimable, self._costs.lost_core_ms
-        )
+        cost = self._costs.stop_cost
+        plan = self._plan_reclaim(unit, candidates, less_urgent, cost)
+        if plan is None and over_guarantee:
+            plan = self._plan_reclaim(unit, candidates, borrowed, cost)
         if plan is None:
             return
         self._reserve(unit, plan, is_exclusive=True)
@@ -208,9 +213,7 @@
             is_less_urgent = holder is not None and holder.priority > unit.priority
             return holder if is_less_urgent else None
 
-        plan = self._plan_reclaim(
-            unit, candidates, reclaimable, self._costs.lost_core_ms
-        )
+        plan = self._plan_reclaim(unit, candidates, reclaimable, self._costs.stop_cost)
         if (
             plan is None
             or sum(map(self._costs.lost_core_ms, plan.victims)) > lost_max_core_ms
--- a/ragwortshelf/core/scheduling/stop_costs.py
+++ b/ragwortshelf/core/scheduling/stop_costs.py
@@ -3,24 +3,32 @@
 from __future__ import annotations
 
 from .model import UnitKey
-from .unit import Unit
+from .unit import CHECKPOINT_LOSS_MS, Unit
 
 __all__ = ["StopCosts"]
 
+STOP_MAX_MS = 900
+"""Longest time that a stop takes in the supported deployments. A unit starts again only
+after its own stop."""
+
 
 class StopCosts:
     """Estimates for the placed units, each computed at most once a plan."""
 
     def __init__(self):
         self._now_ms = 0
+        self._wall_ms = 0
         self._remaining_ms_by_key: dict[UnitKey, float] = {}
         self._lost_core_ms_by_key: dict[UnitKey, float] = {}
+        self._stop_cost_by_key: dict[UnitKey, float] = {}
 
-    def begin(self, now_ms: int) -> None:
+    def begin(self, now_ms: int, wall_ms: int) -> None:
         """Start a plan."""
         self._now_ms = now_ms
+        self._wall_ms = wall_ms
         self._remaining_ms_by_key.clear()
         self._lost_core_ms_by_key.clear()
+        self._stop_cost_by_key.clear()
 
     def remaining_ms(self, unit: Unit) -> float:
         """Return the estimated remaining time of a unit."""
@@ -36,3 +44,29 @@
         if lost is None:
             lost = self._lost_core_ms_by_key[unit.key] = unit.lost_core_ms(self._now_ms)
         return lost
+
+    def stop_cost(self, unit: Unit) -> float:
+        """Return the cost of stopping a unit, in core-milliseconds.
+
+        This is the computation that it loses, and the unit's whole work if the stop
+        makes its job late. Otherwise the youngest run would always be the cheapest.
+        """
+        cost = self._stop_cost_by_key.get(unit.key)
+        if cost is None:
+            cost = self.lost_core_ms(unit)
+            if self._would_become_late(unit):
+                cost += unit.cores * unit.step.estimate_ms
+            self._stop_cost_by_key[unit.key] = cost
+        return cost
+
+    def _would_become_late(self, unit: Unit) -> bool:
+        """Whether a job that can still be on time would be late after a restart."""
+        step = unit.step
+        if step.is_long_running:
+            return False
+        remaining_ms = self.remaining_ms(unit)
+        left_ms = unit.latest_start_wall_ms + step.estimate_ms - self._wall_ms
+        again_ms = step.estimate_ms
+        if step.is_checkpointing:
+            again_ms = min(again_ms, remaining_ms + CHECKPOINT_LOSS_MS)
+        return remaining_ms <= left_ms < STOP_MAX_MS + again_ms
