List the progress of runs in the simulated crash storms

Cause: the simulated endpoints listed 0 percent until a run was done, and runs of priority 0 that are estimated at 2 s will count as stalled after 1 s without progress.

Change: the endpoints list the progress that a healthy run of 2 s shows. The checks are as before.

Conclusion: the storms keep testing crashes.

--- a/tests/core/scheduling/test_crash_storms.py
+++ b/tests/core/scheduling/test_crash_storms.py
@@ -47,7 +47,17 @@
 
     def list(self, endpoint, **fields):
         born = getattr(self, "born", {})
-        super().list(endpoint, started_wall_ms=born.get(endpoint, 1), **fields)
+        started_ms = getattr(self, "started_ms", {})
+        percent = {
+            task: min(99, 100 * (self.now - started_ms[task, run]) // RUN_MS)
+            for task, run in self.running[endpoint].items()
+        }
+        super().list(
+            endpoint,
+            percent=percent,
+            started_wall_ms=born.get(endpoint, 1),
+            **fields,
+        )
 
     def play(self):
         events = (self._cut, self._crash_some, self._change_scheduler)
@@ -111,6 +121,7 @@
 
     def _start(self, order):
         self.running[order.endpoint_id][order.task] = order.run
+        self.started_ms[order.task, order.run] = self.now
         self.starts_of[order.task].append(self.now)
         self.due[self.now + RUN_MS].append(order)
 
