Find short urgent runs that hang by their estimate

Cause: a run counted as stalled after 3.5 s without progress, which is longer than the work of urgent runs (2.1 to 2.5 s). So a hang was detected 4 to 5 s after the start.

Change: for units of priority 0 the timeout is half of the step's estimate, at least 1 s and at most 3.5 s as before. A gang's member counts only time after the starts of all members are confirmed, since it makes no progress before; the same holds for the pace from which its remaining time is taken. Endpoints with a fresh urgent run are listed every 400 ms. A listing that is more than 1.5 s late no longer counts as time without progress at all: 1.5 s of it would exceed the shorter timeout. The first interval after a throttled run is at full pace again does not count either, as the order may have arrived at any time within it.

--- a/ragwortshelf/core/scheduling/fleet.py
+++ b/ragwortshelf/core/scheduling/fleet.py
@@ -37,7 +37,7 @@
 
 LISTING_GAP_MAX_MS = 1_500
 """Longest time between two listings that counts as time without progress. Listings of a
-reachable endpoint are about a second apart."""
+reachable endpoint are at most about a second apart."""
 
 FINISHED_PERCENT = 99
 """Progress from which a task counts as finished; percents are rounded down."""
@@ -176,7 +176,8 @@
     same ``progress_percent``; ``listed_ms`` is when the last of them arrived, and
     ``first_percent`` what the first one showed, at ``first_listed_ms``;
     ``unfinished_percent`` and ``unfinished_ms`` are those of the last one that showed
-    the run unfinished. An adopted placement was made in an earlier term, and no listing
+    the run unfinished, and ``listed_pace_percent`` is the pace ordered before the last
+    of all. An adopted placement was made in an earlier term, and no listing
     has confirmed or refuted it in this one yet.
 
     ``is_sent`` is set once its start may have reached the endpoint, and ``is_settled``
@@ -197,6 +198,7 @@
         "is_settled",
         "is_suspected",
         "listed_ms",
+        "listed_pace_percent",
         "load_metric",
         "next_stop_ms",
         "occupied",
@@ -240,6 +242,7 @@
         self.checkpoint = ""
         self.progress_percent = 0.0
         self.pace_percent = 100
+        self.listed_pace_percent = 100
         self.load_metric = 0.0
         self.listed_ms = now_ms
         self.without_progress_ms = 0
@@ -248,22 +251,31 @@
         self.unfinished_ms = now_ms
         self.unfinished_percent = 0.0
 
-    def record_progress(self, percent: float, now_ms: int) -> None:
+    def record_progress(
+        self, percent: float, now_ms: int, working_since_ms: int | None
+    ) -> None:
         """Note the progress that a listing shows.
 
+        ``working_since_ms`` is when the starts of all tasks of the unit were confirmed;
+        None before that. No time before it counts as time without progress, and no pace
+        is taken from it, since a gang's member waits for the others.
+
         A listing that is late says nothing about the time since the one before: the
-        endpoint or this process may have been paused, or the network cut. So each one
-        adds at most ``LISTING_GAP_MAX_MS`` to the time without progress.
+        endpoint or this process may have been paused, or the network cut. So the time
+        since the one before does not count if it exceeds ``LISTING_GAP_MAX_MS``.
         """
+        is_full_pace = self.pace_percent == 100 and self.listed_pace_percent == 100
         is_unchanged = percent == self.progress_percent
-        if is_unchanged and self.confirmed_ms is not None and self.pace_percent == 100:
-            gap_ms = min(now_ms - self.listed_ms, LISTING_GAP_MAX_MS)
-            self.without_progress_ms += gap_ms
+        if is_unchanged and working_since_ms is not None and is_full_pace:
+            if now_ms - self.listed_ms <= LISTING_GAP_MAX_MS:
+                since_ms = max(self.listed_ms, working_since_ms)
+                self.without_progress_ms += now_ms - since_ms
         else:
             self.progress_percent = percent
             self.without_progress_ms = 0
-        if self.first_percent is None:
+        if self.first_percent is None and working_since_ms is not None:
             self.first_percent, self.first_listed_ms = percent, now_ms
+        self.listed_pace_percent = self.pace_percent
         if percent < FINISHED_PERCENT:
             self.unfinished_percent, self.unfinished_ms = percent, now_ms
         self.listed_ms = now_ms
--- a/ragwortshelf/core/scheduling/scheduler.py
+++ b/ragwortshelf/core/scheduling/scheduler.py
@@ -14,7 +14,6 @@
 from .departures import units_to_move
 from .fleet import (
     FAILURE_EXCLUSION_MS,
-    FINISHED_PERCENT,
     UNHEALTHY_EXCLUSION_MS,
     Endpoint,
     EndpointInfo,
@@ -31,6 +30,7 @@
 from .model import Resources, UnitPhase
 from .pacing import FULL_PERCENT, plan_paces
 from .planning import Planner
+from .stalls import STALL_TIMEOUT_MS, ListingNeed, is_fresh_urgent, is_stalled
 from .suspicion import QUICK_FAILURE_MS, is_quick
 from .unit import Unit
 
@@ -46,13 +46,6 @@
 NO_ROOM_EXCLUSION_MS = 300
 """Exclusion time after an endpoint had no room; a new listing arrives within it."""
 
-STALL_TIMEOUT_MS = 3_500
-"""Listed time without progress after which a run counts as stalled.
-
-Endpoints report whole percents, and the slowest specified task takes 3 s for one
-percent on an endpoint that is slowed down 6.5 times.
-"""
-
 STOP_CHECK_INTERVAL_MS = 100
 """Interval between checks whether a stop must be repeated; a repeat is due 500 ms after
 the order before."""
@@ -92,19 +85,26 @@
             if unit is not None and may_be_stopped(unit, self.unit_by_key):
                 self._stop_placements(unit, reason, now_ms)
 
-    def is_shared(self, endpoint_id: str) -> bool:
-        """Whether the endpoint holds both serving and background tasks."""
+    def listing_need(self, endpoint_id: str, now_ms: int) -> ListingNeed:
+        """Return how often an endpoint's runs have to be listed.
+
+        A shared endpoint holds both serving and background tasks.
+        """
         endpoint = self.endpoint_by_id.get(endpoint_id)
         if endpoint is None:
-            return False
-        steps = [
-            self.unit_by_key[placement.unit_key].step
+            return ListingNeed.USUAL
+        units = [
+            self.unit_by_key[placement.unit_key]
             for placement in endpoint.placement_by_task.values()
             if placement.unit_key in self.unit_by_key
         ]
-        return any(step.tail_target_ms for step in steps) and any(
-            step.fills for step in steps
-        )
+        if any(unit.step.tail_target_ms for unit in units) and any(
+            unit.step.fills for unit in units
+        ):
+            return ListingNeed.SHARED
+        if any(is_fresh_urgent(unit, now_ms) for unit in units):
+            return ListingNeed.FRESH_URGENT
+        return ListingNeed.USUAL
 
     def endpoint_updated(self, info: EndpointInfo, now_ms: int) -> None:
         """Add an endpoint, or apply its newest description of itself."""
@@ -318,7 +318,7 @@
                 continue
             if unit.step.is_long_running or placement.stage is not RunStage.RUNNING:
                 continue
-            if self._is_stalled(placement):
+            if is_stalled(placement, unit):
                 self._exclude(endpoint, now_ms, 2 * STALL_TIMEOUT_MS, "no progress")
                 unit.avoided_ids.add(endpoint.id)
                 self._stop_placements(unit, "no progress", now_ms)
@@ -329,16 +329,6 @@
                 if may_be_stopped(unit, self.unit_by_key):
                     self._stop_placements(unit, "endpoint leaves", now_ms)
 
-    @staticmethod
-    def _is_stalled(placement: TaskPlacement) -> bool:
-        # A finished task of a gang waits for the others, and a throttled one is slow.
-        if (
-            placement.progress_percent >= FINISHED_PERCENT
-            or placement.pace_percent < FULL_PERCENT
-        ):
-            return False
-        return placement.without_progress_ms > STALL_TIMEOUT_MS
-
     def _note_refusal(
         self, endpoint_id: str, outcome: StartOutcome, now_ms: int
     ) -> None:
@@ -383,7 +373,6 @@
             return False
         if row.checkpoint:
             placement.checkpoint = row.checkpoint
-        placement.record_progress(row.percent, now_ms)
         if placement.confirmed_ms is None:
             placement.confirmed_ms = now_ms
             placement.is_sent = True
@@ -392,6 +381,9 @@
             and now_ms - placement.confirmed_ms >= START_SETTLES_MS
         ):
             self._run_settled(placement)
+        unit = self.unit_by_key.get(placement.unit_key)
+        working_since_ms = unit.working_since_ms if unit is not None else None
+        placement.record_progress(row.percent, now_ms, working_since_ms)
         is_old = now_ms - placement.ordered_ms > QUICK_FAILURE_MS
         if is_old and row.percent >= 1 and not placement.is_adopted:
             self.suspicion.run_survived(endpoint, placement)
@@ -399,7 +391,6 @@
         placement.is_adopted = False
         if placement.stage in (RunStage.LOGGED, RunStage.ORDERED):
             placement.stage = RunStage.RUNNING
-        unit = self.unit_by_key.get(placement.unit_key)
         is_obsolete = unit is None or unit.phase is not UnitPhase.PLACED
         if is_obsolete and placement.stage is not RunStage.STOPPING:
             self._stop(placement, "no longer wanted", now_ms)
--- a/ragwortshelf/core/scheduling/unit.py
+++ b/ragwortshelf/core/scheduling/unit.py
@@ -78,6 +78,21 @@
         """Number of tasks of the unit."""
         return self.step.count if self.key.member == GANG else 1
 
+    @property
+    def working_since_ms(self) -> int | None:
+        """When the starts of all tasks were confirmed; None before that.
+
+        The members of a gang make no progress until all of them are present.
+        """
+        if len(self.placements) < self.count:
+            return None
+        since_ms = 0
+        for placement in self.placements:
+            if placement.confirmed_ms is None:
+                return None
+            since_ms = max(since_ms, placement.confirmed_ms)
+        return since_ms
+
     @property
     def is_suspect(self) -> bool:
         """Whether the unit may crash the endpoints that start it."""
--- a/ragwortshelf/scheduler/endpoint_session.py
+++ b/ragwortshelf/scheduler/endpoint_session.py
@@ -56,7 +56,8 @@
     The session records the latest lease deadline that it has sent, on the endpoint's
     clock, and the local time by which that deadline has certainly passed. Until the
     first answer, ``earlier_leases_expiry_ms`` (local time) bounds the leases granted in
-    earlier terms. ``is_shared`` requests more frequent listings.
+    earlier terms. ``listing_wait_ms`` is how long the next renewals wait for changes,
+    and so the interval of listings.
 
     While ``may_order`` returns False nothing is sent: a process that was paused may
     have lost the role meanwhile, and its successor bounds the leases granted before.
@@ -89,7 +90,7 @@
         self._clock_read_ms = 0
         self._started_wall_ms = 0
         self._ack_number = 0
-        self.is_shared = False
+        self.listing_wait_ms = settings.listing_wait_ms
         self._is_reachable = False
         self._failures = 0
         # How often the endpoint was lost, or was found to have started anew.
@@ -174,7 +175,7 @@
         await self._wait_for_role()
         sent_ms = monotonic_ms()
         is_urgent = self._failures > 0 or not self._has_time_to_start(sent_ms)
-        wait_ms = 0 if is_urgent else self._listing_wait_ms()
+        wait_ms = 0 if is_urgent else self.listing_wait_ms
         until_ms = self._next_deadline_ms(sent_ms)
         answer = await self._client.renew(
             until_ms=until_ms,
@@ -201,11 +202,6 @@
         needed_ms = min(sum(START_TIMEOUTS_MS), self._settings.lease_ms / 2)
         return self._deadline_ms - self._endpoint_clock_ms(now_ms) > needed_ms
 
-    def _listing_wait_ms(self) -> int:
-        if self.is_shared:
-            return self._settings.shared_listing_wait_ms
-        return self._settings.listing_wait_ms
-
     def _next_deadline_ms(self, now_ms: int) -> int | None:
         if self._clock_read_ms == 0 or self._failures > 0:
             # An unanswered renewal may still take effect. Its deadline is repeated and
--- a/ragwortshelf/scheduler/leadership.py
+++ b/ragwortshelf/scheduler/leadership.py
@@ -270,7 +270,8 @@
         self._plan_event.set()
         session = self._session_by_id.get(listing.endpoint_id)
         if session is not None:
-            session.is_shared = self._scheduler.is_shared(listing.endpoint_id)
+            need = self._scheduler.listing_need(listing.endpoint_id, monotonic_ms())
+            session.listing_wait_ms = self._settings.listing_wait_for(need)
         self._end_session_if_removed(listing.endpoint_id)
         return partial(self._writer.wait_committed, self._writer.mark())
 
--- a/ragwortshelf/scheduler/settings.py
+++ b/ragwortshelf/scheduler/settings.py
@@ -4,6 +4,8 @@
 
 from dataclasses import dataclass
 
+from ..core.scheduling.stalls import ListingNeed
+
 __all__ = ["SLOWEST_LINK_BYTES_PER_S", "SchedulingSettings"]
 
 SLOWEST_LINK_BYTES_PER_S = 625_000
@@ -66,6 +68,10 @@
     # together, where a missed latency target must be corrected within 4 s.
     shared_listing_wait_ms: int = 300
 
+    # Replaces ``listing_wait_ms`` for endpoints with a fresh urgent run: the shortest
+    # stall timeout is 1 s, and a hang should be seen soon after it.
+    urgent_listing_wait_ms: int = 400
+
     # A call to the log takes 4 ms, or 60 times as long while the log is slow.
     log_call_timeout_ms: int = 700
     log_retry_ms: int = 100
@@ -88,6 +94,19 @@
             return 0, self.log_probe_timeout_ms
         return wait_ms, wait_ms + self.log_call_timeout_ms
 
+    def listing_wait_for(self, need: ListingNeed) -> int:
+        """Return how long a renewal waits that lists an endpoint with this need.
+
+        >>> SchedulingSettings("i").listing_wait_for(ListingNeed.USUAL)
+        1000
+        """
+        match need:
+            case ListingNeed.SHARED:
+                return self.shared_listing_wait_ms
+            case ListingNeed.FRESH_URGENT:
+                return self.urgent_listing_wait_ms
+        return self.listing_wait_ms
+
     def append_bytes_max(self) -> int:
         """Return the size to which appends of several records are limited.
 
