Place nothing in evacuated data centres

Change: Scheduler.evacuate marks endpoints, which are then not usable. Unconfirmed starts there are withdrawn with their whole unit; those never sent are over without a stop. Adopted placements are decided by the endpoint's first listing. Long-running units move once there is room elsewhere, which is reserved until they start. Reservations there are dropped. Cold endpoints are the last choice of urgent units, and runs that began on one say nothing of its speed.

--- a/ragwortshelf/core/scheduling/actions.py
+++ b/ragwortshelf/core/scheduling/actions.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import enum
 from dataclasses import dataclass
 
 from .model import UnitKey
@@ -10,6 +11,8 @@
 __all__ = [
     "Action",
     "AskAdvice",
+    "EvacuationChange",
+    "ReportEvacuation",
     "ReportExclusion",
     "ReportPlanningFault",
     "PaceTask",
@@ -118,6 +121,32 @@
     suspects: tuple[UnitKey, ...]
 
 
+class EvacuationChange(enum.Enum):
+    """What has changed about the evacuation of a data centre.
+
+    It is EMPTIED when the last run there has ended.
+    """
+
+    REQUESTED = "requested"
+    EMPTIED = "emptied"
+    WITHDRAWN = "withdrawn"
+
+
+@dataclass(frozen=True, slots=True)
+class ReportEvacuation:
+    """Report a change of an evacuation to operators.
+
+    ``endpoints`` and ``runs`` are those in the data centre when it is REQUESTED, and
+    ``age_ms`` is the age of the request at the other changes; otherwise None.
+    """
+
+    change: EvacuationChange
+    data_centre: str
+    endpoints: int | None = None
+    runs: int | None = None
+    age_ms: int | None = None
+
+
 @dataclass(frozen=True, slots=True)
 class ReportPlanningFault:
     """Report an unexpected error in planning one unit, which then waits for a while."""
@@ -130,6 +159,7 @@
     AskAdvice
     | PersistEvidence
     | ReportCrash
+    | ReportEvacuation
     | ReportExclusion
     | ReportPlanningFault
     | PaceTask
--- a/ragwortshelf/core/scheduling/endpoint_selection.py
+++ b/ragwortshelf/core/scheduling/endpoint_selection.py
@@ -56,6 +56,15 @@
             ):
                 self._scheduler.ask_advice(unit, candidates, self._now_ms)
             candidates = allowed
+        if unit.priority == 0:
+            warm = [e for e in candidates if not e.is_cold(self._now_ms)]
+            if len(warm) < len(candidates):
+                endpoints = self._choose(unit, warm)
+                if endpoints is not None:
+                    return endpoints
+        return self._choose(unit, candidates)
+
+    def _choose(self, unit: Unit, candidates: list[Endpoint]) -> list[Endpoint] | None:
         endpoints = None
         if unit.is_suspect:
             # Its start may cost the runs of others.
--- a/ragwortshelf/core/scheduling/fleet.py
+++ b/ragwortshelf/core/scheduling/fleet.py
@@ -74,7 +74,7 @@
 
     A FENCED order has an older fencing token than its endpoint has seen, an OUTDATED
     one a run that is not newer than the task's last one there, and a LATE one an
-    expired lease.
+    expired lease. An ABANDONED order was taken back before this attempt was sent.
     """
 
     STARTED = "started"
@@ -87,6 +87,7 @@
     INVALID = "invalid"
     OTHER_INCARNATION = "other_incarnation"
     UNANSWERED = "unanswered"
+    ABANDONED = "abandoned"
 
 
 @dataclass(frozen=True, slots=True)
@@ -95,7 +96,8 @@
 
     ``labels`` holds the hardware kind and the rack. ``remaining_ms`` is how long a
     draining endpoint stays, if known. ``started_wall_ms`` is when its current
-    incarnation started; 0 if not known yet.
+    incarnation started; 0 if not known yet. ``cold_remaining_ms`` is how much longer it
+    is slow after its start, None if it is not.
     """
 
     id: str
@@ -107,6 +109,7 @@
     is_draining: bool = False
     remaining_ms: int | None = None
     started_wall_ms: int = 0
+    cold_remaining_ms: int | None = None
 
     @property
     def rack(self) -> str:
@@ -288,9 +291,10 @@
 class Endpoint:
     """An endpoint with its free capacity and the placements that occupy it.
 
-    Nothing new is placed on a cordoned endpoint. ``departure_ms`` is the earliest time
-    at which a draining endpoint may leave. ``failed_job_ids`` holds the jobs whose
-    runs failed here since a run was last done.
+    Nothing new is placed on a cordoned endpoint, nor on one whose data centre is
+    evacuated. It is cold, and slow for that reason, until ``warm_at_ms``.
+    ``departure_ms`` is the earliest time at which a draining endpoint may leave.
+    ``failed_job_ids`` holds the jobs whose runs failed here since a run was last done.
 
     ``accuser_ids`` holds the jobs whose runs failed here as soon as they started, since
     a later start survived; ``suspected_start_ms`` is when the latest of these runs was
@@ -311,6 +315,7 @@
         "free_memory_mb",
         "info",
         "is_cordoned",
+        "is_evacuated",
         "is_in_store",
         "is_reachable",
         "placement_by_task",
@@ -324,6 +329,7 @@
         "suspected_start_ms",
         "suspected_until_ms",
         "unplaced_by_run",
+        "warm_at_ms",
     )
 
     def __init__(self, info: EndpointInfo):
@@ -333,6 +339,8 @@
         self.is_reachable = False
         self.is_in_store = True
         self.is_cordoned = False
+        self.is_evacuated = False
+        self.warm_at_ms = 0
         self.departure_ms: int | None = None
         self.excluded_until_ms = 0
         self.failed_job_ids: set[str] = set()
@@ -373,6 +381,9 @@
             )
         elif not info.is_draining:
             self.departure_ms = None
+        # A time that has passed is kept, for the runs that began before it.
+        cold_ms = info.cold_remaining_ms
+        self.warm_at_ms = now_ms + cold_ms if cold_ms else min(self.warm_at_ms, now_ms)
         before, after = self.info.capacity, info.capacity
         self.info = info
         self.rack = info.rack
@@ -385,11 +396,16 @@
             self.is_reachable
             and self.is_in_store
             and not self.is_cordoned
+            and not self.is_evacuated
             and not self.info.is_draining
             and now_ms >= self.excluded_until_ms
             and now_ms >= self.suspected_until_ms
         )
 
+    def is_cold(self, now_ms: int) -> bool:
+        """Whether the endpoint is still slow after its start."""
+        return now_ms < self.warm_at_ms
+
     @property
     def is_overcommitted(self) -> bool:
         """Whether the runs here exceed the capacity, which has shrunk since."""
--- a/ragwortshelf/core/scheduling/lifecycle.py
+++ b/ragwortshelf/core/scheduling/lifecycle.py
@@ -21,6 +21,7 @@
 from .advice import AdviceCache, step_name
 from .configuration import ServiceConfiguration
 from .crashes import CrashTracker
+from .evacuation import Evacuations
 from .fleet import Endpoint, EndpointInfo, RunEnd, RunStage, TaskPlacement
 from .job_table import Job, JobTable
 from .model import Incarnation, Resources, UnitKey, UnitPhase
@@ -69,6 +70,7 @@
         self.suspicion = SuspicionTracker(self.endpoint_by_id, self.unit_by_key)
         self.speeds = SpeedTracker()
         self.crashes = CrashTracker(table, self.unit_by_key)
+        self.evacuations = Evacuations()
         self._next_occurrence_by_job: dict[str, int] = {}
         # Placements of suspected gangs whose starts wait for that of another member.
         self._held_by_key: dict[UnitKey, list[TaskPlacement]] = {}
@@ -251,6 +253,7 @@
         observed = self.table.incarnation_by_endpoint_id.get(info.id)
         if observed is not None:
             endpoint.started_wall_ms = observed.started_wall_ms
+        self.evacuations.mark(endpoint)
         return endpoint
 
     def _drop_endpoint(self, endpoint_id: str) -> None:
@@ -429,6 +432,23 @@
             ):
                 self._stop(placement, reason, now_ms)
 
+    def _withdraw_starts(
+        self, unit: Unit, reason: str, now_ms: int, wall_ms: int
+    ) -> None:
+        """Stop a unit; its starts that were never sent need no stop to be over."""
+        self._held_by_key.pop(unit.key, None)
+        unsent = [
+            placement
+            for placement in unit.placements
+            if placement.stage is RunStage.ORDERED and not placement.is_sent
+        ]
+        unit.phase = UnitPhase.ENDING
+        for placement in list(unit.placements):
+            if placement in unsent:
+                self._placement_ended(placement, RunEnd.STOPPED, "", now_ms, wall_ms)
+            elif placement.stage is not RunStage.STOPPING:
+                self._stop(placement, reason, now_ms)
+
     # Ends of runs and units.
 
     def _placement_ended(
--- a/ragwortshelf/core/scheduling/planning.py
+++ b/ragwortshelf/core/scheduling/planning.py
@@ -5,6 +5,8 @@
 from collections import defaultdict
 
 from .endpoint_selection import EndpointSelector
+from .evacuation import is_to_be_moved, units_on
+from .fleet import Endpoint
 from .lifecycle import UnitLifecycle
 from .model import UnitPhase
 from .reservations import UnitReservations
@@ -38,6 +40,9 @@
         ]
         self._scheduler.suspicion.lapse(usable, now_ms)
         self._selector.begin(usable, now_ms)
+        evacuated = self._evacuated_endpoints()
+        for endpoint in evacuated:
+            self._reservations.drop_on(endpoint.id)
         self._room_maker.begin(now_ms, wall_ms)
         gpus_in_use = self._urgent_gpus_in_use()
         unplaceable_shapes: set[tuple] = set()
@@ -52,6 +57,37 @@
             except Exception as error:
                 # Costs this unit a delay, and no other unit anything.
                 self._scheduler.report_planning_fault(unit, error, now_ms)
+        unplaceable_shapes = set()
+        for unit in units_on(evacuated, self._scheduler.unit_by_key):
+            try:
+                self._move(unit, unplaceable_shapes)
+            except Exception as error:
+                self._scheduler.report_planning_fault(unit, error, now_ms)
+
+    def _evacuated_endpoints(self) -> list[Endpoint]:
+        if not self._scheduler.evacuations:
+            return []
+        endpoints = self._scheduler.endpoint_by_id.values()
+        return [endpoint for endpoint in endpoints if endpoint.is_evacuated]
+
+    def _move(self, unit: Unit, unplaceable_shapes: set[tuple]) -> None:
+        """Stop a long-running unit of an evacuated data centre if it fits elsewhere.
+
+        Nothing is stopped for it, and the room is kept until it starts there.
+        """
+        if unit.is_suspect or unit.not_before_ms > self._now_ms:
+            return
+        if not is_to_be_moved(unit, self._scheduler.unit_by_key):
+            return
+        shape = _placement_shape(unit)
+        if shape in unplaceable_shapes:
+            return
+        endpoints = self._selector.find_room(unit)
+        if endpoints is None:
+            unplaceable_shapes.add(shape)
+        else:
+            self._room_maker.keep_free(unit, endpoints)
+            self._scheduler.stop_unit(unit, "evacuated", self._now_ms)
 
     def drop_reservation(self, unit: Unit) -> None:
         """Drop the reservation of a unit."""
--- a/ragwortshelf/core/scheduling/reservations.py
+++ b/ragwortshelf/core/scheduling/reservations.py
@@ -68,12 +68,20 @@
 
     def drop(self, unit: Unit) -> None:
         """Drop the reservation of a unit."""
-        reservation = self._reservation_by_key.pop(unit.key, None)
+        self._drop(unit.key)
+
+    def drop_on(self, endpoint_id: str) -> None:
+        """Drop all reservations that include an endpoint."""
+        for key in list(self._by_endpoint_id.get(endpoint_id, ())):
+            self._drop(key)
+
+    def _drop(self, unit_key: UnitKey) -> None:
+        reservation = self._reservation_by_key.pop(unit_key, None)
         if reservation is None:
             return
         for endpoint_id in reservation.resources_by_id:
             by_key = self._by_endpoint_id[endpoint_id]
-            del by_key[unit.key]
+            del by_key[unit_key]
             if not by_key:
                 del self._by_endpoint_id[endpoint_id]
 
--- a/ragwortshelf/core/scheduling/room_making.py
+++ b/ragwortshelf/core/scheduling/room_making.py
@@ -131,6 +131,11 @@
     ) -> None:
         self._reservations.reserve(unit, plan, self._now_ms, is_exclusive)
 
+    def keep_free(self, unit: Unit, endpoints: Sequence[Endpoint]) -> None:
+        """Reserve free room for a unit that is stopped in order to start there."""
+        plan = EndpointReclaimPlan(tuple(endpoints), ())
+        self._reserve(unit, plan, is_exclusive=True)
+
     def plan_reservation(self, unit: Unit) -> None:
         """Reserve the room that becomes free soonest, to keep smaller units out of it.
 
--- a/ragwortshelf/core/scheduling/scheduler.py
+++ b/ragwortshelf/core/scheduling/scheduler.py
@@ -8,10 +8,13 @@
 
 from __future__ import annotations
 
+from collections.abc import Mapping
+
 from .actions import PaceTask, ReportExclusion, StartTask, StopTask
 from .availability import may_be_stopped
 from .configuration import ServiceConfiguration
 from .departures import units_to_move
+from .evacuation import units_to_withdraw
 from .fleet import (
     FAILURE_EXCLUSION_MS,
     FINISHED_PERCENT,
@@ -92,6 +95,26 @@
             if unit is not None and may_be_stopped(unit, self.unit_by_key):
                 self._stop_placements(unit, reason, now_ms)
 
+    def evacuate(
+        self, data_centres: Mapping[str, int], now_ms: int, wall_ms: int
+    ) -> None:
+        """Replace the evacuated data centres, with the times of the requests.
+
+        Nothing starts in them from now on, and unconfirmed starts there are withdrawn.
+        """
+        endpoints = self.endpoint_by_id.values()
+        reports = self.evacuations.replace(data_centres, endpoints, now_ms)
+        self._actions.extend(reports)
+        self._withdraw_evacuated_starts(now_ms, wall_ms)
+
+    def busy_evacuated_count(self) -> int:
+        """Return the number of evacuated endpoints on which something runs."""
+        return sum(
+            endpoint.is_evacuated
+            and bool(endpoint.placement_by_task or endpoint.unplaced_by_run)
+            for endpoint in self.endpoint_by_id.values()
+        )
+
     def is_shared(self, endpoint_id: str) -> bool:
         """Whether the endpoint holds both serving and background tasks."""
         endpoint = self.endpoint_by_id.get(endpoint_id)
@@ -112,6 +135,7 @@
         if endpoint is None:
             endpoint = self._add_endpoint(info)
         endpoint.update(info, now_ms)
+        self.evacuations.mark(endpoint)
 
     def endpoint_removed(self, endpoint_id: str) -> None:
         """Note that an endpoint is no longer in the endpoint log."""
@@ -294,10 +318,24 @@
     def plan(self, now_ms: int, wall_ms: int) -> None:
         """Start units that fit, stop units that must yield, and repeat lost stops."""
         self._open_due_occurrences(now_ms, wall_ms)
+        self._withdraw_evacuated_starts(now_ms, wall_ms)
         self._release_held_starts(now_ms, wall_ms)
         self._repeat_stops(now_ms)
         self._stop_on_departing(now_ms)
         self._planner.run(now_ms, wall_ms)
+        endpoints = self.endpoint_by_id.values()
+        self._actions.extend(self.evacuations.check_empty(endpoints, now_ms))
+
+    def _withdraw_evacuated_starts(self, now_ms: int, wall_ms: int) -> None:
+        """Withdraw unconfirmed starts on evacuated endpoints, each with its whole unit.
+
+        A gang that lacks one of its members could not be completed.
+        """
+        if not self.evacuations:
+            return
+        evacuated = [e for e in self.endpoint_by_id.values() if e.is_evacuated]
+        for unit in units_to_withdraw(evacuated, self.unit_by_key):
+            self._withdraw_starts(unit, "evacuated", now_ms, wall_ms)
 
     def _repeat_stops(self, now_ms: int) -> None:
         if now_ms < self._next_stop_check_ms:
@@ -450,6 +488,12 @@
         unit = self.unit_by_key.get(placement.unit_key)
         if unit is None or unit.step.is_long_running or placement.checkpoint:
             return
+        if any(
+            member.ordered_ms < self.endpoint_by_id[member.endpoint_id].warm_at_ms
+            for member in unit.placements
+        ):
+            # A cold endpoint is slow for a while only, and slows down its gang.
+            return
         if unit.count == 1:
             self.speeds.run_done(endpoint, placement, now_ms)
         elif unit.phase is UnitPhase.PLACED:
@@ -497,7 +541,11 @@
         if unit is not None and unit.is_suspect and unit.count > 1:
             # The earlier term may have held this start back.
             self._stop_placements(unit, "trial ended with its term", now_ms)
-        if unit is not None and unit.phase is UnitPhase.PLACED:
+        is_placed = unit is not None and unit.phase is UnitPhase.PLACED
+        if is_placed and self.endpoint_by_id[placement.endpoint_id].is_evacuated:
+            self._stop_placements(unit, "evacuated", now_ms, except_placement=placement)
+            self._placement_ended(placement, RunEnd.STOPPED, "", now_ms, wall_ms)
+        elif is_placed:
             placement.stage = RunStage.ORDERED
             placement.ordered_ms = now_ms
             self._order_start(unit, placement)
