Follow evacuations in the operator's log and hold starts while it is not read

Cause: an instance that is cut off, was paused or has just taken the role does not know the present requests.

Change: the follower decodes evacuate/ZONE, keeps the time at which it learned of each, and reads all newest records again when the log ends before its offset. StartGate holds starts while the newest complete read is older than evacuation_ms less 1 s. Each attempt of a start checks that its order still stands. Log lines and gauges.

--- a/ragwortshelf/scheduler/configuration_follower.py
+++ b/ragwortshelf/scheduler/configuration_follower.py
@@ -2,14 +2,14 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable
+from collections.abc import Callable, Mapping
 
 import trio
 
 from ..core.scheduling import ServiceConfiguration
 from ..core.scheduling.upkeep import UpkeepWave
 from ..daemon.logs import log_event
-from .clock import boot_ms
+from .clock import boot_ms, monotonic_ms
 from .interfaces import Entry, KeyedLog, LogGap, LogPage, PlatformAdapter
 from .loss_reporter import LossReporter
 from .newest_records import NewestReader, NewestRecords
@@ -56,6 +56,8 @@
         self.current: ServiceConfiguration | None = None
         self.confirmed_boot_ms: int | None = None
         self.on_change: Callable[[ServiceConfiguration], None] = lambda newest: None
+        self.on_evacuations_change: Callable[[], None] = lambda: None
+        self._evacuations: dict[str, int] = {}
         self._waves: dict[int, UpkeepWave] = {}
         self._value_by_key: dict[str, bytes] = {}
         self._next_offset: int | None = None
@@ -70,6 +72,15 @@
             return None
         return boot_ms() - self.confirmed_boot_ms
 
+    def read_age_ms(self) -> int | None:
+        """Return the time since the newest complete read was sent, None before it.
+
+        Every record that was acknowledged before then is known, a configuration or not.
+        """
+        if self.confirmed_boot_ms is None:
+            return None
+        return boot_ms() - self.confirmed_boot_ms
+
     def is_trusted(self) -> bool:
         """Whether the configuration is recent enough to accept API keys."""
         age = self.age_ms()
@@ -113,6 +124,11 @@
             self._next_offset, wait_ms=wait_ms, timeout_ms=timeout_ms
         )
         match page:
+            case LogPage() if page.end < self._next_offset:
+                # The log has lost records, or another one took its place.
+                log_event("operator_log_rewound", end=page.end)
+                self._next_offset = None
+                return None
             case LogPage():
                 self._replace_records(self._value_by_key | dict(page.entries))
                 self._next_offset = page.next_offset
@@ -144,7 +160,27 @@
         """Return the upkeep waves that operators have requested, by number."""
         return self._waves
 
+    def evacuations(self) -> Mapping[str, int]:
+        """Return the data centres to be emptied.
+
+        The values are the local times, ``monotonic_ms``, at which this instance learned
+        of the requests.
+        """
+        return self._evacuations
+
+    def _set_evacuations(self, data_centres: frozenset[str]) -> None:
+        if data_centres == self._evacuations.keys():
+            return
+        now_ms = monotonic_ms()
+        self._evacuations = {
+            data_centre: self._evacuations.get(data_centre, now_ms)
+            for data_centre in data_centres
+        }
+        self.on_evacuations_change()
+
     def _decode(self, value_by_key: dict[str, bytes]) -> None:
+        # First, so that they hold even if the configuration cannot be decoded.
+        self._set_evacuations(self._adapter.decode_evacuations(value_by_key))
         self._waves = self._adapter.decode_waves(value_by_key)
         newest = self._adapter.decode_configuration(value_by_key)
         if newest is None:
--- a/ragwortshelf/scheduler/endpoint_session.py
+++ b/ragwortshelf/scheduler/endpoint_session.py
@@ -12,6 +12,7 @@
 from .clock import monotonic_ms
 from .interfaces import EndpointAnswer, EndpointClient
 from .settings import SchedulingSettings
+from .start_gate import StartGate
 
 __all__ = ["EndpointSession", "max_local_duration_ms"]
 
@@ -60,6 +61,8 @@
 
     While ``may_order`` returns False nothing is sent: a process that was paused may
     have lost the role meanwhile, and its successor bounds the leases granted before.
+    Starts also wait for the ``start_gate``, and are not sent once ``is_still_ordered``
+    returns False for them.
     """
 
     def __init__(
@@ -73,6 +76,8 @@
         on_lease_expired: Callable[[str], None],
         on_fenced: Callable[[str], None],
         may_order: Callable[[], bool],
+        start_gate: StartGate,
+        is_still_ordered: Callable[[StartTask], bool],
         earlier_leases_expiry_ms: int,
     ):
         self.info = info
@@ -83,6 +88,8 @@
         self._on_lease_expired = on_lease_expired
         self._on_fenced = on_fenced
         self._may_order = may_order
+        self._start_gate = start_gate
+        self._is_still_ordered = is_still_ordered
         self._lease_expiry_ms = earlier_leases_expiry_ms
         self._deadline_ms: int | None = None
         self._clock_ms = 0
@@ -116,13 +123,15 @@
 
         Returns the last outcome and whether an earlier attempt went unanswered. An
         endpoint that is lost meanwhile may have crashed by the first attempt, and is
-        not sent another.
+        not sent another. Nor is one whose run was stopped or is listed meanwhile.
         """
         was_unanswered = False
         outcome = StartOutcome.UNANSWERED
         losses = self._loss_count
         for timeout_ms in START_TIMEOUTS_MS:
-            await self._wait_for_role()
+            await self._wait_to_start()
+            if not self._is_still_ordered(order):
+                return StartOutcome.ABANDONED, was_unanswered
             if was_unanswered and self._loss_count != losses:
                 return StartOutcome.UNANSWERED, was_unanswered
             if self._deadline_ms is None:
@@ -155,6 +164,12 @@
             order.task, order.run, order.percent, self._settings.endpoint_timeout_ms
         )
 
+    async def _wait_to_start(self) -> None:
+        """Wait while starts are held back; the role may be lost meanwhile."""
+        while not (self._may_order() and self._start_gate.is_open()):
+            await self._wait_for_role()
+            await self._start_gate.wait()
+
     async def _wait_for_role(self) -> None:
         """Wait while orders are held back; the end of the term cancels it."""
         while not self._may_order():
--- a/ragwortshelf/scheduler/instance.py
+++ b/ragwortshelf/scheduler/instance.py
@@ -89,6 +89,17 @@
         )
         gauge("is_scheduler", lambda: int(self.election.leadership is not None))
         gauge("log_lines_left_out", dropped_line_count)
+        gauge("evacuated_data_centres", lambda: len(self.configuration.evacuations()))
+        gauge("evacuated_endpoints_busy", self._busy_evacuated_count)
+        gauge("evacuation_age_ms", self._evacuation_age_ms)
+
+    def _busy_evacuated_count(self) -> int:
+        leadership = self.election.leadership
+        return leadership.busy_evacuated_count() if leadership else 0
+
+    def _evacuation_age_ms(self) -> int:
+        leadership = self.election.leadership
+        return leadership.evacuation_age_ms() if leadership else 0
 
     async def drain(self) -> None:
         """Resign the scheduler's role; callers continue to be served."""
--- a/ragwortshelf/scheduler/interfaces.py
+++ b/ragwortshelf/scheduler/interfaces.py
@@ -299,6 +299,13 @@
     def decode_waves(self, entries: Mapping[str, bytes]) -> dict[int, UpkeepWave]:
         """Decode the upkeep waves among the operator's records, by number."""
 
+    @abc.abstractmethod
+    def decode_evacuations(self, entries: Mapping[str, bytes]) -> frozenset[str]:
+        """Return the data centres to be emptied by the operator's records.
+
+        The presence of a record is the request, whatever its value.
+        """
+
     @abc.abstractmethod
     def decode_configuration(
         self, entries: Mapping[str, bytes]
--- a/ragwortshelf/scheduler/leadership.py
+++ b/ragwortshelf/scheduler/leadership.py
@@ -13,6 +13,7 @@
     AskAdvice,
     PaceTask,
     ReportCrash,
+    ReportEvacuation,
     ReportExclusion,
     ReportPlanningFault,
     StopTask,
@@ -33,6 +34,7 @@
 from .log_topics import LogTopics
 from .orders import OrderSender
 from .settings import SchedulingSettings
+from .start_gate import StartGate
 from .supervision import run_supervised
 from .term_writer import TermWriter
 from .upkeep import UpkeepRunner
@@ -111,12 +113,14 @@
             self._endpoint_updated,
             self._endpoint_removed,
         )
+        self._start_gate = StartGate(settings.evacuation_ms, configuration.read_age_ms)
         self._orders = OrderSender(
             self._scheduler,
             self._session_by_id,
             adapter,
             logs.metrics,
             self._directory.age_ms,
+            self._start_gate,
             self._order_ended,
         )
         self._plan_event = trio.Event()
@@ -133,6 +137,8 @@
         self._follower.is_waiting_for_records = True
         self._follower.wake()
         self._configuration.on_change = self._configuration_changed
+        self._configuration.on_evacuations_change = self._evacuations_changed
+        self._evacuations_changed()
         self._scheduler.adopt(monotonic_ms(), wall_ms())
         try:
             async with trio.open_nursery() as nursery:
@@ -152,6 +158,7 @@
             self._follower.on_job_changed = lambda job_id: None
             self._follower.is_waiting_for_records = False
             self._configuration.on_change = lambda newest: None
+            self._configuration.on_evacuations_change = lambda: None
         log_event("term_ended", term=self.claim.term, reason=self.end_reason)
         return self.end_reason
 
@@ -218,6 +225,25 @@
         self._scheduler.configure(newest)
         self._plan_event.set()
 
+    def _evacuations_changed(self) -> None:
+        try:
+            self._scheduler.evacuate(
+                self._configuration.evacuations(), monotonic_ms(), wall_ms()
+            )
+        except Exception:
+            # The endpoints are marked first, so nothing more is placed on them, and the
+            # next plan withdraws what is left.
+            log_failure("evacuation_failed")
+        self._plan_event.set()
+
+    def busy_evacuated_count(self) -> int:
+        """Return the number of evacuated endpoints on which something runs."""
+        return self._scheduler.busy_evacuated_count()
+
+    def evacuation_age_ms(self) -> int:
+        """Return the age of the oldest request whose data centre is not yet empty."""
+        return self._scheduler.evacuations.oldest_age_ms(monotonic_ms())
+
     # Endpoints.
 
     def _endpoint_updated(self, info: EndpointInfo) -> None:
@@ -241,6 +267,8 @@
             on_lease_expired=self._endpoint_lease_expired,
             on_fenced=lambda _: self._end("an endpoint has seen a later term"),
             may_order=self._may_order_endpoints,
+            start_gate=self._start_gate,
+            is_still_ordered=self._scheduler.is_still_ordered,
             earlier_leases_expiry_ms=self._earlier_leases_expiry_ms,
         )
         self._session_by_id[info.id] = session
@@ -341,6 +369,14 @@
                         length_ms=action.length_ms,
                         reason=action.reason,
                     )
+                case ReportEvacuation():
+                    log_event(
+                        f"evacuation_{action.change.value}",
+                        data_centre=action.data_centre,
+                        endpoints=action.endpoints,
+                        runs=action.runs,
+                        age_ms=action.age_ms,
+                    )
                 case ReportCrash():
                     self._metrics.count("endpoint_crashes_total")
                     log_event(
--- a/ragwortshelf/scheduler/orders.py
+++ b/ragwortshelf/scheduler/orders.py
@@ -15,6 +15,7 @@
 from .clock import monotonic_ms, wall_ms
 from .endpoint_session import EndpointSession
 from .interfaces import PlatformAdapter
+from .start_gate import StartGate
 
 __all__ = ["OrderSender"]
 
@@ -44,6 +45,7 @@
         adapter: PlatformAdapter,
         metrics: Metrics,
         reports_age_ms: Callable[[], int | None],
+        start_gate: StartGate,
         on_outcome: Callable[[bool], None],
     ):
         self._scheduler = scheduler
@@ -51,6 +53,7 @@
         self._adapter = adapter
         self._metrics = metrics
         self._reports_age_ms = reports_age_ms
+        self._start_gate = start_gate
         self._on_outcome = on_outcome
         self._advice_lock = trio.Lock()
 
@@ -90,6 +93,8 @@
         session = self._session_by_id.get(order.endpoint_id)
         if session is None:
             return
+        # A start that is dropped here was never sent, so nothing has to be stopped.
+        await self._start_gate.wait()
         await self._wait_for_reports(order)
         if not self._scheduler.is_still_ordered(order):
             return
@@ -105,6 +110,9 @@
             endpoint=order.endpoint_id,
             outcome=outcome.value,
         )
+        if outcome is StartOutcome.ABANDONED:
+            # The scheduler took the order back, or has seen the run in a listing.
+            return
         self._report_start(order, outcome, was_unanswered)
 
     async def _wait_for_reports(self, order: StartTask) -> None:
--- a/ragwortshelf/scheduler/settings.py
+++ b/ragwortshelf/scheduler/settings.py
@@ -27,7 +27,9 @@
     ``status_retention_ms`` is how long an ended job's state is kept, and ``drain_ms``
     limits the duration of a planned stop. ``maintenance_ms`` is the duration of a
     host's upkeep. ``host_lease_ms`` is the minimum time between upkeep orders for the
-    same host by two successive holders of the role.
+    same host by two successive holders of the role. ``evacuation_ms`` limits how long
+    after the request an evacuated data centre may still be sent a start; None if
+    nothing is promised about that.
     """
 
     instance: str
@@ -40,6 +42,7 @@
     cores: float = 1.0
     maintenance_ms: int = 2_000
     host_lease_ms: int = 3_000
+    evacuation_ms: int | None = None
 
     # A lease whose last renewal is one listing interval old outlasts a change of
     # scheduler (about 3 s). A longer one would delay restarting the tasks of an
--- /dev/null
+++ b/ragwortshelf/scheduler/start_gate.py
@@ -0,0 +1,54 @@
+"""Holds starts back while an evacuation may have been requested unnoticed."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+
+import trio
+
+from ..daemon.logs import log_event
+
+__all__ = ["StartGate"]
+
+EVACUATION_MARGIN_MS = 1_000
+"""Part of the bound that is left for a start once it is sent. An attempt waits for its
+answer for 900 ms at most, after which its connection is closed."""
+
+GATE_CHECK_INTERVAL_MS = 50
+"""Interval between checks whether the operator's log has been read again."""
+
+
+class StartGate:
+    """Lets starts pass while the operator's records are known recently enough.
+
+    ``read_age_ms`` returns the time since the newest complete read of the operator's
+    log was sent, or None before the first one. Any request that was acknowledged
+    earlier is known then. Without a bound, all starts pass.
+    """
+
+    def __init__(self, bound_ms: int | None, read_age_ms: Callable[[], int | None]):
+        self._bound_ms = bound_ms
+        self._read_age_ms = read_age_ms
+        self._waiting_count = 0
+
+    def is_open(self) -> bool:
+        """Whether a start may be sent now."""
+        if self._bound_ms is None:
+            return True
+        age_ms = self._read_age_ms()
+        return age_ms is not None and age_ms <= self._bound_ms - EVACUATION_MARGIN_MS
+
+    async def wait(self) -> None:
+        """Wait until a start may be sent; the end of the term cancels it."""
+        if self.is_open():
+            return
+        if not self._waiting_count:
+            log_event("starts_held", read_age_ms=self._read_age_ms())
+        self._waiting_count += 1
+        try:
+            while not self.is_open():
+                await trio.sleep(GATE_CHECK_INTERVAL_MS / 1000)
+        finally:
+            self._waiting_count -= 1
+            if not self._waiting_count:
+                log_event("starts_released", read_age_ms=self._read_age_ms())
--- a/tests/scheduler/fakes.py
+++ b/tests/scheduler/fakes.py
@@ -358,6 +358,11 @@
     def decode_waves(self, entries):
         return self.platform.waves
 
+    def decode_evacuations(self, entries):
+        prefix = "evacuate/"
+        keys = [key for key in entries if key.startswith(prefix)]
+        return frozenset(key.removeprefix(prefix) for key in keys)
+
     def decode_configuration(self, entries):
         return self.platform.configuration
 
