--- a/tests/core/scheduling/harness.py
+++ b/tests/core/scheduling/harness.py
@@ -58,12 +58,12 @@
         for n in range(endpoints):
             self.add_endpoint(f"e{n}", f"r{n % racks}", gpus)
 
-    def add_endpoint(self, name, rack="r0", gpus=8, **fields):
+    def add_endpoint(self, name, rack="r0", gpus=8, data_centre="dc", **fields):
         info = EndpointInfo(
             name,
             "pool",
             name,
-            "dc",
+            data_centre,
             Resources(32_000, 64_000, gpus),
             ("a", rack),
             **fields,
@@ -92,6 +92,12 @@
         self.scheduler.job_changed(job_id, self.now, self.now)
         self.plan()
 
+    def evacuate(self, *data_centres):
+        """Replace the evacuated data centres."""
+        since_ms = dict.fromkeys(data_centres, self.now)
+        self.scheduler.evacuate(since_ms, self.now, self.now)
+        self.plan()
+
     def plan(self):
         self.scheduler.plan(self.now, self.now)
         self.collect()
