Let endpoints refuse starts that reach them after the bound

Cause: a connection that is cut may deliver a start seconds after the attempt was given up, and its lease deadline, up to 7 s later, would let it take effect after the bound.

Change: with evacuation_ms set, a start's deadline is also the time at which the bound may have passed for a request that the newest read missed, on a clock 2% slow. Without the setting it is the lease deadline, as before.

Conclusion: tests/scheduler passes. That a real endpoint keeps the latest deadline of a start and a renewal is so in the stand-in; it was not tried on the platform.

--- a/ragwortshelf/scheduler/endpoint_session.py
+++ b/ragwortshelf/scheduler/endpoint_session.py
@@ -142,7 +142,7 @@
                 order.text,
                 order.checkpoint,
                 order.ticket,
-                self._deadline_ms,
+                self._start_until_ms(),
                 timeout_ms,
             )
             if outcome is not StartOutcome.UNANSWERED:
@@ -150,6 +150,20 @@
             was_unanswered = True
         return outcome, was_unanswered
 
+    def _start_until_ms(self) -> int:
+        """Return until when the endpoint may carry out a start that is sent now.
+
+        A connection that is cut may deliver a start seconds after it was given up, so a
+        start is also refused as late once the bound of evacuations may have passed. The
+        lease is not shortened, since endpoints keep the latest deadline.
+        """
+        remaining_ms = self._start_gate.remaining_ms()
+        if remaining_ms is None:
+            return self._deadline_ms
+        elapsed_ms = monotonic_ms() - self._clock_read_ms
+        until_ms = self._clock_ms + int(CLOCK_RATE_MIN * (elapsed_ms + remaining_ms))
+        return min(self._deadline_ms, until_ms)
+
     async def stop(self, order: StopTask) -> bool:
         """Send one stop order; the scheduler repeats it while the run is listed."""
         await self._wait_for_role()
--- a/ragwortshelf/scheduler/start_gate.py
+++ b/ragwortshelf/scheduler/start_gate.py
@@ -38,6 +38,16 @@
         age_ms = self._read_age_ms()
         return age_ms is not None and age_ms <= self._bound_ms - EVACUATION_MARGIN_MS
 
+    def remaining_ms(self) -> int | None:
+        """Return how long a start that is sent now may take effect; None if unlimited.
+
+        A request that the newest read has missed is as old as that read at most.
+        """
+        age_ms = self._read_age_ms()
+        if self._bound_ms is None or age_ms is None:
+            return self._bound_ms
+        return max(0, self._bound_ms - age_ms)
+
     async def wait(self) -> None:
         """Wait until a start may be sent; the end of the term cancels it."""
         if self.is_open():
--- a/tests/scheduler/test_evacuation.py
+++ b/tests/scheduler/test_evacuation.py
@@ -1,5 +1,7 @@
 """Evacuations reach the scheduler, and starts wait while they may be unknown."""
 
+from functools import partial
+
 import pytest
 import trio
 from cluster import (
@@ -11,7 +13,7 @@
     state_of,
     submit,
 )
-from fakes import FakeLog, FakePlatformAdapter, Faults, Platform
+from fakes import FakeEndpoint, FakeLog, FakePlatformAdapter, Faults, Platform
 from test_observability import lines  # noqa: F401
 
 from ragwortshelf.core.scheduling import JobState, Resources
@@ -222,6 +224,36 @@
         assert _started_on(platform) == {"y"}
 
 
+# Guards against a start that a connection delivers seconds after it was given up: at
+# that time a request may have been in force for longer than the bound.
+@pytest.mark.parametrize("rate", [0.98, 1.0])
+async def test_an_endpoint_refuses_a_start_once_the_bound_may_have_passed(
+    autojump_clock, rate
+):
+    platform = _platform()
+    instance = _instance(platform, lease_ms=9_000)
+    for endpoint in platform.endpoint_by_id.values():
+        endpoint._clock_rate = rate
+    deadlines_ms = []
+    start = FakeEndpoint.start
+
+    def note_and_start(endpoint, task, run, until_ms, token):
+        remaining_ms = (until_ms - endpoint.clock_ms()) / rate
+        deadlines_ms.append(remaining_ms + instance.configuration.read_age_ms())
+        return start(endpoint, task, run, until_ms, token)
+
+    async with running(instance):
+        await trio.sleep(1)
+        for endpoint in platform.endpoint_by_id.values():
+            endpoint.start = partial(note_and_start, endpoint)
+        for n in range(5):
+            await submit(instance, make_job(f"{n}" * 16, count=1))
+            await trio.sleep(0.7)
+    assert len(deadlines_ms) == len(platform.runs()) == 5
+    # One millisecond for the rounding of each clock.
+    assert all(4_700 < deadline_ms <= 5_002 for deadline_ms in deadlines_ms)
+
+
 # Guards against starts that are held for good, or dropped although nothing forbids
 # them, when the log is read again.
 async def test_held_starts_are_sent_when_the_log_is_read_again(
