Test the decoding of evacuations, their bound and cold endpoints

Cause: a request must count whatever its value, and an unreadable bound must not turn the gate off.

Change: tests of the adapter's three new fields.

Conclusion: tests/platform passes.

--- a/tests/platform/test_adapter.py
+++ b/tests/platform/test_adapter.py
@@ -18,6 +18,19 @@
 from ragwortshelf.scheduler.interfaces import EndpointUnreachable
 
 
+# Guards against a request that is ignored because its value cannot be read.
+def test_the_presence_of_a_key_requests_an_evacuation():
+    adapter = HttpPlatformAdapter(parse_settings(json.dumps(SETTINGS).encode()))
+    entries = {
+        "evacuate/a": b"{}",
+        "evacuate/b/c": b"\xff not JSON",
+        "evacuate/": b"{}",
+        "evacuated/d": b"{}",
+        "config": b"{}",
+    }
+    assert adapter.decode_evacuations(entries) == {"a", "b/c"}
+
+
 def _endpoint(*responses):
     info = EndpointInfo("i-1", "pool", "10.0.0.1:1", "a", Resources())
     client = MinionClient(info, 7)
--- a/tests/platform/test_decoding.py
+++ b/tests/platform/test_decoding.py
@@ -189,6 +189,27 @@
     assert settings.scheduling.lease_ms == 5000
 
 
+# Guards against a gate on starts in deployments that state no bound, and against a
+# bound that is ignored because it is unreadable.
+def test_the_bound_of_evacuations_is_optional_and_checked():
+    assert parse_settings(_bytes(SETTINGS)).scheduling.evacuation_ms is None
+
+    def parse(value):
+        bounds = SETTINGS["bounds"] | {"evacuation_ms": value}
+        return parse_settings(_bytes(SETTINGS | {"bounds": bounds}))
+
+    assert parse(5_000).scheduling.evacuation_ms == 5_000
+    for value in (0, -1, "soon", True):
+        (fault,) = parse(value).faults
+        assert fault.startswith("evacuation_ms")
+
+
+def test_a_report_tells_how_long_its_endpoint_is_cold():
+    assert decode_minion("i-1", _bytes(REPORT)).cold_remaining_ms is None
+    info = decode_minion("i-1", _bytes(REPORT | {"cold_remaining_ms": 900}))
+    assert info.cold_remaining_ms == 900
+
+
 def test_all_faults_of_the_settings_are_reported_together():
     broken = SETTINGS | {
         "node_name": "",
