Evacuate data centres in the soak

Cause: the bound was not checked against real processes.

Change: endpoints stand in two data centres; a fault writes and deletes evacuate/ZONE, some of them back within half a second; a check reports starts after the bound.

--- a/soak/checks.py
+++ b/soak/checks.py
@@ -12,7 +12,11 @@
 from .callers import JobRecord
 from .platform_server import is_deadly
 
-__all__ = ["find_violations"]
+__all__ = ["EVACUATION_BOUND_MS", "find_forbidden_starts", "find_violations"]
+
+EVACUATION_BOUND_MS = 5_000
+"""Time after a request from which nothing may start in an evacuated data centre, by the
+platform's specification."""
 
 CRASHES_MAX = 3
 STARTS_AFTER_CRASHES_MAX = 2
@@ -51,6 +55,24 @@
     return violations
 
 
+def find_forbidden_starts(
+    endpoints: Iterable[EndpointState], evacuations: Iterable[tuple[str, float, float]]
+) -> list[str]:
+    """Return one line for each start in an evacuated data centre after the bound.
+
+    Each evacuation is a data centre with the times of its request and its withdrawal.
+    """
+    evacuations = list(evacuations)
+    return [
+        f"{run.task}: started on {endpoint.info.id} in evacuated {data_centre}"
+        for endpoint in endpoints
+        for data_centre, since_ms, until_ms in evacuations
+        if endpoint.info.data_centre == data_centre
+        for run in endpoint.history.values()
+        if since_ms + EVACUATION_BOUND_MS < run.started_ms < until_ms
+    ]
+
+
 def _check_task(task: str, runs) -> list[str]:
     violations = []
     for before, after in itertools.pairwise(runs):
--- a/soak/faults.py
+++ b/soak/faults.py
@@ -13,7 +13,10 @@
 from .platform_server import EndpointServer, StoreServer
 from .proxy import Proxy, ProxyMode
 
-__all__ = ["FaultInjector"]
+__all__ = ["ZONES", "FaultInjector"]
+
+ZONES = ("a", "b")
+"""Data centres of the endpoints, which take turns."""
 
 FAULT_INTERVAL_S = (0.3, 2.0)
 FAULT_DURATION_S = (0.5, 4.5)
@@ -42,6 +45,9 @@
         self._endpoint_proxies = endpoint_proxies
         self._store = store
         self.log: list[str] = []
+        # Data centre, request and withdrawal, in milliseconds on trio's clock.
+        self.evacuations: list[tuple[str, float, float]] = []
+        self._evacuated: set[str] = set()
 
     async def run(self, seconds: float) -> None:
         """Inject faults for ``seconds``, and return once all are repaired."""
@@ -58,6 +64,7 @@
             self._disturb_endpoint_links,
             self._reset_endpoint_connections,
             self._delete_history,
+            self._evacuate,
         )
         deadline_s = trio.current_time() + seconds
         async with trio.open_nursery() as nursery:
@@ -138,6 +145,24 @@
         for topic in self._store.topic_by_name.values():
             topic.compact()
 
+    async def _evacuate(self, duration_s: float) -> None:
+        # Some requests last longer than the bound, and some come back at once.
+        zone = self._random.choice(ZONES)
+        if zone in self._evacuated:
+            return
+        self._evacuated.add(zone)
+        topic = self._store.topic("keyed.op")
+        for _ in range(self._random.choice((1, 1, 3))):
+            self._record(f"evacuate {zone}")
+            topic.append([(f"evacuate/{zone}", b"{}")])
+            since_ms = 1000 * trio.current_time()
+            await trio.sleep(duration_s * self._random.choice((0.1, 1, 3)))
+            topic.append([(f"evacuate/{zone}", b"")])
+            until_ms = 1000 * trio.current_time()
+            self.evacuations.append((zone, since_ms, until_ms))
+            await trio.sleep(self._random.uniform(0, 0.5))
+        self._evacuated.discard(zone)
+
     async def _shrink_endpoints(self, duration_s: float) -> None:
         count = self._random.randint(1, len(self._endpoints))
         self._record(f"{count} endpoints shrink for {duration_s:.1f} s")
--- a/soak/run.py
+++ b/soak/run.py
@@ -16,8 +16,8 @@
 from ragwortshelf.standins.platform_endpoint import EndpointState
 
 from .callers import API_KEY, PATH_PREFIX, Callers
-from .checks import find_violations
-from .faults import FaultInjector
+from .checks import EVACUATION_BOUND_MS, find_forbidden_starts, find_violations
+from .faults import ZONES, FaultInjector
 from .instances import ProcessSet
 from .platform_server import EndpointServer, StoreServer
 from .proxy import Proxy
@@ -109,6 +109,7 @@
     final_state_by_id = await _wait_for_final_states(callers)
     states = [server.state for server in servers]
     violations = find_violations(callers.job_by_id, states, final_state_by_id)
+    violations += find_forbidden_starts(states, injector.evacuations)
     violations += _unexpected_exits(processes)
     violations += [line for server in servers for line in server.overfilled]
     accepted = sum(job.is_accepted for job in callers.job_by_id.values())
@@ -152,7 +153,8 @@
     servers, endpoint_proxies = [], []
     for number in range(count):
         rng = random.Random(f"{seed}/{number}")
-        info = EndpointInfo(f"e{number}", "pool", "", "a", Resources(8000, 8000, 8))
+        zone = ZONES[number % len(ZONES)]
+        info = EndpointInfo(f"e{number}", "pool", "", zone, Resources(8000, 8000, 8))
         state = EndpointState(
             info,
             _run_time_function(rng),
@@ -166,7 +168,7 @@
         report = {
             "service": "pool",
             "address": f"{host}:{port}",
-            "zone": "a",
+            "zone": zone,
             "state": "ready",
             "capacity": {"cpu": 8000, "mem_mb": 8000, "gpu": 8},
             "labels": ["a", f"r{number // 4}"],
@@ -246,6 +248,7 @@
             "frontend": f"{ip}:{CALLER_PORT}",
             "readiness": f"{ip}:{READINESS_PORT}",
         },
-        "bounds": {"revoke_ms": 5000, "grace_s": 6, "hold_max_ms": 10000},
+        "bounds": {"revoke_ms": 5000, "grace_s": 6, "hold_max_ms": 10000}
+        | {"evacuation_ms": EVACUATION_BOUND_MS},
         "platform": {"address": f"{store[0]}:{store[1]}"},
     }
--- a/tests/soak/test_checks.py
+++ b/tests/soak/test_checks.py
@@ -10,7 +10,7 @@
 from ragwortshelf.net.http_messages import HttpRequest
 from ragwortshelf.standins.platform_endpoint import EndpointState, StartedRun
 from soak.callers import JobRecord
-from soak.checks import find_violations
+from soak.checks import find_forbidden_starts, find_violations
 from soak.platform_server import CAPACITY_NOTICE_S, EndpointServer
 
 JOB = "a" * 16
@@ -79,6 +79,18 @@
     assert len(_check(job, _endpoint(first, again))) == count
 
 
+@pytest.mark.parametrize(
+    ("started_ms", "data_centre", "count"),
+    [(4_900, "a", 0), (5_100, "a", 1), (5_100, "b", 0), (9_000, "a", 0)],
+)
+def test_a_start_in_an_evacuated_data_centre_is_reported(
+    started_ms, data_centre, count
+):
+    endpoint = _endpoint(_run(1, started_ms, 9_500, RunEnd.DONE))
+    evacuations = [(data_centre, 0.0, 8_000.0)]
+    assert len(find_forbidden_starts([endpoint], evacuations)) == count
+
+
 def test_an_uncertain_submission_may_run_or_not():
     job = JobRecord(JOB, 1, is_uncertain=True)
     assert _check(job, _endpoint(DONE)) == []
