Test requests beside an unreadable configuration and a failing withdrawal

Cause: two rows of the design note's failure table had no test.

Change: two tests of whole instances and followers in virtual time.

--- a/tests/scheduler/test_evacuation.py
+++ b/tests/scheduler/test_evacuation.py
@@ -16,13 +16,14 @@
 from fakes import FakeEndpoint, FakeLog, FakePlatformAdapter, Faults, Platform
 from test_observability import lines  # noqa: F401
 
-from ragwortshelf.core.scheduling import JobState, Resources
+from ragwortshelf.core.scheduling import JobState, Resources, Scheduler
 from ragwortshelf.core.scheduling.fleet import EndpointInfo
 from ragwortshelf.scheduler.configuration_follower import ConfigurationFollower
 from ragwortshelf.scheduler.instance import Instance
 from ragwortshelf.scheduler.interfaces import LogPage
 from ragwortshelf.scheduler.settings import SchedulingSettings
 from ragwortshelf.scheduler.start_gate import StartGate
+from ragwortshelf.scheduler.supervision import run_supervised
 
 JOB = "a" * 16
 X, Y = "evacuate/x", "evacuate/y"
@@ -436,3 +437,62 @@
         await trio.sleep(2)
         assert set(follower.evacuations()) == {"y"}
         assert follower.read_age_ms() < 2_000
+
+
+# Guards against a request that has no effect because another record is unreadable, and
+# against starts that pass the gate although that record may hold more requests.
+async def test_a_request_holds_although_the_configuration_cannot_be_decoded(
+    autojump_clock, monkeypatch
+):
+    platform = _platform()
+    follower, adapter, _ = _follower(platform)
+
+    def fail(entries):
+        raise RuntimeError("decoder")
+
+    async with trio.open_nursery() as nursery:
+        nursery.start_soon(run_supervised, "configuration", follower.run)
+        await trio.sleep(2)
+        monkeypatch.setattr(adapter, "decode_configuration", fail)
+        platform.operator.append([("config", b"2"), (X, REQUEST)])
+        await trio.sleep(5)
+        assert set(follower.evacuations()) == {"x"}
+        assert follower.read_age_ms() > 4_000
+        nursery.cancel_scope.cancel()
+
+
+# Guards against a term, or the reading of the log, that ends by an unexpected error
+# while starts are withdrawn, and against starts that are never withdrawn after it.
+async def test_an_error_while_starts_are_withdrawn_costs_no_term(
+    autojump_clock, monkeypatch
+):
+    platform = _platform()
+    instance = _instance(platform)
+    withdraw = Scheduler._withdraw_starts
+    errors = []
+
+    def fail_once(*arguments):
+        if not errors:
+            errors.append(RuntimeError("withdrawal"))
+            raise errors[0]
+        withdraw(*arguments)
+
+    monkeypatch.setattr(Scheduler, "_withdraw_starts", fail_once)
+    async with running(instance):
+        await trio.sleep(1)
+        (holder,) = holders([instance])
+        platform.endpoint_by_id["y"].is_disconnected = True
+        await trio.sleep(3)
+        attempts = _count_starts(platform.endpoint_by_id["x"])
+        await _place_on_x(platform, instance)
+        await trio.sleep(0.1)
+        term = holder.election.leadership.claim.term
+        platform.operator.append([(X, REQUEST)])
+        await trio.sleep(0.1)
+        for endpoint in platform.endpoint_by_id.values():
+            endpoint.is_disconnected = False
+        await trio.sleep(6)
+        assert errors
+        assert not attempts
+        assert holder.election.leadership.claim.term == term
+        assert _started_on(platform) == {"y"}
