Estimate anew how long runs go on that outran their estimate

Cause: a run without listed progress counted as if a tenth of its estimate were left, however long it had run. Reservations waited for room that did not become free.

Change: such a run is expected to need half as much again as it has run, which fits heavy-tailed run times. Within the estimate a tenth of it stays the least, so that the remaining time does not fall to nothing just before it grows. With progress nothing changes. The functions are in run_time.py now, with one that measures a run's whole duration between two listings, for moves of stragglers.

Conclusion: reservations, preemption and departures follow, since they use Unit.remaining_ms (tests/core/scheduling/test_run_time.py).

--- a/ragwortshelf/core/scheduling/unit.py
+++ b/ragwortshelf/core/scheduling/unit.py
@@ -7,15 +7,13 @@
 from .job_table import Job
 from .model import GANG, Resources, Step, UnitKey, UnitPhase, task_name
 from .records import UnitCrashes, UnitRecord
+from .run_time import remaining_ms
 
 __all__ = ["Unit", "make_sort_key"]
 
 CORES_PER_GPU = 8
 """Cores to which one accelerator is equivalent, by the platform's prices."""
 
-PERCENT_ROUNDING = 0.5
-"""Added to a listed progress, which is rounded down to a whole percent."""
-
 CHECKPOINT_LOSS_MS = 750
 """Run time lost by stopping a checkpointing unit: half the checkpoint interval of 1 s,
 plus a restore of 0.25 s."""
@@ -142,33 +140,13 @@
         """Estimate how long the unit will still occupy its endpoints."""
         return max(
             (
-                _remaining_ms(placement, self.step, now_ms)
+                remaining_ms(placement, self.step, now_ms)
                 for placement in self.placements
             ),
             default=0,
         )
 
 
-def _remaining_ms(placement: TaskPlacement, step: Step, now_ms: int) -> float:
-    """Estimate the remaining time of a run from the progress that listings showed.
-
-    A run that resumed from a checkpoint did not make all of its progress since its
-    start, so the pace is taken from two listings where there are two.
-    """
-    percent = placement.progress_percent + PERCENT_ROUNDING
-    since_ms, since_percent = placement.ordered_ms, 0.0
-    first_percent = placement.first_percent
-    if first_percent is not None and placement.progress_percent > first_percent:
-        since_ms = placement.first_listed_ms
-        since_percent = first_percent + PERCENT_ROUNDING
-    if placement.progress_percent <= 0 or placement.listed_ms <= since_ms:
-        elapsed = max(1, now_ms - placement.ordered_ms)
-        return max(step.estimate_ms - elapsed, step.estimate_ms / 10)
-    ms_per_percent = (placement.listed_ms - since_ms) / (percent - since_percent)
-    remaining_ms = (100 - percent) * ms_per_percent
-    return max(0.0, remaining_ms - (now_ms - placement.listed_ms))
-
-
 def make_sort_key(job: Job, queue: Queue | None) -> tuple[int, int]:
     """Return the sort key of a job's units: priority and wall-clock deadline."""
     # A job whose queue was withdrawn is less urgent than all others.
