Move units from slow endpoints where that gains more than it costs

Change: core/scheduling/stragglers.py, evaluated in the plan after a listing of an endpoint that is known to be slow, with the room that is left when the waiting units are placed. A unit of priority 0 that by its progress will be late where it runs is stopped if free room exists where it would be on time, and if at most half of its work is done. A checkpointing unit is stopped if the rest, a stop and a restore take less than two thirds of the time elsewhere, two at a time. Each unit is moved once; the record says ENDING with the reason "moved", and a successor counts a unit that was stopped in an earlier term as moved.

The work is taken from the measured pace and the endpoint's speed, not from the estimate: a task that is slow because of its own work is as slow elsewhere.

Where all endpoints are equally fast nothing is evaluated.

--- a/ragwortshelf/core/scheduling/endpoint_selection.py
+++ b/ragwortshelf/core/scheduling/endpoint_selection.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+from collections.abc import Callable
+
 from .fleet import Endpoint
 from .free_room import FreeRoom
 from .lifecycle import UnitLifecycle
@@ -81,6 +83,19 @@
             endpoints = self._find_endpoints(unit, candidates)
         return endpoints
 
+    def find_free_room(
+        self, unit: Unit, is_wanted: Callable[[Endpoint], bool]
+    ) -> list[Endpoint] | None:
+        """Return room on wanted endpoints for a unit that runs now, or None.
+
+        Only free room counts, and no advice is asked.
+        """
+        if not self._free_room.may_hold(unit.step, unit.count):
+            return None
+        eligible = self.reclaim_candidates(unit)
+        wanted = [e for e in eligible if is_wanted(e) and e.id not in unit.avoided_ids]
+        return self._find_endpoints(unit, wanted, eligible)
+
     def _needs_proof(self, unit: Unit) -> bool:
         """Whether a unit waits for endpoints on which a recent start has survived.
 
--- a/ragwortshelf/core/scheduling/lifecycle.py
+++ b/ragwortshelf/core/scheduling/lifecycle.py
@@ -126,6 +126,11 @@
         """Stop a unit, which is requeued when its runs end; its checkpoint is kept."""
         self._stop_placements(unit, reason, now_ms)
 
+    def move_unit(self, unit: Unit, now_ms: int, wall_ms: int) -> None:
+        """Stop a unit that is to run elsewhere, and log that, so that it is counted."""
+        self._persist_phase(unit, UnitPhase.ENDING, wall_ms, "moved")
+        self._stop_placements(unit, "moved", now_ms)
+
     def report_planning_fault(self, unit: Unit, error: Exception, now_ms: int) -> None:
         """Delay a unit whose planning raised an unexpected error, and report it."""
         unit.not_before_ms = now_ms + PLANNING_FAULT_DELAY_MS
--- a/ragwortshelf/core/scheduling/planning.py
+++ b/ragwortshelf/core/scheduling/planning.py
@@ -9,6 +9,7 @@
 from .model import UnitPhase
 from .reservations import UnitReservations
 from .room_making import RoomMaker
+from .stragglers import StragglerMover
 from .unit import Unit
 
 __all__ = ["Planner"]
@@ -24,6 +25,7 @@
         self._reservations = UnitReservations()
         self._selector = EndpointSelector(scheduler, self._reservations)
         self._room_maker = RoomMaker(scheduler, self._reservations, self._selector)
+        self.straggler_mover = StragglerMover(scheduler, self._selector)
         self._now_ms = 0
         self._wall_ms = 0
 
@@ -52,6 +54,7 @@
             except Exception as error:
                 # Costs this unit a delay, and no other unit anything.
                 self._scheduler.report_planning_fault(unit, error, now_ms)
+        self.straggler_mover.run(now_ms, wall_ms)
 
     def drop_reservation(self, unit: Unit) -> None:
         """Drop the reservation of a unit."""
--- a/ragwortshelf/core/scheduling/scheduler.py
+++ b/ragwortshelf/core/scheduling/scheduler.py
@@ -182,6 +182,7 @@
                 unplaced_by_run[row.task, row.run] = occupied
         endpoint.set_unplaced(unplaced_by_run)
         self._stop_stalled(endpoint, now_ms)
+        self._planner.straggler_mover.listing_received(endpoint)
         self._actions.extend(plan_paces(endpoint, self.unit_by_key))
         if len(listing.finished) >= FINISHED_PAGE_SIZE:
             # The page is full: the ends of missing runs may be on a later page.
--- a/ragwortshelf/core/scheduling/unit.py
+++ b/ragwortshelf/core/scheduling/unit.py
@@ -27,6 +27,7 @@
     nowhere else. The job can be on time if the unit starts by ``latest_start_wall_ms``.
     ``last_failed_run`` is the latest run counted as failed, so that a gang's run counts
     once. ``quick_failure_count`` counts runs that failed as soon as they started.
+    A unit that ``has_moved`` from a slow endpoint is not moved again.
 
     ``crashes`` has the endpoints that were lost at its starts, and ``held_until_ms`` is
     how long it waits for word of them.
@@ -35,6 +36,7 @@
     __slots__ = (
         "avoided_ids",
         "crashes",
+        "has_moved",
         "held_until_ms",
         "job",
         "key",
@@ -64,6 +66,10 @@
         self.last_failed_run = 0
         self.quick_failure_count = 0
         self.not_before_ms = 0
+        # The log does not tell moves from other stops. A unit that was stopped in an
+        # earlier term may have been moved in it.
+        was_stopped = self.record.run > 1 or self.record.phase is UnitPhase.ENDING
+        self.has_moved = was_stopped
         self.crashes = UnitCrashes(key)
         self.held_until_ms = 0
         self.sort_key: tuple = ()
@@ -91,6 +97,17 @@
             since_ms = max(since_ms, placement.confirmed_ms)
         return since_ms
 
+    @property
+    def latest_end_wall_ms(self) -> int:
+        """When the unit must be done for the job to be on time, by the estimates."""
+        return self.latest_start_wall_ms + self.step.estimate_ms
+
+    @property
+    def mean_percent(self) -> float:
+        """Mean progress of the unit's tasks, as listed last."""
+        percents = [placement.progress_percent for placement in self.placements]
+        return sum(percents) / max(1, len(percents))
+
     @property
     def is_suspect(self) -> bool:
         """Whether the unit may crash the endpoints that start it."""
