Test that tail tasks and slow targets are no reason to move

Change: a tail task of three times the work that is listed long enough to be measured, and a move from an endpoint of speed 0.5 to one of 0.85.

--- a/tests/core/scheduling/test_stragglers.py
+++ b/tests/core/scheduling/test_stragglers.py
@@ -175,10 +175,15 @@
 
 
 def test_a_tail_task_is_not_restarted():
-    # With seven times the work it is as late elsewhere, and the time would be lost.
-    fleet, starts = _late_urgent(SLOW, FAST)
-    fleet.work_by_task["u.0.0.0"] = 7 * ESTIMATE_MS
-    fleet.progress(8_000, starts)
+    # With three times the work it is late elsewhere as well, though the estimate says
+    # otherwise, and the time would be lost.
+    work_ms = 30_000
+    fleet, starts = _start_on_slow(SLOW, FAST, estimate_ms=work_ms)
+    fleet.work_by_task["u.0.0.0"] = 3 * work_ms
+    unit = fleet.scheduler.unit_by_key[starts[0].unit_key]
+    unit.latest_start_wall_ms = fleet.now + 40_000 - work_ms
+    fleet.progress(20_000, starts)
+    assert unit.mean_percent > 10
     assert not fleet.stops
 
 
@@ -253,8 +258,9 @@
     [
         # A short rest gains less than the stop and the restore take.
         (3_000, (SLOW, USUAL), True),
-        # Another slow endpoint gains nothing.
+        # Another slow endpoint gains nothing, or may soon be as slow.
         (20_000, (SLOW, SLOW), True),
+        (20_000, (0.5, 0.85), True),
         # Without checkpoints the work would be lost.
         (20_000, (SLOW, FAST), False),
     ],
