List as often in the fleet benchmark as the scheduler asks

Cause: benchmarks/fleet_load listed all endpoints once a second, so the listings that fresh urgent runs need were missing, and so was their number.

--- a/benchmarks/fleet_load.py
+++ b/benchmarks/fleet_load.py
@@ -44,6 +44,7 @@
     StartOutcome,
 )
 from ragwortshelf.core.scheduling.records import JobSubmitted
+from ragwortshelf.core.scheduling.stalls import ListingNeed
 
 ENDPOINT = Resources(32_000, 64_000, 8)
 ENDPOINTS_PER_RACK = 12
@@ -56,6 +57,7 @@
 """Time between an event and the plan that takes it into account."""
 
 LISTING_INTERVAL_MS = 1_000
+URGENT_LISTING_INTERVAL_MS = 400
 STOP_MS = (50, 900)
 GPUS_PER_TASK = (1, 2, 4, 8, 8)
 CORES_PER_GPU = 8
@@ -239,6 +241,7 @@
         self.thrown_away_core_s = 0.0
         self.ends: Counter[str] = Counter()
         self.plan_s = 0.0
+        self.listing_count = 0
         self.is_plan_due = False
         self.actions: list = []
 
@@ -374,7 +377,13 @@
     def _list_later(self, endpoint: _SimulatedEndpoint, delay_ms: float) -> None:
         def list_and_repeat() -> None:
             self._list(endpoint)
-            self._list_later(endpoint, LISTING_INTERVAL_MS)
+            self.listing_count += 1
+            need = self.scheduler.listing_need(endpoint.name, self.now_ms)
+            is_urgent = need is ListingNeed.FRESH_URGENT
+            self._list_later(
+                endpoint,
+                URGENT_LISTING_INTERVAL_MS if is_urgent else LISTING_INTERVAL_MS,
+            )
 
         self.at(self.now_ms + delay_ms, list_and_repeat)
 
@@ -398,6 +407,7 @@
             "queues": {queue: self._figures(jobs) for queue, jobs in by_queue.items()},
             "thrown_away_core_s": round(self.thrown_away_core_s),
             "ends": dict(self.ends),
+            "listings": self.listing_count,
             "plan_s": round(self.plan_s, 2),
         }
 
