--- a/ragwortshelf/core/scheduling/planning.py
+++ b/ragwortshelf/core/scheduling/planning.py
@@ -11,6 +11,7 @@
 from .model import UnitPhase
 from .reservations import UnitReservations
 from .room_making import RoomMaker
+from .stragglers import StragglerMover
 from .unit import Unit
 
 __all__ = ["Planner"]
@@ -26,6 +27,7 @@
         self._reservations = UnitReservations()
         self._selector = EndpointSelector(scheduler, self._reservations)
         self._room_maker = RoomMaker(scheduler, self._reservations, self._selector)
+        self.straggler_mover = StragglerMover(scheduler, self._selector)
         self._now_ms = 0
         self._wall_ms = 0
 
@@ -57,12 +59,17 @@
             except Exception as error:
                 # Costs this unit a delay, and no other unit anything.
                 self._scheduler.report_planning_fault(unit, error, now_ms)
+        self._move_from_evacuated(evacuated)
+        self.straggler_mover.run(now_ms, wall_ms)
+
+    def _move_from_evacuated(self, evacuated: list[Endpoint]) -> None:
+        """Move long-running units that still run in evacuated data centres."""
         unplaceable_shapes = set()
         for unit in units_on(evacuated, self._scheduler.unit_by_key):
             try:
                 self._move(unit, unplaceable_shapes)
             except Exception as error:
-                self._scheduler.report_planning_fault(unit, error, now_ms)
+                self._scheduler.report_planning_fault(unit, error, self._now_ms)
 
     def _evacuated_endpoints(self) -> list[Endpoint]:
         if not self._scheduler.evacuations:
