--- /dev/null
+++ b/tests/core/scheduling/test_calibration.py
@@ -0,0 +1,86 @@
+"""Estimates are corrected by the run times of their queue, as far as these justify it.
+
+Load: callers of one queue whose estimates are off by a factor of up to ten.
+"""
+
+import math
+import random
+
+from hypothesis import given
+from hypothesis import strategies as st
+
+from ragwortshelf.core.scheduling.calibration import (
+    CORRECTION_MAX,
+    EstimateCalibration,
+)
+
+
+def test_right_estimates_are_not_corrected():
+    # Guards against a correction by chance where callers estimate well.
+    calibration = EstimateCalibration()
+    draw = random.Random(1)
+    for _ in range(300):
+        run_time_ms = round(draw.lognormvariate(math.log(2_500), 0.5))
+        calibration.run_done("q", run_time_ms, run_time_ms)
+    for estimate_ms in (500, 2_500, 8_000):
+        assert abs(calibration.expected_ms("q", estimate_ms) / estimate_ms - 1) < 0.02
+
+
+def test_estimates_that_say_nothing_give_way_to_the_usual_run_time():
+    # Guards against deadlines that are wrong by the factor of ten of the estimate.
+    calibration = EstimateCalibration()
+    draw = random.Random(2)
+    for _ in range(300):
+        run_time_ms = round(draw.lognormvariate(math.log(2_500), 0.3))
+        estimate_ms = round(run_time_ms * math.exp(draw.uniform(-2.3, 2.3)))
+        calibration.run_done("q", max(1, estimate_ms), run_time_ms)
+    for estimate_ms in (500, 2_500, 12_000):
+        assert 1_500 < calibration.expected_ms("q", estimate_ms) < 4_000
+
+
+def test_estimates_that_are_all_too_low_are_raised():
+    calibration = EstimateCalibration()
+    for run_time_ms in (1_000, 2_000, 4_000) * 40:
+        calibration.run_done("q", run_time_ms // 2, run_time_ms)
+    assert 1_850 < calibration.expected_ms("q", 1_000) < 2_050
+
+
+def test_few_runs_and_other_queues_change_little():
+    # Guards against one odd run that changes the deadlines of a whole queue.
+    calibration = EstimateCalibration()
+    calibration.run_done("q", 1_000, 8_000)
+    assert calibration.expected_ms("q", 1_000) < 1_500
+    assert calibration.expected_ms("other", 1_000) == 1_000
+
+
+def test_the_tasks_of_a_wide_step_count_as_one_run():
+    # Guards against one wide step that outweighs all other jobs of its queue.
+    wide, single = EstimateCalibration(), EstimateCalibration()
+    for _ in range(200):
+        wide.run_done("q", 1_000, 8_000, weight=1 / 200)
+    single.run_done("q", 1_000, 8_000)
+    difference_ms = wide.expected_ms("q", 1_000) - single.expected_ms("q", 1_000)
+    assert abs(difference_ms) <= 1
+
+
+def test_runs_of_long_ago_fade():
+    calibration = EstimateCalibration()
+    for run_time_ms in (500, 1_000, 2_000) * 200:
+        calibration.run_done("q", run_time_ms, 4 * run_time_ms)
+    for run_time_ms in (500, 1_000, 2_000) * 400:
+        calibration.run_done("q", run_time_ms, run_time_ms)
+    assert abs(calibration.expected_ms("q", 1_000) / 1_000 - 1) < 0.05
+
+
+@given(
+    st.lists(st.tuples(st.integers(0, 10**7), st.integers(0, 10**7)), max_size=30),
+    st.integers(0, 10**7),
+)
+def test_a_correction_is_bounded(runs, estimate_ms):
+    # Guards against run times of zero, and against overflow.
+    calibration = EstimateCalibration()
+    for run in runs:
+        calibration.run_done("q", *run)
+    expected_ms = calibration.expected_ms("q", estimate_ms)
+    assert estimate_ms / CORRECTION_MAX - 1 <= expected_ms
+    assert expected_ms <= estimate_ms * CORRECTION_MAX + 1
