--- a/ragwortshelf/core/scheduling/unit.py
+++ b/ragwortshelf/core/scheduling/unit.py
@@ -7,15 +7,13 @@
 from .job_table import Job
 from .model import GANG, Resources, Step, UnitKey, UnitPhase, task_name
 from .records import UnitCrashes, UnitRecord
+from .run_time import remaining_ms
 
 __all__ = ["Unit", "make_sort_key"]
 
 CORES_PER_GPU = 8
 """Cores to which one accelerator is equivalent, by the platform's prices."""
 
-PERCENT_ROUNDING = 0.5
-"""Added to a listed progress, which is rounded down to a whole percent."""
-
 CHECKPOINT_LOSS_MS = 750
 """Run time lost by stopping a checkpointing unit: half the checkpoint interval of 1 s,
 plus a restore of 0.25 s."""
@@ -29,6 +27,7 @@
     nowhere else. The job can be on time if the unit starts by ``latest_start_wall_ms``.
     ``last_failed_run`` is the latest run counted as failed, so that a gang's run counts
     once. ``quick_failure_count`` counts runs that failed as soon as they started.
+    A unit that ``has_moved`` from a slow endpoint is not moved again.
 
     ``crashes`` has the endpoints that were lost at its starts, and ``held_until_ms`` is
     how long it waits for word of them.
@@ -37,6 +36,7 @@
     __slots__ = (
         "avoided_ids",
         "crashes",
+        "has_moved",
         "held_until_ms",
         "job",
         "key",
@@ -66,6 +66,10 @@
         self.last_failed_run = 0
         self.quick_failure_count = 0
         self.not_before_ms = 0
+        # The log does not tell moves from other stops. A unit that was stopped in an
+        # earlier term may have been moved in it.
+        was_stopped = self.record.run > 1 or self.record.phase is UnitPhase.ENDING
+        self.has_moved = was_stopped
         self.crashes = UnitCrashes(key)
         self.held_until_ms = 0
         self.sort_key: tuple = ()
@@ -78,6 +82,32 @@
         """Number of tasks of the unit."""
         return self.step.count if self.key.member == GANG else 1
 
+    @property
+    def working_since_ms(self) -> int | None:
+        """When the starts of all tasks were confirmed; None before that.
+
+        The members of a gang make no progress until all of them are present.
+        """
+        if len(self.placements) < self.count:
+            return None
+        since_ms = 0
+        for placement in self.placements:
+            if placement.confirmed_ms is None:
+                return None
+            since_ms = max(since_ms, placement.confirmed_ms)
+        return since_ms
+
+    @property
+    def latest_end_wall_ms(self) -> int:
+        """When the unit must be done for the job to be on time, by the estimates."""
+        return self.latest_start_wall_ms + self.step.estimate_ms
+
+    @property
+    def mean_percent(self) -> float:
+        """Mean progress of the unit's tasks, as listed last."""
+        percents = [placement.progress_percent for placement in self.placements]
+        return sum(percents) / max(1, len(percents))
+
     @property
     def is_suspect(self) -> bool:
         """Whether the unit may crash the endpoints that start it."""
@@ -127,33 +157,13 @@
         """Estimate how long the unit will still occupy its endpoints."""
         return max(
             (
-                _remaining_ms(placement, self.step, now_ms)
+                remaining_ms(placement, self.step, now_ms)
                 for placement in self.placements
             ),
             default=0,
         )
 
 
-def _remaining_ms(placement: TaskPlacement, step: Step, now_ms: int) -> float:
-    """Estimate the remaining time of a run from the progress that listings showed.
-
-    A run that resumed from a checkpoint did not make all of its progress since its
-    start, so the pace is taken from two listings where there are two.
-    """
-    percent = placement.progress_percent + PERCENT_ROUNDING
-    since_ms, since_percent = placement.ordered_ms, 0.0
-    first_percent = placement.first_percent
-    if first_percent is not None and placement.progress_percent > first_percent:
-        since_ms = placement.first_listed_ms
-        since_percent = first_percent + PERCENT_ROUNDING
-    if placement.progress_percent <= 0 or placement.listed_ms <= since_ms:
-        elapsed = max(1, now_ms - placement.ordered_ms)
-        return max(step.estimate_ms - elapsed, step.estimate_ms / 10)
-    ms_per_percent = (placement.listed_ms - since_ms) / (percent - since_percent)
-    remaining_ms = (100 - percent) * ms_per_percent
-    return max(0.0, remaining_ms - (now_ms - placement.listed_ms))
-
-
 def make_sort_key(job: Job, queue: Queue | None) -> tuple[int, int]:
     """Return the sort key of a job's units: priority and wall-clock deadline."""
     # A job whose queue was withdrawn is less urgent than all others.
