Correct estimates by the run times of their queue

Change: a unit's estimate_ms is the expected run time by the earlier units of its queue. The fit is folded from the records of the log, so each instance and each successor has it and no record is added.

Right estimates change nothing, which a test shows.

--- a/ragwortshelf/core/scheduling/endpoint_selection.py
+++ b/ragwortshelf/core/scheduling/endpoint_selection.py
@@ -198,7 +198,7 @@
         # Away from its data a task takes longer by the platform's `remote_factor`;
         # waiting for twice its estimate costs as much.
         waited_ms = self._now_ms - unit.waiting_since_ms
-        return waited_ms > 2 * unit.step.estimate_ms
+        return waited_ms > 2 * unit.estimate_ms
 
     def _count_same_step(self, endpoint: Endpoint, unit: Unit) -> int:
         key = unit.key[:3]
--- a/ragwortshelf/core/scheduling/job_table.py
+++ b/ragwortshelf/core/scheduling/job_table.py
@@ -8,6 +8,7 @@
 
 from collections.abc import Iterator
 
+from .calibration import EstimateCalibration
 from .model import Incarnation, JobSpec, JobState, UnitKey, UnitPhase
 from .records import (
     EndpointForgotten,
@@ -29,9 +30,13 @@
 
 
 class Job:
-    """A job and the newest record of each of its units."""
+    """A job and the newest record of each of its units.
+
+    Run times of its units are added to ``calibration``.
+    """
 
     __slots__ = (
+        "_calibration",
         "_open_unit_count",
         "_open_units_by_step",
         "ended_wall_ms",
@@ -42,8 +47,9 @@
         "spec",
     )
 
-    def __init__(self, spec: JobSpec):
+    def __init__(self, spec: JobSpec, calibration: EstimateCalibration):
         self.spec = spec
+        self._calibration = calibration
         self.is_cancelled = False
         self.has_started = False
         self.failed_unit: UnitKey | None = None
@@ -92,6 +98,8 @@
         before = self.record_by_key.get(record.key)
         if before is not None and before.phase in _TERMINAL_PHASES:
             return
+        if before is not None and record.phase is UnitPhase.DONE:
+            self._note_run_time(before, record)
         self.record_by_key[record.key] = record
         if record.run > 0:
             self.has_started = True
@@ -101,6 +109,18 @@
             self.failed_unit = record.key
             self.ended_wall_ms = record.changed_wall_ms
 
+    def _note_run_time(self, placed: UnitRecord, done: UnitRecord) -> None:
+        step = self.spec.steps[done.key.step]
+        is_whole_run = placed.phase is UnitPhase.PLACED and placed.run == done.run
+        if not is_whole_run or placed.checkpoint or step.is_long_running:
+            return
+        self._calibration.run_done(
+            self.spec.queue,
+            step.estimate_ms,
+            done.changed_wall_ms - placed.changed_wall_ms,
+            1 / len(step.members),
+        )
+
     def _count_done(self, record: UnitRecord) -> None:
         self._open_unit_count -= 1
         step = (record.key.occurrence, record.key.step)
@@ -115,10 +135,13 @@
 
     ``incarnation_by_endpoint_id`` has the incarnation of each endpoint that answered
     last, and ``crashes_by_job_id`` what is known of crashes at the starts of units.
+    ``calibration`` is derived from the run times in the log, so that each instance and
+    each successor of the scheduler has it without a record of its own.
     """
 
     def __init__(self):
         self.job_by_id: dict[str, Job] = {}
+        self.calibration = EstimateCalibration()
         self.term: TermHeld | None = None
         self.upkeep_by_wave: dict[int, UpkeepRecord] = {}
         self.instance_by_name: dict[str, InstanceAnnounced] = {}
@@ -177,7 +200,7 @@
     def _submit(self, spec: JobSpec) -> bool:
         if spec.id in self.job_by_id:
             return False
-        job = self.job_by_id[spec.id] = Job(spec)
+        job = self.job_by_id[spec.id] = Job(spec, self.calibration)
         cancelled_wall_ms = self._cancelled_wall_ms_by_id.pop(spec.id, None)
         if cancelled_wall_ms is not None:
             job.cancel(cancelled_wall_ms)
--- a/ragwortshelf/core/scheduling/lifecycle.py
+++ b/ragwortshelf/core/scheduling/lifecycle.py
@@ -206,7 +206,7 @@
 
     def _set_sort_key(self, unit: Unit) -> None:
         queue = self.configuration.queue_by_name.get(unit.job.spec.queue)
-        unit.set_sort_key(queue)
+        unit.set_sort_key(queue, self.table.calibration)
 
     def _end_job(self, job: Job, now_ms: int) -> None:
         self._next_occurrence_by_job.pop(job.spec.id, None)
--- a/ragwortshelf/core/scheduling/model.py
+++ b/ragwortshelf/core/scheduling/model.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import enum
+from collections.abc import Sequence
 from dataclasses import dataclass, field
 from typing import NamedTuple
 
@@ -142,22 +143,22 @@
             return 0
         return self.first_run_wall_ms + occurrence * self.interval_ms
 
-    def critical_path_ms(self) -> int:
-        """Return the estimated length of the job's critical path."""
-        return max(self.critical_paths_ms(), default=0)
-
-    def critical_paths_ms(self) -> list[int]:
+    def critical_paths_ms(self, run_times_ms: Sequence[int] | None = None) -> list[int]:
         """Return, for each step, the critical path from its start to the job's end.
 
+        ``run_times_ms`` has the run time of each step; by default it is the estimate.
+
         >>> first = Step(1, Resources(), 300)
         >>> last = Step(1, Resources(), 200, depends_on=(0,))
         >>> JobSpec("j", "q", "s", "o", "", (first, last)).critical_paths_ms()
         [500, 200]
         """
-        lengths = [step.estimate_ms for step in self.steps]
+        if run_times_ms is None:
+            run_times_ms = [step.estimate_ms for step in self.steps]
+        lengths = list(run_times_ms)
         for number in range(len(self.steps) - 1, -1, -1):
             for before in self.steps[number].depends_on:
-                total = self.steps[before].estimate_ms + lengths[number]
+                total = run_times_ms[before] + lengths[number]
                 lengths[before] = max(lengths[before], total)
         return lengths
 
--- a/ragwortshelf/core/scheduling/room_making.py
+++ b/ragwortshelf/core/scheduling/room_making.py
@@ -170,16 +170,14 @@
         wait_ms = max((self._wait_ms(v, unit) for v in plan.victims), default=0)
         lost_max_core_ms = self._idle_core_ms(unit, plan, wait_ms)
         if unit.priority == 0 and self._would_be_late(unit, wait_ms):
-            lost_max_core_ms += (
-                PREEMPTION_LOSS_SHARE * unit.cores * unit.step.estimate_ms
-            )
+            lost_max_core_ms += PREEMPTION_LOSS_SHARE * unit.cores * unit.estimate_ms
         return lost_max_core_ms
 
     def _would_be_late(self, unit: Unit, wait_ms: float) -> bool:
         """Whether waiting makes a unit late that can still be on time."""
         if unit.is_late(self._wall_ms):
             return False
-        slow_ms = SLOW_ENDPOINT_SHARE * unit.step.estimate_ms
+        slow_ms = SLOW_ENDPOINT_SHARE * unit.estimate_ms
         return self._wall_ms + wait_ms + slow_ms > unit.latest_start_wall_ms
 
     def _idle_core_ms(
--- a/ragwortshelf/core/scheduling/run_time.py
+++ b/ragwortshelf/core/scheduling/run_time.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 from .fleet import TaskPlacement
-from .model import Step
 
 __all__ = ["measured_duration_ms", "remaining_ms"]
 
@@ -22,7 +21,7 @@
 are rounded, so the measurement is off by at most an eighth."""
 
 
-def remaining_ms(placement: TaskPlacement, step: Step, now_ms: int) -> float:
+def remaining_ms(placement: TaskPlacement, estimate_ms: int, now_ms: int) -> float:
     """Estimate the remaining time of a run from the progress that listings showed.
 
     A run that resumed from a checkpoint did not make all of its progress since its
@@ -35,7 +34,7 @@
         since_ms = placement.first_listed_ms
         since_percent = first_percent + PERCENT_ROUNDING
     if placement.progress_percent <= 0 or placement.listed_ms <= since_ms:
-        return _remaining_by_estimate_ms(placement, step, now_ms)
+        return _remaining_by_estimate_ms(placement, estimate_ms, now_ms)
     ms_per_percent = (placement.listed_ms - since_ms) / (percent - since_percent)
     left_ms = (100 - percent) * ms_per_percent
     return max(0.0, left_ms - (now_ms - placement.listed_ms))
@@ -57,11 +56,9 @@
 
 
 def _remaining_by_estimate_ms(
-    placement: TaskPlacement, step: Step, now_ms: int
+    placement: TaskPlacement, estimate_ms: int, now_ms: int
 ) -> float:
     elapsed_ms = max(1, now_ms - placement.ordered_ms)
-    if elapsed_ms >= step.estimate_ms:
+    if elapsed_ms >= estimate_ms:
         return OUTRUN_SHARE_LEFT * elapsed_ms
-    return max(
-        step.estimate_ms - elapsed_ms, ESTIMATE_SHARE_LEFT_MIN * step.estimate_ms
-    )
+    return max(estimate_ms - elapsed_ms, ESTIMATE_SHARE_LEFT_MIN * estimate_ms)
--- a/ragwortshelf/core/scheduling/stalls.py
+++ b/ragwortshelf/core/scheduling/stalls.py
@@ -49,9 +49,9 @@
     Only urgent units have a shorter timeout. For others an early detection gains
     little, and a wrong one discards a run that would have gone on.
     """
-    if unit.priority != 0 or not unit.step.estimate_ms:
+    if unit.priority != 0 or not unit.estimate_ms:
         return STALL_TIMEOUT_MS
-    share_ms = int(STALL_ESTIMATE_SHARE * unit.step.estimate_ms)
+    share_ms = int(STALL_ESTIMATE_SHARE * unit.estimate_ms)
     return min(STALL_TIMEOUT_MS, max(STALL_TIMEOUT_MIN_MS, share_ms))
 
 
--- a/ragwortshelf/core/scheduling/unit.py
+++ b/ragwortshelf/core/scheduling/unit.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from .calibration import EstimateCalibration
 from .configuration import Queue
 from .fleet import TaskPlacement
 from .job_table import Job
@@ -29,6 +30,9 @@
     once. ``quick_failure_count`` counts runs that failed as soon as they started.
     A unit that ``has_moved`` from a slow endpoint is not moved again.
 
+    ``estimate_ms`` is the expected run time of its tasks: the caller's estimate,
+    corrected by earlier runs of the queue.
+
     ``crashes`` has the endpoints that were lost at its starts, and ``held_until_ms`` is
     how long it waits for word of them.
     """
@@ -36,6 +40,7 @@
     __slots__ = (
         "avoided_ids",
         "crashes",
+        "estimate_ms",
         "has_moved",
         "held_until_ms",
         "job",
@@ -57,6 +62,7 @@
         self.key = key
         self.job = job
         self.step: Step = job.spec.steps[key.step]
+        self.estimate_ms = self.step.estimate_ms
         self.record = job.record_by_key.get(key) or UnitRecord(
             key, 0, UnitPhase.WAITING
         )
@@ -100,7 +106,7 @@
     @property
     def latest_end_wall_ms(self) -> int:
         """When the unit must be done for the job to be on time, by the estimates."""
-        return self.latest_start_wall_ms + self.step.estimate_ms
+        return self.latest_start_wall_ms + self.estimate_ms
 
     @property
     def mean_percent(self) -> float:
@@ -124,19 +130,26 @@
         request: Resources = self.step.request
         return self.count * (request.cpu_milli / 1000 + CORES_PER_GPU * request.gpus)
 
-    def set_sort_key(self, queue: Queue | None) -> None:
+    def set_sort_key(
+        self, queue: Queue | None, calibration: EstimateCalibration
+    ) -> None:
         """Set the sort key, priority and latest start by the queue's configuration."""
         spec = self.job.spec
-        self.sort_key = make_sort_key(self.job, queue)
+        run_times_ms = [
+            calibration.expected_ms(spec.queue, step.estimate_ms) for step in spec.steps
+        ]
+        paths_ms = spec.critical_paths_ms(run_times_ms)
+        self.estimate_ms = run_times_ms[self.key.step]
+        self.sort_key = make_sort_key(self.job, queue, max(paths_ms))
         self.priority, deadline = self.sort_key
-        self.latest_start_wall_ms = deadline - spec.critical_paths_ms()[self.key.step]
+        self.latest_start_wall_ms = deadline - paths_ms[self.key.step]
 
     def is_late(self, wall_ms: int) -> bool:
         """Whether the job is unlikely to be on time.
 
         Estimates are off by half or more, so half an estimate is allowed for.
         """
-        allowance = self.step.estimate_ms // 2
+        allowance = self.estimate_ms // 2
         return wall_ms > self.latest_start_wall_ms + allowance
 
     def task(self, index: int) -> str:
@@ -157,19 +170,21 @@
         """Estimate how long the unit will still occupy its endpoints."""
         return max(
             (
-                remaining_ms(placement, self.step, now_ms)
+                remaining_ms(placement, self.estimate_ms, now_ms)
                 for placement in self.placements
             ),
             default=0,
         )
 
 
-def make_sort_key(job: Job, queue: Queue | None) -> tuple[int, int]:
+def make_sort_key(
+    job: Job, queue: Queue | None, critical_path_ms: int
+) -> tuple[int, int]:
     """Return the sort key of a job's units: priority and wall-clock deadline."""
     # A job whose queue was withdrawn is less urgent than all others.
     priority = queue.priority if queue else 1 << 10
     slack = queue.slack_factor if queue else 1.0
     latency = queue.target_latency_ms if queue else 0
-    objective = int(job.spec.critical_path_ms() * slack) + latency
+    objective = int(critical_path_ms * slack) + latency
     begin = max(job.spec.accepted_wall_ms, job.spec.first_run_wall_ms)
     return priority, begin + objective
--- a/tests/core/scheduling/test_calibration.py
+++ b/tests/core/scheduling/test_calibration.py
@@ -5,14 +5,20 @@
 
 import math
 import random
+from dataclasses import replace
 
+from harness import SMALL, Harness
 from hypothesis import given
 from hypothesis import strategies as st
 
+from ragwortshelf.core.scheduling import JobSpec, JobTable, Step
 from ragwortshelf.core.scheduling.calibration import (
     CORRECTION_MAX,
     EstimateCalibration,
 )
+from ragwortshelf.core.scheduling.job_table import Job
+from ragwortshelf.core.scheduling.model import UnitKey, UnitPhase
+from ragwortshelf.core.scheduling.records import JobSubmitted, UnitRecord
 
 
 def test_right_estimates_are_not_corrected():
@@ -84,3 +90,64 @@
     expected_ms = calibration.expected_ms("q", estimate_ms)
     assert estimate_ms / CORRECTION_MAX - 1 <= expected_ms
     assert expected_ms <= estimate_ms * CORRECTION_MAX + 1
+
+
+def _run(harness, number, run_time_ms, **step):
+    job_id = f"{number:016x}"
+    harness.submit(job_id, accepted=harness.now, **step)
+    placed = harness.accept_starts()
+    harness.advance(run_time_ms)
+    for order in placed:
+        harness.end(order.endpoint_id, order.task)
+    harness.collect()
+
+
+def test_deadlines_follow_the_run_times_of_the_queue():
+    # Guards against units that count as late, or as having time, by wrong estimates.
+    harness = Harness()
+    for number in range(60):
+        _run(harness, number, 4_000, estimate_ms=1_000)
+    harness.submit("f" * 16, accepted=harness.now, estimate_ms=1_000)
+    unit = harness.scheduler.unit_by_key[UnitKey("f" * 16, 0, 0, 0)]
+    assert 3_500 < unit.estimate_ms <= 4_000
+    # Queues of the harness allow twice the run time and 500 ms.
+    assert unit.latest_start_wall_ms == harness.now + unit.estimate_ms + 500
+
+
+def test_right_estimates_leave_deadlines_as_they_are():
+    # Guards against changed decisions where callers estimate well.
+    harness = Harness()
+    for number in range(60):
+        run_time_ms = (500, 2_000, 6_000)[number % 3]
+        _run(harness, number, run_time_ms, estimate_ms=run_time_ms)
+    harness.submit("f" * 16, accepted=harness.now, estimate_ms=2_000)
+    unit = harness.scheduler.unit_by_key[UnitKey("f" * 16, 0, 0, 0)]
+    assert abs(unit.estimate_ms - 2_000) <= 20
+
+
+def test_a_successor_and_other_instances_correct_estimates_alike():
+    # Guards against a change of scheduler that forgets the run times.
+    harness = Harness()
+    table = JobTable()
+    for number in range(20):
+        _run(harness, number, 4_000, estimate_ms=1_000)
+        table.apply(JobSubmitted(harness.table.job_by_id[f"{number:016x}"].spec))
+    for record in harness.records:
+        table.apply(record)
+    mine, other = harness.table.calibration, table.calibration
+    assert other.expected_ms("p1", 1_000) == mine.expected_ms("p1", 1_000) > 2_000
+
+
+def test_resumed_and_long_running_runs_say_nothing():
+    calibration = EstimateCalibration()
+    step = Step(1, SMALL, 1_000)
+    lasting = Step(1, SMALL, 1_000, is_long_running=True)
+    spec = JobSpec("a" * 16, "q", "pool", "a", "", (step, lasting))
+    job = Job(spec, calibration)
+    for number, checkpoint in ((0, "saved"), (1, "")):
+        key = UnitKey(spec.id, 0, number, 0)
+        record = UnitRecord(key, 1, UnitPhase.PLACED, 1, checkpoint=checkpoint)
+        job.put_record(record)
+        done = replace(record, phase=UnitPhase.DONE, changed_wall_ms=9_000)
+        job.put_record(done)
+    assert calibration.expected_ms("q", 1_000) == 1_000
--- a/tests/core/scheduling/test_run_time.py
+++ b/tests/core/scheduling/test_run_time.py
@@ -2,14 +2,13 @@
 
 import pytest
 
-from ragwortshelf.core.scheduling import Resources, Step
+from ragwortshelf.core.scheduling import Resources
 from ragwortshelf.core.scheduling.fleet import TaskPlacement
 from ragwortshelf.core.scheduling.model import UnitKey
 from ragwortshelf.core.scheduling.run_time import measured_duration_ms, remaining_ms
 
 ESTIMATE_MS = 2_000
 START_MS = 10_000
-STEP = Step(1, Resources(), ESTIMATE_MS)
 
 
 def _placement():
@@ -32,13 +31,13 @@
     # A tenth of the estimate was left however long a run had outrun it, so room was
     # reserved that did not become free, and a task that would not end in time went on
     # at an endpoint that was leaving.
-    left_ms = remaining_ms(_placement(), STEP, START_MS + elapsed_ms)
+    left_ms = remaining_ms(_placement(), ESTIMATE_MS, START_MS + elapsed_ms)
     assert left_ms == pytest.approx(expected_ms)
 
 
 def test_with_progress_the_estimate_does_not_count():
     placement = _listed((1_000, 4), (11_000, 44))
-    left_ms = remaining_ms(placement, STEP, START_MS + 11_000)
+    left_ms = remaining_ms(placement, ESTIMATE_MS, START_MS + 11_000)
     assert left_ms == pytest.approx(13_875)
 
 
