Share contended room between organisations

Cause: within a priority, units started by deadline alone, so an organisation that sent most of the load had most of the room.

While something waits that did not fit, units that leave their organisation within its share come first within their priority. After a wait of 60 s, taken from the log, a unit ranks directly after priority 0. Units of organisations above their share are cheaper to stop, and these organisations stop nothing of others within theirs. While more is asked than there is, only reservations of units before it in the order keep a unit from its own.

Failed try: one reservation more for starving units than for others. The rule by order replaces it and holds for urgent units too.

--- a/ragwortshelf/core/scheduling/actions.py
+++ b/ragwortshelf/core/scheduling/actions.py
@@ -28,7 +28,9 @@
     ``slack_ms`` is how much longer the unit could have waited and still be on time;
     None unless the record places the unit. ``accelerators`` is the number that all
     tasks of the unit request. ``ended_on`` is the endpoint of the run that ended, empty
-    unless the record was written because of that.
+    unless the record was written because of that. ``share`` and ``fair_share`` are the
+    organisation's once the unit is placed, as parts of the service's capacity; None if
+    everything fitted.
     """
 
     record: UnitRecord
@@ -36,6 +38,8 @@
     slack_ms: int | None = None
     accelerators: int = 0
     ended_on: str = ""
+    share: float | None = None
+    fair_share: float | None = None
 
 
 @dataclass(frozen=True, slots=True)
--- a/ragwortshelf/core/scheduling/lifecycle.py
+++ b/ragwortshelf/core/scheduling/lifecycle.py
@@ -97,9 +97,17 @@
             self._set_sort_key(unit)
 
     def place(
-        self, unit: Unit, endpoints: list[Endpoint], now_ms: int, wall_ms: int
+        self,
+        unit: Unit,
+        endpoints: list[Endpoint],
+        now_ms: int,
+        wall_ms: int,
+        standing: tuple[float, float] | None = None,
     ) -> None:
-        """Persist a unit's placement and order its starts."""
+        """Persist a unit's placement and order its starts.
+
+        ``standing`` is the use and the fair share of its organisation, if known.
+        """
         run = unit.record.run + 1
         record = replace(
             unit.record,
@@ -110,7 +118,7 @@
             changed_wall_ms=wall_ms,
         )
         slack_ms = unit.latest_start_wall_ms - wall_ms
-        self._persist(unit, record, "placed", slack_ms)
+        self._persist(unit, record, "placed", slack_ms, standing=standing)
         unit.phase = UnitPhase.PLACED
         del self.waiting[unit.key]
         first_index = self.crashes.first_index(unit)
@@ -519,6 +527,7 @@
     def _requeue(self, unit: Unit, now_ms: int) -> None:
         unit.phase = UnitPhase.WAITING
         unit.waiting_since_ms = now_ms
+        unit.starving_from_ms = None
         self.crashes.hold(unit, now_ms)
         self.waiting[unit.key] = unit
 
@@ -564,10 +573,16 @@
         reason: str,
         slack_ms: int | None = None,
         ended_on: str = "",
+        standing: tuple[float, float] | None = None,
     ) -> None:
         unit.record = record
         unit.job.put_record(record)
-        self._actions.append(PersistUnit(record, reason, slack_ms, unit.gpus, ended_on))
+        share, fair_share = standing or (None, None)
+        self._actions.append(
+            PersistUnit(
+                record, reason, slack_ms, unit.gpus, ended_on, share, fair_share
+            )
+        )
 
     def _drop_reservation(self, unit: Unit) -> None:
         """Drop the reservation of a finished unit; overridden by the subclass."""
--- a/ragwortshelf/core/scheduling/planning.py
+++ b/ragwortshelf/core/scheduling/planning.py
@@ -9,6 +9,7 @@
 from .model import UnitPhase
 from .reservations import UnitReservations
 from .room_making import RoomMaker
+from .share_accounts import ShareAccounts
 from .unit import Unit
 
 __all__ = ["Planner"]
@@ -23,12 +24,21 @@
         self._scheduler = scheduler
         self._reservations = UnitReservations()
         self._selector = EndpointSelector(scheduler, self._reservations)
-        self._room_maker = RoomMaker(scheduler, self._reservations, self._selector)
+        self._accounts = ShareAccounts()
+        self._room_maker = RoomMaker(
+            scheduler, self._reservations, self._selector, self._accounts
+        )
+        self._had_misfit = False
         self._now_ms = 0
         self._wall_ms = 0
 
     def run(self, now_ms: int, wall_ms: int) -> None:
-        """Plan all waiting units once, the most urgent first."""
+        """Plan all waiting units once, the most urgent first.
+
+        Within a priority, units that leave their organisation within its fair share
+        come first, by deadline, and then the others. Units that starve come after
+        priority 0, the longest wait first, whatever their organisation uses.
+        """
         self._now_ms = now_ms
         self._wall_ms = wall_ms
         usable = [
@@ -41,17 +51,70 @@
         self._room_maker.begin(now_ms, wall_ms)
         gpus_in_use = self._urgent_gpus_in_use()
         unplaceable_shapes: set[tuple] = set()
-        waiting = sorted(
-            self._scheduler.waiting.values(), key=lambda unit: (unit.sort_key, unit.key)
+        self._accounts.begin()
+        if self._had_misfit and self._scheduler.waiting:
+            self._compute_shares()
+        self._had_misfit = False
+        for units in self._waiting_by_rank():
+            above_share = []
+            for unit in units:
+                if unit.not_before_ms > now_ms:
+                    continue
+                if self._yields_to_others(unit, gpus_in_use):
+                    above_share.append(unit)
+                else:
+                    self._try_unit(unit, False, gpus_in_use, unplaceable_shapes)
+            for unit in above_share:
+                self._try_unit(unit, True, gpus_in_use, unplaceable_shapes)
+
+    @property
+    def organisations_above_share(self) -> int:
+        """Organisations that took more than their fair share at the latest plan."""
+        return self._accounts.above_count
+
+    def _waiting_by_rank(self) -> list[list[Unit]]:
+        """Return the waiting units of each priority, and after 0 those that starve."""
+        by_rank: dict[tuple[int, int], list[Unit]] = defaultdict(list)
+        starving = []
+        for unit in self._scheduler.waiting.values():
+            if unit.starving_from_ms is None:
+                unit.set_starving_from(self._now_ms, self._wall_ms)
+            if unit.is_starving(self._now_ms):
+                starving.append(unit)
+            else:
+                by_rank[unit.priority, 0].append(unit)
+        for units in by_rank.values():
+            units.sort(key=lambda unit: (unit.sort_key, unit.key))
+        starving.sort(key=lambda unit: (unit.starving_from_ms, unit.key))
+        by_rank[0, 1] = starving
+        return [by_rank[rank] for rank in sorted(by_rank)]
+
+    def _compute_shares(self) -> None:
+        self._accounts.compute(
+            self._scheduler.unit_by_key.values(),
+            self._selector.usable,
+            self._scheduler.configuration,
+        )
+
+    def _yields_to_others(self, unit: Unit, gpus_in_use: defaultdict[str, int]) -> bool:
+        """Whether units of organisations within their share come first.
+
+        What may reclaim its room does not yield, so that it need not reclaim more.
+        """
+        return (
+            self._accounts.is_above(unit)
+            and not unit.is_starving(self._now_ms)
+            and not _must_restart(unit)
+            and not self._is_guaranteed(unit, gpus_in_use)
         )
-        for unit in waiting:
-            if unit.not_before_ms > now_ms:
-                continue
-            try:
-                self._plan_unit(unit, gpus_in_use, unplaceable_shapes)
-            except Exception as error:
-                # Costs this unit a delay, and no other unit anything.
-                self._scheduler.report_planning_fault(unit, error, now_ms)
+
+    def _try_unit(self, unit, is_above_share, gpus_in_use, unplaceable_shapes) -> None:
+        unit.set_order_key(is_above_share, self._now_ms)
+        try:
+            self._plan_unit(unit, gpus_in_use, unplaceable_shapes)
+        except Exception as error:
+            # Costs this unit a delay, and no other unit anything.
+            self._scheduler.report_planning_fault(unit, error, self._now_ms)
 
     def drop_reservation(self, unit: Unit) -> None:
         """Drop the reservation of a unit."""
@@ -73,10 +136,17 @@
             self.drop_reservation(unit)
             if unit.priority == 0:
                 gpus_in_use[organisation] += unit.gpus
-            self._scheduler.place(unit, endpoints, self._now_ms, self._wall_ms)
+            self._accounts.charge(unit)
+            standing = self._accounts.standing(unit)
+            self._scheduler.place(
+                unit, endpoints, self._now_ms, self._wall_ms, standing
+            )
             self._selector.room_changed(endpoints)
             return
         unplaceable_shapes.add(shape)
+        self._had_misfit = True
+        if not self._accounts.is_computed:
+            self._compute_shares()
         if is_guaranteed:
             gpus_in_use[organisation] += unit.gpus
         if is_guaranteed or _must_restart(unit):
@@ -84,6 +154,8 @@
                 self._room_maker.reclaim(unit, self._organisations_over_guarantee())
         elif _needs_reservation(unit):
             self._room_maker.plan_reservation(unit)
+        if self._reservations.is_held_by(unit):
+            self._accounts.charge(unit)
 
     def _urgent_gpus_in_use(self) -> defaultdict[str, int]:
         """Return the accelerators that each organisation's priority-0 units occupy."""
--- a/ragwortshelf/core/scheduling/reservations.py
+++ b/ragwortshelf/core/scheduling/reservations.py
@@ -17,17 +17,17 @@
     exclusive.
     """
 
-    __slots__ = ("is_exclusive", "made_ms", "resources_by_id", "sort_key")
+    __slots__ = ("is_exclusive", "made_ms", "resources_by_id", "unit")
 
     def __init__(
         self,
         made_ms: int,
-        sort_key: tuple,
+        unit: Unit,
         is_exclusive: bool,
         resources_by_id: dict[str, Resources],
     ):
         self.made_ms = made_ms
-        self.sort_key = sort_key
+        self.unit = unit
         self.is_exclusive = is_exclusive
         self.resources_by_id = resources_by_id
 
@@ -35,9 +35,10 @@
         """Whether a unit may not use this room.
 
         Exclusive room is closed to all other units; earlier guaranteed units have
-        reservations of their own. Other room is open to more urgent units.
+        reservations of their own. Other room is open to units that come before the
+        owner in the order of the plan.
         """
-        return self.is_exclusive or self.sort_key <= unit.sort_key
+        return self.is_exclusive or self.unit.order_key <= unit.order_key
 
 
 class UnitReservations:
@@ -60,7 +61,7 @@
             before = resources_by_id.get(endpoint.id, Resources())
             resources_by_id[endpoint.id] = before.plus(unit.step.occupied)
         reservation = self._reservation_by_key[unit.key] = _Reservation(
-            now_ms, unit.sort_key, is_exclusive, resources_by_id
+            now_ms, unit, is_exclusive, resources_by_id
         )
         for endpoint_id in resources_by_id:
             by_key = self._by_endpoint_id.setdefault(endpoint_id, {})
@@ -77,6 +78,17 @@
             if not by_key:
                 del self._by_endpoint_id[endpoint_id]
 
+    def count_before(self, unit: Unit) -> int:
+        """Return the reservations of units that come before a unit in the order."""
+        return sum(
+            reservation.unit.order_key <= unit.order_key
+            for reservation in self._reservation_by_key.values()
+        )
+
+    def is_held_by(self, unit: Unit) -> bool:
+        """Whether room is reserved for a unit."""
+        return unit.key in self._reservation_by_key
+
     def is_recent(self, unit: Unit, age_ms: int, now_ms: int) -> bool:
         """Whether a unit's reservation was made less than ``age_ms`` ago."""
         reservation = self._reservation_by_key.get(unit.key)
--- a/ragwortshelf/core/scheduling/room_making.py
+++ b/ragwortshelf/core/scheduling/room_making.py
@@ -12,6 +12,7 @@
 from .model import Resources, UnitPhase
 from .reclaim import EndpointReclaimPlan, ReclaimableUnit, StopCost, plan_reclaim
 from .reservations import UnitReservations
+from .share_accounts import ShareAccounts
 from .stop_costs import StopCosts
 from .unit import CORES_PER_GPU, Unit
 
@@ -60,11 +61,13 @@
         scheduler: UnitLifecycle,
         reservations: UnitReservations,
         selector: EndpointSelector,
+        accounts: ShareAccounts,
     ):
         self._scheduler = scheduler
         self._reservations = reservations
         self._selector = selector
-        self._costs = StopCosts()
+        self._accounts = accounts
+        self._costs = StopCosts(accounts)
         self._now_ms = 0
         self._wall_ms = 0
 
@@ -145,7 +148,7 @@
         if self._reservations.is_recent(unit, RESERVATION_RETRY_MS, self._now_ms):
             return
         self._reservations.drop(unit)
-        if len(self._reservations) >= WAITING_RESERVATIONS_MAX:
+        if self._count_reservations(unit) >= WAITING_RESERVATIONS_MAX:
             return
         candidates = self._selector.reclaim_candidates(unit)
         plan = self._plan_reclaim(
@@ -162,10 +165,21 @@
         self._reserve(unit, plan)
         self._stop_cheap_victims(unit, plan)
 
+    def _count_reservations(self, unit: Unit) -> int:
+        """Return how many reservations keep a unit from one of its own.
+
+        While more is asked than there is, and for a unit that starves, only those of
+        units before it count. Others renew theirs for as long as they wait, and would
+        keep urgent units from having room made.
+        """
+        if self._accounts.is_contended or unit.is_starving(self._now_ms):
+            return self._reservations.count_before(unit)
+        return len(self._reservations)
+
     def _stop_cheap_victims(self, unit: Unit, plan: EndpointReclaimPlan) -> None:
         cheap, rest = [], []
         for victim in plan.victims:
-            (cheap if _is_cheap_to_stop(victim, unit) else rest).append(victim)
+            (cheap if self._is_cheap_to_stop(victim, unit) else rest).append(victim)
         wait_ms = max(map(self._costs.remaining_ms, rest), default=0)
         if wait_ms <= CHEAP_STOP_WAIT_MS:
             self._stop_all(cheap, "yields")
@@ -211,7 +225,9 @@
         def reclaimable(placement: TaskPlacement) -> Unit | None:
             holder = self._stoppable_holder(placement, unit)
             is_less_urgent = holder is not None and holder.priority > unit.priority
-            return holder if is_less_urgent else None
+            if is_less_urgent and self._accounts.may_preempt(unit, holder):
+                return holder
+            return None
 
         plan = self._plan_reclaim(unit, candidates, reclaimable, self._costs.stop_cost)
         if (
@@ -247,7 +263,7 @@
 
     def _wait_ms(self, victim: Unit, claimant: Unit) -> float:
         remaining = self._costs.remaining_ms(victim)
-        if _is_cheap_to_stop(victim, claimant):
+        if self._is_cheap_to_stop(victim, claimant):
             return min(remaining, CHEAP_STOP_WAIT_MS)
         return remaining
 
@@ -260,10 +276,10 @@
                 room = room.plus(placement.occupied)
         return room
 
-
-def _is_cheap_to_stop(victim: Unit, claimant: Unit) -> bool:
-    return (
-        claimant.priority <= 1
-        and victim.priority > claimant.priority
-        and victim.step.is_checkpointing
-    )
+    def _is_cheap_to_stop(self, victim: Unit, claimant: Unit) -> bool:
+        return (
+            claimant.priority <= 1
+            and victim.priority > claimant.priority
+            and victim.step.is_checkpointing
+            and self._accounts.may_preempt(claimant, victim)
+        )
--- a/ragwortshelf/core/scheduling/scheduler.py
+++ b/ragwortshelf/core/scheduling/scheduler.py
@@ -299,6 +299,11 @@
         self._stop_on_departing(now_ms)
         self._planner.run(now_ms, wall_ms)
 
+    @property
+    def organisations_above_share(self) -> int:
+        """Organisations that took more than their fair share at the latest plan."""
+        return self._planner.organisations_above_share
+
     def _repeat_stops(self, now_ms: int) -> None:
         if now_ms < self._next_stop_check_ms:
             return
--- a/ragwortshelf/core/scheduling/stop_costs.py
+++ b/ragwortshelf/core/scheduling/stop_costs.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from .model import UnitKey
+from .share_accounts import ShareAccounts
 from .unit import CHECKPOINT_LOSS_MS, Unit
 
 __all__ = ["StopCosts"]
@@ -12,10 +13,16 @@
 after its own stop."""
 
 
+ABOVE_SHARE_COST_FACTOR = 0.5
+"""Factor of the cost of stopping units of organisations above their share, so that at
+about equal cost these yield first, but none loses twice the work that others would."""
+
+
 class StopCosts:
     """Estimates for the placed units, each computed at most once a plan."""
 
-    def __init__(self):
+    def __init__(self, accounts: ShareAccounts):
+        self._accounts = accounts
         self._now_ms = 0
         self._wall_ms = 0
         self._remaining_ms_by_key: dict[UnitKey, float] = {}
@@ -50,12 +57,15 @@
 
         This is the computation that it loses, and the unit's whole work if the stop
         makes its job late. Otherwise the youngest run would always be the cheapest.
+        Units of organisations above their share count half.
         """
         cost = self._stop_cost_by_key.get(unit.key)
         if cost is None:
             cost = self.lost_core_ms(unit)
             if self._would_become_late(unit):
                 cost += unit.cores * unit.step.estimate_ms
+            if self._accounts.is_over(unit):
+                cost *= ABOVE_SHARE_COST_FACTOR
             self._stop_cost_by_key[unit.key] = cost
         return cost
 
--- a/ragwortshelf/core/scheduling/unit.py
+++ b/ragwortshelf/core/scheduling/unit.py
@@ -13,6 +13,10 @@
 CORES_PER_GPU = 8
 """Cores to which one accelerator is equivalent, by the platform's prices."""
 
+STARVATION_MS = 60_000
+"""Wait after which a unit ranks directly after priority 0: ten times the work of a
+usual batch, by which time the objectives of the supported loads have passed."""
+
 PERCENT_ROUNDING = 0.5
 """Added to a listed progress, which is rounded down to a whole percent."""
 
@@ -32,6 +36,9 @@
 
     ``crashes`` has the endpoints that were lost at its starts, and ``held_until_ms`` is
     how long it waits for word of them.
+
+    ``order_key`` is the sort key with the unit's place by fair shares in the latest
+    plan. The unit is starving from ``starving_from_ms`` on; None until a plan needs it.
     """
 
     __slots__ = (
@@ -43,12 +50,14 @@
         "last_failed_run",
         "latest_start_wall_ms",
         "not_before_ms",
+        "order_key",
         "phase",
         "placements",
         "priority",
         "quick_failure_count",
         "record",
         "sort_key",
+        "starving_from_ms",
         "step",
         "waiting_since_ms",
     )
@@ -69,6 +78,8 @@
         self.crashes = UnitCrashes(key)
         self.held_until_ms = 0
         self.sort_key: tuple = ()
+        self.order_key: tuple = ()
+        self.starving_from_ms: int | None = None
         self.latest_start_wall_ms = 0
         self.priority = 0
         self.waiting_since_ms = now_ms
@@ -99,6 +110,7 @@
         spec = self.job.spec
         self.sort_key = make_sort_key(self.job, queue)
         self.priority, deadline = self.sort_key
+        self.order_key = (self.priority, 0, deadline)
         self.latest_start_wall_ms = deadline - spec.critical_paths_ms()[self.key.step]
 
     def is_late(self, wall_ms: int) -> bool:
@@ -109,6 +121,39 @@
         allowance = self.step.estimate_ms // 2
         return wall_ms > self.latest_start_wall_ms + allowance
 
+    def set_order_key(self, is_above_share: bool, now_ms: int) -> None:
+        """Set the place in the order of one plan."""
+        if self.is_starving(now_ms):
+            # After priority 0 and before priority 1, the longest wait first.
+            self.order_key = (0, 2, self.starving_from_ms)
+        else:
+            self.order_key = (self.priority, int(is_above_share), self.sort_key[1])
+
+    def is_starving(self, now_ms: int) -> bool:
+        """Whether a less urgent unit has waited for ``STARVATION_MS``."""
+        starving_from_ms = self.starving_from_ms
+        return (
+            starving_from_ms is not None
+            and starving_from_ms <= now_ms
+            and self.priority > 0
+        )
+
+    def set_starving_from(self, now_ms: int, wall_ms: int) -> None:
+        """Set when the unit begins to starve, by the log rather than by this term.
+
+        Steps that follow others count from when this term opened them, since the log
+        has no single record of that time.
+        """
+        waited_ms = now_ms - self.waiting_since_ms
+        spec = self.job.spec
+        if self.record.phase is UnitPhase.ENDING:
+            waited_ms = max(waited_ms, wall_ms - self.record.changed_wall_ms)
+        elif self.record.run == 0 and not self.step.depends_on:
+            due_ms = spec.due_wall_ms(self.key.occurrence)
+            begin_ms = max(spec.accepted_wall_ms, due_ms)
+            waited_ms = max(waited_ms, wall_ms - begin_ms)
+        self.starving_from_ms = now_ms - waited_ms + STARVATION_MS
+
     def task(self, index: int) -> str:
         """Return the name of the task with this index on the wire."""
         return task_name(self.key, index)
--- a/ragwortshelf/scheduler/instance.py
+++ b/ragwortshelf/scheduler/instance.py
@@ -89,6 +89,11 @@
         )
         gauge("is_scheduler", lambda: int(self.election.leadership is not None))
         gauge("log_lines_left_out", dropped_line_count)
+        gauge("organisations_above_share", self._organisations_above_share)
+
+    def _organisations_above_share(self) -> int:
+        leadership = self.election.leadership
+        return leadership.organisations_above_share if leadership else 0
 
     async def drain(self) -> None:
         """Resign the scheduler's role; callers continue to be served."""
--- a/ragwortshelf/scheduler/leadership.py
+++ b/ragwortshelf/scheduler/leadership.py
@@ -200,6 +200,11 @@
             still_granting_ms = self._settings.term_confirmation_max_ms
         return now + still_granting_ms + max_local_duration_ms(self._settings.lease_ms)
 
+    @property
+    def organisations_above_share(self) -> int:
+        """Organisations that took more than their fair share at the latest plan."""
+        return self._scheduler.organisations_above_share
+
     # Changes of the log and the configuration.
 
     def _job_changed(self, job_id: str) -> None:
--- a/ragwortshelf/scheduler/term_writer.py
+++ b/ragwortshelf/scheduler/term_writer.py
@@ -221,6 +221,13 @@
             reason=action.reason,
             slack_ms=action.slack_ms,
             accelerators=action.accelerators,
+            share=_rounded(action.share),
+            fair_share=_rounded(action.fair_share),
             ended_on=action.ended_on or None,
             term=record.term,
         )
+
+
+def _rounded(share: float | None) -> float | None:
+    """Return a part of a service's capacity to a tenth of a percent."""
+    return None if share is None else round(share, 3)
