Measure, document and observe fair shares

Cause: the rule was to be compared with weights by guarantee and with accelerators alone, and a plan had to stay cheap.

Change: fleet_load lets one organisation send most of the load and replaces the rule. Whether a step is above its share is kept until the organisation's use changes, and units are counted by step.

--- a/benchmarks/fleet_load.py
+++ b/benchmarks/fleet_load.py
@@ -6,6 +6,10 @@
 queue, how long they wait for their first start, and the work that was thrown away.
 
     python -m benchmarks.fleet_load --seed 1 --endpoints 90 --load 1.0
+
+With ``--heavy-share 0.9`` one organisation sends nine tenths of the jobs. ``--shares``
+selects the rule by which contended room is shared: that of the scheduler, or one that
+was weighed against it.
 """
 
 from __future__ import annotations
@@ -19,7 +23,7 @@
 import time
 from collections import Counter, defaultdict
 from collections.abc import Callable
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 
 from ragwortshelf.core.scheduling import (
     EndpointInfo,
@@ -28,6 +32,7 @@
     Resources,
     Scheduler,
     Step,
+    shares,
 )
 from ragwortshelf.core.scheduling.actions import StartTask, StopTask
 from ragwortshelf.core.scheduling.configuration import (
@@ -44,6 +49,7 @@
     StartOutcome,
 )
 from ragwortshelf.core.scheduling.records import JobSubmitted
+from ragwortshelf.core.scheduling.share_accounts import ShareAccounts
 
 ENDPOINT = Resources(32_000, 64_000, 8)
 ENDPOINTS_PER_RACK = 12
@@ -58,6 +64,9 @@
 LISTING_INTERVAL_MS = 1_000
 STOP_MS = (50, 900)
 GPUS_PER_TASK = (1, 2, 4, 8, 8)
+ORGANISATIONS = 8
+HEAVY = "o0"
+SHARE_RULES = ("scheduler", "none", "by_guarantee", "accelerators")
 CORES_PER_GPU = 8
 
 
@@ -179,7 +188,13 @@
     )
     job_id = f"{kind.priority}{number:015x}"
     spec = JobSpec(
-        job_id, kind.queue, "pool", f"o{draw.randrange(8)}", "", (step,), at_ms
+        job_id,
+        kind.queue,
+        "pool",
+        f"o{draw.randrange(ORGANISATIONS)}",
+        "",
+        (step,),
+        at_ms,
     )
     work_ms_by_task = {
         f"{job_id}.0.0.{n}": usual_ms * draw.uniform(0.85, 1.15) for n in range(count)
@@ -188,6 +203,27 @@
     return Arrival(kind, spec, work_ms_by_task, is_failing)
 
 
+def give_to_heavy(arrivals: list[Arrival], seed: int, share: float) -> None:
+    """Have one organisation send this share of the jobs, and the others the rest."""
+    draw = random.Random(f"{seed}/organisations")
+    for job in arrivals:
+        number = draw.randrange(1, ORGANISATIONS)
+        name = HEAVY if draw.random() < share else f"o{number}"
+        job.spec = replace(job.spec, organisation=name)
+
+
+def select_share_rule(rule: str) -> None:
+    """Replace the scheduler's rule in this process by one that it is compared with."""
+    if rule == "none":
+        ShareAccounts.compute = lambda *_: None
+    elif rule == "by_guarantee":
+        # An organisation without a guarantee would have nothing.
+        shares.organisation_weight = lambda guarantee: max(guarantee, 0.01)
+    elif rule == "accelerators":
+        by_all = shares.fraction
+        shares.fraction = lambda *amounts: (0.0, 0.0, by_all(*amounts)[2])
+
+
 class _SimulatedEndpoint:
     def __init__(self, name: str, speed: float):
         self.name = name
@@ -210,6 +246,7 @@
         endpoints: int,
         guaranteed_gpus: int = 104,
         make_scheduler: Callable[..., Scheduler] = Scheduler,
+        heavy_guarantee: int = 1,
     ):
         self.arrivals = arrivals
         self.job_by_id = {job.spec.id: job for job in arrivals}
@@ -223,7 +260,10 @@
         )  # fmt: skip
         share = guaranteed_gpus * endpoints // 270
         organisations = tuple(
-            GuaranteedOrganisation(f"o{n}", frozenset(), share) for n in range(8)
+            GuaranteedOrganisation(
+                f"o{n}", frozenset(), share * (1 if n else heavy_guarantee)
+            )
+            for n in range(ORGANISATIONS)
         )
         configuration = ServiceConfiguration(
             1, queues, {"pool": EndpointService("pool")}, organisations
@@ -239,6 +279,7 @@
         self.thrown_away_core_s = 0.0
         self.ends: Counter[str] = Counter()
         self.plan_s = 0.0
+        self.plan_count = 0
         self.is_plan_due = False
         self.actions: list = []
 
@@ -270,9 +311,10 @@
 
     def _plan(self) -> None:
         self.is_plan_due = False
-        began = time.perf_counter()
+        began = time.process_time()
         self.scheduler.plan(self.now_ms, self.now_ms)
-        self.plan_s += time.perf_counter() - began
+        self.plan_s += time.process_time() - began
+        self.plan_count += 1
         self._carry_out()
 
     def _carry_out(self) -> None:
@@ -398,7 +440,14 @@
             "queues": {queue: self._figures(jobs) for queue, jobs in by_queue.items()},
             "thrown_away_core_s": round(self.thrown_away_core_s),
             "ends": dict(self.ends),
+            "heavy": self._figures(
+                [job for job in self.arrivals if job.spec.organisation == HEAVY]
+            ),
+            "others": self._figures(
+                [job for job in self.arrivals if job.spec.organisation != HEAVY]
+            ),
             "plan_s": round(self.plan_s, 2),
+            "plan_count": self.plan_count,
         }
 
     @staticmethod
@@ -422,7 +471,13 @@
 
 
 def play(
-    seed: int, endpoints: int, seconds: float, load: float, burst: float = 1.0
+    seed: int,
+    endpoints: int,
+    seconds: float,
+    load: float,
+    burst: float = 1.0,
+    heavy_share: float | None = None,
+    heavy_guarantee: int = 1,
 ) -> FleetDay:
     """Play one day; in its second quarter urgent jobs come ``burst`` times as often."""
     arrivals = draw_arrivals(seed, endpoints, seconds, load)
@@ -438,7 +493,9 @@
             and job.spec.id not in known
         ]
         arrivals.sort(key=lambda job: (job.spec.accepted_wall_ms, job.spec.id))
-    day = FleetDay(arrivals, endpoints)
+    if heavy_share is not None:
+        give_to_heavy(arrivals, seed, heavy_share)
+    day = FleetDay(arrivals, endpoints, heavy_guarantee=heavy_guarantee)
     day.run(seconds + 30)
     return day
 
@@ -451,11 +508,18 @@
     parser.add_argument("--seconds", type=float, default=60)
     parser.add_argument("--load", type=float, default=1.0)
     parser.add_argument("--burst", type=float, default=1.0)
+    parser.add_argument("--heavy-share", type=float)
+    parser.add_argument(
+        "--heavy-guarantee", type=int, default=1, help="times that of the others"
+    )
+    parser.add_argument("--shares", choices=SHARE_RULES, default=SHARE_RULES[0])
     options = parser.parse_args()
+    select_share_rule(options.shares)
     for seed in options.seed:
         day = play(
-            seed, options.endpoints, options.seconds, options.load, options.burst
-        )
+            seed, options.endpoints, options.seconds, options.load, options.burst,
+            options.heavy_share, options.heavy_guarantee,
+        )  # fmt: skip
         print(json.dumps({"seed": seed} | day.result()))
 
 
--- a/ragwortshelf/core/scheduling/share_accounts.py
+++ b/ragwortshelf/core/scheduling/share_accounts.py
@@ -34,6 +34,8 @@
         self._use_by_owner: dict[tuple[str, str], Amount] = {}
         self._fair_share_by_owner: dict[tuple[str, str], float] = {}
         self._over: frozenset[tuple[str, str]] = frozenset()
+        # Units of a step are alike. Steps are alive while their units are.
+        self._is_above_by_step: dict[int, bool] = {}
 
     @property
     def above_count(self) -> int:
@@ -45,6 +47,7 @@
         self.is_computed = False
         self.is_contended = False
         self._over = frozenset()
+        self._is_above_by_step.clear()
 
     def compute(
         self,
@@ -58,30 +61,33 @@
         self._capacity_by_service = _capacities(usable)
         # Tasks of one step occupy the same, so they are counted before they are added.
         counts_by_step: dict[int, list] = {}
+        waiting, placed, ending = UnitPhase.WAITING, UnitPhase.PLACED, UnitPhase.ENDING
         for unit in units:
             phase = unit.phase
-            if phase > UnitPhase.ENDING:
+            if phase is ending:
+                if not unit.job.is_active:
+                    # Stopped because its job was cancelled; it asks for nothing more.
+                    continue
+            elif phase is not waiting and phase is not placed:
                 continue
-            if phase is UnitPhase.ENDING and not unit.job.is_active:
-                # Cancelled: it asks for nothing more.
-                continue
-            counts = counts_by_step.get(id(unit.step))
+            step_id = id(unit.step)
+            counts = counts_by_step.get(step_id)
             if counts is None:
-                counts = counts_by_step[id(unit.step)] = [unit, 0, 0]
-            counts[1] += unit.count
-            if phase is UnitPhase.PLACED:
-                counts[2] += unit.count
+                counts = counts_by_step[step_id] = [unit, 0, 0]
+            counts[1] += 1
+            if phase is placed:
+                counts[2] += 1
         asks: dict[tuple[str, str], Amount] = defaultdict(lambda: _NOTHING)
         use: dict[tuple[str, str], Amount] = defaultdict(lambda: _NOTHING)
-        for unit, asked_count, placed_count in counts_by_step.values():
+        for unit, asked_units, placed_units in counts_by_step.values():
             owner = self._owner(unit)
             capacity = self._capacity_by_service.get(owner[0], Resources())
             occupied = unit.step.occupied
-            asked = shares.fraction(occupied, asked_count, capacity)
+            asked = shares.fraction(occupied, asked_units * unit.count, capacity)
             asks[owner] = shares.add(asks[owner], asked)
-            if placed_count:
-                placed = shares.fraction(occupied, placed_count, capacity)
-                use[owner] = shares.add(use[owner], placed)
+            if placed_units:
+                used = shares.fraction(occupied, placed_units * unit.count, capacity)
+                use[owner] = shares.add(use[owner], used)
         self._use_by_owner = dict(use)
         self._fair_share_by_owner = {}
         for service in {owner[0]: None for owner in asks}:
@@ -110,8 +116,14 @@
         The only unit of an organisation does not, as it cannot be divided. Otherwise
         gangs larger than a share would start after all others.
         """
-        if not self.is_computed:
+        if not self.is_contended:
             return False
+        is_above = self._is_above_by_step.get(id(unit.step))
+        if is_above is None:
+            is_above = self._is_above_by_step[id(unit.step)] = self._would_exceed(unit)
+        return is_above
+
+    def _would_exceed(self, unit: Unit) -> bool:
         owner = self._owner(unit)
         use = self._use(owner)
         if use == _NOTHING:
@@ -140,6 +152,7 @@
             owner = self._owner(unit)
             amount = self._amount(unit, owner)
             self._use_by_owner[owner] = shares.add(self._use(owner), amount)
+            self._is_above_by_step.clear()
 
     def standing(self, unit: Unit) -> tuple[float, float] | None:
         """Return the use and the fair share of a unit's organisation, if computed."""
--- a/tests/scheduler/test_observability.py
+++ b/tests/scheduler/test_observability.py
@@ -229,3 +229,24 @@
     assert "e0" in [row["ended_on"] for row in lines.named("unit")]
     regained = [(r["endpoint"], r["address"]) for r in lines.named("endpoint_regained")]
     assert regained[:2] == [("e0", "e0"), ("e0+", "e0")]
+
+
+# Load: one organisation asks for more accelerators than there are. Promise: the unit
+# line of each placement after that tells its share, and the gauge counts whoever is
+# above; before, nothing is reported.
+async def test_shares_are_reported_while_not_everything_fits(autojump_clock, lines):
+    platform = make_platform(1)
+    instance = make_instances(platform, 1)[0]
+    async with running(instance):
+        await trio.sleep(1)
+        await submit(instance, make_job("a" * 16, count=2))
+        await trio.sleep(0.2)
+        assert _samples(instance.metrics.text(), "organisations_above_share") == [
+            "ragwortshelf_organisations_above_share 0"
+        ]
+        await submit(instance, make_job("b" * 16, count=8))
+        await trio.sleep(1)
+    placed = [r for r in lines.named("unit") if r["phase"] == "placed"]
+    assert [(r["share"], r["fair_share"]) for r in placed[:2]] == [(None, None)] * 2
+    shares = [(r["share"], r["fair_share"]) for r in placed[2:]]
+    assert shares
