Test that shares are reported while not everything fits

Cause: the test asserted only that some line of a placement tells a share. Change: another organisation has all accelerators when the second one asks; the test compares use and share of each placement, and the gauge before and after. Conclusion: it fails if shares are never computed, or computed while all fits.

--- a/tests/scheduler/test_observability.py
+++ b/tests/scheduler/test_observability.py
@@ -2,6 +2,7 @@
 
 import logging as standard_logging
 import re
+from dataclasses import replace
 
 import pytest
 import trio
@@ -231,22 +232,25 @@
     assert regained[:2] == [("e0", "e0"), ("e0+", "e0")]
 
 
-# Load: one organisation asks for more accelerators than there are. Promise: the unit
-# line of each placement after that tells its share, and the gauge counts whoever is
-# above; before, nothing is reported.
+# Load: one organisation has all accelerators when another asks for half of them.
+# Promise: the gauge counts who is above its share, and the unit lines of placements
+# tell use and share from then on; while everything fits, nothing is reported.
 async def test_shares_are_reported_while_not_everything_fits(autojump_clock, lines):
     platform = make_platform(1)
     instance = make_instances(platform, 1)[0]
+    gauge = "organisations_above_share"
     async with running(instance):
         await trio.sleep(1)
-        await submit(instance, make_job("a" * 16, count=2))
+        other = replace(make_job("a" * 16, count=4), organisation="other")
+        await submit(instance, other)
+        await trio.sleep(0.2)
+        assert _samples(instance.metrics.text(), gauge) == [f"ragwortshelf_{gauge} 0"]
+        await submit(instance, make_job("b" * 16, count=2))
+        await trio.sleep(0.2)
+        assert _samples(instance.metrics.text(), gauge) == [f"ragwortshelf_{gauge} 1"]
+        endpoint = platform.endpoint_by_id["e0"]
+        endpoint.end(min(endpoint.running), RunEnd.DONE)
         await trio.sleep(0.2)
-        assert _samples(instance.metrics.text(), "organisations_above_share") == [
-            "ragwortshelf_organisations_above_share 0"
-        ]
-        await submit(instance, make_job("b" * 16, count=8))
-        await trio.sleep(1)
     placed = [r for r in lines.named("unit") if r["phase"] == "placed"]
-    assert [(r["share"], r["fair_share"]) for r in placed[:2]] == [(None, None)] * 2
-    shares = [(r["share"], r["fair_share"]) for r in placed[2:]]
-    assert shares
+    shares = [(r["share"], r["fair_share"]) for r in placed]
+    assert shares == [(None, None)] * 4 + [(0.25, 0.5)]
