Draw evacuations in the soak from a sequence of their own

Cause: as one more choice among the faults, evacuations changed the sequence of faults of the seeds that tests/soak keeps, and requests lasted up to 40 s after the last fault.

Change: each data centre has a task with its own random numbers, which ends with the other faults.

--- a/soak/faults.py
+++ b/soak/faults.py
@@ -18,6 +18,11 @@
 ZONES = ("a", "b")
 """Data centres of the endpoints, which take turns."""
 
+EVACUATION_DURATION_S = (0.1, 10.0)
+EVACUATION_GAPS_S = ((0.05, 0.4), (1.0, 15.0), (1.0, 15.0))
+"""Duration of a request, which is about as often longer as shorter than its bound of
+5 s, and the time until the next one, which may come back within one read of the log."""
+
 FAULT_INTERVAL_S = (0.3, 2.0)
 FAULT_DURATION_S = (0.5, 4.5)
 """Ranges of the time between the starts of two faults, and of the duration of a fault.
@@ -38,6 +43,7 @@
         endpoint_proxies: Sequence[Proxy],
         store: StoreServer,
     ):
+        self._seed = seed
         self._random = random.Random(seed)
         self._processes = processes
         self._store_proxies = store_proxies
@@ -47,7 +53,6 @@
         self.log: list[str] = []
         # Data centre, request and withdrawal, in milliseconds on trio's clock.
         self.evacuations: list[tuple[str, float, float]] = []
-        self._evacuated: set[str] = set()
 
     async def run(self, seconds: float) -> None:
         """Inject faults for ``seconds``, and return once all are repaired."""
@@ -64,10 +69,11 @@
             self._disturb_endpoint_links,
             self._reset_endpoint_connections,
             self._delete_history,
-            self._evacuate,
         )
         deadline_s = trio.current_time() + seconds
         async with trio.open_nursery() as nursery:
+            for zone in ZONES:
+                nursery.start_soon(self._evacuate, zone, deadline_s)
             while trio.current_time() < deadline_s:
                 fault = self._random.choice(faults)
                 nursery.start_soon(fault, self._random.uniform(*FAULT_DURATION_S))
@@ -145,23 +151,22 @@
         for topic in self._store.topic_by_name.values():
             topic.compact()
 
-    async def _evacuate(self, duration_s: float) -> None:
-        # Some requests last longer than the bound, and some come back at once.
-        zone = self._random.choice(ZONES)
-        if zone in self._evacuated:
-            return
-        self._evacuated.add(zone)
+    async def _evacuate(self, zone: str, deadline_s: float) -> None:
+        """Write and delete requests for one data centre until the deadline."""
         topic = self._store.topic("keyed.op")
-        for _ in range(self._random.choice((1, 1, 3))):
+        # The sequence of the other faults of a seed does not depend on this one.
+        rng = random.Random(f"{self._seed}/{zone}")
+        while trio.current_time() < deadline_s:
+            with trio.move_on_at(deadline_s):
+                await trio.sleep(rng.uniform(*rng.choice(EVACUATION_GAPS_S)))
             self._record(f"evacuate {zone}")
             topic.append([(f"evacuate/{zone}", b"{}")])
             since_ms = 1000 * trio.current_time()
-            await trio.sleep(duration_s * self._random.choice((0.1, 1, 3)))
+            with trio.move_on_at(deadline_s):
+                await trio.sleep(rng.uniform(*EVACUATION_DURATION_S))
             topic.append([(f"evacuate/{zone}", b"")])
             until_ms = 1000 * trio.current_time()
             self.evacuations.append((zone, since_ms, until_ms))
-            await trio.sleep(self._random.uniform(0, 0.5))
-        self._evacuated.discard(zone)
 
     async def _shrink_endpoints(self, duration_s: float) -> None:
         count = self._random.randint(1, len(self._endpoints))
