Sum the backlog and define the record of a service's capacity

Cause: an instance that answers callers knows the accepted jobs, but neither how much work they hold nor the capacity of the usable endpoints. Change: the job table keeps running sums of waiting and placed work by service, queue and organisation, at a fixed cost for each record. The record f/SERVICE holds the capacity that the scheduler publishes. Conclusion: a forecast needs no walk over units.

--- a/ragwortshelf/core/scheduling/job_table.py
+++ b/ragwortshelf/core/scheduling/job_table.py
@@ -8,6 +8,7 @@
 
 from collections.abc import Iterator
 
+from .backlog import Backlog
 from .model import Incarnation, JobSpec, JobState, UnitKey, UnitPhase
 from .records import (
     EndpointForgotten,
@@ -17,6 +18,7 @@
     JobForgotten,
     JobSubmitted,
     Record,
+    ServiceCapacity,
     TermHeld,
     UnitCrashes,
     UnitRecord,
@@ -32,6 +34,7 @@
     """A job and the newest record of each of its units."""
 
     __slots__ = (
+        "_backlog",
         "_open_unit_count",
         "_open_units_by_step",
         "ended_wall_ms",
@@ -42,8 +45,10 @@
         "spec",
     )
 
-    def __init__(self, spec: JobSpec):
+    def __init__(self, spec: JobSpec, backlog: Backlog):
         self.spec = spec
+        self._backlog = backlog
+        backlog.open_job(spec)
         self.is_cancelled = False
         self.has_started = False
         self.failed_unit: UnitKey | None = None
@@ -85,6 +90,7 @@
             return False
         self.is_cancelled = True
         self.ended_wall_ms = wall_ms
+        self._backlog.close_job(self.spec)
         return True
 
     def put_record(self, record: UnitRecord) -> None:
@@ -93,6 +99,10 @@
         if before is not None and before.phase in _TERMINAL_PHASES:
             return
         self.record_by_key[record.key] = record
+        phase_before = UnitPhase.WAITING if before is None else before.phase
+        self._backlog.unit_changed(
+            self.spec, record.key.step, phase_before, record.phase
+        )
         if record.run > 0:
             self.has_started = True
         if record.phase is UnitPhase.DONE:
@@ -100,6 +110,8 @@
         elif record.phase is UnitPhase.FAILED and self.is_active:
             self.failed_unit = record.key
             self.ended_wall_ms = record.changed_wall_ms
+        if not self.is_active:
+            self._backlog.close_job(self.spec)
 
     def _count_done(self, record: UnitRecord) -> None:
         self._open_unit_count -= 1
@@ -115,9 +127,13 @@
 
     ``incarnation_by_endpoint_id`` has the incarnation of each endpoint that answered
     last, and ``crashes_by_job_id`` what is known of crashes at the starts of units.
+    ``backlog`` sums the work of the open jobs, and ``capacity_by_service`` has what the
+    scheduler last published of each service.
     """
 
     def __init__(self):
+        self.backlog = Backlog()
+        self.capacity_by_service: dict[str, ServiceCapacity] = {}
         self.job_by_id: dict[str, Job] = {}
         self.term: TermHeld | None = None
         self.upkeep_by_wave: dict[int, UpkeepRecord] = {}
@@ -155,6 +171,11 @@
             case InstanceAnnounced(name):
                 self.instance_by_name[name] = record
                 return False
+            case ServiceCapacity(service):
+                before = self.capacity_by_service.get(service)
+                if before is None or record.term >= before.term:
+                    self.capacity_by_service[service] = record
+                return False
             case TermHeld():
                 if self.term is None or record.term >= self.term.term:
                     self.term = record
@@ -177,7 +198,7 @@
     def _submit(self, spec: JobSpec) -> bool:
         if spec.id in self.job_by_id:
             return False
-        job = self.job_by_id[spec.id] = Job(spec)
+        job = self.job_by_id[spec.id] = Job(spec, self.backlog)
         cancelled_wall_ms = self._cancelled_wall_ms_by_id.pop(spec.id, None)
         if cancelled_wall_ms is not None:
             job.cancel(cancelled_wall_ms)
@@ -207,7 +228,9 @@
         return True
 
     def _forget(self, job_id: str) -> None:
-        self.job_by_id.pop(job_id, None)
+        job = self.job_by_id.pop(job_id, None)
+        if job is not None:
+            self.backlog.close_job(job.spec)
         self.crashes_by_job_id.pop(job_id, None)
         self._cancelled_wall_ms_by_id.pop(job_id, None)
         self._early_records_by_id.pop(job_id, None)
--- a/ragwortshelf/core/scheduling/records.py
+++ b/ragwortshelf/core/scheduling/records.py
@@ -14,6 +14,7 @@
 ``e/ID``       the scheduler                           incarnation of an endpoint
 ``w/N``        the scheduler                           progress of a wave
 ``i/NAME``     the instance itself                     readiness address
+``f/SERVICE``  the scheduler                           capacity of the service
 ``term``       the scheduler                           claim or renewal
 =============  ======================================  ======================
 """
@@ -36,6 +37,7 @@
     "JobForgotten",
     "JobSubmitted",
     "Record",
+    "ServiceCapacity",
     "Suspicion",
     "TaskCrashes",
     "TermHeld",
@@ -180,6 +182,19 @@
     announced_wall_ms: int
 
 
+@dataclass(frozen=True, slots=True)
+class ServiceCapacity:
+    """The resources of all usable endpoints of a service, published by the scheduler.
+
+    Every instance forecasts from it how long a job would wait.
+    """
+
+    service: str
+    term: int
+    wall_ms: int
+    capacity: Resources
+
+
 Record = (
     EndpointForgotten
     | EndpointObserved
@@ -187,6 +202,7 @@
     | JobCancelled
     | JobForgotten
     | JobSubmitted
+    | ServiceCapacity
     | TermHeld
     | UnitCrashes
     | UnitRecord
@@ -239,6 +255,9 @@
             return f"j/{job_id}", b""
         case UpkeepRecord(wave, begun, is_completed):
             return f"w/{wave}", cbor2.dumps((begun, is_completed))
+        case ServiceCapacity(service, term, wall_ms, capacity):
+            fields = (term, wall_ms, *astuple(capacity))
+            return f"f/{service}", cbor2.dumps(fields)
         case InstanceAnnounced(name, data_centre, address, wall_ms):
             return f"i/{name}", cbor2.dumps((data_centre, address, wall_ms))
 
@@ -277,6 +296,10 @@
                 return UpkeepRecord(int(rest), tuple(fields[0]), bool(fields[1]))
             case "i":
                 return InstanceAnnounced(rest, *fields)
+            case "f":
+                term, wall_ms, cpu_milli, memory_mb, gpus, *_ = map(int, fields)
+                capacity = Resources(cpu_milli, memory_mb, gpus)
+                return ServiceCapacity(rest, term, wall_ms, capacity)
             case "term":
                 return TermHeld(*fields)
     except (ValueError, TypeError, IndexError, cbor2.CBORDecodeError):
