Refuse submissions that could not be served in time

Change: the scheduler's renewals carry the capacity; the gateway asks the admission control before it appends, and declines as overloaded with a retry delay, which callers get as 429. Before it declines, it waits for the next regular read of the log, since another instance may have appended the same job without an answer.

--- a/ragwortshelf/scheduler/gateway.py
+++ b/ragwortshelf/scheduler/gateway.py
@@ -6,11 +6,12 @@
 from dataclasses import dataclass
 
 from ..core.scheduling import JobSpec, JobState
+from ..core.scheduling.admission import AdmissionControl
 from ..core.scheduling.configuration import Queue, ServiceConfiguration
 from ..core.scheduling.records import JobCancelled, JobSubmitted, encode_record
 from ..daemon.logs import log_event
 from ..daemon.metrics import Metrics
-from .clock import monotonic_ms, wall_ms
+from .clock import boot_ms, monotonic_ms, wall_ms
 from .configuration_follower import ConfigurationFollower
 from .election import Election
 from .log_follower import LogFollower
@@ -45,6 +46,7 @@
     NO_JOB = "no_job"
     NOT_READY = "not_ready"
     LOG_UNAVAILABLE = "log_unavailable"
+    OVERLOADED = "overloaded"
     INVALID = "invalid"
 
 
@@ -105,6 +107,7 @@
         self._peer_readiness = peer_readiness
         self._metrics = metrics
         self._uncertain = UncertainSubmissions()
+        self._admission = AdmissionControl()
 
     def is_ready(self) -> bool:
         """Whether the load balancer may send callers to this instance."""
@@ -140,6 +143,12 @@
             if spec.id in self._uncertain:
                 return Uncertain("an earlier append of this job was not answered")
             return self._unavailable(Reason.LOG_UNAVAILABLE, "the log does not answer")
+        declined = await self._decline_overload(spec, deadline_ms)
+        if declined is not None:
+            return declined
+        if spec.id in self._follower.table.job_by_id:
+            return Accepted()
+        self._admission.accepted(spec, monotonic_ms())
         entry = encode_record(JobSubmitted(spec))
         last_try_ms = monotonic_ms() + APPEND_TRIES_MS
         # Also remembered if the caller disconnects, which cancels this call.
@@ -152,6 +161,7 @@
             return Accepted()
         if outcome.may_be_appended or not self._uncertain.discard(spec.id):
             return Uncertain(outcome.detail)
+        self._admission.withdrawn(spec.id)
         return self._unavailable(Reason.LOG_UNAVAILABLE, outcome.detail)
 
     async def cancel(
@@ -188,6 +198,62 @@
             return self._unavailable(Reason.NOT_READY, f"state age {age} ms")
         return self._follower.table.pending(queue.name)
 
+    def forecast_waits_ms(self) -> dict[int, float]:
+        """Return the forecast waits by priority 0 to 2, without those not known."""
+        current = self._configuration.current
+        if current is None:
+            return {}
+        return self._admission.waits_ms(
+            self._follower.table, current, monotonic_ms(), wall_ms()
+        )
+
+    def capacity_age_ms(self) -> int | None:
+        """Return the age of the oldest record of a capacity, None without any."""
+        records = self._follower.table.capacity_by_service.values()
+        return max((wall_ms() - record.wall_ms for record in records), default=None)
+
+    async def _decline_overload(
+        self, spec: JobSpec, deadline_ms: int
+    ) -> Declined | None:
+        """Decline a job that could not be served in time, None if it is accepted.
+
+        Another instance may have appended the same job without an answer, and the
+        caller tries again here. So the job is declined only after a read of the log
+        that was sent after this call.
+        """
+        if spec.id in self._uncertain or not self._is_load_known():
+            return None
+        current = self._configuration.current
+        if current is None:
+            return None
+        called_boot_ms = boot_ms()
+        refusal = self._admission.decide(
+            spec, self._follower.table, current, monotonic_ms(), wall_ms()
+        )
+        if refusal is None:
+            return None
+        timeout_ms = min(STATE_READ_TIMEOUT_MS, max(0, deadline_ms - monotonic_ms()))
+        was_read = await self._follower.wait_for_later_read(called_boot_ms, timeout_ms)
+        is_known = spec.id in self._follower.table.job_by_id
+        if not was_read or is_known or spec.id in self._uncertain:
+            return None
+        detail = (
+            f"priority {refusal.priority}: forecast wait {refusal.wait_ms} ms, "
+            f"of use within {refusal.useful_ms} ms, "
+            f"capacity age {self.capacity_age_ms()} ms"
+        )
+        return Declined(Reason.OVERLOADED, detail, refusal.retry_after_ms)
+
+    def _is_load_known(self) -> bool:
+        """Whether this instance follows the log and a scheduler was active lately."""
+        age_ms = self._follower.age_ms()
+        active_boot_ms = self._follower.term_activity_boot_ms
+        if age_ms is None or active_boot_ms is None:
+            return False
+        limit_ms = self.settings.term_timeout_ms
+        is_scheduled = boot_ms() - active_boot_ms <= limit_ms
+        return is_scheduled and age_ms <= limit_ms
+
     def _unavailable(self, reason: Reason, detail: str) -> Declined:
         """Decline a call that another instance may be able to serve."""
         retry_after_ms = (
--- a/ragwortshelf/scheduler/instance.py
+++ b/ragwortshelf/scheduler/instance.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+from functools import partial
+
 import trio
 
 from ..daemon.logs import dropped_line_count
@@ -87,9 +89,22 @@
         gauge(
             "configuration_age_ms", lambda: _age_or_unknown(self.configuration.age_ms())
         )
+        gauge(
+            "capacity_record_age_ms",
+            lambda: _age_or_unknown(self.gateway.capacity_age_ms()),
+        )
+        for priority in range(3):
+            gauge(
+                f'forecast_wait_ms{{priority="{priority}"}}',
+                partial(self._forecast_wait_ms, priority),
+            )
         gauge("is_scheduler", lambda: int(self.election.leadership is not None))
         gauge("log_lines_left_out", dropped_line_count)
 
+    def _forecast_wait_ms(self, priority: int) -> int:
+        """Return the forecast wait of a priority; -1 if it is unknown."""
+        return round(self.gateway.forecast_waits_ms().get(priority, -1))
+
     async def drain(self) -> None:
         """Resign the scheduler's role; callers continue to be served."""
         self.is_draining = True
--- a/ragwortshelf/scheduler/leadership.py
+++ b/ragwortshelf/scheduler/leadership.py
@@ -18,8 +18,10 @@
     StopTask,
 )
 from ..core.scheduling.fleet import EndpointInfo, EndpointListing
+from ..core.scheduling.forecast import CapacityReporter
 from ..core.scheduling.model import UnitKey
 from ..core.scheduling.records import (
+    ServiceCapacity,
     TermHeld,
     deletion_records,
 )
@@ -94,7 +96,10 @@
         self._metrics = logs.metrics
         self._scheduler = Scheduler(claim.term, follower.table, configuration.current)
         self._session_by_id: dict[str, EndpointSession] = {}
-        self._writer = TermWriter(claim, sequence, logs, settings, follower.table)
+        self._capacity_reporter = CapacityReporter(claim.term, monotonic_ms())
+        self._writer = TermWriter(
+            claim, sequence, logs, settings, follower.table, self._due_capacities
+        )
         self._upkeep = UpkeepRunner(
             adapter,
             settings,
@@ -373,6 +378,16 @@
         )
         self._end(reason)
 
+    def _due_capacities(self) -> list[ServiceCapacity]:
+        try:
+            return self._capacity_reporter.due_records(
+                self._scheduler.endpoint_by_id.values(), monotonic_ms(), wall_ms()
+            )
+        except Exception:
+            # Costs the instances their forecasts, and not the term.
+            log_failure("capacity_report_failed")
+            return []
+
     async def _watch_confirmation(self) -> None:
         limit = self._settings.term_confirmation_max_ms
         while True:
--- a/ragwortshelf/scheduler/log_follower.py
+++ b/ragwortshelf/scheduler/log_follower.py
@@ -115,6 +115,18 @@
                 await self._wait_for_answer()
         return False
 
+    async def wait_for_later_read(self, since_boot_ms: int, timeout_ms: int) -> bool:
+        """Wait until a read that was sent after ``since_boot_ms`` reached the end.
+
+        It is one of the regular reads and causes no further one. Returns False if
+        ``timeout_ms`` passes first.
+        """
+        with trio.move_on_after(timeout_ms / 1000):
+            while (self.confirmed_boot_ms or 0) <= since_boot_ms:
+                await self._answer_event.wait()
+            return True
+        return False
+
     async def wait_for_offset(self, offset: int, timeout_ms: int) -> bool:
         """Wait until all records before ``offset`` are applied.
 
--- a/ragwortshelf/scheduler/term_writer.py
+++ b/ragwortshelf/scheduler/term_writer.py
@@ -2,14 +2,14 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 
 import trio
 
 from ..core.scheduling.actions import PersistEvidence, PersistUnit, StartTask
 from ..core.scheduling.job_table import JobTable
 from ..core.scheduling.model import UnitPhase
-from ..core.scheduling.records import TermHeld, UnitCrashes, encode_record
+from ..core.scheduling.records import Record, TermHeld, UnitCrashes, encode_record
 from ..daemon.logs import log_event
 from .clock import boot_ms, wall_ms
 from .interfaces import (
@@ -38,7 +38,8 @@
     ``uncommitted_jobs`` maps a job's id to its number of decisions not yet in the log.
     ``confirmed_boot_ms`` is the send time of the last successful append.
     ``may_have_resigned`` is set while the resignation may be in the log, so that a
-    successor may hold the role already.
+    successor may hold the role already. ``due_records`` returns records that go along
+    with the next append.
     """
 
     def __init__(
@@ -48,6 +49,7 @@
         logs: LogTopics,
         settings: SchedulingSettings,
         table: JobTable,
+        due_records: Callable[[], Iterable[Record]] = tuple,
     ):
         self._claim = claim
         self._sequence = sequence
@@ -55,6 +57,7 @@
         self._metrics = logs.metrics
         self._settings = settings
         self._table = table
+        self._due_records = due_records
         self._waiting: list[PersistEvidence | PersistUnit | StartTask] = []
         self._wake_event = trio.Event()
         self._committed = trio.Event()
@@ -106,6 +109,7 @@
             self._wake_event = trio.Event()
             actions, entries = self._take_actions()
             is_last = self._is_resigning and not self._waiting
+            entries.extend(encode_record(record) for record in self._due_records())
             entries.append(self._renewal(is_last))
             deposed = await self._append(entries, is_last)
             if deposed is not None:
