Forecast by the share that an organisation could have

Cause: the share was computed from what an organisation asked at its first submission after a forecast. An organisation with one small job got a share as small, by which its next jobs would have waited too long, so they were refused although it was far below its fair share. Change: the share is the one that it has if it asks for the whole capacity. Conclusion: shares no longer depend on the order of submissions.

--- a/ragwortshelf/core/scheduling/forecast.py
+++ b/ragwortshelf/core/scheduling/forecast.py
@@ -200,7 +200,7 @@
         for (other, name), load in self.load_by_key.items():
             if name == organisation and other <= priority:
                 own.add(load)
-        share = self._share(organisation, load_of(spec))
+        share = self._share(organisation)
         if share <= 0 or self._use(organisation) >= share:
             return None
         if _uses_gpus(spec):
@@ -261,9 +261,10 @@
     def _cpu_milli(self) -> int:
         return self.capacity.cpu_milli - self._total.lasting_cpu_milli
 
-    def _share(self, organisation: str, added: Load) -> float:
-        """Return an organisation's fair share, counting a further job in what it asks.
+    def _share(self, organisation: str) -> float:
+        """Return an organisation's fair share if it asked for the whole capacity.
 
+        What it asks now would bound the share, and so lengthen the wait of more jobs.
         This is the place to use the scheduler's own rule once it is a module.
         """
         share = self._share_by_organisation.get(organisation)
@@ -272,10 +273,7 @@
                 name: self._dominant_share(load, counts_waiting=True)
                 for name, load in self._loads_by_organisation().items()
             }
-            # A little more than the rule says, if the job needs different resources.
-            asks[organisation] = asks.get(organisation, 0.0) + self._dominant_share(
-                added, counts_waiting=True
-            )
+            asks[organisation] = max(1.0, asks.get(organisation, 0.0))
             share = fair_shares(asks, self._floors)[organisation]
             self._share_by_organisation[organisation] = share
         return share
--- a/tests/core/scheduling/test_admission.py
+++ b/tests/core/scheduling/test_admission.py
@@ -279,6 +279,15 @@
     assert deployment.submit(job("c", organisation="c", count=20)) is not None
 
 
+# Guards against a share that is that of an organisation's first small job, by which its
+# further jobs would wait long.
+def test_small_jobs_of_an_organisation_within_its_share_are_all_accepted():
+    deployment = Deployment()
+    deployment.fill("c", waiting_s=300)
+    for number in range(30):
+        assert deployment.submit(job(f"{number}", organisation="a")) is None
+
+
 def test_less_urgent_work_that_waits_does_not_count():
     deployment = Deployment()
     deployment.fill(queue="p2", waiting_s=300)
