--- a/tests/core/scheduling/test_calibration.py
+++ b/tests/core/scheduling/test_calibration.py
@@ -12,6 +12,7 @@
 from hypothesis import strategies as st
 
 from ragwortshelf.core.scheduling import JobSpec, JobTable, Step
+from ragwortshelf.core.scheduling.backlog import Backlog
 from ragwortshelf.core.scheduling.calibration import (
     CORRECTION_MAX,
     EstimateCalibration,
@@ -143,7 +144,7 @@
     step = Step(1, SMALL, 1_000)
     lasting = Step(1, SMALL, 1_000, is_long_running=True)
     spec = JobSpec("a" * 16, "q", "pool", "a", "", (step, lasting))
-    job = Job(spec, calibration)
+    job = Job(spec, Backlog(), calibration)
     for number, checkpoint in ((0, "saved"), (1, "")):
         key = UnitKey(spec.id, 0, number, 0)
         record = UnitRecord(key, 1, UnitPhase.PLACED, 1, checkpoint=checkpoint)
