--- a/ragwortshelf/scheduler/start_gate.py
+++ b/ragwortshelf/scheduler/start_gate.py
@@ -30,6 +30,8 @@
         self._bound_ms = bound_ms
         self._read_age_ms = read_age_ms
         self._waiting_count = 0
+        # Set when the one waiter that checks the gate ends; None while none does.
+        self._check_ended: trio.Event | None = None
 
     def is_open(self) -> bool:
         """Whether a start may be sent now."""
@@ -57,8 +59,25 @@
         self._waiting_count += 1
         try:
             while not self.is_open():
-                await trio.sleep(GATE_CHECK_INTERVAL_MS / 1000)
+                await self._wait_for_check()
         finally:
             self._waiting_count -= 1
             if not self._waiting_count:
                 log_event("starts_released", read_age_ms=self._read_age_ms())
+
+    async def _wait_for_check(self) -> None:
+        """Check the gate until it opens, or wait for the waiter that does.
+
+        A fleet's starts may all be held, so that checks of each would take most of the
+        processor. If the waiter that checks is cancelled, another one continues.
+        """
+        if self._check_ended is not None:
+            await self._check_ended.wait()
+            return
+        self._check_ended = trio.Event()
+        try:
+            while not self.is_open():
+                await trio.sleep(GATE_CHECK_INTERVAL_MS / 1000)
+        finally:
+            self._check_ended.set()
+            self._check_ended = None
