Do not move units to cold endpoints

Cause: a restart or a move looked at the speed of an endpoint, which is the usual one for an endpoint that has just started. Until it is warm it is slow, so the work was discarded and the urgent unit was late as before. Change: free room on a cold endpoint does not count for a move. Conclusion: moves and cold endpoints were built in two parts, and only placement knew of both.

--- a/ragwortshelf/core/scheduling/stragglers.py
+++ b/ragwortshelf/core/scheduling/stragglers.py
@@ -100,14 +100,14 @@
             stop_ms += RESTORE_MS
             if self._may_move_another_checkpoint():
                 limit_ms = MOVED_TIME_SHARE_MAX * here_ms - stop_ms
-                endpoints = self._find_room(unit, work_ms, limit_ms)
+                endpoints = self._find_room(unit, work_ms, limit_ms, now_ms)
                 if endpoints is not None:
                     return endpoints
         time_left_ms = unit.latest_end_wall_ms - wall_ms
         is_hopeless_here = unit.priority == 0 and here_ms > time_left_ms
         if not is_hopeless_here or unit.mean_percent > RESTARTED_PERCENT_MAX:
             return None
-        return self._find_room(unit, work_ms, time_left_ms - stop_ms)
+        return self._find_room(unit, work_ms, time_left_ms - stop_ms, now_ms)
 
     def _may_move_another_checkpoint(self) -> bool:
         units = map(self._scheduler.unit_by_key.get, self._move_by_key)
@@ -133,9 +133,12 @@
         return longest_ms
 
     def _find_room(
-        self, unit: Unit, work_ms: float, limit_ms: float
+        self, unit: Unit, work_ms: float, limit_ms: float, now_ms: int
     ) -> list[Endpoint] | None:
-        """Return free room on endpoints that do the work within a time, or None."""
+        """Return free room on endpoints that do the work within a time, or None.
+
+        The speed of a cold endpoint says nothing of how fast it is now.
+        """
         if limit_ms <= 0:
             return None
         speed_min = work_ms / limit_ms
@@ -146,6 +149,8 @@
         def is_fast_enough(endpoint: Endpoint) -> bool:
             if endpoint.speed < speed_min or endpoint.id in claimed:
                 return False
+            if endpoint.is_cold(now_ms):
+                return False
             return speed_class(endpoint) is not SpeedClass.SLOW
 
         return self._selector.find_free_room(unit, is_fast_enough)
--- a/tests/core/scheduling/test_stragglers.py
+++ b/tests/core/scheduling/test_stragglers.py
@@ -155,6 +155,14 @@
     assert not fleet.stops
 
 
+def test_an_urgent_unit_is_not_restarted_on_a_cold_endpoint():
+    # Guards against work discarded for an endpoint that is slow itself at first.
+    fleet, starts = _late_urgent(SLOW, FAST)
+    fleet.add_endpoint("e1", cold_remaining_ms=60_000)
+    fleet.progress(1_200, starts)
+    assert not fleet.stops
+
+
 @pytest.mark.parametrize(
     ("begun_ms", "is_restarted"), [(22_000, True), (26_000, False)]
 )
