--- a/ragwortshelf/core/scheduling/admission.py
+++ b/ragwortshelf/core/scheduling/admission.py
@@ -91,7 +91,7 @@
         service = forecast.by_service.get(spec.service)
         if service is None or _is_guaranteed(spec, queue, configuration, forecast):
             return None
-        critical_path_ms = spec.critical_path_ms()
+        critical_path_ms = max(spec.critical_paths_ms())
         objective_ms = int(critical_path_ms * queue.slack_factor)
         objective_ms += queue.target_latency_ms
         useful_ms = USEFUL_FACTOR * objective_ms
