Open each job once in the job table

Each job was added to the sums of the backlog twice and removed once, so the forecast wait was twice too long at first and then grew for ever, until idle instances refused everything but guaranteed work. Change: one of the two lines is removed.

--- a/ragwortshelf/core/scheduling/job_table.py
+++ b/ragwortshelf/core/scheduling/job_table.py
@@ -224,7 +224,6 @@
         if spec.id in self.job_by_id:
             return False
         job = self.job_by_id[spec.id] = Job(spec, self.backlog, self.calibration)
-        job = self.job_by_id[spec.id] = Job(spec, self.backlog, self.calibration)
         cancelled_wall_ms = self._cancelled_wall_ms_by_id.pop(spec.id, None)
         if cancelled_wall_ms is not None:
             job.cancel(cancelled_wall_ms)
