Reclaim room for a rack-sensitive guarantee on one rack

Cause: since units of priority 0 are reclaimed only if no plan with other victims exists, a plan that stops batches on several racks was preferred to one on a single rack. The selector does not start a rack-sensitive gang on several racks while one could hold it, so the batches were stopped, the room stayed idle and the guaranteed gang did not start until the urgent units of others ended. Change: for a rack-sensitive unit, a plan on one rack with urgent victims is preferred to a plan that leaves the rack. Conclusion: where no single rack can be cleared, batches are still stopped in vain, as before this work.

--- a/ragwortshelf/core/scheduling/room_making.py
+++ b/ragwortshelf/core/scheduling/room_making.py
@@ -105,8 +105,12 @@
 
         cost = self._costs.stop_cost
         plan = self._plan_reclaim(unit, candidates, less_urgent, cost)
-        if plan is None and over_guarantee:
-            plan = self._plan_reclaim(unit, candidates, borrowed, cost)
+        if over_guarantee and (plan is None or _leaves_rack(unit, plan)):
+            # The selector starts a rack-sensitive unit on one rack only, wherever a
+            # rack could hold it. A plan over several racks may be of no use to it.
+            wider = self._plan_reclaim(unit, candidates, borrowed, cost)
+            if plan is None or (wider is not None and not _leaves_rack(unit, wider)):
+                plan = wider
         if plan is None:
             return
         self._reserve(unit, plan, is_exclusive=True)
@@ -286,3 +290,10 @@
             and victim.step.is_checkpointing
             and self._accounts.may_preempt(claimant, victim)
         )
+
+
+def _leaves_rack(unit: Unit, plan: EndpointReclaimPlan) -> bool:
+    """Whether a plan puts a rack-sensitive unit on more than one rack."""
+    if not unit.step.is_rack_sensitive:
+        return False
+    return len({endpoint.rack for endpoint in plan.endpoints}) > 1
--- a/tests/core/scheduling/test_fair_order.py
+++ b/tests/core/scheduling/test_fair_order.py
@@ -342,3 +342,23 @@
     harness.advance(100)
     assert computed
     assert len(set(computed)) == len(computed)
+
+
+# Load: urgent units of z, which has no guarantee, and batches hold half of each rack.
+# Promise: a guaranteed gang that needs one rack starts, although stopping the batches
+# alone would make room for it on two racks, which it cannot use.
+def test_a_rack_sensitive_guarantee_is_reclaimed_on_one_rack():
+    harness = Harness(endpoints=4, racks=2, gpus=4, guaranteed=8)
+    spread = {"count": 2, "is_gang": True, "tasks_per_endpoint_max": 1}
+    harness.submit("z0", "p0", "z", request=HALF, estimate_ms=60_000, **spread)
+    harness.accept_starts()
+    _flood(harness, "y", 2, request=HALF, estimate_ms=60_000)
+    harness.advance(100)
+    harness.submit(
+        "g", "p0", "a", harness.now, count=8, is_gang=True, is_rack_sensitive=True
+    )
+    for _ in range(10):
+        harness.obey_stops()
+        harness.accept_starts()
+        harness.advance(100)
+    assert _placed_gpus(harness).get("a") == 8
