--- a/benchmarks/fleet_load.py
+++ b/benchmarks/fleet_load.py
@@ -6,6 +6,7 @@
 queue, how long they wait for their first start, and the work that was thrown away.
 
     python -m benchmarks.fleet_load --seed 1 --endpoints 90 --load 1.0
+    python -m benchmarks.fleet_load --speeds 0.6 1.0 1.6 --estimate-error urgent=0.2
 """
 
 from __future__ import annotations
@@ -18,8 +19,8 @@
 import random
 import time
 from collections import Counter, defaultdict
-from collections.abc import Callable
-from dataclasses import dataclass
+from collections.abc import Callable, Mapping, Sequence
+from dataclasses import dataclass, replace
 
 from ragwortshelf.core.scheduling import (
     EndpointInfo,
@@ -210,8 +211,10 @@
         endpoints: int,
         guaranteed_gpus: int = 104,
         make_scheduler: Callable[..., Scheduler] = Scheduler,
+        speeds: Sequence[float] = SPEEDS,
     ):
         self.arrivals = arrivals
+        self.speeds = speeds
         self.job_by_id = {job.spec.id: job for job in arrivals}
         self.table = JobTable()
         queues = tuple(
@@ -245,7 +248,9 @@
     def _add_endpoint(self, n: int) -> None:
         name = f"e{n:03d}"
         rack = f"r{n // ENDPOINTS_PER_RACK}"
-        self.endpoint_by_id[name] = _SimulatedEndpoint(name, SPEEDS[n % len(SPEEDS)])
+        self.endpoint_by_id[name] = _SimulatedEndpoint(
+            name, self.speeds[n % len(self.speeds)]
+        )
         info = EndpointInfo(name, "pool", name, "dc", ENDPOINT, ("a", rack))
         self.scheduler.endpoint_updated(info, 0)
         self.scheduler.listing_received(EndpointListing(name, 1, 0), 0, 0)
@@ -421,13 +426,27 @@
         }
 
 
+def kinds_with_errors(errors: Mapping[str, float]) -> tuple[Kind, ...]:
+    """Return the kinds with the errors of their estimates replaced, by queue."""
+    return tuple(
+        replace(kind, estimate_error=errors.get(kind.queue, kind.estimate_error))
+        for kind in KINDS
+    )
+
+
 def play(
-    seed: int, endpoints: int, seconds: float, load: float, burst: float = 1.0
+    seed: int,
+    endpoints: int,
+    seconds: float,
+    load: float,
+    burst: float = 1.0,
+    speeds: Sequence[float] = SPEEDS,
+    kinds: Sequence[Kind] = KINDS,
 ) -> FleetDay:
     """Play one day; in its second quarter urgent jobs come ``burst`` times as often."""
-    arrivals = draw_arrivals(seed, endpoints, seconds, load)
+    arrivals = draw_arrivals(seed, endpoints, seconds, load, kinds)
     if burst > 1:
-        more = draw_arrivals(seed + 1, endpoints, seconds, load * (burst - 1))
+        more = draw_arrivals(seed + 1, endpoints, seconds, load * (burst - 1), kinds)
         begin, end = 250 * seconds, 500 * seconds
         known = {job.spec.id for job in arrivals}
         arrivals += [
@@ -438,11 +457,18 @@
             and job.spec.id not in known
         ]
         arrivals.sort(key=lambda job: (job.spec.accepted_wall_ms, job.spec.id))
-    day = FleetDay(arrivals, endpoints)
+    day = FleetDay(arrivals, endpoints, speeds=speeds)
     day.run(seconds + 30)
     return day
 
 
+def _error_of_queue(text: str) -> tuple[str, float]:
+    queue, _, share = text.partition("=")
+    if queue not in {kind.queue for kind in KINDS}:
+        raise argparse.ArgumentTypeError(f"unknown queue {queue!r}")
+    return queue, float(share)
+
+
 def main() -> None:
     """Print the figures of one day for each seed."""
     parser = argparse.ArgumentParser(description=__doc__)
@@ -451,10 +477,28 @@
     parser.add_argument("--seconds", type=float, default=60)
     parser.add_argument("--load", type=float, default=1.0)
     parser.add_argument("--burst", type=float, default=1.0)
+    parser.add_argument(
+        "--speeds", type=float, nargs="+", default=SPEEDS, help="dealt in turn"
+    )
+    parser.add_argument(
+        "--estimate-error",
+        type=_error_of_queue,
+        nargs="+",
+        default=[],
+        metavar="QUEUE=SHARE",
+        help="largest relative error of a queue's estimates, below 1",
+    )
     options = parser.parse_args()
+    kinds = kinds_with_errors(dict(options.estimate_error))
     for seed in options.seed:
         day = play(
-            seed, options.endpoints, options.seconds, options.load, options.burst
+            seed,
+            options.endpoints,
+            options.seconds,
+            options.load,
+            options.burst,
+            options.speeds,
+            kinds,
         )
         print(json.dumps({"seed": seed} | day.result()))
 
