Learn endpoint speeds from progress in listings, with uncertainty

Cause: a speed counted only after three runs of an endpoint had been compared with their siblings at the end of their step, so for 15 s and more urgent jobs landed on slow endpoints at random.

Change: a run's log of duration over estimate is the bias of its step less the log speed of its endpoint plus noise. Runs are observed from their listings on and once each; the messages of this factor graph are passed anew when an endpoint is listed. All runs of a step on one endpoint share an edge, since separate ones would count one endpoint's unknown speed several times. The bias of a queue's steps is learned, mean and spread. Likely outliers (tail tasks) say next to nothing; each contradiction halves what the past says. Stalled, throttled, resumed, suspected and long-running runs do not count, nor tasks away from their data. Listings carry the endpoint's clock, so that pauses and delays of this process are not counted.

--- a/ragwortshelf/core/scheduling/fleet.py
+++ b/ragwortshelf/core/scheduling/fleet.py
@@ -3,11 +3,11 @@
 from __future__ import annotations
 
 import enum
-import math
 from collections.abc import Iterable
 from dataclasses import dataclass
 
 from .model import Incarnation, Resources, UnitKey
+from .speed_belief import SpeedBelief
 
 __all__ = [
     "FINISHED_PERCENT",
@@ -42,15 +42,6 @@
 FINISHED_PERCENT = 99
 """Progress from which a task counts as finished; percents are rounded down."""
 
-SPEED_PRIOR_RUNS = 1
-"""Weight of the assumption that an endpoint's speed is usual, in runs."""
-
-SPEED_RUNS_MAX = 30
-"""Runs that count for an endpoint's speed; older ones fade."""
-
-SPEED_LOG_MAX = 0.7
-"""Limit of what one run says, as a logarithm: a factor of two."""
-
 FAILURE_EXCLUSION_MS = 5_000
 """Exclusion time after runs of several jobs in a row failed on an endpoint."""
 
@@ -144,7 +135,8 @@
 class EndpointListing:
     """An endpoint's answer to a renewal of its lease.
 
-    ``sent_ms`` is when the renewal was sent.
+    ``sent_ms`` is when the renewal was sent. ``clock_ms`` is the endpoint's clock at
+    the time of the answer, None if it is not known.
     """
 
     endpoint_id: str
@@ -152,6 +144,7 @@
     sent_ms: int
     running: tuple[RunningTask, ...] = ()
     finished: tuple[FinishedRun, ...] = ()
+    clock_ms: int | None = None
 
 
 class RunStage(enum.Enum):
@@ -181,7 +174,8 @@
 
     ``is_sent`` is set once its start may have reached the endpoint, and ``is_settled``
     once the run has been listed some time after it; in between it is fresh. It
-    ``is_suspected`` if contact was lost while it was.
+    ``is_suspected`` if contact was lost while it was. ``speed_run`` is what its
+    progress tells of the endpoint's speed, kept by the speed tracker.
     """
 
     __slots__ = (
@@ -204,6 +198,7 @@
         "pace_percent",
         "progress_percent",
         "run",
+        "speed_run",
         "stage",
         "task",
         "unfinished_ms",
@@ -245,6 +240,7 @@
         self.without_progress_ms = 0
         self.first_listed_ms = now_ms
         self.first_percent: float | None = None
+        self.speed_run = None
         self.unfinished_ms = now_ms
         self.unfinished_percent = 0.0
 
@@ -295,7 +291,7 @@
     ``accuser_ids`` holds the jobs whose runs failed here as soon as they started, since
     a later start survived; ``suspected_start_ms`` is when the latest of these runs was
     ordered. ``proven_start_ms`` is when the latest run was ordered that survived, None
-    before the first one. ``speed`` is relative to the other endpoints.
+    before the first one. ``speed_belief`` is what is known of its speed.
 
     ``unplaced_by_run`` has the resources of listed runs that have no placement, by task
     and run number, such as those that an earlier term was stopping.
@@ -317,9 +313,7 @@
         "proven_start_ms",
         "quick_failure_count",
         "rack",
-        "speed",
-        "speed_log_sum",
-        "speed_run_count",
+        "speed_belief",
         "started_wall_ms",
         "suspected_start_ms",
         "suspected_until_ms",
@@ -455,22 +449,19 @@
         self.failed_job_ids.add(job_id)
         return len(self.failed_job_ids) >= FAILED_JOBS_BEFORE_EXCLUSION
 
-    def record_speed(self, log_speed: float) -> None:
-        """Take one more run into account, by the logarithm of its relative speed."""
-        limit = SPEED_LOG_MAX
-        self.speed_log_sum += max(-limit, min(limit, log_speed))
-        self.speed_run_count += 1
-        if self.speed_run_count > SPEED_RUNS_MAX:
-            self.speed_log_sum *= SPEED_RUNS_MAX / self.speed_run_count
-            self.speed_run_count = SPEED_RUNS_MAX
-        runs = self.speed_run_count + SPEED_PRIOR_RUNS
-        self.speed = math.exp(self.speed_log_sum / runs)
+    @property
+    def speed(self) -> float:
+        """The speed relative to the other endpoints, as far as learned."""
+        return self.speed_belief.speed
+
+    @property
+    def speed_error(self) -> float:
+        """Standard deviation of the logarithm of the speed."""
+        return self.speed_belief.error
 
     def forget_speed(self) -> None:
         """Forget what is known of the speed, as the endpoint may be another machine."""
-        self.speed = 1.0
-        self.speed_log_sum = 0.0
-        self.speed_run_count = 0
+        self.speed_belief = SpeedBelief()
 
     def placements(self) -> Iterable[TaskPlacement]:
         """Return a copy of the placements, which may be released while iterating."""
--- a/ragwortshelf/core/scheduling/lifecycle.py
+++ b/ragwortshelf/core/scheduling/lifecycle.py
@@ -206,7 +206,7 @@
     def _end_job(self, job: Job, now_ms: int) -> None:
         self._next_occurrence_by_job.pop(job.spec.id, None)
         self.advice.forget(job.spec.id)
-        self._forget_job(job.spec.id)
+        self._forget_job(job.spec.id, now_ms)
         state = job.state.value
         for number, step in enumerate(job.spec.steps):
             for occurrence in range(job.spec.occurrence_count):
@@ -439,7 +439,9 @@
         now_ms: int,
         wall_ms: int,
     ) -> None:
-        self.endpoint_by_id[placement.endpoint_id].release(placement)
+        endpoint = self.endpoint_by_id[placement.endpoint_id]
+        endpoint.release(placement)
+        self.speeds.run_ended(endpoint, placement, end is RunEnd.DONE, now_ms)
         unit = self.unit_by_key.get(placement.unit_key)
         if unit is None:
             return
@@ -462,9 +464,9 @@
         if unit.job.is_active:
             self._open_occurrence(unit.job, unit.key.occurrence, now_ms)
         else:
-            self._forget_job(unit.job.spec.id)
+            self._forget_job(unit.job.spec.id, now_ms)
         if unit.job.is_step_done(unit.key.occurrence, unit.key.step):
-            self.speeds.step_done(unit.key._replace(member=0))
+            self.speeds.step_done(unit.key._replace(member=0), now_ms)
 
     def _run_interrupted(
         self, unit, end, checkpoint, placement, now_ms, wall_ms
@@ -498,10 +500,10 @@
         if not unit.placements and unit.job.is_active:
             self._requeue(unit, now_ms)
 
-    def _forget_job(self, job_id: str) -> None:
+    def _forget_job(self, job_id: str, now_ms: int) -> None:
         self.suspicion.forget_job(job_id)
         self.crashes.forget_job(job_id)
-        self.speeds.forget_job(job_id)
+        self.speeds.forget_job(job_id, now_ms)
 
     def _has_exhausted_attempts(self, unit: Unit) -> bool:
         if unit.step.is_long_running:
--- a/ragwortshelf/core/scheduling/scheduler.py
+++ b/ragwortshelf/core/scheduling/scheduler.py
@@ -174,13 +174,15 @@
         for row in listing.finished:
             seen.add((row.task, row.run))
             self._handle_finished(endpoint, row, now_ms, wall_ms)
+        clock_ms = now_ms if listing.clock_ms is None else listing.clock_ms
         unplaced_by_run = {}
         for row in listing.running:
             seen.add((row.task, row.run))
-            if not self._handle_running(endpoint, row, now_ms):
+            if not self._handle_running(endpoint, row, clock_ms, now_ms):
                 occupied = self._occupied_by(row.task, endpoint)
                 unplaced_by_run[row.task, row.run] = occupied
         endpoint.set_unplaced(unplaced_by_run)
+        self.speeds.listing_ended(endpoint, clock_ms, now_ms)
         self._stop_stalled(endpoint, now_ms)
         self._actions.extend(plan_paces(endpoint, self.unit_by_key))
         if len(listing.finished) >= FINISHED_PAGE_SIZE:
@@ -372,7 +374,7 @@
                 self._placement_ended(placement, RunEnd.LAPSED, "", now_ms, wall_ms)
 
     def _handle_running(
-        self, endpoint: Endpoint, row: RunningTask, now_ms: int
+        self, endpoint: Endpoint, row: RunningTask, clock_ms: int, now_ms: int
     ) -> bool:
         """Update the placement of a listed run; returns whether it has one."""
         placement = endpoint.placement_by_task.get(row.task)
@@ -403,6 +405,8 @@
         is_obsolete = unit is None or unit.phase is not UnitPhase.PLACED
         if is_obsolete and placement.stage is not RunStage.STOPPING:
             self._stop(placement, "no longer wanted", now_ms)
+        if not is_obsolete:
+            self.speeds.run_listed(endpoint, placement, unit, clock_ms, now_ms)
         return True
 
     def _occupied_by(self, task: str, endpoint: Endpoint) -> Resources:
@@ -441,23 +445,8 @@
         elif row.end is RunEnd.DONE:
             self._run_settled(placement)
             self.suspicion.run_survived(endpoint, placement)
-            self._note_speed(endpoint, placement, now_ms)
         self._placement_ended(placement, row.end, row.checkpoint, now_ms, wall_ms)
 
-    def _note_speed(
-        self, endpoint: Endpoint, placement: TaskPlacement, now_ms: int
-    ) -> None:
-        unit = self.unit_by_key.get(placement.unit_key)
-        if unit is None or unit.step.is_long_running or placement.checkpoint:
-            return
-        if unit.count == 1:
-            self.speeds.run_done(endpoint, placement, now_ms)
-        elif unit.phase is UnitPhase.PLACED:
-            self.speeds.gang_done(
-                (self.endpoint_by_id[member.endpoint_id], member)
-                for member in unit.placements
-            )
-
     def _note_failure(
         self, endpoint: Endpoint, placement: TaskPlacement, now_ms: int
     ) -> None:
--- a/ragwortshelf/scheduler/endpoint_session.py
+++ b/ragwortshelf/scheduler/endpoint_session.py
@@ -262,6 +262,7 @@
             sent_ms,
             answer.running,
             answer.finished,
+            answer.clock_ms,
         )
         wait_committed = self._on_listing(listing)
         if answer.finished:
