--- a/tests/core/scheduling/test_evacuation.py
+++ b/tests/core/scheduling/test_evacuation.py
@@ -14,6 +14,7 @@
     RunningTask,
     StartOutcome,
 )
+from ragwortshelf.core.scheduling.speed_belief import PRIOR_PRECISION
 
 WHOLE = Resources(8_000, 8_000, 8)
 HALF = Resources(4_000, 4_000, 4)
@@ -332,21 +333,22 @@
 
 
 # Guards against an endpoint that counts as slow because it was cold.
-@pytest.mark.parametrize(("cold_ms", "runs"), [(1_000, 0), (None, 1)])
-def test_what_began_on_a_cold_endpoint_says_nothing_of_its_speed(cold_ms, runs):
+@pytest.mark.parametrize(("cold_ms", "is_known"), [(1_000, False), (None, True)])
+def test_what_began_on_a_cold_endpoint_says_nothing_of_its_speed(cold_ms, is_known):
     harness = Harness(endpoints=0, gpus=1)
     harness.add_endpoint("e0", gpus=1, cold_remaining_ms=cold_ms)
     for n in range(1, 5):
         harness.add_endpoint(f"e{n}", gpus=1)
     harness.submit("j", count=5)
     started = harness.accept_starts()
-    harness.advance(2_000)
-    for endpoint in ("e1", "e2", "e3", "e4", "e0"):
-        harness.advance(50)
-        task = next(s.task for s in started if s.endpoint_id == endpoint)
-        harness.end(endpoint, task)
+    for percent in (0, 50):
+        for order in started:
+            harness.list(order.endpoint_id, percent={order.task: percent})
+        harness.advance(1_000)
+    for order in started:
+        harness.end(order.endpoint_id, order.task)
     endpoint = harness.scheduler.endpoint_by_id["e0"]
-    assert endpoint.speed_run_count == runs
+    assert (endpoint.speed_belief.precision > PRIOR_PRECISION) == is_known
 
 
 def test_a_later_report_ends_the_cold_time_and_keeps_its_past():
--- a/tests/core/scheduling/test_stragglers.py
+++ b/tests/core/scheduling/test_stragglers.py
@@ -13,6 +13,7 @@
 from ragwortshelf.core.scheduling.fleet import RunEnd
 from ragwortshelf.core.scheduling.model import UnitPhase
 from ragwortshelf.core.scheduling.speed import SpeedClass, speed_class
+from ragwortshelf.core.scheduling.speed_belief import SETTLED_PRECISION_MAX
 from ragwortshelf.core.scheduling.stragglers import CHECKPOINT_MOVES_MAX
 
 LARGE = Resources(8_000, 8_000, 8)
@@ -36,8 +37,10 @@
     def learn_speeds(self):
         for endpoint_id, speed in self.speed_by_id.items():
             endpoint = self.scheduler.endpoint_by_id[endpoint_id]
-            for _ in range(30):
-                endpoint.record_speed(math.log(speed))
+            endpoint.forget_speed()
+            belief = endpoint.speed_belief
+            belief.settle(SETTLED_PRECISION_MAX, math.log(speed), self.now)
+            belief.refresh(self.now)
             if speed == SLOW:
                 assert speed_class(endpoint) is SpeedClass.SLOW
 
