--- a/tests/core/scheduling/test_stragglers.py
+++ b/tests/core/scheduling/test_stragglers.py
@@ -14,6 +14,7 @@
 from ragwortshelf.core.scheduling.model import UnitPhase
 from ragwortshelf.core.scheduling.speed import SpeedClass, speed_class
 from ragwortshelf.core.scheduling.stragglers import CHECKPOINT_MOVES_MAX
+from ragwortshelf.core.scheduling.unit import STARVATION_MS
 
 LARGE = Resources(8_000, 8_000, 8)
 SLOW, USUAL, FAST = 0.6, 1.0, 1.6
@@ -307,6 +308,25 @@
     assert len({stop.task for stop in fleet.stops} | moved) == count
 
 
+def test_a_unit_that_starved_is_not_moved_to_room_reserved_for_others():
+    # Guards against a stop for room that the unit may not use: it starved when it was
+    # placed, and does not once it waits again.
+    fleet = _Fleet(SLOW, FAST)
+    fleet.close("e0")
+    fleet.close("e1")
+    fleet.submit("u", "p2", request=LARGE, is_checkpointing=True, estimate_ms=200_000)
+    fleet.advance(STARVATION_MS + 1)
+    fleet.open("e0")
+    fleet.plan()
+    starts = fleet.start()
+    fleet.work_by_task["u.0.0.0"] = 200_000
+    fleet.learn_speeds()
+    fleet.open("e1")
+    fleet.submit("g", "p2", accepted=fleet.now, count=2, is_gang=True, request=LARGE)
+    fleet.progress(40_000, starts)
+    assert not fleet.stops
+
+
 def test_equally_fast_endpoints_move_nothing():
     # Decisions are unchanged where speeds do not differ, however late a unit is.
     fleet, starts = _late_urgent(USUAL, USUAL)
