Keep the stall timeout of a caller's longer estimate

Cause: the stall timeout of an urgent run was half of its corrected estimate. Where the runs of a queue are shorter, the correction divides an estimate by up to ten, and a run that is as long as its caller said was stopped as stalled: with seven times the work on an endpoint slowed down 6.5 times it shows a percent in 0.46 of its estimate. Change: the longer of the two estimates counts. Conclusion: a correction lengthens the timeout only.

--- a/ragwortshelf/core/scheduling/stalls.py
+++ b/ragwortshelf/core/scheduling/stalls.py
@@ -47,11 +47,14 @@
     """Return the listed time without progress after which a run of a unit is stalled.
 
     Only urgent units have a shorter timeout. For others an early detection gains
-    little, and a wrong one discards a run that would have gone on.
+    little, and a wrong one discards a run that would have gone on. An estimate that
+    the run times of the queue have shortened does not shorten the timeout, as the
+    caller may know that this run takes longer than others.
     """
     if unit.priority != 0 or not unit.estimate_ms:
         return STALL_TIMEOUT_MS
-    share_ms = int(STALL_ESTIMATE_SHARE * unit.estimate_ms)
+    estimate_ms = max(unit.estimate_ms, unit.step.estimate_ms)
+    share_ms = int(STALL_ESTIMATE_SHARE * estimate_ms)
     return min(STALL_TIMEOUT_MS, max(STALL_TIMEOUT_MIN_MS, share_ms))
 
 
--- a/tests/core/scheduling/test_stalls.py
+++ b/tests/core/scheduling/test_stalls.py
@@ -67,6 +67,18 @@
     assert stall_timeout_ms(unit) == timeout_ms
 
 
+def test_a_timeout_is_not_shortened_by_other_run_times_of_the_queue():
+    # Guards against a sound run that is stopped because its queue's runs are shorter:
+    # with seven times the work it shows a percent in 0.46 of its caller's estimate.
+    harness = Harness()
+    for estimate_ms in (1_000, 3_000, 6_000) * 60:
+        harness.table.calibration.run_done("p0", estimate_ms, 1_000)
+    harness.submit("t", "p0", estimate_ms=6_000)
+    unit = harness.scheduler.unit_by_key[UnitKey("t", 0, 0, 0)]
+    assert unit.estimate_ms < 2_000
+    assert stall_timeout_ms(unit) == 3_000
+
+
 def test_an_urgent_run_that_hangs_is_restarted_within_its_estimate():
     # It took 3.5 s, longer than the whole work.
     harness = _urgent(Harness())
