Do not take one late listing for a stall

Cause: the time between two listings counted as time without progress up to 1.5 s, which is longer than the timeout of 1.0 to 1.25 s of a short urgent run. An endpoint, a link or this process that stood still for 1.3 s was thus taken for a hang: the run was stopped, and the endpoint excluded for 7 s. Change: a gap counts for half of the timeout at most. Timeouts of 3.5 s are as before. Conclusion: two listings at least show a stall.

--- a/ragwortshelf/core/scheduling/fleet.py
+++ b/ragwortshelf/core/scheduling/fleet.py
@@ -255,7 +255,11 @@
         self.unfinished_percent = 0.0
 
     def record_progress(
-        self, percent: float, now_ms: int, working_since_ms: int | None
+        self,
+        percent: float,
+        now_ms: int,
+        working_since_ms: int | None,
+        counted_gap_max_ms: int = LISTING_GAP_MAX_MS,
     ) -> None:
         """Note the progress that a listing shows.
 
@@ -265,14 +269,16 @@
 
         A listing that is late says nothing about the time since the one before: the
         endpoint or this process may have been paused, or the network cut. So the time
-        since the one before does not count if it exceeds ``LISTING_GAP_MAX_MS``.
+        since the one before does not count if it exceeds ``LISTING_GAP_MAX_MS``, and
+        counts as ``counted_gap_max_ms`` at most.
         """
         is_full_pace = self.pace_percent == 100 and self.listed_pace_percent == 100
         is_unchanged = percent == self.progress_percent
         if is_unchanged and working_since_ms is not None and is_full_pace:
             if now_ms - self.listed_ms <= LISTING_GAP_MAX_MS:
                 since_ms = max(self.listed_ms, working_since_ms)
-                self.without_progress_ms += now_ms - since_ms
+                gap_ms = min(now_ms - since_ms, counted_gap_max_ms)
+                self.without_progress_ms += gap_ms
         else:
             self.progress_percent = percent
             self.without_progress_ms = 0
--- a/ragwortshelf/core/scheduling/scheduler.py
+++ b/ragwortshelf/core/scheduling/scheduler.py
@@ -33,7 +33,13 @@
 from .model import Resources, UnitPhase
 from .pacing import FULL_PERCENT, plan_paces
 from .planning import Planner
-from .stalls import STALL_TIMEOUT_MS, ListingNeed, is_fresh_urgent, is_stalled
+from .stalls import (
+    STALL_TIMEOUT_MS,
+    ListingNeed,
+    counted_gap_max_ms,
+    is_fresh_urgent,
+    is_stalled,
+)
 from .suspicion import QUICK_FAILURE_MS, is_quick
 from .unit import Unit
 
@@ -426,8 +432,12 @@
         ):
             self._run_settled(placement)
         unit = self.unit_by_key.get(placement.unit_key)
-        working_since_ms = unit.working_since_ms if unit is not None else None
-        placement.record_progress(row.percent, now_ms, working_since_ms)
+        if unit is None:
+            placement.record_progress(row.percent, now_ms, None)
+        else:
+            placement.record_progress(
+                row.percent, now_ms, unit.working_since_ms, counted_gap_max_ms(unit)
+            )
         is_old = now_ms - placement.ordered_ms > QUICK_FAILURE_MS
         if is_old and row.percent >= 1 and not placement.is_adopted:
             self.suspicion.run_survived(endpoint, placement)
--- a/ragwortshelf/core/scheduling/stalls.py
+++ b/ragwortshelf/core/scheduling/stalls.py
@@ -4,13 +4,14 @@
 
 import enum
 
-from .fleet import FINISHED_PERCENT, TaskPlacement
+from .fleet import FINISHED_PERCENT, LISTING_GAP_MAX_MS, TaskPlacement
 from .model import UnitPhase
 from .unit import Unit
 
 __all__ = [
     "STALL_TIMEOUT_MS",
     "ListingNeed",
+    "counted_gap_max_ms",
     "is_fresh_urgent",
     "is_stalled",
     "stall_timeout_ms",
@@ -58,6 +59,15 @@
     return min(STALL_TIMEOUT_MS, max(STALL_TIMEOUT_MIN_MS, share_ms))
 
 
+def counted_gap_max_ms(unit: Unit) -> int:
+    """Return how much of the time between two listings may count as no progress.
+
+    It is half of the stall timeout and a little more, so that two listings show a stall
+    and one never does. A pause of an endpoint may be longer than the timeout.
+    """
+    return min(LISTING_GAP_MAX_MS, stall_timeout_ms(unit) // 2 + 1)
+
+
 def is_stalled(placement: TaskPlacement, unit: Unit) -> bool:
     """Whether listings have shown no progress of a unit's run for too long."""
     # A finished task of a gang waits for the others, and a throttled one is slow.
--- a/tests/core/scheduling/test_stalls.py
+++ b/tests/core/scheduling/test_stalls.py
@@ -118,6 +118,20 @@
     assert not harness.stops
 
 
+@pytest.mark.parametrize("pause_ms", [1_251, LISTING_GAP_MAX_MS])
+def test_one_late_listing_does_not_stop_an_urgent_run(pause_ms):
+    # Guards against a short pause of the endpoint that counts as a stall by itself: it
+    # is longer than the timeout, and shorter than the gaps that never count.
+    harness = _urgent(Harness())
+    (start,) = harness.accept_starts()
+    _advance_and_list(harness, INTERVAL_MS, {start.task: 7})
+    _advance_and_list(harness, INTERVAL_MS, {start.task: 7})
+    _advance_and_list(harness, pause_ms, {start.task: 7})
+    assert not harness.stops
+    _advance_and_list(harness, INTERVAL_MS, {start.task: 7})
+    assert [stop.reason for stop in harness.stops] == ["no progress"]
+
+
 def test_a_hang_is_found_between_pauses():
     # Late listings do not count, and neither do they erase what others have shown.
     harness = _urgent(Harness())
