Learn no run times from runs that a later term saw end

Cause: the run time that corrects the estimates of a queue is the time between the records of a placement and its end. After a change of the scheduler, all that ended meanwhile is recorded when the successor first lists the endpoints, seconds later and by the wall clock of another instance. So a change of scheduler under load raised the expected run times of all queues, up to the weight of 200 runs. Change: records of different terms are not compared.

--- a/ragwortshelf/core/scheduling/job_table.py
+++ b/ragwortshelf/core/scheduling/job_table.py
@@ -126,6 +126,8 @@
     def _note_run_time(self, placed: UnitRecord, done: UnitRecord) -> None:
         step = self.spec.steps[done.key.step]
         is_whole_run = placed.phase is UnitPhase.PLACED and placed.run == done.run
+        # A later term sees an end late, and its wall clock may be another.
+        is_whole_run = is_whole_run and placed.term == done.term
         if not is_whole_run or placed.checkpoint or step.is_long_running:
             return
         self._calibration.run_done(
--- a/tests/core/scheduling/test_calibration.py
+++ b/tests/core/scheduling/test_calibration.py
@@ -139,6 +139,20 @@
     assert other.expected_ms("p1", 1_000) == mine.expected_ms("p1", 1_000) > 2_000
 
 
+def test_runs_that_a_successor_saw_end_say_nothing():
+    # Guards against runs that seem longer by the time without a scheduler, in which all
+    # that ended was not seen, or by the difference of two wall clocks.
+    calibration = EstimateCalibration()
+    spec = JobSpec("a" * 16, "q", "pool", "a", "", (Step(1, SMALL, 1_000),))
+    job = Job(spec, Backlog(), calibration)
+    key = UnitKey(spec.id, 0, 0, 0)
+    record = UnitRecord(key, 1, UnitPhase.PLACED, 1)
+    job.put_record(record)
+    done = replace(record, term=2, phase=UnitPhase.DONE, changed_wall_ms=9_000)
+    job.put_record(done)
+    assert calibration.expected_ms("q", 1_000) == 1_000
+
+
 def test_resumed_and_long_running_runs_say_nothing():
     calibration = EstimateCalibration()
     step = Step(1, SMALL, 1_000)
