--- a/ragwortshelf/core/scheduling/stragglers.py
+++ b/ragwortshelf/core/scheduling/stragglers.py
@@ -75,8 +75,8 @@
         movable = [unit for unit in units if unit is not None and _may_move(unit)]
         for unit in sorted(movable, key=lambda unit: (unit.sort_key, unit.key)):
             try:
-                # Its place in the order is that of the plan that placed it. When it waits
-                # again it does not starve, and may be above its organisation's share.
+                # Its place in the order is that of the plan that placed it. When it
+                # waits again it does not starve, and may be above a share.
                 unit.starving_from_ms = None
                 unit.set_order_key(True, now_ms)
                 endpoints = self._find_better_room(unit, now_ms, wall_ms)
