Do not move units whose endpoints do not answer

Cause: moves from slow endpoints and out of evacuated data centres assume a stop of 0.9 s. A gang with a member on an endpoint that does not answer, or a long-running unit there, was stopped as well; such a stop lasts until the leases have expired (7 s), while the run may go on. An urgent gang was late then, and the room found for a long-running unit stayed idle. Change: such units are moved once all their endpoints answer. If the leases expire first they start elsewhere as before. Conclusion: an endpoint that is cut off keeps its work until its leases expire.

--- a/ragwortshelf/core/scheduling/lifecycle.py
+++ b/ragwortshelf/core/scheduling/lifecycle.py
@@ -356,6 +356,16 @@
 
     # Placements on endpoints.
 
+    def can_stop_now(self, unit: Unit) -> bool:
+        """Whether all endpoints of a unit answer.
+
+        A stop on one that does not lasts until its leases have expired.
+        """
+        return all(
+            self.endpoint_by_id[placement.endpoint_id].is_reachable
+            for placement in unit.placements
+        )
+
     def _find_placement(
         self, endpoint_id: str, task: str, run: int
     ) -> TaskPlacement | None:
--- a/ragwortshelf/core/scheduling/planning.py
+++ b/ragwortshelf/core/scheduling/planning.py
@@ -158,6 +158,8 @@
         """
         if unit.is_suspect or unit.not_before_ms > self._now_ms:
             return
+        if not self._scheduler.can_stop_now(unit):
+            return
         shape = _placement_shape(unit)
         if shape in unplaceable_shapes:
             return
--- a/ragwortshelf/core/scheduling/stragglers.py
+++ b/ragwortshelf/core/scheduling/stragglers.py
@@ -72,7 +72,13 @@
         keys, self._listed_keys = self._listed_keys, set()
         units = [self._scheduler.unit_by_key.get(key) for key in keys]
         self._forget_ended_moves()
-        movable = [unit for unit in units if unit is not None and _may_move(unit)]
+        movable = [
+            unit
+            for unit in units
+            if unit is not None
+            and _may_move(unit)
+            and self._scheduler.can_stop_now(unit)
+        ]
         for unit in sorted(movable, key=lambda unit: (unit.sort_key, unit.key)):
             try:
                 # Its place in the order is that of the plan that placed it. When it
--- a/tests/core/scheduling/test_evacuation.py
+++ b/tests/core/scheduling/test_evacuation.py
@@ -323,6 +323,26 @@
     assert looked
 
 
+# Guards against long-running work that is given up, and room that is kept idle, until
+# the leases of an endpoint that does not answer have expired.
+def test_long_running_units_are_not_moved_while_their_endpoint_does_not_answer():
+    harness = _harness(data_centres="xy")
+    harness.evacuate("y")
+    harness.submit("l", is_long_running=True, request=WHOLE)
+    harness.accept_starts()
+    # The start settles, so that the loss of contact is not taken for its effect.
+    for _ in range(2):
+        harness.list("x0", percent=dict.fromkeys(harness.running["x0"], 100))
+        harness.advance(1_500)
+    harness.list("x0", percent=dict.fromkeys(harness.running["x0"], 100))
+    harness.scheduler.endpoint_unreachable("x0", harness.now, harness.now)
+    harness.evacuate("x")
+    harness.advance(100)
+    assert not harness.stops
+    harness.list("x0", percent=dict.fromkeys(harness.running["x0"], 100))
+    assert len(harness.stops) == 1
+
+
 # Guards against the room of a move being taken before the unit has stopped.
 def test_the_room_of_a_move_is_kept_until_the_unit_starts_there():
     harness = _harness(data_centres="x")
--- a/tests/core/scheduling/test_stragglers.py
+++ b/tests/core/scheduling/test_stragglers.py
@@ -164,6 +164,28 @@
     assert not fleet.stops
 
 
+def test_a_gang_is_not_restarted_while_one_of_its_endpoints_does_not_answer():
+    # Guards against a stop that lasts until the leases there have expired, while the
+    # run goes on: the restart is late then, and the work is lost for nothing.
+    fleet, starts = _start_on_slow(USUAL, SLOW, FAST, FAST, tasks=2)
+    # It takes 5,000 ms here.
+    unit = fleet.scheduler.unit_by_key[starts[0].unit_key]
+    unit.latest_start_wall_ms = fleet.now + 4_800 - ESTIMATE_MS
+    fleet.close("e2")
+    fleet.close("e3")
+    fleet.progress(1_200, starts)
+    fleet.scheduler.endpoint_unreachable("e0", fleet.now, fleet.now)
+    fleet.open("e2")
+    fleet.open("e3")
+    fleet.advance(400)
+    percent = {order.task: fleet.percent(order) for order in starts}
+    fleet.list("e1", percent=percent)
+    assert not fleet.stops
+    fleet.list("e0", percent=percent)
+    fleet.list("e1", percent=percent)
+    assert _is_moved(fleet)
+
+
 @pytest.mark.parametrize(
     ("begun_ms", "is_restarted"), [(22_000, True), (26_000, False)]
 )
