--- a/ragwortshelf/core/scheduling/stragglers.py
+++ b/ragwortshelf/core/scheduling/stragglers.py
@@ -72,9 +72,19 @@
         keys, self._listed_keys = self._listed_keys, set()
         units = [self._scheduler.unit_by_key.get(key) for key in keys]
         self._forget_ended_moves()
-        movable = [unit for unit in units if unit is not None and _may_move(unit)]
+        movable = [
+            unit
+            for unit in units
+            if unit is not None
+            and _may_move(unit)
+            and self._scheduler.can_stop_now(unit)
+        ]
         for unit in sorted(movable, key=lambda unit: (unit.sort_key, unit.key)):
             try:
+                # Its place in the order is that of the plan that placed it. When it
+                # waits again it does not starve, and may be above a share.
+                unit.starving_from_ms = None
+                unit.set_order_key(True, now_ms)
                 endpoints = self._find_better_room(unit, now_ms, wall_ms)
                 if endpoints is not None:
                     self._move(unit, endpoints, now_ms, wall_ms)
--- a/tests/core/scheduling/test_stalls.py
+++ b/tests/core/scheduling/test_stalls.py
@@ -67,6 +67,18 @@
     assert stall_timeout_ms(unit) == timeout_ms
 
 
+def test_a_timeout_is_not_shortened_by_other_run_times_of_the_queue():
+    # Guards against a sound run that is stopped because its queue's runs are shorter:
+    # with seven times the work it shows a percent in 0.46 of its caller's estimate.
+    harness = Harness()
+    for estimate_ms in (1_000, 3_000, 6_000) * 60:
+        harness.table.calibration.run_done("p0", estimate_ms, 1_000)
+    harness.submit("t", "p0", estimate_ms=6_000)
+    unit = harness.scheduler.unit_by_key[UnitKey("t", 0, 0, 0)]
+    assert unit.estimate_ms < 2_000
+    assert stall_timeout_ms(unit) == 3_000
+
+
 def test_an_urgent_run_that_hangs_is_restarted_within_its_estimate():
     # It took 3.5 s, longer than the whole work.
     harness = _urgent(Harness())
@@ -106,6 +118,20 @@
     assert not harness.stops
 
 
+@pytest.mark.parametrize("pause_ms", [1_251, LISTING_GAP_MAX_MS])
+def test_one_late_listing_does_not_stop_an_urgent_run(pause_ms):
+    # Guards against a short pause of the endpoint that counts as a stall by itself: it
+    # is longer than the timeout, and shorter than the gaps that never count.
+    harness = _urgent(Harness())
+    (start,) = harness.accept_starts()
+    _advance_and_list(harness, INTERVAL_MS, {start.task: 7})
+    _advance_and_list(harness, INTERVAL_MS, {start.task: 7})
+    _advance_and_list(harness, pause_ms, {start.task: 7})
+    assert not harness.stops
+    _advance_and_list(harness, INTERVAL_MS, {start.task: 7})
+    assert [stop.reason for stop in harness.stops] == ["no progress"]
+
+
 def test_a_hang_is_found_between_pauses():
     # Late listings do not count, and neither do they erase what others have shown.
     harness = _urgent(Harness())
--- a/tests/core/scheduling/test_stragglers.py
+++ b/tests/core/scheduling/test_stragglers.py
@@ -15,6 +15,7 @@
 from ragwortshelf.core.scheduling.speed import SpeedClass, speed_class
 from ragwortshelf.core.scheduling.speed_belief import SETTLED_PRECISION_MAX
 from ragwortshelf.core.scheduling.stragglers import CHECKPOINT_MOVES_MAX
+from ragwortshelf.core.scheduling.unit import STARVATION_MS
 
 LARGE = Resources(8_000, 8_000, 8)
 SLOW, USUAL, FAST = 0.6, 1.0, 1.6
@@ -166,6 +167,28 @@
     assert not fleet.stops
 
 
+def test_a_gang_is_not_restarted_while_one_of_its_endpoints_does_not_answer():
+    # Guards against a stop that lasts until the leases there have expired, while the
+    # run goes on: the restart is late then, and the work is lost for nothing.
+    fleet, starts = _start_on_slow(USUAL, SLOW, FAST, FAST, tasks=2)
+    # It takes 5,000 ms here.
+    unit = fleet.scheduler.unit_by_key[starts[0].unit_key]
+    unit.latest_start_wall_ms = fleet.now + 4_800 - ESTIMATE_MS
+    fleet.close("e2")
+    fleet.close("e3")
+    fleet.progress(1_200, starts)
+    fleet.scheduler.endpoint_unreachable("e0", fleet.now, fleet.now)
+    fleet.open("e2")
+    fleet.open("e3")
+    fleet.advance(400)
+    percent = {order.task: fleet.percent(order) for order in starts}
+    fleet.list("e1", percent=percent)
+    assert not fleet.stops
+    fleet.list("e0", percent=percent)
+    fleet.list("e1", percent=percent)
+    assert _is_moved(fleet)
+
+
 @pytest.mark.parametrize(
     ("begun_ms", "is_restarted"), [(22_000, True), (26_000, False)]
 )
@@ -310,6 +333,25 @@
     assert len({stop.task for stop in fleet.stops} | moved) == count
 
 
+def test_a_unit_that_starved_is_not_moved_to_room_reserved_for_others():
+    # Guards against a stop for room that the unit may not use: it starved when it was
+    # placed, and does not once it waits again.
+    fleet = _Fleet(SLOW, FAST)
+    fleet.close("e0")
+    fleet.close("e1")
+    fleet.submit("u", "p2", request=LARGE, is_checkpointing=True, estimate_ms=200_000)
+    fleet.advance(STARVATION_MS + 1)
+    fleet.open("e0")
+    fleet.plan()
+    starts = fleet.start()
+    fleet.work_by_task["u.0.0.0"] = 200_000
+    fleet.learn_speeds()
+    fleet.open("e1")
+    fleet.submit("g", "p2", accepted=fleet.now, count=2, is_gang=True, request=LARGE)
+    fleet.progress(40_000, starts)
+    assert not fleet.stops
+
+
 def test_equally_fast_endpoints_move_nothing():
     # Decisions are unchanged where speeds do not differ, however late a unit is.
     fleet, starts = _late_urgent(USUAL, USUAL)
