Look through the rising organisations only when a resource is used up

Cause: fair_shares looked at all organisations that still rise at each level at which one of them outgrows its floor or has all it asks, so its time grew with the square of their number, once in each plan while something does not fit. Change: they are looked through when a resource has been used up since, at most three times. The shares are the same. The new test failed before. test_shares.py passes. Conclusion: linear but for the sort.

--- a/ragwortshelf/core/scheduling/shares.py
+++ b/ragwortshelf/core/scheduling/shares.py
@@ -113,6 +113,7 @@
         # Ordered, so that sums of fractions are the same in each process.
         self._rising: dict[str, None] = {}
         self._slopes = [0.0, 0.0, 0.0]
+        self._full_count = self._count_full()
         self._level = 0.0
 
     def run(self) -> dict[str, float]:
@@ -164,15 +165,22 @@
             self._level += step
             for r in _RESOURCES:
                 self._load[r] += step * self._slopes[r]
+            # Those that need a resource stop rising when it is used up, and do not
+            # begin to afterwards. So they are looked through at most once for each.
+            full_count = self._count_full()
+            if full_count == self._full_count:
+                break
+            self._full_count = full_count
             limited = [name for name in self._rising if self._is_limited(name)]
             for name in limited:
                 weight = self._demand_by_name[name].weight
                 share = min(self._asks_by_name[name], self._level * weight)
                 self._stop_rising(name, share)
-            if not limited:
-                break
         self._level = level
 
+    def _count_full(self) -> int:
+        return sum(load >= 1 - SHARE_TOLERANCE for load in self._load)
+
     def _stop_rising(self, name: str, share: float) -> None:
         del self._rising[name]
         self._add_slope(name, -1)
--- a/tests/core/scheduling/test_shares.py
+++ b/tests/core/scheduling/test_shares.py
@@ -5,6 +5,7 @@
 from hypothesis import strategies as st
 
 from ragwortshelf.core.scheduling import Resources
+from ragwortshelf.core.scheduling import shares as shares_module
 from ragwortshelf.core.scheduling.shares import (
     Demand,
     dominant_share,
@@ -114,3 +115,18 @@
 def test_fractions_of_a_resource_that_is_absent_are_zero():
     request = Resources(1_000, 2_000, 1)
     assert fraction(request, 2, Resources(8_000, 8_000, 0)) == (0.25, 0.5, 0.0)
+
+
+# Guards against a plan that takes 0.1 s with 390 organisations, as each level at which
+# one of them has all that it asks led to a look at all others.
+def test_the_work_grows_with_the_number_of_organisations(monkeypatch):
+    looks = []
+    is_limited = shares_module._LevelRise._is_limited
+    monkeypatch.setattr(
+        shares_module._LevelRise,
+        "_is_limited",
+        lambda self, name: looks.append(name) or is_limited(self, name),
+    )
+    parts = [(n + 1) / 60_000 for n in range(400)]
+    fair_shares({f"o{n}": Demand((part, part, part)) for n, part in enumerate(parts)})
+    assert len(looks) <= 5 * len(parts)
