Sum what organisations ask and use as whole numbers

Cause: in a flood each unit has a step of its own, and the fractions of each were computed and added for use and demand, in each plan while something does not fit. Change: resources are added as whole numbers by organisation, and made fractions once.

--- a/ragwortshelf/core/scheduling/share_accounts.py
+++ b/ragwortshelf/core/scheduling/share_accounts.py
@@ -77,18 +77,25 @@
             counts[1] += 1
             if phase is placed:
                 counts[2] += 1
-        asks: dict[tuple[str, str], Amount] = defaultdict(lambda: _NOTHING)
-        use: dict[tuple[str, str], Amount] = defaultdict(lambda: _NOTHING)
+        # Summed as whole numbers, since a flood has a step for each unit.
+        sums_by_owner: dict[tuple[str, str], tuple[list, list]] = {}
         for unit, asked_units, placed_units in counts_by_step.values():
             owner = self._owner(unit)
-            capacity = self._capacity_by_service.get(owner[0], Resources())
+            sums = sums_by_owner.get(owner)
+            if sums is None:
+                sums = sums_by_owner[owner] = [0, 0, 0], [0, 0, 0]
             occupied = unit.step.occupied
-            asked = shares.fraction(occupied, asked_units * unit.count, capacity)
-            asks[owner] = shares.add(asks[owner], asked)
+            _add_times(sums[0], occupied, asked_units * unit.count)
             if placed_units:
-                used = shares.fraction(occupied, placed_units * unit.count, capacity)
-                use[owner] = shares.add(use[owner], used)
-        self._use_by_owner = dict(use)
+                _add_times(sums[1], occupied, placed_units * unit.count)
+        asks: dict[tuple[str, str], Amount] = {}
+        use: dict[tuple[str, str], Amount] = {}
+        for owner, (asked, placed) in sums_by_owner.items():
+            capacity = self._capacity_by_service.get(owner[0], Resources())
+            asks[owner] = shares.fraction(Resources(*asked), 1, capacity)
+            if any(placed):
+                use[owner] = shares.fraction(Resources(*placed), 1, capacity)
+        self._use_by_owner = use
         self._fair_share_by_owner = {}
         for service in {owner[0]: None for owner in asks}:
             demand_by_name = {
@@ -191,3 +198,9 @@
         amount[1] += capacity.memory_mb
         amount[2] += capacity.gpus
     return {service: Resources(*amount) for service, amount in amounts.items()}
+
+
+def _add_times(amounts: list[int], resources: Resources, times: int) -> None:
+    amounts[0] += times * resources.cpu_milli
+    amounts[1] += times * resources.memory_mb
+    amounts[2] += times * resources.gpus
