Count only open tasks against the guarantee in admission control

Cause: a job of priority 0 is never refused within its organisation's guarantee, but each open job counted with all tasks of its widest step, done ones too, and timed jobs before their occurrences are due. So work was refused that the planner would have started at once by reclaiming. Change: the sums of the backlog count the step with most tasks that wait or run, and of timed jobs those that run. Conclusion: the two definitions still differ for steps that run side by side and for occurrences that are due and wait; both differences are in favour of the job.

--- a/ragwortshelf/core/scheduling/backlog.py
+++ b/ragwortshelf/core/scheduling/backlog.py
@@ -25,7 +25,7 @@
     Work is the resource times the estimate, in accelerator- and thousandths of
     core-milliseconds, of units that end. ``lasting_*`` are the resources of
     long-running units, which do not end. ``job_gpus`` is the sum over open jobs of the
-    accelerators of their widest step.
+    accelerators of the units that wait or run of their widest step.
     """
 
     waiting_gpu_ms: int = 0
@@ -134,11 +134,17 @@
             return
         step = spec.steps[step_number]
         load = self._load_by_key[_key(spec)]
+        # A placement of a unit that was due leaves its step as wide as before.
+        is_open_changed = bool(spec.occurrences) or _UnitState.ENDED in (old, new)
+        if is_open_changed:
+            load.job_gpus -= _open_gpus(spec, counts)
         for state, change in ((old, -1), (new, 1)):
             is_placed = state is _UnitState.PLACED
             if is_placed or (state is _UnitState.WAITING and not spec.occurrences):
                 load.add_units(step, is_placed, change)
                 counts[step_number][is_placed] += change
+        if is_open_changed:
+            load.job_gpus += _open_gpus(spec, counts)
 
     def close_job(self, spec: JobSpec) -> None:
         """Remove what is left of a job; closing it again has no effect."""
@@ -150,7 +156,7 @@
         for step, (waiting, placed) in zip(spec.steps, counts, strict=True):
             load.add_units(step, False, -waiting)
             load.add_units(step, True, -placed)
-        load.job_gpus -= widest_step_gpus(spec)
+        load.job_gpus -= _open_gpus(spec, counts)
         if load == Load():
             del self._load_by_key[key]
 
@@ -162,8 +168,9 @@
 
 def load_of(spec: JobSpec) -> Load:
     """Return the load of a job that is accepted and of which nothing has started."""
-    load = Load(job_gpus=widest_step_gpus(spec))
+    load = Load()
     if not spec.occurrences:
+        load.job_gpus = widest_step_gpus(spec)
         for step in spec.steps:
             load.add_units(step, False, len(step.members))
     return load
@@ -174,5 +181,17 @@
     return max((step.count * step.request.gpus for step in spec.steps), default=0)
 
 
+def _open_gpus(spec: JobSpec, counts: list[list[int]]) -> int:
+    """Return the accelerators of the step that has most of them open.
+
+    Units that are done, and occurrences that are not due, take nothing of a guarantee.
+    """
+    most = 0
+    for step, (waiting, placed) in zip(spec.steps, counts, strict=True):
+        tasks = (waiting + placed) * (step.count if step.is_gang else 1)
+        most = max(most, tasks * step.request.gpus)
+    return most
+
+
 def _key(spec: JobSpec) -> LoadKey:
     return spec.service, spec.queue, spec.organisation
--- a/tests/core/scheduling/test_admission.py
+++ b/tests/core/scheduling/test_admission.py
@@ -271,6 +271,30 @@
     assert deployment.submit(job("too-much", "p0", "b", 8)) is not None
 
 
+# Guards against a guarantee that is taken up by tasks that are done and by occurrences
+# that are not due, so that work is refused that could reclaim its room at once.
+def test_done_tasks_and_later_occurrences_take_nothing_of_the_guarantee():
+    deployment = Deployment()
+    timed = replace(
+        job("timed", "p0", "a", 8), occurrences=2, first_run_wall_ms=1 << 50
+    )
+    spec = job("partly-done", "p0", "a", 8)
+    deployment.append(JobSubmitted(timed), JobSubmitted(spec))
+    deployment.place(spec)
+    deployment.fill(queue="p0", waiting_s=300)
+    gang = job("gang", "p0", "a", 7, is_gang=True)
+    # Its share of the capacity does not matter here, only its guarantee.
+    spent = job("spent", "p1", "a", 200)
+    deployment.append(JobSubmitted(spent))
+    deployment.place(spent)
+    assert deployment.submit(gang) is not None
+    for member in range(7):
+        key = UnitKey("partly-done", 0, 0, member)
+        deployment.append(UnitRecord(key, 1, UnitPhase.DONE, 1))
+    deployment.now += 250
+    assert deployment.submit(gang) is None
+
+
 # Guards against an organisation that is refused because of another one's flood.
 def test_an_organisation_within_its_share_is_not_refused_for_the_load_of_others():
     deployment = Deployment()
