Keep urgent units off endpoints on which they would be late

Cause: urgent units preferred fast endpoints by class, but took an endpoint that was probably slow as long as its class was not known, and any slow one that was free.

Change: an endpoint is too slow for an urgent unit if it is known to be below 0.9 and, 1.2 standard errors slower than believed, would end the unit after its deadline, which usual speed would not. Such endpoints come last; before that room is made on the others if no more than the unit's own work is lost, for at most 1.2 s. Single tasks that are on time at half the usual speed take slow endpoints first.

--- a/ragwortshelf/core/scheduling/endpoint_selection.py
+++ b/ragwortshelf/core/scheduling/endpoint_selection.py
@@ -7,7 +7,7 @@
 from .lifecycle import UnitLifecycle
 from .packing import find_endpoints, is_eligible, rack_could_hold
 from .reservations import UnitReservations
-from .speed import preferred_classes, speed_class
+from .speed import SpeedClass, is_too_slow, preferred_classes, speed_class, speed_needed
 from .unit import Unit
 
 __all__ = ["EndpointSelector"]
@@ -31,11 +31,15 @@
         self.usable: list[Endpoint] = []
         self._free_room = FreeRoom(())
         self._eligible_by_need: dict[tuple[str, str], list[Endpoint]] = {}
+        self._by_classes: dict[tuple, tuple[list[Endpoint], list[Endpoint]]] = {}
         self._now_ms = 0
+        self._wall_ms = 0
 
-    def begin(self, usable: list[Endpoint], now_ms: int) -> None:
+    def begin(self, usable: list[Endpoint], now_ms: int, wall_ms: int) -> None:
         """Start a plan on these endpoints."""
         self._now_ms = now_ms
+        self._wall_ms = wall_ms
+        self._by_classes.clear()
         self.usable = usable
         self._free_room = FreeRoom(usable)
         self._eligible_by_need.clear()
@@ -44,8 +48,12 @@
         """Note that the free room of these endpoints has changed during the plan."""
         self._free_room.update(endpoints)
 
-    def find_room(self, unit: Unit) -> list[Endpoint] | None:
-        """Return an endpoint for each task of the unit, or None if they do not fit."""
+    def find_room(self, unit: Unit, *, on_slow: bool = True) -> list[Endpoint] | None:
+        """Return an endpoint for each task of the unit, or None if they do not fit.
+
+        Endpoints that are too slow for an urgent unit come last; without ``on_slow``
+        they are left out.
+        """
         if not self._free_room.may_hold(unit.step, unit.count):
             return None
         candidates = self._candidates(unit)
@@ -65,15 +73,21 @@
             ) or self._find_endpoints(unit, candidates)
         if self._needs_proof(unit):
             return self._find_endpoints(unit, self._proven(candidates), candidates)
-        for classes in preferred_classes(unit)[:-1]:
+        preference = preferred_classes(unit, self._wall_ms)[:-1]
+        fast_enough = self.fast_enough(unit, candidates)
+        if len(fast_enough) < len(candidates):
+            preference += (frozenset(SpeedClass),)
+        for classes in preference:
             alike = [
                 e
-                for e in candidates
-                if speed_class(e) in classes and e.id not in unit.avoided_ids
+                for e in self._of_classes(fast_enough, candidates, classes)
+                if e.id not in unit.avoided_ids
             ]
             endpoints = self._find_endpoints(unit, alike, candidates)
             if endpoints is not None:
                 return endpoints
+        if not on_slow and len(fast_enough) < len(candidates):
+            return None
         if unit.avoided_ids:
             preferred = [e for e in candidates if e.id not in unit.avoided_ids]
             endpoints = self._find_endpoints(unit, preferred)
@@ -81,6 +95,34 @@
             endpoints = self._find_endpoints(unit, candidates)
         return endpoints
 
+    def fast_enough(
+        self, unit: Unit, candidates: list[Endpoint], delay_ms: int = 0
+    ) -> list[Endpoint]:
+        """Return the candidates that are not too slow for an urgent unit.
+
+        All are returned for others, or if the unit is late on any endpoint.
+        """
+        needed = speed_needed(unit, self._wall_ms + delay_ms)
+        if unit.priority > 0 or not 0 < needed < 1:
+            return candidates
+        return [e for e in candidates if not is_too_slow(e, needed)]
+
+    def _of_classes(
+        self,
+        endpoints: list[Endpoint],
+        candidates: list[Endpoint],
+        classes: frozenset[SpeedClass],
+    ) -> list[Endpoint]:
+        """Return the endpoints of some classes; cached if they are all candidates."""
+        if endpoints is not candidates:
+            return [e for e in endpoints if speed_class(e) in classes]
+        key = (id(candidates), classes)
+        found = self._by_classes.get(key)
+        if found is None or found[0] is not candidates:
+            alike = [e for e in candidates if speed_class(e) in classes]
+            found = self._by_classes[key] = (candidates, alike)
+        return found[1]
+
     def _needs_proof(self, unit: Unit) -> bool:
         """Whether a unit waits for endpoints on which a recent start has survived.
 
--- a/ragwortshelf/core/scheduling/planning.py
+++ b/ragwortshelf/core/scheduling/planning.py
@@ -37,7 +37,7 @@
             if endpoint.is_usable(now_ms)
         ]
         self._scheduler.suspicion.lapse(usable, now_ms)
-        self._selector.begin(usable, now_ms)
+        self._selector.begin(usable, now_ms, wall_ms)
         self._room_maker.begin(now_ms, wall_ms)
         gpus_in_use = self._urgent_gpus_in_use()
         unplaceable_shapes: set[tuple] = set()
@@ -68,7 +68,14 @@
         is_guaranteed = self._is_guaranteed(unit, gpus_in_use)
         if shape in unplaceable_shapes and not is_guaranteed:
             return
-        endpoints = self._selector.find_room(unit)
+        endpoints = self._selector.find_room(unit, on_slow=unit.priority > 0)
+        if endpoints is None and unit.priority == 0:
+            over_guarantee = self._organisations_over_guarantee()
+            if self._room_maker.make_fast_room(unit, is_guaranteed, over_guarantee):
+                # Its room counts for its organisation from now on.
+                gpus_in_use[organisation] += unit.gpus
+                return
+            endpoints = self._selector.find_room(unit)
         if endpoints is not None:
             self.drop_reservation(unit)
             if unit.priority == 0:
--- a/ragwortshelf/core/scheduling/room_making.py
+++ b/ragwortshelf/core/scheduling/room_making.py
@@ -31,6 +31,13 @@
 done, so slow stops cause no further ones.
 """
 
+STOP_MS = 900
+"""Longest time that a stop takes in the supported deployments."""
+
+FAST_ROOM_WAIT_MS = 1_200
+"""Time for which an urgent unit waits for room on endpoints that are not too slow, and
+then starts on any: a stop, and the orders before and after it."""
+
 WAITING_RESERVATIONS_MAX = 3
 """Number of reservations at which no other unit may reserve room that it must wait for.
 Each keeps smaller units out, so only the first units in the queue get one."""
@@ -104,6 +111,44 @@
         self._reserve(unit, plan, is_exclusive=True)
         self._stop_all(plan.victims, "reclaimed")
 
+    def make_fast_room(
+        self, unit: Unit, is_guaranteed: bool, over_guarantee: set[str]
+    ) -> bool:
+        """Have room made for an urgent unit on endpoints that are not too slow for it.
+
+        Returns whether it waits for that room. It loses at most the unit's own work,
+        and is not tried for long, since the unit may start on slow endpoints at once.
+        """
+        if self._now_ms - unit.waiting_since_ms > FAST_ROOM_WAIT_MS:
+            return False
+        everywhere = self._selector.reclaim_candidates(unit)
+        candidates = self._selector.fast_enough(unit, everywhere, STOP_MS)
+        if not candidates or len(candidates) == len(everywhere):
+            return False
+        if not self.may_reclaim(unit):
+            return True
+
+        def reclaimable(placement: TaskPlacement) -> Unit | None:
+            holder = self._stoppable_holder(placement, unit)
+            if holder is None or holder.priority > unit.priority:
+                return holder
+            is_borrowed = holder.job.spec.organisation in over_guarantee
+            return holder if is_guaranteed and is_borrowed else None
+
+        plan = self._plan_reclaim(
+            unit, candidates, reclaimable, self._costs.lost_core_ms
+        )
+        own_core_ms = unit.cores * unit.step.estimate_ms
+        if (
+            plan is None
+            or sum(map(self._costs.lost_core_ms, plan.victims))
+            > PREEMPTION_LOSS_SHARE * own_core_ms
+        ):
+            return False
+        self._reserve(unit, plan, is_exclusive=is_guaranteed)
+        self._stop_all(plan.victims, "preempted for speed")
+        return True
+
     def _stop_all(self, victims: Sequence[Unit], reason: str) -> None:
         for victim in victims:
             # An earlier victim may have used up the unavailability its step allows.
