Record endpoint speeds for a successor, and show them to operators

Cause: a successor of the scheduler began without any known speed.

A successor takes them over at the first listing of an endpoint in the same incarnation, aged. The gauges endpoints_by_speed_slow, _usual and _fast and the log line speed_learned show what is known.

--- a/ragwortshelf/core/scheduling/actions.py
+++ b/ragwortshelf/core/scheduling/actions.py
@@ -5,7 +5,13 @@
 from dataclasses import dataclass
 
 from .model import UnitKey
-from .records import EndpointForgotten, EndpointObserved, UnitCrashes, UnitRecord
+from .records import (
+    EndpointForgotten,
+    EndpointObserved,
+    EndpointSpeeds,
+    UnitCrashes,
+    UnitRecord,
+)
 
 __all__ = [
     "Action",
@@ -16,6 +22,7 @@
     "PersistEvidence",
     "PersistUnit",
     "ReportCrash",
+    "ReportSpeed",
     "StartTask",
     "StopTask",
 ]
@@ -46,7 +53,7 @@
     starts that follow it, as the records of units do.
     """
 
-    record: EndpointForgotten | EndpointObserved | UnitCrashes
+    record: EndpointForgotten | EndpointObserved | EndpointSpeeds | UnitCrashes
     reason: str
 
 
@@ -118,6 +125,16 @@
     suspects: tuple[UnitKey, ...]
 
 
+@dataclass(frozen=True, slots=True)
+class ReportSpeed:
+    """Report to operators that the class of an endpoint's speed has changed."""
+
+    endpoint_id: str
+    speed_class: str
+    speed: float
+    error: float
+
+
 @dataclass(frozen=True, slots=True)
 class ReportPlanningFault:
     """Report an unexpected error in planning one unit, which then waits for a while."""
@@ -132,6 +149,7 @@
     | ReportCrash
     | ReportExclusion
     | ReportPlanningFault
+    | ReportSpeed
     | PaceTask
     | PersistUnit
     | StartTask
--- a/ragwortshelf/core/scheduling/job_table.py
+++ b/ragwortshelf/core/scheduling/job_table.py
@@ -12,6 +12,7 @@
 from .records import (
     EndpointForgotten,
     EndpointObserved,
+    EndpointSpeeds,
     InstanceAnnounced,
     JobCancelled,
     JobForgotten,
@@ -114,7 +115,8 @@
     """The jobs, the newest claim of the role, the upkeep waves and the instances.
 
     ``incarnation_by_endpoint_id`` has the incarnation of each endpoint that answered
-    last, and ``crashes_by_job_id`` what is known of crashes at the starts of units.
+    last, and ``crashes_by_job_id`` what is known of crashes at the starts of units;
+    ``speeds_by_part`` has the speeds that the scheduler believed last.
     """
 
     def __init__(self):
@@ -124,6 +126,7 @@
         self.instance_by_name: dict[str, InstanceAnnounced] = {}
         self.incarnation_by_endpoint_id: dict[str, Incarnation] = {}
         self.crashes_by_job_id: dict[str, dict[UnitKey, UnitCrashes]] = {}
+        self.speeds_by_part: dict[int, EndpointSpeeds] = {}
         self._cancelled_wall_ms_by_id: dict[str, int] = {}
         self._early_records_by_id: dict[str, list[UnitRecord]] = {}
 
@@ -149,6 +152,9 @@
             case EndpointForgotten(endpoint_id):
                 self.incarnation_by_endpoint_id.pop(endpoint_id, None)
                 return False
+            case EndpointSpeeds(part):
+                self.speeds_by_part[part] = record
+                return False
             case UpkeepRecord(wave):
                 self.upkeep_by_wave[wave] = record
                 return False
--- a/ragwortshelf/core/scheduling/lifecycle.py
+++ b/ragwortshelf/core/scheduling/lifecycle.py
@@ -26,6 +26,7 @@
 from .model import Incarnation, Resources, UnitKey, UnitPhase
 from .records import EndpointForgotten, EndpointObserved
 from .speed import SpeedTracker
+from .speed_records import SpeedRecorder
 from .suspicion import SuspicionTracker
 from .unit import Unit
 
@@ -68,6 +69,7 @@
         self.advice = AdviceCache()
         self.suspicion = SuspicionTracker(self.endpoint_by_id, self.unit_by_key)
         self.speeds = SpeedTracker()
+        self.speed_recorder = SpeedRecorder(table)
         self.crashes = CrashTracker(table, self.unit_by_key)
         self._next_occurrence_by_job: dict[str, int] = {}
         # Placements of suspected gangs whose starts wait for that of another member.
--- a/ragwortshelf/core/scheduling/records.py
+++ b/ragwortshelf/core/scheduling/records.py
@@ -13,6 +13,7 @@
 ``k/ID/K/S/M`` the scheduler                           endpoints lost at its starts
 ``e/ID``       the scheduler                           incarnation of an endpoint
 ``w/N``        the scheduler                           progress of a wave
+``s/N``        the scheduler                           speeds of endpoints, one part
 ``i/NAME``     the instance itself                     readiness address
 ``term``       the scheduler                           claim or renewal
 =============  ======================================  ======================
@@ -31,6 +32,8 @@
     "TERM_KEY",
     "EndpointForgotten",
     "EndpointObserved",
+    "EndpointSpeed",
+    "EndpointSpeeds",
     "InstanceAnnounced",
     "JobCancelled",
     "JobForgotten",
@@ -108,6 +111,29 @@
     endpoint_id: str
 
 
+@dataclass(frozen=True, slots=True)
+class EndpointSpeed:
+    """What is believed of the speed of one incarnation of an endpoint.
+
+    ``log_percent`` is the logarithm of the speed in hundredths, and ``precision`` that
+    of what was observed, without the prior.
+    """
+
+    endpoint_id: str
+    started_wall_ms: int
+    log_percent: int
+    precision: int
+
+
+@dataclass(frozen=True, slots=True)
+class EndpointSpeeds:
+    """The speeds of the endpoints of one part, as of ``wall_ms``."""
+
+    part: int
+    wall_ms: int
+    speeds: tuple[EndpointSpeed, ...]
+
+
 @dataclass(frozen=True, slots=True)
 class Suspicion:
     """An endpoint was lost at the start of some of a unit's tasks, given by index.
@@ -183,6 +209,7 @@
 Record = (
     EndpointForgotten
     | EndpointObserved
+    | EndpointSpeeds
     | InstanceAnnounced
     | JobCancelled
     | JobForgotten
@@ -233,6 +260,9 @@
             return f"e/{incarnation.endpoint_id}", cbor2.dumps(fields)
         case EndpointForgotten(endpoint_id):
             return f"e/{endpoint_id}", b""
+        case EndpointSpeeds(part, wall_ms, speeds):
+            rows = [astuple(speed) for speed in speeds]
+            return f"s/{part}", cbor2.dumps((wall_ms, rows))
         case TermHeld():
             return TERM_KEY, cbor2.dumps(astuple(record))
         case JobForgotten(job_id):
@@ -273,6 +303,12 @@
                 return EndpointObserved(
                     Incarnation(rest, str(address), int(started_wall_ms))
                 )
+            case "s":
+                wall_ms, rows, *_ = fields
+                speeds = tuple(
+                    EndpointSpeed(str(row[0]), *map(int, row[1:4])) for row in rows
+                )
+                return EndpointSpeeds(int(rest), int(wall_ms), speeds)
             case "w":
                 return UpkeepRecord(int(rest), tuple(fields[0]), bool(fields[1]))
             case "i":
--- a/ragwortshelf/core/scheduling/scheduler.py
+++ b/ragwortshelf/core/scheduling/scheduler.py
@@ -8,7 +8,7 @@
 
 from __future__ import annotations
 
-from .actions import PaceTask, ReportExclusion, StartTask, StopTask
+from .actions import PaceTask, ReportExclusion, ReportSpeed, StartTask, StopTask
 from .availability import may_be_stopped
 from .configuration import ServiceConfiguration
 from .departures import units_to_move
@@ -31,6 +31,7 @@
 from .model import Resources, UnitPhase
 from .pacing import FULL_PERCENT, plan_paces
 from .planning import Planner
+from .speed_belief import SpeedClass
 from .suspicion import QUICK_FAILURE_MS, is_quick
 from .unit import Unit
 
@@ -169,6 +170,8 @@
             was_known = False
         if not was_known:
             self._observe(endpoint, now_ms, wall_ms)
+        if endpoint.speed_belief.listed_ms is None:
+            self.speed_recorder.restore(endpoint, now_ms, wall_ms)
         endpoint.is_reachable = True
         seen = set()
         for row in listing.finished:
@@ -182,7 +185,8 @@
                 occupied = self._occupied_by(row.task, endpoint)
                 unplaced_by_run[row.task, row.run] = occupied
         endpoint.set_unplaced(unplaced_by_run)
-        self.speeds.listing_ended(endpoint, clock_ms, now_ms)
+        if self.speeds.listing_ended(endpoint, clock_ms, now_ms):
+            self._report_speed(endpoint)
         self._stop_stalled(endpoint, now_ms)
         self._actions.extend(plan_paces(endpoint, self.unit_by_key))
         if len(listing.finished) >= FINISHED_PAGE_SIZE:
@@ -300,6 +304,25 @@
         self._repeat_stops(now_ms)
         self._stop_on_departing(now_ms)
         self._planner.run(now_ms, wall_ms)
+        endpoints = self.endpoint_by_id.values()
+        for record in self.speed_recorder.records_due(endpoints, now_ms, wall_ms):
+            self._persist_evidence(record, "speeds changed")
+
+    def endpoint_count_by_speed(self, speed_class: SpeedClass) -> int:
+        """Return how many endpoints are of a class of speed."""
+        return sum(
+            endpoint.speed_belief.speed_class is speed_class
+            for endpoint in self.endpoint_by_id.values()
+        )
+
+    def _report_speed(self, endpoint: Endpoint) -> None:
+        belief = endpoint.speed_belief
+        name = belief.speed_class.name.lower()
+        self._actions.append(
+            ReportSpeed(
+                endpoint.id, name, round(belief.speed, 2), round(belief.error, 2)
+            )
+        )
 
     def _repeat_stops(self, now_ms: int) -> None:
         if now_ms < self._next_stop_check_ms:
--- a/ragwortshelf/core/scheduling/speed_belief.py
+++ b/ragwortshelf/core/scheduling/speed_belief.py
@@ -88,6 +88,18 @@
         self._fade(now_ms)
         self._scale(share)
 
+    def observed(self) -> tuple[float, float]:
+        """Return the precision and the mean of what was observed, without the prior."""
+        precision, total = self.information()
+        precision -= PRIOR_PRECISION
+        return precision, total / precision if precision > 0 else 0.0
+
+    def restore(self, precision: float, log_speed: float, age_ms: int, now_ms: int):
+        """Take over what an earlier term observed, aged by ``age_ms``."""
+        share = 0.5 ** (max(0, age_ms) / HALF_LIFE_MS)
+        self.settle(precision * share, log_speed, now_ms)
+        self.refresh(now_ms)
+
     def replace_open(self, before: tuple, after: tuple) -> None:
         """Replace what open runs said, as pairs of precision and log speed."""
         self._open_precision += after[0] - before[0]
--- a/ragwortshelf/scheduler/instance.py
+++ b/ragwortshelf/scheduler/instance.py
@@ -2,8 +2,11 @@
 
 from __future__ import annotations
 
+from functools import partial
+
 import trio
 
+from ..core.scheduling.speed_belief import SpeedClass
 from ..daemon.logs import dropped_line_count
 from ..daemon.metrics import Metrics
 from .configuration_follower import ConfigurationFollower
@@ -87,9 +90,18 @@
         gauge(
             "configuration_age_ms", lambda: _age_or_unknown(self.configuration.age_ms())
         )
+        for speed_class in SpeedClass:
+            gauge(
+                f"endpoints_by_speed_{speed_class.name.lower()}",
+                partial(self._endpoint_count_by_speed, speed_class),
+            )
         gauge("is_scheduler", lambda: int(self.election.leadership is not None))
         gauge("log_lines_left_out", dropped_line_count)
 
+    def _endpoint_count_by_speed(self, speed_class: SpeedClass) -> int:
+        leadership = self.election.leadership
+        return leadership.endpoint_count_by_speed(speed_class) if leadership else 0
+
     async def drain(self) -> None:
         """Resign the scheduler's role; callers continue to be served."""
         self.is_draining = True
--- a/ragwortshelf/scheduler/leadership.py
+++ b/ragwortshelf/scheduler/leadership.py
@@ -15,6 +15,7 @@
     ReportCrash,
     ReportExclusion,
     ReportPlanningFault,
+    ReportSpeed,
     StopTask,
 )
 from ..core.scheduling.fleet import EndpointInfo, EndpointListing
@@ -23,6 +24,7 @@
     TermHeld,
     deletion_records,
 )
+from ..core.scheduling.speed_belief import SpeedClass
 from ..daemon.logs import log_event, log_failure
 from .clock import monotonic_ms, wall_ms
 from .configuration_follower import ConfigurationFollower
@@ -159,6 +161,10 @@
         """Resign the role, so that a successor can claim it immediately."""
         self._writer.resign()
 
+    def endpoint_count_by_speed(self, speed_class: SpeedClass) -> int:
+        """Return how many endpoints are of a class of speed."""
+        return self._scheduler.endpoint_count_by_speed(speed_class)
+
     def is_committed(self, job_id: str) -> bool:
         """Whether all decisions about a job are in the log."""
         return job_id not in self._writer.uncommitted_jobs
@@ -350,6 +356,14 @@
                         has_other_cause=action.has_other_cause,
                         suspects=["/".join(map(str, key)) for key in action.suspects],
                     )
+                case ReportSpeed():
+                    log_event(
+                        "speed_learned",
+                        endpoint=action.endpoint_id,
+                        speed_class=action.speed_class,
+                        speed=action.speed,
+                        error=action.error,
+                    )
                 case ReportPlanningFault():
                     log_failure(
                         "unit_planning_failed",
