--- a/ragwortshelf/core/scheduling/actions.py
+++ b/ragwortshelf/core/scheduling/actions.py
@@ -6,7 +6,13 @@
 from dataclasses import dataclass
 
 from .model import UnitKey
-from .records import EndpointForgotten, EndpointObserved, UnitCrashes, UnitRecord
+from .records import (
+    EndpointForgotten,
+    EndpointObserved,
+    EndpointSpeeds,
+    UnitCrashes,
+    UnitRecord,
+)
 
 __all__ = [
     "Action",
@@ -19,6 +25,7 @@
     "PersistEvidence",
     "PersistUnit",
     "ReportCrash",
+    "ReportSpeed",
     "StartTask",
     "StopTask",
 ]
@@ -53,7 +60,7 @@
     starts that follow it, as the records of units do.
     """
 
-    record: EndpointForgotten | EndpointObserved | UnitCrashes
+    record: EndpointForgotten | EndpointObserved | EndpointSpeeds | UnitCrashes
     reason: str
 
 
@@ -151,6 +158,16 @@
     age_ms: int | None = None
 
 
+@dataclass(frozen=True, slots=True)
+class ReportSpeed:
+    """Report to operators that the class of an endpoint's speed has changed."""
+
+    endpoint_id: str
+    speed_class: str
+    speed: float
+    error: float
+
+
 @dataclass(frozen=True, slots=True)
 class ReportPlanningFault:
     """Report an unexpected error in planning one unit, which then waits for a while."""
@@ -166,6 +183,7 @@
     | ReportEvacuation
     | ReportExclusion
     | ReportPlanningFault
+    | ReportSpeed
     | PaceTask
     | PersistUnit
     | StartTask
--- a/ragwortshelf/core/scheduling/job_table.py
+++ b/ragwortshelf/core/scheduling/job_table.py
@@ -14,6 +14,7 @@
 from .records import (
     EndpointForgotten,
     EndpointObserved,
+    EndpointSpeeds,
     InstanceAnnounced,
     JobCancelled,
     JobForgotten,
@@ -155,6 +156,7 @@
     scheduler last published of each service.
     ``calibration`` is derived from the run times in the log, so that each instance and
     each successor of the scheduler has it without a record of its own.
+    ``speeds_by_part`` has the speeds that the scheduler believed last.
     """
 
     def __init__(self):
@@ -167,6 +169,7 @@
         self.instance_by_name: dict[str, InstanceAnnounced] = {}
         self.incarnation_by_endpoint_id: dict[str, Incarnation] = {}
         self.crashes_by_job_id: dict[str, dict[UnitKey, UnitCrashes]] = {}
+        self.speeds_by_part: dict[int, EndpointSpeeds] = {}
         self._cancelled_wall_ms_by_id: dict[str, int] = {}
         self._early_records_by_id: dict[str, list[UnitRecord]] = {}
 
@@ -192,6 +195,9 @@
             case EndpointForgotten(endpoint_id):
                 self.incarnation_by_endpoint_id.pop(endpoint_id, None)
                 return False
+            case EndpointSpeeds(part):
+                self.speeds_by_part[part] = record
+                return False
             case UpkeepRecord(wave):
                 self.upkeep_by_wave[wave] = record
                 return False
--- a/ragwortshelf/core/scheduling/stop_costs.py
+++ b/ragwortshelf/core/scheduling/stop_costs.py
@@ -6,7 +6,7 @@
 from .share_accounts import ShareAccounts
 from .unit import CHECKPOINT_LOSS_MS, Unit
 
-__all__ = ["StopCosts"]
+__all__ = ["STOP_MAX_MS", "StopCosts"]
 
 STOP_MAX_MS = 900
 """Longest time that a stop takes in the supported deployments. A unit starts again only
--- a/ragwortshelf/core/scheduling/stragglers.py
+++ b/ragwortshelf/core/scheduling/stragglers.py
@@ -17,13 +17,11 @@
 from .pacing import FULL_PERCENT
 from .run_time import measured_duration_ms
 from .speed import SpeedClass, speed_class
+from .stop_costs import STOP_MAX_MS
 from .unit import Unit
 
 __all__ = ["StragglerMover"]
 
-STOP_MS = 900
-"""Longest stop in the supported deployments."""
-
 RESTORE_MS = 250
 """Time to restore a checkpoint, stated by the platform."""
 
@@ -105,7 +103,7 @@
         work_ms = self._work_to_do_ms(unit)
         if work_ms is None:
             return None
-        stop_ms, here_ms = STOP_MS, unit.remaining_ms(now_ms)
+        stop_ms, here_ms = STOP_MAX_MS, unit.remaining_ms(now_ms)
         if unit.step.is_checkpointing:
             stop_ms += RESTORE_MS
             if self._may_move_another_checkpoint():
--- a/ragwortshelf/scheduler/instance.py
+++ b/ragwortshelf/scheduler/instance.py
@@ -6,6 +6,7 @@
 
 import trio
 
+from ..core.scheduling.speed_belief import SpeedClass
 from ..daemon.logs import dropped_line_count
 from ..daemon.metrics import Metrics
 from .configuration_follower import ConfigurationFollower
@@ -98,6 +99,11 @@
                 f'forecast_wait_ms{{priority="{priority}"}}',
                 partial(self._forecast_wait_ms, priority),
             )
+        for speed_class in SpeedClass:
+            gauge(
+                f"endpoints_by_speed_{speed_class.name.lower()}",
+                partial(self._endpoint_count_by_speed, speed_class),
+            )
         gauge("is_scheduler", lambda: int(self.election.leadership is not None))
         gauge("log_lines_left_out", dropped_line_count)
         gauge("organisations_above_share", self._organisations_above_share)
@@ -121,6 +127,10 @@
         """Return the forecast wait of a priority; -1 if it is unknown."""
         return round(self.gateway.forecast_waits_ms().get(priority, -1))
 
+    def _endpoint_count_by_speed(self, speed_class: SpeedClass) -> int:
+        leadership = self.election.leadership
+        return leadership.endpoint_count_by_speed(speed_class) if leadership else 0
+
     async def drain(self) -> None:
         """Resign the scheduler's role; callers continue to be served."""
         self.is_draining = True
