Look for room to move to only if an endpoint is fast enough

Cause: for each unit on a slow endpoint that was listed, all endpoints were looked at for room, also where none is fast enough for a move to gain anything. Change: the fastest endpoint that is not slow is determined once a plan, and the search is left out if it would not do. The new test fails without the change. Conclusion: where a faster endpoint with room exists but the unit may not move there, the search is still made at each listing.

--- a/ragwortshelf/core/scheduling/stragglers.py
+++ b/ragwortshelf/core/scheduling/stragglers.py
@@ -52,6 +52,8 @@
         self._scheduler = scheduler
         self._selector = selector
         self._listed_keys: set[UnitKey] = set()
+        # Speed of the fastest endpoint that is not slow, in the present plan.
+        self._speed_max = 0.0
         # Moves in progress: the run that was stopped, and the endpoints with the room
         # that was found for the next one.
         self._move_by_key: dict[UnitKey, tuple[int, frozenset[str]]] = {}
@@ -72,6 +74,14 @@
         keys, self._listed_keys = self._listed_keys, set()
         units = [self._scheduler.unit_by_key.get(key) for key in keys]
         self._forget_ended_moves()
+        self._speed_max = max(
+            (
+                endpoint.speed
+                for endpoint in self._selector.usable
+                if speed_class(endpoint) is not SpeedClass.SLOW
+            ),
+            default=0.0,
+        )
         movable = [
             unit
             for unit in units
@@ -152,6 +162,8 @@
         if limit_ms <= 0:
             return None
         speed_min = work_ms / limit_ms
+        if speed_min > self._speed_max:
+            return None
         claimed = {
             endpoint_id for _, ids in self._move_by_key.values() for endpoint_id in ids
         }
--- a/tests/core/scheduling/test_stragglers.py
+++ b/tests/core/scheduling/test_stragglers.py
@@ -147,6 +147,17 @@
     assert not fleet.stops
 
 
+def test_no_room_is_looked_for_if_no_endpoint_is_fast_enough(monkeypatch):
+    # Guards against a look at all endpoints for each run on a listed slow endpoint: with
+    # 8 runs on each of 90 slow endpoints these took a tenth of the processor.
+    fleet, starts = _late_urgent(SLOW, USUAL)
+    looked = []
+    selector = fleet.scheduler._planner.straggler_mover._selector
+    monkeypatch.setattr(selector, "find_free_room", lambda *args: looked.append(args))
+    fleet.progress(4_400, starts)
+    assert not looked
+
+
 def test_an_urgent_unit_is_not_restarted_without_free_room():
     fleet, starts = _late_urgent(SLOW, FAST)
     fleet.submit("other", "p2", request=LARGE, estimate_ms=60_000)
