Do not count the room of moves among the reservations of waiting units

Cause: at three reservations no other unit may reserve room that it waits for, nor have others preempted. Each long-running unit that is moved out of an evacuated data centre holds one until it starts elsewhere. So while three or more moved, gangs lost their reservations to smaller units, and no room was made for urgent ones; with a step of many tasks that lasts until all have moved. Change: reservations whose owner does not wait are not counted. Only units that are moved have one, so nothing else changes. Figures: the new test fails without the change; tests of evacuation, planning, order, shares and stop costs pass. Conclusion: a move keeps its own room free, and none of others.

--- a/ragwortshelf/core/scheduling/reservations.py
+++ b/ragwortshelf/core/scheduling/reservations.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 from .fleet import Endpoint
-from .model import Resources, UnitKey
+from .model import Resources, UnitKey, UnitPhase
 from .reclaim import EndpointReclaimPlan
 from .unit import Unit
 
@@ -31,6 +31,11 @@
         self.is_exclusive = is_exclusive
         self.resources_by_id = resources_by_id
 
+    @property
+    def is_awaited(self) -> bool:
+        """Whether the owner waits; one that is moved is being stopped at first."""
+        return self.unit.phase is UnitPhase.WAITING
+
     def excludes(self, unit: Unit) -> bool:
         """Whether a unit may not use this room.
 
@@ -87,12 +92,18 @@
                 del self._by_endpoint_id[endpoint_id]
 
     def count_before(self, unit: Unit) -> int:
-        """Return the reservations of units that come before a unit in the order."""
+        """Return the waiting units with room that come before a unit in the order."""
         return sum(
-            reservation.unit.order_key <= unit.order_key
+            reservation.is_awaited and reservation.unit.order_key <= unit.order_key
             for reservation in self._reservation_by_key.values()
         )
 
+    def count_awaited(self) -> int:
+        """Return the number of waiting units for which room is reserved."""
+        return sum(
+            reservation.is_awaited for reservation in self._reservation_by_key.values()
+        )
+
     def is_held_by(self, unit: Unit) -> bool:
         """Whether room is reserved for a unit."""
         return unit.key in self._reservation_by_key
--- a/ragwortshelf/core/scheduling/room_making.py
+++ b/ragwortshelf/core/scheduling/room_making.py
@@ -179,7 +179,7 @@
         """
         if self._accounts.is_contended or unit.is_starving(self._now_ms):
             return self._reservations.count_before(unit)
-        return len(self._reservations)
+        return self._reservations.count_awaited()
 
     def _stop_cheap_victims(self, unit: Unit, plan: EndpointReclaimPlan) -> None:
         cheap, rest = [], []
--- a/tests/core/scheduling/test_evacuation.py
+++ b/tests/core/scheduling/test_evacuation.py
@@ -357,6 +357,33 @@
     assert [(s.unit_key.job_id, s.endpoint_id) for s in harness.starts] == [("l", "y0")]
 
 
+# Guards against gangs that get no room, and urgent units for which none is made, for as
+# long as moves keep room free: few reservations of units that wait are allowed.
+def test_moves_leave_waiting_units_their_reservations():
+    harness = _harness(data_centres="x")
+    harness.submit("l", is_long_running=True, request=SMALL, count=4)
+    harness.accept_starts()
+    harness.add_endpoint("y0", data_centre="y")
+    harness.add_endpoint("y1", data_centre="y")
+    harness.evacuate("x")
+    assert len(harness.stops) == 4
+    harness.submit("b", "p2", request=HALF, count=3, estimate_ms=10_000)
+    batches = harness.accept_starts()
+    assert len(batches) == 3
+    harness.submit("g", "p1", request=WHOLE)
+    (shared_id,) = {
+        batch.endpoint_id
+        for batch in batches
+        if len(harness.running[batch.endpoint_id]) == 2
+    }
+    first, second = (b for b in batches if b.endpoint_id == shared_id)
+    harness.end(shared_id, first.task)
+    harness.submit("s", "p2", request=HALF)
+    assert not harness.starts
+    harness.end(shared_id, second.task)
+    assert [start.unit_key.job_id for start in harness.starts] == ["g"]
+
+
 # Guards against units that wait for a rack that cannot take them.
 @pytest.mark.parametrize(
     "step", [{"preferred_rack": "rx"}, {"is_rack_sensitive": True, "count": 2}]
--- a/tests/core/scheduling/test_stragglers.py
+++ b/tests/core/scheduling/test_stragglers.py
@@ -148,7 +148,7 @@
 
 
 def test_no_room_is_looked_for_if_no_endpoint_is_fast_enough(monkeypatch):
-    # Guards against a look at all endpoints for each run on a listed slow endpoint: with
+    # Guards against a look at all endpoints for each run on a slow endpoint: with
     # 8 runs on each of 90 slow endpoints these took a tenth of the processor.
     fleet, starts = _late_urgent(SLOW, USUAL)
     looked = []
