Keep the backlog when a timed job outlives the sums of its queue

Cause: the sums of a service, queue and organisation are removed when they are 0 after a job is closed. Its next record raised a KeyError in the job table of each instance. Change: the sums are made anew where a job needs them. The property test, now with terms, two organisations and timed jobs, failed before this commit at one of its examples (3,000 allowed) and passes with 1,500 examples after; test_forecast.py passes. Conclusion: the property test had one load key only, and so no other job's records after a close.

--- a/ragwortshelf/core/scheduling/backlog.py
+++ b/ragwortshelf/core/scheduling/backlog.py
@@ -133,7 +133,7 @@
         if counts is None or old is new or not 0 <= step_number < len(counts):
             return
         step = spec.steps[step_number]
-        load = self._load_by_key[_key(spec)]
+        load = self._load_by_key.setdefault(_key(spec), Load())
         # A placement of a unit that was due leaves its step as wide as before.
         is_open_changed = bool(spec.occurrences) or _UnitState.ENDED in (old, new)
         if is_open_changed:
@@ -152,7 +152,8 @@
         if counts is None:
             return
         key = _key(spec)
-        load = self._load_by_key[key]
+        # Another job may have removed sums that were 0 while a timed job was open.
+        load = self._load_by_key.setdefault(key, Load())
         for step, (waiting, placed) in zip(spec.steps, counts, strict=True):
             load.add_units(step, False, -waiting)
             load.add_units(step, True, -placed)
--- a/tests/core/scheduling/test_forecast.py
+++ b/tests/core/scheduling/test_forecast.py
@@ -135,54 +135,66 @@
 
 def _expected(table):
     """Return the sums by a walk over all units."""
-    total = Load()
+    loads = {}
     for job in table.job_by_id.values():
+        spec = job.spec
         if not job.is_active:
             continue
+        load = loads.setdefault((spec.service, spec.queue, spec.organisation), Load())
         widest = 0
-        for number, step in enumerate(job.spec.steps):
+        for number, step in enumerate(spec.steps):
             open_gpus = 0
-            for member in step.members:
-                record = job.record_by_key.get(UnitKey(job.spec.id, 0, number, member))
-                phase = UnitPhase.WAITING if record is None else record.phase
-                if phase is UnitPhase.DONE:
-                    continue
-                total.add_units(step, phase is UnitPhase.PLACED, 1)
-                open_gpus += step.request.gpus * (step.count if step.is_gang else 1)
+            for occurrence in range(spec.occurrence_count):
+                for member in step.members:
+                    key = UnitKey(spec.id, occurrence, number, member)
+                    record = job.record_by_key.get(key)
+                    phase = UnitPhase.WAITING if record is None else record.phase
+                    is_placed = phase is UnitPhase.PLACED
+                    if phase is UnitPhase.DONE or (spec.occurrences and not is_placed):
+                        continue
+                    load.add_units(step, is_placed, 1)
+                    tasks = step.count if step.is_gang else 1
+                    open_gpus += step.request.gpus * tasks
             widest = max(widest, open_gpus)
-        total.job_gpus += widest
-    return total
+        load.job_gpus += widest
+    return {key: load for key, load in loads.items() if load != Load()}
 
 
 # Guards against sums that drift from the job table, which a walk would not show in
-# operation: every record of the log is one addition, in any order and repeated.
+# operation: every record of the log is one addition, in any order, of any term, and
+# repeated. Job "t" runs at two times.
 @given(
     st.lists(
         st.tuples(
-            st.sampled_from(["submit", "cancel", "forget", "unit"]),
-            st.sampled_from("ab"),
+            st.sampled_from(["submit", "cancel", "forget", "unit", "unit", "unit"]),
+            st.sampled_from("abt"),
             st.sampled_from(UNITS),
             st.sampled_from(UnitPhase),
+            st.integers(1, 3),
+            st.integers(0, 1),
         ),
-        max_size=40,
+        max_size=60,
     )
 )
 def test_the_sums_of_the_backlog_are_those_of_a_walk(events):
     table = JobTable()
-    for kind, job_id, (step, member), phase in events:
+    for kind, job_id, (step, member), phase, term, occurrence in events:
         match kind:
             case "submit":
-                spec = JobSpec(job_id, "q", "pool", "o", "", STEPS)
+                times = (0, 2, 100, 1_000) if job_id == "t" else ()
+                organisation = "p" if job_id == "b" else "o"
+                spec = JobSpec(job_id, "q", "pool", organisation, "", STEPS, *times)
                 table.apply(JobSubmitted(spec))
             case "cancel":
                 table.apply(JobCancelled(job_id, 1))
             case "forget":
                 table.apply(JobForgotten(job_id))
             case "unit" if step < len(STEPS) or phase is not UnitPhase.DONE:
-                key = UnitKey(job_id, 0, step, member)
-                table.apply(UnitRecord(key, 1, phase, 1))
+                occurrence *= job_id == "t"
+                key = UnitKey(job_id, occurrence, step, member)
+                table.apply(UnitRecord(key, term, phase, 1))
     loads = table.backlog.load_by_key
-    assert loads.get(("pool", "q", "o"), Load()) == _expected(table)
+    assert {k: load for k, load in loads.items() if load != Load()} == _expected(table)
 
 
 # Guards against a timed job whose later occurrences count as work that is due.
@@ -198,6 +210,24 @@
     assert table.backlog.load_by_key["pool", "q", "o"].placed_gpus == 0
 
 
+# Guards against an instance that stops following the log: a timed job that is not due
+# has no sums, and those of its queue were removed when the last other job ended.
+@pytest.mark.parametrize("gpus", [0, 1])
+def test_a_timed_job_outlives_the_sums_of_its_queue(gpus):
+    table = JobTable()
+    step = Step(1, Resources(1_000, 100, gpus), 700)
+    timed = JobSpec("t", "q", "pool", "o", "", (step,), 0, 2, 100, 1_000)
+    table.apply(JobSubmitted(timed))
+    table.apply(JobSubmitted(JobSpec("a", "q", "pool", "o", "", (step,))))
+    table.apply(JobCancelled("a", 1))
+    key = UnitKey("t", 0, 0, 0)
+    table.apply(UnitRecord(key, 1, UnitPhase.PLACED, 1))
+    assert table.backlog.load_by_key["pool", "q", "o"].placed_cpu_milli == 1_000
+    table.apply(UnitRecord(key, 1, UnitPhase.DONE, 1))
+    table.apply(JobCancelled("t", 2))
+    assert not table.backlog.load_by_key
+
+
 def test_the_forecast_wait_is_the_work_ahead_by_the_capacity():
     forecast = ServiceForecast(Resources(16_000, 16_000, 10), {})
     load = Load(waiting_gpu_ms=20_000, placed_gpu_ms=10_000, lasting_gpus=5)
