Reclaim guarantees from room that others have reserved

Cause: a reservation denies its room to all units that come later by deadline, also to guaranteed ones. Change: a guaranteed unit comes before all that are not, where reservations are concerned. Exclusive reservations bind it as before. The new test failed before; tests/core/scheduling passes. Conclusion: such a gang may now wait for as long as guaranteed units take its room.

--- a/ragwortshelf/core/scheduling/planning.py
+++ b/ragwortshelf/core/scheduling/planning.py
@@ -119,6 +119,8 @@
 
     def _try_unit(self, unit, is_above_share, gpus_in_use, unplaceable_shapes) -> None:
         unit.set_order_key(is_above_share, self._now_ms)
+        if self._is_guaranteed(unit, gpus_in_use):
+            unit.set_guaranteed_order_key()
         try:
             self._plan_unit(unit, gpus_in_use, unplaceable_shapes)
         except Exception as error:
--- a/ragwortshelf/core/scheduling/unit.py
+++ b/ragwortshelf/core/scheduling/unit.py
@@ -172,6 +172,14 @@
         else:
             self.order_key = (self.priority, int(is_above_share), self.sort_key[1])
 
+    def set_guaranteed_order_key(self) -> None:
+        """Set a place in the order before all units that are not guaranteed.
+
+        The room that others wait for is then open to the unit. Otherwise a gang that
+        waits for most endpoints would keep a guarantee from being reclaimed.
+        """
+        self.order_key = (self.priority, -1, self.sort_key[1])
+
     def is_starving(self, now_ms: int) -> bool:
         """Whether a less urgent unit has waited for ``STARVATION_MS``."""
         starving_from_ms = self.starving_from_ms
--- a/tests/core/scheduling/test_fair_order.py
+++ b/tests/core/scheduling/test_fair_order.py
@@ -362,3 +362,19 @@
         harness.accept_starts()
         harness.advance(100)
     assert _placed_gpus(harness).get("a") == 8
+
+
+# Load: urgent gangs of z, which has no guarantee, hold all endpoints, and one of y with
+# an earlier deadline waits for all of them. Promise: a guaranteed unit starts within the
+# bound, although the room that it may reclaim is reserved.
+def test_a_guarantee_is_reclaimed_from_room_that_others_have_reserved():
+    harness = Harness(endpoints=4, guaranteed=8)
+    harness.now = 100_000
+    _flood(harness, "z", 4, "p0", count=8, is_gang=True, estimate_ms=60_000)
+    harness.submit("y0", "p0", "y", harness.now, count=32, is_gang=True)
+    harness.submit("g", "p0", "a", harness.now + 5_000, count=8, is_gang=True)
+    for _ in range(10):
+        harness.advance(100)
+        harness.obey_stops()
+        harness.accept_starts()
+    assert _placed_gpus(harness).get("a") == 8
