Pass the messages of speeds only where something has changed

Change: an endpoint's edges are updated if an observation changed or after 500 ms, a listing within 200 ms of another is not measured, and likely runs skip the outlier test.

--- a/ragwortshelf/core/scheduling/speed.py
+++ b/ragwortshelf/core/scheduling/speed.py
@@ -63,6 +63,14 @@
 """Share of what is known of an endpoint that is kept for each run that contradicts it:
 with 0.7, an endpoint slowed down to 0.4 still passed for 0.82 after four gangs."""
 
+UPDATE_INTERVAL_MS = 500
+"""Age from which the messages of unchanged runs are passed anew, as siblings elsewhere
+have progressed meanwhile."""
+
+REPEAT_MS = 200
+"""Time after a listing in which another says nothing new; endpoints also list each end
+of a run at once."""
+
 IDLE_STEP_MS = 5_000
 """Time after the last run of a step on an endpoint from which that is settled. Until
 then siblings elsewhere still improve what its runs say."""
@@ -169,6 +177,7 @@
         """Replace the observation; ``error`` is the relative one of the duration."""
         self.log_ratio = math.log(max(1.0, duration_ms) / self.edge.step.estimate_ms)
         self.precision = 1 / (NOISE**2 + error**2)
+        self.edge.is_changed = True
 
     def restart(self, clock_ms: int, percent: float) -> None:
         """Measure from this listing on; what was observed before it is kept."""
@@ -188,10 +197,12 @@
         "ended_precision",
         "ended_sum",
         "idle_since_ms",
+        "is_changed",
         "runs",
         "step",
         "to_endpoint",
         "to_step",
+        "updated_ms",
     )
 
     def __init__(self, belief: SpeedBelief, step: _Step):
@@ -201,6 +212,8 @@
         self.ended_precision = 0.0
         self.ended_sum = 0.0
         self.contradiction_count = 0
+        self.is_changed = False
+        self.updated_ms = 0
         self.idle_since_ms = 0
         self.to_step = (0.0, 0.0)
         self.to_endpoint = (0.0, 0.0)
@@ -212,6 +225,7 @@
 
     def update(self) -> None:
         """Pass the messages between the step and the endpoint anew."""
+        self.is_changed = False
         belief, step = self.belief, self.step
         # Both sides without what this edge has contributed before.
         speed_precision, speed_sum = belief.information()
@@ -242,6 +256,7 @@
     def end_run(self, run: _Run, now_ms: int) -> None:
         """Keep what an ended run said, in sum."""
         self.runs.discard(run)
+        self.is_changed = True
         if run.precision:
             belief, step = self.belief, self.step
             speed_precision, speed_sum = belief.information()
@@ -381,7 +396,9 @@
         belief = endpoint.speed_belief
         belief.listed_ms, belief.listed_clock_ms = now_ms, clock_ms
         for edge in list(belief.open_steps.values()):
-            edge.update()
+            if edge.is_changed or now_ms - edge.updated_ms > UPDATE_INTERVAL_MS:
+                edge.update()
+                edge.updated_ms = now_ms
             if not edge.runs and now_ms - edge.idle_since_ms > IDLE_STEP_MS:
                 edge.settle(now_ms)
         return belief.refresh(now_ms)
@@ -433,7 +450,8 @@
         now_ms: int,
     ) -> None:
         percent = placement.progress_percent
-        if percent >= FINISHED_PERCENT:
+        is_repeat = clock_ms - run.seen_clock_ms < REPEAT_MS
+        if percent >= FINISHED_PERCENT or (is_repeat and run.anchor_clock_ms):
             return
         gap_ms = clock_ms - belief.listed_clock_ms
         is_gap = (
@@ -467,6 +485,7 @@
             if pace * (clock_ms - seen_clock_ms) > STALL_PERCENT:
                 # It stalled at some time before the listing that it is measured by.
                 run.precision = 0.0
+                run.edge.is_changed = True
                 run.restart(clock_ms, percent)
             return
         if elapsed_ms >= PROGRESS_MIN_MS and gained >= PROGRESS_MIN_PERCENT:
@@ -497,6 +516,8 @@
     """Return the precision of a run, less if it is likely an outlier."""
     deviation = run.log_ratio - expected
     variance += 1 / run.precision
+    if deviation**2 <= variance:
+        return run.precision
     outlier_variance = variance + OUTLIER_SPREAD**2
     # The ratio of the outlier's likelihood to the usual one's.
     exponent = deviation**2 / 2 * (1 / variance - 1 / outlier_variance)
