Count the age of a run from when its held start is released

Cause: a run was as old as its placement, also if its start waited at the gate while the operator's log did not answer. So its endpoint seemed slower by that time, stopping it seemed to discard work, and a run that failed at once was not seen to. Change: a start that was held counts as ordered when the gate releases it. Starts that are not held are as before.

--- a/ragwortshelf/core/scheduling/scheduler.py
+++ b/ragwortshelf/core/scheduling/scheduler.py
@@ -293,6 +293,12 @@
         service = services.get(endpoint.info.service)
         return service is not None and not service.has_admission_control
 
+    def start_released(self, order: StartTask, now_ms: int) -> None:
+        """Note that a start was held back until now, so its run is not older."""
+        placement = self._find_placement(order.endpoint_id, order.task, order.run)
+        if placement is not None and placement.stage is RunStage.ORDERED:
+            placement.ordered_ms = now_ms
+
     def start_sent(self, order: StartTask) -> None:
         """Note that an endpoint may receive a start from now on."""
         placement = self._find_placement(order.endpoint_id, order.task, order.run)
--- a/ragwortshelf/scheduler/orders.py
+++ b/ragwortshelf/scheduler/orders.py
@@ -94,7 +94,9 @@
         if session is None:
             return
         # A start that is dropped here was never sent, so nothing has to be stopped.
-        await self._start_gate.wait()
+        if not self._start_gate.is_open():
+            await self._start_gate.wait()
+            self._scheduler.start_released(order, monotonic_ms())
         await self._wait_for_reports(order)
         if not self._scheduler.is_still_ordered(order):
             return
--- a/tests/scheduler/test_evacuation.py
+++ b/tests/scheduler/test_evacuation.py
@@ -18,6 +18,7 @@
 
 from ragwortshelf.core.scheduling import JobState, Resources, Scheduler
 from ragwortshelf.core.scheduling.fleet import EndpointInfo
+from ragwortshelf.scheduler.clock import monotonic_ms
 from ragwortshelf.scheduler.configuration_follower import ConfigurationFollower
 from ragwortshelf.scheduler.instance import Instance
 from ragwortshelf.scheduler.interfaces import LogPage
@@ -277,6 +278,28 @@
     assert [len(lines.named(f"starts_{w}")) for w in ("held", "released")] == [1, 1]
 
 
+# Guards against runs that count as seconds old when they start: their endpoint would
+# seem slow, and stopping them would seem to discard work.
+async def test_the_age_of_a_run_does_not_include_the_time_its_start_was_held(
+    autojump_clock,
+):
+    platform = _platform()
+    instance = _instance(platform)
+    log = instance.configuration._adapter.log
+    async with running(instance):
+        await trio.sleep(1)
+        log.set_fault("silent")
+        await trio.sleep(4.5)
+        await submit(instance, make_job(JOB, count=1))
+        await trio.sleep(5)
+        log.set_fault("")
+        await trio.sleep(1)
+        (endpoint,) = _started_on(platform)
+        scheduler = instance.election.leadership._scheduler
+        (age_ms,) = scheduler.run_ages(endpoint, monotonic_ms()).values()
+        assert age_ms <= 1_000
+
+
 # Guards against starts that were held, and are sent although the log shows a request
 # when it is read again.
 async def test_held_starts_are_dropped_when_the_log_shows_a_request(autojump_clock):
