Do not refuse by a table that was emptied after the awaited read

Cause: before a refusal the gateway waits for a read that was sent after the call, and then looks the job up. A term that ends in the same pass of the event loop restarts the follower with an empty table, in which a job that an earlier append has put into the log is not found, so that it could be refused as not accepted. Change: a read does not count once the table is loaded anew. Conclusion: the job is accepted in that case, as in others without a read. This commit also wraps a comment of test_fair_order.py that was too long.

--- a/ragwortshelf/scheduler/log_follower.py
+++ b/ragwortshelf/scheduler/log_follower.py
@@ -123,7 +123,11 @@
         ``timeout_ms`` passes first.
         """
         with trio.move_on_after(timeout_ms / 1000):
-            while (self.confirmed_boot_ms or 0) <= since_boot_ms:
+            # A restart after that read leaves a table without what was read.
+            while (
+                self.next_offset is None
+                or (self.confirmed_boot_ms or 0) <= since_boot_ms
+            ):
                 self._refresh_event.set()
                 await self._answer_event.wait()
             return True
--- a/tests/core/scheduling/test_fair_order.py
+++ b/tests/core/scheduling/test_fair_order.py
@@ -365,8 +365,8 @@
 
 
 # Load: urgent gangs of z, which has no guarantee, hold all endpoints, and one of y with
-# an earlier deadline waits for all of them. Promise: a guaranteed unit starts within the
-# bound, although the room that it may reclaim is reserved.
+# an earlier deadline waits for all of them. Promise: a guaranteed unit starts within
+# the bound, although the room that it may reclaim is reserved.
 def test_a_guarantee_is_reclaimed_from_room_that_others_have_reserved():
     harness = Harness(endpoints=4, guaranteed=8)
     harness.now = 100_000
--- a/tests/scheduler/test_admission.py
+++ b/tests/scheduler/test_admission.py
@@ -20,7 +20,7 @@
     decode_record,
     encode_record,
 )
-from ragwortshelf.scheduler.clock import monotonic_ms
+from ragwortshelf.scheduler.clock import boot_ms, monotonic_ms
 from ragwortshelf.scheduler.gateway import Accepted, Declined, Reason, Uncertain
 
 SETTLED_S = 2 + CAPACITY_SETTLES_MS / 1000 + 1
@@ -152,6 +152,29 @@
         assert await submit_one(second, there) == Accepted()
 
 
+# Guards against an answer from a table that was emptied after the awaited read, by
+# which a known job would be refused.
+async def test_a_later_read_does_not_count_once_the_table_is_reloaded(
+    autojump_clock, monkeypatch
+):
+    _platform, (instance,) = make_cluster()
+    async with running(instance):
+        await trio.sleep(SETTLED_S)
+        follower = instance.follower
+        record_answer = follower._record_answer
+
+        def answer_and_restart(sent_boot_ms, reached_end):
+            record_answer(sent_boot_ms, reached_end)
+            if reached_end and sent_boot_ms > since_ms:
+                faults_of(instance).store = "silent"
+                follower.restart()
+
+        since_ms = boot_ms()
+        monkeypatch.setattr(follower, "_record_answer", answer_and_restart)
+        assert not await follower.wait_for_later_read(since_ms, 600)
+        assert follower.confirmed_boot_ms > since_ms
+
+
 async def test_a_known_job_is_not_refused(autojump_clock):
     _platform, (instance,) = make_cluster()
     async with running(instance):
