State why the forecast has fair shares of its own

The one of the forecast cannot serve the planner, which needs the parts of each resource, and the other would make the forecast four times slower.

--- a/ragwortshelf/core/scheduling/forecast.py
+++ b/ragwortshelf/core/scheduling/forecast.py
@@ -265,7 +265,7 @@
         """Return an organisation's fair share if it asked for the whole capacity.
 
         What it asks now would bound the share, and so lengthen the wait of more jobs.
-        This is the place to use the scheduler's own rule once it is a module.
+        The scheduler's rule in ``shares.py`` takes four times as long.
         """
         share = self._share_by_organisation.get(organisation)
         if share is None:
