Have room made for speed only where free room is likely too slow

Change: room is made only if there is free room and the unit is expected to be late there by the posterior means. Guaranteed units reclaim fast room first if that loses no more than their own work. The tests of placement by speed pass unchanged.

--- a/ragwortshelf/core/scheduling/endpoint_selection.py
+++ b/ragwortshelf/core/scheduling/endpoint_selection.py
@@ -133,6 +133,13 @@
             return candidates
         return [e for e in candidates if not is_too_slow(e, needed)]
 
+    def is_expected_late(self, unit: Unit, endpoints: list[Endpoint]) -> bool:
+        """Whether a unit that could still be on time will likely be late on these."""
+        needed = speed_needed(unit, self._wall_ms)
+        if not 0 < needed < 1:
+            return False
+        return any(endpoint.speed < needed for endpoint in endpoints)
+
     def _of_classes(
         self,
         endpoints: list[Endpoint],
--- a/ragwortshelf/core/scheduling/planning.py
+++ b/ragwortshelf/core/scheduling/planning.py
@@ -196,12 +196,15 @@
             return
         endpoints = self._selector.find_room(unit, on_slow=unit.priority > 0)
         if endpoints is None and unit.priority == 0:
-            over_guarantee = self._organisations_over_guarantee()
-            if self._room_maker.make_fast_room(unit, is_guaranteed, over_guarantee):
+            endpoints = self._selector.find_room(unit)
+            if (
+                endpoints is not None
+                and self._selector.is_expected_late(unit, endpoints)
+                and self._room_maker.make_fast_room(unit)
+            ):
                 # Its room counts for its organisation from now on.
                 gpus_in_use[organisation] += unit.gpus
                 return
-            endpoints = self._selector.find_room(unit)
         if endpoints is not None:
             self.drop_reservation(unit)
             if unit.priority == 0:
--- a/ragwortshelf/core/scheduling/room_making.py
+++ b/ragwortshelf/core/scheduling/room_making.py
@@ -108,7 +108,9 @@
             return holder if is_borrowed else None
 
         cost = self._costs.stop_cost
-        plan = self._plan_reclaim(unit, candidates, less_urgent, cost)
+        plan = self._plan_fast_room(unit, less_urgent)
+        if plan is None or _leaves_rack(unit, plan):
+            plan = self._plan_reclaim(unit, candidates, less_urgent, cost)
         if over_guarantee and (plan is None or _leaves_rack(unit, plan)):
             # The selector starts a rack-sensitive unit on one rack only, wherever a
             # rack could hold it. A plan over several racks may be of no use to it.
@@ -120,44 +122,46 @@
         self._reserve(unit, plan, is_exclusive=True)
         self._stop_all(plan.victims, "reclaimed")
 
-    def make_fast_room(
-        self, unit: Unit, is_guaranteed: bool, over_guarantee: set[str]
-    ) -> bool:
+    def make_fast_room(self, unit: Unit) -> bool:
         """Have room made for an urgent unit on endpoints that are not too slow for it.
 
-        Returns whether it waits for that room. It loses at most the unit's own work,
-        and is not tried for long, since the unit may start on slow endpoints at once.
+        Returns whether it waits for that room. It is not tried for long, since the unit
+        may start on slow endpoints at once.
         """
         if self._now_ms - unit.waiting_since_ms > FAST_ROOM_WAIT_MS:
             return False
-        everywhere = self._selector.reclaim_candidates(unit)
-        candidates = self._selector.fast_enough(unit, everywhere, STOP_MAX_MS)
-        if not candidates or len(candidates) == len(everywhere):
-            return False
         if not self.may_reclaim(unit):
             return True
 
-        def reclaimable(placement: TaskPlacement) -> Unit | None:
+        def less_urgent(placement: TaskPlacement) -> Unit | None:
             holder = self._stoppable_holder(placement, unit)
-            if holder is None or holder.priority > unit.priority:
-                return holder
-            is_borrowed = holder.job.spec.organisation in over_guarantee
-            return holder if is_guaranteed and is_borrowed else None
+            return holder if holder is not None and holder.priority > 0 else None
 
-        plan = self._plan_reclaim(
-            unit, candidates, reclaimable, self._costs.lost_core_ms
-        )
-        own_core_ms = unit.cores * unit.estimate_ms
-        if (
-            plan is None
-            or sum(map(self._costs.lost_core_ms, plan.victims))
-            > PREEMPTION_LOSS_SHARE * own_core_ms
-        ):
+        plan = self._plan_fast_room(unit, less_urgent)
+        if plan is None:
             return False
-        self._reserve(unit, plan, is_exclusive=is_guaranteed)
+        self._reserve(unit, plan)
         self._stop_all(plan.victims, "preempted for speed")
         return True
 
+    def _plan_fast_room(
+        self, unit: Unit, reclaimable: ReclaimableUnit
+    ) -> EndpointReclaimPlan | None:
+        """Plan room on endpoints that are not too slow, or return None.
+
+        None if that loses more than the unit's own work, or no endpoint is too slow.
+        """
+        everywhere = self._selector.reclaim_candidates(unit)
+        candidates = self._selector.fast_enough(unit, everywhere, STOP_MAX_MS)
+        if not candidates or len(candidates) == len(everywhere):
+            return None
+        plan = self._plan_reclaim(unit, candidates, reclaimable, self._costs.stop_cost)
+        if plan is None:
+            return None
+        lost_core_ms = sum(map(self._costs.lost_core_ms, plan.victims))
+        lost_max_core_ms = PREEMPTION_LOSS_SHARE * unit.cores * unit.estimate_ms
+        return plan if lost_core_ms <= lost_max_core_ms else None
+
     def _stop_all(self, victims: Sequence[Unit], reason: str) -> None:
         for victim in victims:
             # An earlier victim may have used up the unavailability its step allows.
