Suspect no unit for the loss of endpoints that it was being stopped on

Change: adopted placements of a unit that an earlier term was stopping count as settled, as they began well before. What crashes endpoints is still found by its next starts.

Conclusion: the new test fails without the change; the tests of crashes and the crash storms pass. The 16 s until the leases of two terms have passed remain.

--- a/ragwortshelf/core/scheduling/lifecycle.py
+++ b/ragwortshelf/core/scheduling/lifecycle.py
@@ -248,7 +248,12 @@
                     placement.is_sent = True
                     age_ms = wall_ms - record.changed_wall_ms
                     is_known = endpoint.started_wall_ms != 0
-                    placement.is_settled = age_ms > ADOPTED_FRESH_MS or not is_known
+                    # What the earlier term was stopping had begun well before, and its
+                    # endpoint may leave for the reason of the stop.
+                    is_ending = record.phase is UnitPhase.ENDING
+                    placement.is_settled = (
+                        is_ending or age_ms > ADOPTED_FRESH_MS or not is_known
+                    )
             if not unit.placements:
                 self._requeue(unit, now_ms)
 
--- a/tests/core/scheduling/test_crashes.py
+++ b/tests/core/scheduling/test_crashes.py
@@ -515,3 +515,30 @@
     harness.restart(endpoint)
     (task,) = harness.crashes("a").by_task
     assert (task.count, task.certain_count) == (1, 0)
+
+
+# The failure: endpoints left while an earlier term was stopping a gang on them for that
+# reason. The successor took their loss for crashes at the gang's start, and held the
+# gang back while nearly all of the room was free.
+def test_what_an_earlier_term_was_stopping_is_not_suspected():
+    harness = _Crashes()
+    harness.submit("g", count=3, is_gang=True, request=WHOLE)
+    starts = harness.start()
+    harness.advance(2_000)
+    unit = harness.scheduler.unit_by_key[UnitKey("g", 0, 0, GANG)]
+    harness.scheduler.stop_unit(unit, "endpoint leaves", harness.now)
+    harness.collect()
+    (first_task, first), *others = starts.items()
+    harness.end(first, first_task, RunEnd.STOPPED)
+    harness.scheduler = Scheduler(2, harness.table, configuration())
+    harness.scheduler.adopt(harness.now, harness.now)
+    for _, endpoint in others:
+        del harness.running[endpoint]
+    for endpoint in harness.running:
+        harness.add_endpoint(endpoint)
+    for _, endpoint in others:
+        harness.scheduler.endpoint_lease_expired(endpoint, harness.now, harness.now)
+    harness.starts.clear()
+    harness.plan()
+    assert not harness.scheduler.unit_by_key[unit.key].is_suspect
+    assert [start.run for start in harness.starts] == [2, 2, 2]
