Move units out of evacuated data centres in a module of its own

Planner.run had grown by three methods for it. Code moves only; the tests of evacuations, planning and shares pass.

--- a/ragwortshelf/core/scheduling/endpoint_selection.py
+++ b/ragwortshelf/core/scheduling/endpoint_selection.py
@@ -12,7 +12,7 @@
 from .speed import SpeedClass, is_too_slow, preferred_classes, speed_class, speed_needed
 from .unit import Unit
 
-__all__ = ["EndpointSelector"]
+__all__ = ["EndpointSelector", "placement_shape"]
 
 PROOF_VALID_MS = 3_000
 """Age up to which a start that survived shows that an endpoint is sound."""
@@ -266,3 +266,19 @@
             placement.unit_key[:3] == key
             for placement in endpoint.placement_by_task.values()
         )
+
+
+def placement_shape(unit: Unit) -> tuple:
+    """Return what decides whether a unit fits; units of equal shape are tried once."""
+    step = unit.step
+    return (
+        unit.job.spec.queue,
+        unit.is_suspect,
+        step.occupied,
+        unit.count,
+        step.required_label,
+        step.preferred_rack,
+        step.is_rack_sensitive,
+        step.tasks_per_endpoint_max,
+        frozenset(unit.avoided_ids),
+    )
--- a/ragwortshelf/core/scheduling/planning.py
+++ b/ragwortshelf/core/scheduling/planning.py
@@ -4,10 +4,8 @@
 
 from collections import defaultdict
 
-from .availability import is_available
-from .endpoint_selection import EndpointSelector
-from .evacuation import is_to_be_moved, units_on
-from .fleet import Endpoint
+from .endpoint_selection import EndpointSelector, placement_shape
+from .evacuation_moves import EvacuationMover
 from .lifecycle import UnitLifecycle
 from .model import UnitPhase
 from .reservations import UnitReservations
@@ -34,6 +32,9 @@
         )
         self._had_misfit = False
         self.straggler_mover = StragglerMover(scheduler, self._selector)
+        self._evacuation_mover = EvacuationMover(
+            scheduler, self._reservations, self._selector, self._room_maker
+        )
         self._now_ms = 0
         self._wall_ms = 0
 
@@ -53,9 +54,7 @@
         ]
         self._scheduler.suspicion.lapse(usable, now_ms)
         self._selector.begin(usable, now_ms, wall_ms)
-        evacuated = self._evacuated_endpoints()
-        for endpoint in evacuated:
-            self._reservations.drop_on(endpoint.id)
+        self._evacuation_mover.begin(now_ms)
         self._room_maker.begin(now_ms, wall_ms)
         gpus_in_use = self._urgent_gpus_in_use()
         unplaceable_shapes: set[tuple] = set()
@@ -74,7 +73,7 @@
                     self._try_unit(unit, False, gpus_in_use, unplaceable_shapes)
             for unit in above_share:
                 self._try_unit(unit, True, gpus_in_use, unplaceable_shapes)
-        self._move_from_evacuated(evacuated)
+        self._evacuation_mover.run()
         self.straggler_mover.run(now_ms, wall_ms)
 
     @property
@@ -128,57 +127,6 @@
             # Costs this unit a delay, and no other unit anything.
             self._scheduler.report_planning_fault(unit, error, self._now_ms)
 
-    def _move_from_evacuated(self, evacuated: list[Endpoint]) -> None:
-        """Move long-running units that still run in evacuated data centres."""
-        unplaceable_shapes: set[tuple] = set()
-        steps_at_limit: set[tuple] = set()
-        for unit in units_on(evacuated, self._scheduler.unit_by_key):
-            if not unit.step.is_long_running:
-                continue
-            try:
-                self._move(unit, unplaceable_shapes, steps_at_limit)
-            except Exception as error:
-                self._scheduler.report_planning_fault(unit, error, self._now_ms)
-
-    def _evacuated_endpoints(self) -> list[Endpoint]:
-        if not self._scheduler.evacuations:
-            return []
-        endpoints = self._scheduler.endpoint_by_id.values()
-        return [endpoint for endpoint in endpoints if endpoint.is_evacuated]
-
-    def _move(
-        self,
-        unit: Unit,
-        unplaceable_shapes: set[tuple],
-        steps_at_limit: set[tuple],
-    ) -> None:
-        """Stop a long-running unit of an evacuated data centre if it fits elsewhere.
-
-        Nothing is stopped for it, and the room is kept until it starts there. Which
-        units may be stopped is judged once for each shape without room and each step at
-        its limit, since it takes a look at all units of the step.
-        """
-        if unit.is_suspect or unit.not_before_ms > self._now_ms:
-            return
-        if not self._scheduler.can_stop_now(unit):
-            return
-        shape = _placement_shape(unit)
-        if shape in unplaceable_shapes:
-            return
-        step = unit.key[:3]
-        if step in steps_at_limit and is_available(unit):
-            return
-        if not is_to_be_moved(unit, self._scheduler.unit_by_key):
-            if is_available(unit):
-                steps_at_limit.add(step)
-            return
-        endpoints = self._selector.find_room(unit)
-        if endpoints is None:
-            unplaceable_shapes.add(shape)
-        else:
-            self._room_maker.keep_free(unit, endpoints)
-            self._scheduler.stop_unit(unit, "evacuated", self._now_ms)
-
     def drop_reservation(self, unit: Unit) -> None:
         """Drop the reservation of a unit."""
         self._reservations.drop(unit)
@@ -189,7 +137,7 @@
         if not crashes.may_start_now(unit, usable_count, self._now_ms):
             self.drop_reservation(unit)
             return
-        shape = _placement_shape(unit)
+        shape = placement_shape(unit)
         organisation = unit.job.spec.organisation
         is_guaranteed = self._is_guaranteed(unit, gpus_in_use)
         if shape in unplaceable_shapes and not is_guaranteed:
@@ -268,19 +216,3 @@
 def _needs_reservation(unit: Unit) -> bool:
     """Whether smaller units would keep taking the room that the unit waits for."""
     return unit.count > 1 or unit.gpus > 1
-
-
-def _placement_shape(unit: Unit) -> tuple:
-    """Return what decides whether a unit fits; units of equal shape are tried once."""
-    step = unit.step
-    return (
-        unit.job.spec.queue,
-        unit.is_suspect,
-        step.occupied,
-        unit.count,
-        step.required_label,
-        step.preferred_rack,
-        step.is_rack_sensitive,
-        step.tasks_per_endpoint_max,
-        frozenset(unit.avoided_ids),
-    )
