--- a/ragwortshelf/core/scheduling/speed_belief.py
+++ b/ragwortshelf/core/scheduling/speed_belief.py
@@ -73,6 +73,7 @@
         self.listed_ms: int | None = None
         self.listed_clock_ms = 0
         self.open_steps: dict = {}
+        self.speed_class = SpeedClass.USUAL
         self.refresh(0)
 
     def settle(self, precision: float, log_speed: float, now_ms: int) -> None:
@@ -112,7 +113,7 @@
         self.log_speed = total / self.precision
         self.error = self.precision**-0.5
         self.speed = math.exp(self.log_speed)
-        before = getattr(self, "speed_class", SpeedClass.USUAL)
+        before = self.speed_class
         self.speed_class = self._class()
         return self.speed_class is not before
 
