--- a/soak/proxy.py
+++ b/soak/proxy.py
@@ -43,6 +43,9 @@
     def reset_all(self) -> None:
         """Reset every open connection."""
         for stream in list(self._streams):
+            if stream.socket.fileno() < 0:
+                # Closed, and not yet removed by the task that forwards it.
+                continue
             linger = struct.pack("ii", 1, 0)
             stream.socket.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
             stream.socket.close()
