Log what a late job's time is divided by

Cause: from the log nobody could tell how long a run was expected to take, for whom a run was stopped, or how long a decision waited for the log.

No decision changes.

--- a/ragwortshelf/core/scheduling/actions.py
+++ b/ragwortshelf/core/scheduling/actions.py
@@ -35,8 +35,9 @@
 class PersistUnit:
     """Append a unit's record to the log before sending the starts that follow it.
 
-    ``slack_ms`` is how much longer the unit could have waited and still be on time;
-    None unless the record places the unit. ``accelerators`` is the number that all
+    ``slack_ms`` is how much longer the unit could have waited and still be on time, and
+    ``estimate_ms`` its expected run time; both are None unless the record places the
+    unit. ``accelerators`` is the number that all
     tasks of the unit request. ``ended_on`` is the endpoint of the run that ended, empty
     unless the record was written because of that. ``share`` and ``fair_share`` are the
     organisation's once the unit is placed, as parts of the service's capacity; None if
@@ -46,6 +47,7 @@
     record: UnitRecord
     reason: str
     slack_ms: int | None = None
+    estimate_ms: int | None = None
     accelerators: int = 0
     ended_on: str = ""
     share: float | None = None
@@ -83,12 +85,16 @@
 
 @dataclass(frozen=True, slots=True)
 class StopTask:
-    """Order an endpoint to stop a run, and to refuse a later start of the same run."""
+    """Order an endpoint to stop a run, and to refuse a later start of the same run.
+
+    ``claimant_job_id`` is the job that gets the room; empty if it is stopped for none.
+    """
 
     endpoint_id: str
     task: str
     run: int
     reason: str
+    claimant_job_id: str = ""
 
 
 @dataclass(frozen=True, slots=True)
--- a/ragwortshelf/core/scheduling/lifecycle.py
+++ b/ragwortshelf/core/scheduling/lifecycle.py
@@ -122,7 +122,9 @@
             changed_wall_ms=wall_ms,
         )
         slack_ms = unit.latest_start_wall_ms - wall_ms
-        self._persist(unit, record, "placed", slack_ms, standing=standing)
+        self._persist(
+            unit, record, "placed", slack_ms, unit.estimate_ms, standing=standing
+        )
         unit.phase = UnitPhase.PLACED
         del self.waiting[unit.key]
         first_index = self.crashes.first_index(unit)
@@ -134,9 +136,15 @@
             else:
                 self._held_by_key.setdefault(unit.key, []).append(placement)
 
-    def stop_unit(self, unit: Unit, reason: str, now_ms: int) -> None:
-        """Stop a unit, which is requeued when its runs end; its checkpoint is kept."""
-        self._stop_placements(unit, reason, now_ms)
+    def stop_unit(
+        self, unit: Unit, reason: str, now_ms: int, claimant: Unit | None = None
+    ) -> None:
+        """Stop a unit, which is requeued when its runs end; its checkpoint is kept.
+
+        ``claimant`` is the unit that gets its room, if it is stopped for one.
+        """
+        job_id = claimant.key.job_id if claimant else ""
+        self._stop_placements(unit, reason, now_ms, claimant_job_id=job_id)
 
     def move_unit(self, unit: Unit, now_ms: int, wall_ms: int) -> None:
         """Stop a unit that is to run elsewhere, and log that, so that it is counted."""
@@ -439,11 +447,23 @@
         is_reachable = self.endpoint_by_id[placement.endpoint_id].is_reachable
         return is_reachable and now_ms - placement.confirmed_ms >= GANG_TRIAL_MS
 
-    def _stop(self, placement: TaskPlacement, reason: str, now_ms: int) -> None:
+    def _stop(
+        self,
+        placement: TaskPlacement,
+        reason: str,
+        now_ms: int,
+        claimant_job_id: str = "",
+    ) -> None:
         placement.stage = RunStage.STOPPING
         placement.next_stop_ms = now_ms + STOP_RETRY_MS
         self._actions.append(
-            StopTask(placement.endpoint_id, placement.task, placement.run, reason)
+            StopTask(
+                placement.endpoint_id,
+                placement.task,
+                placement.run,
+                reason,
+                claimant_job_id,
+            )
         )
 
     def _stop_placements(
@@ -452,6 +472,7 @@
         reason: str,
         now_ms: int,
         except_placement: TaskPlacement | None = None,
+        claimant_job_id: str = "",
     ) -> None:
         if unit.phase is UnitPhase.PLACED:
             unit.phase = UnitPhase.ENDING
@@ -460,7 +481,7 @@
                 placement is not except_placement
                 and placement.stage is not RunStage.STOPPING
             ):
-                self._stop(placement, reason, now_ms)
+                self._stop(placement, reason, now_ms, claimant_job_id)
 
     def _withdraw_starts(
         self, unit: Unit, reason: str, now_ms: int, wall_ms: int
@@ -616,6 +637,7 @@
         record,
         reason: str,
         slack_ms: int | None = None,
+        estimate_ms: int | None = None,
         ended_on: str = "",
         standing: tuple[float, float] | None = None,
     ) -> None:
@@ -624,7 +646,14 @@
         share, fair_share = standing or (None, None)
         self._actions.append(
             PersistUnit(
-                record, reason, slack_ms, unit.gpus, ended_on, share, fair_share
+                record,
+                reason,
+                slack_ms,
+                estimate_ms,
+                unit.gpus,
+                ended_on,
+                share,
+                fair_share,
             )
         )
 
--- a/ragwortshelf/core/scheduling/room_making.py
+++ b/ragwortshelf/core/scheduling/room_making.py
@@ -120,7 +120,7 @@
         if plan is None:
             return
         self._reserve(unit, plan, is_exclusive=True)
-        self._stop_all(plan.victims, "reclaimed")
+        self._stop_all(plan.victims, "reclaimed", unit)
 
     def make_fast_room(self, unit: Unit) -> bool:
         """Have room made for an urgent unit on endpoints that are not too slow for it.
@@ -141,7 +141,7 @@
         if plan is None:
             return False
         self._reserve(unit, plan)
-        self._stop_all(plan.victims, "preempted for speed")
+        self._stop_all(plan.victims, "preempted for speed", unit)
         return True
 
     def _plan_fast_room(
@@ -162,11 +162,11 @@
         lost_max_core_ms = PREEMPTION_LOSS_SHARE * unit.cores * unit.estimate_ms
         return plan if lost_core_ms <= lost_max_core_ms else None
 
-    def _stop_all(self, victims: Sequence[Unit], reason: str) -> None:
+    def _stop_all(self, victims: Sequence[Unit], reason: str, claimant: Unit) -> None:
         for victim in victims:
             # An earlier victim may have used up the unavailability its step allows.
             if self._may_stop(victim):
-                self._scheduler.stop_unit(victim, reason, self._now_ms)
+                self._scheduler.stop_unit(victim, reason, self._now_ms, claimant)
 
     def _plan_reclaim(
         self,
@@ -237,7 +237,7 @@
             (cheap if self._is_cheap_to_stop(victim, unit) else rest).append(victim)
         wait_ms = max(map(self._costs.remaining_ms, rest), default=0)
         if wait_ms <= CHEAP_STOP_WAIT_MS:
-            self._stop_all(cheap, "yields")
+            self._stop_all(cheap, "yields", unit)
 
     def _lost_max_core_ms(self, unit: Unit, plan: EndpointReclaimPlan) -> float:
         """Return how much computation may be lost so that a unit need not wait."""
@@ -289,7 +289,7 @@
         ):
             return False
         self._reserve(unit, plan)
-        self._stop_all(plan.victims, "preempted")
+        self._stop_all(plan.victims, "preempted", unit)
         return True
 
     def _may_stop(self, holder: Unit) -> bool:
--- a/ragwortshelf/scheduler/gateway.py
+++ b/ragwortshelf/scheduler/gateway.py
@@ -295,6 +295,8 @@
             took_ms=took_ms,
             queue=access.queue.name if access else None,
             organisation=access.organisation if access else None,
+            slack_factor=access.queue.slack_factor if access else None,
+            target_latency_ms=access.queue.target_latency_ms if access else None,
             configuration=current.version if current else None,
             configuration_age_ms=self._configuration.age_ms(),
             jobs_age_ms=self._follower.age_ms(),
--- a/ragwortshelf/scheduler/orders.py
+++ b/ragwortshelf/scheduler/orders.py
@@ -146,6 +146,7 @@
             run=order.run,
             endpoint=order.endpoint_id,
             reason=order.reason,
+            claimant=order.claimant_job_id or None,
         )
         session = self._session_by_id.get(order.endpoint_id)
         if session is None:
--- a/ragwortshelf/scheduler/term_writer.py
+++ b/ragwortshelf/scheduler/term_writer.py
@@ -224,10 +224,12 @@
             endpoints=record.endpoints,
             reason=action.reason,
             slack_ms=action.slack_ms,
+            estimate_ms=action.estimate_ms,
             accelerators=action.accelerators,
             share=_rounded(action.share),
             fair_share=_rounded(action.fair_share),
             ended_on=action.ended_on or None,
+            waited_ms=max(0, wall_ms() - record.changed_wall_ms),
             term=record.term,
         )
 
