Add the command that says where the time of late jobs went

Reading of log lines moved into a module that `explain` shares.

Conclusion: the objective has to come from the work that a run showed.

--- a/ragwortshelf/cli/commands/__init__.py
+++ b/ragwortshelf/cli/commands/__init__.py
@@ -5,6 +5,7 @@
 """
 
 from .context import Command, Context
+from .delays import DELAY_COMMANDS
 from .jobs import JOB_COMMANDS
 from .operations import OPERATION_COMMANDS
 from .releases import RELEASE_COMMANDS
@@ -17,4 +18,5 @@
     *JOB_COMMANDS,
     *REQUEST_COMMANDS,
     *OPERATION_COMMANDS,
+    *DELAY_COMMANDS,
 )
--- a/ragwortshelf/cli/commands/explain.py
+++ b/ragwortshelf/cli/commands/explain.py
@@ -2,10 +2,7 @@
 
 from __future__ import annotations
 
-import contextlib
-import sys
-from collections.abc import Iterator
-
+from ..log_lines import read_lines
 from ..status import CommandFailure, ExitStatus
 from ..timeline import build_timeline
 from .context import Context
@@ -16,7 +13,7 @@
 def explain_from_logs(context: Context, job_id: str) -> ExitStatus | CommandFailure:
     """Print the timeline of a job from the files of ``--logs``, ``-`` being stdin."""
     try:
-        timeline = build_timeline(job_id, _read_lines(context.flags.logs))
+        timeline = build_timeline(job_id, read_lines(context.flags.logs))
     except OSError as error:
         return CommandFailure(ExitStatus.USAGE, str(error))
     if not timeline:
@@ -37,12 +34,3 @@
     columns = ("time", "instance", "event", "details")
     context.output.print_table({"job": job_id, "lines": rows}, "lines", columns)
     return ExitStatus.SUCCESS
-
-
-def _read_lines(paths: list[str]) -> Iterator[str]:
-    for path in paths:
-        if path == "-":
-            yield from sys.stdin
-            continue
-        with contextlib.closing(open(path, errors="replace")) as file:
-            yield from file
--- /dev/null
+++ b/ragwortshelf/cli/delays.py
@@ -0,0 +1,425 @@
+"""Where the time of accepted jobs went, from the log lines of all instances.
+
+A job's deadline is computed from its work, as its last run showed it: the time on an
+endpoint of usual speed, times the slack factor of its queue. Estimates are often wrong
+by half, so the scheduler's own deadlines do not tell which callers were served late.
+The time of a late job is that of its unit that ended last, divided at its placements
+and the ends of its runs. One part of it is its work; each other part has a cause.
+"""
+
+from __future__ import annotations
+
+from collections import defaultdict
+from collections.abc import Iterable, Iterator, Mapping
+from dataclasses import dataclass, field
+from datetime import datetime
+from itertools import pairwise
+
+from .log_lines import parse_lines
+
+__all__ = ["DelayReport", "JobDelay", "StopReason", "analyse_delays"]
+
+ACCEPTANCE = "before acceptance"
+NO_SCHEDULER = "no scheduler"
+ROOM = "waiting for room"
+STOP = "waiting for a stop"
+LOG = "waiting for the log"
+ORDER = "waiting for the order"
+SLOW_ENDPOINT = "slow endpoint"
+WORK = "work"
+FAILURE = "run again: failed"
+STOPPED = "stopped: "
+
+_GANG_MEMBER = "-1"
+
+_MESSAGES = frozenset(
+    {
+        "call",
+        "speed_learned",
+        "start",
+        "started",
+        "stop",
+        "stopped",
+        "term_ended",
+        "term_started",
+        "unit",
+    }
+)
+
+
+@dataclass(frozen=True, slots=True)
+class JobDelay:
+    """A job that was done after its deadline, or not at all.
+
+    ``took_ms`` is the time from its first submission to its end, or to the end of the
+    log. ``late_ms`` is how much of it lies after the deadline. ``ms_by_cause`` divides
+    the time of its last unit, and ``cause`` is the largest part that was not its work.
+    """
+
+    job: str
+    queue: str
+    organisation: str
+    data_centre: str
+    accepted: str
+    is_done: bool
+    took_ms: int
+    late_ms: int
+    cause: str
+    ms_by_cause: Mapping[str, int]
+
+
+@dataclass(frozen=True, slots=True)
+class StopReason:
+    """Runs that were stopped for one reason, and what came of it.
+
+    ``task_ms`` is how long the stopped runs had been running. ``claimants`` are the
+    jobs that got the room, of which ``claimants_late`` were late all the same.
+    """
+
+    reason: str
+    runs: int
+    task_ms: int
+    claimants: int
+    claimants_late: int
+
+
+@dataclass(frozen=True, slots=True)
+class DelayReport:
+    """Delays of all jobs that were accepted, ordered by their acceptance."""
+
+    jobs_by_queue: Mapping[str, int]
+    delays: tuple[JobDelay, ...]
+    stops: tuple[StopReason, ...]
+
+
+@dataclass(slots=True)
+class _UnitTrace:
+    """What the log says of one unit; ``events`` are pairs of time and record."""
+
+    events: list[tuple[int, Mapping]] = field(default_factory=list)
+    started_ms_by_run: dict[int, int] = field(default_factory=dict)
+
+    @property
+    def first_placement(self) -> tuple[int, Mapping] | None:
+        """When it was first placed, with the record; None before that."""
+        return next((e for e in self.events if e[1]["phase"] == "placed"), None)
+
+    @property
+    def phase(self) -> str:
+        """The phase that was logged last."""
+        return self.events[-1][1]["phase"] if self.events else ""
+
+    @property
+    def done_ms(self) -> int | None:
+        """When it was shown as done, the wait for the log included; None if never."""
+        if self.phase != "done":
+            return None
+        at_ms, record = self.events[-1]
+        return at_ms + (record.get("waited_ms") or 0)
+
+
+class _JobTrace:
+    def __init__(self) -> None:
+        self.first_call_ms: int | None = None
+        self.accepted_ms: int | None = None
+        self.acceptance: Mapping = {}
+        self.is_cancelled = False
+        self.unit_by_name: dict[str, _UnitTrace] = defaultdict(_UnitTrace)
+        # Times at which stops for the job were ordered.
+        self.claimed_ms: list[int] = []
+
+
+class _Log:
+    """Everything in the lines that the analysis needs, indexed."""
+
+    def __init__(self, lines: Iterable[str]):
+        self.trace_by_job: dict[str, _JobTrace] = defaultdict(_JobTrace)
+        self.data_centre_by_instance: dict[str, str] = {}
+        self.reason_by_run: dict[tuple[str, int], str] = {}
+        self.stops: list[tuple[int, Mapping]] = []
+        self.started_ms_by_run: dict[tuple[str, int], int] = {}
+        self.speeds_by_endpoint: dict[str, list[tuple[int, float]]] = defaultdict(list)
+        self.gaps_ms: list[tuple[int, int]] = []
+        self.end_ms = 0
+        self._term_ended_ms: int | None = None
+        records = [
+            (_time_ms(record), record)
+            for record in parse_lines(lines)
+            if record["message"] in _MESSAGES and "time" in record
+        ]
+        records.sort(key=lambda record: record[0])
+        for at_ms, record in records:
+            self.end_ms = at_ms
+            getattr(self, f"_add_{record['message']}")(at_ms, record)
+
+    def _add_started(self, at_ms: int, record: Mapping) -> None:
+        data_centre = record.get("data_centre") or ""
+        self.data_centre_by_instance[record.get("instance", "")] = data_centre
+
+    def _add_call(self, at_ms: int, record: Mapping) -> None:
+        job = record.get("job") or ""
+        if record.get("call") == "DELETE" and record.get("outcome") == "accepted":
+            self.trace_by_job[job].is_cancelled = True
+        if record.get("call") != "POST":
+            return
+        trace = self.trace_by_job[job]
+        if trace.first_call_ms is None:
+            trace.first_call_ms = at_ms - (record.get("took_ms") or 0)
+        if record.get("outcome") == "accepted" and trace.accepted_ms is None:
+            trace.accepted_ms = at_ms
+            trace.acceptance = record
+
+    def _add_unit(self, at_ms: int, record: Mapping) -> None:
+        # The line is written once the log takes the decision.
+        decided_ms = at_ms - (record.get("waited_ms") or 0)
+        unit = self.trace_by_job[record["job"]].unit_by_name[record["unit"]]
+        unit.events.append((decided_ms, record))
+
+    def _add_start(self, at_ms: int, record: Mapping) -> None:
+        if record.get("outcome") != "started":
+            return
+        self.started_ms_by_run[record["task"], record["run"]] = at_ms
+        job, _, rest = record["task"].partition(".")
+        occurrence, step, index = rest.split(".")
+        units = self.trace_by_job[job].unit_by_name
+        gang = f"{occurrence}/{step}/{_GANG_MEMBER}"
+        name = gang if gang in units else f"{occurrence}/{step}/{index}"
+        units[name].started_ms_by_run[record["run"]] = at_ms
+
+    def _add_stop(self, at_ms: int, record: Mapping) -> None:
+        run = record["task"], record["run"]
+        if run in self.reason_by_run:
+            return
+        self.reason_by_run[run] = record.get("reason") or ""
+        self.stops.append((at_ms, record))
+        if record.get("claimant"):
+            self.trace_by_job[record["claimant"]].claimed_ms.append(at_ms)
+
+    def _add_speed_learned(self, at_ms: int, record: Mapping) -> None:
+        self.speeds_by_endpoint[record["endpoint"]].append((at_ms, record["speed"]))
+
+    def _add_stopped(self, at_ms: int, record: Mapping) -> None:
+        """An instance that stops says nothing of a job; it may end the log."""
+
+    def _add_term_ended(self, at_ms: int, record: Mapping) -> None:
+        self._term_ended_ms = at_ms
+
+    def _add_term_started(self, at_ms: int, record: Mapping) -> None:
+        if self._term_ended_ms is not None:
+            self.gaps_ms.append((self._term_ended_ms, at_ms))
+            self._term_ended_ms = None
+
+    def speed(self, endpoint: str, at_ms: int) -> float:
+        """Return the speed that was known of an endpoint by a time."""
+        speed = 1.0
+        for known_ms, value in self.speeds_by_endpoint.get(endpoint, ()):
+            if known_ms <= at_ms:
+                speed = value
+        return speed
+
+    def gap_ms(self, begin_ms: int, end_ms: int) -> int:
+        """Return how much of a span had no scheduler."""
+        return sum(
+            max(0, min(end_ms, gap_end) - max(begin_ms, gap_begin))
+            for gap_begin, gap_end in self.gaps_ms
+        )
+
+
+def analyse_delays(lines: Iterable[str]) -> DelayReport:
+    """Return where the time of late jobs went, and what stopped runs cost.
+
+    Jobs that were cancelled, and jobs of which no unit was placed, have no deadline in
+    the log and are left out.
+
+    >>> analyse_delays([]).delays
+    ()
+    """
+    log = _Log(lines)
+    jobs_by_queue: dict[str, int] = defaultdict(int)
+    delays = []
+    for job, trace in log.trace_by_job.items():
+        if trace.accepted_ms is None or trace.is_cancelled:
+            continue
+        jobs_by_queue[trace.acceptance.get("queue") or ""] += 1
+        delay = _delay(log, job, trace)
+        if delay is not None:
+            delays.append(delay)
+    delays.sort(key=lambda delay: (delay.accepted, delay.job))
+    late_jobs = {delay.job for delay in delays}
+    return DelayReport(dict(jobs_by_queue), tuple(delays), _stops(log, late_jobs))
+
+
+def _delay(log: _Log, job: str, trace: _JobTrace) -> JobDelay | None:
+    units = {n: u for n, u in trace.unit_by_name.items() if u.first_placement}
+    if not units or any(unit.phase == "failed" for unit in units.values()):
+        return None
+    name = max(units, key=lambda name: (units[name].done_ms or log.end_ms, name))
+    unit = units[name]
+    ended_ms = unit.done_ms or log.end_ms
+    ms_by_cause: dict[str, int] = defaultdict(int)
+    if trace.accepted_ms > trace.first_call_ms:
+        ms_by_cause[ACCEPTANCE] = trace.accepted_ms - trace.first_call_ms
+    for cause, spent_ms in _unit_parts(log, job, trace, name, ended_ms):
+        ms_by_cause[cause] += spent_ms
+    late_ms = ended_ms - _deadline_ms(trace, unit, ms_by_cause)
+    if late_ms <= 0:
+        return None
+    causes = {cause: ms for cause, ms in ms_by_cause.items() if cause != WORK}
+    instance = trace.acceptance.get("instance", "")
+    return JobDelay(
+        job,
+        trace.acceptance.get("queue") or "",
+        trace.acceptance.get("organisation") or "",
+        log.data_centre_by_instance.get(instance, ""),
+        trace.acceptance["time"],
+        unit.done_ms is not None,
+        ended_ms - trace.first_call_ms,
+        late_ms,
+        max(causes, key=causes.get) if causes else WORK,
+        dict(ms_by_cause),
+    )
+
+
+def _deadline_ms(
+    trace: _JobTrace, unit: _UnitTrace, ms_by_cause: Mapping[str, int]
+) -> int:
+    """Return when a job had to be done, by the work of its last unit.
+
+    Runs that failed count as work, since the caller's task caused most of them. The
+    work of earlier steps is not known here: the scheduler's objective is scaled by how
+    wrong the estimate of this one was.
+    """
+    placed_ms, record = unit.first_placement
+    latency_ms = trace.acceptance.get("target_latency_ms") or 0
+    estimate_ms = record.get("estimate_ms") or 0
+    latest_end_ms = placed_ms + (record["slack_ms"] or 0) + estimate_ms
+    objective_ms = max(0, latest_end_ms - trace.accepted_ms - latency_ms)
+    work_ms = ms_by_cause.get(WORK, 0)
+    if any(cause.startswith(STOPPED) for cause in ms_by_cause):
+        # The last run may have resumed from a checkpoint and done only the rest.
+        work_ms = max(work_ms, estimate_ms)
+    if unit.done_ms is None or not estimate_ms or not work_ms:
+        return latest_end_ms
+    failed_ms = ms_by_cause.get(FAILURE, 0)
+    objective_ms *= (work_ms + failed_ms) / estimate_ms
+    return round(trace.first_call_ms + latency_ms + objective_ms)
+
+
+def _unit_parts(
+    log: _Log, job: str, trace: _JobTrace, name: str, ended_ms: int
+) -> Iterator[tuple[str, int]]:
+    """Yield the parts of a unit's time, each with its cause."""
+    unit = trace.unit_by_name[name]
+    events = list(unit.events)
+    if unit.done_ms is None:
+        events.append((ended_ms, {"phase": "end"}))
+    else:
+        yield LOG, ended_ms - events[-1][0]
+    # A step that depends on others begins when these are done, which is not logged.
+    waiting_ms = trace.accepted_ms if not _follows_others(name, trace) else None
+    for (at_ms, record), (next_ms, following) in pairwise(events):
+        if record["phase"] == "placed":
+            if waiting_ms is not None:
+                yield from _wait_parts(log, trace, waiting_ms, at_ms)
+            yield from _run_parts(log, job, name, unit, at_ms, record, next_ms)
+            waiting_ms = next_ms
+        elif following["phase"] == "placed":
+            continue
+        else:
+            yield ROOM, max(0, next_ms - at_ms)
+
+
+def _follows_others(name: str, trace: _JobTrace) -> bool:
+    occurrence, step, _ = name.split("/")
+    return occurrence != "0" or step != "0"
+
+
+def _wait_parts(
+    log: _Log, trace: _JobTrace, begin_ms: int, end_ms: int
+) -> Iterator[tuple[str, int]]:
+    gap_ms = log.gap_ms(begin_ms, end_ms)
+    if gap_ms:
+        yield NO_SCHEDULER, gap_ms
+    claims = [ms for ms in trace.claimed_ms if begin_ms <= ms <= end_ms]
+    stop_ms = end_ms - claims[-1] - log.gap_ms(claims[-1], end_ms) if claims else 0
+    if stop_ms > 0:
+        yield STOP, stop_ms
+    room_ms = end_ms - begin_ms - gap_ms - stop_ms
+    if room_ms > 0:
+        yield ROOM, room_ms
+
+
+def _run_parts(
+    log: _Log,
+    job: str,
+    name: str,
+    unit: _UnitTrace,
+    placed_ms: int,
+    record: Mapping,
+    ended_ms: int,
+) -> Iterator[tuple[str, int]]:
+    started_ms = unit.started_ms_by_run.get(record["run"], ended_ms)
+    started_ms = min(max(started_ms, placed_ms), ended_ms)
+    end = next((r for ms, r in unit.events if ms == ended_ms and r is not record), None)
+    if end is None or end["phase"] != "done":
+        reason = _end_reason(log, job, name, record["run"], end)
+        yield reason, ended_ms - placed_ms
+        return
+    log_ms = min(record.get("waited_ms") or 0, started_ms - placed_ms)
+    yield LOG, log_ms
+    yield ORDER, started_ms - placed_ms - log_ms
+    took_ms = ended_ms - started_ms
+    speeds = [log.speed(e, ended_ms) for e in record.get("endpoints") or () if e]
+    work_ms = round(took_ms * min(1.0, *speeds))
+    yield WORK, work_ms
+    yield SLOW_ENDPOINT, took_ms - work_ms
+
+
+def _end_reason(log: _Log, job: str, name: str, run: int, end: Mapping | None) -> str:
+    """Return why a run ended that was not done: the stop's reason, or the end's."""
+    occurrence, step, member = name.split("/")
+    prefix = f"{job}.{occurrence}.{step}."
+    if member == _GANG_MEMBER:
+        reasons = (
+            log.reason_by_run.get((f"{prefix}{index}", run))
+            for index in range(len((end or {}).get("endpoints") or ()) or 1)
+        )
+        reason = next(filter(None, reasons), None)
+    else:
+        reason = log.reason_by_run.get((f"{prefix}{member}", run))
+    if end is None:
+        return f"still running: {reason}" if reason else "still running"
+    ended = end.get("reason") or end["phase"]
+    if ended in ("stopped", "lapsed") and reason:
+        return f"{STOPPED}{reason}"
+    return f"run again: {ended}"
+
+
+def _stops(log: _Log, late_jobs: set[str]) -> tuple[StopReason, ...]:
+    runs: dict[str, int] = defaultdict(int)
+    task_ms: dict[str, int] = defaultdict(int)
+    claimants: dict[str, set[str]] = defaultdict(set)
+    for at_ms, record in log.stops:
+        reason = record.get("reason") or ""
+        started_ms = log.started_ms_by_run.get((record["task"], record["run"]))
+        runs[reason] += 1
+        task_ms[reason] += max(0, at_ms - started_ms) if started_ms is not None else 0
+        if record.get("claimant"):
+            claimants[reason].add(record["claimant"])
+    return tuple(
+        StopReason(
+            reason,
+            runs[reason],
+            task_ms[reason],
+            len(claimants[reason]),
+            len(claimants[reason] & late_jobs),
+        )
+        for reason in sorted(runs, key=task_ms.get, reverse=True)
+    )
+
+
+def _time_ms(record: Mapping) -> int:
+    try:
+        return round(1000 * datetime.fromisoformat(record["time"]).timestamp())
+    except (TypeError, ValueError):
+        return 0
--- a/ragwortshelf/cli/main.py
+++ b/ragwortshelf/cli/main.py
@@ -50,7 +50,7 @@
     flags.DEFINE_list(
         "logs",
         [],
-        "explain: read these log files; - is standard input.",
+        "explain and delays: read these log files; - is standard input.",
         flag_values=values,
     )
     boolean("release", False, "worker quarantine: take it back into use.")
--- a/ragwortshelf/cli/timeline.py
+++ b/ragwortshelf/cli/timeline.py
@@ -2,10 +2,11 @@
 
 from __future__ import annotations
 
-import json
 from collections.abc import Iterable, Iterator, Mapping
 from dataclasses import dataclass, replace
 
+from .log_lines import parse_lines
+
 __all__ = ["TimelineEntry", "build_timeline"]
 
 CONTEXT_MESSAGES = frozenset(
@@ -56,11 +57,9 @@
 def build_timeline(job_id: str, lines: Iterable[str]) -> list[TimelineEntry]:
     """Return the log lines about a job and those that may have affected it, by time.
 
-    The latter are included only between the first and the last line about the job. Text
-    before the first brace of a line is ignored, so that a log collector's prefix may
-    remain. Lines that hold no JSON object are skipped.
+    The latter are included only between the first and the last line about the job.
     """
-    records = sorted(_parse(lines), key=lambda record: str(record.get("time", "")))
+    records = sorted(parse_lines(lines), key=lambda record: str(record.get("time", "")))
     job_records = [record for record in records if _is_about_job(record, job_id)]
     if not job_records:
         return []
@@ -106,19 +105,6 @@
     return replace(entries[0], instance=f"{len(instances)} instances")
 
 
-def _parse(lines: Iterable[str]) -> Iterator[Mapping]:
-    for line in lines:
-        start = line.find("{")
-        if start < 0:
-            continue
-        try:
-            record = json.loads(line[start:])
-        except ValueError:
-            continue
-        if isinstance(record, dict) and "message" in record:
-            yield record
-
-
 def _is_about_job(record: Mapping, job_id: str) -> bool:
     if str(record.get("job", "")).endswith(job_id):
         return True
