--- a/benchmarks/ablation.py
+++ b/benchmarks/ablation.py
@@ -19,8 +19,8 @@
     stalls,
 )
 from ragwortshelf.core.scheduling.calibration import EstimateCalibration
+from ragwortshelf.core.scheduling.endpoint import Endpoint
 from ragwortshelf.core.scheduling.endpoint_selection import EndpointSelector
-from ragwortshelf.core.scheduling.fleet import Endpoint
 from ragwortshelf.core.scheduling.planning import Planner
 from ragwortshelf.core.scheduling.room_making import RoomMaker
 from ragwortshelf.core.scheduling.share_accounts import ShareAccounts
--- a/benchmarks/admission.py
+++ b/benchmarks/admission.py
@@ -17,12 +17,12 @@
     ServiceConfiguration,
 )
 from ragwortshelf.core.scheduling.model import UnitKey, UnitPhase
+from ragwortshelf.core.scheduling.record_codec import encode_record
 from ragwortshelf.core.scheduling.records import (
     JobSubmitted,
     ServiceCapacity,
     TermHeld,
     UnitRecord,
-    encode_record,
 )
 
 GPUS = 1_408
--- a/ragwortshelf/core/scheduling/__init__.py
+++ b/ragwortshelf/core/scheduling/__init__.py
@@ -1,13 +1,15 @@
 """Scheduling of jobs whose tasks run on endpoints under leases.
 
-``records`` defines the log records of each job, ``job_table`` folds them into the state
-of all jobs, ``fleet`` tracks the endpoints, and ``scheduler`` decides which tasks start
-and stop where. A *unit* is scheduled as a whole: one task, or all tasks of a gang.
+``records`` defines the log records of each job, ``job_table`` folds them into the
+state of all jobs, ``endpoint`` tracks the endpoints, and ``scheduler`` decides which
+tasks start and stop where. A *unit* is scheduled as a whole: one task, or all tasks of
+a gang.
 """
 
 from .configuration import ServiceConfiguration
-from .fleet import Endpoint, EndpointInfo
+from .endpoint import Endpoint
 from .job_table import JobTable
+from .listings import EndpointInfo
 from .model import JobSpec, JobState, Resources, Step, UnitKey
 from .scheduler import Scheduler
 
--- a/ragwortshelf/core/scheduling/advice.py
+++ b/ragwortshelf/core/scheduling/advice.py
@@ -9,7 +9,7 @@
 from collections.abc import Sequence
 from dataclasses import dataclass
 
-from .fleet import Endpoint
+from .endpoint import Endpoint
 from .unit import Unit
 
 __all__ = ["AdviceCache", "Approval", "step_name"]
--- a/ragwortshelf/core/scheduling/availability.py
+++ b/ragwortshelf/core/scheduling/availability.py
@@ -4,8 +4,8 @@
 
 from collections.abc import Mapping
 
-from .fleet import RunStage
 from .model import UnitKey, UnitPhase
+from .task_placement import RunStage
 from .unit import Unit
 
 __all__ = ["AVAILABLE_PERCENT", "count_unavailable", "is_available", "may_be_stopped"]
--- a/ragwortshelf/core/scheduling/crashes.py
+++ b/ragwortshelf/core/scheduling/crashes.py
@@ -18,10 +18,11 @@
 from collections.abc import Mapping
 from dataclasses import dataclass, replace
 
-from .fleet import Endpoint, RunStage, TaskPlacement
+from .endpoint import Endpoint
 from .job_table import JobTable
 from .model import Incarnation, UnitKey, UnitPhase
 from .records import Suspicion, TaskCrashes, UnitCrashes
+from .task_placement import RunStage, TaskPlacement
 from .unit import Unit
 
 __all__ = ["CrashTracker", "IncarnationEnd"]
--- a/ragwortshelf/core/scheduling/departures.py
+++ b/ragwortshelf/core/scheduling/departures.py
@@ -4,7 +4,7 @@
 
 from collections.abc import Iterator, Mapping
 
-from .fleet import Endpoint
+from .endpoint import Endpoint
 from .model import UnitKey, UnitPhase
 from .unit import Unit
 
--- a/ragwortshelf/core/scheduling/endpoint_selection.py
+++ b/ragwortshelf/core/scheduling/endpoint_selection.py
@@ -4,12 +4,13 @@
 
 from collections.abc import Callable
 
-from .fleet import Endpoint
+from .endpoint import Endpoint
 from .free_room import FreeRoom
 from .lifecycle import UnitLifecycle
 from .packing import find_endpoints, is_eligible, rack_could_hold
 from .reservations import UnitReservations
-from .speed import SpeedClass, is_too_slow, preferred_classes, speed_class, speed_needed
+from .speed_belief import SpeedClass
+from .speed_needs import is_too_slow, preferred_classes, speed_class, speed_needed
 from .unit import Unit
 
 __all__ = ["EndpointSelector", "placement_shape"]
--- a/ragwortshelf/core/scheduling/evacuation.py
+++ b/ragwortshelf/core/scheduling/evacuation.py
@@ -11,8 +11,9 @@
 
 from .actions import EvacuationChange, ReportEvacuation
 from .availability import may_be_stopped
-from .fleet import Endpoint, RunStage
+from .endpoint import Endpoint
 from .model import UnitKey, UnitPhase
+from .task_placement import RunStage
 from .unit import Unit
 
 __all__ = ["Evacuations", "is_to_be_moved", "units_on", "units_to_withdraw"]
--- a/ragwortshelf/core/scheduling/evacuation_moves.py
+++ b/ragwortshelf/core/scheduling/evacuation_moves.py
@@ -3,9 +3,9 @@
 from __future__ import annotations
 
 from .availability import is_available
+from .endpoint import Endpoint
 from .endpoint_selection import EndpointSelector, placement_shape
 from .evacuation import is_to_be_moved, units_on
-from .fleet import Endpoint
 from .lifecycle import UnitLifecycle
 from .reservations import UnitReservations
 from .room_making import RoomMaker
--- a/ragwortshelf/core/scheduling/forecast.py
+++ b/ragwortshelf/core/scheduling/forecast.py
@@ -11,7 +11,7 @@
 
 from .backlog import Load, LoadKey, load_of
 from .configuration import ServiceConfiguration
-from .fleet import Endpoint
+from .endpoint import Endpoint
 from .model import JobSpec, Resources
 from .records import ServiceCapacity
 
--- a/ragwortshelf/core/scheduling/free_room.py
+++ b/ragwortshelf/core/scheduling/free_room.py
@@ -5,7 +5,7 @@
 from collections import Counter, defaultdict
 from collections.abc import Iterable
 
-from .fleet import Endpoint
+from .endpoint import Endpoint
 from .model import Step
 
 __all__ = ["FreeRoom"]
--- a/ragwortshelf/core/scheduling/lifecycle.py
+++ b/ragwortshelf/core/scheduling/lifecycle.py
@@ -21,14 +21,16 @@
 from .advice import AdviceCache, step_name
 from .configuration import ServiceConfiguration
 from .crashes import CrashTracker
+from .endpoint import Endpoint
 from .evacuation import Evacuations
-from .fleet import Endpoint, EndpointInfo, RunEnd, RunStage, TaskPlacement
 from .job_table import Job, JobTable
+from .listings import EndpointInfo, RunEnd
 from .model import Incarnation, Resources, UnitKey, UnitPhase
 from .records import EndpointForgotten, EndpointObserved
 from .speed import SpeedTracker
 from .speed_records import SpeedRecorder
 from .suspicion import SuspicionTracker
+from .task_placement import RunStage, TaskPlacement
 from .unit import Unit
 
 __all__ = ["UnitLifecycle"]
--- a/ragwortshelf/core/scheduling/pacing.py
+++ b/ragwortshelf/core/scheduling/pacing.py
@@ -10,8 +10,9 @@
 from collections.abc import Mapping
 
 from .actions import PaceTask
-from .fleet import Endpoint, RunStage, TaskPlacement
+from .endpoint import Endpoint
 from .model import UnitKey
+from .task_placement import RunStage, TaskPlacement
 from .unit import Unit
 
 __all__ = ["FULL_PERCENT", "plan_paces"]
--- a/ragwortshelf/core/scheduling/packing.py
+++ b/ragwortshelf/core/scheduling/packing.py
@@ -10,9 +10,9 @@
 from collections import defaultdict
 from collections.abc import Callable, Mapping, Sequence
 
-from .fleet import Endpoint
+from .endpoint import Endpoint
 from .model import Step
-from .speed import speed_class
+from .speed_needs import speed_class
 
 __all__ = ["is_eligible", "find_endpoints", "rack_could_hold"]
 
--- a/ragwortshelf/core/scheduling/reclaim.py
+++ b/ragwortshelf/core/scheduling/reclaim.py
@@ -6,8 +6,9 @@
 from collections.abc import Callable, Sequence
 from dataclasses import dataclass
 
-from .fleet import Endpoint, TaskPlacement
+from .endpoint import Endpoint
 from .model import Resources, Step, UnitKey
+from .task_placement import TaskPlacement
 from .unit import Unit
 
 __all__ = [
--- a/ragwortshelf/core/scheduling/reservations.py
+++ b/ragwortshelf/core/scheduling/reservations.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from .fleet import Endpoint
+from .endpoint import Endpoint
 from .model import Resources, UnitKey, UnitPhase
 from .reclaim import EndpointReclaimPlan
 from .unit import Unit
--- a/ragwortshelf/core/scheduling/room_making.py
+++ b/ragwortshelf/core/scheduling/room_making.py
@@ -6,14 +6,15 @@
 from collections.abc import Sequence
 
 from .availability import may_be_stopped
+from .endpoint import Endpoint
 from .endpoint_selection import EndpointSelector
-from .fleet import Endpoint, TaskPlacement
 from .lifecycle import UnitLifecycle
 from .model import Resources, UnitPhase
 from .reclaim import EndpointReclaimPlan, ReclaimableUnit, StopCost, plan_reclaim
 from .reservations import UnitReservations
 from .share_accounts import ShareAccounts
 from .stop_costs import STOP_MAX_MS, StopCosts
+from .task_placement import TaskPlacement
 from .unit import CORES_PER_GPU, Unit
 
 __all__ = ["RoomMaker"]
--- a/ragwortshelf/core/scheduling/run_time.py
+++ b/ragwortshelf/core/scheduling/run_time.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from .fleet import TaskPlacement
+from .task_placement import TaskPlacement
 
 __all__ = ["measured_duration_ms", "remaining_ms"]
 
--- a/ragwortshelf/core/scheduling/scheduler.py
+++ b/ragwortshelf/core/scheduling/scheduler.py
@@ -14,22 +14,18 @@
 from .availability import may_be_stopped
 from .configuration import ServiceConfiguration
 from .departures import units_to_move
+from .endpoint import FAILURE_EXCLUSION_MS, UNHEALTHY_EXCLUSION_MS, Endpoint
 from .evacuation import units_to_withdraw
-from .fleet import (
-    FAILURE_EXCLUSION_MS,
-    UNHEALTHY_EXCLUSION_MS,
-    Endpoint,
+from .job_table import JobTable
+from .lifecycle import UnitLifecycle
+from .listings import (
     EndpointInfo,
     EndpointListing,
     FinishedRun,
     RunEnd,
     RunningTask,
-    RunStage,
     StartOutcome,
-    TaskPlacement,
 )
-from .job_table import JobTable
-from .lifecycle import UnitLifecycle
 from .model import Resources, UnitPhase
 from .pacing import FULL_PERCENT, plan_paces
 from .planning import Planner
@@ -42,6 +38,7 @@
     is_stalled,
 )
 from .suspicion import QUICK_FAILURE_MS, is_quick
+from .task_placement import RunStage, TaskPlacement
 from .unit import Unit
 
 __all__ = ["Scheduler"]
--- a/ragwortshelf/core/scheduling/share_accounts.py
+++ b/ragwortshelf/core/scheduling/share_accounts.py
@@ -7,7 +7,7 @@
 
 from . import shares
 from .configuration import ServiceConfiguration
-from .fleet import Endpoint
+from .endpoint import Endpoint
 from .model import Resources, UnitPhase
 from .shares import SHARE_TOLERANCE, Amount, Demand
 from .unit import Unit
--- a/ragwortshelf/core/scheduling/speed.py
+++ b/ragwortshelf/core/scheduling/speed.py
@@ -1,32 +1,22 @@
 """Relative speeds of endpoints, learned from the progress and the ends of runs.
 
-The model is: log of (duration / estimate) of a run = bias of its step - log speed of
-its endpoint + noise. Messages of a factor graph are passed between the steps and the
-endpoints on which they run, each time an endpoint is listed. All runs of a step on one
-endpoint share one edge of the graph, since they say the same of both.
+Each time an endpoint is listed, its runs are measured and the messages of the graph in
+`speed_graph` are passed.
 """
 
 from __future__ import annotations
 
 import math
-from dataclasses import dataclass
 
-from .fleet import FINISHED_PERCENT, LISTING_GAP_MAX_MS, Endpoint, TaskPlacement
+from .endpoint import Endpoint
 from .model import GANG, UnitKey
 from .run_time import PERCENT_ROUNDING
-from .speed_belief import SLOW_BELOW, SpeedBelief, SpeedClass
+from .speed_belief import SpeedBelief
+from .speed_graph import QueueBias, RunMeasurement, SpeedEdge, StepBias
+from .task_placement import FINISHED_PERCENT, LISTING_GAP_MAX_MS, TaskPlacement
 from .unit import Unit
 
-__all__ = ["SpeedClass", "SpeedTracker", "preferred_classes", "speed_class"]
-
-NOISE = 0.2
-"""Standard deviation of the logarithm of a task's work among those of its step, which
-differ by 15 to 30%, and listings add to it."""
-
-OUTLIER_SHARE = 0.05
-OUTLIER_SPREAD = 1.5
-"""Share of runs that the model does not explain, such as tail tasks of seven times the
-work, and the standard deviation of the logarithm of their work."""
+__all__ = ["SpeedTracker"]
 
 PROGRESS_MIN_MS = 400
 PROGRESS_MIN_PERCENT = 8
@@ -47,23 +37,10 @@
 """Difference between this clock and the endpoint's since its last listing from which
 this process counts as paused, or the listing as delayed."""
 
-BIAS_SPREAD = 0.5
-BIAS_STEPS = 4
-BIAS_STEPS_MAX = 50
-"""Prior standard deviation of the bias of a queue's steps, in logarithms, its weight in
-steps, and the number of steps that count for what is learned of it."""
-
-BIAS_SPREAD_MIN = 0.1
-"""Smallest spread of a queue's biases, as a few good estimates may be luck."""
-
 UNKNOWN_BIAS_SPREAD = 2.0
 """Spread of the bias of a step whose estimate says little, such as a rack-sensitive
 gang on several racks, which takes three times as long as on one."""
 
-CONTRADICTION_SHARE = 0.5
-"""Share of what is known of an endpoint that is kept for each run that contradicts it:
-with 0.7, an endpoint slowed down to 0.4 still passed for 0.82 after four gangs."""
-
 UPDATE_INTERVAL_MS = 500
 """Age from which the messages of unchanged runs are passed anew, as siblings elsewhere
 have progressed meanwhile."""
@@ -76,265 +53,6 @@
 """Time after the last run of a step on an endpoint from which that is settled. Until
 then siblings elsewhere still improve what its runs say."""
 
-TOLERATED_SPEED = 0.5
-"""Speed at which the job of a tolerant task is still on time: that of the slowest sound
-endpoints, 0.6, with an allowance."""
-
-LATENESS_ERRORS = 1.2
-"""Standard errors by which an endpoint may be slower than believed. Of 224 urgent jobs
-on a half-loaded fleet 204 were on time with 0, 205 with 0.7, and 207 with 1.2."""
-
-_ALL = frozenset(SpeedClass)
-_URGENT_PREFERENCE = (
-    frozenset({SpeedClass.FAST}),
-    frozenset({SpeedClass.USUAL, SpeedClass.FAST}),
-    _ALL,
-)
-_TOLERANT_PREFERENCE = (
-    frozenset({SpeedClass.SLOW}),
-    frozenset({SpeedClass.SLOW, SpeedClass.USUAL}),
-    _ALL,
-)
-_GANG_PREFERENCE = (
-    frozenset({SpeedClass.SLOW}),
-    frozenset({SpeedClass.USUAL}),
-    frozenset({SpeedClass.SLOW, SpeedClass.USUAL}),
-    frozenset({SpeedClass.USUAL, SpeedClass.FAST}),
-    _ALL,
-)
-
-
-def speed_class(endpoint: Endpoint) -> SpeedClass:
-    """Return the class of an endpoint's speed relative to the others."""
-    return endpoint.speed_belief.speed_class
-
-
-def preferred_classes(unit: Unit, wall_ms: int) -> tuple[frozenset[SpeedClass], ...]:
-    """Return the classes on which to look for room, the best choice first.
-
-    Single tasks take slow endpoints, which are of little use to others, unless the job
-    would be late there.
-    """
-    if unit.priority == 0:
-        return _URGENT_PREFERENCE
-    if unit.count > 1:
-        return _GANG_PREFERENCE
-    is_tolerant = 0 < speed_needed(unit, wall_ms) <= TOLERATED_SPEED
-    return _TOLERANT_PREFERENCE if is_tolerant else (_ALL,)
-
-
-def speed_needed(unit: Unit, wall_ms: int) -> float:
-    """Return the speed from which a unit that starts now is on time, or 0.
-
-    It is 0 if the unit would be late at usual speed as well.
-    """
-    slack_ms = unit.latest_start_wall_ms - wall_ms
-    estimate_ms = unit.estimate_ms
-    if slack_ms < 0 or estimate_ms <= 0 or unit.step.is_long_running:
-        return 0.0
-    return estimate_ms / (estimate_ms + slack_ms)
-
-
-def is_too_slow(endpoint: Endpoint, needed: float) -> bool:
-    """Whether a unit that needs this speed may well be late on an endpoint.
-
-    Endpoints that are not known to be slower than usual are never too slow.
-    """
-    belief = endpoint.speed_belief
-    if belief.speed >= SLOW_BELOW:
-        return False
-    return belief.speed * math.exp(-LATENESS_ERRORS * belief.error) < needed
-
-
-class _Run:
-    """The measurement of one run: the log of its duration over the estimate.
-
-    ``anchor`` is the listing from which progress is measured, as the endpoint's clock
-    and the percent; ``seen`` is the last one.
-    """
-
-    __slots__ = (
-        "anchor_clock_ms",
-        "anchor_percent",
-        "begun_ms",
-        "edge",
-        "log_ratio",
-        "precision",
-        "seen_clock_ms",
-        "seen_percent",
-    )
-
-    def __init__(self, edge: _Edge):
-        self.edge = edge
-        self.begun_ms: int | None = None
-        self.anchor_clock_ms: int | None = None
-        self.anchor_percent = 0.0
-        self.seen_clock_ms = 0
-        self.seen_percent = 0.0
-        self.log_ratio = 0.0
-        self.precision = 0.0
-
-    def observe(self, duration_ms: float, error: float) -> None:
-        """Replace the observation; ``error`` is the relative one of the duration."""
-        self.log_ratio = math.log(max(1.0, duration_ms) / self.edge.step.estimate_ms)
-        self.precision = 1 / (NOISE**2 + error**2)
-        self.edge.is_changed = True
-
-    def restart(self, clock_ms: int, percent: float) -> None:
-        """Measure from this listing on; what was observed before it is kept."""
-        self.anchor_clock_ms, self.anchor_percent = clock_ms, percent
-
-
-class _Edge:
-    """The runs of one step on one endpoint.
-
-    ``to_step`` and ``to_endpoint`` are the messages that the edge contributes, as pairs
-    of precision and mean.
-    """
-
-    __slots__ = (
-        "belief",
-        "contradiction_count",
-        "ended_precision",
-        "ended_sum",
-        "idle_since_ms",
-        "is_changed",
-        "runs",
-        "step",
-        "to_endpoint",
-        "to_step",
-        "updated_ms",
-    )
-
-    def __init__(self, belief: SpeedBelief, step: _Step):
-        self.belief = belief
-        self.step = step
-        self.runs: set[_Run] = set()
-        self.ended_precision = 0.0
-        self.ended_sum = 0.0
-        self.contradiction_count = 0
-        self.is_changed = False
-        self.updated_ms = 0
-        self.idle_since_ms = 0
-        self.to_step = (0.0, 0.0)
-        self.to_endpoint = (0.0, 0.0)
-
-    @property
-    def is_open(self) -> bool:
-        """Whether its messages may still change."""
-        return self.belief.open_steps.get(self.step.key) is self
-
-    def update(self) -> None:
-        """Pass the messages between the step and the endpoint anew."""
-        self.is_changed = False
-        belief, step = self.belief, self.step
-        # Both sides without what this edge has contributed before.
-        speed_precision, speed_sum = belief.information()
-        speed_precision -= self.to_endpoint[0]
-        speed_sum -= self.to_endpoint[0] * self.to_endpoint[1]
-        speed = speed_sum / speed_precision
-        bias_precision = step.precision - self.to_step[0]
-        bias = (step.sum - self.to_step[0] * self.to_step[1]) / bias_precision
-        speed_variance = 1 / speed_precision
-        variance = speed_variance + 1 / bias_precision
-        precision, total = self.ended_precision, self.ended_sum
-        for run in self.runs:
-            weight = run.precision and _weight(run, bias - speed, variance)
-            precision += weight
-            total += weight * run.log_ratio
-        to_step = to_endpoint = (0.0, 0.0)
-        if precision > 0:
-            log_ratio = total / precision
-            to_step = (1 / (1 / precision + speed_variance), log_ratio + speed)
-            to_endpoint = (
-                1 / (1 / precision + 1 / bias_precision),
-                bias - log_ratio,
-            )
-        step.replace(self.to_step, to_step)
-        belief.replace_open(self.to_endpoint, to_endpoint)
-        self.to_step, self.to_endpoint = to_step, to_endpoint
-
-    def end_run(self, run: _Run, now_ms: int) -> None:
-        """Keep what an ended run said, in sum."""
-        self.runs.discard(run)
-        self.is_changed = True
-        if run.precision:
-            belief, step = self.belief, self.step
-            speed_precision, speed_sum = belief.information()
-            variance = 1 / speed_precision + 1 / step.precision
-            expected = step.sum / step.precision - speed_sum / speed_precision
-            weight = _weight(run, expected, variance)
-            self.ended_precision += weight
-            self.ended_sum += weight * run.log_ratio
-            self.contradiction_count += weight < run.precision / 2
-        if not self.runs:
-            self.idle_since_ms = now_ms
-
-    def settle(self, now_ms: int) -> None:
-        """Hand what the edge says to the endpoint's belief for good."""
-        for run in list(self.runs):
-            self.end_run(run, now_ms)
-        self.belief.replace_open(self.to_endpoint, (0.0, 0.0))
-        share = CONTRADICTION_SHARE**self.contradiction_count
-        self.belief.discount(share, now_ms)
-        self.belief.settle(*self.to_endpoint, now_ms)
-        self.belief.open_steps.pop(self.step.key, None)
-        self.to_endpoint = (0.0, 0.0)
-
-
-class _Step:
-    """The bias of one step's estimate, in one occurrence of its job."""
-
-    __slots__ = (
-        "edge_by_belief",
-        "estimate_ms",
-        "key",
-        "precision",
-        "prior",
-        "queue",
-        "sum",
-    )
-
-    def __init__(self, key: UnitKey, queue: str, estimate_ms: int, prior: tuple):
-        self.key = key
-        self.queue = queue
-        self.estimate_ms = estimate_ms
-        self.prior = prior
-        self.precision = prior[0]
-        self.sum = prior[0] * prior[1]
-        self.edge_by_belief: dict[int, _Edge] = {}
-
-    def replace(self, before: tuple, after: tuple) -> None:
-        self.precision += after[0] - before[0]
-        self.sum += after[0] * after[1] - before[0] * before[1]
-
-
-@dataclass(slots=True)
-class _QueueBias:
-    """How wrong the estimates of a queue's steps are, as far as learned."""
-
-    steps: float = BIAS_STEPS
-    sum: float = 0.0
-    square_sum: float = BIAS_STEPS * BIAS_SPREAD**2
-
-    def prior(self) -> tuple[float, float]:
-        """Return the precision and the mean of a new step's bias."""
-        mean = self.sum / self.steps
-        variance = max(BIAS_SPREAD_MIN**2, self.square_sum / self.steps - mean**2)
-        return 1 / variance, mean
-
-    def learn(self, bias: float, variance: float) -> None:
-        """Take one more step into account, by its bias and the error of that."""
-        if self.steps >= BIAS_STEPS_MAX:
-            share = BIAS_STEPS_MAX / (BIAS_STEPS_MAX + 1)
-            self.steps *= share
-            self.sum *= share
-            self.square_sum *= share
-        weight = 1 / (1 + variance / BIAS_SPREAD**2)
-        self.steps += weight
-        self.sum += weight * bias
-        self.square_sum += weight * max(0.0, bias**2 - variance)
-
 
 class SpeedTracker:
     """Learns from runs, as they are listed, how fast their endpoints are.
@@ -343,8 +61,8 @@
     """
 
     def __init__(self):
-        self._steps_by_job: dict[str, dict[UnitKey, _Step]] = {}
-        self._bias_by_queue: dict[str, _QueueBias] = {}
+        self._steps_by_job: dict[str, dict[UnitKey, StepBias]] = {}
+        self._bias_by_queue: dict[str, QueueBias] = {}
 
     def run_listed(
         self,
@@ -415,7 +133,7 @@
         for step in self._steps_by_job.pop(job_id, {}).values():
             self._close(step, now_ms)
 
-    def _open_run(self, endpoint: Endpoint, unit: Unit) -> _Run:
+    def _open_run(self, endpoint: Endpoint, unit: Unit) -> RunMeasurement:
         key = unit.key._replace(member=0)
         steps = self._steps_by_job.setdefault(key.job_id, {})
         step = steps.get(key)
@@ -424,27 +142,27 @@
         belief = endpoint.speed_belief
         edge = belief.open_steps.get(key)
         if edge is None:
-            edge = belief.open_steps[key] = _Edge(belief, step)
+            edge = belief.open_steps[key] = SpeedEdge(belief, step)
             earlier = step.edge_by_belief.get(id(belief))
             if earlier is not None:
                 # The settled runs of the step here would count twice for its bias.
                 step.replace(earlier.to_step, (0.0, 0.0))
             step.edge_by_belief[id(belief)] = edge
-        run = _Run(edge)
+        run = RunMeasurement(edge)
         edge.runs.add(run)
         return run
 
-    def _open_step(self, key: UnitKey, unit: Unit) -> _Step:
+    def _open_step(self, key: UnitKey, unit: Unit) -> StepBias:
         queue = unit.job.spec.queue
         estimate_ms = unit.estimate_ms
-        prior = self._bias_by_queue.setdefault(queue, _QueueBias()).prior()
+        prior = self._bias_by_queue.setdefault(queue, QueueBias()).prior()
         if estimate_ms <= 0 or unit.step.is_rack_sensitive:
             prior = (UNKNOWN_BIAS_SPREAD**-2, 0.0)
-        return _Step(key, queue, max(1, estimate_ms), prior)
+        return StepBias(key, queue, max(1, estimate_ms), prior)
 
     def _measure(
         self,
-        run: _Run,
+        run: RunMeasurement,
         belief: SpeedBelief,
         placement: TaskPlacement,
         clock_ms: int,
@@ -496,7 +214,7 @@
         run, placement.speed_run = placement.speed_run, None
         run.edge.runs.discard(run)
 
-    def _close(self, step: _Step, now_ms: int) -> None:
+    def _close(self, step: StepBias, now_ms: int) -> None:
         edges = list(step.edge_by_belief.values())
         for edge in edges:
             if edge.is_open:
@@ -513,20 +231,6 @@
                 edge.belief.refresh(now_ms)
 
 
-def _weight(run: _Run, expected: float, variance: float) -> float:
-    """Return the precision of a run, less if it is likely an outlier."""
-    deviation = run.log_ratio - expected
-    variance += 1 / run.precision
-    if deviation**2 <= variance:
-        return run.precision
-    outlier_variance = variance + OUTLIER_SPREAD**2
-    # The ratio of the outlier's likelihood to the usual one's.
-    exponent = deviation**2 / 2 * (1 / variance - 1 / outlier_variance)
-    odds = math.exp(min(exponent, 50.0)) * math.sqrt(variance / outlier_variance)
-    share = 1 / (1 + odds * OUTLIER_SHARE / (1 - OUTLIER_SHARE))
-    return share * run.precision + (1 - share) * OUTLIER_SPREAD**-2
-
-
 def _is_evidence(endpoint: Endpoint, placement: TaskPlacement, unit: Unit) -> bool:
     """Whether a run may tell the speed of its endpoint."""
     step = unit.step
--- a/ragwortshelf/core/scheduling/speed_records.py
+++ b/ragwortshelf/core/scheduling/speed_records.py
@@ -6,7 +6,7 @@
 import zlib
 from collections.abc import Iterable
 
-from .fleet import Endpoint
+from .endpoint import Endpoint
 from .job_table import JobTable
 from .records import EndpointSpeed, EndpointSpeeds
 
--- a/ragwortshelf/core/scheduling/stalls.py
+++ b/ragwortshelf/core/scheduling/stalls.py
@@ -4,8 +4,8 @@
 
 import enum
 
-from .fleet import FINISHED_PERCENT, LISTING_GAP_MAX_MS, TaskPlacement
 from .model import UnitPhase
+from .task_placement import FINISHED_PERCENT, LISTING_GAP_MAX_MS, TaskPlacement
 from .unit import Unit
 
 __all__ = [
--- a/ragwortshelf/core/scheduling/stragglers.py
+++ b/ragwortshelf/core/scheduling/stragglers.py
@@ -10,21 +10,22 @@
 
 from collections.abc import Iterable
 
+from .endpoint import Endpoint
 from .endpoint_selection import EndpointSelector
-from .fleet import Endpoint, RunStage
 from .lifecycle import UnitLifecycle
 from .model import UnitKey, UnitPhase
 from .pacing import FULL_PERCENT
 from .run_time import measured_duration_ms
-from .speed import SpeedClass, speed_class
+from .speed_belief import SpeedClass
+from .speed_needs import speed_class
 from .stop_costs import STOP_MAX_MS
+from .task_placement import RunStage
 from .unit import Unit
 
 __all__ = ["StragglerMover"]
 
 RESTORE_MS = 250
 """Time to restore a checkpoint, stated by the platform."""
-
 RESTARTED_PERCENT_MAX = 50
 """Mean progress of a unit's tasks up to which it is restarted. It bounds the work that
 a restart discards to half of the unit's own, which is less than an urgent unit may have
--- a/ragwortshelf/core/scheduling/suspicion.py
+++ b/ragwortshelf/core/scheduling/suspicion.py
@@ -10,8 +10,9 @@
 
 from collections.abc import Iterable, Mapping
 
-from .fleet import Endpoint, RunStage, TaskPlacement
+from .endpoint import Endpoint
 from .model import GANG, UnitKey
+from .task_placement import RunStage, TaskPlacement
 from .unit import Unit
 
 __all__ = ["QUICK_FAILURE_MS", "SuspicionTracker"]
--- a/ragwortshelf/core/scheduling/unit.py
+++ b/ragwortshelf/core/scheduling/unit.py
@@ -4,11 +4,11 @@
 
 from .calibration import EstimateCalibration
 from .configuration import Queue
-from .fleet import TaskPlacement
 from .job_table import Job
 from .model import GANG, Resources, Step, UnitKey, UnitPhase, task_name
 from .records import UnitCrashes, UnitRecord
 from .run_time import remaining_ms
+from .task_placement import TaskPlacement
 
 __all__ = ["Unit", "make_sort_key"]
 
--- a/ragwortshelf/scheduler/election.py
+++ b/ragwortshelf/scheduler/election.py
@@ -6,7 +6,8 @@
 
 import trio
 
-from ..core.scheduling.records import TermHeld, encode_record
+from ..core.scheduling.record_codec import encode_record
+from ..core.scheduling.records import TermHeld
 from ..daemon.logs import log_event, log_failure
 from .clock import boot_ms, wall_ms
 from .configuration_follower import ConfigurationFollower
--- a/ragwortshelf/scheduler/endpoint_directory.py
+++ b/ragwortshelf/scheduler/endpoint_directory.py
@@ -6,7 +6,7 @@
 
 import trio
 
-from ..core.scheduling.fleet import EndpointInfo
+from ..core.scheduling.listings import EndpointInfo
 from ..daemon.logs import log_event
 from .clock import boot_ms
 from .interfaces import Entry, KeyedLog, LogGap, LogPage, PlatformAdapter
--- a/ragwortshelf/scheduler/endpoint_session.py
+++ b/ragwortshelf/scheduler/endpoint_session.py
@@ -7,7 +7,7 @@
 import trio
 
 from ..core.scheduling.actions import PaceTask, StartTask, StopTask
-from ..core.scheduling.fleet import EndpointInfo, EndpointListing, StartOutcome
+from ..core.scheduling.listings import EndpointInfo, EndpointListing, StartOutcome
 from ..daemon.logs import log_event, log_failure
 from .clock import monotonic_ms
 from .interfaces import EndpointAnswer, EndpointClient
--- a/ragwortshelf/scheduler/gateway.py
+++ b/ragwortshelf/scheduler/gateway.py
@@ -8,7 +8,8 @@
 from ..core.scheduling import JobSpec, JobState
 from ..core.scheduling.admission import AdmissionControl
 from ..core.scheduling.configuration import Queue, ServiceConfiguration
-from ..core.scheduling.records import JobCancelled, JobSubmitted, encode_record
+from ..core.scheduling.record_codec import encode_record
+from ..core.scheduling.records import JobCancelled, JobSubmitted
 from ..daemon.logs import log_event
 from ..daemon.metrics import Metrics
 from .clock import boot_ms, monotonic_ms, wall_ms
--- a/ragwortshelf/scheduler/interfaces.py
+++ b/ragwortshelf/scheduler/interfaces.py
@@ -11,7 +11,7 @@
 from dataclasses import dataclass
 
 from ..core.scheduling import ServiceConfiguration
-from ..core.scheduling.fleet import (
+from ..core.scheduling.listings import (
     EndpointInfo,
     FinishedRun,
     RunningTask,
--- a/ragwortshelf/scheduler/leadership.py
+++ b/ragwortshelf/scheduler/leadership.py
@@ -19,14 +19,11 @@
     ReportSpeed,
     StopTask,
 )
-from ..core.scheduling.fleet import EndpointInfo, EndpointListing
 from ..core.scheduling.forecast import CapacityReporter
+from ..core.scheduling.listings import EndpointInfo, EndpointListing
 from ..core.scheduling.model import UnitKey
-from ..core.scheduling.records import (
-    ServiceCapacity,
-    TermHeld,
-    deletion_records,
-)
+from ..core.scheduling.record_codec import deletion_records
+from ..core.scheduling.records import ServiceCapacity, TermHeld
 from ..core.scheduling.speed_belief import SpeedClass
 from ..daemon.logs import log_event, log_failure
 from .clock import monotonic_ms, wall_ms
--- a/ragwortshelf/scheduler/log_follower.py
+++ b/ragwortshelf/scheduler/log_follower.py
@@ -7,6 +7,7 @@
 import trio
 
 from ..core.scheduling.job_table import JobTable
+from ..core.scheduling.record_codec import decode_record, job_id_of, submission_key
 from ..core.scheduling.records import (
     EndpointForgotten,
     EndpointObserved,
@@ -14,9 +15,6 @@
     Record,
     UnitCrashes,
     UnitRecord,
-    decode_record,
-    job_id_of,
-    submission_key,
 )
 from ..daemon.logs import log_event, log_failure
 from .clock import boot_ms
--- a/ragwortshelf/scheduler/orders.py
+++ b/ragwortshelf/scheduler/orders.py
@@ -9,7 +9,7 @@
 
 from ..core.scheduling import Scheduler
 from ..core.scheduling.actions import AskAdvice, PaceTask, StartTask, StopTask
-from ..core.scheduling.fleet import StartOutcome
+from ..core.scheduling.listings import StartOutcome
 from ..daemon.logs import log_event, log_failure
 from ..daemon.metrics import Metrics
 from .clock import monotonic_ms, wall_ms
--- a/ragwortshelf/scheduler/peer_readiness.py
+++ b/ragwortshelf/scheduler/peer_readiness.py
@@ -7,7 +7,8 @@
 
 import trio
 
-from ..core.scheduling.records import InstanceAnnounced, encode_record
+from ..core.scheduling.record_codec import encode_record
+from ..core.scheduling.records import InstanceAnnounced
 from ..daemon.logs import log_event
 from .clock import boot_ms, monotonic_ms, wall_ms
 from .interfaces import PlatformAdapter
--- a/ragwortshelf/scheduler/term_writer.py
+++ b/ragwortshelf/scheduler/term_writer.py
@@ -9,7 +9,8 @@
 from ..core.scheduling.actions import PersistEvidence, PersistUnit, StartTask
 from ..core.scheduling.job_table import JobTable
 from ..core.scheduling.model import UnitPhase
-from ..core.scheduling.records import Record, TermHeld, UnitCrashes, encode_record
+from ..core.scheduling.record_codec import encode_record
+from ..core.scheduling.records import Record, TermHeld, UnitCrashes
 from ..daemon.logs import log_event
 from .clock import boot_ms, wall_ms
 from .interfaces import (
--- a/ragwortshelf/scheduler/upkeep.py
+++ b/ragwortshelf/scheduler/upkeep.py
@@ -7,7 +7,8 @@
 import trio
 
 from ..core.scheduling import Scheduler
-from ..core.scheduling.records import UpkeepRecord, encode_record
+from ..core.scheduling.record_codec import encode_record
+from ..core.scheduling.records import UpkeepRecord
 from ..core.scheduling.upkeep import (
     HostInfo,
     UpkeepOutcome,
--- a/ragwortshelf/standins/platform_endpoint.py
+++ b/ragwortshelf/standins/platform_endpoint.py
@@ -10,7 +10,7 @@
 
 import trio
 
-from ..core.scheduling.fleet import (
+from ..core.scheduling.listings import (
     EndpointInfo,
     FinishedRun,
     RunEnd,
--- a/soak/checks.py
+++ b/soak/checks.py
@@ -6,7 +6,7 @@
 from collections import Counter, defaultdict
 from collections.abc import Iterable
 
-from ragwortshelf.core.scheduling.fleet import RunEnd
+from ragwortshelf.core.scheduling.listings import RunEnd
 from ragwortshelf.standins.platform_endpoint import EndpointState, StartedRun
 
 from .callers import JobRecord
--- a/soak/platform_server.py
+++ b/soak/platform_server.py
@@ -11,7 +11,7 @@
 
 import trio
 
-from ragwortshelf.core.scheduling.fleet import RunEnd, StartOutcome
+from ragwortshelf.core.scheduling.listings import RunEnd, StartOutcome
 from ragwortshelf.net.http_messages import HttpRequest, HttpResponse, json_response
 from ragwortshelf.scheduler.interfaces import Appended, Moved, ProducerFence
 from ragwortshelf.standins.keyed_topic import KeyedTopic
--- a/soak/run.py
+++ b/soak/run.py
@@ -11,7 +11,7 @@
 import trio
 
 from ragwortshelf.core.scheduling import Resources
-from ragwortshelf.core.scheduling.fleet import EndpointInfo
+from ragwortshelf.core.scheduling.listings import EndpointInfo
 from ragwortshelf.net.http_server import HttpServer
 from ragwortshelf.standins.platform_endpoint import EndpointState
 
--- a/tests/core/scheduling/harness.py
+++ b/tests/core/scheduling/harness.py
@@ -15,7 +15,7 @@
     Queue,
     ServiceConfiguration,
 )
-from ragwortshelf.core.scheduling.fleet import (
+from ragwortshelf.core.scheduling.listings import (
     EndpointListing,
     FinishedRun,
     RunEnd,
--- a/tests/core/scheduling/test_advice.py
+++ b/tests/core/scheduling/test_advice.py
@@ -5,7 +5,7 @@
 from harness import Harness, configuration
 
 from ragwortshelf.core.scheduling.actions import AskAdvice, StartTask
-from ragwortshelf.core.scheduling.fleet import StartOutcome
+from ragwortshelf.core.scheduling.listings import StartOutcome
 
 
 def _harness(endpoints=3):
--- a/tests/core/scheduling/test_capacity.py
+++ b/tests/core/scheduling/test_capacity.py
@@ -10,7 +10,7 @@
 
 from ragwortshelf.core.scheduling import EndpointInfo, Resources, Scheduler
 from ragwortshelf.core.scheduling.configuration import EndpointService
-from ragwortshelf.core.scheduling.fleet import StartOutcome
+from ragwortshelf.core.scheduling.listings import StartOutcome
 
 WHOLE = Resources(32_000, 64_000, 8)
 HALF = Resources(16_000, 32_000, 4)
--- a/tests/core/scheduling/test_crash_storms.py
+++ b/tests/core/scheduling/test_crash_storms.py
@@ -12,7 +12,7 @@
 from harness import Harness, configuration
 
 from ragwortshelf.core.scheduling import EndpointInfo, Resources, Scheduler
-from ragwortshelf.core.scheduling.fleet import RunEnd, StartOutcome
+from ragwortshelf.core.scheduling.listings import RunEnd, StartOutcome
 
 ENDPOINTS = 12
 STEP_MS = 50
--- a/tests/core/scheduling/test_crashes.py
+++ b/tests/core/scheduling/test_crashes.py
@@ -11,17 +11,19 @@
     Scheduler,
     Step,
 )
-from ragwortshelf.core.scheduling.fleet import RunEnd, StartOutcome
+from ragwortshelf.core.scheduling.listings import RunEnd, StartOutcome
 from ragwortshelf.core.scheduling.model import GANG, Incarnation, UnitKey
+from ragwortshelf.core.scheduling.record_codec import (
+    decode_record,
+    deletion_records,
+    encode_record,
+)
 from ragwortshelf.core.scheduling.records import (
     EndpointForgotten,
     EndpointObserved,
     Suspicion,
     TaskCrashes,
     UnitCrashes,
-    decode_record,
-    deletion_records,
-    encode_record,
 )
 
 WHOLE = Resources(8_000, 8_000, 8)
--- a/tests/core/scheduling/test_evacuation.py
+++ b/tests/core/scheduling/test_evacuation.py
@@ -9,7 +9,7 @@
 from ragwortshelf.core.scheduling.actions import EvacuationChange, ReportEvacuation
 from ragwortshelf.core.scheduling.availability import count_unavailable
 from ragwortshelf.core.scheduling.evacuation import units_to_withdraw
-from ragwortshelf.core.scheduling.fleet import (
+from ragwortshelf.core.scheduling.listings import (
     EndpointListing,
     FinishedRun,
     RunEnd,
--- a/tests/core/scheduling/test_fair_order.py
+++ b/tests/core/scheduling/test_fair_order.py
@@ -7,7 +7,7 @@
 
 from ragwortshelf.core.scheduling import Resources, Scheduler
 from ragwortshelf.core.scheduling import planning as planning_module
-from ragwortshelf.core.scheduling.fleet import RunEnd
+from ragwortshelf.core.scheduling.listings import RunEnd
 from ragwortshelf.core.scheduling.share_accounts import ShareAccounts
 from ragwortshelf.core.scheduling.unit import STARVATION_MS
 
--- a/tests/core/scheduling/test_forecast.py
+++ b/tests/core/scheduling/test_forecast.py
@@ -16,14 +16,13 @@
     ShareLevels,
 )
 from ragwortshelf.core.scheduling.model import GANG, UnitKey, UnitPhase
+from ragwortshelf.core.scheduling.record_codec import decode_record, encode_record
 from ragwortshelf.core.scheduling.records import (
     JobCancelled,
     JobForgotten,
     JobSubmitted,
     ServiceCapacity,
     UnitRecord,
-    decode_record,
-    encode_record,
 )
 from ragwortshelf.core.scheduling.shares import Demand, fair_shares
 
--- a/tests/core/scheduling/test_free_room.py
+++ b/tests/core/scheduling/test_free_room.py
@@ -4,10 +4,11 @@
 from hypothesis import strategies as st
 
 from ragwortshelf.core.scheduling import EndpointInfo, Resources, Step
-from ragwortshelf.core.scheduling.fleet import Endpoint, TaskPlacement
+from ragwortshelf.core.scheduling.endpoint import Endpoint
 from ragwortshelf.core.scheduling.free_room import FreeRoom
 from ragwortshelf.core.scheduling.model import UnitKey
 from ragwortshelf.core.scheduling.packing import find_endpoints
+from ragwortshelf.core.scheduling.task_placement import TaskPlacement
 
 
 def _occupy(endpoint, gpus, number):
--- a/tests/core/scheduling/test_listing.py
+++ b/tests/core/scheduling/test_listing.py
@@ -3,7 +3,7 @@
 from harness import SMALL, Harness
 
 from ragwortshelf.core.scheduling import JobSpec, Resources, Step
-from ragwortshelf.core.scheduling.fleet import (
+from ragwortshelf.core.scheduling.listings import (
     EndpointListing,
     FinishedRun,
     RunEnd,
--- a/tests/core/scheduling/test_long_running.py
+++ b/tests/core/scheduling/test_long_running.py
@@ -4,7 +4,7 @@
 
 from ragwortshelf.core.scheduling import JobSpec, Resources, Step
 from ragwortshelf.core.scheduling.actions import PaceTask
-from ragwortshelf.core.scheduling.fleet import EndpointListing, RunEnd, RunningTask
+from ragwortshelf.core.scheduling.listings import EndpointListing, RunEnd, RunningTask
 
 WHOLE = Resources(8_000, 8_000, 8)
 
--- a/tests/core/scheduling/test_planning.py
+++ b/tests/core/scheduling/test_planning.py
@@ -6,7 +6,7 @@
 
 from ragwortshelf.core.scheduling import Resources, Scheduler
 from ragwortshelf.core.scheduling.configuration import EndpointService
-from ragwortshelf.core.scheduling.fleet import RunEnd, StartOutcome
+from ragwortshelf.core.scheduling.listings import RunEnd, StartOutcome
 
 WHOLE = Resources(8_000, 8_000, 8)
 HALF = Resources(4_000, 4_000, 4)
--- a/tests/core/scheduling/test_run_time.py
+++ b/tests/core/scheduling/test_run_time.py
@@ -3,9 +3,9 @@
 import pytest
 
 from ragwortshelf.core.scheduling import Resources
-from ragwortshelf.core.scheduling.fleet import TaskPlacement
 from ragwortshelf.core.scheduling.model import UnitKey
 from ragwortshelf.core.scheduling.run_time import measured_duration_ms, remaining_ms
+from ragwortshelf.core.scheduling.task_placement import TaskPlacement
 
 ESTIMATE_MS = 2_000
 START_MS = 10_000
--- a/tests/core/scheduling/test_speed.py
+++ b/tests/core/scheduling/test_speed.py
@@ -6,7 +6,8 @@
 from harness import Harness
 
 from ragwortshelf.core.scheduling import Resources
-from ragwortshelf.core.scheduling.speed import SpeedClass, speed_class
+from ragwortshelf.core.scheduling.speed_belief import SpeedClass
+from ragwortshelf.core.scheduling.speed_needs import speed_class
 
 ENDPOINTS = 12
 SPEEDS = (0.8, 1.0, 1.25)
--- a/tests/core/scheduling/test_speed_model.py
+++ b/tests/core/scheduling/test_speed_model.py
@@ -9,7 +9,8 @@
 from harness import Harness
 
 from ragwortshelf.core.scheduling import Resources
-from ragwortshelf.core.scheduling.speed import SpeedClass, speed_class
+from ragwortshelf.core.scheduling.speed_belief import SpeedClass
+from ragwortshelf.core.scheduling.speed_needs import speed_class
 
 HALF = Resources(4_000, 4_000, 4)
 LARGE = Resources(8_000, 8_000, 8)
--- a/tests/core/scheduling/test_speed_records.py
+++ b/tests/core/scheduling/test_speed_records.py
@@ -9,14 +9,11 @@
 
 from ragwortshelf.core.scheduling import Scheduler
 from ragwortshelf.core.scheduling.actions import PersistEvidence
-from ragwortshelf.core.scheduling.fleet import EndpointListing
-from ragwortshelf.core.scheduling.records import (
-    EndpointSpeed,
-    EndpointSpeeds,
-    decode_record,
-    encode_record,
-)
-from ragwortshelf.core.scheduling.speed import SpeedClass, speed_class
+from ragwortshelf.core.scheduling.listings import EndpointListing
+from ragwortshelf.core.scheduling.record_codec import decode_record, encode_record
+from ragwortshelf.core.scheduling.records import EndpointSpeed, EndpointSpeeds
+from ragwortshelf.core.scheduling.speed_belief import SpeedClass
+from ragwortshelf.core.scheduling.speed_needs import speed_class
 from ragwortshelf.core.scheduling.speed_records import (
     ID_BYTES_MAX,
     RECORD_INTERVAL_MS,
--- a/tests/core/scheduling/test_stalls.py
+++ b/tests/core/scheduling/test_stalls.py
@@ -7,13 +7,14 @@
 from harness import SMALL, Harness
 
 from ragwortshelf.core.scheduling import Resources
-from ragwortshelf.core.scheduling.fleet import LISTING_GAP_MAX_MS, StartOutcome
+from ragwortshelf.core.scheduling.listings import StartOutcome
 from ragwortshelf.core.scheduling.model import UnitKey
 from ragwortshelf.core.scheduling.stalls import (
     STALL_TIMEOUT_MS,
     ListingNeed,
     stall_timeout_ms,
 )
+from ragwortshelf.core.scheduling.task_placement import LISTING_GAP_MAX_MS
 
 WORK_MS = 2_500
 INTERVAL_MS = 400
--- a/tests/core/scheduling/test_stragglers.py
+++ b/tests/core/scheduling/test_stragglers.py
@@ -10,10 +10,10 @@
 
 from ragwortshelf.core.scheduling import Resources, Scheduler
 from ragwortshelf.core.scheduling.actions import PersistUnit
-from ragwortshelf.core.scheduling.fleet import RunEnd
+from ragwortshelf.core.scheduling.listings import RunEnd
 from ragwortshelf.core.scheduling.model import UnitPhase
-from ragwortshelf.core.scheduling.speed import SpeedClass, speed_class
-from ragwortshelf.core.scheduling.speed_belief import SETTLED_PRECISION_MAX
+from ragwortshelf.core.scheduling.speed_belief import SETTLED_PRECISION_MAX, SpeedClass
+from ragwortshelf.core.scheduling.speed_needs import speed_class
 from ragwortshelf.core.scheduling.stragglers import CHECKPOINT_MOVES_MAX
 from ragwortshelf.core.scheduling.unit import STARVATION_MS
 
--- a/tests/core/scheduling/test_suspicion.py
+++ b/tests/core/scheduling/test_suspicion.py
@@ -9,7 +9,7 @@
 from harness import SMALL, Harness
 
 from ragwortshelf.core.scheduling import Resources
-from ragwortshelf.core.scheduling.fleet import RunEnd
+from ragwortshelf.core.scheduling.listings import RunEnd
 
 LARGE = Resources(4_000, 4_000, 2)
 ENDPOINTS = 120
--- a/tests/platform/test_adapter.py
+++ b/tests/platform/test_adapter.py
@@ -12,7 +12,7 @@
 
 from ragwortshelf.core.model import Unreachable
 from ragwortshelf.core.scheduling import Resources
-from ragwortshelf.core.scheduling.fleet import EndpointInfo, RunEnd, StartOutcome
+from ragwortshelf.core.scheduling.listings import EndpointInfo, RunEnd, StartOutcome
 from ragwortshelf.core.scheduling.upkeep import HostState, UpkeepOutcome
 from ragwortshelf.net.http_messages import HttpResponse
 from ragwortshelf.scheduler.interfaces import EndpointUnreachable
--- a/tests/platform/test_malformed.py
+++ b/tests/platform/test_malformed.py
@@ -18,13 +18,10 @@
 
 from ragwortshelf.core.scheduling import JobTable, Scheduler
 from ragwortshelf.core.scheduling.configuration import ServiceConfiguration
-from ragwortshelf.core.scheduling.fleet import EndpointInfo
+from ragwortshelf.core.scheduling.listings import EndpointInfo
 from ragwortshelf.core.scheduling.model import Resources
-from ragwortshelf.core.scheduling.records import (
-    JobSubmitted,
-    decode_record,
-    encode_record,
-)
+from ragwortshelf.core.scheduling.record_codec import decode_record, encode_record
+from ragwortshelf.core.scheduling.records import JobSubmitted
 from ragwortshelf.net.http_messages import HttpRequest, HttpResponse, Malformed
 from ragwortshelf.scheduler.interfaces import (
     EndpointAnswer,
--- a/tests/platform/test_slow_link.py
+++ b/tests/platform/test_slow_link.py
@@ -17,7 +17,8 @@
 from test_decoding import SETTINGS
 
 from ragwortshelf.core.scheduling import JobSpec, Resources, Step
-from ragwortshelf.core.scheduling.records import JobSubmitted, encode_record
+from ragwortshelf.core.scheduling.record_codec import encode_record
+from ragwortshelf.core.scheduling.records import JobSubmitted
 from ragwortshelf.scheduler.configuration_follower import ConfigurationFollower
 from ragwortshelf.scheduler.instance import Instance
 from ragwortshelf.scheduler.log_follower import LogFollower
--- a/tests/scheduler/cluster.py
+++ b/tests/scheduler/cluster.py
@@ -13,7 +13,7 @@
     Queue,
     ServiceConfiguration,
 )
-from ragwortshelf.core.scheduling.fleet import EndpointInfo
+from ragwortshelf.core.scheduling.listings import EndpointInfo
 from ragwortshelf.scheduler.clock import monotonic_ms
 from ragwortshelf.scheduler.gateway import Accepted
 from ragwortshelf.scheduler.instance import Instance
--- a/tests/scheduler/fakes.py
+++ b/tests/scheduler/fakes.py
@@ -8,7 +8,7 @@
 import trio
 
 from ragwortshelf.core.scheduling import ServiceConfiguration
-from ragwortshelf.core.scheduling.fleet import RunEnd, StartOutcome
+from ragwortshelf.core.scheduling.listings import RunEnd, StartOutcome
 from ragwortshelf.core.scheduling.upkeep import UpkeepOutcome
 from ragwortshelf.scheduler.interfaces import (
     EndpointAnswer,
--- a/tests/scheduler/test_admission.py
+++ b/tests/scheduler/test_admission.py
@@ -15,11 +15,8 @@
 
 from ragwortshelf.core.scheduling import JobSpec, Resources, Step
 from ragwortshelf.core.scheduling.forecast import CAPACITY_SETTLES_MS, CapacityReporter
-from ragwortshelf.core.scheduling.records import (
-    JobSubmitted,
-    decode_record,
-    encode_record,
-)
+from ragwortshelf.core.scheduling.record_codec import decode_record, encode_record
+from ragwortshelf.core.scheduling.records import JobSubmitted
 from ragwortshelf.scheduler.clock import boot_ms, monotonic_ms
 from ragwortshelf.scheduler.gateway import Accepted, Declined, Reason, Uncertain
 
--- a/tests/scheduler/test_evacuation.py
+++ b/tests/scheduler/test_evacuation.py
@@ -17,7 +17,7 @@
 from test_observability import lines  # noqa: F401
 
 from ragwortshelf.core.scheduling import JobState, Resources, Scheduler
-from ragwortshelf.core.scheduling.fleet import EndpointInfo
+from ragwortshelf.core.scheduling.listings import EndpointInfo
 from ragwortshelf.scheduler.clock import monotonic_ms
 from ragwortshelf.scheduler.configuration_follower import ConfigurationFollower
 from ragwortshelf.scheduler.instance import Instance
--- a/tests/scheduler/test_log_follower.py
+++ b/tests/scheduler/test_log_follower.py
@@ -7,11 +7,8 @@
 from cluster import make_job, running
 from fakes import LOG_CALL_S, FakeLog, Faults, LossyLog
 
-from ragwortshelf.core.scheduling.records import (
-    JobForgotten,
-    JobSubmitted,
-    encode_record,
-)
+from ragwortshelf.core.scheduling.record_codec import encode_record
+from ragwortshelf.core.scheduling.records import JobForgotten, JobSubmitted
 from ragwortshelf.scheduler.interfaces import LogRefused
 from ragwortshelf.scheduler.log_follower import LogFollower
 from ragwortshelf.scheduler.settings import SchedulingSettings
--- a/tests/scheduler/test_observability.py
+++ b/tests/scheduler/test_observability.py
@@ -10,7 +10,7 @@
 from cluster import faults_of, make_instances, make_job, make_platform, running, submit
 from fakes import FakeLog
 
-from ragwortshelf.core.scheduling.fleet import RunEnd
+from ragwortshelf.core.scheduling.listings import RunEnd
 from ragwortshelf.scheduler.clock import monotonic_ms
 from ragwortshelf.scheduler.gateway import Declined, Reason
 from ragwortshelf.scheduler.interfaces import LogUnanswered
--- a/tests/scheduler/test_paused_holder.py
+++ b/tests/scheduler/test_paused_holder.py
@@ -4,7 +4,8 @@
 from cluster import holders, make_instances, make_job, make_platform, running, submit
 from fakes import HostOrders
 
-from ragwortshelf.core.scheduling.records import TermHeld, encode_record
+from ragwortshelf.core.scheduling.record_codec import encode_record
+from ragwortshelf.core.scheduling.records import TermHeld
 from ragwortshelf.core.scheduling.upkeep import HostInfo, HostState, UpkeepWave
 from ragwortshelf.scheduler.clock import wall_ms
 
--- a/tests/scheduler/test_term.py
+++ b/tests/scheduler/test_term.py
@@ -16,15 +16,11 @@
 
 from ragwortshelf.core.scheduling import JobState
 from ragwortshelf.core.scheduling.actions import PersistUnit, StartTask
-from ragwortshelf.core.scheduling.fleet import StartOutcome
 from ragwortshelf.core.scheduling.job_table import JobTable
+from ragwortshelf.core.scheduling.listings import StartOutcome
 from ragwortshelf.core.scheduling.model import UnitKey, UnitPhase
-from ragwortshelf.core.scheduling.records import (
-    TermHeld,
-    UnitRecord,
-    decode_record,
-    encode_record,
-)
+from ragwortshelf.core.scheduling.record_codec import decode_record, encode_record
+from ragwortshelf.core.scheduling.records import TermHeld, UnitRecord
 from ragwortshelf.daemon.metrics import Metrics
 from ragwortshelf.scheduler.instance import Instance
 from ragwortshelf.scheduler.log_topics import open_logs
--- a/tests/soak/test_checks.py
+++ b/tests/soak/test_checks.py
@@ -6,7 +6,7 @@
 import trio
 
 from ragwortshelf.core.scheduling import Resources
-from ragwortshelf.core.scheduling.fleet import EndpointInfo, RunEnd
+from ragwortshelf.core.scheduling.listings import EndpointInfo, RunEnd
 from ragwortshelf.net.http_messages import HttpRequest
 from ragwortshelf.standins.platform_endpoint import EndpointState, StartedRun
 from soak.callers import JobRecord
--- a/tests/standins/test_platform_endpoint.py
+++ b/tests/standins/test_platform_endpoint.py
@@ -3,7 +3,7 @@
 import trio
 
 from ragwortshelf.core.scheduling import Resources
-from ragwortshelf.core.scheduling.fleet import EndpointInfo, RunEnd
+from ragwortshelf.core.scheduling.listings import EndpointInfo, RunEnd
 from ragwortshelf.standins.platform_endpoint import EndpointState
 
 
