Move what listings tell out of the scheduler's module

Cause: `scheduler.py` (582 lines) held the reconciliation of listings, the outcomes of orders and the start of a plan.

Change: `EndpointTracking` applies listings and what else is heard of endpoints; `Scheduler` keeps orders and plans (228 lines). Methods move unchanged; a hook replaces the call of the planner after a listing.

Figures: tests of the scheduler pass unchanged but for two imports.

Conclusion: no decision changes.

--- a/ragwortshelf/core/scheduling/scheduler.py
+++ b/ragwortshelf/core/scheduling/scheduler.py
@@ -10,35 +10,21 @@
 
 from collections.abc import Mapping
 
-from .actions import PaceTask, ReportExclusion, ReportSpeed, StartTask, StopTask
+from .actions import PaceTask, StartTask
 from .availability import may_be_stopped
 from .configuration import ServiceConfiguration
 from .departures import units_to_move
-from .endpoint import FAILURE_EXCLUSION_MS, UNHEALTHY_EXCLUSION_MS, Endpoint
+from .endpoint import Endpoint
+from .endpoint_tracking import EndpointTracking
 from .evacuation import units_to_withdraw
 from .job_table import JobTable
-from .lifecycle import UnitLifecycle
 from .listings import (
-    EndpointInfo,
-    EndpointListing,
-    FinishedRun,
     RunEnd,
-    RunningTask,
     StartOutcome,
 )
-from .model import Resources, UnitPhase
-from .pacing import FULL_PERCENT, plan_paces
+from .pacing import FULL_PERCENT
 from .planning import Planner
-from .speed_belief import SpeedClass
-from .stalls import (
-    STALL_TIMEOUT_MS,
-    ListingNeed,
-    counted_gap_max_ms,
-    is_fresh_urgent,
-    is_stalled,
-)
-from .suspicion import QUICK_FAILURE_MS, is_quick
-from .task_placement import RunStage, TaskPlacement
+from .task_placement import RunStage
 from .unit import Unit
 
 __all__ = ["Scheduler"]
@@ -46,54 +32,18 @@
 REPLAN_DELAY_MS = 100
 """Delay before a refused unit is planned again, so that a new listing comes first."""
 
-QUICK_RETRY_DELAY_MS = 200
-QUICK_RETRY_DOUBLINGS_MAX = 2
-"""Delay before a unit whose run failed at once is planned again; doubled each time."""
-
-NO_ROOM_EXCLUSION_MS = 300
-"""Exclusion time after an endpoint had no room; a new listing arrives within it."""
-
 STOP_CHECK_INTERVAL_MS = 100
 """Interval between checks whether a stop must be repeated; a repeat is due 500 ms after
 the order before."""
 
-START_SETTLES_MS = 1_000
-"""Time after the confirmation of a start from which a listing of the run shows that the
-start has not crashed the endpoint."""
-
-FINISHED_PAGE_SIZE = 500
-"""Ended runs on one page of a listing, as set by the platform."""
 
-
-class Scheduler(UnitLifecycle):
+class Scheduler(EndpointTracking):
     """Tracks endpoints and orders, and plans which units start and stop."""
 
     def __init__(self, term: int, table: JobTable, configuration: ServiceConfiguration):
         super().__init__(term, table, configuration)
         self._planner = Planner(self)
         self._next_stop_check_ms = 0
-        # Whether an endpoint with unconfirmed starts may have been evacuated since the
-        # last withdrawal. Nothing is ordered on one that is.
-        self._is_withdrawal_due = False
-
-    def cordon(self, endpoint_id: str) -> None:
-        """Place nothing more on an endpoint."""
-        endpoint = self.endpoint_by_id.get(endpoint_id)
-        if endpoint is not None:
-            endpoint.is_cordoned = True
-
-    def evict(self, endpoint_id: str, reason: str, now_ms: int) -> None:
-        """Stop an endpoint's units.
-
-        Long-running ones are stopped only as far as ``unavailable_max`` allows it now.
-        """
-        endpoint = self.endpoint_by_id.get(endpoint_id)
-        if endpoint is None:
-            return
-        for placement in endpoint.placements():
-            unit = self.unit_by_key.get(placement.unit_key)
-            if unit is not None and may_be_stopped(unit, self.unit_by_key):
-                self._stop_placements(unit, reason, now_ms)
 
     def evacuate(
         self, data_centres: Mapping[str, int], now_ms: int, wall_ms: int
@@ -116,120 +66,23 @@
             for endpoint in self.endpoint_by_id.values()
         )
 
-    def listing_need(self, endpoint_id: str, now_ms: int) -> ListingNeed:
-        """Return how often an endpoint's runs have to be listed.
-
-        A shared endpoint holds both serving and background tasks.
-        """
-        endpoint = self.endpoint_by_id.get(endpoint_id)
-        if endpoint is None:
-            return ListingNeed.USUAL
-        units = [
-            self.unit_by_key[placement.unit_key]
-            for placement in endpoint.placement_by_task.values()
-            if placement.unit_key in self.unit_by_key
-        ]
-        if any(unit.step.tail_target_ms for unit in units) and any(
-            unit.step.fills for unit in units
-        ):
-            return ListingNeed.SHARED
-        if any(is_fresh_urgent(unit, now_ms) for unit in units):
-            return ListingNeed.FRESH_URGENT
-        return ListingNeed.USUAL
-
-    def endpoint_updated(self, info: EndpointInfo, now_ms: int) -> None:
-        """Add an endpoint, or apply its newest description of itself."""
-        endpoint = self.endpoint_by_id.get(info.id)
-        if endpoint is None:
-            endpoint = self._add_endpoint(info)
-        was_evacuated = endpoint.is_evacuated
-        endpoint.update(info, now_ms)
-        self.evacuations.mark(endpoint)
-        if endpoint.is_evacuated and not was_evacuated:
-            self._is_withdrawal_due = True
-
-    def endpoint_removed(self, endpoint_id: str) -> None:
-        """Note that an endpoint is no longer in the endpoint log."""
-        endpoint = self.endpoint_by_id.get(endpoint_id)
-        if endpoint is None:
-            return
-        endpoint.is_in_store = False
-        if not endpoint.placement_by_task:
-            self._drop_endpoint(endpoint_id)
-
-    def endpoint_unreachable(self, endpoint_id: str, now_ms: int, wall_ms: int) -> None:
-        """Place nothing on an endpoint until its next listing."""
-        endpoint = self.endpoint_by_id.get(endpoint_id)
-        if endpoint is not None:
-            self._contact_lost(endpoint, now_ms, wall_ms)
-            endpoint.is_reachable = False
-
-    def forget_unlisted_endpoints(self) -> None:
-        """Forget the endpoints that left while no scheduler knew of it."""
-        for endpoint_id in list(self.table.incarnation_by_endpoint_id):
-            if endpoint_id not in self.endpoint_by_id:
-                self._drop_endpoint(endpoint_id)
-
-    def run_ages(self, endpoint_id: str, now_ms: int) -> dict[str, int]:
-        """Return how long ago each run on an endpoint was ordered, by ``TASK/RUN``."""
-        endpoint = self.endpoint_by_id.get(endpoint_id)
-        placements = endpoint.placements() if endpoint else ()
-        return {f"{p.task}/{p.run}": now_ms - p.ordered_ms for p in placements}
-
-    def endpoint_lease_expired(
-        self, endpoint_id: str, now_ms: int, wall_ms: int
-    ) -> None:
-        """Note that every lease on an endpoint has expired, so nothing runs there."""
-        endpoint = self.endpoint_by_id.get(endpoint_id)
-        if endpoint is None:
-            return
-        self._contact_lost(endpoint, now_ms, wall_ms)
-        endpoint.is_reachable = False
-        endpoint.set_unplaced({})
-        for placement in endpoint.placements():
-            self._placement_ended(placement, RunEnd.LAPSED, "", now_ms, wall_ms)
-        if not endpoint.is_in_store:
-            self._drop_endpoint(endpoint_id)
+    def plan(self, now_ms: int, wall_ms: int) -> None:
+        """Start units that fit, stop units that must yield, and repeat lost stops."""
+        self._open_due_occurrences(now_ms, wall_ms)
+        self._withdraw_evacuated_starts(now_ms, wall_ms)
+        self._release_held_starts(now_ms, wall_ms)
+        self._repeat_stops(now_ms)
+        self._stop_on_departing(now_ms)
+        self._planner.run(now_ms, wall_ms)
+        endpoints = self.endpoint_by_id.values()
+        self._actions.extend(self.evacuations.check_empty(endpoints, now_ms))
+        for record in self.speed_recorder.records_due(endpoints, now_ms, wall_ms):
+            self._persist_evidence(record, "speeds changed")
 
-    def listing_received(
-        self, listing: EndpointListing, now_ms: int, wall_ms: int
-    ) -> None:
-        """Reconcile the placements of an endpoint with its listing."""
-        endpoint = self.endpoint_by_id.get(listing.endpoint_id)
-        if endpoint is None:
-            return
-        was_known = endpoint.is_reachable
-        if listing.started_wall_ms != endpoint.started_wall_ms:
-            self._handle_restart(endpoint, listing, now_ms, wall_ms)
-            was_known = False
-        if not was_known:
-            self._observe(endpoint, now_ms, wall_ms)
-        if endpoint.speed_belief.listed_ms is None:
-            self.speed_recorder.restore(endpoint, now_ms, wall_ms)
-        endpoint.is_reachable = True
-        seen = set()
-        for row in listing.finished:
-            seen.add((row.task, row.run))
-            self._handle_finished(endpoint, row, now_ms, wall_ms)
-        clock_ms = now_ms if listing.clock_ms is None else listing.clock_ms
-        unplaced_by_run = {}
-        for row in listing.running:
-            seen.add((row.task, row.run))
-            if not self._handle_running(endpoint, row, clock_ms, now_ms):
-                occupied = self._occupied_by(row.task, endpoint)
-                unplaced_by_run[row.task, row.run] = occupied
-        endpoint.set_unplaced(unplaced_by_run)
-        if self.speeds.listing_ended(endpoint, clock_ms, now_ms):
-            self._report_speed(endpoint)
-        self._stop_stalled(endpoint, now_ms)
-        self._planner.straggler_mover.listing_received(endpoint)
-        self._actions.extend(plan_paces(endpoint, self.unit_by_key))
-        if len(listing.finished) >= FINISHED_PAGE_SIZE:
-            # The page is full: the ends of missing runs may be on a later page.
-            return
-        for placement in endpoint.placements():
-            if (placement.task, placement.run) not in seen:
-                self._handle_missing(placement, listing.sent_ms, now_ms, wall_ms)
+    @property
+    def organisations_above_share(self) -> int:
+        """Organisations that took more than their fair share at the latest plan."""
+        return self._planner.organisations_above_share
 
     def start_answered(
         self,
@@ -338,19 +191,6 @@
         if placement is not None:
             placement.pace_percent = FULL_PERCENT
 
-    def plan(self, now_ms: int, wall_ms: int) -> None:
-        """Start units that fit, stop units that must yield, and repeat lost stops."""
-        self._open_due_occurrences(now_ms, wall_ms)
-        self._withdraw_evacuated_starts(now_ms, wall_ms)
-        self._release_held_starts(now_ms, wall_ms)
-        self._repeat_stops(now_ms)
-        self._stop_on_departing(now_ms)
-        self._planner.run(now_ms, wall_ms)
-        endpoints = self.endpoint_by_id.values()
-        self._actions.extend(self.evacuations.check_empty(endpoints, now_ms))
-        for record in self.speed_recorder.records_due(endpoints, now_ms, wall_ms):
-            self._persist_evidence(record, "speeds changed")
-
     def _withdraw_evacuated_starts(self, now_ms: int, wall_ms: int) -> None:
         """Withdraw unconfirmed starts on evacuated endpoints, each with its whole unit.
 
@@ -363,27 +203,6 @@
             self._withdraw_starts(unit, "evacuated", now_ms, wall_ms)
         self._is_withdrawal_due = False
 
-    @property
-    def organisations_above_share(self) -> int:
-        """Organisations that took more than their fair share at the latest plan."""
-        return self._planner.organisations_above_share
-
-    def endpoint_count_by_speed(self, speed_class: SpeedClass) -> int:
-        """Return how many endpoints are of a class of speed."""
-        return sum(
-            endpoint.speed_belief.speed_class is speed_class
-            for endpoint in self.endpoint_by_id.values()
-        )
-
-    def _report_speed(self, endpoint: Endpoint) -> None:
-        belief = endpoint.speed_belief
-        name = belief.speed_class.name.lower()
-        self._actions.append(
-            ReportSpeed(
-                endpoint.id, name, round(belief.speed, 2), round(belief.error, 2)
-            )
-        )
-
     def _repeat_stops(self, now_ms: int) -> None:
         if now_ms < self._next_stop_check_ms:
             return
@@ -396,184 +215,14 @@
                 if placement.stage is RunStage.STOPPING and is_due:
                     self._stop(placement, "still listed", now_ms)
 
-    def _stop_stalled(self, endpoint: Endpoint, now_ms: int) -> None:
-        for placement in endpoint.placements():
-            unit = self.unit_by_key.get(placement.unit_key)
-            if unit is None or unit.phase is not UnitPhase.PLACED:
-                continue
-            if unit.step.is_long_running or placement.stage is not RunStage.RUNNING:
-                continue
-            if is_stalled(placement, unit):
-                self._exclude(endpoint, now_ms, 2 * STALL_TIMEOUT_MS, "no progress")
-                unit.avoided_ids.add(endpoint.id)
-                self._stop_placements(unit, "no progress", now_ms)
-
     def _stop_on_departing(self, now_ms: int) -> None:
         for endpoint in list(self.endpoint_by_id.values()):
             for unit in units_to_move(endpoint, self.unit_by_key, now_ms):
                 if may_be_stopped(unit, self.unit_by_key):
                     self._stop_placements(unit, "endpoint leaves", now_ms)
 
-    def _note_refusal(
-        self, endpoint_id: str, outcome: StartOutcome, now_ms: int
-    ) -> None:
-        endpoint = self.endpoint_by_id[endpoint_id]
-        if outcome is StartOutcome.NO_ROOM:
-            self._exclude(endpoint, now_ms, NO_ROOM_EXCLUSION_MS, outcome.value)
-        elif outcome in (StartOutcome.UNHEALTHY, StartOutcome.UNANSWERED):
-            self._exclude(endpoint, now_ms, UNHEALTHY_EXCLUSION_MS, outcome.value)
-
-    def _exclude(
-        self, endpoint: Endpoint, now_ms: int, length_ms: int, reason: str
-    ) -> None:
-        endpoint.exclude(now_ms + length_ms)
-        self._actions.append(ReportExclusion(endpoint.id, length_ms, reason))
-
-    def _handle_restart(self, endpoint, listing, now_ms, wall_ms) -> None:
-        # No run outlives an incarnation, but a start that is not confirmed yet may
-        # arrive at the next one.
-        is_first = endpoint.started_wall_ms == 0
-        if is_first:
-            endpoint.started_wall_ms = listing.started_wall_ms
-            return
-        self._contact_lost(endpoint, now_ms, wall_ms)
-        endpoint.started_wall_ms = listing.started_wall_ms
-        endpoint.forget_speed()
-        rows = {(row.task, row.run) for row in listing.running}
-        for placement in endpoint.placements():
-            # Orders of earlier terms are refused once this listing was asked for.
-            is_over = placement.stage is RunStage.RUNNING or placement.is_adopted
-            if is_over and (placement.task, placement.run) not in rows:
-                self._placement_ended(placement, RunEnd.LAPSED, "", now_ms, wall_ms)
-
-    def _handle_running(
-        self, endpoint: Endpoint, row: RunningTask, clock_ms: int, now_ms: int
-    ) -> bool:
-        """Update the placement of a listed run; returns whether it has one."""
-        placement = endpoint.placement_by_task.get(row.task)
-        if placement is None or placement.run != row.run:
-            self._actions.append(
-                StopTask(endpoint.id, row.task, row.run, "not placed here")
-            )
-            return False
-        if row.checkpoint:
-            placement.checkpoint = row.checkpoint
-        if placement.confirmed_ms is None:
-            placement.confirmed_ms = now_ms
-            placement.is_sent = True
-        elif (
-            not placement.is_settled
-            and now_ms - placement.confirmed_ms >= START_SETTLES_MS
-        ):
-            self._run_settled(placement)
-        unit = self.unit_by_key.get(placement.unit_key)
-        if unit is None:
-            placement.record_progress(row.percent, now_ms, None)
-        else:
-            placement.record_progress(
-                row.percent, now_ms, unit.working_since_ms, counted_gap_max_ms(unit)
-            )
-        is_old = now_ms - placement.ordered_ms > QUICK_FAILURE_MS
-        if is_old and row.percent >= 1 and not placement.is_adopted:
-            self.suspicion.run_survived(endpoint, placement)
-        placement.load_metric = row.load_metric
-        placement.is_adopted = False
-        if placement.stage in (RunStage.LOGGED, RunStage.ORDERED):
-            placement.stage = RunStage.RUNNING
-        is_obsolete = unit is None or unit.phase is not UnitPhase.PLACED
-        if is_obsolete and placement.stage is not RunStage.STOPPING:
-            self._stop(placement, "no longer wanted", now_ms)
-        if not is_obsolete:
-            self.speeds.run_listed(endpoint, placement, unit, clock_ms, now_ms)
-        return True
-
-    def _occupied_by(self, task: str, endpoint: Endpoint) -> Resources:
-        """Return what a run occupies that has no placement.
-
-        That of an unknown job may occupy all of the endpoint.
-        """
-        job_id, _, rest = task.partition(".")
-        job = self.table.job_by_id.get(job_id)
-        numbers = rest.split(".")
-        if job is None or len(numbers) != 3 or not numbers[1].isdecimal():
-            return endpoint.info.capacity
-        step = int(numbers[1])
-        if step >= len(job.spec.steps):
-            return endpoint.info.capacity
-        return job.spec.steps[step].occupied
-
-    def _handle_finished(
-        self,
-        endpoint: Endpoint,
-        row: FinishedRun,
-        now_ms: int,
-        wall_ms: int,
-    ) -> None:
-        placement = endpoint.placement_by_task.get(row.task)
-        if placement is None or placement.run != row.run:
-            return
-        # A run that is done counts even if its lease expired before this listing: an
-        # earlier term may have acknowledged it, so it must not be started again.
-        if endpoint.record_run_end(placement.unit_key.job_id, row.end):
-            self._exclude(
-                endpoint, now_ms, FAILURE_EXCLUSION_MS, "fails what it starts"
-            )
-        if row.end is RunEnd.FAILED:
-            self._note_failure(endpoint, placement, now_ms)
-        elif row.end is RunEnd.DONE:
-            self._run_settled(placement)
-            self.suspicion.run_survived(endpoint, placement)
-        self._placement_ended(placement, row.end, row.checkpoint, now_ms, wall_ms)
-
-    def _note_failure(
-        self, endpoint: Endpoint, placement: TaskPlacement, now_ms: int
-    ) -> None:
-        unit = self.unit_by_key.get(placement.unit_key)
-        if unit is None or unit.step.is_long_running:
-            # Long-running tasks may fail at any time, which says nothing of endpoints.
-            return
-        length_ms = self.suspicion.run_failed(endpoint, placement, now_ms)
-        if length_ms:
-            self._actions.append(
-                ReportExclusion(endpoint.id, length_ms, "failed a run at once")
-            )
-        if is_quick(placement, now_ms):
-            # The evidence on which endpoints fail everything comes within a second.
-            doublings = min(unit.quick_failure_count, QUICK_RETRY_DOUBLINGS_MAX)
-            unit.quick_failure_count += 1
-            delay_ms = QUICK_RETRY_DELAY_MS << doublings
-            unit.not_before_ms = max(unit.not_before_ms, now_ms + delay_ms)
-
-    def _handle_missing(
-        self, placement: TaskPlacement, sent_ms: int, now_ms: int, wall_ms: int
-    ) -> None:
-        if placement.is_adopted:
-            self._handle_missing_adopted(placement, now_ms, wall_ms)
-        elif placement.stage is RunStage.RUNNING and placement.was_confirmed(sent_ms):
-            self._placement_ended(placement, RunEnd.LAPSED, "", now_ms, wall_ms)
-        elif placement.stage is RunStage.STOPPING and placement.was_fenced(sent_ms):
-            self._placement_ended(placement, RunEnd.STOPPED, "", now_ms, wall_ms)
-
-    def _handle_missing_adopted(
-        self, placement: TaskPlacement, now_ms: int, wall_ms: int
-    ) -> None:
-        # The endpoint has seen this term's token and refuses orders of earlier terms
-        # from now on: the run is not there, and no delayed order can start it.
-        placement.is_adopted = False
-        unit = self.unit_by_key.get(placement.unit_key)
-        if unit is not None and unit.is_suspect and unit.count > 1:
-            # The earlier term may have held this start back.
-            self._stop_placements(unit, "trial ended with its term", now_ms)
-        is_placed = unit is not None and unit.phase is UnitPhase.PLACED
-        if is_placed and self.endpoint_by_id[placement.endpoint_id].is_evacuated:
-            self._stop_placements(unit, "evacuated", now_ms, except_placement=placement)
-            self._placement_ended(placement, RunEnd.STOPPED, "", now_ms, wall_ms)
-        elif is_placed:
-            placement.stage = RunStage.ORDERED
-            placement.ordered_ms = now_ms
-            self._order_start(unit, placement)
-        else:
-            self._placement_ended(placement, RunEnd.STOPPED, "", now_ms, wall_ms)
-
     def _drop_reservation(self, unit: Unit) -> None:
         self._planner.drop_reservation(unit)
+
+    def _listing_applied(self, endpoint: Endpoint) -> None:
+        self._planner.straggler_mover.listing_received(endpoint)
--- a/tests/core/scheduling/test_listing.py
+++ b/tests/core/scheduling/test_listing.py
@@ -3,13 +3,13 @@
 from harness import SMALL, Harness
 
 from ragwortshelf.core.scheduling import JobSpec, Resources, Step
+from ragwortshelf.core.scheduling.endpoint_tracking import FINISHED_PAGE_SIZE
 from ragwortshelf.core.scheduling.listings import (
     EndpointListing,
     FinishedRun,
     RunEnd,
     StartOutcome,
 )
-from ragwortshelf.core.scheduling.scheduler import FINISHED_PAGE_SIZE
 
 WHOLE = Resources(8_000, 8_000, 8)
 
--- a/tests/core/scheduling/test_progress.py
+++ b/tests/core/scheduling/test_progress.py
@@ -2,7 +2,7 @@
 
 from harness import SMALL, Harness
 
-from ragwortshelf.core.scheduling.scheduler import STALL_TIMEOUT_MS
+from ragwortshelf.core.scheduling.stalls import STALL_TIMEOUT_MS
 
 
 def _gang_of_two():
