Let the load benchmark switch any mechanism off

Cause: `fleet_load` could replace one rule, that of fair shares, and ablation needs all of them.

Change: `--without NAME …` replaces `--shares`.

Conclusion: one switch for all experiments.

--- a/benchmarks/ablation.py
+++ b/benchmarks/ablation.py
@@ -14,8 +14,8 @@
 
 from ragwortshelf.core.scheduling import (
     endpoint_selection,
+    endpoint_tracking,
     packing,
-    scheduler,
     stalls,
 )
 from ragwortshelf.core.scheduling.calibration import EstimateCalibration
@@ -23,6 +23,7 @@
 from ragwortshelf.core.scheduling.endpoint_selection import EndpointSelector
 from ragwortshelf.core.scheduling.planning import Planner
 from ragwortshelf.core.scheduling.room_making import RoomMaker
+from ragwortshelf.core.scheduling.scheduler import Scheduler
 from ragwortshelf.core.scheduling.share_accounts import ShareAccounts
 from ragwortshelf.core.scheduling.speed_belief import SpeedClass
 from ragwortshelf.core.scheduling.speed_records import SpeedRecorder
@@ -88,21 +89,19 @@
     ),
     "straggler_moves": _replace(StragglerMover, run=_constant(None)),
     "learned_speeds_in_log": _replace(SpeedRecorder, records_due=_constant(())),
-    "stall_detection": _replace(scheduler, is_stalled=_constant(False)),
+    "stall_detection": _replace(endpoint_tracking, is_stalled=_constant(False)),
     "urgent_stall_timeout": _replace(
         stalls, stall_timeout_ms=_constant(stalls.STALL_TIMEOUT_MS)
     ),
     "suspicion": _replace(SuspicionTracker, run_failed=_constant(0)),
     "failure_exclusion": _replace(Endpoint, record_run_end=_constant(False)),
-    "quick_retry_delay": _replace(scheduler, is_quick=_constant(False)),
+    "quick_retry_delay": _replace(endpoint_tracking, is_quick=_constant(False)),
     "last_attempt_proof": _replace(EndpointSelector, _needs_proof=_constant(False)),
     "cold_endpoints": _replace(Endpoint, is_cold=_constant(False)),
     "packing_order": _replace(
         packing, _packing_key=lambda offer, step, free: offer[1].id
     ),
-    "departure_stops": _replace(
-        scheduler.Scheduler, _stop_on_departing=_constant(None)
-    ),
+    "departure_stops": _replace(Scheduler, _stop_on_departing=_constant(None)),
     "shares_at_preemption": _replace(ShareAccounts, may_preempt=_constant(True)),
     "yielding_above_share": _replace(Planner, _yields_to_others=_constant(False)),
 }
--- a/benchmarks/fleet_load.py
+++ b/benchmarks/fleet_load.py
@@ -8,9 +8,8 @@
     python -m benchmarks.fleet_load --seed 1 --endpoints 90 --load 1.0
     python -m benchmarks.fleet_load --speeds 0.6 1.0 1.6 --estimate-error urgent=0.2
 
-With ``--heavy-share 0.9`` one organisation sends nine tenths of the jobs. ``--shares``
-selects the rule by which contended room is shared: that of the scheduler, or one that
-was weighed against it.
+With ``--heavy-share 0.9`` one organisation sends nine tenths of the jobs. ``--without``
+switches mechanisms of the scheduler off, by their names in `benchmarks.ablation`.
 """
 
 from __future__ import annotations
@@ -33,7 +32,6 @@
     Resources,
     Scheduler,
     Step,
-    shares,
 )
 from ragwortshelf.core.scheduling.actions import StartTask, StopTask
 from ragwortshelf.core.scheduling.configuration import (
@@ -50,9 +48,10 @@
     StartOutcome,
 )
 from ragwortshelf.core.scheduling.records import JobSubmitted
-from ragwortshelf.core.scheduling.share_accounts import ShareAccounts
 from ragwortshelf.core.scheduling.stalls import ListingNeed
 
+from .ablation import MECHANISMS, switch_off
+
 ENDPOINT = Resources(32_000, 64_000, 8)
 ENDPOINTS_PER_RACK = 12
 SPEEDS = (0.8, 1.0, 1.25)
@@ -69,7 +68,6 @@
 GPUS_PER_TASK = (1, 2, 4, 8, 8)
 ORGANISATIONS = 8
 HEAVY = "o0"
-SHARE_RULES = ("scheduler", "none", "by_guarantee", "accelerators")
 CORES_PER_GPU = 8
 
 
@@ -215,18 +213,6 @@
         job.spec = replace(job.spec, organisation=name)
 
 
-def select_share_rule(rule: str) -> None:
-    """Replace the scheduler's rule in this process by one that it is compared with."""
-    if rule == "none":
-        ShareAccounts.compute = lambda *_: None
-    elif rule == "by_guarantee":
-        # An organisation without a guarantee would have nothing.
-        shares.organisation_weight = lambda guarantee: max(guarantee, 0.01)
-    elif rule == "accelerators":
-        by_all = shares.fraction
-        shares.fraction = lambda *amounts: (0.0, 0.0, by_all(*amounts)[2])
-
-
 class _SimulatedEndpoint:
     def __init__(self, name: str, speed: float):
         self.name = name
@@ -544,7 +530,13 @@
     parser.add_argument(
         "--heavy-guarantee", type=int, default=1, help="times that of the others"
     )
-    parser.add_argument("--shares", choices=SHARE_RULES, default=SHARE_RULES[0])
+    parser.add_argument(
+        "--without",
+        choices=sorted(MECHANISMS),
+        nargs="+",
+        default=[],
+        help="mechanisms that are switched off",
+    )
     parser.add_argument(
         "--speeds", type=float, nargs="+", default=SPEEDS, help="dealt in turn"
     )
@@ -557,7 +549,8 @@
         help="largest relative error of a queue's estimates, below 1",
     )
     options = parser.parse_args()
-    select_share_rule(options.shares)
+    for name in options.without:
+        switch_off(name)
     kinds = kinds_with_errors(dict(options.estimate_error))
     for seed in options.seed:
         day = play(
