Tell late jobs from jobs whose end was not logged

Change: `delays` counts the lines left out and takes a job whose last line is a placement for unknown then.

Conclusion: the account of the large deployment rests on the lines that remain.

--- a/ragwortshelf/cli/commands/delays.py
+++ b/ragwortshelf/cli/commands/delays.py
@@ -35,12 +35,19 @@
     context.output.print_table(fields, "causes", _CAUSE_COLUMNS)
     context.output.print_table(fields, "groups", _GROUP_COLUMNS)
     context.output.print_table(fields, "stops", _STOP_COLUMNS)
+    if report.lines_left_out:
+        context.output.print_failure(
+            f"{report.lines_left_out} lines were not written, for want of the log's "
+            f"budget; {report.unknown_count} jobs have no end in the log"
+        )
     return ExitStatus.SUCCESS
 
 
 def _fields(report: DelayReport) -> dict:
     return {
         "jobs_by_queue": dict(report.jobs_by_queue),
+        "lines_left_out": report.lines_left_out,
+        "unknown": report.unknown_count,
         "causes": _causes(report.delays),
         "groups": _groups(report.delays),
         "stops": [
--- a/ragwortshelf/cli/delays.py
+++ b/ragwortshelf/cli/delays.py
@@ -85,11 +85,18 @@
 
 @dataclass(frozen=True, slots=True)
 class DelayReport:
-    """Delays of all jobs that were accepted, ordered by their acceptance."""
+    """Delays of all jobs that were accepted, ordered by their acceptance.
+
+    ``lines_left_out`` lines were not written for want of the log's budget. Some of
+    them may have told the end of one of the ``unknown_count`` jobs whose last unit was
+    placed and has no end in the log; these are not among the delays.
+    """
 
     jobs_by_queue: Mapping[str, int]
     delays: tuple[JobDelay, ...]
     stops: tuple[StopReason, ...]
+    lines_left_out: int = 0
+    unknown_count: int = 0
 
 
 @dataclass(slots=True)
@@ -141,6 +148,7 @@
         self.speeds_by_endpoint: dict[str, list[tuple[int, float]]] = defaultdict(list)
         self.gaps_ms: list[tuple[int, int]] = []
         self.end_ms = 0
+        self.lines_left_out = 0
         self._term_ended_ms: int | None = None
         records = [
             (_time_ms(record), record)
@@ -150,6 +158,7 @@
         records.sort(key=lambda record: record[0])
         for at_ms, record in records:
             self.end_ms = at_ms
+            self.lines_left_out += record.get("left_out") or 0
             getattr(self, f"_add_{record['message']}")(at_ms, record)
 
     def _add_started(self, at_ms: int, record: Mapping) -> None:
@@ -237,16 +246,32 @@
     log = _Log(lines)
     jobs_by_queue: dict[str, int] = defaultdict(int)
     delays = []
+    unknown_count = 0
     for job, trace in log.trace_by_job.items():
         if trace.accepted_ms is None or trace.is_cancelled:
             continue
         jobs_by_queue[trace.acceptance.get("queue") or ""] += 1
+        if log.lines_left_out and _last_unit(log, trace).phase == "placed":
+            unknown_count += 1
+            continue
         delay = _delay(log, job, trace)
         if delay is not None:
             delays.append(delay)
     delays.sort(key=lambda delay: (delay.accepted, delay.job))
     late_jobs = {delay.job for delay in delays}
-    return DelayReport(dict(jobs_by_queue), tuple(delays), _stops(log, late_jobs))
+    return DelayReport(
+        dict(jobs_by_queue),
+        tuple(delays),
+        _stops(log, late_jobs),
+        log.lines_left_out,
+        unknown_count,
+    )
+
+
+def _last_unit(log: _Log, trace: _JobTrace) -> _UnitTrace:
+    """Return the unit of a job that ended last, or has not ended by the log's end."""
+    units = [unit for unit in trace.unit_by_name.values() if unit.first_placement]
+    return max(units, key=lambda unit: unit.done_ms or log.end_ms, default=_UnitTrace())
 
 
 def _delay(log: _Log, job: str, trace: _JobTrace) -> JobDelay | None:
--- a/tests/cli/test_delays.py
+++ b/tests/cli/test_delays.py
@@ -146,6 +146,17 @@
     assert delay.cause == "waiting for room"
 
 
+def test_a_job_whose_end_may_have_been_left_out_of_the_log_is_unknown():
+    lines = [
+        _accepted(1_010, JOB), _placed(1_020, JOB),
+        _line(40_000, "start", task=f"{OTHER}.0.0.0", run=1, outcome="started",
+              endpoint="e1", left_out=7),
+    ]  # fmt: skip
+    report = analyse_delays(lines)
+    assert report.delays == ()
+    assert (report.lines_left_out, report.unknown_count) == (7, 1)
+
+
 def test_cancelled_and_failed_jobs_owe_nothing():
     cancel = _line(9_000, "call", call="DELETE", job=OTHER, outcome="accepted")
     lines = [
