--- a/ragwortshelf/cli/delays.py
+++ b/ragwortshelf/cli/delays.py
@@ -40,7 +40,6 @@
         "started",
         "stop",
         "stopped",
-        "term_ended",
         "term_started",
         "unit",
     }
@@ -149,7 +148,7 @@
         self.gaps_ms: list[tuple[int, int]] = []
         self.end_ms = 0
         self.lines_left_out = 0
-        self._term_ended_ms: int | None = None
+        self._last_decision_ms: int | None = None
         records = [
             (_time_ms(record), record)
             for record in parse_lines(lines)
@@ -180,6 +179,7 @@
 
     def _add_unit(self, at_ms: int, record: Mapping) -> None:
         # The line is written once the log takes the decision.
+        self._last_decision_ms = at_ms
         decided_ms = at_ms - (record.get("waited_ms") or 0)
         unit = self.trace_by_job[record["job"]].unit_by_name[record["unit"]]
         unit.events.append((decided_ms, record))
@@ -210,13 +210,11 @@
     def _add_stopped(self, at_ms: int, record: Mapping) -> None:
         """An instance that stops says nothing of a job; it may end the log."""
 
-    def _add_term_ended(self, at_ms: int, record: Mapping) -> None:
-        self._term_ended_ms = at_ms
-
     def _add_term_started(self, at_ms: int, record: Mapping) -> None:
-        if self._term_ended_ms is not None:
-            self.gaps_ms.append((self._term_ended_ms, at_ms))
-            self._term_ended_ms = None
+        # A scheduler that is cut off logs the end of its term long after its successor
+        # has started, so the span begins with the last decision that the log took.
+        if self._last_decision_ms is not None:
+            self.gaps_ms.append((self._last_decision_ms, at_ms))
 
     def speed(self, endpoint: str, at_ms: int) -> float:
         """Return the speed that was known of an endpoint by a time."""
--- a/tests/cli/test_delays.py
+++ b/tests/cli/test_delays.py
@@ -76,8 +76,9 @@
     lines = [
         _line(0, "started", data_centre="dc"),
         _accepted(1_010, JOB),
-        _line(1_200, "term_ended"),
-        _line(2_200, "term_started"),
+        _ended(1_200, OTHER),
+        _line(2_200, "term_started", "i2"),
+        _line(8_000, "term_ended"),
         _stopped(3_000, VICTIM, "preempted", JOB),
         _placed(3_210, JOB), _started(3_220, JOB), _ended(4_220, JOB),
     ]  # fmt: skip
