Give each way of making room a module and one entry point

Change: `RoomMaker` is an abstract base class with what they share; `FastRoomMaker`, `GuaranteeReclaimer` and `RoomReserver` implement `make_room`. Evacuation moves reserve their room themselves. The package's docstring lists the modules in the order of a plan. The reason of `PREEMPTION_LOSS_SHARE` is the work that others lose, and no longer a price.

--- a/benchmarks/ablation.py
+++ b/benchmarks/ablation.py
@@ -21,8 +21,10 @@
 from ragwortshelf.core.scheduling.calibration import EstimateCalibration
 from ragwortshelf.core.scheduling.endpoint import Endpoint
 from ragwortshelf.core.scheduling.endpoint_selection import EndpointSelector
+from ragwortshelf.core.scheduling.fast_room import FastRoomMaker
 from ragwortshelf.core.scheduling.planning import Planner
-from ragwortshelf.core.scheduling.room_making import RoomMaker
+from ragwortshelf.core.scheduling.reclaiming import GuaranteeReclaimer
+from ragwortshelf.core.scheduling.room_reserving import RoomReserver
 from ragwortshelf.core.scheduling.scheduler import Scheduler
 from ragwortshelf.core.scheduling.share_accounts import ShareAccounts
 from ragwortshelf.core.scheduling.speed_belief import SpeedClass
@@ -64,18 +66,18 @@
         EstimateCalibration, expected_ms=lambda self, queue, estimate_ms: estimate_ms
     ),
     "fair_shares": _replace(ShareAccounts, compute=_constant(None)),
-    "reclaim": _replace(RoomMaker, reclaim=_constant(None)),
+    "reclaim": _replace(GuaranteeReclaimer, make_room=_constant(False)),
     "guaranteed_first": _replace(Unit, set_guaranteed_order_key=_constant(None)),
-    "reservations": _replace(RoomMaker, plan_reservation=_constant(None)),
-    "preemption": _replace(RoomMaker, _preempt=_constant(False)),
+    "reservations": _replace(RoomReserver, make_room=_constant(False)),
+    "preemption": _replace(RoomReserver, _preempt=_constant(False)),
     "cheap_stops": _replace(
-        RoomMaker,
+        RoomReserver,
         _stop_cheap_victims=_constant(None),
         _is_cheap_to_stop=_constant(False),
     ),
-    "idle_room_budget": _replace(RoomMaker, _idle_core_ms=_constant(0.0)),
+    "idle_room_budget": _replace(RoomReserver, _idle_core_ms=_constant(0.0)),
     "fast_room": _replace(
-        RoomMaker, make_fast_room=_constant(False), _plan_fast_room=_constant(None)
+        FastRoomMaker, make_room=_constant(False), plan=_constant(None)
     ),
     "victim_lateness": _replace(StopCosts, _would_become_late=_constant(False)),
     "starvation": _replace(Unit, is_starving=_constant(False)),
--- a/ragwortshelf/core/scheduling/__init__.py
+++ b/ragwortshelf/core/scheduling/__init__.py
@@ -1,9 +1,20 @@
 """Scheduling of jobs whose tasks run on endpoints under leases.
 
-``records`` defines the log records of each job, ``job_table`` folds them into the
-state of all jobs, ``endpoint`` tracks the endpoints, and ``scheduler`` decides which
-tasks start and stop where. A *unit* is scheduled as a whole: one task, or all tasks of
-a gang.
+A *unit* is scheduled as a whole: one task, or all tasks of a gang. The modules by
+subject, those that decide in the order of a plan:
+
+- ``records``, ``record_codec`` and ``job_table``: the log's records and their fold;
+- ``unit``, ``endpoint``, ``task_placement`` and ``listings``: what is tracked;
+- ``lifecycle``, ``endpoint_tracking`` and ``scheduler``: changes of units, what
+  endpoints report, orders and the start of a plan;
+- ``planning``: the order of waiting units, by ``shares`` and ``share_accounts``;
+- ``endpoint_selection``: room that is free now, by ``packing`` and ``speed_needs``;
+- ``room_making``: the ways to make room, which are ``fast_room``, ``reclaiming`` and
+  ``room_reserving``, by the search in ``reclaim`` and the costs in ``stop_costs``;
+- ``evacuation_moves`` and ``stragglers``: moves of units that run;
+- ``speed``, ``calibration``, ``stalls``, ``suspicion`` and ``crashes``: what is learned
+  of endpoints, estimates and tasks;
+- ``admission`` and ``forecast``: which submissions are refused.
 """
 
 from .configuration import ServiceConfiguration
--- a/ragwortshelf/core/scheduling/evacuation_moves.py
+++ b/ragwortshelf/core/scheduling/evacuation_moves.py
@@ -7,8 +7,8 @@
 from .endpoint_selection import EndpointSelector, placement_shape
 from .evacuation import is_to_be_moved, units_on
 from .lifecycle import UnitLifecycle
+from .reclaim import EndpointReclaimPlan
 from .reservations import UnitReservations
-from .room_making import RoomMaker
 from .unit import Unit
 
 __all__ = ["EvacuationMover"]
@@ -26,12 +26,10 @@
         scheduler: UnitLifecycle,
         reservations: UnitReservations,
         selector: EndpointSelector,
-        room_maker: RoomMaker,
     ):
         self._scheduler = scheduler
         self._reservations = reservations
         self._selector = selector
-        self._room_maker = room_maker
         self._evacuated: list[Endpoint] = []
         self._now_ms = 0
 
@@ -87,5 +85,6 @@
         if endpoints is None:
             unplaceable_shapes.add(shape)
         else:
-            self._room_maker.keep_free(unit, endpoints)
+            plan = EndpointReclaimPlan(tuple(endpoints), ())
+            self._reservations.reserve(unit, plan, self._now_ms, is_exclusive=True)
             self._scheduler.stop_unit(unit, "evacuated", self._now_ms)
--- a/ragwortshelf/core/scheduling/planning.py
+++ b/ragwortshelf/core/scheduling/planning.py
@@ -6,11 +6,14 @@
 
 from .endpoint_selection import EndpointSelector, placement_shape
 from .evacuation_moves import EvacuationMover
+from .fast_room import FastRoomMaker
 from .lifecycle import UnitLifecycle
 from .model import UnitPhase
+from .reclaiming import GuaranteeReclaimer
 from .reservations import UnitReservations
-from .room_making import RoomMaker
+from .room_reserving import RoomReserver
 from .share_accounts import ShareAccounts
+from .stop_costs import StopCosts
 from .stragglers import StragglerMover
 from .unit import Unit
 
@@ -27,13 +30,17 @@
         self._reservations = UnitReservations()
         self._selector = EndpointSelector(scheduler, self._reservations)
         self._accounts = ShareAccounts()
-        self._room_maker = RoomMaker(
-            scheduler, self._reservations, self._selector, self._accounts
+        self._costs = StopCosts(self._accounts)
+        common = (scheduler, self._reservations, self._selector, self._costs)
+        self._fast_room_maker = FastRoomMaker(*common)
+        self._reclaimer = GuaranteeReclaimer(
+            *common, self._fast_room_maker, self._organisations_over_guarantee
         )
+        self._reserver = RoomReserver(*common, self._accounts)
         self._had_misfit = False
         self.straggler_mover = StragglerMover(scheduler, self._selector)
         self._evacuation_mover = EvacuationMover(
-            scheduler, self._reservations, self._selector, self._room_maker
+            scheduler, self._reservations, self._selector
         )
         self._now_ms = 0
         self._wall_ms = 0
@@ -55,7 +62,9 @@
         self._scheduler.suspicion.lapse(usable, now_ms)
         self._selector.begin(usable, now_ms, wall_ms)
         self._evacuation_mover.begin(now_ms)
-        self._room_maker.begin(now_ms, wall_ms)
+        self._costs.begin(now_ms, wall_ms)
+        for room_maker in (self._fast_room_maker, self._reclaimer, self._reserver):
+            room_maker.begin(now_ms, wall_ms)
         gpus_in_use = self._urgent_gpus_in_use()
         unplaceable_shapes: set[tuple] = set()
         self._accounts.begin()
@@ -148,7 +157,7 @@
             if (
                 endpoints is not None
                 and self._selector.is_expected_late(unit, endpoints)
-                and self._room_maker.make_fast_room(unit)
+                and self._fast_room_maker.make_room(unit)
             ):
                 # Its room counts for its organisation from now on.
                 gpus_in_use[organisation] += unit.gpus
@@ -171,10 +180,9 @@
         if is_guaranteed:
             gpus_in_use[organisation] += unit.gpus
         if is_guaranteed or _must_restart(unit):
-            if self._room_maker.may_reclaim(unit):
-                self._room_maker.reclaim(unit, self._organisations_over_guarantee())
+            self._reclaimer.make_room(unit)
         elif _needs_reservation(unit):
-            self._room_maker.plan_reservation(unit)
+            self._reserver.make_room(unit)
         if self._reservations.is_held_by(unit):
             self._accounts.charge(unit)
 
--- a/ragwortshelf/core/scheduling/stop_costs.py
+++ b/ragwortshelf/core/scheduling/stop_costs.py
@@ -6,13 +6,17 @@
 from .share_accounts import ShareAccounts
 from .unit import CHECKPOINT_LOSS_MS, Unit
 
-__all__ = ["STOP_MAX_MS", "StopCosts"]
+__all__ = ["PREEMPTION_LOSS_SHARE", "STOP_MAX_MS", "StopCosts"]
 
 STOP_MAX_MS = 900
 """Longest time that a stop takes in the supported deployments. A unit starts again only
 after its own stop."""
 
 
+PREEMPTION_LOSS_SHARE = 1.0
+"""Computation of others that may be lost so that an urgent unit is on time, as a share
+of the unit's own. A loss of more than its own would make as much other work late."""
+
 ABOVE_SHARE_COST_FACTOR = 0.5
 """Factor of the cost of stopping units of organisations above their share, so that at
 about equal cost these yield first, but none loses twice the work that others would."""
