Queue requests while all endpoints pause after a refusal

Cause: an endpoint that refused a request gets none for 50 ms. Admission counted the slots of endpoints that are usable at that moment, so that a request which arrived while all of them paused was refused: not_run, no_capacity, "no endpoint is available", to return in 1 s.

Change: `own_slots` counts the endpoints that serve, paused or not; dispatch still sends nothing to those that pause.

Figures: the new test failed before (refused, retry after 1,000 ms), and passes.

Conclusion: callers wait 50 ms where they were sent away for a second.

--- a/ragwortshelf/core/requests/capacity.py
+++ b/ragwortshelf/core/requests/capacity.py
@@ -54,10 +54,14 @@
         return self.own_slots(now_ms) + peer_slots
 
     def own_slots(self, now_ms: int) -> int:
-        """Return this instance's slots on usable endpoints that are not ejected."""
+        """Return this instance's slots on endpoints that serve and are not ejected.
+
+        Those of endpoints that pause after a refusal count, as the pause is over before
+        a refused caller would return.
+        """
         return sum(
             self._shares.slots(name, now_ms)
-            for name in self._pool.usable(now_ms)
+            for name in self._pool.live()
             if not self._health.is_ejected(name)
         )
 
--- a/ragwortshelf/core/requests/routing.py
+++ b/ragwortshelf/core/requests/routing.py
@@ -56,13 +56,20 @@
         self.info_by_name = own
         return True
 
-    def usable(self, now_ms: int) -> list[str]:
-        """Return the endpoints that may get new requests."""
+    def live(self) -> list[str]:
+        """Return the endpoints that serve, including those that pause for a moment."""
         return [
             name
             for name, info in self.info_by_name.items()
             if info.state is MemberState.LIVE
-            and self._refused_until_ms.get(name, 0) <= now_ms
+        ]
+
+    def usable(self, now_ms: int) -> list[str]:
+        """Return the endpoints that may get new requests now."""
+        return [
+            name
+            for name in self.live()
+            if self._refused_until_ms.get(name, 0) <= now_ms
         ]
 
     def record_refusal(self, name: str, now_ms: int) -> None:
--- a/tests/core/requests/test_machine.py
+++ b/tests/core/requests/test_machine.py
@@ -299,6 +299,23 @@
         assert machine.ejected_endpoints() == ejected
 
 
+def test_a_request_waits_while_all_endpoints_pause_after_a_refusal():
+    # Refused as "no endpoint is available", callers would stay away for a second,
+    # though the endpoints get requests again after 50 ms.
+    machine = ready_machine()
+    for number in range(40):
+        sends = of_type(
+            machine.handle(Submitted(request(number, idempotent=True)), READY_MS), Send
+        )
+        for send in sends:
+            result = NotSentToEndpoint("busy", is_refusal=True)
+            machine.handle(AttemptEnded(send.request.request_id, result), READY_MS)
+    actions = machine.handle(Submitted(request(99)), READY_MS + 10)
+    assert of_type(actions, Finish) == []
+    actions = machine.handle(Ticked(), READY_MS + 100)
+    assert of_type(actions, Send)
+
+
 def test_retries_stay_within_the_budget_during_an_outage():
     machine = ready_machine()
     now_ms, sends = READY_MS, 0
