Move the handling of crashed endpoints out of the units' lifecycle

Change: `CrashHandling` has the latter, between `UnitLifecycle` and `EndpointTracking`. Methods move unchanged.

--- a/ragwortshelf/core/scheduling/__init__.py
+++ b/ragwortshelf/core/scheduling/__init__.py
@@ -5,8 +5,8 @@
 
 - ``records``, ``record_codec`` and ``job_table``: the log's records and their fold;
 - ``unit``, ``endpoint``, ``task_placement`` and ``listings``: what is tracked;
-- ``lifecycle``, ``endpoint_tracking`` and ``scheduler``: changes of units, what
-  endpoints report, orders and the start of a plan;
+- ``lifecycle``, ``crash_handling``, ``endpoint_tracking`` and ``scheduler``: changes of
+  units, lost endpoints, what endpoints report, orders and the start of a plan;
 - ``planning``: the order of waiting units, by ``shares`` and ``share_accounts``;
 - ``endpoint_selection``: room that is free now, by ``packing`` and ``speed_needs``;
 - ``room_making``: the ways to make room, which are ``fast_room``, ``reclaiming`` and
--- a/ragwortshelf/core/scheduling/endpoint_tracking.py
+++ b/ragwortshelf/core/scheduling/endpoint_tracking.py
@@ -5,9 +5,9 @@
 from .actions import ReportExclusion, ReportSpeed, StopTask
 from .availability import may_be_stopped
 from .configuration import ServiceConfiguration
+from .crash_handling import CrashHandling
 from .endpoint import FAILURE_EXCLUSION_MS, UNHEALTHY_EXCLUSION_MS, Endpoint
 from .job_table import JobTable
-from .lifecycle import UnitLifecycle
 from .listings import (
     EndpointInfo,
     EndpointListing,
@@ -46,7 +46,7 @@
 """Exclusion time after an endpoint had no room; a new listing arrives within it."""
 
 
-class EndpointTracking(UnitLifecycle):
+class EndpointTracking(CrashHandling):
     """Applies what is heard of endpoints to the units that run on them."""
 
     def __init__(self, term: int, table: JobTable, configuration: ServiceConfiguration):
