Separate the index of the log from the analysis of delays, and skip bad lines

Change: `job_traces` indexes the lines, `delays` divides the time. Lines that lack a field are counted, skipped and reported.

Conclusion: a log that is cut in the middle of a line can be read.

--- a/ragwortshelf/cli/commands/delays.py
+++ b/ragwortshelf/cli/commands/delays.py
@@ -40,6 +40,10 @@
             f"{report.lines_left_out} lines were not written, for want of the log's "
             f"budget; {report.unknown_count} jobs have no end in the log"
         )
+    if report.unreadable_count:
+        context.output.print_failure(
+            f"{report.unreadable_count} lines could not be read and were skipped"
+        )
     return ExitStatus.SUCCESS
 
 
@@ -48,6 +52,7 @@
         "jobs_by_queue": dict(report.jobs_by_queue),
         "lines_left_out": report.lines_left_out,
         "unknown": report.unknown_count,
+        "unreadable": report.unreadable_count,
         "causes": _causes(report.delays),
         "groups": _groups(report.delays),
         "stops": [
--- a/ragwortshelf/cli/delays.py
+++ b/ragwortshelf/cli/delays.py
@@ -11,11 +11,10 @@
 
 from collections import defaultdict
 from collections.abc import Iterable, Iterator, Mapping
-from dataclasses import dataclass, field
-from datetime import datetime
+from dataclasses import dataclass
 from itertools import pairwise
 
-from .log_lines import parse_lines
+from .job_traces import GANG_MEMBER, JobLog, JobTrace, UnitTrace
 
 __all__ = ["DelayReport", "JobDelay", "StopReason", "analyse_delays"]
 
@@ -30,21 +29,6 @@
 FAILURE = "run again: failed"
 STOPPED = "stopped: "
 
-_GANG_MEMBER = "-1"
-
-_MESSAGES = frozenset(
-    {
-        "call",
-        "speed_learned",
-        "start",
-        "started",
-        "stop",
-        "stopped",
-        "term_started",
-        "unit",
-    }
-)
-
 
 @dataclass(frozen=True, slots=True)
 class JobDelay:
@@ -89,6 +73,7 @@
     ``lines_left_out`` lines were not written for want of the log's budget. Some of
     them may have told the end of one of the ``unknown_count`` jobs whose last unit was
     placed and has no end in the log; these are not among the delays.
+    ``unreadable_count`` lines lacked a field.
     """
 
     jobs_by_queue: Mapping[str, int]
@@ -96,140 +81,7 @@
     stops: tuple[StopReason, ...]
     lines_left_out: int = 0
     unknown_count: int = 0
-
-
-@dataclass(slots=True)
-class _UnitTrace:
-    """What the log says of one unit; ``events`` are pairs of time and record."""
-
-    events: list[tuple[int, Mapping]] = field(default_factory=list)
-    started_ms_by_run: dict[int, int] = field(default_factory=dict)
-
-    @property
-    def first_placement(self) -> tuple[int, Mapping] | None:
-        """When it was first placed, with the record; None before that."""
-        return next((e for e in self.events if e[1]["phase"] == "placed"), None)
-
-    @property
-    def phase(self) -> str:
-        """The phase that was logged last."""
-        return self.events[-1][1]["phase"] if self.events else ""
-
-    @property
-    def done_ms(self) -> int | None:
-        """When it was shown as done, the wait for the log included; None if never."""
-        if self.phase != "done":
-            return None
-        at_ms, record = self.events[-1]
-        return at_ms + (record.get("waited_ms") or 0)
-
-
-class _JobTrace:
-    def __init__(self) -> None:
-        self.first_call_ms: int | None = None
-        self.accepted_ms: int | None = None
-        self.acceptance: Mapping = {}
-        self.is_cancelled = False
-        self.unit_by_name: dict[str, _UnitTrace] = defaultdict(_UnitTrace)
-        # Times at which stops for the job were ordered.
-        self.claimed_ms: list[int] = []
-
-
-class _Log:
-    """Everything in the lines that the analysis needs, indexed."""
-
-    def __init__(self, lines: Iterable[str]):
-        self.trace_by_job: dict[str, _JobTrace] = defaultdict(_JobTrace)
-        self.data_centre_by_instance: dict[str, str] = {}
-        self.reason_by_run: dict[tuple[str, int], str] = {}
-        self.stops: list[tuple[int, Mapping]] = []
-        self.started_ms_by_run: dict[tuple[str, int], int] = {}
-        self.speeds_by_endpoint: dict[str, list[tuple[int, float]]] = defaultdict(list)
-        self.gaps_ms: list[tuple[int, int]] = []
-        self.end_ms = 0
-        self.lines_left_out = 0
-        self._last_decision_ms: int | None = None
-        records = [
-            (_time_ms(record), record)
-            for record in parse_lines(lines)
-            if record["message"] in _MESSAGES and "time" in record
-        ]
-        records.sort(key=lambda record: record[0])
-        for at_ms, record in records:
-            self.end_ms = at_ms
-            self.lines_left_out += record.get("left_out") or 0
-            getattr(self, f"_add_{record['message']}")(at_ms, record)
-
-    def _add_started(self, at_ms: int, record: Mapping) -> None:
-        data_centre = record.get("data_centre") or ""
-        self.data_centre_by_instance[record.get("instance", "")] = data_centre
-
-    def _add_call(self, at_ms: int, record: Mapping) -> None:
-        job = record.get("job") or ""
-        if record.get("call") == "DELETE" and record.get("outcome") == "accepted":
-            self.trace_by_job[job].is_cancelled = True
-        if record.get("call") != "POST":
-            return
-        trace = self.trace_by_job[job]
-        if trace.first_call_ms is None:
-            trace.first_call_ms = at_ms - (record.get("took_ms") or 0)
-        if record.get("outcome") == "accepted" and trace.accepted_ms is None:
-            trace.accepted_ms = at_ms
-            trace.acceptance = record
-
-    def _add_unit(self, at_ms: int, record: Mapping) -> None:
-        # The line is written once the log takes the decision.
-        self._last_decision_ms = at_ms
-        decided_ms = at_ms - (record.get("waited_ms") or 0)
-        unit = self.trace_by_job[record["job"]].unit_by_name[record["unit"]]
-        unit.events.append((decided_ms, record))
-
-    def _add_start(self, at_ms: int, record: Mapping) -> None:
-        if record.get("outcome") != "started":
-            return
-        self.started_ms_by_run[record["task"], record["run"]] = at_ms
-        job, _, rest = record["task"].partition(".")
-        occurrence, step, index = rest.split(".")
-        units = self.trace_by_job[job].unit_by_name
-        gang = f"{occurrence}/{step}/{_GANG_MEMBER}"
-        name = gang if gang in units else f"{occurrence}/{step}/{index}"
-        units[name].started_ms_by_run[record["run"]] = at_ms
-
-    def _add_stop(self, at_ms: int, record: Mapping) -> None:
-        run = record["task"], record["run"]
-        if run in self.reason_by_run:
-            return
-        self.reason_by_run[run] = record.get("reason") or ""
-        self.stops.append((at_ms, record))
-        if record.get("claimant"):
-            self.trace_by_job[record["claimant"]].claimed_ms.append(at_ms)
-
-    def _add_speed_learned(self, at_ms: int, record: Mapping) -> None:
-        self.speeds_by_endpoint[record["endpoint"]].append((at_ms, record["speed"]))
-
-    def _add_stopped(self, at_ms: int, record: Mapping) -> None:
-        """An instance that stops says nothing of a job; it may end the log."""
-
-    def _add_term_started(self, at_ms: int, record: Mapping) -> None:
-        # A scheduler that is cut off logs the end of its term long after its successor
-        # has started, so the span begins with the last decision that the log took.
-        if self._last_decision_ms is not None:
-            self.gaps_ms.append((self._last_decision_ms, at_ms))
-
-    def speed(self, endpoint: str, at_ms: int) -> float:
-        """Return the speed that was known of an endpoint by a time."""
-        speed = 1.0
-        for known_ms, value in self.speeds_by_endpoint.get(endpoint, ()):
-            if known_ms <= at_ms:
-                speed = value
-        return speed
-
-    def gap_ms(self, begin_ms: int, end_ms: int) -> int:
-        """Return how much of a span had no scheduler."""
-        return sum(
-            max(0, min(end_ms, gap_end) - max(begin_ms, gap_begin))
-            for gap_begin, gap_end in self.gaps_ms
-        )
+    unreadable_count: int = 0
 
 
 def analyse_delays(lines: Iterable[str]) -> DelayReport:
@@ -241,7 +93,7 @@
     >>> analyse_delays([]).delays
     ()
     """
-    log = _Log(lines)
+    log = JobLog(lines)
     jobs_by_queue: dict[str, int] = defaultdict(int)
     delays = []
     unknown_count = 0
@@ -263,16 +115,17 @@
         _stops(log, late_jobs),
         log.lines_left_out,
         unknown_count,
+        log.unreadable_count,
     )
 
 
-def _last_unit(log: _Log, trace: _JobTrace) -> _UnitTrace:
+def _last_unit(log: JobLog, trace: JobTrace) -> UnitTrace:
     """Return the unit of a job that ended last, or has not ended by the log's end."""
     units = [unit for unit in trace.unit_by_name.values() if unit.first_placement]
-    return max(units, key=lambda unit: unit.done_ms or log.end_ms, default=_UnitTrace())
+    return max(units, key=lambda unit: unit.done_ms or log.end_ms, default=UnitTrace())
 
 
-def _delay(log: _Log, job: str, trace: _JobTrace) -> JobDelay | None:
+def _delay(log: JobLog, job: str, trace: JobTrace) -> JobDelay | None:
     units = {n: u for n, u in trace.unit_by_name.items() if u.first_placement}
     if not units or any(unit.phase == "failed" for unit in units.values()):
         return None
@@ -304,7 +157,7 @@
 
 
 def _deadline_ms(
-    trace: _JobTrace, unit: _UnitTrace, ms_by_cause: Mapping[str, int]
+    trace: JobTrace, unit: UnitTrace, ms_by_cause: Mapping[str, int]
 ) -> int:
     """Return when a job had to be done, by the work of its last unit.
 
@@ -329,7 +182,7 @@
 
 
 def _unit_parts(
-    log: _Log, job: str, trace: _JobTrace, name: str, ended_ms: int
+    log: JobLog, job: str, trace: JobTrace, name: str, ended_ms: int
 ) -> Iterator[tuple[str, int]]:
     """Yield the parts of a unit's time, each with its cause."""
     unit = trace.unit_by_name[name]
@@ -352,13 +205,13 @@
             yield ROOM, max(0, next_ms - at_ms)
 
 
-def _follows_others(name: str, trace: _JobTrace) -> bool:
+def _follows_others(name: str, trace: JobTrace) -> bool:
     occurrence, step, _ = name.split("/")
     return occurrence != "0" or step != "0"
 
 
 def _wait_parts(
-    log: _Log, trace: _JobTrace, begin_ms: int, end_ms: int
+    log: JobLog, trace: JobTrace, begin_ms: int, end_ms: int
 ) -> Iterator[tuple[str, int]]:
     gap_ms = log.gap_ms(begin_ms, end_ms)
     if gap_ms:
@@ -373,10 +226,10 @@
 
 
 def _run_parts(
-    log: _Log,
+    log: JobLog,
     job: str,
     name: str,
-    unit: _UnitTrace,
+    unit: UnitTrace,
     placed_ms: int,
     record: Mapping,
     ended_ms: int,
@@ -398,11 +251,11 @@
     yield SLOW_ENDPOINT, took_ms - work_ms
 
 
-def _end_reason(log: _Log, job: str, name: str, run: int, end: Mapping | None) -> str:
+def _end_reason(log: JobLog, job: str, name: str, run: int, end: Mapping | None) -> str:
     """Return why a run ended that was not done: the stop's reason, or the end's."""
     occurrence, step, member = name.split("/")
     prefix = f"{job}.{occurrence}.{step}."
-    if member == _GANG_MEMBER:
+    if member == GANG_MEMBER:
         reasons = (
             log.reason_by_run.get((f"{prefix}{index}", run))
             for index in range(len((end or {}).get("endpoints") or ()) or 1)
@@ -418,7 +271,7 @@
     return f"run again: {ended}"
 
 
-def _stops(log: _Log, late_jobs: set[str]) -> tuple[StopReason, ...]:
+def _stops(log: JobLog, late_jobs: set[str]) -> tuple[StopReason, ...]:
     runs: dict[str, int] = defaultdict(int)
     task_ms: dict[str, int] = defaultdict(int)
     claimants: dict[str, set[str]] = defaultdict(set)
@@ -439,10 +292,3 @@
         )
         for reason in sorted(runs, key=task_ms.get, reverse=True)
     )
-
-
-def _time_ms(record: Mapping) -> int:
-    try:
-        return round(1000 * datetime.fromisoformat(record["time"]).timestamp())
-    except (TypeError, ValueError):
-        return 0
--- a/tests/cli/test_delays.py
+++ b/tests/cli/test_delays.py
@@ -184,7 +184,11 @@
 
 def test_lines_of_other_formats_are_skipped():
     lines = ["no json", "{broken", '{"message": "unit"}', _line(1, "unknown")]
-    assert analyse_delays(lines).delays == ()
+    lines += [_line(1, "unit"), _line(1, "start", task=7, run=1, outcome="started")]
+    lines += [_line(1, "stop", task=f"{JOB}.0.0.0")]
+    report = analyse_delays(lines)
+    assert report.delays == ()
+    assert report.unreadable_count == 3
 
 
 def test_the_command_prints_a_table_and_json_and_fails_for_unreadable_files(
