Count a wait for room once if a run has two ends in the log

Cause: `delays` added the time between two `ending` lines of one run to that between the first of them and the next placement, which holds it already.

Change: only a unit that is never placed again has its wait added at the end; an argument that nothing used is gone.

--- a/ragwortshelf/cli/delays.py
+++ b/ragwortshelf/cli/delays.py
@@ -192,20 +192,19 @@
     else:
         yield LOG, ended_ms - events[-1][0]
     # A step that depends on others begins when these are done, which is not logged.
-    waiting_ms = trace.accepted_ms if not _follows_others(name, trace) else None
+    waiting_ms = trace.accepted_ms if not _follows_others(name) else None
     for (at_ms, record), (next_ms, following) in pairwise(events):
         if record["phase"] == "placed":
             if waiting_ms is not None:
                 yield from _wait_parts(log, trace, waiting_ms, at_ms)
             yield from _run_parts(log, job, name, unit, at_ms, record, next_ms)
             waiting_ms = next_ms
-        elif following["phase"] == "placed":
-            continue
-        else:
-            yield ROOM, max(0, next_ms - at_ms)
+        elif following["phase"] == "end" and waiting_ms is not None:
+            # Never placed again. A run may have several ends in the log.
+            yield ROOM, max(0, next_ms - waiting_ms)
 
 
-def _follows_others(name: str, trace: JobTrace) -> bool:
+def _follows_others(name: str) -> bool:
     occurrence, step, _ = name.split("/")
     return occurrence != "0" or step != "0"
 
--- a/tests/cli/test_delays.py
+++ b/tests/cli/test_delays.py
@@ -136,6 +136,19 @@
     assert _only(lines).cause == cause
 
 
+def test_two_ends_of_one_run_are_not_waited_for_twice():
+    lines = [
+        _accepted(1_010, JOB), _placed(1_020, JOB), _started(1_030, JOB),
+        _ended(2_000, JOB, "ending", reason="lapsed", endpoints=["e1"]),
+        _ended(4_000, JOB, "ending", reason="lapsed", endpoints=[""]),
+        _placed(5_000, JOB, run=2), _started(5_000, JOB, run=2),
+        _ended(6_000, JOB, run=2),
+    ]  # fmt: skip
+    delay = _only(lines)
+    assert delay.ms_by_cause["waiting for room"] == 3_010
+    assert sum(delay.ms_by_cause.values()) == delay.took_ms
+
+
 def test_a_job_that_never_ends_is_late_by_the_end_of_the_log():
     lines = [
         _accepted(1_010, JOB), _placed(1_020, JOB), _started(1_030, JOB),
