--- a/review/standins/world.py
+++ b/review/standins/world.py
@@ -394,6 +394,8 @@
         beat_at = 0.0
         while True:
             now = time.monotonic()
+            if self not in self.world.minions:
+                return
             if self.leaves_at is not None and now >= self.leaves_at:
                 self._exit()
                 return
@@ -418,6 +420,17 @@
         self.world.minions.remove(self)
         self.world.store.put("keyed.servers", self.id, b"")
 
+    def vanish(self, entry_lapses_s: float) -> None:
+        """Be lost for good; the entry in the store goes after some heartbeats."""
+        self.world.record.line(f"{self.id} is lost")
+        for run in self.running.values():
+            self.world.record.line(f"{self.id} ends {run.task} run {run.run}: lost")
+        self.running.clear()
+        self.world.minions.remove(self)
+        asyncio.get_running_loop().call_later(
+            entry_lapses_s, self.world.store.put, "keyed.servers", self.id, b""
+        )
+
     def free(self) -> dict:
         room = dict(CAPACITY)
         for run in self.running.values():
