Report work that waits although most of its service is idle, and why

Cause: the logs could not tell the hypotheses of the incident apart. No line said why a unit waits.

Change: after each plan, at most twice a second, the steps of jobs of which nothing runs are noted if less than half of their service is in use and they would fit twice. After 2 s, and every 5 s from then on, a unit_waits line names the cause; the gauge idle_waits counts such steps. No decision changes: the checks of a candidate's slots have moved into a method with the same conditions.

--- a/ragwortshelf/core/scheduling/actions.py
+++ b/ragwortshelf/core/scheduling/actions.py
@@ -182,12 +182,50 @@
     error: Exception
 
 
+class WaitCause(enum.Enum):
+    """Why a unit does not run although most of its service is idle.
+
+    It is DELAYED after a refusal or a quick failure. It waits because it or another
+    unit of its job is suspected of crashing endpoints (CRASH_SUSPECTED), for the end of
+    a run that is being stopped (STOPPING) or on an endpoint that does not answer
+    (OUT_OF_CONTACT), for the answer to a start (STARTING), or for the policy service
+    (ADVICE). Or it would fit if the room were not reserved for others (RESERVED), if it
+    did not wait for one rack (RACK), or if no endpoint were suspected (ENDPOINTS). A
+    unit that would be placed by the next plan is READY.
+    """
+
+    ADVICE = "advice"
+    CRASH_SUSPECTED = "crash_suspected"
+    DELAYED = "delayed"
+    ENDPOINTS = "endpoints"
+    NO_ROOM = "no_room"
+    OUT_OF_CONTACT = "out_of_contact"
+    RACK = "rack"
+    READY = "ready"
+    RESERVED = "reserved"
+    STARTING = "starting"
+    STOPPING = "stopping"
+
+
+@dataclass(frozen=True, slots=True)
+class ReportIdleWait:
+    """Report that a unit has waited for ``waited_ms`` on a service that is mostly idle.
+
+    It stands for all units of its step that wait.
+    """
+
+    unit_key: UnitKey
+    cause: WaitCause
+    waited_ms: int
+
+
 Action = (
     AskAdvice
     | PersistEvidence
     | ReportCrash
     | ReportEvacuation
     | ReportExclusion
+    | ReportIdleWait
     | ReportPlanningFault
     | ReportSpeed
     | PaceTask
--- a/ragwortshelf/core/scheduling/endpoint_selection.py
+++ b/ragwortshelf/core/scheduling/endpoint_selection.py
@@ -4,6 +4,7 @@
 
 from collections.abc import Callable
 
+from .actions import WaitCause
 from .endpoint import Endpoint
 from .free_room import FreeRoom
 from .lifecycle import UnitLifecycle
@@ -217,22 +218,7 @@
         needed = unit.step.occupied
 
         def slots(endpoint: Endpoint) -> int:
-            if endpoint.is_suspected and not self._may_try_out(endpoint, unit):
-                return 0
-            if not self._scheduler.crashes.may_share(endpoint, unit):
-                return 0
-            if endpoint.is_overcommitted:
-                return 0
-            if len(self._reservations):
-                fits = needed.times_in(self._reservations.room(endpoint, unit))
-            else:
-                fits = endpoint.slots(needed)
-            cap = unit.step.tasks_per_endpoint_max
-            if cap:
-                fits = min(fits, cap - self._count_same_step(endpoint, unit))
-            if endpoint.is_suspected:
-                fits = min(fits, 1)
-            return max(0, fits)
+            return self._slots(unit, endpoint)
 
         step = unit.step
         may_leave = True
@@ -250,6 +236,63 @@
             may_leave_rack=may_leave,
         )
 
+    def _slots(
+        self,
+        unit: Unit,
+        endpoint: Endpoint,
+        *,
+        heeds_suspicions: bool = True,
+        heeds_reservations: bool = True,
+    ) -> int:
+        """Return how many tasks of a unit may be placed on an endpoint now."""
+        if heeds_suspicions:
+            if endpoint.is_suspected and not self._may_try_out(endpoint, unit):
+                return 0
+            if not self._scheduler.crashes.may_share(endpoint, unit):
+                return 0
+        if endpoint.is_overcommitted:
+            return 0
+        needed = unit.step.occupied
+        if heeds_reservations and len(self._reservations):
+            fits = needed.times_in(self._reservations.room(endpoint, unit))
+        else:
+            fits = endpoint.slots(needed)
+        cap = unit.step.tasks_per_endpoint_max
+        if cap:
+            fits = min(fits, cap - self._count_same_step(endpoint, unit))
+        if heeds_suspicions and endpoint.is_suspected:
+            fits = min(fits, 1)
+        return max(0, fits)
+
+    def misfit_cause(self, unit: Unit) -> WaitCause:
+        """Return what keeps a unit from the free room, after a plan left it waiting.
+
+        The rules are left out one after the other until the unit fits.
+        """
+        candidates = self._candidates(unit)
+        if self._needs_advice(unit):
+            candidates = self._allowed(unit, candidates)
+            if not candidates:
+                return WaitCause.ADVICE
+        if self._find_endpoints(unit, candidates) is not None:
+            return WaitCause.READY
+        heeded = {"heeds_suspicions": True, "heeds_reservations": True}
+        if self._fits_on_any_rack(unit, candidates, **heeded):
+            return WaitCause.RACK
+        heeded["heeds_reservations"] = False
+        if self._fits_on_any_rack(unit, candidates, **heeded):
+            return WaitCause.RESERVED
+        heeded["heeds_suspicions"] = False
+        if self._fits_on_any_rack(unit, candidates, **heeded):
+            return WaitCause.ENDPOINTS
+        return WaitCause.NO_ROOM
+
+    def _fits_on_any_rack(
+        self, unit: Unit, candidates: list[Endpoint], **heeded: bool
+    ) -> bool:
+        slots = sum(self._slots(unit, endpoint, **heeded) for endpoint in candidates)
+        return slots >= unit.count
+
     def _may_try_out(self, endpoint: Endpoint, unit: Unit) -> bool:
         """Whether a unit may be the one run that shows whether starts survive again."""
         can_fail = unit.step.is_long_running or self._scheduler.attempts_left(unit) > 1
--- a/ragwortshelf/core/scheduling/planning.py
+++ b/ragwortshelf/core/scheduling/planning.py
@@ -7,6 +7,7 @@
 from .endpoint_selection import EndpointSelector, placement_shape
 from .evacuation_moves import EvacuationMover
 from .fast_room import FastRoomMaker
+from .idle_waits import IdleWaitMonitor
 from .lifecycle import UnitLifecycle
 from .model import UnitPhase
 from .reclaiming import GuaranteeReclaimer
@@ -38,6 +39,7 @@
         )
         self._reserver = RoomReserver(*common, self._accounts)
         self._had_misfit = False
+        self.idle_waits = IdleWaitMonitor(scheduler, self._selector)
         self.straggler_mover = StragglerMover(scheduler, self._selector)
         self._evacuation_mover = EvacuationMover(
             scheduler, self._reservations, self._selector
--- a/ragwortshelf/core/scheduling/scheduler.py
+++ b/ragwortshelf/core/scheduling/scheduler.py
@@ -74,6 +74,7 @@
         self._repeat_stops(now_ms)
         self._stop_on_departing(now_ms)
         self._planner.run(now_ms, wall_ms)
+        self._actions.extend(self._planner.idle_waits.check(now_ms))
         endpoints = self.endpoint_by_id.values()
         self._actions.extend(self.evacuations.check_empty(endpoints, now_ms))
         for record in self.speed_recorder.records_due(endpoints, now_ms, wall_ms):
@@ -84,6 +85,11 @@
         """Organisations that took more than their fair share at the latest plan."""
         return self._planner.organisations_above_share
 
+    @property
+    def idle_wait_count(self) -> int:
+        """Steps that wait although most of their service is idle."""
+        return self._planner.idle_waits.waiting_step_count
+
     def start_answered(
         self,
         endpoint_id: str,
--- a/ragwortshelf/scheduler/leadership.py
+++ b/ragwortshelf/scheduler/leadership.py
@@ -15,6 +15,7 @@
     ReportCrash,
     ReportEvacuation,
     ReportExclusion,
+    ReportIdleWait,
     ReportPlanningFault,
     ReportSpeed,
     StopTask,
@@ -220,6 +221,11 @@
         """Organisations that took more than their fair share at the latest plan."""
         return self._scheduler.organisations_above_share
 
+    @property
+    def idle_wait_count(self) -> int:
+        """Steps that wait although most of their service is idle."""
+        return self._scheduler.idle_wait_count
+
     # Changes of the log and the configuration.
 
     def _job_changed(self, job_id: str) -> None:
@@ -400,6 +406,15 @@
                         has_other_cause=action.has_other_cause,
                         suspects=["/".join(map(str, key)) for key in action.suspects],
                     )
+                case ReportIdleWait():
+                    self._metrics.count("idle_waits_total", cause=action.cause.value)
+                    log_event(
+                        "unit_waits",
+                        job=action.unit_key.job_id,
+                        unit="/".join(map(str, action.unit_key[1:])),
+                        cause=action.cause.value,
+                        waited_ms=action.waited_ms,
+                    )
                 case ReportSpeed():
                     log_event(
                         "speed_learned",
--- a/tests/core/scheduling/harness.py
+++ b/tests/core/scheduling/harness.py
@@ -8,7 +8,12 @@
     Scheduler,
     Step,
 )
-from ragwortshelf.core.scheduling.actions import PersistUnit, StartTask, StopTask
+from ragwortshelf.core.scheduling.actions import (
+    PersistUnit,
+    ReportIdleWait,
+    StartTask,
+    StopTask,
+)
 from ragwortshelf.core.scheduling.configuration import (
     EndpointService,
     GuaranteedOrganisation,
@@ -55,6 +60,7 @@
         self.starts = []
         self.stops = []
         self.records = []
+        self.idle_waits = []
         for n in range(endpoints):
             self.add_endpoint(f"e{n}", f"r{n % racks}", gpus)
 
@@ -110,6 +116,8 @@
                 self.stops.append(action)
             elif isinstance(action, PersistUnit):
                 self.records.append(action.record)
+            elif isinstance(action, ReportIdleWait):
+                self.idle_waits.append(action)
 
     def accept_starts(self):
         """Confirm all ordered starts."""
