Show two faults of a successor's wait for earlier leases

Shown: tests/scheduler/test_earlier_leases.py, in virtual time. A task whose endpoint and scheduler are lost together starts again after 17 s; the platform asks for 14 s. The same bound is too short after two changes: it looks at the newest term alone, so a task starts at 12.6 s while its run under a lease of the holder before the last goes on until 18.2 s (TWICE).

--- a/tests/scheduler/fakes.py
+++ b/tests/scheduler/fakes.py
@@ -174,7 +174,12 @@
         self._faults = faults
 
     async def _cross_link(self, timeout_ms):
-        if self._endpoint.is_disconnected or self._faults.is_disconnected:
+        is_cut_off = (
+            self._endpoint.is_disconnected
+            or self._faults.is_disconnected
+            or self._endpoint.info.id in self._faults.unreachable_ids
+        )
+        if is_cut_off:
             await trio.sleep(timeout_ms / 1000)
             return False
         await trio.sleep(LINK_DELAY_S)
@@ -250,12 +255,13 @@
     ``store`` is "silent" (calls time out), "busy" (calls are refused), "append_lost"
     (only appends time out) or empty. An append that needs longer than its time limit to
     cross the link, at ``append_bytes_per_s``, is cut; ``append_sizes`` has the size of
-    each one tried.
+    each one tried. The endpoints in ``unreachable_ids`` don't answer this instance.
     """
 
     def __init__(self):
         self.store = ""
         self.is_disconnected = False
+        self.unreachable_ids = set()
         self.lose_append_answers = 0
         self.append_bytes_per_s = math.inf
         self.append_sizes = []
--- /dev/null
+++ b/tests/scheduler/test_earlier_leases.py
@@ -0,0 +1,138 @@
+"""How long a successor waits for the leases that earlier holders granted."""
+
+from itertools import pairwise
+
+import pytest
+import trio
+from cluster import (
+    faults_of,
+    holders,
+    make_instances,
+    make_job,
+    make_platform,
+    submit,
+)
+
+JOB_ID = "a" * 16
+
+FINISH_S = 14
+"""Time after the end of the traffic from which the platform requires that a job of
+which nothing runs is started wherever it fits."""
+
+
+class _Cluster:
+    """Instances that can be killed one by one, and one task that runs on."""
+
+    def __init__(self, instances=3, endpoints=3):
+        self.platform = make_platform(endpoints)
+        for endpoint in self.platform.endpoint_by_id.values():
+            endpoint.work_ms = 120_000
+        self.instances = make_instances(self.platform, instances)
+        self._scope_by_name = {}
+
+    async def run(self, nursery):
+        """Start all instances, and the task."""
+        for instance in self.instances:
+            scope = self._scope_by_name[instance.settings.instance] = trio.CancelScope()
+            nursery.start_soon(self._run_instance, instance, scope)
+        await trio.sleep(1)
+        await submit(self.instances[0], make_job(JOB_ID, count=1))
+        await trio.sleep(2)
+
+    async def _run_instance(self, instance, scope):
+        with scope:
+            await instance.run()
+
+    def kill(self, instance):
+        self._scope_by_name[instance.settings.instance].cancel()
+        self.instances.remove(instance)
+
+    @property
+    def holder(self):
+        (holder,) = holders(self.instances)
+        return holder
+
+    def starts(self):
+        """Return all starts of the task, oldest first."""
+        started = [
+            run
+            for endpoint in self.platform.endpoint_by_id.values()
+            for run in endpoint.history.values()
+        ]
+        return sorted(started, key=lambda run: run.started_ms)
+
+    def endpoint_of_first_run(self):
+        (endpoint,) = (e for e in self.platform.endpoint_by_id.values() if e.history)
+        return endpoint
+
+    def has_restarted_only_after_the_first_run(self):
+        """Whether the task was started anew, and no two runs of it overlapped."""
+        for endpoint in self.platform.endpoint_by_id.values():
+            endpoint.advance()
+        runs = self.starts()
+        return len(runs) > 1 and all(
+            before.ended_ms is not None and before.ended_ms <= after.started_ms
+            for before, after in pairwise(runs)
+        )
+
+
+# Guards against tasks that wait on an idle fleet for 17 s after their endpoint and the
+# holder of the role were lost together.
+async def test_a_task_lost_with_its_endpoint_and_the_holder_starts_again_in_time(
+    autojump_clock,
+):
+    cluster = _Cluster()
+    async with trio.open_nursery() as nursery:
+        await cluster.run(nursery)
+        cluster.endpoint_of_first_run().is_disconnected = True
+        cluster.kill(cluster.holder)
+        await trio.sleep(FINISH_S)
+        assert len(cluster.starts()) == 2
+        nursery.cancel_scope.cancel()
+
+
+# Guards against a task that runs twice: the holder that is cut off from the log and from
+# the others renews the lease of an endpoint that only it reaches.
+@pytest.mark.parametrize("clock_rate", [0.98, 1.0])
+async def test_no_task_starts_again_under_a_lease_of_a_cut_off_holder(
+    autojump_clock, clock_rate
+):
+    cluster = _Cluster()
+    for endpoint in cluster.platform.endpoint_by_id.values():
+        endpoint._clock_rate = clock_rate
+    async with trio.open_nursery() as nursery:
+        await cluster.run(nursery)
+        endpoint_id = cluster.endpoint_of_first_run().info.id
+        cut_off = cluster.holder
+        faults_of(cut_off).store = "silent"
+        for instance in cluster.instances:
+            if instance is not cut_off:
+                faults_of(instance).unreachable_ids.add(endpoint_id)
+        await trio.sleep(25)
+        assert cluster.has_restarted_only_after_the_first_run()
+        nursery.cancel_scope.cancel()
+
+
+# Guards against a task that runs twice: the second successor counted the leases of the
+# first one alone, which had resigned, and not those of the holder before it.
+async def test_no_task_starts_again_under_a_lease_of_the_holder_before_the_last(
+    autojump_clock,
+):
+    cluster = _Cluster()
+    async with trio.open_nursery() as nursery:
+        await cluster.run(nursery)
+        endpoint_id = cluster.endpoint_of_first_run().info.id
+        cut_off = cluster.holder
+        faults_of(cut_off).store = "silent"
+        # It does not learn of a later term from the other endpoints either.
+        ids = set(cluster.platform.endpoint_by_id)
+        faults_of(cut_off).unreachable_ids |= ids - {endpoint_id}
+        others = [i for i in cluster.instances if i is not cut_off]
+        for instance in others:
+            faults_of(instance).unreachable_ids.add(endpoint_id)
+        while not holders(others):
+            await trio.sleep(0.01)
+        await holders(others)[0].drain()
+        await trio.sleep(25)
+        assert cluster.has_restarted_only_after_the_first_run()
+        nursery.cancel_scope.cancel()
