Bound the leases of earlier holders by the log, not by the takeover

Cause: a successor waits until the leases that earlier holders granted have expired, since an endpoint that it does not reach may run on under them. It counted that wait from its own claim, and as if the holder had extended leases until it gives up the role, 9 s without the log's confirmation: 9 + 7.1 s, after the 1.3 s to the claim. And it looked at the newest term alone: after a resignation it waited 7.1 s, though the holder before the one that resigned could be cut off and still extend leases. Two worst cases were added up where one bound had been measured already, and one was forgotten.

Change: LeaseGrants, a fold of the terms in the log, bounds until when any of them extended leases, from when their last record was read. A holder extends leases for 4 s after the log's last confirmation; it keeps the role, lists runs and orders stops for 9 s as before. A lease is computed as if the endpoint's clock were the slowest allowed, so that none is longer than a successor expects. A process that has just loaded the log, which tells nothing of terms before the newest, counts 4 s from its load.

What a holder may grant and what a successor waits now come from one bound, and the bound covers every term.

--- a/ragwortshelf/scheduler/election.py
+++ b/ragwortshelf/scheduler/election.py
@@ -133,6 +133,8 @@
     async def _claim(self) -> None:
         follower = self._follower
         previous = follower.table.term
+        # The claim succeeds only if no record has followed those that were read.
+        grants_end_boot_ms = follower.lease_grants.end_ms
         offset = follower.next_offset
         claim = TermHeld(offset + 1, self.settings.instance, wall_ms())
         # The log answers a repeated sequence number like the original append, so two
@@ -167,7 +169,7 @@
             self.settings,
             follower,
             self._configuration,
-            previous,
+            grants_end_boot_ms,
             sequence,
         )
         try:
--- a/ragwortshelf/scheduler/endpoint_session.py
+++ b/ragwortshelf/scheduler/endpoint_session.py
@@ -61,7 +61,8 @@
     and so the interval of listings.
 
     While ``may_order`` returns False nothing is sent: a process that was paused may
-    have lost the role meanwhile, and its successor bounds the leases granted before.
+    have lost the role meanwhile. While ``may_extend_lease`` returns False, renewals
+    repeat the latest deadline, as a successor bounds the leases granted before.
     Starts also wait for the ``start_gate``, and are not sent once ``is_still_ordered``
     returns False for them.
     """
@@ -77,6 +78,7 @@
         on_lease_expired: Callable[[str], None],
         on_fenced: Callable[[str], None],
         may_order: Callable[[], bool],
+        may_extend_lease: Callable[[], bool],
         start_gate: StartGate,
         is_still_ordered: Callable[[StartTask], bool],
         earlier_leases_expiry_ms: int,
@@ -89,6 +91,7 @@
         self._on_lease_expired = on_lease_expired
         self._on_fenced = on_fenced
         self._may_order = may_order
+        self._may_extend_lease = may_extend_lease
         self._start_gate = start_gate
         self._is_still_ordered = is_still_ordered
         self._lease_expiry_ms = earlier_leases_expiry_ms
@@ -203,7 +206,8 @@
     async def _renew(self) -> None:
         await self._wait_for_role()
         sent_ms = monotonic_ms()
-        is_urgent = self._failures > 0 or not self._has_time_to_start(sent_ms)
+        needs_lease = not self._has_time_to_start(sent_ms) and self._may_extend_lease()
+        is_urgent = self._failures > 0 or needs_lease
         wait_ms = 0 if is_urgent else self.listing_wait_ms
         until_ms = self._next_deadline_ms(sent_ms)
         answer = await self._client.renew(
@@ -236,7 +240,11 @@
             # An unanswered renewal may still take effect. Its deadline is repeated and
             # not extended, so that the lease of an unreachable endpoint expires.
             return self._deadline_ms
-        until_ms = self._endpoint_clock_ms(now_ms) + self._settings.lease_ms
+        if not self._may_extend_lease():
+            return self._deadline_ms
+        # On a slow clock, so that no lease is longer than a successor expects.
+        elapsed_ms = int(CLOCK_RATE_MIN * (now_ms - self._clock_read_ms))
+        until_ms = self._clock_ms + elapsed_ms + self._settings.lease_ms
         return (
             until_ms if self._deadline_ms is None else max(until_ms, self._deadline_ms)
         )
--- a/ragwortshelf/scheduler/leadership.py
+++ b/ragwortshelf/scheduler/leadership.py
@@ -27,7 +27,7 @@
 from ..core.scheduling.records import ServiceCapacity, TermHeld
 from ..core.scheduling.speed_belief import SpeedClass
 from ..daemon.logs import log_event, log_failure
-from .clock import monotonic_ms, wall_ms
+from .clock import boot_ms, monotonic_ms, wall_ms
 from .configuration_follower import ConfigurationFollower
 from .endpoint_directory import EndpointDirectory
 from .endpoint_session import EndpointSession, max_local_duration_ms
@@ -73,8 +73,9 @@
     """Runs the scheduler for one term, until the role is resigned or lost.
 
     Connects the decisions of ``Scheduler`` to the log, the endpoints and the policy
-    service. ``previous`` is the term that ``claim`` replaces, and ``sequence`` the
-    sequence number with which the claim was appended.
+    service. ``sequence`` is the sequence number with which the claim was appended. No
+    earlier term extends leases after ``earlier_grants_end_boot_ms``; None if there
+    was none.
     """
 
     def __init__(
@@ -85,7 +86,7 @@
         settings: SchedulingSettings,
         follower: LogFollower,
         configuration: ConfigurationFollower,
-        previous: TermHeld | None,
+        earlier_grants_end_boot_ms: int | None,
         sequence: int,
     ):
         self.claim = claim
@@ -131,7 +132,7 @@
         self._plan_event = trio.Event()
         self._nursery: trio.Nursery | None = None
         self._earlier_leases_expiry_ms = self._compute_earlier_leases_expiry_ms(
-            previous
+            earlier_grants_end_boot_ms
         )
         self.end_reason = ""
 
@@ -180,11 +181,15 @@
         return job_id not in self._writer.uncommitted_jobs
 
     def _may_order_endpoints(self) -> bool:
-        """Whether a successor would still take leases of this term into account."""
-        limit = self._settings.term_confirmation_max_ms
-        return not (
-            self._writer.may_have_resigned or self._writer.confirmation_age_ms() > limit
-        )
+        """Whether this instance still stands for the role, though it may have lost it.
+
+        Endpoints that a successor has reached refuse its orders.
+        """
+        return self._is_confirmed_within(self._settings.term_confirmation_max_ms)
+
+    def _may_extend_leases(self) -> bool:
+        """Whether a successor would take leases into account that are granted now."""
+        return self._is_confirmed_within(self._settings.lease_grant_max_ms)
 
     def _may_order_hosts(self) -> bool:
         """Whether no other instance can hold the role yet.
@@ -192,29 +197,25 @@
         Hosts may not check the fencing token, so a successor waits ``host_lease_ms``
         before its first order, and this holder orders nothing once there may be one.
         """
-        limit = self._settings.term_timeout_ms
-        return not (
-            self._writer.may_have_resigned or self._writer.confirmation_age_ms() > limit
-        )
+        return self._is_confirmed_within(self._settings.term_timeout_ms)
+
+    def _is_confirmed_within(self, limit_ms: int) -> bool:
+        """Whether the log confirmed the term that recently, and it is not resigned."""
+        age_ms = self._writer.confirmation_age_ms()
+        return not self._writer.may_have_resigned and age_ms <= limit_ms
 
     def _end(self, reason: str) -> None:
         if not self.end_reason:
             self.end_reason = reason
             self._nursery.cancel_scope.cancel()
 
-    def _compute_earlier_leases_expiry_ms(self, previous: TermHeld | None) -> int:
-        """Return the local time by which all leases of earlier terms have expired.
-
-        A holder stops granting leases when the log has not confirmed its term for
-        ``term_confirmation_max_ms``, or when it resigns.
-        """
+    def _compute_earlier_leases_expiry_ms(self, grants_end_boot_ms: int | None) -> int:
+        """Return the local time by which all leases of earlier terms have expired."""
         now = monotonic_ms()
-        if previous is None:
+        if grants_end_boot_ms is None:
             return now
-        still_granting_ms = 0
-        if not previous.is_resigned:
-            still_granting_ms = self._settings.term_confirmation_max_ms
-        return now + still_granting_ms + max_local_duration_ms(self._settings.lease_ms)
+        lease_ms = max_local_duration_ms(self._settings.lease_ms)
+        return now + max(0, grants_end_boot_ms + lease_ms - boot_ms())
 
     @property
     def organisations_above_share(self) -> int:
@@ -286,6 +287,7 @@
             on_lease_expired=self._endpoint_lease_expired,
             on_fenced=lambda _: self._end("an endpoint has seen a later term"),
             may_order=self._may_order_endpoints,
+            may_extend_lease=self._may_extend_leases,
             start_gate=self._start_gate,
             is_still_ordered=self._scheduler.is_still_ordered,
             earlier_leases_expiry_ms=self._earlier_leases_expiry_ms,
--- a/ragwortshelf/scheduler/log_follower.py
+++ b/ragwortshelf/scheduler/log_follower.py
@@ -7,12 +7,14 @@
 import trio
 
 from ..core.scheduling.job_table import JobTable
+from ..core.scheduling.lease_grants import LeaseGrants
 from ..core.scheduling.record_codec import decode_record, job_id_of, submission_key
 from ..core.scheduling.records import (
     EndpointForgotten,
     EndpointObserved,
     JobForgotten,
     Record,
+    TermHeld,
     UnitCrashes,
     UnitRecord,
 )
@@ -35,7 +37,8 @@
     ``confirmed_boot_ms`` is the send time of the last read that reached the end of the
     log. ``answering_since_boot_ms`` is the send time of the first read in the current
     series of answered reads, None while the log does not answer.
-    ``term_activity_boot_ms`` is the time at which a term or unit record was last seen.
+    ``term_activity_boot_ms`` is the time at which a term or unit record was last seen,
+    and ``lease_grants`` bounds until when the terms seen extended leases.
     While ``own_term`` is set, the scheduler's records are skipped, because it applies
     its decisions to the table before it appends them. While ``is_waiting_for_records``
     is set, each read waits for new records, and no pause follows it. Callers that need
@@ -50,6 +53,7 @@
         self.confirmed_boot_ms: int | None = None
         self.answering_since_boot_ms: int | None = None
         self.term_activity_boot_ms: int | None = None
+        self.lease_grants = LeaseGrants(settings.lease_grant_max_ms)
         self.own_term: int | None = None
         self.is_waiting_for_records = False
         self.on_job_changed: Callable[[str], None] = lambda job_id: None
@@ -222,6 +226,7 @@
             # Restarted while loading: the new table lacks the records of earlier pages.
             return False
         self._forget_unlisted_jobs()
+        self.lease_grants.loaded(self.table.term, boot_ms())
         self._begin_load()
         self._needs_reload = False
         self.next_offset = outcome.next_offset
@@ -265,6 +270,8 @@
         term_before = self.table.term
         if self.table.apply(record):
             self.on_job_changed(job_id_of(record))
+        if isinstance(record, TermHeld):
+            self.lease_grants.term_read(record, boot_ms())
         if isinstance(record, UnitRecord) or self.table.term is not term_before:
             self.term_activity_boot_ms = boot_ms()
 
--- a/ragwortshelf/scheduler/settings.py
+++ b/ragwortshelf/scheduler/settings.py
@@ -57,11 +57,15 @@
     term_renewal_ms: int = 350
     term_timeout_ms: int = 1_200
 
-    # A holder whose term the log has not confirmed for this long gives up the role, so
-    # that a successor can bound the holder's leases. The role should survive outages of
-    # the log, which last 4 to 7 s.
+    # A holder whose term the log has not confirmed for this long gives up the role. The
+    # role should survive outages of the log, which last 4 to 7 s.
     term_confirmation_max_ms: int = 9_000
 
+    # A holder extends leases for this long after the log has last confirmed its term.
+    # Leases then outlast outages of the log of 8 s. A longer time would delay what a
+    # successor starts anew of tasks whose endpoint it does not reach.
+    lease_grant_max_ms: int = 4_000
+
     # Callers may see state up to 2 s old; 250 ms limits the number of log calls.
     follow_interval_ms: int = 250
     configuration_wait_ms: int = 1_000
--- /dev/null
+++ b/tests/core/scheduling/test_lease_grants.py
@@ -0,0 +1,48 @@
+"""Until when the holders of the role may have extended leases, by the log."""
+
+from ragwortshelf.core.scheduling.lease_grants import LeaseGrants
+from ragwortshelf.core.scheduling.records import TermHeld
+
+GRANT_MAX_MS = 4_000
+
+
+def make_grants(*records_by_time):
+    """Return the grants of (time, term, is resigned) as read from the log."""
+    grants = LeaseGrants(GRANT_MAX_MS)
+    for read_ms, term, is_resigned in records_by_time:
+        grants.term_read(TermHeld(term, f"i{term}", 0, is_resigned), read_ms)
+    return grants
+
+
+def test_no_lease_was_granted_without_a_term():
+    grants = LeaseGrants(GRANT_MAX_MS)
+    assert grants.end_ms is None
+    grants.loaded(None, 500)
+    assert grants.end_ms is None
+
+
+def test_each_renewal_moves_the_bound():
+    assert make_grants((100, 1, False), (450, 1, False)).end_ms == 4_450
+
+
+def test_a_resignation_ends_the_grants_of_its_term():
+    assert make_grants((100, 1, False), (450, 1, True)).end_ms == 450
+
+
+# Guards against a bound that forgets a holder that is cut off while the next ones claim
+# and resign the role.
+def test_the_grants_of_a_holder_before_the_last_count():
+    records = ((100, 1, False), (1_500, 9, False), (1_600, 9, True), (1_700, 12, True))
+    assert make_grants(*records).end_ms == 4_100
+
+
+def test_records_of_earlier_terms_are_void():
+    assert make_grants((100, 5, True), (300, 4, False)).end_ms == 100
+
+
+def test_a_load_tells_nothing_of_the_terms_before_the_newest():
+    grants = make_grants((100, 1, False))
+    grants.loaded(TermHeld(7, "i7", 0, is_resigned=True), 9_000)
+    assert grants.end_ms == 13_000
+    grants.term_read(TermHeld(8, "i8", 0), 9_500)
+    assert grants.end_ms == 13_500
--- a/tests/scheduler/test_earlier_leases.py
+++ b/tests/scheduler/test_earlier_leases.py
@@ -91,8 +91,8 @@
         nursery.cancel_scope.cancel()
 
 
-# Guards against a task that runs twice: the holder that is cut off from the log and from
-# the others renews the lease of an endpoint that only it reaches.
+# Guards against a task that runs twice: a holder that is cut off from the log renews
+# the lease of an endpoint that only it reaches.
 @pytest.mark.parametrize("clock_rate", [0.98, 1.0])
 async def test_no_task_starts_again_under_a_lease_of_a_cut_off_holder(
     autojump_clock, clock_rate
@@ -136,3 +136,22 @@
         await trio.sleep(25)
         assert cluster.has_restarted_only_after_the_first_run()
         nursery.cancel_scope.cancel()
+
+
+# Guards against leases that a successor does not count: the holder extended them for as
+# long as it kept the role without the log's confirmation.
+async def test_a_holder_without_the_logs_confirmation_soon_extends_no_lease(
+    autojump_clock,
+):
+    cluster = _Cluster(instances=1)
+    async with trio.open_nursery() as nursery:
+        await cluster.run(nursery)
+        settings = cluster.holder.settings
+        faults_of(cluster.holder).store = "silent"
+        lost_ms = trio.current_time() * 1000
+        await trio.sleep(8)
+        assert cluster.holder.election.leadership is not None
+        latest_ms = lost_ms + settings.lease_grant_max_ms + settings.lease_ms
+        for endpoint in cluster.platform.endpoint_by_id.values():
+            assert lost_ms < endpoint.until_ms <= latest_ms
+        nursery.cancel_scope.cancel()
