Count a new term as confirmed from the sending of its claim

Cause: a holder counted the log's confirmation from the start of its term, which is after the answer to the claim and the read of it; on a slow log that takes seconds. A successor counts from when it read the claim. So leases could be extended later than the successor expects.

Change: the claim's send time is the first confirmation.

Evidence: test_a_claim_confirms_the_term_as_of_its_sending failed before (confirmed at 2,049 ms, the claim in the log at 1,858 ms, with calls of 0.6 s) and passes now.

--- a/ragwortshelf/scheduler/election.py
+++ b/ragwortshelf/scheduler/election.py
@@ -140,6 +140,7 @@
         # The log answers a repeated sequence number like the original append, so two
         # instances that claim the same offset must use different numbers.
         sequence = random.randrange(FIRST_SEQUENCE_MAX)
+        claimed_boot_ms = boot_ms()
         outcome = await self._logs.jobs.append(
             [encode_record(claim)],
             timeout_ms=self.settings.log_call_timeout_ms,
@@ -164,6 +165,7 @@
         follower.own_term = claim.term
         self.leadership = Leadership(
             claim,
+            claimed_boot_ms,
             self._adapter,
             self._logs,
             self.settings,
--- a/ragwortshelf/scheduler/leadership.py
+++ b/ragwortshelf/scheduler/leadership.py
@@ -73,14 +73,15 @@
     """Runs the scheduler for one term, until the role is resigned or lost.
 
     Connects the decisions of ``Scheduler`` to the log, the endpoints and the policy
-    service. ``sequence`` is the sequence number with which the claim was appended. No
-    earlier term extends leases after ``earlier_grants_end_boot_ms``; None if there
+    service. ``claim`` was sent at ``claimed_boot_ms``, with ``sequence`` as its number.
+    No earlier term extends leases after ``earlier_grants_end_boot_ms``; None if there
     was none.
     """
 
     def __init__(
         self,
         claim: TermHeld,
+        claimed_boot_ms: int,
         adapter: PlatformAdapter,
         logs: LogTopics,
         settings: SchedulingSettings,
@@ -101,7 +102,13 @@
         self._session_by_id: dict[str, EndpointSession] = {}
         self._capacity_reporter = CapacityReporter(claim.term, monotonic_ms())
         self._writer = TermWriter(
-            claim, sequence, logs, settings, follower.table, self._due_capacities
+            claim,
+            claimed_boot_ms,
+            sequence,
+            logs,
+            settings,
+            follower.table,
+            self._due_capacities,
         )
         self._upkeep = UpkeepRunner(
             adapter,
--- a/ragwortshelf/scheduler/term_writer.py
+++ b/ragwortshelf/scheduler/term_writer.py
@@ -37,7 +37,8 @@
     """Appends the scheduler's decisions in order; each append also renews the term.
 
     ``uncommitted_jobs`` maps a job's id to its number of decisions not yet in the log.
-    ``confirmed_boot_ms`` is the send time of the last successful append.
+    ``confirmed_boot_ms`` is the send time of the last successful append, at first that
+    of the claim.
     ``may_have_resigned`` is set while the resignation may be in the log, so that a
     successor may hold the role already. ``due_records`` returns records that go along
     with the next append.
@@ -46,6 +47,7 @@
     def __init__(
         self,
         claim: TermHeld,
+        claimed_boot_ms: int,
         sequence: int,
         logs: LogTopics,
         settings: SchedulingSettings,
@@ -65,7 +67,7 @@
         self._added_count = 0
         self._committed_count = 0
         self._is_resigning = False
-        self.confirmed_boot_ms = boot_ms()
+        self.confirmed_boot_ms = claimed_boot_ms
         self.may_have_resigned = False
         self.uncommitted_jobs: dict[str, int] = {}
 
--- a/tests/scheduler/test_earlier_leases.py
+++ b/tests/scheduler/test_earlier_leases.py
@@ -13,6 +13,8 @@
     submit,
 )
 
+from ragwortshelf.core.scheduling.records import TERM_KEY
+
 JOB_ID = "a" * 16
 
 FINISH_S = 14
@@ -155,3 +157,21 @@
         for endpoint in cluster.platform.endpoint_by_id.values():
             assert lost_ms < endpoint.until_ms <= latest_ms
         nursery.cancel_scope.cancel()
+
+
+# Guards against a confirmation that counts from the beginning of the term: on a slow
+# log that is seconds after the claim, from which a successor counts.
+async def test_a_claim_confirms_the_term_as_of_its_sending(autojump_clock, monkeypatch):
+    platform = make_platform()
+    (instance,) = make_instances(platform, 1)
+    monkeypatch.setattr("fakes.LOG_CALL_S", 0.6)
+    async with trio.open_nursery() as nursery:
+        nursery.start_soon(instance.run)
+        while not any(key == TERM_KEY for key, _ in platform.jobs.entries):
+            await trio.sleep(0.001)
+        claimed_ms = trio.current_time() * 1000
+        while instance.election.leadership is None:
+            await trio.sleep(0.001)
+        writer = instance.election.leadership._writer
+        assert writer.confirmed_boot_ms <= claimed_ms
+        nursery.cancel_scope.cancel()
--- a/tests/scheduler/test_term.py
+++ b/tests/scheduler/test_term.py
@@ -22,6 +22,7 @@
 from ragwortshelf.core.scheduling.record_codec import decode_record, encode_record
 from ragwortshelf.core.scheduling.records import TermHeld, UnitRecord
 from ragwortshelf.daemon.metrics import Metrics
+from ragwortshelf.scheduler.clock import boot_ms
 from ragwortshelf.scheduler.instance import Instance
 from ragwortshelf.scheduler.log_topics import open_logs
 from ragwortshelf.scheduler.settings import SchedulingSettings
@@ -364,6 +365,7 @@
 def _make_term_writer(adapter):
     return TermWriter(
         TermHeld(1, "i", 0),
+        boot_ms(),
         0,
         open_logs(adapter, Metrics()),
         SchedulingSettings("i"),
