Judge idle waits by the service that a queue names now

Cause: the monitor took the service of the submission, while placement takes that of the queue's present configuration, so waits of a queue that was moved to another service were judged by the wrong one.

Change: both ask UnitLifecycle.service_of. The tests of core/scheduling pass; no test of this case.

--- a/ragwortshelf/core/scheduling/endpoint_selection.py
+++ b/ragwortshelf/core/scheduling/endpoint_selection.py
@@ -178,9 +178,7 @@
 
     def _candidates(self, unit: Unit) -> list[Endpoint]:
         """Return the usable endpoints of the unit's service that have its label."""
-        spec = unit.job.spec
-        queue = self._scheduler.configuration.queue_by_name.get(spec.queue)
-        service = queue.service if queue else spec.service
+        service = self._scheduler.service_of(unit)
         need = (service, unit.step.required_label)
         eligible = self._eligible_by_need.get(need)
         if eligible is None:
--- a/ragwortshelf/core/scheduling/idle_waits.py
+++ b/ragwortshelf/core/scheduling/idle_waits.py
@@ -99,7 +99,8 @@
         return {
             step_key: unit
             for step_key, unit in unit_by_step.items()
-            if step_key[0] not in running_job_ids and rooms.fits(unit)
+            if step_key[0] not in running_job_ids
+            and rooms.fits(unit, self._scheduler.service_of(unit))
         }
 
     def _is_running(self, unit: Unit) -> bool:
@@ -145,12 +146,12 @@
             if _is_idle(endpoints)
         }
 
-    def fits(self, unit: Unit) -> bool:
+    def fits(self, unit: Unit, service: str) -> bool:
         """Whether a unit fits into the free room often enough."""
         label = unit.step.required_label
         wanted = FITS_MIN * unit.count
         slots = 0
-        for endpoint in self.idle_services.get(unit.job.spec.service, ()):
+        for endpoint in self.idle_services.get(service, ()):
             if not label or label in endpoint.info.labels:
                 slots += endpoint.slots(unit.step.occupied)
                 if slots >= wanted:
--- a/ragwortshelf/core/scheduling/lifecycle.py
+++ b/ragwortshelf/core/scheduling/lifecycle.py
@@ -163,6 +163,12 @@
         if endpoint_ids:
             self._actions.append(AskAdvice(step_name(unit), endpoint_ids))
 
+    def service_of(self, unit: Unit) -> str:
+        """Return the service on whose endpoints a unit runs."""
+        spec = unit.job.spec
+        queue = self.configuration.queue_by_name.get(spec.queue)
+        return queue.service if queue else spec.service
+
     def take_actions(self) -> list[Action]:
         """Return the collected actions, oldest first, and clear them."""
         actions, self._actions = self._actions, []
