Decode no endpoint whose name or address cannot be used

Cause: decode_minion took any string as the service, any key as the id and any text that ipaddress parses as the address. An id outside printable ASCII fits no header, and a scoped address with a surrogate or a long scope raised UnicodeError at every connection attempt. Callers saw accepted jobs that waited beside idle endpoints.

Change: an entry is decoded only if its id is a value of a header, its id and service fit a key (KEY_BYTES_MAX of the store, less the prefix), and its address is the IP and port of one host: IPv6 in brackets and without a scope, no unspecified, multicast or broadcast address, no port 0.

Conclusion: such an entry names no endpoint; the others hold.

--- a/tests/platform/test_decoding.py
+++ b/tests/platform/test_decoding.py
@@ -8,9 +8,13 @@
 from platform_adapter.endpoints import decode_minion
 from platform_adapter.hosts import decode_waves
 from platform_adapter.settings import InvalidSettings, parse_settings
+from platform_adapter.store import _encode_entry
 
 from ragwortshelf.core.scheduling import Resources
 from ragwortshelf.core.scheduling.configuration import Queue
+from ragwortshelf.core.scheduling.model import Incarnation
+from ragwortshelf.core.scheduling.record_codec import encode_record
+from ragwortshelf.core.scheduling.records import EndpointObserved, ServiceCapacity
 from ragwortshelf.net.http_messages import Malformed
 from ragwortshelf.scheduler.gateway import Access
 
@@ -37,6 +41,74 @@
     assert info.remaining_ms is None
 
 
+# Guards against entries of other writers whose id or service fits no key of the job
+# log, whose id fits no header, or whose address makes connection attempts raise.
+@pytest.mark.parametrize(
+    ("minion_id", "changed"),
+    [
+        ("i-1", {"service": "x" * 254}),
+        ("i-1", {"service": "é" * 127}),
+        ("i-1", {"service": "\ud800"}),
+        ("i-1", {"service": ""}),
+        ("x" * 254, {}),
+        ("é", {}),
+        ("a\nb", {}),
+        ("a\x00", {}),
+        (" a", {}),
+        ("a ", {}),
+        ("", {}),
+        *(
+            ("i-1", {"address": address})
+            for address in (
+                "0.0.0.0:80",
+                "255.255.255.255:80",
+                "224.0.0.1:80",
+                "[::]:80",
+                "[ff02::1]:80",
+                "::1:80",
+                "[10.1.0.9]:80",
+                "[[::1]]:80",
+                "]10.1.0.9[:80",
+                "fe80::1%eth0:80",
+                "[fe80::1%eth0]:80",
+                "[fe80::1%a\r\nb]:80",
+                "[fe80::1%\ud800]:80",
+                f"[fe80::1%{'x' * 300}]:80",
+                "10.1.0.9:0",
+                "10.1.0.9:00000",
+                "10.1.0.9:-1",
+                "10.1.0.9:65536",
+                "10.1.0.9:99999",
+                "10.1.0.9:²",
+                "10.1.0.9:" + "9" * 5_000,
+                "10.1.0.9:80\n",
+                " 10.1.0.9:80",
+            )
+        ),
+    ],
+)
+def test_an_entry_that_names_no_endpoint_to_use_is_left_out(minion_id, changed):
+    assert decode_minion(minion_id, _bytes(REPORT | changed)) is None
+
+
+def test_the_longest_names_are_decoded_and_can_be_stored():
+    name = "x" * 253
+    info = decode_minion(name, _bytes(REPORT | {"service": name}))
+    records = (
+        ServiceCapacity(info.service, 1, 2, info.capacity),
+        EndpointObserved(Incarnation(info.id, info.address, 3)),
+    )
+    for record in records:
+        assert _encode_entry(encode_record(record))
+
+
+@pytest.mark.parametrize("minion_id", ["i-1", 'a"b', "a b", "x/y:z", "i" * 253])
+@pytest.mark.parametrize("address", ["127.0.0.1:1", "[::1]:65535", "[fd00::a]:80"])
+def test_an_endpoint_of_an_unusual_name_or_address_is_decoded(minion_id, address):
+    info = decode_minion(minion_id, _bytes(REPORT | {"address": address}))
+    assert (info.id, info.address) == (minion_id, address)
+
+
 def test_a_report_with_unchanged_content_decodes_to_an_equal_value():
     later = decode_minion("i-1", _bytes(REPORT | {"sequence": 5, "clock_ms": 9}))
     assert later == decode_minion("i-1", _bytes(REPORT))
