Count a call that cannot be addressed or sent as unreachable

Cause: HttpClient.call raised ValueError, OverflowError or UnicodeError for an address that is none or whose host cannot be encoded, and LocalProtocolError or UnicodeError for a header that cannot be sent. The session of such an endpoint logged endpoint_failed with a traceback at each renewal.

Change: these end the call as Unreachable, of which nothing was sent.

Conclusion: an address or id of nonsense costs the endpoint alone, as one that does not answer.

--- a/ragwortshelf/net/http_client.py
+++ b/ragwortshelf/net/http_client.py
@@ -83,7 +83,9 @@
                 return answer
         try:
             stream = await trio.open_tcp_stream(*split_address(address))
-        except OSError as error:
+        except (OSError, ValueError, OverflowError) as error:
+            # The last two are of an address that is none, and of one whose host cannot
+            # be encoded.
             return progress.unreachable(f"{address}: {error}")
         return await self._exchange(
             address,
@@ -114,8 +116,11 @@
         except (
             trio.BrokenResourceError,
             trio.ClosedResourceError,
+            h11.LocalProtocolError,
             h11.RemoteProtocolError,
+            UnicodeError,
         ) as error:
+            # A local one, or one of encoding, is of a header that cannot be sent.
             return progress.unreachable(f"{address}: {error}")
         finally:
             if is_reusable:
--- a/tests/net/test_http_client.py
+++ b/tests/net/test_http_client.py
@@ -1,5 +1,6 @@
 """A call ends when its answer is complete, or when the server makes no progress."""
 
+import pytest
 import trio
 from slow_link import SlowLink
 
@@ -130,3 +131,50 @@
         took_ms = (trio.current_time() - began) * 1000
     assert isinstance(response, Unreachable)
     assert took_ms <= 2 * LIMIT_MS
+
+
+# Guards against a call that raises instead of ending as unreachable, because its
+# address is no address or a header cannot be sent.
+@pytest.mark.parametrize(
+    "address",
+    [
+        "",
+        "nowhere",
+        "127.0.0.1:",
+        "127.0.0.1:²",
+        "127.0.0.1:-1",
+        "127.0.0.1:0",
+        "127.0.0.1:65536",
+        "127.0.0.1:" + "9" * 30,
+        "127.0.0.1:" + "9" * 5_000,
+        "0.0.0.0:1",
+        "255.255.255.255:80",
+        "[::1]:1",
+        "::1:1",
+        "[fe80::1%a\r\nb]:80",
+        "[fe80::1%\ud800]:80",
+        "[fe80::1%\x00]:80",
+        f"[fe80::1%{'x' * 300}]:80",
+        "fe80::1%é:80",
+    ],
+)
+async def test_a_call_to_an_address_of_nothing_is_unreachable(address):
+    response = await HttpClient(address).call("GET", "/", timeout_ms=200)
+    assert isinstance(response, Unreachable)
+    assert not response.may_have_applied
+
+
+@pytest.mark.parametrize("value", ["é", "\ud800", "a\nb", "a\x00b", " a", "a "])
+async def test_a_header_that_cannot_be_sent_makes_a_call_unreachable(
+    autojump_clock, monkeypatch, value
+):
+    async def answer(request):
+        return HttpResponse(200)
+
+    link = SlowLink()
+    client = _connect(monkeypatch, link)
+    async with link.serving(answer):
+        response = await client.call("GET", "/", headers=(("x-id", value),))
+        assert isinstance(response, Unreachable)
+        assert not response.may_have_applied
+        assert (await client.call("GET", "/")).status == 200
