Confine an error in one endpoint's record to this record

Cause: EndpointDirectory applied the records of a page without a boundary. An error in one ended the reading of the page. When the log was followed, its next offset had been set before, so the later records of the page were lost; in a load, the same page was read again and again, and no endpoint after it was listed. An endpoint whose record failed once stayed unknown until its content changed. Callers would see work that waits beside idle endpoints.

Change: an unexpected error is logged as endpoint_record_failed with its traceback and costs the record alone. What was not applied is not taken for known, so the next record of the key is applied, and a removal that failed is reported again.

--- a/ragwortshelf/scheduler/endpoint_directory.py
+++ b/ragwortshelf/scheduler/endpoint_directory.py
@@ -7,7 +7,7 @@
 import trio
 
 from ..core.scheduling.listings import EndpointInfo
-from ..daemon.logs import log_event
+from ..daemon.logs import log_event, log_failure
 from .clock import boot_ms
 from .interfaces import Entry, KeyedLog, LogGap, LogPage, PlatformAdapter
 from .newest_records import NewestReader, NewestRecords
@@ -20,7 +20,9 @@
     """Follows the endpoint log and reports changes of the set of endpoints.
 
     Calls ``on_updated`` for each new or changed endpoint and ``on_removed`` for each
-    removed one. A record with an empty value removes an endpoint.
+    removed one. A record with an empty value removes an endpoint. An unexpected error
+    in one record is logged and costs this record alone; the next one of its key is
+    applied whether or not its content has changed.
     """
 
     def __init__(
@@ -36,7 +38,8 @@
         self._settings = settings
         self._on_updated = on_updated
         self._on_removed = on_removed
-        self._info_by_key: dict[str, EndpointInfo] = {}
+        # None for a key whose newest record was not applied, because of an error.
+        self._info_by_key: dict[str, EndpointInfo | None] = {}
         self._next_offset: int | None = None
         self._confirmed_boot_ms: int | None = None
         self._newest_reader = NewestReader(log)
@@ -90,7 +93,7 @@
         if not isinstance(outcome, NewestRecords):
             return outcome.detail
         for removed_key in self._info_by_key.keys() - self._listed_keys:
-            self._remove(removed_key)
+            self._apply((removed_key, b""))
         self._next_offset = outcome.next_offset
         self._newest_reader = NewestReader(self._log)
         self._listed_keys = set()
@@ -105,16 +108,24 @@
         key, value = entry
         if not key:
             return
-        if not value:
-            self._remove(key)
-            return
+        try:
+            if value:
+                self._update_endpoint(key, value)
+            else:
+                self._remove(key)
+        except Exception:
+            log_failure("endpoint_record_failed", key=key, bytes=len(value))
+
+    def _update_endpoint(self, key: str, value: bytes) -> None:
         info = self._adapter.decode_endpoint(key, value)
-        if info is None:
+        if info is None or self._info_by_key.get(key) == info:
             return
-        if self._info_by_key.get(key) != info:
-            self._info_by_key[key] = info
-            self._on_updated(info)
+        # Its removal must be reported even if this error left a part of it behind.
+        self._info_by_key[key] = None
+        self._on_updated(info)
+        self._info_by_key[key] = info
 
     def _remove(self, key: str) -> None:
-        if self._info_by_key.pop(key, None) is not None:
+        if key in self._info_by_key:
             self._on_removed(key)
+            del self._info_by_key[key]
--- a/tests/scheduler/test_unexpected_errors.py
+++ b/tests/scheduler/test_unexpected_errors.py
@@ -11,6 +11,7 @@
     state_of,
     submit,
 )
+from fakes import FakePlatformAdapter
 
 from ragwortshelf.core.scheduling import JobState, Scheduler
 from ragwortshelf.core.scheduling.job_table import JobTable
@@ -141,6 +142,27 @@
         assert {endpoint for _, _, endpoint, *_ in platform.runs()} == {"e1"}
 
 
+# Guards against a directory that lists no endpoint after one whose entry raises.
+@pytest.mark.parametrize(
+    ("owner", "name"),
+    [(FakePlatformAdapter, "decode_endpoint"), (Scheduler, "endpoint_updated")],
+)
+async def test_an_entry_that_cannot_be_applied_costs_only_its_endpoint(
+    monkeypatch, autojump_clock, owner, name
+):
+    _raise_for(monkeypatch, owner, name, lambda item: getattr(item, "id", item) == "e0")
+    platform = make_platform(2)
+    instances = make_instances(platform, 3)
+    async with running(*instances):
+        await trio.sleep(1)
+        (holder,) = holders(instances)
+        await submit(instances[0], make_job(SOUND))
+        await trio.sleep(20)
+        assert holders(instances) == [holder]
+        assert await state_of(instances[1], SOUND) is JobState.COMPLETED
+        assert {endpoint for _, _, endpoint, *_ in platform.runs()} == {"e1"}
+
+
 async def test_an_error_that_ends_every_term_does_not_start_terms_without_end(
     monkeypatch, autojump_clock
 ):
