Leave a record that cannot be written out of the log, and not the term

Cause: TermWriter encoded every record without a boundary, and the log's client raised for a key of more than 255 bytes.

Change: a record that cannot be encoded, or whose key no log can hold, is logged as record_not_written and left out. A run whose decision was left out is not started, as a successor would not know of it, and the job counts as uncommitted until a later decision on the unit is written. The limit of keys is part of the log's interface, and the fake log of the tests keeps it.

Evidence: the 7 new tests of test_term.py failed on the code before, all pass now; tests/scheduler and tests/platform pass.

Conclusion: no record of a term can end it by its content.

--- a/ragwortshelf/scheduler/interfaces.py
+++ b/ragwortshelf/scheduler/interfaces.py
@@ -37,6 +37,8 @@
     "NewestPage",
     "PlatformAdapter",
     "ProducerFence",
+    "KEY_BYTES_MAX",
+    "check_entry",
     "entry_bytes",
 ]
 
@@ -44,6 +46,23 @@
 """A key and a value; an empty value deletes the key."""
 
 
+KEY_BYTES_MAX = 255
+"""Longest key of a record, in bytes of UTF-8."""
+
+
+def check_entry(entry: Entry) -> None:
+    """Raise ``ValueError`` if a log cannot hold an entry with this key.
+
+    >>> check_entry(("x" * 256, b""))
+    Traceback (most recent call last):
+    ...
+    ValueError: a key of 256 bytes is longer than 255
+    """
+    size = len(entry[0].encode())
+    if size > KEY_BYTES_MAX:
+        raise ValueError(f"a key of {size} bytes is longer than {KEY_BYTES_MAX}")
+
+
 def entry_bytes(entry: Entry) -> int:
     """Return the size of an entry's key and value.
 
--- a/ragwortshelf/scheduler/term_writer.py
+++ b/ragwortshelf/scheduler/term_writer.py
@@ -8,10 +8,10 @@
 
 from ..core.scheduling.actions import PersistEvidence, PersistUnit, StartTask
 from ..core.scheduling.job_table import JobTable
-from ..core.scheduling.model import UnitPhase
+from ..core.scheduling.model import UnitKey, UnitPhase
 from ..core.scheduling.record_codec import encode_record
 from ..core.scheduling.records import Record, TermHeld, UnitCrashes
-from ..daemon.logs import log_event
+from ..daemon.logs import log_event, log_failure
 from .clock import boot_ms, wall_ms
 from .interfaces import (
     Appended,
@@ -19,6 +19,7 @@
     Entry,
     LogUnanswered,
     ProducerFence,
+    check_entry,
     entry_bytes,
 )
 from .log_topics import LogTopics
@@ -36,6 +37,9 @@
 class TermWriter:
     """Appends the scheduler's decisions in order; each append also renews the term.
 
+    A record that cannot be written is logged and left out, and so are the starts that
+    follow a decision left out, until a later decision on the same unit is written.
+
     ``uncommitted_jobs`` maps a job's id to its number of decisions not yet in the log.
     ``confirmed_boot_ms`` is the send time of the last successful append, at first that
     of the claim.
@@ -67,6 +71,8 @@
         self._added_count = 0
         self._committed_count = 0
         self._is_resigning = False
+        # The number of newest decisions on a unit that could not be written.
+        self._unwritten_by_unit: dict[UnitKey, int] = {}
         self.confirmed_boot_ms = claimed_boot_ms
         self.may_have_resigned = False
         self.uncommitted_jobs: dict[str, int] = {}
@@ -110,47 +116,69 @@
                 with trio.move_on_after(self._settings.term_renewal_ms / 1000):
                     await self._wake_event.wait()
             self._wake_event = trio.Event()
-            actions, entries = self._take_actions()
+            count, actions, entries = self._take_actions()
             is_last = self._is_resigning and not self._waiting
-            entries.extend(encode_record(record) for record in self._due_records())
+            due_entries = map(_encode, self._due_records())
+            entries.extend(entry for entry in due_entries if entry is not None)
             entries.append(self._renewal(is_last))
             deposed = await self._append(entries, is_last)
             if deposed is not None:
                 return f"deposed: {deposed.detail}"
-            self._finish(actions, on_start)
+            self._finish(count, actions, on_start)
             if is_last:
                 return "resigned"
 
     def _take_actions(
         self,
-    ) -> tuple[list[PersistEvidence | PersistUnit | StartTask], list[Entry]]:
-        """Return the first actions that fit into one append, and their entries.
+    ) -> tuple[int, list[PersistEvidence | PersistUnit | StartTask], list[Entry]]:
+        """Take the first actions that fit into one append.
 
-        A decision that is larger than an append should be is alone.
+        Returns their number, those of them that are not left out, and their entries. A
+        decision that is larger than an append should be is alone.
         """
         size = entry_bytes(self._renewal(is_last=True))
         bytes_max = self._settings.append_bytes_max()
         entries: list[Entry] = []
+        actions: list[PersistEvidence | PersistUnit | StartTask] = []
         count = 0
         for action in self._waiting[:ACTIONS_MAX]:
-            if not isinstance(action, StartTask):
-                entry = encode_record(action.record)
-                size += entry_bytes(entry)
-                if entries and size > bytes_max:
-                    break
-                self._record(action)
-                entries.append(entry)
+            if isinstance(action, StartTask):
+                if action.unit_key not in self._unwritten_by_unit:
+                    actions.append(action)
+            else:
+                entry = _encode(action.record)
+                if entry is not None:
+                    size += entry_bytes(entry)
+                    if entries and size > bytes_max:
+                        break
+                    self._record(action)
+                    entries.append(entry)
+                    actions.append(action)
+                if isinstance(action, PersistUnit):
+                    self._note_written(action, entry is not None)
             count += 1
-        actions = self._waiting[:count]
         del self._waiting[:count]
-        return actions, entries
+        return count, actions, entries
+
+    def _note_written(self, action: PersistUnit, is_written: bool) -> None:
+        """Note whether the newest decision on a unit is being written.
+
+        One that is being written supersedes those that were left out.
+        """
+        key = action.record.key
+        if is_written:
+            self._count_uncommitted(action, -self._unwritten_by_unit.pop(key, 0))
+        else:
+            self._unwritten_by_unit[key] = self._unwritten_by_unit.get(key, 0) + 1
 
     def _renewal(self, is_last: bool) -> Entry:
         claim = self._claim
         return encode_record(TermHeld(claim.term, claim.holder, wall_ms(), is_last))
 
-    def _finish(self, actions, on_start: Callable[[StartTask], None]) -> None:
-        self._committed_count += len(actions)
+    def _finish(
+        self, count: int, actions, on_start: Callable[[StartTask], None]
+    ) -> None:
+        self._committed_count += count
         self._committed.set()
         self._committed = trio.Event()
         for action in actions:
@@ -237,6 +265,17 @@
         )
 
 
+def _encode(record: Record) -> Entry | None:
+    """Return the record's entry, or None if it cannot be written to the log."""
+    try:
+        entry = encode_record(record)
+        check_entry(entry)
+    except Exception:
+        log_failure("record_not_written", record=ascii(record))
+        return None
+    return entry
+
+
 def _rounded(share: float | None) -> float | None:
     """Return a part of a service's capacity to a tenth of a percent."""
     return None if share is None else round(share, 3)
--- a/tests/scheduler/fakes.py
+++ b/tests/scheduler/fakes.py
@@ -22,6 +22,7 @@
     LogUnanswered,
     NewestPage,
     PlatformAdapter,
+    check_entry,
 )
 from ragwortshelf.standins.keyed_topic import KeyedTopic
 from ragwortshelf.standins.platform_endpoint import EndpointState
@@ -40,6 +41,8 @@
         self._faults = faults
 
     async def append(self, entries, *, timeout_ms, at=None, fence=None):
+        for entry in entries:
+            check_entry(entry)
         self._faults.append_sizes.append(sum(len(k) + len(v) for k, v in entries))
         sending_s = self._faults.append_sizes[-1] / self._faults.append_bytes_per_s
         if LOG_CALL_S + sending_s > timeout_ms / 1000:
--- a/tests/scheduler/test_term.py
+++ b/tests/scheduler/test_term.py
@@ -1,8 +1,11 @@
 """One instance schedules at a time, and a successor continues its work."""
 
+from dataclasses import replace
+
 import pytest
 import trio
 from cluster import (
+    CONFIGURATION,
     faults_of,
     holders,
     make_instances,
@@ -12,15 +15,25 @@
     state_of,
     submit,
 )
-from fakes import FakePlatformAdapter
+from fakes import FakePlatformAdapter, Platform
 
-from ragwortshelf.core.scheduling import JobState
-from ragwortshelf.core.scheduling.actions import PersistUnit, StartTask
+from ragwortshelf.core.scheduling import JobState, Resources
+from ragwortshelf.core.scheduling.actions import (
+    PersistEvidence,
+    PersistUnit,
+    StartTask,
+)
 from ragwortshelf.core.scheduling.job_table import JobTable
 from ragwortshelf.core.scheduling.listings import StartOutcome
-from ragwortshelf.core.scheduling.model import UnitKey, UnitPhase
+from ragwortshelf.core.scheduling.model import Incarnation, UnitKey, UnitPhase
 from ragwortshelf.core.scheduling.record_codec import decode_record, encode_record
-from ragwortshelf.core.scheduling.records import TermHeld, UnitRecord
+from ragwortshelf.core.scheduling.records import (
+    EndpointForgotten,
+    EndpointObserved,
+    ServiceCapacity,
+    TermHeld,
+    UnitRecord,
+)
 from ragwortshelf.daemon.metrics import Metrics
 from ragwortshelf.scheduler.clock import boot_ms
 from ragwortshelf.scheduler.instance import Instance
@@ -362,7 +375,7 @@
     )
 
 
-def _make_term_writer(adapter):
+def _make_term_writer(adapter, due_records=tuple):
     return TermWriter(
         TermHeld(1, "i", 0),
         boot_ms(),
@@ -370,6 +383,7 @@
         open_logs(adapter, Metrics()),
         SchedulingSettings("i"),
         JobTable(),
+        due_records,
     )
 
 
@@ -429,3 +443,94 @@
     assert await writer.run(lambda action: None) == "resigned"
     keys = [key.partition("/")[0] for key, _ in platform.jobs.entries]
     assert keys == ["u", "term"] * 3
+
+
+_LONG_NAME = "x" * 300
+_UNWRITABLE_EVIDENCE = [
+    PersistEvidence(EndpointObserved(Incarnation(_LONG_NAME, "a", 1)), "test"),
+    PersistEvidence(EndpointObserved(Incarnation("e", "\ud800", 1)), "test"),
+    PersistEvidence(EndpointForgotten("\ud800"), "test"),
+]
+
+
+# Guards against terms that end one after another, because a record of each of them
+# cannot be encoded or has a key that the log cannot hold.
+@pytest.mark.parametrize("faulty", _UNWRITABLE_EVIDENCE)
+async def test_evidence_that_cannot_be_written_costs_only_its_record(
+    autojump_clock, faulty
+):
+    platform = make_platform()
+    writer = _make_term_writer(FakePlatformAdapter(platform))
+    decisions = [_decision(0, 1), _decision(1, 1)]
+    started = []
+    for action in (decisions[0], faulty, decisions[1]):
+        writer.add(action)
+    writer.add(StartTask("e", decisions[1].record.key, "t", 1, "", ""))
+    writer.resign()
+    assert await writer.run(started.append) == "resigned"
+    await writer.wait_committed(writer.mark())
+    keys = [key.partition("/")[0] for key, _ in platform.jobs.entries]
+    assert keys == ["u", "u", "term"]
+    assert len(started) == 1
+    assert not writer.uncommitted_jobs
+
+
+async def test_a_due_record_that_cannot_be_written_costs_only_itself(autojump_clock):
+    platform = make_platform()
+    services = ("pool", _LONG_NAME, "\ud800", "other")
+    due = [ServiceCapacity(service, 1, 2, Resources()) for service in services]
+    writer = _make_term_writer(FakePlatformAdapter(platform), lambda: due)
+    writer.resign()
+    assert await writer.run(lambda action: None) == "resigned"
+    keys = [key for key, _ in platform.jobs.entries]
+    assert keys == ["f/pool", "f/other", "term"]
+
+
+# Guards against a run that a successor does not know of, because the decision that
+# precedes its start is not in the log.
+async def test_a_run_whose_decision_cannot_be_written_is_not_started(autojump_clock):
+    platform = make_platform()
+    writer = _make_term_writer(FakePlatformAdapter(platform))
+    sound, faulty = _decision(0, 1), _decision(1, 1)
+    unwritable = replace(faulty.record, checkpoint="\ud800")
+    started = []
+    for action in (
+        replace(faulty, record=unwritable),
+        StartTask("e", unwritable.key, "t", 1, "", ""),
+        sound,
+        StartTask("e", sound.record.key, "t", 2, "", ""),
+        StartTask("e", unwritable.key, "t", 3, "", ""),
+        faulty,
+        StartTask("e", faulty.record.key, "t", 4, "", ""),
+    ):
+        writer.add(action)
+    writer.resign()
+    assert await writer.run(started.append) == "resigned"
+    assert [action.run for action in started] == [2, 4]
+    assert not writer.uncommitted_jobs
+
+
+# Guards against a job that is shown as ended although its end is not in the log.
+async def test_a_decision_that_cannot_be_written_stays_uncommitted(autojump_clock):
+    platform = make_platform()
+    writer = _make_term_writer(FakePlatformAdapter(platform))
+    faulty = _decision(1, 1)
+    writer.add(faulty)
+    writer.add(replace(faulty, record=replace(faulty.record, checkpoint="\ud800")))
+    writer.resign()
+    assert await writer.run(lambda action: None) == "resigned"
+    assert writer.uncommitted_jobs == {faulty.record.key.job_id: 1}
+
+
+async def test_an_endpoint_whose_record_cannot_be_written_ends_no_term(autojump_clock):
+    platform = make_platform(2)
+    infos = [endpoint.info for endpoint in platform.endpoint_by_id.values()]
+    platform = Platform(CONFIGURATION, [*infos, replace(infos[0], id=_LONG_NAME)])
+    instances = make_instances(platform, 2)
+    async with running(*instances):
+        await trio.sleep(1)
+        (holder,) = holders(instances)
+        await submit(instances[0], make_job("5" * 16))
+        await trio.sleep(20)
+        assert holders(instances) == [holder]
+        assert await state_of(instances[1], "5" * 16) is JobState.COMPLETED
