Keep an undecodable job record from stopping the follower

Cause: decode_record raised OverflowError for an infinite number and KeyError for a map in place of a list, outside the follower's boundary. The follower read the page again and again, so the instance never became ready, or served an ever older state.

Change: decode_record returns None for these too, and the boundary of a record includes its decoding.

Conclusion: a record of the job log costs itself alone. Records whose fields decode to values of another type are still taken as they are.

--- a/ragwortshelf/core/scheduling/record_codec.py
+++ b/ragwortshelf/core/scheduling/record_codec.py
@@ -138,7 +138,7 @@
                 return ServiceCapacity(rest, term, wall_ms, capacity)
             case "term":
                 return TermHeld(*fields)
-    except (ValueError, TypeError, IndexError, cbor2.CBORDecodeError):
+    except (LookupError, OverflowError, TypeError, ValueError, cbor2.CBORDecodeError):
         return None
     return None
 
--- a/ragwortshelf/scheduler/log_follower.py
+++ b/ragwortshelf/scheduler/log_follower.py
@@ -251,13 +251,12 @@
 
     def _apply_entries(self, entries: tuple[Entry, ...]) -> None:
         for key, value in entries:
-            record = decode_record(key, value)
-            if record is None:
-                if value and key:
-                    log_event("job_record_ignored", key=key, bytes=len(value))
-                continue
             try:
-                self._apply(record)
+                record = decode_record(key, value)
+                if record is not None:
+                    self._apply(record)
+                elif value and key:
+                    log_event("job_record_ignored", key=key, bytes=len(value))
             except Exception:
                 # Records of this topic are written by all instances, and a newer one
                 # may write what this one cannot apply.
--- a/tests/scheduler/test_log_follower.py
+++ b/tests/scheduler/test_log_follower.py
@@ -2,16 +2,19 @@
 
 import random
 
+import cbor2
 import pytest
 import trio
 from cluster import make_job, running
 from fakes import LOG_CALL_S, FakeLog, Faults, LossyLog
 
-from ragwortshelf.core.scheduling.record_codec import encode_record
+from ragwortshelf.core.scheduling.record_codec import decode_record, encode_record
 from ragwortshelf.core.scheduling.records import JobForgotten, JobSubmitted
+from ragwortshelf.scheduler import log_follower
 from ragwortshelf.scheduler.interfaces import LogRefused
 from ragwortshelf.scheduler.log_follower import LogFollower
 from ragwortshelf.scheduler.settings import SchedulingSettings
+from ragwortshelf.scheduler.supervision import run_supervised
 from ragwortshelf.standins.keyed_topic import KeyedTopic
 
 JOB_IDS = [letter * 16 for letter in "abcd"]
@@ -243,3 +246,56 @@
         await trio.sleep(1)
         assert sorted(follower.table.job_by_id) == JOB_IDS
     assert len(log.after_keys) == page_count
+
+
+INFINITY = cbor2.dumps(float("inf"))
+ODD_RECORDS = {
+    f"c/{JOB_IDS[0]}": INFINITY,
+    "w/1": cbor2.dumps({}),
+    "w/2": cbor2.dumps({5: 1}),
+    "f/pool": cbor2.dumps([float("inf")] * 5),
+    "s/1": cbor2.dumps([1, [["e0", float("inf"), 1, 2]]]),
+    f"k/{JOB_IDS[0]}/0/0/0": cbor2.dumps([[[float("inf"), 1, 1]], 1, []]),
+    "e/e0": b"\x81" * 5_000 + b"\x01",
+    "term": cbor2.dumps(7),
+}
+
+
+# Guards against a follower that reads one page again and again, because the decoding of
+# a record raises.
+@pytest.mark.parametrize("is_loaded", [False, True])
+@pytest.mark.parametrize("key", ODD_RECORDS)
+async def test_a_record_that_cannot_be_decoded_costs_no_other(
+    autojump_clock, key, is_loaded
+):
+    topic = make_topic(JOB_IDS[:1])
+    follower = make_follower_of(topic)
+    async with trio.open_nursery() as nursery:
+        if is_loaded:
+            nursery.start_soon(run_supervised, "job log", follower.run)
+            await trio.sleep(1)
+        topic.append([(key, ODD_RECORDS[key])])
+        submit_to(topic, JOB_IDS[3])
+        if not is_loaded:
+            nursery.start_soon(run_supervised, "job log", follower.run)
+        await trio.sleep(3)
+        assert sorted(follower.table.job_by_id) == [JOB_IDS[0], JOB_IDS[3]]
+        assert follower.age_ms() < 1_000
+        nursery.cancel_scope.cancel()
+
+
+async def test_an_error_in_decoding_a_record_costs_no_other(
+    autojump_clock, monkeypatch
+):
+    def decode(key, value):
+        if key.endswith(JOB_IDS[1]):
+            raise RuntimeError("decoder")
+        return decode_record(key, value)
+
+    monkeypatch.setattr(log_follower, "decode_record", decode)
+    follower = make_follower(page_rows=2)
+    async with trio.open_nursery() as nursery:
+        nursery.start_soon(run_supervised, "job log", follower.run)
+        await trio.sleep(3)
+        assert sorted(follower.table.job_by_id) == [JOB_IDS[0], *JOB_IDS[2:]]
+        nursery.cancel_scope.cancel()
