Keep an error in the operators' waves from stopping the configuration

Cause: an unexpected error while the waves were decoded kept the configuration from being decoded and confirmed, so the instance became not ready for as long as the record was there.

Change: it is logged as waves_failed, and the waves stay as they were until an operator's record changes. Errors in evacuations and the configuration are repeated as before, since an old one must not count as confirmed.

Evidence: test_an_error_in_the_waves_costs_no_configuration failed on the code before and passes now. No record is known that raises there.

Conclusion: a wave costs upkeep alone.

--- a/ragwortshelf/scheduler/configuration_follower.py
+++ b/ragwortshelf/scheduler/configuration_follower.py
@@ -8,7 +8,7 @@
 
 from ..core.scheduling import ServiceConfiguration
 from ..core.scheduling.upkeep import UpkeepWave
-from ..daemon.logs import log_event
+from ..daemon.logs import log_event, log_failure
 from .clock import boot_ms, monotonic_ms
 from .interfaces import Entry, KeyedLog, LogGap, LogPage, PlatformAdapter
 from .loss_reporter import LossReporter
@@ -149,7 +149,7 @@
         """Decode the records if any has changed; those without a value are deleted.
 
         They are kept only once they are decoded, so that an unexpected error is
-        repeated rather than ignored.
+        repeated rather than ignored, unless it is one in the waves.
         """
         present = {key: value for key, value in value_by_key.items() if key and value}
         if present != self._value_by_key:
@@ -181,7 +181,11 @@
     def _decode(self, value_by_key: dict[str, bytes]) -> None:
         # First, so that they hold even if the configuration cannot be decoded.
         self._set_evacuations(self._adapter.decode_evacuations(value_by_key))
-        self._waves = self._adapter.decode_waves(value_by_key)
+        try:
+            self._waves = self._adapter.decode_waves(value_by_key)
+        except Exception:
+            # Costs the operators a wave, and the callers nothing.
+            log_failure("waves_failed")
         newest = self._adapter.decode_configuration(value_by_key)
         if newest is None:
             return
--- a/tests/scheduler/test_configuration_follower.py
+++ b/tests/scheduler/test_configuration_follower.py
@@ -123,3 +123,30 @@
         await trio.sleep(3)
         assert follower.is_trusted()
         nursery.cancel_scope.cancel()
+
+
+# Guards against an instance that is never ready, because a record of a wave makes the
+# decoding of all records of the operator fail.
+async def test_an_error_in_the_waves_costs_no_configuration(
+    autojump_clock, monkeypatch
+):
+    def fail(entries):
+        raise RuntimeError("decoder")
+
+    platform = make_platform()
+    platform.operator.append([("wave/1", b"1")])
+    follower, adapter = make_follower(platform)
+    async with trio.open_nursery() as nursery:
+        nursery.start_soon(run_supervised, "configuration", follower.run)
+        await trio.sleep(1)
+        monkeypatch.setattr(adapter, "decode_waves", fail)
+        platform.operator.append([("wave/2", b"2"), ("evacuate/dc", b"1")])
+        await trio.sleep(20)
+        assert follower.is_trusted()
+        assert set(follower.evacuations()) == {"dc"}
+        assert set(follower.waves()) == {"wave/1"}
+        monkeypatch.undo()
+        platform.operator.append([("wave/3", b"3")])
+        await trio.sleep(3)
+        assert set(follower.waves()) == {"wave/1", "wave/2", "wave/3"}
+        nursery.cancel_scope.cancel()
