--- a/tests/platform/test_store.py
+++ b/tests/platform/test_store.py
@@ -118,3 +118,24 @@
     refused = LogRefused(f"status {status}")
     assert await topic.read(9, wait_ms=0, timeout_ms=100) == refused
     assert await topic.newest("j/1", timeout_ms=100) == refused
+
+
+# Guards against a load that never ends, because one key on a page cannot be read.
+@pytest.mark.parametrize("odd_key", ["\udcff", "", None, 7, ["a"], {}])
+@pytest.mark.parametrize("place", [0, 1, 2])
+async def test_an_unreadable_key_costs_no_other_of_its_page(odd_key, place):
+    items = [{"key": key, "value": "eA=="} for key in ("a", "b")]
+    items.insert(place, {"key": odd_key, "value": "eA=="})
+    body = {"items": items, "has_more": True, "end": 5}
+    topic = StoreTopic(Client(_json(200, body)), "keyed.servers")
+    page = await topic.newest(None, timeout_ms=100)
+    assert [entry for entry in page.entries if entry[0]] == [("a", b"x"), ("b", b"x")]
+    assert page.next_key == "b"
+
+
+async def test_a_page_without_a_readable_key_is_refused_if_more_follow():
+    item = {"key": "\udcff", "value": "eA=="}
+    bodies = [{"items": [item], "has_more": more, "end": 5} for more in (True, False)]
+    topic = StoreTopic(Client(*(_json(200, body) for body in bodies)), "keyed.servers")
+    assert isinstance(await topic.newest("a", timeout_ms=100), LogRefused)
+    assert (await topic.newest("a", timeout_ms=100)).next_key is None
