Take a list of hosts with a text that cannot be encoded for unreadable

Cause: a machine, a minion's id or a page token with half of a surrogate pair raised UnicodeEncodeError from MachineService.list_hosts, which ended the runner of the upkeep; it began anew after its wait for earlier holders, again and again.

--- a/tests/platform/test_malformed.py
+++ b/tests/platform/test_malformed.py
@@ -262,6 +262,24 @@
     trio.run(service.list_hosts)
 
 
+# Guards against upkeep that begins anew again and again, because a text that cannot be
+# encoded ends it.
+@pytest.mark.parametrize(
+    "changed",
+    [
+        {"machines": [{"machine": "\ud800"}]},
+        {"machines": [{"machine": "m", "id": "\ud800"}]},
+        {"machines": [{"machine": "m", "state": [["up"]]}], "next_token": "\ud800"},
+        {"next_token": "\ud800"},
+    ],
+)
+async def test_a_list_of_hosts_that_cannot_be_read_is_none(changed):
+    body = json.dumps({"machines": []} | changed).encode()
+    service = MachineService("127.0.0.1:1")
+    service._client = Client(200, body)
+    assert await service.list_hosts() is None
+
+
 @given(_mutations({"approved": [["e", "t"]], "valid_ms": 100}))
 def test_advice(body):
     fields = SETTINGS | {"advice": "127.0.0.1:1"}
