--- a/tests/platform/test_malformed.py
+++ b/tests/platform/test_malformed.py
@@ -1,10 +1,13 @@
 """No message that another process sends makes a decoder or the scheduler raise."""
 
 import json
+from dataclasses import replace
 
+import h11
 import pytest
 import trio
 from cluster import make_instances, make_platform, running
+from fakes import FakeLog, FakePlatformAdapter
 from hypothesis import given
 from hypothesis import strategies as st
 from platform_adapter.adapter import HttpPlatformAdapter
@@ -13,21 +16,42 @@
 from platform_adapter.endpoints import MinionClient, decode_minion
 from platform_adapter.hosts import MachineService, decode_waves
 from platform_adapter.settings import parse_settings
-from platform_adapter.store import StoreTopic
+from platform_adapter.store import StoreTopic, _encode_entry
 from test_decoding import ACCESS, REPORT, SETTINGS
+from trio.testing import MockClock
 
 from ragwortshelf.core.scheduling import JobTable, Scheduler
 from ragwortshelf.core.scheduling.configuration import ServiceConfiguration
+from ragwortshelf.core.scheduling.forecast import CapacityReporter
 from ragwortshelf.core.scheduling.listings import EndpointInfo
-from ragwortshelf.core.scheduling.model import Resources
+from ragwortshelf.core.scheduling.model import (
+    Incarnation,
+    Resources,
+    UnitKey,
+    UnitPhase,
+)
 from ragwortshelf.core.scheduling.record_codec import decode_record, encode_record
-from ragwortshelf.core.scheduling.records import JobSubmitted
+from ragwortshelf.core.scheduling.records import (
+    EndpointForgotten,
+    EndpointObserved,
+    EndpointSpeed,
+    EndpointSpeeds,
+    JobSubmitted,
+    ServiceCapacity,
+    Suspicion,
+    UnitCrashes,
+    UnitRecord,
+)
+from ragwortshelf.net.http_client import split_address
 from ragwortshelf.net.http_messages import HttpRequest, HttpResponse, Malformed
+from ragwortshelf.scheduler.endpoint_directory import EndpointDirectory
 from ragwortshelf.scheduler.interfaces import (
     EndpointAnswer,
     EndpointUnreachable,
     LogUnanswered,
 )
+from ragwortshelf.scheduler.settings import SchedulingSettings
+from ragwortshelf.standins.keyed_topic import KeyedTopic
 
 ID = "5c0e7a21d94b36f8"
 
@@ -81,6 +105,237 @@
     value = value.encode(errors="replace") if isinstance(value, str) else value
     info = decode_minion("e", value)
     assert info is None or isinstance(hash(info), int)
+    if info is not None:
+        _check_endpoint(info)
+
+
+def _nested(kind, depth):
+    """Return JSON of this depth, which is parsed by recursion."""
+    if kind == "list":
+        return "[" * depth + "]" * depth
+    return '{"a":' * depth + "1" + "}" * depth
+
+
+def _report_with(field, json_text):
+    """Return a report with JSON in place of a field, or of a part of it."""
+    mark = "@"
+    changed = {
+        "cpu": {"capacity": {"cpu": mark}},
+        "label": {"labels": [mark]},
+    }.get(field, {field: mark})
+    return json.dumps(REPORT | changed).replace(f'"{mark}"', json_text).encode()
+
+
+def _decode_from_depth(depth, value):
+    """Decode a report with so many further calls on the stack."""
+    if depth:
+        return _decode_from_depth(depth - 1, value)
+    return decode_minion("e", value)
+
+
+# Guards against a RecursionError from a value that is parsed, and is too deep for what
+# is done with it then.
+@pytest.mark.parametrize("kind", ["list", "object"])
+@pytest.mark.parametrize(
+    "field", ["service", "address", "zone", "state", "capacity", "labels", "cpu"]
+)
+def test_reports_of_any_depth_from_any_depth_of_the_stack(field, kind):
+    for depth in range(1, 3_000):
+        info = decode_minion("e", _report_with(field, _nested(kind, depth)))
+        # An empty list of labels, and an object without the fields of a capacity.
+        is_usable = (field, kind, depth) == ("labels", "list", 1)
+        is_usable |= (field, kind) == ("capacity", "object")
+        assert is_usable or info is None
+    for stack in (300, 600, 800):
+        for depth in range(1, 700):
+            _decode_from_depth(stack, _report_with(field, _nested(kind, depth)))
+
+
+NUMBERS = ["1e400", "-1e400", "1e308", "NaN", "Infinity", "-Infinity", "-1", "0.5e-400"]
+NUMBERS += ["1" + "0" * 400, "9" * 5_000, str(1 << 62), str((1 << 62) + 1), "-0.0"]
+
+
+# Guards against numbers that cannot be added up, stored or waited for.
+@pytest.mark.parametrize("field", ["cpu", "remaining_ms", "cold_remaining_ms"])
+@pytest.mark.parametrize("digits", NUMBERS, ids=lambda digits: digits[:9])
+def test_numbers_of_reports_are_of_64_bits(field, digits):
+    info = decode_minion("e", _report_with(field, digits))
+    is_usable = digits in ("0.5e-400", "-0.0", str(1 << 62))
+    assert (info is not None) == is_usable
+    if is_usable:
+        _check_endpoint(info)
+        scheduler = Scheduler(1, JobTable(), ServiceConfiguration(1, (ACCESS.queue,)))
+        for number in range(3):
+            endpoint = replace(info, id=f"e{number}", is_draining=True)
+            scheduler.endpoint_updated(endpoint, 1)
+        scheduler.plan(1, 1)
+        due = CapacityReporter(1, 0).due_records(
+            scheduler.endpoint_by_id.values(), {info.service}, 1 << 40, 1 << 40
+        )
+        assert all(map(_encode_entry, map(encode_record, due)))
+
+
+def test_a_repeated_field_of_a_report_has_its_last_value():
+    value = json.dumps(REPORT)[:-1].encode() + b', "service": "last"}'
+    assert decode_minion("e", value).service == "last"
+
+
+def test_a_report_with_very_many_labels_is_decoded():
+    labels = [f"label-{number}" for number in range(300_000)]
+    info = decode_minion("e", json.dumps(REPORT | {"labels": labels}).encode())
+    assert info.labels == tuple(labels)
+
+
+def _check_endpoint(info):
+    """Check that every record that names an endpoint can be written, and read again."""
+    incarnation = Incarnation(info.id, info.address, info.started_wall_ms)
+    key = UnitKey(ID, 0, 0, 0)
+    for record in (
+        ServiceCapacity(info.service, 1, 2, info.capacity),
+        EndpointObserved(incarnation),
+        EndpointSpeeds(1, 2, (EndpointSpeed(info.id, 3, 4, 5),)),
+        UnitRecord(key, 1, UnitPhase.PLACED, 1, 0, (info.id,)),
+        UnitCrashes(key, (), 0, (Suspicion(incarnation, (0,), (), 0),)),
+    ):
+        entry = encode_record(record)
+        assert decode_record(*entry) == record
+        assert _encode_entry(entry)
+    assert _encode_entry(encode_record(EndpointForgotten(info.id)))
+    h11.Request(
+        method="POST",
+        target="/",
+        headers=[("host", info.address), ("x-expected-instance", info.id)],
+    )
+    assert 0 < split_address(info.address)[1] < 1 << 16
+
+
+HOSTS = (
+    st.ip_addresses().map(str)
+    | st.ip_addresses(v=6).map(lambda address: f"[{address}]")
+    | st.sampled_from(["", "[]", "::1", "[fe80::1%é]", "host", "1.2.3", "[1.2.3.4]"])
+    | st.text(max_size=5)
+)
+PORTS = st.integers(-1, 70_000).map(str) | st.text("0123456789² -+_", max_size=7)
+ADDRESSES = st.tuples(HOSTS, PORTS).map(":".join)
+NAMES = st.text(max_size=300) | st.text(
+    'abc-"\n\x00 é\ud800', min_size=240, max_size=260
+)
+
+
+@given(
+    NAMES.filter(lambda name: name.isascii() or "\ud800" not in name),
+    NAMES,
+    ADDRESSES,
+    st.fixed_dictionaries({}, optional={"zone": VALUES, "labels": VALUES}),
+)
+def test_what_is_decoded_of_a_report_can_be_stored_and_sent(
+    minion_id, service, address, changed
+):
+    fields = REPORT | {"service": service, "address": address} | changed
+    info = decode_minion(minion_id, json.dumps(fields).encode())
+    if info is not None:
+        _check_endpoint(info)
+
+
+ODD_ENTRIES = {
+    "nested": _report_with("service", _nested("list", 900)),
+    "nested-further": _report_with("other", _nested("object", 100_000)),
+    "number": _report_with("cpu", "1" + "0" * 400),
+    "digits": _report_with("remaining_ms", "9" * 5_000),
+    "port": _report_with("address", '"10.0.0.1:99999"'),
+    "no-port": _report_with("address", '"10.0.0.1:"'),
+    "scope": _report_with("address", '"[fe80::1%\\ud800]:80"'),
+    "service": _report_with("service", json.dumps("x" * 400)),
+    "surrogate": _report_with("service", '"\\ud800"'),
+    "bytes": b"\xff\xfe\x00",
+    "empty-object": b"{}",
+    "state": _report_with("state", '"odd"'),
+    "line\nbreak": json.dumps(REPORT).encode(),
+    "é": json.dumps(REPORT).encode(),
+    "x" * 255: json.dumps(REPORT).encode(),
+}
+
+
+class DecodingAdapter(FakePlatformAdapter):
+    """Decodes the reports of endpoints as the platform's adapter does."""
+
+    def decode_endpoint(self, key, value):
+        return decode_minion(key, value)
+
+
+# Guards against a reader of the list of endpoints that ends, or that lists no endpoint
+# further, because of one odd entry.
+@pytest.mark.parametrize("is_listed_before", [False, True])
+@pytest.mark.parametrize("key", [*ODD_ENTRIES, None], ids=ascii)
+async def test_the_entries_beside_an_odd_one_hold(
+    autojump_clock, key, is_listed_before
+):
+    odd_entries = ODD_ENTRIES.items() if key is None else [(key, ODD_ENTRIES[key])]
+    topic = KeyedTopic()
+    adapter = DecodingAdapter(make_platform(0))
+    ids = set()
+    directory = EndpointDirectory(
+        adapter,
+        FakeLog(topic, adapter.faults),
+        SchedulingSettings("i0"),
+        lambda info: ids.add(info.id),
+        ids.remove,
+    )
+    good = json.dumps(REPORT).encode()
+    async with running(directory):
+        if is_listed_before:
+            await trio.sleep(1)
+        topic.append([("a", good), *odd_entries, ("~", good), ("a~", good)])
+        await trio.sleep(1)
+        assert ids == {"a", "~", "a~"}
+        topic.append([("a", b""), *odd_entries, ("b", good)])
+        await trio.sleep(1)
+        assert ids == {"~", "a~", "b"}
+        topic.append([(key, b"") for key, _ in odd_entries])
+        await trio.sleep(1)
+        assert ids == {"~", "a~", "b"}
+        assert directory.age_ms() < 1_000
+
+
+@given(
+    st.lists(
+        st.tuples(
+            st.text(max_size=5) | st.sampled_from(["a", "b"]),
+            _mutations(REPORT) | st.binary(max_size=20),
+        )
+    ),
+    st.integers(0, 10),
+)
+def test_the_directory_follows_any_entries(entries, listed_before):
+    entries = [(key, value) for key, value in entries if _is_encodable(key)]
+    topic = KeyedTopic()
+    topic.append(entries[:listed_before])
+    adapter = DecodingAdapter(make_platform(0))
+    infos = {}
+    directory = EndpointDirectory(
+        adapter,
+        FakeLog(topic, adapter.faults),
+        SchedulingSettings("i0"),
+        lambda info: infos.update({info.id: info}),
+        infos.pop,
+    )
+
+    async def follow():
+        assert await directory._poll() is None
+        topic.append([*entries[listed_before:], ("good", json.dumps(REPORT).encode())])
+        assert await directory._poll() is None
+
+    trio.run(follow, clock=MockClock(autojump_threshold=0))
+    assert "good" in infos
+    for info in infos.values():
+        _check_endpoint(info)
+
+
+def _is_encodable(key):
+    try:
+        return bool(key.encode())
+    except UnicodeEncodeError:
+        return False
 
 
 @given(_mutations({"version": 1, "routes": [], "services": [], "tenants": []}))
