Try a whole system with odd entries among the endpoints' reports

Change: three instances schedule a job while 15 odd entries, and one of another service that decodes and never answers, are among the reports, some before the start and all of them later.

Conclusion: the term goes on, and there is no record of a capacity but of the configured service.

--- a/tests/platform/test_malformed.py
+++ b/tests/platform/test_malformed.py
@@ -6,8 +6,16 @@
 import h11
 import pytest
 import trio
-from cluster import make_instances, make_platform, running
-from fakes import FakeLog, FakePlatformAdapter
+from cluster import (
+    holders,
+    make_instances,
+    make_job,
+    make_platform,
+    running,
+    state_of,
+    submit,
+)
+from fakes import FakeClient, FakeEndpoint, FakeLog, FakePlatformAdapter
 from hypothesis import given
 from hypothesis import strategies as st
 from platform_adapter.adapter import HttpPlatformAdapter
@@ -20,7 +28,7 @@
 from test_decoding import ACCESS, REPORT, SETTINGS
 from trio.testing import MockClock
 
-from ragwortshelf.core.scheduling import JobTable, Scheduler
+from ragwortshelf.core.scheduling import JobState, JobTable, Scheduler
 from ragwortshelf.core.scheduling.configuration import ServiceConfiguration
 from ragwortshelf.core.scheduling.forecast import CapacityReporter
 from ragwortshelf.core.scheduling.listings import EndpointInfo
@@ -45,6 +53,7 @@
 from ragwortshelf.net.http_client import split_address
 from ragwortshelf.net.http_messages import HttpRequest, HttpResponse, Malformed
 from ragwortshelf.scheduler.endpoint_directory import EndpointDirectory
+from ragwortshelf.scheduler.instance import Instance
 from ragwortshelf.scheduler.interfaces import (
     EndpointAnswer,
     EndpointUnreachable,
@@ -297,6 +306,46 @@
         assert directory.age_ms() < 1_000
 
 
+class ForeignEntriesAdapter(DecodingAdapter):
+    """Lists the platform's endpoints, and what other entries name, which is silent."""
+
+    def decode_endpoint(self, key, value):
+        if key in self.platform.endpoint_by_id:
+            return FakePlatformAdapter.decode_endpoint(self, key, value)
+        return super().decode_endpoint(key, value)
+
+    def endpoint_client(self, info, token):
+        if info.id in self.platform.endpoint_by_id:
+            return super().endpoint_client(info, token)
+        endpoint = FakeEndpoint(info)
+        endpoint.is_disconnected = True
+        return FakeClient(endpoint, token, self.faults)
+
+
+# Guards against entries of other writers that end the term of each scheduler.
+async def test_no_term_ends_because_of_odd_entries(autojump_clock):
+    platform = make_platform()
+    adapters = [ForeignEntriesAdapter(platform) for _ in range(3)]
+    instances = [
+        Instance(adapter, SchedulingSettings(f"i{number}"))
+        for number, adapter in enumerate(adapters)
+    ]
+    foreign = {"service": "s" * 253, "capacity": {"cpu": 1 << 62, "gpu": 1 << 62}}
+    entries = [*ODD_ENTRIES.items(), ("i" * 253, json.dumps(REPORT | foreign).encode())]
+    platform.reports.append(entries[::2])
+    async with running(*instances):
+        await trio.sleep(2)
+        (holder,) = holders(instances)
+        platform.reports.append(entries)
+        await submit(instances[0], make_job(ID))
+        for _ in range(30):
+            await trio.sleep(1)
+            assert holders(instances) == [holder]
+            assert all(instance.gateway.is_ready() for instance in instances)
+        assert await state_of(instances[1], ID) is JobState.COMPLETED
+    assert {key for key, _ in platform.jobs.entries if key[:2] == "f/"} == {"f/pool"}
+
+
 @given(
     st.lists(
         st.tuples(
