Publish the capacity of configured services alone

Cause: the scheduler wrote a record of the capacity of every service that an endpoint's report names.

Change: CapacityReporter gets the configured services, those of the configuration's list and of its queues, and publishes no other.

--- a/ragwortshelf/core/scheduling/configuration.py
+++ b/ragwortshelf/core/scheduling/configuration.py
@@ -85,6 +85,18 @@
         """The queues by name."""
         return {queue.name: queue for queue in self.queues}
 
+    @cached_property
+    def service_names(self) -> frozenset[str]:
+        """The names of the services, and of those that queues lead to.
+
+        >>> queue = Queue("q", "a.example", "/jobs/", "service")
+        >>> ServiceConfiguration(1, (queue,)).service_names
+        frozenset({'service'})
+        """
+        return frozenset(self.service_by_name).union(
+            queue.service for queue in self.queues
+        )
+
     @cached_property
     def _queues_by_host(self) -> dict[str, list[Queue]]:
         # Longest prefix first: the longest match applies.
--- a/ragwortshelf/core/scheduling/forecast.py
+++ b/ragwortshelf/core/scheduling/forecast.py
@@ -7,7 +7,7 @@
 from __future__ import annotations
 
 from bisect import bisect_left, bisect_right
-from collections.abc import Iterable, Mapping
+from collections.abc import Collection, Iterable, Mapping
 
 from .backlog import Load, LoadKey, load_of
 from .configuration import ServiceConfiguration
@@ -62,9 +62,16 @@
         self._newest_by_service: dict[str, tuple[int, Resources]] = {}
 
     def due_records(
-        self, endpoints: Iterable[Endpoint], now_ms: int, wall_ms: int
+        self,
+        endpoints: Iterable[Endpoint],
+        services: Collection[str],
+        now_ms: int,
+        wall_ms: int,
     ) -> list[ServiceCapacity]:
-        """Return the records that are due, which the caller appends to the log."""
+        """Return the records that are due, which the caller appends to the log.
+
+        ``services`` are the configured ones; there is no record of any other.
+        """
         if now_ms < self._next_check_ms:
             return []
         self._next_check_ms = now_ms + CAPACITY_CHECK_MS
@@ -73,6 +80,9 @@
             capacities.setdefault(service, Resources())
         records = []
         for service, capacity in capacities.items():
+            # An endpoint's report may name any service, and nothing reads its record.
+            if service not in services:
+                continue
             newest = self._newest_by_service.get(service)
             if newest is not None:
                 sent_ms, before = newest
--- a/ragwortshelf/scheduler/leadership.py
+++ b/ragwortshelf/scheduler/leadership.py
@@ -458,7 +458,10 @@
     def _due_capacities(self) -> list[ServiceCapacity]:
         try:
             return self._capacity_reporter.due_records(
-                self._scheduler.endpoint_by_id.values(), monotonic_ms(), wall_ms()
+                self._scheduler.endpoint_by_id.values(),
+                self._configuration.current.service_names,
+                monotonic_ms(),
+                wall_ms(),
             )
         except Exception:
             # Costs the instances their forecasts, and not the term.
--- a/tests/core/scheduling/test_forecast.py
+++ b/tests/core/scheduling/test_forecast.py
@@ -1,5 +1,7 @@
 """The published capacity, the fair shares and the sums of the backlog."""
 
+from dataclasses import replace
+
 import cbor2
 import pytest
 from harness import Harness
@@ -26,6 +28,7 @@
 )
 from ragwortshelf.core.scheduling.shares import Demand, fair_shares
 
+SERVICES = frozenset({"pool", "unused"})
 RECORD = ServiceCapacity("pool", 7, 1_700_000_000_000, Resources(64_000, 128_000, 16))
 
 
@@ -58,7 +61,7 @@
 
     def due(now_ms):
         endpoints = harness.scheduler.endpoint_by_id.values()
-        return reporter.due_records(endpoints, now_ms, now_ms)
+        return reporter.due_records(endpoints, SERVICES, now_ms, now_ms)
 
     # Guards against a new scheduler that publishes before it has listed its endpoints.
     assert due(CAPACITY_SETTLES_MS - 1) == []
@@ -77,24 +80,42 @@
     reporter = CapacityReporter(1, 0)
     endpoints = harness.scheduler.endpoint_by_id
     now = 10_000
-    assert reporter.due_records(endpoints.values(), now, now)
+    assert reporter.due_records(endpoints.values(), SERVICES, now, now)
     for endpoint in endpoints.values():
         endpoint.excluded_until_ms = now + 5_000
     now += 1_000
-    assert reporter.due_records(endpoints.values(), now, now) == []
+    assert reporter.due_records(endpoints.values(), SERVICES, now, now) == []
     endpoints["e0"].is_reachable = endpoints["e1"].is_reachable = False
     now += 1_000
-    assert reporter.due_records(endpoints.values(), now, now) == []
+    assert reporter.due_records(endpoints.values(), SERVICES, now, now) == []
     harness.scheduler.cordon("e2")
     now += 1_000
-    (record,) = reporter.due_records(endpoints.values(), now, now)
+    (record,) = reporter.due_records(endpoints.values(), SERVICES, now, now)
     assert record.capacity.gpus == 37 * 8
     # Nothing is left of the service, which its last record must say.
     now += 1_000
-    (record,) = reporter.due_records([], now, now)
+    (record,) = reporter.due_records([], SERVICES, now, now)
     assert record.capacity == Resources()
 
 
+# Guards against records that name what another writer put into an endpoint's report.
+def test_the_capacity_of_a_service_that_is_not_configured_is_not_published():
+    harness = Harness(endpoints=1)
+    info = harness.scheduler.endpoint_by_id["e0"].info
+    for number, service in enumerate(("odd", "x" * 400, "")):
+        odd = replace(info, id=f"odd{number}", service=service)
+        harness.scheduler.endpoint_updated(odd, 0)
+        harness.scheduler.endpoint_by_id[odd.id].is_reachable = True
+    reporter = CapacityReporter(1, 0)
+    endpoints = harness.scheduler.endpoint_by_id.values()
+    now = CAPACITY_SETTLES_MS
+    (record,) = reporter.due_records(endpoints, SERVICES, now, now)
+    assert record == ServiceCapacity("pool", 1, now, info.capacity)
+    # Nor is it once the service has left the configuration.
+    now += CAPACITY_INTERVAL_MS
+    assert reporter.due_records(endpoints, frozenset(), now, now) == []
+
+
 AMOUNTS = st.floats(0, 2).map(lambda value: round(value, 4))
 
 
