Count a repeated append as a confirmation from its first attempt

Callers saw: a task could run twice (TWICE). Possible since the bound of leases follows from the log.

Cause: the log answers a repeated append like the first one, although it renews nothing. The holder counted the term as confirmed from the sending of the repetition, and extended leases for 4 s from then. A successor counts those 4 s from its read of the one record, which the first attempt had written.

Change: after an attempt without an answer, the confirmation keeps the send time of that attempt, which may be the one that took effect. The next renewal follows at once, as that time may be old after an outage.

Conclusion: a holder's confirmation is never later than the record that a successor reads.

--- a/ragwortshelf/scheduler/term_writer.py
+++ b/ragwortshelf/scheduler/term_writer.py
@@ -38,7 +38,8 @@
 
     ``uncommitted_jobs`` maps a job's id to its number of decisions not yet in the log.
     ``confirmed_boot_ms`` is the send time of the last successful append, at first that
-    of the claim.
+    of the claim. If the append was repeated, it is that of the first attempt which may
+    have taken effect: the log answers a repetition although it renews nothing.
     ``may_have_resigned`` is set while the resignation may be in the log, so that a
     successor may hold the role already. ``due_records`` returns records that go along
     with the next append.
@@ -67,6 +68,7 @@
         self._added_count = 0
         self._committed_count = 0
         self._is_resigning = False
+        self._is_renewal_due = False
         self.confirmed_boot_ms = claimed_boot_ms
         self.may_have_resigned = False
         self.uncommitted_jobs: dict[str, int] = {}
@@ -106,7 +108,8 @@
         ``on_start`` is called for each start whose preceding records are in the log.
         """
         while True:
-            if not self._waiting and not self._is_resigning:
+            is_idle = not self._waiting and not self._is_resigning
+            if is_idle and not self._is_renewal_due:
                 with trio.move_on_after(self._settings.term_renewal_ms / 1000):
                     await self._wake_event.wait()
             self._wake_event = trio.Event()
@@ -168,13 +171,16 @@
         fence = ProducerFence(PRODUCER, self._claim.term, self._sequence)
         was_unanswered = False
         while True:
-            sent = boot_ms()
+            if not was_unanswered:
+                sent = boot_ms()
             self.may_have_resigned = is_last
             outcome = await self._log.append(
                 entries, timeout_ms=self._settings.log_call_timeout_ms, fence=fence
             )
             if isinstance(outcome, Appended):
                 self.confirmed_boot_ms = sent
+                # After an outage that confirmation is old.
+                self._is_renewal_due = was_unanswered
                 return None
             if isinstance(outcome, Deposed):
                 return outcome
--- a/tests/scheduler/test_earlier_leases.py
+++ b/tests/scheduler/test_earlier_leases.py
@@ -1,5 +1,6 @@
 """How long a successor waits for the leases that earlier holders granted."""
 
+from dataclasses import replace
 from itertools import pairwise
 
 import pytest
@@ -175,3 +176,38 @@
         writer = instance.election.leadership._writer
         assert writer.confirmed_boot_ms <= claimed_ms
         nursery.cancel_scope.cancel()
+
+
+# Guards against a task that runs twice: an append whose answer was lost renews the term
+# once, and its repetition confirmed the term as of the repetition.
+async def test_no_task_starts_again_under_a_lease_confirmed_by_a_repeated_append(
+    autojump_clock,
+):
+    cluster = _Cluster()
+    for instance in cluster.instances:
+        # Small instances claim the role later, and runs are listed often.
+        settings = replace(instance.settings, cores=0.4, listing_wait_ms=100)
+        instance.reconfigure(settings)
+    async with trio.open_nursery() as nursery:
+        await cluster.run(nursery)
+        endpoint_id = cluster.endpoint_of_first_run().info.id
+        cut_off = cluster.holder
+        faults = faults_of(cut_off)
+        faults.unreachable_ids |= set(cluster.platform.endpoint_by_id) - {endpoint_id}
+        for instance in cluster.instances:
+            if instance is not cut_off:
+                faults_of(instance).unreachable_ids.add(endpoint_id)
+        faults.lose_append_answers = 2
+        await _wait_until(lambda: not faults.lose_append_answers)
+        writer = cut_off.election.leadership._writer
+        confirmed_boot_ms = writer.confirmed_boot_ms
+        await _wait_until(lambda: writer.confirmed_boot_ms != confirmed_boot_ms)
+        faults.store = "silent"
+        await trio.sleep(25)
+        assert cluster.has_restarted_only_after_the_first_run()
+        nursery.cancel_scope.cancel()
+
+
+async def _wait_until(condition):
+    while not condition():
+        await trio.sleep(0.001)
