Keep the bound of an endpoint's leases when its address changes

Callers saw: a task could run twice (TWICE) if an endpoint reports another address within its incarnation and does not answer there.

Cause: a change of address opens a new session, with the bound of the takeover, which has long passed. After two calls without an answer the endpoint counted as lapsed, although the session before had granted leases.

Change: the new session begins with the earlier one's bound, which now includes a renewal in flight.

Conclusion: no session counts an endpoint's leases as expired that an earlier one has granted.

--- a/ragwortshelf/scheduler/endpoint_session.py
+++ b/ragwortshelf/scheduler/endpoint_session.py
@@ -55,10 +55,10 @@
     """The scheduler's connection to one endpoint during one term.
 
     The session records the latest lease deadline that it has sent, on the endpoint's
-    clock, and the local time by which that deadline has certainly passed. Until the
-    first answer, ``earlier_leases_expiry_ms`` (local time) bounds the leases granted in
-    earlier terms. ``listing_wait_ms`` is how long the next renewals wait for changes,
-    and so the interval of listings.
+    clock, and in ``lease_expiry_ms`` the local time by which all leases have certainly
+    expired. Until the first answer, ``earlier_leases_expiry_ms`` (local time) bounds
+    the leases granted in earlier terms, or by an earlier session. ``listing_wait_ms``
+    is how long the next renewals wait for changes, and so the interval of listings.
 
     While ``may_order`` returns False nothing is sent: a process that was paused may
     have lost the role meanwhile. While ``may_extend_lease`` returns False, renewals
@@ -94,7 +94,7 @@
         self._may_extend_lease = may_extend_lease
         self._start_gate = start_gate
         self._is_still_ordered = is_still_ordered
-        self._lease_expiry_ms = earlier_leases_expiry_ms
+        self.lease_expiry_ms = earlier_leases_expiry_ms
         self._deadline_ms: int | None = None
         self._clock_ms = 0
         self._clock_read_ms = 0
@@ -210,6 +210,7 @@
         is_urgent = self._failures > 0 or needs_lease
         wait_ms = 0 if is_urgent else self.listing_wait_ms
         until_ms = self._next_deadline_ms(sent_ms)
+        self._record_sent_deadline(until_ms)
         answer = await self._client.renew(
             until_ms=until_ms,
             ack_number=self._ack_number,
@@ -253,12 +254,23 @@
         """Estimate the endpoint's clock, assuming the same rate as the local clock."""
         return self._clock_ms + (now_ms - self._clock_read_ms)
 
+    def _record_sent_deadline(self, until_ms: int | None) -> None:
+        """Record that the endpoint may hold a deadline from now on.
+
+        The session may end before the answer, and another one take its place.
+        """
+        if until_ms is not None:
+            expiry_ms = self._local_expiry_ms(until_ms)
+            self.lease_expiry_ms = max(self.lease_expiry_ms, expiry_ms)
+
     def _record_deadline(self, until_ms: int) -> None:
         """Record a deadline that the endpoint may hold, and its local expiry time."""
         self._deadline_ms = until_ms
-        self._lease_expiry_ms = self._clock_read_ms + max_local_duration_ms(
-            until_ms - self._clock_ms
-        )
+        self.lease_expiry_ms = self._local_expiry_ms(until_ms)
+
+    def _local_expiry_ms(self, until_ms: int) -> int:
+        """Return the local time by which the endpoint's clock has reached a time."""
+        return self._clock_read_ms + max_local_duration_ms(until_ms - self._clock_ms)
 
     def _pause_ms(self) -> int:
         """Return the pause before the next renewal, which grows up to its maximum."""
@@ -311,7 +323,7 @@
         self._loss_count += 1
         if self._deadline_ms is not None:
             expiry_ms = now_ms + max_local_duration_ms(self._settings.lease_max_ms)
-            self._lease_expiry_ms = max(self._lease_expiry_ms, expiry_ms)
+            self.lease_expiry_ms = max(self.lease_expiry_ms, expiry_ms)
         self._deadline_ms = None
 
     async def _acknowledge_after_commit(
@@ -340,7 +352,7 @@
             self._on_unreachable(self.info.id)
 
     def _check_lease_expiry(self) -> None:
-        if not self._has_lease_expired and monotonic_ms() > self._lease_expiry_ms:
+        if not self._has_lease_expired and monotonic_ms() > self.lease_expiry_ms:
             self._has_lease_expired = True
             log_event("endpoint_lapsed", endpoint=self.info.id)
             self._on_lease_expired(self.info.id)
--- a/ragwortshelf/scheduler/leadership.py
+++ b/ragwortshelf/scheduler/leadership.py
@@ -279,12 +279,15 @@
         if session is not None and session.info.address == info.address:
             session.info = info
         else:
+            expiry_ms = self._earlier_leases_expiry_ms
             if session is not None:
                 session.end()
-            self._open_session(info)
+                # The endpoint may run on under the leases of that session.
+                expiry_ms = session.lease_expiry_ms
+            self._open_session(info, expiry_ms)
         self._plan_event.set()
 
-    def _open_session(self, info: EndpointInfo) -> None:
+    def _open_session(self, info: EndpointInfo, earlier_leases_expiry_ms: int) -> None:
         session = EndpointSession(
             info,
             self._adapter.endpoint_client(info, self.claim.term),
@@ -297,7 +300,7 @@
             may_extend_lease=self._may_extend_leases,
             start_gate=self._start_gate,
             is_still_ordered=self._scheduler.is_still_ordered,
-            earlier_leases_expiry_ms=self._earlier_leases_expiry_ms,
+            earlier_leases_expiry_ms=earlier_leases_expiry_ms,
         )
         self._session_by_id[info.id] = session
         self._nursery.start_soon(session.run)
--- a/tests/scheduler/fakes.py
+++ b/tests/scheduler/fakes.py
@@ -291,6 +291,12 @@
         endpoint.info = replace(endpoint.info, capacity=capacity)
         self.reports.append([(endpoint_id, b"1")])
 
+    def move(self, endpoint_id, address):
+        """Change an endpoint's address, and report it."""
+        endpoint = self.endpoint_by_id[endpoint_id]
+        endpoint.info = replace(endpoint.info, address=address)
+        self.reports.append([(endpoint_id, b"1")])
+
     def make_tasks_crash(self, tasks, *, is_replaced=False):
         """Let the starts of these tasks crash every endpoint.
 
--- a/tests/scheduler/test_earlier_leases.py
+++ b/tests/scheduler/test_earlier_leases.py
@@ -211,3 +211,19 @@
 async def _wait_until(condition):
     while not condition():
         await trio.sleep(0.001)
+
+
+# Guards against a task that runs twice: an endpoint reported another address and did
+# not answer there, while its run went on under the lease granted before.
+async def test_no_task_starts_again_under_a_lease_granted_at_an_earlier_address(
+    autojump_clock,
+):
+    cluster = _Cluster(instances=1)
+    async with trio.open_nursery() as nursery:
+        await cluster.run(nursery)
+        endpoint = cluster.endpoint_of_first_run()
+        endpoint.is_disconnected = True
+        cluster.platform.move(endpoint.info.id, "elsewhere")
+        await trio.sleep(15)
+        assert cluster.has_restarted_only_after_the_first_run()
+        nursery.cancel_scope.cancel()
