Pause between renewals that extend no lease

Callers saw: processor time and calls to endpoints that gain nothing, in the last part of an outage of the log of more than 8 s.

Cause: a holder that the log has not confirmed for 4 s extends no lease. Once too little of the lease is left, listings are ignored, and with them the 0.5 s for which a renewal waits until listed ends are in the log. An endpoint that lists an end answers without waiting, so the next renewal followed at once.

Change: while no lease may be extended, a renewal whose listing is ignored is followed by the same 0.5 s.

Evidence: test_renewals_that_extend_no_lease_keep_their_interval, with a lease of 5 s so that it does not depend on the last renewal's time, counted 542 and 582 renewals of one endpoint in the last seconds of a term before, and passes now, 3 of 3, with 5 at most. With the lease of 7 s the window is 0 to 1 s (reasoned, not measured).

--- a/ragwortshelf/scheduler/endpoint_session.py
+++ b/ragwortshelf/scheduler/endpoint_session.py
@@ -291,6 +291,9 @@
         if not self._has_time_to_start(now_ms):
             # Tasks start only under a lease, and granting one needs the clock from the
             # first answer. A deadline repeated after failures may have expired.
+            if answer.finished and not self._may_extend_lease():
+                # The next answer would not wait either, as no end is acknowledged.
+                await trio.sleep(COMMIT_WAIT_MS / 1000)
             return
         if not self._is_reachable:
             log_event(
--- a/tests/scheduler/test_earlier_leases.py
+++ b/tests/scheduler/test_earlier_leases.py
@@ -259,3 +259,25 @@
         assert await state_of(cluster.instances[0], JOB_ID) is JobState.COMPLETED
         assert len(cluster.starts()) == 1
         nursery.cancel_scope.cancel()
+
+
+# Guards against renewals without a pause while the lease runs out and the log has not
+# confirmed the term: each would ask for an immediate answer, or get one because the end
+# of a run is listed.
+async def test_renewals_that_extend_no_lease_keep_their_interval(autojump_clock):
+    cluster = _Cluster(instances=1)
+    (instance,) = cluster.instances
+    # So that it runs out before the role is given up, whenever it was extended last.
+    instance.reconfigure(replace(instance.settings, lease_ms=5_000))
+    async with trio.open_nursery() as nursery:
+        await cluster.run(nursery)
+        faults_of(cluster.holder).store = "silent"
+        await trio.sleep(7.2)
+        assert holders(cluster.instances)
+        for endpoint in cluster.platform.endpoint_by_id.values():
+            endpoint.renewals.clear()
+        # Until the role is given up.
+        await _wait_until(lambda: not holders(cluster.instances))
+        for endpoint in cluster.platform.endpoint_by_id.values():
+            assert 0 < len(endpoint.renewals) <= 5
+        nursery.cancel_scope.cancel()
