Test the bound of leases against the leases themselves

Change: three tests, of a successor's bound against the end of the lease itself, of leases as they arrive on a slow clock, and of an instance that has just loaded the log.

--- a/tests/scheduler/test_earlier_leases.py
+++ b/tests/scheduler/test_earlier_leases.py
@@ -195,10 +195,7 @@
         endpoint_id = cluster.endpoint_of_first_run().info.id
         cut_off = cluster.holder
         faults = faults_of(cut_off)
-        faults.unreachable_ids |= set(cluster.platform.endpoint_by_id) - {endpoint_id}
-        for instance in cluster.instances:
-            if instance is not cut_off:
-                faults_of(instance).unreachable_ids.add(endpoint_id)
+        _leave_only_the_holder_in_touch(cluster, endpoint_id)
         faults.lose_append_answers = 2
         await _wait_until(lambda: not faults.lose_append_answers)
         writer = cut_off.election.leadership._writer
@@ -261,6 +258,82 @@
         nursery.cancel_scope.cancel()
 
 
+# Guards against a bound that is shorter than the leases of a cut-off holder, or much
+# longer: 3 s, 6 s or an endpoint's clock at full rate passed all other tests.
+async def test_the_bound_of_a_successor_is_that_of_the_longest_lease(autojump_clock):
+    cluster = _Cluster()
+    for instance in cluster.instances:
+        # So that a renewal is read, and a lease extended, almost at once.
+        settings = replace(instance.settings, listing_wait_ms=20, follow_interval_ms=10)
+        instance.reconfigure(settings)
+    for endpoint in cluster.platform.endpoint_by_id.values():
+        endpoint._clock_rate = 0.98
+    async with trio.open_nursery() as nursery:
+        await cluster.run(nursery)
+        endpoint = cluster.endpoint_of_first_run()
+        cut_off = cluster.holder
+        _leave_only_the_holder_in_touch(cluster, endpoint.info.id)
+        faults_of(cut_off).store = "silent"
+        others = [i for i in cluster.instances if i is not cut_off]
+        await _wait_until(lambda: holders(others))
+        bound_ms = holders(others)[0].election.leadership._earlier_leases_expiry_ms
+        await trio.sleep(5)
+        lease_end_ms = endpoint._lease_end_ms()
+        assert lease_end_ms <= bound_ms <= lease_end_ms + 100
+        nursery.cancel_scope.cancel()
+
+
+# Guards against leases that are longer than a successor expects: a slow clock counted
+# at full rate while the ends of runs wait for the log.
+async def test_no_lease_is_longer_than_agreed_on_the_endpoints_clock(autojump_clock):
+    cluster = _Cluster(instances=1, endpoints=1)
+    (endpoint,) = cluster.platform.endpoint_by_id.values()
+    endpoint._clock_rate = 0.98
+    lease_ms = []
+    renew = endpoint.renew
+
+    async def note_lease(until_ms, *rest):
+        if until_ms is not None:
+            lease_ms.append(until_ms - endpoint.clock_ms())
+        return await renew(until_ms, *rest)
+
+    endpoint.renew = note_lease
+    async with trio.open_nursery() as nursery:
+        await cluster.run(nursery)
+        faults_of(cluster.holder).store = "silent"
+        (task,) = endpoint.running
+        endpoint.finish(task)
+        lease_ms.clear()
+        await trio.sleep(3)
+        assert len(lease_ms) > 3
+        assert max(lease_ms) <= cluster.holder.settings.lease_ms
+        nursery.cancel_scope.cancel()
+
+
+# Guards against a task that runs twice: an instance that has just loaded the log knows
+# of the newest term alone, which was resigned, and not of the holder before it.
+async def test_an_instance_that_has_just_started_counts_leases_of_terms_unseen(
+    autojump_clock,
+):
+    cluster = _Cluster(instances=2)
+    async with trio.open_nursery() as nursery:
+        await cluster.run(nursery)
+        endpoint_id = cluster.endpoint_of_first_run().info.id
+        cut_off = cluster.holder
+        (other,) = [i for i in cluster.instances if i is not cut_off]
+        (started,) = make_instances(cluster.platform, 1)
+        started.reconfigure(replace(started.settings, instance="started"))
+        faults_of(started).unreachable_ids.add(endpoint_id)
+        _leave_only_the_holder_in_touch(cluster, endpoint_id)
+        faults_of(cut_off).store = "silent"
+        await _wait_until(lambda: holders([other]))
+        await other.drain()
+        nursery.start_soon(started.run)
+        await trio.sleep(25)
+        assert cluster.has_restarted_only_after_the_first_run()
+        nursery.cancel_scope.cancel()
+
+
 # Guards against renewals without a pause while the lease runs out and the log has not
 # confirmed the term: each would ask for an immediate answer, or get one because the end
 # of a run is listed.
@@ -281,3 +354,12 @@
         for endpoint in cluster.platform.endpoint_by_id.values():
             assert 0 < len(endpoint.renewals) <= 5
         nursery.cancel_scope.cancel()
+
+
+def _leave_only_the_holder_in_touch(cluster, endpoint_id):
+    """Let the holder alone reach an endpoint, and the others all but that one."""
+    holder = cluster.holder
+    others = set(cluster.platform.endpoint_by_id) - {endpoint_id}
+    for instance in cluster.instances:
+        ids = others if instance is holder else {endpoint_id}
+        faults_of(instance).unreachable_ids |= ids
