Keep the bound of leases over a load that shows no new term

Change: a load that shows the newest record that was known moves nothing, and a later record of the same term moves the bound of that term alone, since terms only rise.

Evidence: the two new tests of test_lease_grants.py failed before (8 tests passed, these failed) and pass now.

--- a/ragwortshelf/core/scheduling/lease_grants.py
+++ b/ragwortshelf/core/scheduling/lease_grants.py
@@ -1,9 +1,10 @@
 """Bounds until when the holders of the scheduler's role extended leases.
 
 A holder extends leases for a limited time after the log has last confirmed its term,
-and not at all from its resignation on. A record was sent before a follower reads it, so
-the time of that read bounds the time of the confirmation, whatever the clocks of the
-two instances show.
+and not at all from its resignation on. It counts from the sending of the record that
+was confirmed, which is earlier than any follower's read of it. So the time of that read
+bounds the extensions, whatever time of day the instances have; their steady clocks are
+taken to run at one rate.
 """
 
 from __future__ import annotations
@@ -39,17 +40,22 @@
     def end_ms(self) -> int | None:
         """Time from which no term in the log extends a lease; None without a term."""
         if self._newest is None:
-            return self._earlier_end_ms
+            return None
         end_ms = self._newest_read_ms
         if not self._newest.is_resigned:
             end_ms += self._grant_max_ms
         return max(end_ms, self._earlier_end_ms or end_ms)
 
     def loaded(self, newest: TermHeld | None, now_ms: int) -> None:
-        """Note a load of the newest records, which tells nothing of earlier terms."""
-        if newest is not None:
-            self._newest, self._newest_read_ms = newest, now_ms
+        """Note a load of the newest records, which tells nothing of earlier terms.
+
+        If the newest term was known before the load, no other one has followed it.
+        """
+        if newest is None or newest == self._newest:
+            return
+        if self._newest is None or newest.term != self._newest.term:
             self._earlier_end_ms = now_ms + self._grant_max_ms
+        self._newest, self._newest_read_ms = newest, now_ms
 
     def term_read(self, record: TermHeld, now_ms: int) -> None:
         """Note a claim, renewal or resignation; those of earlier terms are void."""
--- a/ragwortshelf/scheduler/leadership.py
+++ b/ragwortshelf/scheduler/leadership.py
@@ -196,9 +196,9 @@
         return job_id not in self._writer.uncommitted_jobs
 
     def _may_order_endpoints(self) -> bool:
-        """Whether this instance still stands for the role, though it may have lost it.
+        """Whether orders may be sent, although another instance may hold the role.
 
-        Endpoints that a successor has reached refuse its orders.
+        Endpoints that it has reached refuse them.
         """
         return self._is_confirmed_within(self._settings.term_confirmation_max_ms)
 
--- a/tests/core/scheduling/test_lease_grants.py
+++ b/tests/core/scheduling/test_lease_grants.py
@@ -46,3 +46,17 @@
     assert grants.end_ms == 13_000
     grants.term_read(TermHeld(8, "i8", 0), 9_500)
     assert grants.end_ms == 13_500
+
+
+# Guards against a holder that gives the role up in an outage of the log, claims it again
+# and waits anew for the leases that it granted itself.
+def test_a_load_of_what_was_known_moves_no_bound():
+    grants = make_grants((100, 1, False), (450, 7, False))
+    grants.loaded(TermHeld(7, "i7", 0), 13_000)
+    assert grants.end_ms == 4_450
+
+
+def test_a_load_of_a_later_renewal_moves_the_bound_of_its_term_alone():
+    grants = make_grants((100, 7, False))
+    grants.loaded(TermHeld(7, "i7", 1, is_resigned=True), 9_000)
+    assert grants.end_ms == 9_000
