Read the terms of a load once it is whole

The follower passes the records of a load to LeaseGrants one by one, so at its end the newest term looked as if it had been known before.

Change: records of a load are noted at its end alone.

--- a/ragwortshelf/scheduler/log_follower.py
+++ b/ragwortshelf/scheduler/log_follower.py
@@ -269,7 +269,7 @@
         term_before = self.table.term
         if self.table.apply(record):
             self.on_job_changed(job_id_of(record))
-        if isinstance(record, TermHeld):
+        if isinstance(record, TermHeld) and not self._needs_reload:
             self.lease_grants.term_read(record, boot_ms())
         if isinstance(record, UnitRecord) or self.table.term is not term_before:
             self.term_activity_boot_ms = boot_ms()
--- a/tests/core/scheduling/test_lease_grants.py
+++ b/tests/core/scheduling/test_lease_grants.py
@@ -48,8 +48,8 @@
     assert grants.end_ms == 13_500
 
 
-# Guards against a holder that gives the role up in an outage of the log, claims it again
-# and waits anew for the leases that it granted itself.
+# Guards against a holder that gives the role up in an outage of the log, claims it
+# again and waits anew for the leases that it granted itself.
 def test_a_load_of_what_was_known_moves_no_bound():
     grants = make_grants((100, 1, False), (450, 7, False))
     grants.loaded(TermHeld(7, "i7", 0), 13_000)
