Count the wait for word of lost endpoints from the loss

Cause: a unit whose endpoints were lost at its starts waited for word of them from the moment at which it was queued again, a lease after the loss. Two waits for the same word added up, and a successor began the second one anew: callers saw work that stood still for up to 27 s on an idle service. All losses of a gang counted as if they were of one task. One word ended the wait for all others, too.

It is computed again whenever an endpoint is heard of, from what is still open.

Conclusion: a unit waits at most 2 s beyond the release of its runs, unless one task lost five endpoints.

--- a/ragwortshelf/core/scheduling/crash_handling.py
+++ b/ragwortshelf/core/scheduling/crash_handling.py
@@ -43,7 +43,7 @@
                 self._incarnation_ended(other, now_ms, wall_ms)
         for lost in self.crashes.suspected_incarnations():
             if lost == present:
-                self._incarnation_returned(endpoint)
+                self._incarnation_returned(endpoint, now_ms, wall_ms)
             elif lost.endpoint_id == endpoint.id or lost.address == present.address:
                 self._confirm_crash(lost, endpoint, now_ms, wall_ms)
         observed = self.table.incarnation_by_endpoint_id.get(endpoint.id)
@@ -58,16 +58,21 @@
         for placement in endpoint.placements():
             self._placement_ended(placement, RunEnd.LAPSED, "", now_ms, wall_ms)
 
-    def _incarnation_returned(self, endpoint: Endpoint) -> None:
+    def _incarnation_returned(
+        self, endpoint: Endpoint, now_ms: int, wall_ms: int
+    ) -> None:
         for placement in endpoint.placement_by_task.values():
             placement.is_suspected = False
-        for unit in self.crashes.incarnation_returned(endpoint.incarnation):
+        incarnation = endpoint.incarnation
+        for unit in self.crashes.incarnation_returned(incarnation, now_ms, wall_ms):
             self._persist_evidence(unit.crashes, "endpoint had not crashed")
 
     def _confirm_crash(
         self, lost: Incarnation, endpoint: Endpoint, now_ms: int, wall_ms: int
     ) -> None:
-        end = self.crashes.incarnation_ended(lost, endpoint.incarnation)
+        end = self.crashes.incarnation_ended(
+            lost, endpoint.incarnation, now_ms, wall_ms
+        )
         keys = tuple(unit.key for unit in end.suspects)
         self._actions.append(
             ReportCrash(lost.endpoint_id, end.is_replaced, end.has_other_cause, keys)
--- a/ragwortshelf/core/scheduling/crashes.py
+++ b/ragwortshelf/core/scheduling/crashes.py
@@ -42,9 +42,18 @@
 """One suspected unit may start at a time for this many usable endpoints."""
 
 UNRESOLVED_WAIT_MS = 5_000
-UNRESOLVED_DOUBLINGS_MAX = 2
-"""Time for which a unit waits after its second loss in a row until it is known whether
-its endpoints crashed; doubled with each further one."""
+"""Time after its last loss for which a unit that lost two endpoints waits for word of
+them. Crashed endpoints were back after 3.4 s."""
+
+LATE_WORD_WAIT_MS = 9_000
+"""The same for a unit of which one task lost three endpoints: a lease and 2 s."""
+
+LAST_WAIT_MS = 60_000
+"""The same for a unit whose next start may be the third one of a task after three
+crashes, which the platform forbids. Crashed endpoints are back well before."""
+
+STARTS_AFTER_CRASHES_MAX = 2
+"""Starts of a task that the platform allows after three crashes."""
 
 LEASE_MS = 7_000
 """Lease on an endpoint. One whose next incarnation began later than this after contact
@@ -174,7 +183,7 @@
         return unit
 
     def incarnation_ended(
-        self, ended: Incarnation, successor: Incarnation
+        self, ended: Incarnation, successor: Incarnation, now_ms: int, wall_ms: int
     ) -> IncarnationEnd:
         """Confirm the suspicions against all units that were fresh on an endpoint.
 
@@ -198,7 +207,7 @@
                     crashes = _count_crash(crashes, suspicion, not has_other_cause)
             suspected = tuple(s for s in crashes.suspected if s.incarnation != ended)
             self._put(unit, replace(crashes, suspected=suspected))
-            unit.held_until_ms = 0
+            self.hold(unit, now_ms, wall_ms)
         is_replaced = successor.endpoint_id != ended.endpoint_id
         return IncarnationEnd(ended, is_replaced, has_other_cause, suspects)
 
@@ -210,7 +219,9 @@
             for incarnation in _incarnations(unit.crashes)
         }
 
-    def incarnation_returned(self, incarnation: Incarnation) -> list[Unit]:
+    def incarnation_returned(
+        self, incarnation: Incarnation, now_ms: int, wall_ms: int
+    ) -> list[Unit]:
         """Withdraw the suspicions about an endpoint that goes on as it was."""
         changed = []
         for unit in list(self.suspect_by_key.values()):
@@ -222,7 +233,7 @@
                 if suspicion.incarnation != incarnation
             )
             self._put(unit, replace(unit.crashes, suspected=suspected))
-            unit.held_until_ms = 0
+            self.hold(unit, now_ms, wall_ms)
             changed.append(unit)
         return changed
 
@@ -245,14 +256,18 @@
         )
 
     @staticmethod
-    def hold(unit: Unit, now_ms: int) -> None:
-        """Let a unit wait that lost two endpoints or more, while it is open why."""
-        crashes = unit.crashes
-        most = max((task.count for task in crashes.by_task), default=0)
-        losses = most + len(crashes.suspected)
-        if crashes.suspected and losses >= CRASHES_MAX:
-            doublings = min(losses - CRASHES_MAX, UNRESOLVED_DOUBLINGS_MAX)
-            unit.held_until_ms = now_ms + (UNRESOLVED_WAIT_MS << doublings)
+    def hold(unit: Unit, now_ms: int, wall_ms: int) -> None:
+        """Let a unit wait that lost two endpoints or more, while it is open why.
+
+        The wait counts from the loss, whichever term noted it.
+        """
+        unit.held_until_ms = 0
+        wait_ms = _unresolved_wait_ms(unit.crashes)
+        if wait_ms:
+            lost_wall_ms = max(s.lost_wall_ms for s in unit.crashes.suspected)
+            left_ms = lost_wall_ms + wait_ms - wall_ms
+            # The clock of an earlier term may have been ahead.
+            unit.held_until_ms = now_ms + min(left_ms, wait_ms)
 
     # Where and when suspected units start.
 
@@ -351,6 +366,24 @@
     return {suspicion.incarnation for suspicion in crashes.suspected}
 
 
+def _unresolved_wait_ms(crashes: UnitCrashes) -> int:
+    """Return how long after its last loss a unit waits for word of its endpoints."""
+    if not crashes.suspected:
+        return 0
+    losses_by_index = Counter({task.index: task.count for task in crashes.by_task})
+    most = max(losses_by_index.values(), default=0)
+    for suspicion in crashes.suspected:
+        losses_by_index.update(suspicion.indexes)
+    task_losses = max(losses_by_index.values())
+    if task_losses >= UNEXPLAINED_CRASHES_MAX + STARTS_AFTER_CRASHES_MAX:
+        return LAST_WAIT_MS
+    if task_losses >= UNEXPLAINED_CRASHES_MAX:
+        return LATE_WORD_WAIT_MS
+    if most + len(crashes.suspected) >= CRASHES_MAX:
+        return UNRESOLVED_WAIT_MS
+    return 0
+
+
 def _count_crash(
     crashes: UnitCrashes, suspicion: Suspicion, is_sole: bool
 ) -> UnitCrashes:
--- a/ragwortshelf/core/scheduling/lifecycle.py
+++ b/ragwortshelf/core/scheduling/lifecycle.py
@@ -264,7 +264,7 @@
                         is_ending or age_ms > ADOPTED_FRESH_MS or not is_known
                     )
             if not unit.placements:
-                self._requeue(unit, now_ms)
+                self._requeue(unit, now_ms, wall_ms)
 
     def _endpoint_or_placeholder(self, endpoint_id: str) -> Endpoint:
         endpoint = self.endpoint_by_id.get(endpoint_id)
@@ -494,7 +494,7 @@
                 unit, UnitPhase.ENDING, wall_ms, end.value, placement.endpoint_id
             )
         if not unit.placements and unit.job.is_active:
-            self._requeue(unit, now_ms)
+            self._requeue(unit, now_ms, wall_ms)
 
     def _forget_job(self, job_id: str, now_ms: int) -> None:
         self.suspicion.forget_job(job_id)
@@ -514,11 +514,11 @@
         attempts_max = queue.attempts_max if queue else spec.attempts_max
         return attempts_max - unit.record.failed_runs
 
-    def _requeue(self, unit: Unit, now_ms: int) -> None:
+    def _requeue(self, unit: Unit, now_ms: int, wall_ms: int) -> None:
         unit.phase = UnitPhase.WAITING
         unit.waiting_since_ms = now_ms
         unit.starving_from_ms = None
-        self.crashes.hold(unit, now_ms)
+        self.crashes.hold(unit, now_ms, wall_ms)
         self.waiting[unit.key] = unit
 
     def _drop_if_finished(self, unit: Unit) -> None:
