Try another task of a job when the trial of a suspect gets no answer

Cause: while a unit was suspected of crashing an endpoint, no task of its job that had never run started, and no other suspect of the job beside one on trial. A suspect on an endpoint out of contact kept all of them waiting until its lease ended, 7 s later and 16 s after a change of scheduler, with the whole fleet free. Tasks of the same step that had survived their starts changed nothing.

Change: 2 s after the loss, or after the start of a trial without an answer, another unit of the job is tried, each further one after twice the time, up to 16 s. A start that settles, suspected or not, clears the units of its step, and no longer those of later steps.

Evidence: on the code before, the new tests show waits of 7.2 and 16.1 s for tasks that never ran, and 7.2 s for a second suspect, where 2 s are wanted; and no start beside survivors, where three fit. All pass now. 100 deadly tasks of one job crash, after the first loss and within 60 s, 2 endpoints that are back after 3.4 s (1 before), 6 that are back after 15 s (4), and 9 that never are (8).

Conclusion: tasks wait 2 s for a suspect of their job, at the price of a few more trials.

--- a/ragwortshelf/core/scheduling/crashes.py
+++ b/ragwortshelf/core/scheduling/crashes.py
@@ -10,6 +10,10 @@
 A suspected unit starts only where no other run is fresh, so that the next crash shows
 whether the unit is its cause. Few of them start at a time, as each may cost an
 endpoint. A unit whose start has settled is no longer suspected.
+
+Tasks of one step are alike. While none of a step has settled, the units of a suspect's
+job that have never run are tried one after the other, and so are its suspects. A trial
+that gets no answer delays the others only briefly, but each further one for longer.
 """
 
 from __future__ import annotations
@@ -41,6 +45,13 @@
 TRIAL_ENDPOINTS_DIVISOR = 2
 """One suspected unit may start at a time for this many usable endpoints."""
 
+TRIAL_ANSWER_MS = 2_000
+"""Time after a trial's start, or a loss of contact, from which another unit of the job
+may be tried. A start settles within 1 s and the interval of listings, 1 s."""
+
+TRIAL_DOUBLINGS_MAX = 3
+"""How often that time doubles, once for each trial of the job so far."""
+
 UNRESOLVED_WAIT_MS = 5_000
 """Time after its last loss for which a unit that lost two endpoints waits for word of
 them. Crashed endpoints were back after 3.4 s."""
@@ -76,6 +87,14 @@
     had_suspect: bool
 
 
+@dataclass(frozen=True, slots=True)
+class _Trials:
+    """How many units of a job were tried, and when another one may be."""
+
+    count: int
+    next_ms: int
+
+
 @dataclass(frozen=True, slots=True)
 class IncarnationEnd:
     """An endpoint is known to have crashed, with the units that may have caused it.
@@ -106,7 +125,8 @@
         self._unit_by_key = unit_by_key
         self.suspect_by_key: dict[UnitKey, Unit] = {}
         self._losses: deque[_Loss] = deque(maxlen=LOSSES_REMEMBERED)
-        self._cleared_job_ids: set[str] = set()
+        self._trials_by_job_id: dict[str, _Trials] = {}
+        self._cleared_steps_by_job_id: dict[str, set[int]] = {}
 
     def adopt(self, unit: Unit) -> None:
         """Take over what earlier terms have written about a unit."""
@@ -117,11 +137,12 @@
 
     def forget_unit(self, unit: Unit) -> None:
         """Forget a unit that is done or whose job has ended."""
-        self.suspect_by_key.pop(unit.key, None)
+        self._clear_suspect(unit.key)
 
     def forget_job(self, job_id: str) -> None:
         """Forget an ended job."""
-        self._cleared_job_ids.discard(job_id)
+        self._cleared_steps_by_job_id.pop(job_id, None)
+        self._trials_by_job_id.pop(job_id, None)
 
     # Evidence.
 
@@ -158,6 +179,8 @@
             )
             suspected = (*unit.crashes.suspected, suspicion)
             self._put(unit, replace(unit.crashes, suspected=suspected))
+            trials = _Trials(0, now_ms + TRIAL_ANSWER_MS)
+            self._trials_by_job_id.setdefault(key.job_id, trials)
             changed.append(unit)
         return changed
 
@@ -239,11 +262,14 @@
 
     def run_settled(self, placement: TaskPlacement) -> Unit | None:
         """Clear a suspected unit once all of its runs have settled; returns it then."""
-        unit = self.suspect_by_key.get(placement.unit_key)
+        unit = self._unit_by_key.get(placement.unit_key)
         if unit is None or sum(p.is_settled for p in unit.placements) < unit.count:
             return None
+        steps = self._cleared_steps_by_job_id.setdefault(unit.key.job_id, set())
+        steps.add(unit.key.step)
+        if unit.key not in self.suspect_by_key:
+            return None
         self._put(unit, UnitCrashes(unit.key))
-        self._cleared_job_ids.add(unit.key.job_id)
         return unit
 
     @staticmethod
@@ -274,26 +300,53 @@
     def may_start_now(self, unit: Unit, usable_count: int, now_ms: int) -> bool:
         """Whether a unit may be placed now, as far as suspicions are concerned.
 
-        A unit that has never run waits while another one of its job is suspected, as
-        tasks of one job are alike; suspects of one job start one after the other until
-        the first of them has settled.
+        A unit that has never run waits while another one of its job is suspected, and
+        suspects of one job start one after the other, until a unit of the same step has
+        settled or the next trial of the job is due.
         """
         if not self.suspect_by_key:
             return True
         job_id = unit.key.job_id
         if not unit.is_suspect:
-            is_cleared = job_id in self._cleared_job_ids
-            if is_cleared or unit.record.run > 0:
-                return True
-            return not any(key.job_id == job_id for key in self.suspect_by_key)
+            return not self._is_trial(unit) or self._is_trial_due(job_id, now_ms)
         if now_ms < unit.held_until_ms:
             return False
         on_trial = [u for u in self.suspect_by_key.values() if _is_on_trial(u)]
         if len(on_trial) >= max(1, usable_count // TRIAL_ENDPOINTS_DIVISOR):
             return False
-        if job_id in self._cleared_job_ids:
+        if self._is_step_cleared(unit):
             return True
-        return all(other.key.job_id != job_id for other in on_trial)
+        is_first = all(other.key.job_id != job_id for other in on_trial)
+        return is_first or self._is_trial_due(job_id, now_ms)
+
+    def unit_placed(self, unit: Unit, now_ms: int) -> None:
+        """Note the start of a unit that has not been placed yet, if it is a trial."""
+        if not self._is_trial(unit):
+            return
+        job_id = unit.key.job_id
+        trials = self._trials_by_job_id.get(job_id)
+        count = trials.count if trials else 0
+        wait_ms = TRIAL_ANSWER_MS << min(count, TRIAL_DOUBLINGS_MAX)
+        self._trials_by_job_id[job_id] = _Trials(count + 1, now_ms + wait_ms)
+
+    def _is_trial(self, unit: Unit) -> bool:
+        """Whether a start of a unit shows whether its job crashes endpoints."""
+        if not self.suspect_by_key or self._is_step_cleared(unit):
+            return False
+        if unit.is_suspect:
+            return True
+        job_id = unit.key.job_id
+        return unit.record.run == 0 and any(
+            key.job_id == job_id for key in self.suspect_by_key
+        )
+
+    def _is_trial_due(self, job_id: str, now_ms: int) -> bool:
+        trials = self._trials_by_job_id.get(job_id)
+        return trials is None or now_ms >= trials.next_ms
+
+    def _is_step_cleared(self, unit: Unit) -> bool:
+        steps = self._cleared_steps_by_job_id.get(unit.key.job_id, ())
+        return unit.key.step in steps
 
     @staticmethod
     def first_index(unit: Unit) -> int | None:
@@ -347,7 +400,13 @@
         if unit.is_suspect:
             self.suspect_by_key[unit.key] = unit
         else:
-            self.suspect_by_key.pop(unit.key, None)
+            self._clear_suspect(unit.key)
+
+    def _clear_suspect(self, key: UnitKey) -> None:
+        if self.suspect_by_key.pop(key, None) is None:
+            return
+        if all(other.job_id != key.job_id for other in self.suspect_by_key):
+            self._trials_by_job_id.pop(key.job_id, None)
 
 
 def _is_of_interest(unit: Unit) -> bool:
--- a/ragwortshelf/core/scheduling/lifecycle.py
+++ b/ragwortshelf/core/scheduling/lifecycle.py
@@ -113,6 +113,7 @@
 
         ``standing`` is the use and the fair share of its organisation, if known.
         """
+        self.crashes.unit_placed(unit, now_ms)
         run = unit.record.run + 1
         record = replace(
             unit.record,
--- a/tests/core/scheduling/test_suspect_waits.py
+++ b/tests/core/scheduling/test_suspect_waits.py
@@ -20,8 +20,9 @@
 class _Fleet(Harness):
     """Endpoints that do not answer are away for ``away_ms``, or for good if None."""
 
-    def __init__(self, endpoints=24, away_ms=None, **config):
-        super().__init__(endpoints, **config)
+    def __init__(self, endpoints=24, away_ms=None, release_ms=RELEASE_MS):
+        super().__init__(endpoints)
+        self.release_ms = release_ms
         self.away_ms = away_ms
         self.born = dict.fromkeys(self.running, 1)
         self.lost_ms = {}
@@ -60,7 +61,9 @@
                 self.released.discard(endpoint)
                 self.born[endpoint] = self.now
                 self.list(endpoint)
-            elif self.now - lost_ms >= RELEASE_MS and endpoint not in self.released:
+            elif (
+                self.now - lost_ms >= self.release_ms and endpoint not in self.released
+            ):
                 self.released.add(endpoint)
                 self.scheduler.endpoint_lease_expired(endpoint, self.now, self.now)
         if self.now % 500 < STEP_MS:
@@ -153,3 +156,62 @@
         fleet.step()
     assert max(crashes_by_task.values()) <= 3 + STARTS_AFTER_MAX
     assert (fleet.state("d") == "failed") == (away_ms is not None)
+
+
+# The failure: all tasks of a job that had never run waited while one of them was on an
+# endpoint out of contact, until its lease ended and its next start had settled.
+@pytest.mark.parametrize("release_ms", [RELEASE_MS, 16_100])
+def test_tasks_wait_briefly_for_a_suspect_of_their_job(release_ms):
+    fleet = _Fleet(endpoints=1, release_ms=release_ms)
+    fleet.submit("j", count=40)
+    fleet.lose(*set(fleet.start().values()))
+    for n in range(1, 24):
+        fleet.add_endpoint(f"e{n}")
+    fleet.born.update(dict.fromkeys(fleet.running, 1))
+    assert fleet.wait_for_start() <= WAIT_MAX_MS
+    fleet.start()
+    fleet.wait(3_000)
+    assert len(fleet.starts) == 40 - 8 - 1
+
+
+# The failure: the other suspects of a job waited for one whose endpoint did not answer
+# at its trial.
+def test_suspects_wait_briefly_for_one_whose_trial_gets_no_answer():
+    fleet = _Fleet()
+    fleet.submit("j", count=2, request=WHOLE)
+    fleet.lose(*fleet.start().values())
+    fleet.wait_for_start()
+    fleet.lose(*fleet.start().values())
+    assert fleet.wait_for_start() <= WAIT_MAX_MS
+
+
+# The failure: tasks waited for the trial of another one although tasks of their step
+# had survived their starts.
+def test_tasks_do_not_wait_for_a_suspect_beside_survivors():
+    fleet = _Fleet(endpoints=2)
+    fleet.submit("j", count=20)
+    fleet.start()
+    fleet.wait(3_000)
+    fleet.end("e0", "j.0.0.0")
+    late = fleet.start()
+    fleet.lose(*late.values())
+    fleet.add_endpoint("e9")
+    assert len(fleet.starts) == 3
+
+
+# The limit: the tasks of one job are tried in turn, ever more slowly while none of them
+# survives, whether their endpoints come back early, late or never.
+@pytest.mark.parametrize("away_ms", [3_400, 15_000, None])
+def test_a_job_of_deadly_tasks_crashes_few_endpoints(away_ms):
+    fleet = _Fleet(endpoints=120, away_ms=away_ms)
+    fleet.submit("d", count=100, request=WHOLE)
+    first = fleet.start()
+    assert len(first) == 100
+    fleet.lose(*first.values())
+    crashes = 0
+    for _ in range(60_000 // STEP_MS):
+        fleet.step()
+        placed = fleet.start()
+        crashes += len(placed)
+        fleet.lose(*placed.values())
+    assert crashes <= 10
