Date a loss that no term saw to the begin of the next one

Cause: endpoints that left, or crashed, with the scheduler were noted as lost when the runs placed there were released, 16 s after the change of scheduler. A gang waited 5 s more for word of them.

Change: the time of a loss is that at which contact was first known to be lost, and the begin of the term for endpoints that never answered in it.

Conclusion: such a unit starts with its release. That the release itself comes so late is not changed.

--- a/ragwortshelf/core/scheduling/crashes.py
+++ b/ragwortshelf/core/scheduling/crashes.py
@@ -125,9 +125,18 @@
         self._unit_by_key = unit_by_key
         self.suspect_by_key: dict[UnitKey, Unit] = {}
         self._losses: deque[_Loss] = deque(maxlen=LOSSES_REMEMBERED)
+        self._adopted_wall_ms: int | None = None
+        self._lost_wall_ms_by_id: dict[str, int] = {}
         self._trials_by_job_id: dict[str, _Trials] = {}
         self._cleared_steps_by_job_id: dict[str, set[int]] = {}
 
+    def begin(self, wall_ms: int) -> None:
+        """Note when the term took over what earlier terms had placed.
+
+        Contact with endpoints that never answer in this term was lost before.
+        """
+        self._adopted_wall_ms = wall_ms
+
     def adopt(self, unit: Unit) -> None:
         """Take over what earlier terms have written about a unit."""
         crashes_by_key = self._table.crashes_by_job_id.get(unit.key.job_id, {})
@@ -135,6 +144,10 @@
         if crashes is not None:
             self._put(unit, crashes)
 
+    def forget_endpoint(self, endpoint_id: str) -> None:
+        """Forget an endpoint that has left and holds no runs."""
+        self._lost_wall_ms_by_id.pop(endpoint_id, None)
+
     def forget_unit(self, unit: Unit) -> None:
         """Forget a unit that is done or whose job has ended."""
         self._clear_suspect(unit.key)
@@ -159,6 +172,10 @@
             job_ids = frozenset(key.job_id for key in keys)
             had_suspect = not keys.isdisjoint(self.suspect_by_key)
             self._losses.append(_Loss(endpoint.id, now_ms, job_ids, had_suspect))
+            self._lost_wall_ms_by_id[endpoint.id] = wall_ms
+        lost_wall_ms = self._lost_wall_ms_by_id.get(
+            endpoint.id, self._adopted_wall_ms or wall_ms
+        )
         new_by_key: dict[UnitKey, list[TaskPlacement]] = {}
         for placement in fresh:
             if not is_planned and not placement.is_suspected:
@@ -175,7 +192,7 @@
                 endpoint.incarnation,
                 tuple(placement.index for placement in placements),
                 tuple(p.index for p in placements if p.confirmed_ms is not None),
-                wall_ms,
+                lost_wall_ms,
             )
             suspected = (*unit.crashes.suspected, suspicion)
             self._put(unit, replace(unit.crashes, suspected=suspected))
--- a/ragwortshelf/core/scheduling/lifecycle.py
+++ b/ragwortshelf/core/scheduling/lifecycle.py
@@ -81,6 +81,7 @@
 
     def adopt(self, now_ms: int, wall_ms: int) -> None:
         """Open the units of all jobs and adopt placements of earlier terms."""
+        self.crashes.begin(wall_ms)
         for job in list(self.table.job_by_id.values()):
             self._adopt_placed(job, now_ms, wall_ms)
             self.job_changed(job.spec.id, now_ms, wall_ms)
@@ -288,6 +289,7 @@
 
     def _drop_endpoint(self, endpoint_id: str) -> None:
         self.endpoint_by_id.pop(endpoint_id, None)
+        self.crashes.forget_endpoint(endpoint_id)
         if endpoint_id in self.table.incarnation_by_endpoint_id:
             self._persist_evidence(EndpointForgotten(endpoint_id), "left")
 
--- a/tests/core/scheduling/test_suspect_waits.py
+++ b/tests/core/scheduling/test_suspect_waits.py
@@ -130,6 +130,21 @@
         assert fleet.now - lost_ms <= RELEASE_MS + WAIT_MAX_MS
 
 
+# The failure: a loss that an earlier term did not see was dated to the release of the
+# runs, and the gang waited for word of its endpoints from then on.
+def test_a_loss_before_the_term_is_dated_to_its_begin():
+    fleet = _Fleet(release_ms=16_100)
+    fleet.submit("g", count=2, is_gang=True, request=WHOLE)
+    fleet.start()
+    fleet.advance(100)
+    for endpoint, tasks in fleet.running.items():
+        if tasks:
+            tasks.clear()
+            fleet.lost_ms[endpoint] = fleet.now
+    fleet.change_scheduler()
+    assert fleet.wait_for_start() <= 16_100 + WAIT_MAX_MS
+
+
 def test_a_clock_that_was_ahead_does_not_prolong_the_wait():
     fleet = _Fleet()
     fleet.submit("a")
