Clear a suspect whose run goes on under a successor

Cause: a successor takes placements for settled that are older than 15 s. A run that was not fresh was never looked at again, so its unit stayed suspected for the rest of its run, and the tasks of its job that had never run waited for it.

Change: a suspect is cleared by any run that is listed 1 s after it was first seen.

Evidence: test_a_suspect_that_runs_under_a_successor_is_cleared fails on the code before, where the unit is suspected 3 s after the change of scheduler, and passes now, as do the tests of crashes and storms, unchanged.

Conclusion: a unit is suspected until a run of it has been listed for a second.

--- a/ragwortshelf/core/scheduling/endpoint_tracking.py
+++ b/ragwortshelf/core/scheduling/endpoint_tracking.py
@@ -264,11 +264,11 @@
         if placement.confirmed_ms is None:
             placement.confirmed_ms = now_ms
             placement.is_sent = True
-        elif (
-            not placement.is_settled
-            and now_ms - placement.confirmed_ms >= START_SETTLES_MS
-        ):
-            self._run_settled(placement)
+        elif now_ms - placement.confirmed_ms >= START_SETTLES_MS:
+            # A successor takes old placements for settled, but not their suspects.
+            is_suspect = placement.unit_key in self.crashes.suspect_by_key
+            if is_suspect or not placement.is_settled:
+                self._run_settled(placement)
         unit = self.unit_by_key.get(placement.unit_key)
         if unit is None:
             placement.record_progress(row.percent, now_ms, None)
--- a/tests/core/scheduling/test_suspect_waits.py
+++ b/tests/core/scheduling/test_suspect_waits.py
@@ -230,3 +230,17 @@
         crashes += len(placed)
         fleet.lose(*placed.values())
     assert crashes <= 10
+
+
+# The failure: a suspect that a successor took for settled, as it had been placed long
+# before, was still suspected when its run was listed, for the rest of its run.
+def test_a_suspect_that_runs_under_a_successor_is_cleared():
+    fleet = _Fleet()
+    fleet.submit("a", estimate_ms=600_000)
+    fleet.lose(*fleet.start().values())
+    fleet.wait_for_start()
+    fleet.start()
+    fleet.now += 16_000
+    fleet.change_scheduler()
+    fleet.wait(3_000)
+    assert not fleet.scheduler.crashes.suspect_by_key
