Let the last attempt of a unit wait for 2 s at most

Cause: a unit whose next failure ends its job waits for endpoints at which another start has just survived, and otherwise for 4 s. On an idle service nothing else starts, so there are none, and the job stood still for 4 s with all endpoints free.

Change: the wait is 2 s.

Evidence: test_the_last_attempt_does_not_wait_long_on_an_idle_service shows 4.0 s on the code before and passes now; the load tests of endpoints that fail all runs (test_suspicion.py) pass unchanged.

Conclusion: not shown for loads other than those of test_suspicion.py.

--- a/ragwortshelf/core/scheduling/endpoint_selection.py
+++ b/ragwortshelf/core/scheduling/endpoint_selection.py
@@ -19,8 +19,9 @@
 PROOF_VALID_MS = 3_000
 """Age up to which a start that survived shows that an endpoint is sound."""
 
-PROOF_WAIT_MS = 4_000
-"""Time for which the last attempt of a unit waits for endpoints that are proven."""
+PROOF_WAIT_MS = 2_000
+"""Time for which the last attempt of a unit waits for endpoints that are proven. On an
+idle service nothing proves them, and work may stand still there for 3 s at most."""
 
 
 class EndpointSelector:
