Do not count trials out of contact against those of other jobs

Cause: suspects start on at most half of the endpoints at a time. One on an endpoint out of contact counted until its lease had ended, so that suspects behind a cut link kept those of all other jobs from starting on a free fleet, for 7 s, and for 16 s after a change of scheduler.

Change: a trial counts until 2 s after contact with its endpoint was lost.

Evidence: test_a_suspect_does_not_wait_for_many_that_are_out_of_contact fails on the code before for both times and passes now, as do the tests of crashes and storms, unchanged.

--- a/ragwortshelf/core/scheduling/crashes.py
+++ b/ragwortshelf/core/scheduling/crashes.py
@@ -127,6 +127,7 @@
         self._losses: deque[_Loss] = deque(maxlen=LOSSES_REMEMBERED)
         self._adopted_wall_ms: int | None = None
         self._lost_wall_ms_by_id: dict[str, int] = {}
+        self._answer_due_ms_by_key: dict[UnitKey, int] = {}
         self._trials_by_job_id: dict[str, _Trials] = {}
         self._cleared_steps_by_job_id: dict[str, set[int]] = {}
 
@@ -196,6 +197,7 @@
             )
             suspected = (*unit.crashes.suspected, suspicion)
             self._put(unit, replace(unit.crashes, suspected=suspected))
+            self._answer_due_ms_by_key[key] = now_ms + TRIAL_ANSWER_MS
             trials = _Trials(0, now_ms + TRIAL_ANSWER_MS)
             self._trials_by_job_id.setdefault(key.job_id, trials)
             changed.append(unit)
@@ -329,7 +331,8 @@
         if now_ms < unit.held_until_ms:
             return False
         on_trial = [u for u in self.suspect_by_key.values() if _is_on_trial(u)]
-        if len(on_trial) >= max(1, usable_count // TRIAL_ENDPOINTS_DIVISOR):
+        open_count = sum(not self._is_out_of_contact(u, now_ms) for u in on_trial)
+        if open_count >= max(1, usable_count // TRIAL_ENDPOINTS_DIVISOR):
             return False
         if self._is_step_cleared(unit):
             return True
@@ -357,6 +360,12 @@
             key.job_id == job_id for key in self.suspect_by_key
         )
 
+    def _is_out_of_contact(self, unit: Unit, now_ms: int) -> bool:
+        """Whether the trial of a unit has cost its endpoint, and takes no other's."""
+        if now_ms < self._answer_due_ms_by_key.get(unit.key, 0):
+            return False
+        return all(p.is_suspected or p.is_settled for p in unit.placements)
+
     def _is_trial_due(self, job_id: str, now_ms: int) -> bool:
         trials = self._trials_by_job_id.get(job_id)
         return trials is None or now_ms >= trials.next_ms
@@ -422,6 +431,7 @@
     def _clear_suspect(self, key: UnitKey) -> None:
         if self.suspect_by_key.pop(key, None) is None:
             return
+        self._answer_due_ms_by_key.pop(key, None)
         if all(other.job_id != key.job_id for other in self.suspect_by_key):
             self._trials_by_job_id.pop(key.job_id, None)
 
--- a/tests/core/scheduling/test_suspect_waits.py
+++ b/tests/core/scheduling/test_suspect_waits.py
@@ -214,6 +214,24 @@
     assert len(fleet.starts) == 3
 
 
+# The failure: suspects behind a cut link counted as starting until their leases ended,
+# and kept those of other jobs from starting on the rest of the fleet.
+@pytest.mark.parametrize("release_ms", [RELEASE_MS, 16_100])
+def test_a_suspect_does_not_wait_for_many_that_are_out_of_contact(release_ms):
+    fleet = _Fleet(release_ms=release_ms)
+    for number in range(14):
+        fleet.submit(f"c{number:02d}", request=WHOLE)
+    fleet.lose(*fleet.start().values())
+    fleet.submit("z", request=WHOLE)
+    (endpoint,) = fleet.start().values()
+    fleet.lose(endpoint)
+    fleet.wait(3_400)
+    del fleet.lost_ms[endpoint]
+    fleet.born[endpoint] = fleet.now
+    fleet.list(endpoint)
+    assert [order.task for order in fleet.starts] == ["z.0.0.0"]
+
+
 # The limit: the tasks of one job are tried in turn, ever more slowly while none of them
 # survives, whether their endpoints come back early, late or never.
 @pytest.mark.parametrize("away_ms", [3_400, 15_000, None])
