--- a/ragwortshelf/core/scheduling/lifecycle.py
+++ b/ragwortshelf/core/scheduling/lifecycle.py
@@ -81,6 +81,7 @@
 
     def adopt(self, now_ms: int, wall_ms: int) -> None:
         """Open the units of all jobs and adopt placements of earlier terms."""
+        self.crashes.begin(wall_ms)
         for job in list(self.table.job_by_id.values()):
             self._adopt_placed(job, now_ms, wall_ms)
             self.job_changed(job.spec.id, now_ms, wall_ms)
@@ -113,6 +114,7 @@
 
         ``standing`` is the use and the fair share of its organisation, if known.
         """
+        self.crashes.unit_placed(unit, now_ms)
         run = unit.record.run + 1
         record = replace(
             unit.record,
@@ -270,7 +272,7 @@
                         is_ending or age_ms > ADOPTED_FRESH_MS or not is_known
                     )
             if not unit.placements:
-                self._requeue(unit, now_ms)
+                self._requeue(unit, now_ms, wall_ms)
 
     def _endpoint_or_placeholder(self, endpoint_id: str) -> Endpoint:
         endpoint = self.endpoint_by_id.get(endpoint_id)
@@ -293,6 +295,7 @@
 
     def _drop_endpoint(self, endpoint_id: str) -> None:
         self.endpoint_by_id.pop(endpoint_id, None)
+        self.crashes.forget_endpoint(endpoint_id)
         if endpoint_id in self.table.incarnation_by_endpoint_id:
             self._persist_evidence(EndpointForgotten(endpoint_id), "left")
 
@@ -500,7 +503,7 @@
                 unit, UnitPhase.ENDING, wall_ms, end.value, placement.endpoint_id
             )
         if not unit.placements and unit.job.is_active:
-            self._requeue(unit, now_ms)
+            self._requeue(unit, now_ms, wall_ms)
 
     def _forget_job(self, job_id: str, now_ms: int) -> None:
         self.suspicion.forget_job(job_id)
@@ -520,11 +523,11 @@
         attempts_max = queue.attempts_max if queue else spec.attempts_max
         return attempts_max - unit.record.failed_runs
 
-    def _requeue(self, unit: Unit, now_ms: int) -> None:
+    def _requeue(self, unit: Unit, now_ms: int, wall_ms: int) -> None:
         unit.phase = UnitPhase.WAITING
         unit.waiting_since_ms = now_ms
         unit.starving_from_ms = None
-        self.crashes.hold(unit, now_ms)
+        self.crashes.hold(unit, now_ms, wall_ms)
         self.waiting[unit.key] = unit
 
     def _drop_if_finished(self, unit: Unit) -> None:
