--- a/ragwortshelf/core/scheduling/__init__.py
+++ b/ragwortshelf/core/scheduling/__init__.py
@@ -11,10 +11,13 @@
 - ``endpoint_selection``: room that is free now, by ``packing`` and ``speed_needs``;
 - ``room_making``: the ways to make room, which are ``fast_room``, ``reclaiming`` and
   ``room_reserving``, by the search in ``reclaim`` and the costs in ``stop_costs``;
+- ``reservations`` and ``idle_services``: for how long room is kept free for a unit;
+- ``idle_waits``: reports of work that waits although most of its service is idle;
 - ``evacuation_moves`` and ``stragglers``: moves of units that run;
 - ``speed``, ``calibration``, ``stalls``, ``suspicion`` and ``crashes``: what is learned
   of endpoints, estimates and tasks;
-- ``admission`` and ``forecast``: which submissions are refused.
+- ``admission`` and ``forecast``: which submissions are refused;
+- ``lease_grants``: until when earlier holders of the role extended leases.
 """
 
 from .configuration import ServiceConfiguration
