--- a/tests/core/scheduling/test_reservations.py
+++ b/tests/core/scheduling/test_reservations.py
@@ -300,3 +300,33 @@
         day.run(20)
     late = {job: ms for job, ms in day.longest_wait_by_job.items() if ms > WAIT_MAX_MS}
     assert not late
+
+
+# Guards against work on an idle service that waits while an urgent gang beyond its
+# guarantee and long-running work stop each other again and again.
+def test_nothing_waits_while_urgent_and_lasting_work_compete():
+    def request(gpus):
+        return Resources(2_000, 2_000, gpus)
+
+    urgent = Step(
+        3, request(8), 1_889, is_gang=True, is_rack_sensitive=True,
+        required_label="r0", tasks_per_endpoint_max=1,
+    )  # fmt: skip
+    wide = Step(6, request(4), 688, is_gang=True, is_rack_sensitive=True)
+    saving = Step(2, request(3), 9_133, is_checkpointing=True)
+    gang = Step(
+        3, request(2), 50_175, is_gang=True, is_checkpointing=True,
+        tasks_per_endpoint_max=2,
+    )  # fmt: skip
+    jobs = [
+        (urgent, 0, 4_957, 2.41, 0),
+        (wide, 1, 5_304, 2.96, 3),
+        (Step(3, request(1), 60_000, preferred_rack="r1"), 2, 7_359, 1.73, 3),
+        (saving, 2, 146, 2.12, 1),
+        (gang, 2, 7_999, 1.47, 3),
+        (replace(gang, is_long_running=True), 1, 540, 2.65, 3),
+    ]
+    with mock.patch.object(fleet_load, "PLAN_GAP_MS", 50):
+        day = _RuleDay(_arrivals(jobs), 4)
+        day.run(20)
+    assert max(day.longest_wait_by_job.values(), default=0) <= WAIT_MAX_MS
