Keep out calls that were sent before an endpoint restarted

What callers saw: a task ran twice.

Cause: deadlines are times on the endpoint's clock, which starts anew with each incarnation. One sent before the restart lies far ahead on the new clock, so the endpoint takes the longest lease from it. It arrives in three ways: a renewal repeated while renewals fail, a start or an ordinary renewal that is the first call to reach an incarnation, and a call carried out seconds later. The session allowed for the first in its bound, but assigned a lower one at the next answer; a successor counted with the usual lease.

Change: at a restart the session takes a higher fencing token, the end of the term's newest append, so the endpoint refuses everything sent before; until an answer under it, nothing is started there and the bound rises with each answer. Bounds of earlier calls are only raised. Renewals that extend no lease carry no deadline. The record of an incarnation is thus written after its endpoint refuses earlier calls, so a successor counts the longest lease from its reading of that record, for this endpoint alone. Runs that no listing has shown may be in an incarnation that nobody knows, and are released by the longest lease counted from the last call.

The stand-in of an endpoint now shortens leases to the maximum and restarts its clock.

--- a/ragwortshelf/core/scheduling/endpoint_tracking.py
+++ b/ragwortshelf/core/scheduling/endpoint_tracking.py
@@ -114,9 +114,17 @@
         return {f"{p.task}/{p.run}": now_ms - p.ordered_ms for p in placements}
 
     def endpoint_lease_expired(
-        self, endpoint_id: str, now_ms: int, wall_ms: int
+        self,
+        endpoint_id: str,
+        now_ms: int,
+        wall_ms: int,
+        is_any_incarnation: bool = True,
     ) -> None:
-        """Note that every lease on an endpoint has expired, so nothing runs there."""
+        """Note that every lease on an endpoint has expired, so nothing runs there.
+
+        Unless ``is_any_incarnation``, that holds for the known incarnation alone. A run
+        that was never listed may be in a later one.
+        """
         endpoint = self.endpoint_by_id.get(endpoint_id)
         if endpoint is None:
             return
@@ -124,8 +132,9 @@
         endpoint.is_reachable = False
         endpoint.set_unplaced({})
         for placement in endpoint.placements():
-            self._placement_ended(placement, RunEnd.LAPSED, "", now_ms, wall_ms)
-        if not endpoint.is_in_store:
+            if is_any_incarnation or placement.is_listed or placement.is_adopted:
+                self._placement_ended(placement, RunEnd.LAPSED, "", now_ms, wall_ms)
+        if not endpoint.is_in_store and not endpoint.placement_by_task:
             self._drop_endpoint(endpoint_id)
 
     def listing_need(self, endpoint_id: str, now_ms: int) -> ListingNeed:
@@ -281,6 +290,7 @@
             self.suspicion.run_survived(endpoint, placement)
         placement.load_metric = row.load_metric
         placement.is_adopted = False
+        placement.is_listed = True
         if placement.stage in (RunStage.LOGGED, RunStage.ORDERED):
             placement.stage = RunStage.RUNNING
         is_obsolete = unit is None or unit.phase is not UnitPhase.PLACED
--- a/ragwortshelf/scheduler/endpoint_session.py
+++ b/ragwortshelf/scheduler/endpoint_session.py
@@ -55,16 +55,29 @@
     """The scheduler's connection to one endpoint during one term.
 
     The session records the latest lease deadline that it has sent, on the endpoint's
-    clock, and in ``lease_expiry_ms`` the local time by which all leases have certainly
-    expired. Until the first answer, ``earlier_leases_expiry_ms`` (local time) bounds
-    the leases granted in earlier terms, or by an earlier session. ``listing_wait_ms``
-    is how long the next renewals wait for changes, and so the interval of listings.
+    clock, and in ``lease_expiry_ms`` the local time by which all leases of the known
+    incarnation have certainly expired. ``earlier_leases_expiry_ms`` (local time) bounds
+    the leases granted in earlier terms, or by an earlier session.
+    ``known_started_wall_ms`` is the incarnation that those knew, 0 if none, and
+    ``are_earlier_calls_fenced`` whether it refuses calls sent to one before it.
+    ``listing_wait_ms`` is how long the next renewals wait for changes, and so the
+    interval of listings.
+
+    An endpoint may restart under its id, with a new clock, on which an earlier deadline
+    lies far ahead: a call that was sent before the restart then grants the longest
+    lease. So the session raises its fencing token above those sent before, to what
+    ``next_token`` returns, and uses the endpoint once an answer shows that it refuses
+    the lower ones. An incarnation that is not known yet may even have received the
+    newest calls; ``unlisted_leases_expiry_ms`` bounds leases there.
 
     While ``may_order`` returns False nothing is sent: a process that was paused may
     have lost the role meanwhile. While ``may_extend_lease`` returns False, renewals
-    repeat the latest deadline, as a successor bounds the leases granted before.
+    carry no deadline, as a successor bounds the leases granted before.
     Starts also wait for the ``start_gate``, and are not sent once ``is_still_ordered``
     returns False for them.
+
+    ``on_lease_expired`` is called with the endpoint's id, and with True once leases in
+    any incarnation have expired, and not only those in the known one.
     """
 
     def __init__(
@@ -75,13 +88,17 @@
         *,
         on_listing: Callable[[EndpointListing], Callable[[], Awaitable[None]]],
         on_unreachable: Callable[[str], None],
-        on_lease_expired: Callable[[str], None],
+        on_lease_expired: Callable[[str, bool], None],
         on_fenced: Callable[[str], None],
         may_order: Callable[[], bool],
         may_extend_lease: Callable[[], bool],
         start_gate: StartGate,
         is_still_ordered: Callable[[StartTask], bool],
+        next_token: Callable[[int], Awaitable[int]],
+        token: int,
         earlier_leases_expiry_ms: int,
+        known_started_wall_ms: int,
+        are_earlier_calls_fenced: bool,
     ):
         self.info = info
         self._client = client
@@ -94,11 +111,18 @@
         self._may_extend_lease = may_extend_lease
         self._start_gate = start_gate
         self._is_still_ordered = is_still_ordered
-        self.lease_expiry_ms = earlier_leases_expiry_ms
+        self._next_token = next_token
+        self._token = token
+        # Bounds leases that are not due to a deadline on the present clock.
+        self._earlier_leases_expiry_ms = earlier_leases_expiry_ms
+        self._deadline_expiry_ms = 0
+        self._call_expiry_ms = 0
         self._deadline_ms: int | None = None
         self._clock_ms = 0
         self._clock_read_ms = 0
-        self._started_wall_ms = 0
+        self.started_wall_ms = known_started_wall_ms
+        self.are_earlier_calls_fenced = are_earlier_calls_fenced
+        self._is_token_due = not are_earlier_calls_fenced
         self._ack_number = 0
         self.listing_wait_ms = settings.listing_wait_ms
         self._is_reachable = False
@@ -106,8 +130,19 @@
         # How often the endpoint was lost, or was found to have started anew.
         self._loss_count = 0
         self._has_lease_expired = False
+        self._have_unlisted_leases_expired = False
         self.scope = trio.CancelScope()
 
+    @property
+    def lease_expiry_ms(self) -> int:
+        """Local time by which leases of the known incarnation have expired."""
+        return max(self._earlier_leases_expiry_ms, self._deadline_expiry_ms)
+
+    @property
+    def unlisted_leases_expiry_ms(self) -> int:
+        """Local time by which leases have expired, whichever incarnation has them."""
+        return max(self.lease_expiry_ms, self._call_expiry_ms)
+
     async def run(self) -> None:
         """Renew the lease and list tasks until cancelled."""
         with self.scope:
@@ -140,6 +175,7 @@
                 return StartOutcome.UNANSWERED, was_unanswered
             if self._deadline_ms is None:
                 return StartOutcome.UNHEALTHY, was_unanswered
+            self._record_call(timeout_ms)
             outcome = await self._client.start(
                 order.task,
                 order.run,
@@ -204,18 +240,23 @@
             await trio.sleep(RETRY_MAX_MS / 1000)
 
     async def _renew(self) -> None:
+        if self._is_token_due:
+            await self._raise_token()
         await self._wait_for_role()
         sent_ms = monotonic_ms()
         needs_lease = not self._has_time_to_start(sent_ms) and self._may_extend_lease()
         is_urgent = self._failures > 0 or needs_lease
         wait_ms = 0 if is_urgent else self.listing_wait_ms
         until_ms = self._next_deadline_ms(sent_ms)
-        self._record_sent_deadline(until_ms)
+        timeout_ms = wait_ms + self._settings.endpoint_timeout_ms
+        if until_ms is not None:
+            self._record_sent_deadline(until_ms)
+            self._record_call(timeout_ms)
         answer = await self._client.renew(
             until_ms=until_ms,
             ack_number=self._ack_number,
             wait_ms=wait_ms,
-            timeout_ms=wait_ms + self._settings.endpoint_timeout_ms,
+            timeout_ms=timeout_ms,
         )
         if isinstance(answer, EndpointAnswer):
             await self._handle_answer(answer, sent_ms, until_ms)
@@ -237,12 +278,15 @@
         return self._deadline_ms - self._endpoint_clock_ms(now_ms) > needed_ms
 
     def _next_deadline_ms(self, now_ms: int) -> int | None:
+        """Return the deadline that the next renewal carries; None to extend no lease.
+
+        An unanswered renewal may still take effect. No further one extends the lease,
+        so that that of an unreachable endpoint expires.
+        """
         if self._clock_read_ms == 0 or self._failures > 0:
-            # An unanswered renewal may still take effect. Its deadline is repeated and
-            # not extended, so that the lease of an unreachable endpoint expires.
-            return self._deadline_ms
+            return None
         if not self._may_extend_lease():
-            return self._deadline_ms
+            return None
         # On a slow clock, so that no lease is longer than a successor expects.
         elapsed_ms = int(CLOCK_RATE_MIN * (now_ms - self._clock_read_ms))
         until_ms = self._clock_ms + elapsed_ms + self._settings.lease_ms
@@ -254,19 +298,27 @@
         """Estimate the endpoint's clock, assuming the same rate as the local clock."""
         return self._clock_ms + (now_ms - self._clock_read_ms)
 
-    def _record_sent_deadline(self, until_ms: int | None) -> None:
+    def _record_sent_deadline(self, until_ms: int) -> None:
         """Record that the endpoint may hold a deadline from now on.
 
         The session may end before the answer, and another one take its place.
         """
-        if until_ms is not None:
-            expiry_ms = self._local_expiry_ms(until_ms)
-            self.lease_expiry_ms = max(self.lease_expiry_ms, expiry_ms)
+        expiry_ms = self._local_expiry_ms(until_ms)
+        self._deadline_expiry_ms = max(self._deadline_expiry_ms, expiry_ms)
 
     def _record_deadline(self, until_ms: int) -> None:
         """Record a deadline that the endpoint may hold, and its local expiry time."""
         self._deadline_ms = until_ms
-        self.lease_expiry_ms = self._local_expiry_ms(until_ms)
+        self._deadline_expiry_ms = self._local_expiry_ms(until_ms)
+
+    def _record_call(self, timeout_ms: int) -> None:
+        """Record that a call with a deadline may reach an incarnation not known yet."""
+        latest_ms = monotonic_ms() + timeout_ms
+        expiry_ms = self._longest_lease_expiry_ms(latest_ms)
+        self._call_expiry_ms = max(self._call_expiry_ms, expiry_ms)
+
+    def _longest_lease_expiry_ms(self, granted_ms: int) -> int:
+        return granted_ms + max_local_duration_ms(self._settings.lease_max_ms)
 
     def _local_expiry_ms(self, until_ms: int) -> int:
         """Return the local time by which the endpoint's clock has reached a time."""
@@ -280,13 +332,15 @@
     async def _handle_answer(self, answer: EndpointAnswer, sent_ms, until_ms) -> None:
         now_ms = monotonic_ms()
         self._failures = 0
-        # Also true for the first answer in this term.
-        is_new_incarnation = answer.started_wall_ms != self._started_wall_ms
-        if is_new_incarnation:
-            self._reset_incarnation(now_ms)
-        self._started_wall_ms = answer.started_wall_ms
+        is_same_incarnation = answer.started_wall_ms == self.started_wall_ms
+        if not is_same_incarnation:
+            self._reset_incarnation(answer, now_ms)
+        elif not self.are_earlier_calls_fenced:
+            # Calls sent before the restart may have been carried out until now.
+            self.are_earlier_calls_fenced = True
+            self._bound_earlier_leases(now_ms)
         self._clock_ms, self._clock_read_ms = answer.clock_ms, now_ms
-        if until_ms is not None and not is_new_incarnation:
+        if until_ms is not None and is_same_incarnation:
             self._record_deadline(until_ms)
         if not self._has_time_to_start(now_ms):
             # Tasks start only under a lease, and granting one needs the clock from the
@@ -304,6 +358,7 @@
             )
         self._is_reachable = True
         self._has_lease_expired = False
+        self._have_unlisted_leases_expired = False
         listing = EndpointListing(
             self.info.id,
             answer.started_wall_ms,
@@ -316,18 +371,33 @@
         if answer.finished:
             await self._acknowledge_after_commit(wait_committed, answer)
 
-    def _reset_incarnation(self, now_ms: int) -> None:
-        """Reset the session for a restarted endpoint with a new clock and numbering.
+    def _reset_incarnation(self, answer: EndpointAnswer, now_ms: int) -> None:
+        """Reset the session for another incarnation, with a new clock and numbering.
 
-        Renewals sent before the restart may still arrive. The endpoint truncates their
-        deadlines to the longest permitted lease.
+        Calls sent before the restart may have been carried out, or may still be.
         """
+        is_restart = self.started_wall_ms != 0
+        self.started_wall_ms = answer.started_wall_ms
         self._ack_number = 0
         self._loss_count += 1
-        if self._deadline_ms is not None:
-            expiry_ms = now_ms + max_local_duration_ms(self._settings.lease_max_ms)
-            self.lease_expiry_ms = max(self.lease_expiry_ms, expiry_ms)
         self._deadline_ms = None
+        self._deadline_expiry_ms = 0
+        if is_restart:
+            self.are_earlier_calls_fenced = False
+            self._is_token_due = True
+            self._bound_earlier_leases(now_ms)
+            self._mark_unreachable("restarted")
+
+    def _bound_earlier_leases(self, now_ms: int) -> None:
+        """Allow for the longest lease by a call that was carried out by now."""
+        expiry_ms = self._longest_lease_expiry_ms(now_ms)
+        self._earlier_leases_expiry_ms = max(self._earlier_leases_expiry_ms, expiry_ms)
+
+    async def _raise_token(self) -> None:
+        """Raise the fencing token above all that were sent before."""
+        self._token = await self._next_token(self._token)
+        self._client.raise_token(self._token)
+        self._is_token_due = False
 
     async def _acknowledge_after_commit(
         self, wait_committed, answer: EndpointAnswer
@@ -355,7 +425,12 @@
             self._on_unreachable(self.info.id)
 
     def _check_lease_expiry(self) -> None:
-        if not self._has_lease_expired and monotonic_ms() > self.lease_expiry_ms:
+        now_ms = monotonic_ms()
+        if not self._has_lease_expired and now_ms > self.lease_expiry_ms:
             self._has_lease_expired = True
             log_event("endpoint_lapsed", endpoint=self.info.id)
-            self._on_lease_expired(self.info.id)
+            self._on_lease_expired(self.info.id, False)
+        has_expired = now_ms > self.unlisted_leases_expiry_ms
+        if not self._have_unlisted_leases_expired and has_expired:
+            self._have_unlisted_leases_expired = True
+            self._on_lease_expired(self.info.id, True)
--- a/ragwortshelf/scheduler/interfaces.py
+++ b/ragwortshelf/scheduler/interfaces.py
@@ -211,7 +211,11 @@
 
 
 class EndpointClient(abc.ABC):
-    """Calls one endpoint under the fencing token of the scheduler's term."""
+    """Calls one endpoint under a fencing token of the scheduler's term."""
+
+    @abc.abstractmethod
+    def raise_token(self, token: int) -> None:
+        """Send a higher fencing token from the next call on."""
 
     @abc.abstractmethod
     async def renew(
--- a/ragwortshelf/scheduler/leadership.py
+++ b/ragwortshelf/scheduler/leadership.py
@@ -232,6 +232,18 @@
         lease_ms = max_local_duration_ms(self._settings.lease_ms)
         return now + max(0, grants_end_boot_ms + lease_ms - boot_ms())
 
+    def _earlier_leases_expiry_ms_of(self, endpoint_id: str) -> int:
+        """Return the local time by which an endpoint's earlier leases have expired.
+
+        One that restarted may hold the longest lease, by a call that was sent before.
+        """
+        observed_boot_ms = self._follower.incarnations.since_ms(endpoint_id)
+        if observed_boot_ms is None:
+            return self._earlier_leases_expiry_ms
+        longest_ms = max_local_duration_ms(self._settings.lease_max_ms)
+        expiry_ms = monotonic_ms() + observed_boot_ms + longest_ms - boot_ms()
+        return max(self._earlier_leases_expiry_ms, expiry_ms)
+
     @property
     def organisations_above_share(self) -> int:
         """Organisations that took more than their fair share at the latest plan."""
@@ -287,18 +299,29 @@
         if session is not None and session.info.address == info.address:
             session.info = info
         else:
-            expiry_ms = self._earlier_leases_expiry_ms
             if session is not None:
                 session.end()
-                # The endpoint may run on under the leases of that session.
-                expiry_ms = session.lease_expiry_ms
-            self._open_session(info, expiry_ms)
+            self._open_session(info, session)
         self._plan_event.set()
 
-    def _open_session(self, info: EndpointInfo, earlier_leases_expiry_ms: int) -> None:
+    def _open_session(
+        self, info: EndpointInfo, earlier_session: EndpointSession | None
+    ) -> None:
+        if earlier_session is None:
+            expiry_ms = self._earlier_leases_expiry_ms_of(info.id)
+            observed = self._follower.table.incarnation_by_endpoint_id.get(info.id)
+            known_started_wall_ms = observed.started_wall_ms if observed else 0
+            are_earlier_calls_fenced = True
+        else:
+            # The endpoint may run on under the leases of that session.
+            expiry_ms = earlier_session.unlisted_leases_expiry_ms
+            known_started_wall_ms = earlier_session.started_wall_ms
+            are_earlier_calls_fenced = earlier_session.are_earlier_calls_fenced
+        # Not below that of any session of this term.
+        token = self._writer.committed_end
         session = EndpointSession(
             info,
-            self._adapter.endpoint_client(info, self.claim.term),
+            self._adapter.endpoint_client(info, token),
             self._settings,
             on_listing=self._listing_received,
             on_unreachable=self._endpoint_unreachable,
@@ -308,7 +331,11 @@
             may_extend_lease=self._may_extend_leases,
             start_gate=self._start_gate,
             is_still_ordered=self._scheduler.is_still_ordered,
-            earlier_leases_expiry_ms=earlier_leases_expiry_ms,
+            next_token=self._writer.wait_for_higher_token,
+            token=token,
+            earlier_leases_expiry_ms=expiry_ms,
+            known_started_wall_ms=known_started_wall_ms,
+            are_earlier_calls_fenced=are_earlier_calls_fenced,
         )
         self._session_by_id[info.id] = session
         self._nursery.start_soon(session.run)
@@ -355,8 +382,12 @@
         self._scheduler.endpoint_unreachable(endpoint_id, monotonic_ms(), wall_ms())
         self._dispatch()
 
-    def _endpoint_lease_expired(self, endpoint_id: str) -> None:
-        self._scheduler.endpoint_lease_expired(endpoint_id, monotonic_ms(), wall_ms())
+    def _endpoint_lease_expired(
+        self, endpoint_id: str, is_any_incarnation: bool
+    ) -> None:
+        self._scheduler.endpoint_lease_expired(
+            endpoint_id, monotonic_ms(), wall_ms(), is_any_incarnation
+        )
         self._dispatch()
         self._plan_event.set()
         self._end_session_if_removed(endpoint_id)
@@ -371,12 +402,19 @@
             await trio.sleep(DIRECTORY_CHECK_INTERVAL_MS / 1000)
         release_ms = max(self._earlier_leases_expiry_ms, monotonic_ms() + RELISTED_MS)
         await trio.sleep((release_ms - monotonic_ms()) / 1000)
-        for endpoint_id in list(self._scheduler.endpoint_by_id):
-            if endpoint_id not in self._session_by_id:
-                self._endpoint_lease_expired(endpoint_id)
+        for endpoint_id in self._unlisted_endpoint_ids():
+            release_ms = max(release_ms, self._earlier_leases_expiry_ms_of(endpoint_id))
+        await trio.sleep(max(0, release_ms - monotonic_ms()) / 1000)
+        for endpoint_id in self._unlisted_endpoint_ids():
+            self._endpoint_lease_expired(endpoint_id, True)
         self._scheduler.forget_unlisted_endpoints()
         self._dispatch()
 
+    def _unlisted_endpoint_ids(self) -> list[str]:
+        return [
+            i for i in self._scheduler.endpoint_by_id if i not in self._session_by_id
+        ]
+
     # Decisions and orders.
 
     async def _plan_loop(self) -> None:
--- a/ragwortshelf/scheduler/log_follower.py
+++ b/ragwortshelf/scheduler/log_follower.py
@@ -6,6 +6,7 @@
 
 import trio
 
+from ..core.scheduling.incarnations import IncarnationTimes
 from ..core.scheduling.job_table import JobTable
 from ..core.scheduling.lease_grants import LeaseGrants
 from ..core.scheduling.record_codec import decode_record, job_id_of, submission_key
@@ -39,6 +40,7 @@
     series of answered reads, None while the log does not answer.
     ``term_activity_boot_ms`` is the time at which a term or unit record was last seen,
     and ``lease_grants`` bounds until when the terms seen extended leases.
+    ``incarnations`` has when the present incarnation of each endpoint was first seen.
     While ``own_term`` is set, the scheduler's records are skipped, because it applies
     its decisions to the table before it appends them. While ``is_waiting_for_records``
     is set, each read waits for new records, and no pause follows it. Callers that need
@@ -54,6 +56,7 @@
         self.answering_since_boot_ms: int | None = None
         self.term_activity_boot_ms: int | None = None
         self.lease_grants = LeaseGrants(settings.lease_grant_max_ms)
+        self.incarnations = IncarnationTimes()
         self.own_term: int | None = None
         self.is_waiting_for_records = False
         self.on_job_changed: Callable[[str], None] = lambda job_id: None
@@ -263,6 +266,11 @@
                 log_failure("job_record_failed", key=key, bytes=len(value))
 
     def _apply(self, record: Record) -> None:
+        match record:
+            case EndpointObserved(incarnation):
+                self.incarnations.observed(incarnation, boot_ms())
+            case EndpointForgotten(endpoint_id):
+                self.incarnations.forgotten(endpoint_id)
         if isinstance(record, SCHEDULER_RECORDS) and self.own_term is not None:
             # Already applied by this scheduler, or written in an earlier term.
             return
--- a/ragwortshelf/scheduler/term_writer.py
+++ b/ragwortshelf/scheduler/term_writer.py
@@ -44,6 +44,8 @@
     ``confirmed_boot_ms`` is the send time of the last successful append, at first that
     of the claim. If the append was repeated, it is that of the first attempt which may
     have taken effect: the log answers a repetition although it renews nothing.
+    ``committed_end`` is the offset that follows the records of that append. It is at
+    least the term's number, and lower than the number of any later term.
     ``may_have_resigned`` is set while the resignation may be in the log, so that a
     successor may hold the role already. ``due_records`` returns records that go along
     with the next append.
@@ -76,6 +78,7 @@
         self._unwritten_by_unit: dict[UnitKey, int] = {}
         self._is_renewal_due = False
         self.confirmed_boot_ms = claimed_boot_ms
+        self.committed_end = claim.term
         self.may_have_resigned = False
         self.uncommitted_jobs: dict[str, int] = {}
 
@@ -108,6 +111,16 @@
         while self._committed_count < mark:
             await self._committed.wait()
 
+    async def wait_for_higher_token(self, token: int) -> int:
+        """Return a fencing token of this term above ``token``, once there is one.
+
+        It is ``committed_end``, which rises with each append.
+        """
+        while self.committed_end <= token:
+            self._wake_event.set()
+            await self._committed.wait()
+        return self.committed_end
+
     async def run(self, on_start: Callable[[StartTask], None]) -> str:
         """Write until the role is resigned or lost; returns the reason.
 
@@ -207,6 +220,7 @@
             )
             if isinstance(outcome, Appended):
                 self.confirmed_boot_ms = sent
+                self.committed_end = outcome.offset + len(entries)
                 # After an outage that confirmation is old.
                 self._is_renewal_due = was_unanswered
                 return None
--- a/ragwortshelf/standins/platform_endpoint.py
+++ b/ragwortshelf/standins/platform_endpoint.py
@@ -44,8 +44,9 @@
 
     ``work_ms`` is the duration of every run, or a function that returns it for a task.
     The lease expires by the endpoint's own clock, which is trio's clock multiplied by
-    ``clock_rate`` plus ``clock_offset_ms``. The times of runs are on trio's clock, so
-    that those of several endpoints can be compared. All times are in milliseconds.
+    ``clock_rate`` plus ``clock_offset_ms``, and starts anew at a crash. It lasts for
+    ``lease_max_ms`` at most. The times of runs are on trio's clock, so that those of
+    several endpoints can be compared. All times are in milliseconds.
     """
 
     def __init__(
@@ -55,10 +56,12 @@
         *,
         clock_rate: float = 1.0,
         clock_offset_ms: int = 0,
+        lease_max_ms: int = 10_000,
     ):
         self.info = info
         self._clock_rate = clock_rate
         self._clock_offset_ms = clock_offset_ms
+        self._lease_max_ms = lease_max_ms
         self.born = 1
         self.token = 0
         self.until_ms = 0
@@ -101,6 +104,10 @@
             end=outcome,
         )
 
+    def _extend_lease(self, until_ms: int) -> None:
+        latest_ms = self.clock_ms() + self._lease_max_ms
+        self.until_ms = max(self.until_ms, min(until_ms, latest_ms))
+
     def _lease_end_ms(self) -> int:
         """Return the time on trio's clock at which the lease expires."""
         remaining_ms = (self.until_ms - self.clock_ms()) / self._clock_rate
@@ -127,7 +134,7 @@
             return StartOutcome.OUTDATED
         if until_ms < self.clock_ms():
             return StartOutcome.LATE
-        self.until_ms = max(self.until_ms, until_ms)
+        self._extend_lease(until_ms)
         now_ms = _now_ms()
         self.running[task] = (run, now_ms)
         self._highest_run_by_task[task] = run
@@ -149,6 +156,7 @@
         self._last_end_number = 0
         self.token = 0
         self.until_ms = 0
+        self._clock_offset_ms = -int(_now_ms() * self._clock_rate)
         self.born += 1
 
     def stop(self, task: str, run: int, token: int) -> bool:
@@ -177,7 +185,7 @@
         self.advance()
         self.finished = [row for row in self.finished if row.number > ack_number]
         if until_ms is not None:
-            self.until_ms = max(self.until_ms, until_ms)
+            self._extend_lease(until_ms)
         deadline_s = trio.current_time() + wait_ms / 1000
         born = self.born
         while not self.finished and trio.current_time() < deadline_s:
--- a/tests/scheduler/fakes.py
+++ b/tests/scheduler/fakes.py
@@ -176,6 +176,9 @@
         self._token = token
         self._faults = faults
 
+    def raise_token(self, token):
+        self._token = token
+
     async def _cross_link(self, timeout_ms):
         is_cut_off = (
             self._endpoint.is_disconnected
