Try units that fit although others of the same request do not

Cause: a plan skips a unit if one of the same shape did not fit. The shape had the limit of tasks per endpoint, and not the step whose tasks count towards it. The same holds for a queue whose policy approves endpoints by step, for a unit that holds a reservation, for a suspect, and for units that wait for proof or for a rack.

Change: the shape holds these too; it is a method of the selector, which knows them.

--- a/ragwortshelf/core/scheduling/endpoint_selection.py
+++ b/ragwortshelf/core/scheduling/endpoint_selection.py
@@ -15,7 +15,7 @@
 from .speed_needs import is_too_slow, preferred_classes, speed_class, speed_needed
 from .unit import Unit
 
-__all__ = ["EndpointSelector", "placement_shape"]
+__all__ = ["EndpointSelector"]
 
 PROOF_VALID_MS = 3_000
 """Age up to which a start that survived shows that an endpoint is sound."""
@@ -118,6 +118,32 @@
             endpoints = self._find_endpoints(unit, candidates)
         return endpoints
 
+    def shape(self, unit: Unit) -> tuple:
+        """Return what decides whether a unit fits; units of equal shape are tried once.
+
+        A unit is tried by itself if the room for it is counted by its own step, or if
+        it may use room that others may not.
+        """
+        step = unit.step
+        is_counted_by_step = bool(step.tasks_per_endpoint_max)
+        is_alone = unit.is_suspect or self._reservations.is_held_by(unit)
+        needs_rack = bool(step.preferred_rack) or step.is_rack_sensitive
+        return (
+            unit.job.spec.queue,
+            unit.key if is_alone else None,
+            unit.key[:3] if is_counted_by_step or self._needs_advice(unit) else None,
+            step.occupied,
+            unit.count,
+            step.required_label,
+            step.preferred_rack,
+            step.is_rack_sensitive,
+            step.tasks_per_endpoint_max,
+            step.is_long_running,
+            frozenset(unit.avoided_ids),
+            self._needs_proof(unit),
+            needs_rack and self._has_waited_for_rack(unit),
+        )
+
     def find_free_room(
         self, unit: Unit, is_wanted: Callable[[Endpoint], bool]
     ) -> list[Endpoint] | None:
@@ -336,20 +362,3 @@
             placement.unit_key[:3] == key
             for placement in endpoint.placement_by_task.values()
         )
-
-
-def placement_shape(unit: Unit) -> tuple:
-    """Return what decides whether a unit fits; units of equal shape are tried once."""
-    step = unit.step
-    return (
-        unit.job.spec.queue,
-        unit.is_suspect,
-        step.occupied,
-        unit.count,
-        step.required_label,
-        step.preferred_rack,
-        step.is_rack_sensitive,
-        step.tasks_per_endpoint_max,
-        step.is_long_running,
-        frozenset(unit.avoided_ids),
-    )
--- a/ragwortshelf/core/scheduling/evacuation_moves.py
+++ b/ragwortshelf/core/scheduling/evacuation_moves.py
@@ -4,7 +4,7 @@
 
 from .availability import is_available
 from .endpoint import Endpoint
-from .endpoint_selection import EndpointSelector, placement_shape
+from .endpoint_selection import EndpointSelector
 from .evacuation import is_to_be_moved, units_on
 from .lifecycle import UnitLifecycle
 from .reclaim import EndpointReclaimPlan
@@ -71,7 +71,7 @@
             return
         if not self._scheduler.can_stop_now(unit):
             return
-        shape = placement_shape(unit)
+        shape = self._selector.shape(unit)
         if shape in unplaceable_shapes:
             return
         step = unit.key[:3]
--- a/ragwortshelf/core/scheduling/planning.py
+++ b/ragwortshelf/core/scheduling/planning.py
@@ -4,7 +4,7 @@
 
 from collections import defaultdict
 
-from .endpoint_selection import EndpointSelector, placement_shape
+from .endpoint_selection import EndpointSelector
 from .evacuation_moves import EvacuationMover
 from .fast_room import FastRoomMaker
 from .idle_services import IdleServices
@@ -154,7 +154,7 @@
         if not crashes.may_start_now(unit, usable_count, self._now_ms):
             self.drop_reservation(unit)
             return
-        shape = placement_shape(unit)
+        shape = self._selector.shape(unit)
         organisation = unit.job.spec.organisation
         is_guaranteed = self._is_guaranteed(unit, gpus_in_use)
         if shape in unplaceable_shapes and not is_guaranteed:
