Do not hold failures of long-running tasks against endpoints

Cause: three jobs that fail on an endpoint without a run that is done exclude it for 5 s, and each further failure again. Lasting tasks are never done and go from endpoint to endpoint, so all of them were excluded. Suspicion already left them out, this rule did not. Each restart also reclaimed room.

Change: failures of lasting tasks are no evidence about endpoints, by one rule for both. A lasting task that fails again within 10 s is started after 0.2 s, doubled up to 3.2 s, of the 6 s allowed.

Evidence: two tests in tests/core/scheduling/test_long_running.py, which fail before.

--- a/ragwortshelf/core/scheduling/endpoint_tracking.py
+++ b/ragwortshelf/core/scheduling/endpoint_tracking.py
@@ -28,6 +28,7 @@
 )
 from .suspicion import QUICK_FAILURE_MS, is_quick
 from .task_placement import RunStage, TaskPlacement
+from .unit import Unit
 
 __all__ = ["EndpointTracking"]
 
@@ -42,6 +43,14 @@
 QUICK_RETRY_DOUBLINGS_MAX = 2
 """Delay before a unit whose run failed at once is planned again; doubled each time."""
 
+STEADY_RUN_MS = 10_000
+"""Run time from which the failure of a long-running task does not delay its restart."""
+
+RESTART_DELAY_MS = 200
+RESTART_DOUBLINGS_MAX = 4
+"""Delay before a long-running task that failed twice in a row is started again; doubled
+each time, up to 3.2 s. The platform wants it back within 6 s."""
+
 NO_ROOM_EXCLUSION_MS = 300
 """Exclusion time after an endpoint had no room; a new listing arrives within it."""
 
@@ -327,7 +336,9 @@
             return
         # A run that is done counts even if its lease expired before this listing: an
         # earlier term may have acknowledged it, so it must not be started again.
-        if endpoint.record_run_end(placement.unit_key.job_id, row.end):
+        if self._is_evidence(placement, row.end) and endpoint.record_run_end(
+            placement.unit_key.job_id, row.end
+        ):
             self._exclude(
                 endpoint, now_ms, FAILURE_EXCLUSION_MS, "fails what it starts"
             )
@@ -338,12 +349,23 @@
             self.suspicion.run_survived(endpoint, placement)
         self._placement_ended(placement, row.end, row.checkpoint, now_ms, wall_ms)
 
+    def _is_evidence(self, placement: TaskPlacement, end: RunEnd) -> bool:
+        """Whether the end of a run tells of its endpoint.
+
+        Long-running tasks may fail at any time, which says nothing of endpoints.
+        """
+        unit = self.unit_by_key.get(placement.unit_key)
+        is_lasting = unit is not None and unit.step.is_long_running
+        return not (is_lasting and end is RunEnd.FAILED)
+
     def _note_failure(
         self, endpoint: Endpoint, placement: TaskPlacement, now_ms: int
     ) -> None:
         unit = self.unit_by_key.get(placement.unit_key)
-        if unit is None or unit.step.is_long_running:
-            # Long-running tasks may fail at any time, which says nothing of endpoints.
+        if unit is None:
+            return
+        if unit.step.is_long_running:
+            self._delay_restart(unit, placement, now_ms)
             return
         length_ms = self.suspicion.run_failed(endpoint, placement, now_ms)
         if length_ms:
@@ -357,6 +379,23 @@
             delay_ms = QUICK_RETRY_DELAY_MS << doublings
             unit.not_before_ms = max(unit.not_before_ms, now_ms + delay_ms)
 
+    def _delay_restart(self, unit: Unit, placement: TaskPlacement, now_ms: int) -> None:
+        """Delay a long-running task that fails again and again, longer each time.
+
+        Meanwhile it takes and reclaims no room from others.
+        """
+        if unit.last_failed_run >= placement.run:
+            # Another task of the gang has failed before.
+            return
+        if now_ms - placement.ordered_ms >= STEADY_RUN_MS:
+            unit.unsteady_run_count = 0
+            return
+        if unit.unsteady_run_count:
+            doublings = min(unit.unsteady_run_count - 1, RESTART_DOUBLINGS_MAX)
+            delay_ms = RESTART_DELAY_MS << doublings
+            unit.not_before_ms = max(unit.not_before_ms, now_ms + delay_ms)
+        unit.unsteady_run_count += 1
+
     def _handle_missing(
         self, placement: TaskPlacement, sent_ms: int, now_ms: int, wall_ms: int
     ) -> None:
--- a/ragwortshelf/core/scheduling/unit.py
+++ b/ragwortshelf/core/scheduling/unit.py
@@ -46,7 +46,8 @@
     ``not_before_ms``. Endpoints in ``avoided_ids`` are used only if the unit fits
     nowhere else. The job can be on time if the unit starts by ``latest_start_wall_ms``.
     ``last_failed_run`` is the latest run counted as failed, so that a gang's run counts
-    once. ``quick_failure_count`` counts runs that failed as soon as they started.
+    once. ``quick_failure_count`` counts runs that failed as soon as they started, and
+    ``unsteady_run_count`` those of a long-running task that soon failed, in a row.
     A unit that ``has_moved`` from a slow endpoint is not moved again.
 
     ``estimate_ms`` is the expected run time of its tasks: the caller's estimate,
@@ -79,6 +80,7 @@
         "sort_key",
         "starving_from_ms",
         "step",
+        "unsteady_run_count",
         "waiting_since_ms",
     )
 
@@ -95,6 +97,7 @@
         self.avoided_ids: set[str] = set()
         self.last_failed_run = 0
         self.quick_failure_count = 0
+        self.unsteady_run_count = 0
         self.not_before_ms = 0
         # The log does not tell moves from other stops. A unit that was stopped in an
         # earlier term may have been moved in it.
--- a/tests/core/scheduling/test_long_running.py
+++ b/tests/core/scheduling/test_long_running.py
@@ -29,6 +29,44 @@
     assert harness.table.job_by_id["l"].state.value == "running"
 
 
+# Guards against an idle fleet on which nothing starts (LOST): failures of long-running
+# tasks, which are restarted on one endpoint after the other, excluded all of them.
+def test_long_running_tasks_that_fail_keep_no_endpoint_from_other_work():
+    harness = Harness(endpoints=2)
+    for n in range(4):
+        harness.submit(f"l{n}", count=2, is_long_running=True)
+    for step in range(40):
+        harness.advance(300)
+        harness.obey_stops()
+        for order in harness.accept_starts():
+            harness.end(order.endpoint_id, order.task, RunEnd.FAILED)
+        if step % 10 == 9:
+            harness.submit(f"other{step}", "p2", "b")
+            assert harness.starts[-1].task == f"other{step}.0.0.0"
+            (order,) = harness.accept_starts()
+            harness.end(order.endpoint_id, order.task)
+
+
+# Guards against other work that is stopped without end: each restart of a task that
+# fails at once reclaimed room.
+def test_a_long_running_task_that_fails_again_and_again_pauses_between_restarts():
+    harness = Harness(endpoints=1)
+    (start,) = _start_long_running(harness, request=WHOLE)
+    delays_ms = []
+    for _ in range(7):
+        failed_ms = harness.now
+        harness.end(start.endpoint_id, start.task, RunEnd.FAILED)
+        while not harness.starts:
+            harness.advance(100)
+        delays_ms.append(harness.now - failed_ms)
+        (start,) = harness.accept_starts()
+        harness.advance(500)
+    assert delays_ms == [0, 200, 400, 800, 1_600, 3_200, 3_200]
+    harness.advance(10_000)
+    harness.end(start.endpoint_id, start.task, RunEnd.FAILED)
+    assert harness.starts
+
+
 def test_a_long_running_task_that_ended_reclaims_room_on_a_full_endpoint():
     harness = Harness(endpoints=1)
     (start,) = _start_long_running(harness, request=WHOLE)
