Test the bounds of a restart where a late call moves them

Cause: with single protections removed, two of the new tests still passed: the longest lease counted by a successor, and the bound when the endpoint confirms a higher token. A third removal, the search that begins at the first occurrence, cost only time and had no test.

Change: the successor's test covers each of the three first calls, 1.6 s after the restart, since a suspected crash had delayed the second run; a late renewal between the notice of a restart and its confirmation; the first call of a search.

Conclusion: each of the removals but one now fails a test. A successor that does not know the incarnation of the log is covered by the model alone.

--- a/tests/core/scheduling/test_unit_opening.py
+++ b/tests/core/scheduling/test_unit_opening.py
@@ -195,6 +195,14 @@
     assert calls[5] == []
 
 
+def test_the_search_begins_at_the_first_occurrence_that_is_not_done():
+    job = make_job(make_spec(make_step(1), occurrences=10_000))
+    for occurrence in range(9_999):
+        end_units(job, occurrence)
+    (key,) = UnitOpening(job).take(50, 0)
+    assert key.occurrence == 9_999
+
+
 def test_the_first_open_occurrence_follows_those_that_are_done():
     job = make_job(make_spec(make_step(2), make_step(1, (0,)), occurrences=4))
     for occurrence in (1, 0):
--- a/tests/scheduler/test_restarted_endpoints.py
+++ b/tests/scheduler/test_restarted_endpoints.py
@@ -96,6 +96,20 @@
         self.endpoint.start = start_after_restart
         await self.place_second_job()
 
+    async def restart_at_next_renewal(self):
+        """Let a renewal be the first call to reach the new incarnation."""
+        restarted = trio.Event()
+        renew = self.endpoint.renew
+
+        async def renew_after_restart(*arguments):
+            self.endpoint.renew = renew
+            self.endpoint.crash()
+            restarted.set()
+            return await renew(*arguments)
+
+        self.endpoint.renew = renew_after_restart
+        await restarted.wait()
+
     async def wait_until_listed(self):
         """Wait until a renewal that was sent since the restart is answered."""
         await trio.sleep(0.05)
@@ -156,17 +170,7 @@
     fleet = _Fleet(instances=1)
     async with trio.open_nursery() as nursery:
         await fleet.run(nursery)
-        restarted = trio.Event()
-        renew = fleet.endpoint.renew
-
-        async def renew_after_restart(*arguments):
-            fleet.endpoint.renew = renew
-            fleet.endpoint.crash()
-            restarted.set()
-            return await renew(*arguments)
-
-        fleet.endpoint.renew = renew_after_restart
-        await restarted.wait()
+        await fleet.restart_at_next_renewal()
         await fleet.place_second_job()
         await fleet.wait_until_listed()
         fleet.cut_off()
@@ -174,6 +178,29 @@
         nursery.cancel_scope.cancel()
 
 
+# Guards against the same for a call that is carried out after the restart was noticed,
+# and before the endpoint has seen a higher token, for which the log is needed.
+async def test_calls_are_counted_until_the_endpoint_refuses_them(autojump_clock):
+    fleet = _Fleet(instances=1)
+    async with trio.open_nursery() as nursery:
+        await fleet.run(nursery)
+        await trio.sleep(1.2)
+        token, until_ms = fleet.endpoint.renewals[-1]
+        holder = fleet.holder
+        faults_of(holder).store = "silent"
+        fleet.endpoint.crash()
+        await trio.sleep(3.5)
+        await fleet.endpoint.renew(until_ms, 0, 0, token)
+        faults_of(holder).store = ""
+        while fleet.endpoint.token <= token:
+            await trio.sleep(0.01)
+        await fleet.wait_until_listed()
+        leadership = holder.election.leadership
+        session = leadership._session_by_id[fleet.endpoint.info.id]
+        assert session.lease_expiry_ms >= fleet.endpoint._lease_end_ms()
+        nursery.cancel_scope.cancel()
+
+
 # Guards against a task that runs twice: a call that had been sent to the incarnation
 # before was carried out seconds later, after newer calls.
 @pytest.mark.parametrize("late_call", ["renewal", "start"])
@@ -202,25 +229,29 @@
 # Guards against a task that runs twice: a successor counted the leases that a holder
 # grants, and not the longer one of an endpoint that had just restarted.
 @pytest.mark.parametrize("how", ["kill", "resign"])
-@pytest.mark.parametrize("is_start_first", [False, True])
+@pytest.mark.parametrize("first_call", ["repeated renewal", "renewal", "start"])
 async def test_a_successor_counts_the_longest_lease_of_a_restarted_endpoint(
-    autojump_clock, how, is_start_first
+    autojump_clock, how, first_call
 ):
     fleet = _Fleet(instances=3)
     async with trio.open_nursery() as nursery:
         await fleet.run(nursery)
         holder = fleet.holder
-        if is_start_first:
-            await fleet.place_at_first_call_after_restart()
-        else:
-            fleet.endpoint.is_disconnected = True
-            await trio.sleep(2.5)
-            fleet.endpoint.crash()
-            await trio.sleep(1)
-            fleet.endpoint.is_disconnected = False
-            await fleet.place_second_job()
-        # Until the observation of the new incarnation is in the log.
-        await trio.sleep(0.2)
+        match first_call:
+            case "repeated renewal":
+                fleet.endpoint.is_disconnected = True
+                await trio.sleep(2.5)
+                fleet.endpoint.crash()
+                await trio.sleep(1)
+                fleet.endpoint.is_disconnected = False
+                await fleet.place_second_job()
+            case "renewal":
+                await fleet.restart_at_next_renewal()
+                await fleet.place_second_job()
+            case "start":
+                await fleet.place_at_first_call_after_restart()
+        # Until the incarnation is in the log, and the start not suspected of a crash.
+        await trio.sleep(1.6)
         fleet.cut_off()
         if how == "kill":
             fleet.kill(holder)
