Make the test of late calls fail without the bound that it is about

A token above those sent is at hand unless one has risen just before, so nothing was late, and the late deadline was of the newer clock.

Change: two restarts in a row without the log, and a deadline of the first clock.

Conclusion: without that bound the test fails now, run on a scratch copy.

--- a/tests/scheduler/test_restarted_endpoints.py
+++ b/tests/scheduler/test_restarted_endpoints.py
@@ -184,13 +184,15 @@
     fleet = _Fleet(instances=1)
     async with trio.open_nursery() as nursery:
         await fleet.run(nursery)
-        await trio.sleep(1.2)
-        token, until_ms = fleet.endpoint.renewals[-1]
         holder = fleet.holder
         faults_of(holder).store = "silent"
+        # From now on the token is the newest that there is without the log.
         fleet.endpoint.crash()
-        await trio.sleep(3.5)
-        await fleet.endpoint.renew(until_ms, 0, 0, token)
+        await trio.sleep(0.1)
+        token, _ = fleet.endpoint.renewals[-1]
+        fleet.endpoint.crash()
+        await trio.sleep(3)
+        await fleet.endpoint.renew(2 * UPTIME_MS, 0, 0, token)
         faults_of(holder).store = ""
         while fleet.endpoint.token <= token:
             await trio.sleep(0.01)
