Drop a reference that the suspicion tracker no longer uses

Cause: since failures look at the units of one job, nothing reads the table of all units there.

Conclusion: no decision changes.

--- a/ragwortshelf/core/scheduling/lifecycle.py
+++ b/ragwortshelf/core/scheduling/lifecycle.py
@@ -81,9 +81,7 @@
         self.next_due_wall_ms: int | None = None
         self.advice = AdviceCache()
         self._units_by_job_id: dict[str, dict[UnitKey, Unit]] = {}
-        self.suspicion = SuspicionTracker(
-            self.endpoint_by_id, self.unit_by_key, self._units_by_job_id
-        )
+        self.suspicion = SuspicionTracker(self.endpoint_by_id, self._units_by_job_id)
         self.speeds = SpeedTracker()
         self.speed_recorder = SpeedRecorder(table)
         self.crashes = CrashTracker(table, self.unit_by_key)
--- a/ragwortshelf/core/scheduling/suspicion.py
+++ b/ragwortshelf/core/scheduling/suspicion.py
@@ -43,11 +43,9 @@
     def __init__(
         self,
         endpoint_by_id: Mapping[str, Endpoint],
-        unit_by_key: Mapping[UnitKey, Unit],
         units_by_job_id: Mapping[str, Mapping[UnitKey, Unit]],
     ):
         self._endpoint_by_id = endpoint_by_id
-        self._unit_by_key = unit_by_key
         self._units_by_job_id = units_by_job_id
         self._accused_ids_by_job: dict[str, set[str]] = {}
         self._survived_job_ids: set[str] = set()
