Log which leases a waiting task is waited for, and until when

Change: `endpoint_lapsed` names what is released and kept, and is also written when leases in unknown incarnations have expired; `endpoint_lost`, `term_started`, `endpoints_unlisted` and `unit_waits` have the time that leases may still last. No decision changes.

Conclusion: the tests of tests/scheduler pass, two of them new.

--- a/ragwortshelf/core/scheduling/actions.py
+++ b/ragwortshelf/core/scheduling/actions.py
@@ -211,12 +211,14 @@
 class ReportIdleWait:
     """Report that a unit has waited for ``waited_ms`` on a service that is mostly idle.
 
-    It stands for all units of its step that wait.
+    It stands for all units of its step that wait. ``endpoint_ids`` are the endpoints of
+    its runs that do not answer.
     """
 
     unit_key: UnitKey
     cause: WaitCause
     waited_ms: int
+    endpoint_ids: tuple[str, ...] = ()
 
 
 Action = (
--- a/ragwortshelf/core/scheduling/idle_waits.py
+++ b/ragwortshelf/core/scheduling/idle_waits.py
@@ -74,7 +74,9 @@
             if now_ms >= due_ms:
                 self._report_due_ms_by_step[step_key] = now_ms + REPORT_INTERVAL_MS
                 cause = self._cause(unit, now_ms)
-                reports.append(ReportIdleWait(unit.key, cause, now_ms - since_ms))
+                waited_ms = now_ms - since_ms
+                lost_ids = self._lost_endpoint_ids(unit)
+                reports.append(ReportIdleWait(unit.key, cause, waited_ms, lost_ids))
         return reports
 
     def _waiting_on_idle_services(self) -> dict[_StepKey, Unit]:
@@ -112,6 +114,11 @@
             for placement in unit.placements
         )
 
+    def _lost_endpoint_ids(self, unit: Unit) -> tuple[str, ...]:
+        endpoint_by_id = self._scheduler.endpoint_by_id
+        ids = dict.fromkeys(placement.endpoint_id for placement in unit.placements)
+        return tuple(id_ for id_ in ids if not endpoint_by_id[id_].is_reachable)
+
     def _cause(self, unit: Unit, now_ms: int) -> WaitCause:
         if unit.phase is not UnitPhase.WAITING:
             if not self._is_in_contact(unit):
--- a/ragwortshelf/scheduler/endpoint_session.py
+++ b/ragwortshelf/scheduler/endpoint_session.py
@@ -421,14 +421,20 @@
         if self._is_reachable:
             self._is_reachable = False
             self._loss_count += 1
-            log_event("endpoint_lost", endpoint=self.info.id, detail=detail)
+            now_ms = monotonic_ms()
+            log_event(
+                "endpoint_lost",
+                endpoint=self.info.id,
+                detail=detail,
+                lease_ms=self.lease_expiry_ms - now_ms,
+                unlisted_lease_ms=self.unlisted_leases_expiry_ms - now_ms,
+            )
             self._on_unreachable(self.info.id)
 
     def _check_lease_expiry(self) -> None:
         now_ms = monotonic_ms()
         if not self._has_lease_expired and now_ms > self.lease_expiry_ms:
             self._has_lease_expired = True
-            log_event("endpoint_lapsed", endpoint=self.info.id)
             self._on_lease_expired(self.info.id, False)
         has_expired = now_ms > self.unlisted_leases_expiry_ms
         if not self._have_unlisted_leases_expired and has_expired:
--- a/ragwortshelf/scheduler/leadership.py
+++ b/ragwortshelf/scheduler/leadership.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import time
-from collections.abc import Awaitable, Callable
+from collections.abc import Awaitable, Callable, Iterable
 from functools import partial
 
 import trio
@@ -65,7 +65,7 @@
 """Interval between checks whether the endpoints' reports have been loaded."""
 
 RUNS_LOGGED_MAX = 8
-"""Runs named in the log when contact with their endpoint is lost."""
+"""Runs, or endpoints, that one line of the log names at most."""
 
 DELETION_INTERVAL_MS = 5_000
 """Interval between checks for ended jobs whose retention time has passed."""
@@ -153,7 +153,11 @@
 
     async def run(self) -> str:
         """Schedule until the term ends; returns the reason for its end."""
-        log_event("term_started", term=self.claim.term)
+        log_event(
+            "term_started",
+            term=self.claim.term,
+            earlier_leases_ms=self._earlier_leases_expiry_ms - monotonic_ms(),
+        )
         self._follower.on_job_changed = self._job_changed
         self._follower.is_waiting_for_records = True
         self._follower.wake()
@@ -385,9 +389,19 @@
     def _endpoint_lease_expired(
         self, endpoint_id: str, is_any_incarnation: bool
     ) -> None:
+        runs = self._scheduler.run_ages(endpoint_id, monotonic_ms())
         self._scheduler.endpoint_lease_expired(
             endpoint_id, monotonic_ms(), wall_ms(), is_any_incarnation
         )
+        kept = self._scheduler.run_ages(endpoint_id, monotonic_ms())
+        if runs or not is_any_incarnation:
+            log_event(
+                "endpoint_lapsed",
+                endpoint=endpoint_id,
+                is_any_incarnation=is_any_incarnation,
+                released=len(runs) - len(kept),
+                kept=list(kept)[:RUNS_LOGGED_MAX],
+            )
         self._dispatch()
         self._plan_event.set()
         self._end_session_if_removed(endpoint_id)
@@ -401,6 +415,14 @@
         while self._directory.age_ms() is None:
             await trio.sleep(DIRECTORY_CHECK_INTERVAL_MS / 1000)
         release_ms = max(self._earlier_leases_expiry_ms, monotonic_ms() + RELISTED_MS)
+        unlisted_ids = self._unlisted_endpoint_ids()
+        if unlisted_ids:
+            log_event(
+                "endpoints_unlisted",
+                endpoints=unlisted_ids[:RUNS_LOGGED_MAX],
+                count=len(unlisted_ids),
+                leases_ms=release_ms - monotonic_ms(),
+            )
         await trio.sleep((release_ms - monotonic_ms()) / 1000)
         for endpoint_id in self._unlisted_endpoint_ids():
             release_ms = max(release_ms, self._earlier_leases_expiry_ms_of(endpoint_id))
@@ -410,6 +432,20 @@
         self._scheduler.forget_unlisted_endpoints()
         self._dispatch()
 
+    def _leases_ms_by_endpoint(self, endpoint_ids: Iterable[str]) -> dict[str, int]:
+        """Return how long leases on endpoints may last, in whichever incarnation."""
+        now_ms = monotonic_ms()
+        leases_ms = {}
+        for endpoint_id in endpoint_ids:
+            session = self._session_by_id.get(endpoint_id)
+            expiry_ms = (
+                session.unlisted_leases_expiry_ms
+                if session
+                else self._earlier_leases_expiry_ms_of(endpoint_id)
+            )
+            leases_ms[endpoint_id] = expiry_ms - now_ms
+        return leases_ms
+
     def _unlisted_endpoint_ids(self) -> list[str]:
         return [
             i for i in self._scheduler.endpoint_by_id if i not in self._session_by_id
@@ -475,6 +511,9 @@
                         unit="/".join(map(str, action.unit_key[1:])),
                         cause=action.cause.value,
                         waited_ms=action.waited_ms,
+                        leases_ms_by_endpoint=self._leases_ms_by_endpoint(
+                            action.endpoint_ids
+                        ),
                     )
                 case ReportSpeed():
                     log_event(
--- a/tests/scheduler/test_observability.py
+++ b/tests/scheduler/test_observability.py
@@ -254,3 +254,51 @@
     placed = [r for r in lines.named("unit") if r["phase"] == "placed"]
     shares = [(r["share"], r["fair_share"]) for r in placed]
     assert shares == [(None, None)] * 4 + [(0.25, 0.5)]
+
+
+# Guards against waits that cannot be explained: no line told which runs stay on an
+# endpoint when its lease has expired, nor how long leases may last there.
+async def test_the_runs_that_stay_on_a_lapsed_endpoint_are_reported_with_their_wait(
+    autojump_clock, lines
+):
+    platform = make_platform(3)
+    instance = make_instances(platform, 1)[0]
+    for endpoint in platform.endpoint_by_id.values():
+        endpoint.lose_start_answers = 3
+    async with running(instance):
+        await trio.sleep(1)
+        await submit(instance, make_job("a" * 16, count=1))
+        while not any(e.running for e in platform.endpoint_by_id.values()):
+            await trio.sleep(0.001)
+        (lost,) = [e for e in platform.endpoint_by_id.values() if e.running]
+        # The list that is on its way does not show the run.
+        lost.rows = tuple
+        lost.is_disconnected = True
+        await trio.sleep(15)
+    (row,) = lines.named("endpoint_lost")
+    assert 0 < row["lease_ms"] < row["unlisted_lease_ms"] < 11_000
+    first, last = lines.named("endpoint_lapsed")
+    assert not first["is_any_incarnation"]
+    assert (first["released"], first["kept"]) == (0, ["a" * 16 + ".0.0.0/1"])
+    assert (last["released"], last["kept"]) == (1, [])
+    wait = lines.named("unit_waits")[0]
+    assert wait["cause"] == "out_of_contact"
+    assert list(wait["leases_ms_by_endpoint"]) == [lost.info.id]
+
+
+async def test_the_wait_for_leases_of_earlier_terms_is_reported(autojump_clock, lines):
+    platform = make_platform(2)
+    instances = make_instances(platform, 1)
+    async with running(*instances):
+        await trio.sleep(1)
+        await submit(instances[0], make_job("a" * 16, count=1))
+        await trio.sleep(0.5)
+    gone = [e for e in platform.endpoint_by_id.values() if e.history]
+    platform.reports.append([(e.info.id, b"") for e in gone])
+    async with running(*make_instances(platform, 1)):
+        await trio.sleep(5)
+    first, second = lines.named("term_started")
+    assert first["earlier_leases_ms"] == 0 < second["earlier_leases_ms"]
+    (row,) = lines.named("endpoints_unlisted")
+    assert row["endpoints"] == [e.info.id for e in gone]
+    assert 0 < row["leases_ms"] <= second["earlier_leases_ms"]
