--- a/tests/scheduler/cluster.py
+++ b/tests/scheduler/cluster.py
@@ -2,6 +2,7 @@
 
 from contextlib import asynccontextmanager
 from dataclasses import replace
+from itertools import pairwise
 
 import trio
 from fakes import FakePlatformAdapter, Platform
@@ -85,3 +86,85 @@
 
 def holders(instances):
     return [i for i in instances if i.election.leadership is not None]
+
+
+class Cluster:
+    """Instances that can be killed one by one, and one task that runs on."""
+
+    job_id = "a" * 16
+
+    def __init__(self, instances=3, endpoints=3):
+        self.platform = make_platform(endpoints)
+        for endpoint in self.platform.endpoint_by_id.values():
+            endpoint.work_ms = 120_000
+        self.instances = make_instances(self.platform, instances)
+        self._scope_by_name = {}
+
+    async def run(self, nursery):
+        """Start all instances, and the task."""
+        for instance in self.instances:
+            scope = self._scope_by_name[instance.settings.instance] = trio.CancelScope()
+            nursery.start_soon(self._run_instance, instance, scope)
+        await trio.sleep(1)
+        await submit(self.instances[0], make_job(self.job_id, count=1))
+        await trio.sleep(2)
+
+    def start(self, nursery, name):
+        """Start a new process of an instance, which knows nothing."""
+        adapter = FakePlatformAdapter(self.platform)
+        instance = Instance(adapter, SchedulingSettings(name))
+        self.instances.append(instance)
+        scope = self._scope_by_name[name] = trio.CancelScope()
+        nursery.start_soon(self._run_instance, instance, scope)
+
+    async def _run_instance(self, instance, scope):
+        with scope:
+            await instance.run()
+
+    def kill(self, instance):
+        self._scope_by_name[instance.settings.instance].cancel()
+        self.instances.remove(instance)
+
+    @property
+    def holder(self):
+        (holder,) = holders(self.instances)
+        return holder
+
+    def starts(self):
+        """Return all starts of the task, oldest first."""
+        started = [
+            run
+            for endpoint in self.platform.endpoint_by_id.values()
+            for run in endpoint.history.values()
+        ]
+        return sorted(started, key=lambda run: run.started_ms)
+
+    def endpoint_of_first_run(self):
+        (endpoint,) = (e for e in self.platform.endpoint_by_id.values() if e.history)
+        return endpoint
+
+    def has_restarted_only_after_the_first_run(self):
+        """Whether the task was started anew, and no two runs of it overlapped."""
+        for endpoint in self.platform.endpoint_by_id.values():
+            endpoint.advance()
+        runs = self.starts()
+        return len(runs) > 1 and all(
+            before.ended_ms is not None and before.ended_ms <= after.started_ms
+            for before, after in pairwise(runs)
+        )
+
+
+async def wait_until(condition):
+    """Wait until a condition holds, for a minute at most."""
+    with trio.fail_after(60):
+        while not condition():
+            await trio.sleep(0.001)
+
+
+def leave_only_the_holder_in_touch(cluster, endpoint_id):
+    """Let the holder alone reach an endpoint, and the others all but that one."""
+    holder = cluster.holder
+    others = set(cluster.platform.endpoint_by_id) - {endpoint_id}
+    for instance in cluster.instances:
+        ids = others if instance is holder else {endpoint_id}
+        faults_of(instance).unreachable_ids |= ids
--- a/tests/scheduler/test_earlier_leases.py
+++ b/tests/scheduler/test_earlier_leases.py
@@ -1,92 +1,34 @@
 """How long a successor waits for the leases that earlier holders granted."""
 
 from dataclasses import replace
-from itertools import pairwise
 
 import pytest
 import trio
 from cluster import (
+    Cluster,
     faults_of,
     holders,
+    leave_only_the_holder_in_touch,
     make_instances,
-    make_job,
     make_platform,
     state_of,
-    submit,
+    wait_until,
 )
 
 from ragwortshelf.core.scheduling import JobState
 from ragwortshelf.core.scheduling.records import TERM_KEY
 
-JOB_ID = "a" * 16
-
 FINISH_S = 14
 """Time after the end of the traffic from which the platform requires that a job of
 which nothing runs is started wherever it fits."""
 
 
-class _Cluster:
-    """Instances that can be killed one by one, and one task that runs on."""
-
-    def __init__(self, instances=3, endpoints=3):
-        self.platform = make_platform(endpoints)
-        for endpoint in self.platform.endpoint_by_id.values():
-            endpoint.work_ms = 120_000
-        self.instances = make_instances(self.platform, instances)
-        self._scope_by_name = {}
-
-    async def run(self, nursery):
-        """Start all instances, and the task."""
-        for instance in self.instances:
-            scope = self._scope_by_name[instance.settings.instance] = trio.CancelScope()
-            nursery.start_soon(self._run_instance, instance, scope)
-        await trio.sleep(1)
-        await submit(self.instances[0], make_job(JOB_ID, count=1))
-        await trio.sleep(2)
-
-    async def _run_instance(self, instance, scope):
-        with scope:
-            await instance.run()
-
-    def kill(self, instance):
-        self._scope_by_name[instance.settings.instance].cancel()
-        self.instances.remove(instance)
-
-    @property
-    def holder(self):
-        (holder,) = holders(self.instances)
-        return holder
-
-    def starts(self):
-        """Return all starts of the task, oldest first."""
-        started = [
-            run
-            for endpoint in self.platform.endpoint_by_id.values()
-            for run in endpoint.history.values()
-        ]
-        return sorted(started, key=lambda run: run.started_ms)
-
-    def endpoint_of_first_run(self):
-        (endpoint,) = (e for e in self.platform.endpoint_by_id.values() if e.history)
-        return endpoint
-
-    def has_restarted_only_after_the_first_run(self):
-        """Whether the task was started anew, and no two runs of it overlapped."""
-        for endpoint in self.platform.endpoint_by_id.values():
-            endpoint.advance()
-        runs = self.starts()
-        return len(runs) > 1 and all(
-            before.ended_ms is not None and before.ended_ms <= after.started_ms
-            for before, after in pairwise(runs)
-        )
-
-
 # Guards against tasks that wait on an idle fleet for 17 s after their endpoint and the
 # holder of the role were lost together.
 async def test_a_task_lost_with_its_endpoint_and_the_holder_starts_again_in_time(
     autojump_clock,
 ):
-    cluster = _Cluster()
+    cluster = Cluster()
     async with trio.open_nursery() as nursery:
         await cluster.run(nursery)
         cluster.endpoint_of_first_run().is_disconnected = True
@@ -102,7 +44,7 @@
 async def test_no_task_starts_again_under_a_lease_of_a_cut_off_holder(
     autojump_clock, clock_rate
 ):
-    cluster = _Cluster()
+    cluster = Cluster()
     for endpoint in cluster.platform.endpoint_by_id.values():
         endpoint._clock_rate = clock_rate
     async with trio.open_nursery() as nursery:
@@ -123,7 +65,7 @@
 async def test_no_task_starts_again_under_a_lease_of_the_holder_before_the_last(
     autojump_clock,
 ):
-    cluster = _Cluster()
+    cluster = Cluster()
     async with trio.open_nursery() as nursery:
         await cluster.run(nursery)
         endpoint_id = cluster.endpoint_of_first_run().info.id
@@ -148,7 +90,7 @@
 async def test_a_holder_without_the_logs_confirmation_soon_extends_no_lease(
     autojump_clock,
 ):
-    cluster = _Cluster(instances=1)
+    cluster = Cluster(instances=1)
     async with trio.open_nursery() as nursery:
         await cluster.run(nursery)
         settings = cluster.holder.settings
@@ -185,7 +127,7 @@
 async def test_no_task_starts_again_under_a_lease_confirmed_by_a_repeated_append(
     autojump_clock,
 ):
-    cluster = _Cluster()
+    cluster = Cluster()
     for instance in cluster.instances:
         # Small instances claim the role later, and runs are listed often.
         settings = replace(instance.settings, cores=0.4, listing_wait_ms=100)
@@ -195,29 +137,24 @@
         endpoint_id = cluster.endpoint_of_first_run().info.id
         cut_off = cluster.holder
         faults = faults_of(cut_off)
-        _leave_only_the_holder_in_touch(cluster, endpoint_id)
+        leave_only_the_holder_in_touch(cluster, endpoint_id)
         faults.lose_append_answers = 2
-        await _wait_until(lambda: not faults.lose_append_answers)
+        await wait_until(lambda: not faults.lose_append_answers)
         writer = cut_off.election.leadership._writer
         confirmed_boot_ms = writer.confirmed_boot_ms
-        await _wait_until(lambda: writer.confirmed_boot_ms != confirmed_boot_ms)
+        await wait_until(lambda: writer.confirmed_boot_ms != confirmed_boot_ms)
         faults.store = "silent"
         await trio.sleep(25)
         assert cluster.has_restarted_only_after_the_first_run()
         nursery.cancel_scope.cancel()
 
 
-async def _wait_until(condition):
-    while not condition():
-        await trio.sleep(0.001)
-
-
 # Guards against a task that runs twice: an endpoint reported another address and did
 # not answer there, while its run went on under the lease granted before.
 async def test_no_task_starts_again_under_a_lease_granted_at_an_earlier_address(
     autojump_clock,
 ):
-    cluster = _Cluster(instances=1)
+    cluster = Cluster(instances=1)
     async with trio.open_nursery() as nursery:
         await cluster.run(nursery)
         endpoint = cluster.endpoint_of_first_run()
@@ -234,7 +171,7 @@
 async def test_ends_are_read_before_tasks_of_unlisted_endpoints_are_released(
     autojump_clock, are_listed_late
 ):
-    cluster = _Cluster()
+    cluster = Cluster()
     platform = cluster.platform
     for endpoint in platform.endpoint_by_id.values():
         endpoint.work_ms = 6_000
@@ -253,7 +190,9 @@
             await trio.sleep(1.9)
             platform.reports.append([(name, b"1") for name in platform.endpoint_by_id])
         await trio.sleep(10)
-        assert await state_of(cluster.instances[0], JOB_ID) is JobState.COMPLETED
+        assert (
+            await state_of(cluster.instances[0], Cluster.job_id) is JobState.COMPLETED
+        )
         assert len(cluster.starts()) == 1
         nursery.cancel_scope.cancel()
 
@@ -261,7 +200,7 @@
 # Guards against a bound that is shorter than the leases of a cut-off holder, or much
 # longer: 3 s, 6 s or an endpoint's clock at full rate passed all other tests.
 async def test_the_bound_of_a_successor_is_that_of_the_longest_lease(autojump_clock):
-    cluster = _Cluster()
+    cluster = Cluster()
     for instance in cluster.instances:
         # So that a renewal is read, and a lease extended, almost at once.
         settings = replace(instance.settings, listing_wait_ms=20, follow_interval_ms=10)
@@ -272,10 +211,10 @@
         await cluster.run(nursery)
         endpoint = cluster.endpoint_of_first_run()
         cut_off = cluster.holder
-        _leave_only_the_holder_in_touch(cluster, endpoint.info.id)
+        leave_only_the_holder_in_touch(cluster, endpoint.info.id)
         faults_of(cut_off).store = "silent"
         others = [i for i in cluster.instances if i is not cut_off]
-        await _wait_until(lambda: holders(others))
+        await wait_until(lambda: holders(others))
         bound_ms = holders(others)[0].election.leadership._earlier_leases_expiry_ms
         await trio.sleep(5)
         lease_end_ms = endpoint._lease_end_ms()
@@ -286,7 +225,7 @@
 # Guards against leases that are longer than a successor expects: a slow clock counted
 # at full rate while the ends of runs wait for the log.
 async def test_no_lease_is_longer_than_agreed_on_the_endpoints_clock(autojump_clock):
-    cluster = _Cluster(instances=1, endpoints=1)
+    cluster = Cluster(instances=1, endpoints=1)
     (endpoint,) = cluster.platform.endpoint_by_id.values()
     endpoint._clock_rate = 0.98
     lease_ms = []
@@ -315,7 +254,7 @@
 async def test_an_instance_that_has_just_started_counts_leases_of_terms_unseen(
     autojump_clock,
 ):
-    cluster = _Cluster(instances=2)
+    cluster = Cluster(instances=2)
     async with trio.open_nursery() as nursery:
         await cluster.run(nursery)
         endpoint_id = cluster.endpoint_of_first_run().info.id
@@ -324,9 +263,9 @@
         (started,) = make_instances(cluster.platform, 1)
         started.reconfigure(replace(started.settings, instance="started"))
         faults_of(started).unreachable_ids.add(endpoint_id)
-        _leave_only_the_holder_in_touch(cluster, endpoint_id)
+        leave_only_the_holder_in_touch(cluster, endpoint_id)
         faults_of(cut_off).store = "silent"
-        await _wait_until(lambda: holders([other]))
+        await wait_until(lambda: holders([other]))
         await other.drain()
         nursery.start_soon(started.run)
         await trio.sleep(25)
@@ -338,7 +277,7 @@
 # confirmed the term: each would ask for an immediate answer, or get one because the end
 # of a run is listed.
 async def test_renewals_that_extend_no_lease_keep_their_interval(autojump_clock):
-    cluster = _Cluster(instances=1)
+    cluster = Cluster(instances=1)
     (instance,) = cluster.instances
     # So that it runs out before the role is given up, whenever it was extended last.
     instance.reconfigure(replace(instance.settings, lease_ms=5_000))
@@ -350,16 +289,7 @@
         for endpoint in cluster.platform.endpoint_by_id.values():
             endpoint.renewals.clear()
         # Until the role is given up.
-        await _wait_until(lambda: not holders(cluster.instances))
+        await wait_until(lambda: not holders(cluster.instances))
         for endpoint in cluster.platform.endpoint_by_id.values():
             assert 0 < len(endpoint.renewals) <= 5
         nursery.cancel_scope.cancel()
-
-
-def _leave_only_the_holder_in_touch(cluster, endpoint_id):
-    """Let the holder alone reach an endpoint, and the others all but that one."""
-    holder = cluster.holder
-    others = set(cluster.platform.endpoint_by_id) - {endpoint_id}
-    for instance in cluster.instances:
-        ids = others if instance is holder else {endpoint_id}
-        faults_of(instance).unreachable_ids |= ids
