Release a run whose start was answered when the granted lease has expired

Cause: a run that no list had shown was taken to be possibly in a later incarnation of its endpoint, under the longest lease, also if the endpoint had answered the start.

Change: the answer to a start has the endpoint's clock. A later incarnation began after the clock was read last, and its clock began at zero, so a clock ahead of the time since then rules it out.

Conclusion: only starts without an answer wait for the longest lease.

--- a/ragwortshelf/core/scheduling/endpoint_tracking.py
+++ b/ragwortshelf/core/scheduling/endpoint_tracking.py
@@ -132,7 +132,7 @@
         """Note that every lease on an endpoint has expired, so nothing runs there.
 
         Unless ``is_any_incarnation``, that holds for the known incarnation alone. A run
-        that was never listed may be in a later one.
+        whose start was not answered, and that was never listed, may be in a later one.
         """
         endpoint = self.endpoint_by_id.get(endpoint_id)
         if endpoint is None:
@@ -141,7 +141,7 @@
         endpoint.is_reachable = False
         endpoint.set_unplaced({})
         for placement in endpoint.placements():
-            if is_any_incarnation or placement.is_listed or placement.is_adopted:
+            if is_any_incarnation or placement.is_located or placement.is_adopted:
                 self._placement_ended(placement, RunEnd.LAPSED, "", now_ms, wall_ms)
         if not endpoint.is_in_store and not endpoint.placement_by_task:
             self._drop_endpoint(endpoint_id)
@@ -299,7 +299,7 @@
             self.suspicion.run_survived(endpoint, placement)
         placement.load_metric = row.load_metric
         placement.is_adopted = False
-        placement.is_listed = True
+        placement.is_located = True
         if placement.stage in (RunStage.LOGGED, RunStage.ORDERED):
             placement.stage = RunStage.RUNNING
         is_obsolete = unit is None or unit.phase is not UnitPhase.PLACED
--- a/ragwortshelf/core/scheduling/scheduler.py
+++ b/ragwortshelf/core/scheduling/scheduler.py
@@ -100,17 +100,21 @@
         was_unanswered: bool,
         now_ms: int,
         wall_ms: int,
+        is_known_incarnation: bool = False,
     ) -> None:
         """Note the outcome of a start.
 
         ``was_unanswered`` is set if an earlier attempt of the same start got no answer:
         the run may then have started whatever the outcome of the last attempt.
+        ``is_known_incarnation`` is set if the run started in the known incarnation of
+        the endpoint.
         """
         placement = self._find_placement(endpoint_id, task, run)
         if placement is None:
             return
         placement.is_sent = True
         if outcome is StartOutcome.STARTED:
+            placement.is_located |= is_known_incarnation
             if placement.stage in (RunStage.LOGGED, RunStage.ORDERED):
                 placement.stage = RunStage.RUNNING
                 placement.confirmed_ms = now_ms
--- a/ragwortshelf/core/scheduling/task_placement.py
+++ b/ragwortshelf/core/scheduling/task_placement.py
@@ -40,8 +40,9 @@
     ``unfinished_percent`` and ``unfinished_ms`` are those of the last one that showed
     the run unfinished, and ``listed_pace_percent`` is the pace ordered before the last
     of all. An adopted placement was made in an earlier term, and no listing
-    has confirmed or refuted it in this one yet. One that ``is_listed`` was in a
-    listing of this term.
+    has confirmed or refuted it in this one yet. One that ``is_located`` is known to be
+    in the known incarnation of its endpoint, from a listing of this term or from the
+    answer to its start.
 
     ``is_sent`` is set once its start may have reached the endpoint, and ``is_settled``
     once the run has been listed some time after it; in between it is fresh. It
@@ -58,7 +59,7 @@
         "first_percent",
         "index",
         "is_adopted",
-        "is_listed",
+        "is_located",
         "is_sent",
         "is_settled",
         "is_suspected",
@@ -99,7 +100,7 @@
         self.stage = RunStage.LOGGED
         self.ordered_ms = now_ms
         self.is_adopted = False
-        self.is_listed = False
+        self.is_located = False
         self.is_sent = False
         self.is_settled = False
         self.is_suspected = False
--- a/ragwortshelf/scheduler/endpoint_session.py
+++ b/ragwortshelf/scheduler/endpoint_session.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from collections.abc import Awaitable, Callable
+from dataclasses import dataclass
 
 import trio
 
@@ -14,7 +15,7 @@
 from .settings import SchedulingSettings
 from .start_gate import StartGate
 
-__all__ = ["EndpointSession", "max_local_duration_ms"]
+__all__ = ["EndpointSession", "StartResult", "max_local_duration_ms"]
 
 CLOCK_RATE_MIN = 0.98
 """Minimum rate of an endpoint's clock relative to this one, stated by the platform."""
@@ -51,6 +52,34 @@
     return int(endpoint_ms / CLOCK_RATE_MIN) + 1
 
 
+@dataclass(frozen=True, slots=True)
+class StartResult:
+    """The last outcome of a start, and whether an earlier attempt went unanswered.
+
+    ``is_known_incarnation`` is set if the run started in the known incarnation.
+    """
+
+    outcome: StartOutcome
+    was_unanswered: bool = False
+    is_known_incarnation: bool = False
+
+
+@dataclass(frozen=True, slots=True)
+class _ClockReading:
+    """An endpoint's clock, and when the call was sent and answered that showed it."""
+
+    clock_ms: int
+    sent_ms: int
+    read_ms: int
+
+    def rules_out_restart(self, clock_ms: int | None, now_ms: int) -> bool:
+        """Whether a clock that is shown now is not that of a later incarnation.
+
+        That one began after the call was sent, and its clock began at zero.
+        """
+        return clock_ms is not None and clock_ms > now_ms - self.sent_ms
+
+
 class EndpointSession:
     """The scheduler's connection to one endpoint during one term.
 
@@ -118,8 +147,7 @@
         self._deadline_expiry_ms = 0
         self._call_expiry_ms = 0
         self._deadline_ms: int | None = None
-        self._clock_ms = 0
-        self._clock_read_ms = 0
+        self._clock: _ClockReading | None = None
         self.started_wall_ms = known_started_wall_ms
         self.are_earlier_calls_fenced = are_earlier_calls_fenced
         self._is_token_due = not are_earlier_calls_fenced
@@ -157,26 +185,25 @@
         """Cancel ``run``, which then closes the connections."""
         self.scope.cancel()
 
-    async def start(self, order: StartTask) -> tuple[StartOutcome, bool]:
+    async def start(self, order: StartTask) -> StartResult:
         """Start a task, retrying while no answer arrives.
 
-        Returns the last outcome and whether an earlier attempt went unanswered. An
-        endpoint that is lost meanwhile may have crashed by the first attempt, and is
+        An endpoint that is lost meanwhile may have crashed by the first attempt, and is
         not sent another. Nor is one whose run was stopped or is listed meanwhile.
         """
         was_unanswered = False
-        outcome = StartOutcome.UNANSWERED
         losses = self._loss_count
         for timeout_ms in START_TIMEOUTS_MS:
             await self._wait_to_start()
             if not self._is_still_ordered(order):
-                return StartOutcome.ABANDONED, was_unanswered
+                return StartResult(StartOutcome.ABANDONED, was_unanswered)
             if was_unanswered and self._loss_count != losses:
-                return StartOutcome.UNANSWERED, was_unanswered
+                return StartResult(StartOutcome.UNANSWERED, was_unanswered)
             if self._deadline_ms is None:
-                return StartOutcome.UNHEALTHY, was_unanswered
+                return StartResult(StartOutcome.UNHEALTHY, was_unanswered)
             self._record_call(timeout_ms)
-            outcome = await self._client.start(
+            clock, started_wall_ms = self._clock, self.started_wall_ms
+            answer = await self._client.start(
                 order.task,
                 order.run,
                 order.text,
@@ -185,10 +212,14 @@
                 self._start_until_ms(),
                 timeout_ms,
             )
-            if outcome is not StartOutcome.UNANSWERED:
-                return outcome, was_unanswered
+            if answer.outcome is not StartOutcome.UNANSWERED:
+                is_known = (
+                    started_wall_ms == self.started_wall_ms
+                    and clock.rules_out_restart(answer.clock_ms, monotonic_ms())
+                )
+                return StartResult(answer.outcome, was_unanswered, is_known)
             was_unanswered = True
-        return outcome, was_unanswered
+        return StartResult(StartOutcome.UNANSWERED, was_unanswered)
 
     def _start_until_ms(self) -> int:
         """Return until when the endpoint may carry out a start that is sent now.
@@ -200,8 +231,10 @@
         remaining_ms = self._start_gate.remaining_ms()
         if remaining_ms is None:
             return self._deadline_ms
-        elapsed_ms = monotonic_ms() - self._clock_read_ms
-        until_ms = self._clock_ms + int(CLOCK_RATE_MIN * (elapsed_ms + remaining_ms))
+        elapsed_ms = monotonic_ms() - self._clock.read_ms
+        until_ms = self._clock.clock_ms + int(
+            CLOCK_RATE_MIN * (elapsed_ms + remaining_ms)
+        )
         return min(self._deadline_ms, until_ms)
 
     async def stop(self, order: StopTask) -> bool:
@@ -283,20 +316,20 @@
         An unanswered renewal may still take effect. No further one extends the lease,
         so that that of an unreachable endpoint expires.
         """
-        if self._clock_read_ms == 0 or self._failures > 0:
+        if self._clock is None or self._failures > 0:
             return None
         if not self._may_extend_lease():
             return None
         # On a slow clock, so that no lease is longer than a successor expects.
-        elapsed_ms = int(CLOCK_RATE_MIN * (now_ms - self._clock_read_ms))
-        until_ms = self._clock_ms + elapsed_ms + self._settings.lease_ms
+        elapsed_ms = int(CLOCK_RATE_MIN * (now_ms - self._clock.read_ms))
+        until_ms = self._clock.clock_ms + elapsed_ms + self._settings.lease_ms
         return (
             until_ms if self._deadline_ms is None else max(until_ms, self._deadline_ms)
         )
 
     def _endpoint_clock_ms(self, now_ms: int) -> int:
         """Estimate the endpoint's clock, assuming the same rate as the local clock."""
-        return self._clock_ms + (now_ms - self._clock_read_ms)
+        return self._clock.clock_ms + (now_ms - self._clock.read_ms)
 
     def _record_sent_deadline(self, until_ms: int) -> None:
         """Record that the endpoint may hold a deadline from now on.
@@ -322,7 +355,8 @@
 
     def _local_expiry_ms(self, until_ms: int) -> int:
         """Return the local time by which the endpoint's clock has reached a time."""
-        return self._clock_read_ms + max_local_duration_ms(until_ms - self._clock_ms)
+        duration_ms = max_local_duration_ms(until_ms - self._clock.clock_ms)
+        return self._clock.read_ms + duration_ms
 
     def _pause_ms(self) -> int:
         """Return the pause before the next renewal, which grows up to its maximum."""
@@ -339,7 +373,7 @@
             # Calls sent before the restart may have been carried out until now.
             self.are_earlier_calls_fenced = True
             self._bound_earlier_leases(now_ms)
-        self._clock_ms, self._clock_read_ms = answer.clock_ms, now_ms
+        self._clock = _ClockReading(answer.clock_ms, sent_ms, now_ms)
         if until_ms is not None and is_same_incarnation:
             self._record_deadline(until_ms)
         if not self._has_time_to_start(now_ms):
--- a/ragwortshelf/scheduler/interfaces.py
+++ b/ragwortshelf/scheduler/interfaces.py
@@ -37,6 +37,7 @@
     "NewestPage",
     "PlatformAdapter",
     "ProducerFence",
+    "StartAnswer",
     "KEY_BYTES_MAX",
     "check_entry",
     "entry_bytes",
@@ -202,6 +203,14 @@
     finished: tuple[FinishedRun, ...]
 
 
+@dataclass(frozen=True, slots=True)
+class StartAnswer:
+    """The outcome of a start, and the endpoint's clock if it answered with one."""
+
+    outcome: StartOutcome
+    clock_ms: int | None = None
+
+
 @dataclass(frozen=True, slots=True)
 class EndpointUnreachable:
     """No usable answer; ``is_fenced`` if the endpoint has seen a later token."""
@@ -243,7 +252,7 @@
         ticket: str,
         until_ms: int,
         timeout_ms: int,
-    ) -> StartOutcome:
+    ) -> StartAnswer:
         """Start a task; refused as late after ``until_ms`` on the endpoint's clock."""
 
     @abc.abstractmethod
--- a/ragwortshelf/scheduler/orders.py
+++ b/ragwortshelf/scheduler/orders.py
@@ -13,7 +13,7 @@
 from ..daemon.logs import log_event, log_failure
 from ..daemon.metrics import Metrics
 from .clock import monotonic_ms, wall_ms
-from .endpoint_session import EndpointSession
+from .endpoint_session import EndpointSession, StartResult
 from .interfaces import PlatformAdapter
 from .start_gate import StartGate
 
@@ -64,7 +64,7 @@
         except Exception:
             log_failure("order_failed", order=repr(order))
             with self._boundary(order):
-                self._report_start(order, StartOutcome.UNANSWERED, True)
+                self._report_start(order, StartResult(StartOutcome.UNANSWERED, True))
 
     async def stop(self, order: StopTask) -> None:
         """Stop a run and report a confirmed stop to the scheduler."""
@@ -100,22 +100,23 @@
         await self._wait_for_reports(order)
         if not self._scheduler.is_still_ordered(order):
             return
-        outcome, was_unanswered = StartOutcome.NO_ROOM, False
+        result = StartResult(StartOutcome.NO_ROOM)
         if self._scheduler.may_send(order):
             self._scheduler.start_sent(order)
-            outcome, was_unanswered = await session.start(order)
-        self._metrics.count("orders_total", order="start", outcome=outcome.value)
+            result = await session.start(order)
+        outcome = result.outcome.value
+        self._metrics.count("orders_total", order="start", outcome=outcome)
         log_event(
             "start",
             task=order.task,
             run=order.run,
             endpoint=order.endpoint_id,
-            outcome=outcome.value,
+            outcome=outcome,
         )
-        if outcome is StartOutcome.ABANDONED:
+        if result.outcome is StartOutcome.ABANDONED:
             # The scheduler took the order back, or has seen the run in a listing.
             return
-        self._report_start(order, outcome, was_unanswered)
+        self._report_start(order, result)
 
     async def _wait_for_reports(self, order: StartTask) -> None:
         """Hold a start back while the endpoint's capacity may have shrunk unnoticed."""
@@ -125,19 +126,18 @@
                 return
             await trio.sleep(CAPACITY_CHECK_INTERVAL_MS / 1000)
 
-    def _report_start(
-        self, order: StartTask, outcome: StartOutcome, was_unanswered: bool
-    ) -> None:
+    def _report_start(self, order: StartTask, result: StartResult) -> None:
         self._scheduler.start_answered(
             order.endpoint_id,
             order.task,
             order.run,
-            outcome,
-            was_unanswered,
+            result.outcome,
+            result.was_unanswered,
             monotonic_ms(),
             wall_ms(),
+            result.is_known_incarnation,
         )
-        self._on_outcome(outcome is not StartOutcome.STARTED)
+        self._on_outcome(result.outcome is not StartOutcome.STARTED)
 
     async def _stop(self, order: StopTask) -> None:
         log_event(
--- a/tests/platform/test_adapter.py
+++ b/tests/platform/test_adapter.py
@@ -63,7 +63,16 @@
     ],
 )
 async def test_each_answer_to_a_start_is_distinguished(response, outcome):
-    assert await _start(_endpoint(response)) is outcome
+    assert (await _start(_endpoint(response))).outcome is outcome
+
+
+# Guards against an answer that does not tell which incarnation gave it.
+@pytest.mark.parametrize(
+    ("fields", "clock_ms"),
+    [({"clock_ms": 5}, 5), ({}, None), ({"clock_ms": "5"}, None)],
+)
+async def test_the_answer_to_a_start_has_the_endpoints_clock(fields, clock_ms):
+    assert (await _start(_endpoint(_json(200, fields)))).clock_ms == clock_ms
 
 
 async def test_a_start_carries_its_checkpoint_and_its_ticket():
--- a/tests/scheduler/fakes.py
+++ b/tests/scheduler/fakes.py
@@ -22,6 +22,7 @@
     LogUnanswered,
     NewestPage,
     PlatformAdapter,
+    StartAnswer,
     check_entry,
 )
 from ragwortshelf.standins.keyed_topic import KeyedTopic
@@ -212,17 +213,17 @@
 
     async def start(self, task, run, text, checkpoint, ticket, until_ms, timeout_ms):
         if self._endpoint.is_down:
-            return StartOutcome.UNHEALTHY
+            return StartAnswer(StartOutcome.UNHEALTHY)
         if not await self._cross_link(timeout_ms):
-            return StartOutcome.UNANSWERED
+            return StartAnswer(StartOutcome.UNANSWERED)
         if self._endpoint.is_down:
-            return StartOutcome.UNANSWERED
+            return StartAnswer(StartOutcome.UNANSWERED)
         outcome = self._endpoint.start(task, run, until_ms, self._token)
         if self._endpoint.lose_start_answers > 0:
             self._endpoint.lose_start_answers -= 1
             await trio.sleep(timeout_ms / 1000)
-            return StartOutcome.UNANSWERED
-        return outcome
+            return StartAnswer(StartOutcome.UNANSWERED)
+        return StartAnswer(outcome, self._endpoint.clock_ms())
 
     async def stop(self, task, run, timeout_ms):
         if self._endpoint.is_down or not await self._cross_link(timeout_ms):
--- a/tests/scheduler/test_leases_across_takeovers.py
+++ b/tests/scheduler/test_leases_across_takeovers.py
@@ -17,6 +17,7 @@
 from ragwortshelf.core.scheduling.actions import StartTask
 from ragwortshelf.core.scheduling.listings import StartOutcome
 from ragwortshelf.core.scheduling.model import UnitKey
+from ragwortshelf.scheduler.endpoint_session import StartResult
 from ragwortshelf.scheduler.settings import SchedulingSettings
 
 CLOCK_RATE = 0.98
@@ -270,7 +271,7 @@
         session._client.start = lambda *arguments: starts.append(arguments)
         key = UnitKey("b" * 16, 0, 0, 0)
         order = StartTask(cluster.lost.info.id, key, "b" * 16 + ".0.0.0", 1, "", "")
-        outcome = await session.start(order)
+        result = await session.start(order)
         assert not starts
-        assert outcome == (StartOutcome.UNHEALTHY, False)
+        assert result == StartResult(StartOutcome.UNHEALTHY, was_unanswered=False)
         nursery.cancel_scope.cancel()
