Let the log say when leases end on endpoints out of contact

Cause: what a holder has counted of an endpoint's leases was lost with it.

Change: once an endpoint does not answer, the holder writes by when its leases end, on the clock of the term, and each append carries that clock's reading. A successor converts the end by its read of the newest reading, whether it followed the log or has just loaded it, and writes it anew on its own clock. The holder extends leases there again, and uses the endpoint, only when the log says so.

Conclusion: no time of day, no process start and no follower's memory is needed, so it also holds after all instances were without power.

--- a/ragwortshelf/core/scheduling/__init__.py
+++ b/ragwortshelf/core/scheduling/__init__.py
@@ -17,7 +17,8 @@
 - ``speed``, ``calibration``, ``stalls``, ``suspicion`` and ``crashes``: what is learned
   of endpoints, estimates and tasks;
 - ``admission`` and ``forecast``: which submissions are refused;
-- ``lease_grants``: until when earlier holders of the role extended leases.
+- ``lease_grants`` and ``term_clock``: until when earlier holders of the role extended
+  leases, and the clock on which they wrote down when leases end.
 """
 
 from .configuration import ServiceConfiguration
--- a/ragwortshelf/core/scheduling/actions.py
+++ b/ragwortshelf/core/scheduling/actions.py
@@ -10,6 +10,8 @@
     EndpointForgotten,
     EndpointObserved,
     EndpointSpeeds,
+    LeasesEnd,
+    LeasesResumed,
     UnitCrashes,
     UnitRecord,
 )
@@ -62,7 +64,14 @@
     starts that follow it, as the records of units do.
     """
 
-    record: EndpointForgotten | EndpointObserved | EndpointSpeeds | UnitCrashes
+    record: (
+        EndpointForgotten
+        | EndpointObserved
+        | EndpointSpeeds
+        | LeasesEnd
+        | LeasesResumed
+        | UnitCrashes
+    )
     reason: str
 
 
--- a/ragwortshelf/core/scheduling/endpoint_tracking.py
+++ b/ragwortshelf/core/scheduling/endpoint_tracking.py
@@ -18,6 +18,7 @@
 )
 from .model import Resources, UnitPhase
 from .pacing import plan_paces
+from .records import LeasesEnd
 from .speed_belief import SpeedClass
 from .stalls import (
     STALL_TIMEOUT_MS,
@@ -141,11 +142,29 @@
         endpoint.is_reachable = False
         endpoint.set_unplaced({})
         for placement in endpoint.placements():
-            if is_any_incarnation or placement.is_located or placement.is_adopted:
+            if is_any_incarnation or placement.is_located:
                 self._placement_ended(placement, RunEnd.LAPSED, "", now_ms, wall_ms)
         if not endpoint.is_in_store and not endpoint.placement_by_task:
             self._drop_endpoint(endpoint_id)
 
+    def leases_ended(self, endpoint_id: str, end_ms: int, any_end_ms: int) -> None:
+        """Note that no lease is extended on an endpoint that is out of contact.
+
+        Leases in its known incarnation have expired by ``end_ms``, and those in any
+        incarnation by ``any_end_ms``, on the clock of the term. A successor counts from
+        there, and not from its own begin.
+        """
+        endpoint = self.endpoint_by_id.get(endpoint_id)
+        if endpoint is None:
+            return
+        unlocated_runs = tuple(
+            (placement.task, placement.run)
+            for placement in endpoint.placements()
+            if placement.is_sent and not placement.is_located
+        )
+        record = LeasesEnd(endpoint_id, self.term, end_ms, any_end_ms, unlocated_runs)
+        self._persist_evidence(record, "out of contact")
+
     def listing_need(self, endpoint_id: str, now_ms: int) -> ListingNeed:
         """Return how often an endpoint's runs have to be listed.
 
@@ -412,6 +431,7 @@
         # The endpoint has seen this term's token and refuses orders of earlier terms
         # from now on: the run is not there, and no delayed order can start it.
         placement.is_adopted = False
+        placement.is_located = False
         unit = self.unit_by_key.get(placement.unit_key)
         if unit is not None and unit.is_suspect and unit.count > 1:
             # The earlier term may have held this start back.
--- a/ragwortshelf/core/scheduling/job_table.py
+++ b/ragwortshelf/core/scheduling/job_table.py
@@ -19,6 +19,8 @@
     JobCancelled,
     JobForgotten,
     JobSubmitted,
+    LeasesEnd,
+    LeasesResumed,
     Record,
     ServiceCapacity,
     TermHeld,
@@ -184,7 +186,8 @@
     """The jobs, the newest claim of the role, the upkeep waves and the instances.
 
     ``incarnation_by_endpoint_id`` has the incarnation of each endpoint that answered
-    last, and ``crashes_by_job_id`` what is known of crashes at the starts of units.
+    last, ``leases_end_by_endpoint_id`` when leases end on those that do not answer, and
+    ``crashes_by_job_id`` what is known of crashes at the starts of units.
     ``backlog`` sums the work of the open jobs, and ``capacity_by_service`` has what the
     scheduler last published of each service.
     ``calibration`` is derived from the run times in the log, so that each instance and
@@ -201,6 +204,7 @@
         self.upkeep_by_wave: dict[int, UpkeepRecord] = {}
         self.instance_by_name: dict[str, InstanceAnnounced] = {}
         self.incarnation_by_endpoint_id: dict[str, Incarnation] = {}
+        self.leases_end_by_endpoint_id: dict[str, LeasesEnd] = {}
         self.crashes_by_job_id: dict[str, dict[UnitKey, UnitCrashes]] = {}
         self.speeds_by_part: dict[int, EndpointSpeeds] = {}
         self._cancelled_wall_ms_by_id: dict[str, int] = {}
@@ -228,6 +232,12 @@
             case EndpointForgotten(endpoint_id):
                 self.incarnation_by_endpoint_id.pop(endpoint_id, None)
                 return False
+            case LeasesEnd(endpoint_id):
+                self.leases_end_by_endpoint_id[endpoint_id] = record
+                return False
+            case LeasesResumed(endpoint_id):
+                self.leases_end_by_endpoint_id.pop(endpoint_id, None)
+                return False
             case EndpointSpeeds(part):
                 self.speeds_by_part[part] = record
                 return False
--- a/ragwortshelf/core/scheduling/lifecycle.py
+++ b/ragwortshelf/core/scheduling/lifecycle.py
@@ -26,7 +26,7 @@
 from .job_table import Job, JobTable
 from .listings import EndpointInfo, RunEnd
 from .model import Resources, UnitKey, UnitPhase
-from .records import EndpointForgotten
+from .records import EndpointForgotten, LeasesResumed
 from .speed import SpeedTracker
 from .speed_records import SpeedRecorder
 from .suspicion import SuspicionTracker
@@ -311,6 +311,7 @@
                     endpoint = self._endpoint_or_placeholder(endpoint_id)
                     placement = self._add_placement(unit, index, endpoint, now_ms)
                     placement.is_adopted = True
+                    placement.is_located = not self._is_unlocated(placement)
                     placement.is_sent = True
                     age_ms = wall_ms - record.changed_wall_ms
                     is_known = endpoint.started_wall_ms != 0
@@ -323,6 +324,12 @@
             if not unit.placements:
                 self._requeue(unit, now_ms, wall_ms)
 
+    def _is_unlocated(self, placement: TaskPlacement) -> bool:
+        """Whether an earlier term could not tell in which incarnation a run may be."""
+        leases_end = self.table.leases_end_by_endpoint_id.get(placement.endpoint_id)
+        run = (placement.task, placement.run)
+        return leases_end is not None and run in leases_end.unlocated_runs
+
     def _endpoint_or_placeholder(self, endpoint_id: str) -> Endpoint:
         endpoint = self.endpoint_by_id.get(endpoint_id)
         if endpoint is None:
@@ -347,6 +354,12 @@
         self.crashes.forget_endpoint(endpoint_id)
         if endpoint_id in self.table.incarnation_by_endpoint_id:
             self._persist_evidence(EndpointForgotten(endpoint_id), "left")
+        self.resume_leases(endpoint_id)
+
+    def resume_leases(self, endpoint_id: str) -> None:
+        """Note that leases on an endpoint may be extended again, or that it has left."""
+        if endpoint_id in self.table.leases_end_by_endpoint_id:
+            self._persist_evidence(LeasesResumed(endpoint_id), "leases resumed")
 
     def _persist_evidence(self, record, reason: str) -> None:
         self.table.apply(record)
--- a/ragwortshelf/core/scheduling/record_codec.py
+++ b/ragwortshelf/core/scheduling/record_codec.py
@@ -9,6 +9,7 @@
 
 from .model import Incarnation, JobSpec, Resources, Step, UnitKey, UnitPhase
 from .records import (
+    CLOCK_KEY,
     TERM_KEY,
     EndpointForgotten,
     EndpointObserved,
@@ -18,10 +19,13 @@
     JobCancelled,
     JobForgotten,
     JobSubmitted,
+    LeasesEnd,
+    LeasesResumed,
     Record,
     ServiceCapacity,
     Suspicion,
     TaskCrashes,
+    TermClock,
     TermHeld,
     UnitCrashes,
     UnitRecord,
@@ -33,6 +37,7 @@
     "deletion_records",
     "encode_record",
     "job_id_of",
+    "leases_key",
     "submission_key",
 ]
 
@@ -76,11 +81,17 @@
             return f"e/{incarnation.endpoint_id}", cbor2.dumps(fields)
         case EndpointForgotten(endpoint_id):
             return f"e/{endpoint_id}", b""
+        case LeasesEnd(endpoint_id):
+            return leases_key(endpoint_id), cbor2.dumps(astuple(record)[1:])
+        case LeasesResumed(endpoint_id):
+            return leases_key(endpoint_id), b""
         case EndpointSpeeds(part, wall_ms, speeds):
             rows = [astuple(speed) for speed in speeds]
             return f"s/{part}", cbor2.dumps((wall_ms, rows))
         case TermHeld():
             return TERM_KEY, cbor2.dumps(astuple(record))
+        case TermClock(term, clock_ms):
+            return CLOCK_KEY, cbor2.dumps((term, clock_ms))
         case JobForgotten(job_id):
             return f"j/{job_id}", b""
         case UpkeepRecord(wave, begun, is_completed):
@@ -105,6 +116,8 @@
                 return JobForgotten(rest)
             case "e":
                 return EndpointForgotten(rest)
+            case "l":
+                return LeasesResumed(rest)
         return None
     try:
         fields = cbor2.loads(value)
@@ -122,6 +135,12 @@
                 return EndpointObserved(
                     Incarnation(rest, str(address), int(started_wall_ms))
                 )
+            case "l":
+                term, end_ms, any_end_ms, runs, *_ = fields
+                unlocated_runs = tuple((str(task), int(run)) for task, run, *_ in runs)
+                return LeasesEnd(
+                    rest, int(term), int(end_ms), int(any_end_ms), unlocated_runs
+                )
             case "s":
                 wall_ms, rows, *_ = fields
                 speeds = tuple(
@@ -136,6 +155,9 @@
                 term, wall_ms, cpu_milli, memory_mb, gpus, *_ = map(int, fields)
                 capacity = Resources(cpu_milli, memory_mb, gpus)
                 return ServiceCapacity(rest, term, wall_ms, capacity)
+            case "clock":
+                term, clock_ms, *_ = fields
+                return TermClock(int(term), int(clock_ms))
             case "term":
                 return TermHeld(*fields)
     except (LookupError, OverflowError, TypeError, ValueError, cbor2.CBORDecodeError):
@@ -164,6 +186,15 @@
     return f"j/{job_id}"
 
 
+def leases_key(endpoint_id: str) -> str:
+    """Return the key of the record of the end of leases on an endpoint.
+
+    >>> leases_key("e1")
+    'l/e1'
+    """
+    return f"l/{endpoint_id}"
+
+
 def job_id_of(record: JobSubmitted | JobCancelled | JobForgotten | UnitRecord) -> str:
     """Return the id of the job that a record belongs to."""
     match record:
--- a/ragwortshelf/core/scheduling/records.py
+++ b/ragwortshelf/core/scheduling/records.py
@@ -12,11 +12,13 @@
 ``u/ID/K/S/M`` the scheduler                           state of the unit
 ``k/ID/K/S/M`` the scheduler                           endpoints lost at its starts
 ``e/ID``       the scheduler                           incarnation of an endpoint
+``l/ID``       the scheduler                           end of leases on an endpoint
 ``w/N``        the scheduler                           progress of a wave
 ``s/N``        the scheduler                           speeds of endpoints, one part
 ``i/NAME``     the instance itself                     readiness address
 ``f/SERVICE``  the scheduler                           capacity of the service
 ``term``       the scheduler                           claim or renewal
+``clock``      the scheduler                           clock of the term
 =============  ======================================  ======================
 """
 
@@ -27,6 +29,7 @@
 from .model import Incarnation, JobSpec, Resources, UnitKey, UnitPhase
 
 __all__ = [
+    "CLOCK_KEY",
     "TERM_KEY",
     "EndpointForgotten",
     "EndpointObserved",
@@ -36,10 +39,13 @@
     "JobCancelled",
     "JobForgotten",
     "JobSubmitted",
+    "LeasesEnd",
+    "LeasesResumed",
     "Record",
     "ServiceCapacity",
     "Suspicion",
     "TaskCrashes",
+    "TermClock",
     "TermHeld",
     "UnitCrashes",
     "UnitRecord",
@@ -47,6 +53,7 @@
 ]
 
 TERM_KEY = "term"
+CLOCK_KEY = "clock"
 
 
 @dataclass(frozen=True, slots=True)
@@ -105,6 +112,30 @@
     endpoint_id: str
 
 
+@dataclass(frozen=True, slots=True)
+class LeasesEnd:
+    """The holder of the role extends no lease on an endpoint that is out of contact.
+
+    Leases in the known incarnation have expired by ``end_ms``, and those in any by
+    ``any_end_ms``, on the clock of the term. ``unlocated_runs`` are those that may be
+    in an incarnation that is not known, as task and run number. The record holds until
+    the endpoint's leases are resumed or a later term is claimed.
+    """
+
+    endpoint_id: str
+    term: int
+    end_ms: int
+    any_end_ms: int
+    unlocated_runs: tuple[tuple[str, int], ...] = ()
+
+
+@dataclass(frozen=True, slots=True)
+class LeasesResumed:
+    """The holder of the role may extend leases on an endpoint again."""
+
+    endpoint_id: str
+
+
 @dataclass(frozen=True, slots=True)
 class EndpointSpeed:
     """What is believed of the speed of one incarnation of an endpoint.
@@ -181,6 +212,18 @@
     is_resigned: bool = False
 
 
+@dataclass(frozen=True, slots=True)
+class TermClock:
+    """The clock of a term, as it was read before this record was first sent.
+
+    It has counted milliseconds since the term's claim was sent, on the holder's clock
+    that counts suspensions.
+    """
+
+    term: int
+    clock_ms: int
+
+
 @dataclass(frozen=True, slots=True)
 class UpkeepRecord:
     """The hosts of a wave that have begun their upkeep, and whether all have."""
@@ -221,7 +264,10 @@
     | JobCancelled
     | JobForgotten
     | JobSubmitted
+    | LeasesEnd
+    | LeasesResumed
     | ServiceCapacity
+    | TermClock
     | TermHeld
     | UnitCrashes
     | UnitRecord
--- a/ragwortshelf/core/scheduling/task_placement.py
+++ b/ragwortshelf/core/scheduling/task_placement.py
@@ -40,9 +40,9 @@
     ``unfinished_percent`` and ``unfinished_ms`` are those of the last one that showed
     the run unfinished, and ``listed_pace_percent`` is the pace ordered before the last
     of all. An adopted placement was made in an earlier term, and no listing
-    has confirmed or refuted it in this one yet. One that ``is_located`` is known to be
-    in the known incarnation of its endpoint, from a listing of this term or from the
-    answer to its start.
+    has confirmed or refuted it in this one yet. One that ``is_located`` is
+    in the known incarnation of its endpoint, if it is anywhere there: a listing, or the
+    answer to its start, has shown it, or an earlier term had seen that.
 
     ``is_sent`` is set once its start may have reached the endpoint, and ``is_settled``
     once the run has been listed some time after it; in between it is fresh. It
--- a/ragwortshelf/scheduler/election.py
+++ b/ragwortshelf/scheduler/election.py
@@ -135,6 +135,7 @@
         previous = follower.table.term
         # The claim succeeds only if no record has followed those that were read.
         grants_end_boot_ms = follower.lease_grants.end_ms
+        noted_leases = follower.noted_leases()
         offset = follower.next_offset
         claim = TermHeld(offset + 1, self.settings.instance, wall_ms())
         # The log answers a repeated sequence number like the original append, so two
@@ -172,6 +173,7 @@
             follower,
             self._configuration,
             grants_end_boot_ms,
+            noted_leases,
             sequence,
         )
         try:
--- a/ragwortshelf/scheduler/endpoint_session.py
+++ b/ragwortshelf/scheduler/endpoint_session.py
@@ -85,8 +85,9 @@
 
     The session records the latest lease deadline that it has sent, on the endpoint's
     clock, and in ``lease_expiry_ms`` the local time by which all leases of the known
-    incarnation have certainly expired. ``earlier_leases_expiry_ms`` (local time) bounds
-    the leases granted in earlier terms, or by an earlier session.
+    incarnation have certainly expired. ``earlier_leases_expiry_ms`` and, in whichever
+    incarnation, ``earlier_unlisted_expiry_ms`` (local times) bound the leases granted
+    in earlier terms, or by an earlier session.
     ``known_started_wall_ms`` is the incarnation that those knew, 0 if none, and
     ``are_earlier_calls_fenced`` whether it refuses calls sent to one before it.
     ``listing_wait_ms`` is how long the next renewals wait for changes, and so the
@@ -105,6 +106,11 @@
     Starts also wait for the ``start_gate``, and are not sent once ``is_still_ordered``
     returns False for them.
 
+    While ``are_leases_ending``, the log holds a note that no lease is extended here,
+    from which a successor counts. ``on_leases_ending`` writes it once renewals fail
+    again and again. Once one is answered, ``resume_leases`` is awaited, which takes the
+    note back in the log; leases are extended, and the endpoint is used, only then.
+
     ``on_lease_expired`` is called with the endpoint's id, and with True once leases in
     any incarnation have expired, and not only those in the known one.
     """
@@ -118,6 +124,8 @@
         on_listing: Callable[[EndpointListing], Callable[[], Awaitable[None]]],
         on_unreachable: Callable[[str], None],
         on_lease_expired: Callable[[str, bool], None],
+        on_leases_ending: Callable[[EndpointSession], None],
+        resume_leases: Callable[[str], Awaitable[None]],
         on_fenced: Callable[[str], None],
         may_order: Callable[[], bool],
         may_extend_lease: Callable[[], bool],
@@ -126,6 +134,8 @@
         next_token: Callable[[int], Awaitable[int]],
         token: int,
         earlier_leases_expiry_ms: int,
+        earlier_unlisted_expiry_ms: int,
+        are_leases_ending: bool,
         known_started_wall_ms: int,
         are_earlier_calls_fenced: bool,
     ):
@@ -135,6 +145,9 @@
         self._on_listing = on_listing
         self._on_unreachable = on_unreachable
         self._on_lease_expired = on_lease_expired
+        self._on_leases_ending = on_leases_ending
+        self._resume_leases = resume_leases
+        self.are_leases_ending = are_leases_ending
         self._on_fenced = on_fenced
         self._may_order = may_order
         self._may_extend_lease = may_extend_lease
@@ -145,7 +158,7 @@
         # Bounds leases that are not due to a deadline on the present clock.
         self._earlier_leases_expiry_ms = earlier_leases_expiry_ms
         self._deadline_expiry_ms = 0
-        self._call_expiry_ms = 0
+        self._call_expiry_ms = earlier_unlisted_expiry_ms
         self._deadline_ms: int | None = None
         self._clock: _ClockReading | None = None
         self.started_wall_ms = known_started_wall_ms
@@ -214,7 +227,8 @@
             )
             if answer.outcome is not StartOutcome.UNANSWERED:
                 is_known = (
-                    started_wall_ms == self.started_wall_ms
+                    not was_unanswered
+                    and started_wall_ms == self.started_wall_ms
                     and clock.rules_out_restart(answer.clock_ms, monotonic_ms())
                 )
                 return StartResult(answer.outcome, was_unanswered, is_known)
@@ -275,6 +289,9 @@
     async def _renew(self) -> None:
         if self._is_token_due:
             await self._raise_token()
+        if self.are_leases_ending and self._clock is not None and not self._failures:
+            await self._resume_leases(self.info.id)
+            self.are_leases_ending = False
         await self._wait_for_role()
         sent_ms = monotonic_ms()
         needs_lease = not self._has_time_to_start(sent_ms) and self._may_extend_lease()
@@ -300,6 +317,9 @@
         self._record_unanswered_deadline(until_ms)
         if self._failures >= FAILURES_BEFORE_UNREACHABLE:
             self._mark_unreachable(answer.detail)
+            if not self.are_leases_ending:
+                self.are_leases_ending = True
+                self._on_leases_ending(self)
             self._check_lease_expiry()
             await trio.sleep(self._pause_ms() / 1000)
 
@@ -316,7 +336,7 @@
         An unanswered renewal may still take effect. No further one extends the lease,
         so that that of an unreachable endpoint expires.
         """
-        if self._clock is None or self._failures > 0:
+        if self._clock is None or self._failures > 0 or self.are_leases_ending:
             return None
         if not self._may_extend_lease():
             return None
@@ -376,6 +396,8 @@
         self._clock = _ClockReading(answer.clock_ms, sent_ms, now_ms)
         if until_ms is not None and is_same_incarnation:
             self._record_deadline(until_ms)
+        if self.are_leases_ending:
+            return
         if not self._has_time_to_start(now_ms):
             # Tasks start only under a lease, and granting one needs the clock from the
             # first answer. A deadline repeated after failures may have expired.
--- a/ragwortshelf/scheduler/leadership.py
+++ b/ragwortshelf/scheduler/leadership.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import time
-from collections.abc import Awaitable, Callable, Iterable
+from collections.abc import Awaitable, Callable, Iterable, Mapping
 from functools import partial
 
 import trio
@@ -32,7 +32,7 @@
 from .endpoint_directory import EndpointDirectory
 from .endpoint_session import EndpointSession, max_local_duration_ms
 from .interfaces import Appended, Entry, PlatformAdapter
-from .log_follower import LogFollower
+from .log_follower import LogFollower, NotedLeases
 from .log_topics import LogTopics
 from .orders import OrderSender
 from .settings import SchedulingSettings
@@ -83,7 +83,7 @@
     Connects the decisions of ``Scheduler`` to the log, the endpoints and the policy
     service. ``claim`` was sent at ``claimed_boot_ms``, with ``sequence`` as its number.
     No earlier term extends leases after ``earlier_grants_end_boot_ms``; None if there
-    was none.
+    was none. Those in ``noted_leases``, by endpoint, end as the last holder noted.
     """
 
     def __init__(
@@ -96,6 +96,7 @@
         follower: LogFollower,
         configuration: ConfigurationFollower,
         earlier_grants_end_boot_ms: int | None,
+        noted_leases: Mapping[str, NotedLeases],
         sequence: int,
     ):
         self.claim = claim
@@ -149,6 +150,7 @@
         self._earlier_leases_expiry_ms = self._compute_earlier_leases_expiry_ms(
             earlier_grants_end_boot_ms
         )
+        self._noted_leases_by_id = noted_leases
         self.end_reason = ""
 
     async def run(self) -> str:
@@ -165,6 +167,7 @@
         self._configuration.on_evacuations_change = self._evacuations_changed
         self._evacuations_changed()
         self._scheduler.adopt(monotonic_ms(), wall_ms())
+        self._adopt_noted_leases()
         try:
             async with trio.open_nursery() as nursery:
                 self._nursery = nursery
@@ -241,6 +244,9 @@
 
         One that restarted may hold the longest lease, by a call that was sent before.
         """
+        noted = self._noted_leases_by_id.get(endpoint_id)
+        if noted is not None:
+            return _local_ms(noted.end_boot_ms)
         observed_boot_ms = self._follower.incarnations.since_ms(endpoint_id)
         if observed_boot_ms is None:
             return self._earlier_leases_expiry_ms
@@ -248,6 +254,51 @@
         expiry_ms = monotonic_ms() + observed_boot_ms + longest_ms - boot_ms()
         return max(self._earlier_leases_expiry_ms, expiry_ms)
 
+    def _earlier_unlisted_expiry_ms_of(self, endpoint_id: str) -> int:
+        """Return the same for leases in any incarnation, which run on for longer.
+
+        Without a note of the last holder, the bound of all its leases covers them.
+        """
+        noted = self._noted_leases_by_id.get(endpoint_id)
+        if noted is None:
+            return self._earlier_leases_expiry_ms_of(endpoint_id)
+        return _local_ms(noted.any_end_boot_ms)
+
+    def _adopt_noted_leases(self) -> None:
+        """Note the ends of leases anew on the clock of this term.
+
+        Those that only earlier terms have noted are void, and are withdrawn.
+        """
+        for endpoint_id in list(self._follower.table.leases_end_by_endpoint_id):
+            if endpoint_id in self._noted_leases_by_id:
+                self._note_leases_end(
+                    endpoint_id,
+                    self._earlier_leases_expiry_ms_of(endpoint_id),
+                    self._earlier_unlisted_expiry_ms_of(endpoint_id),
+                )
+            else:
+                self._scheduler.resume_leases(endpoint_id)
+        self._dispatch()
+
+    def _note_leases_end(self, endpoint_id: str, end_ms: int, any_end_ms: int) -> None:
+        """Write to the log when leases end (local times) that nobody extends now."""
+        term_start_ms = monotonic_ms() - self._writer.clock_ms()
+        self._scheduler.leases_ended(
+            endpoint_id, end_ms - term_start_ms, any_end_ms - term_start_ms
+        )
+
+    def _leases_ending(self, session: EndpointSession) -> None:
+        self._note_leases_end(
+            session.info.id, session.lease_expiry_ms, session.unlisted_leases_expiry_ms
+        )
+        self._dispatch()
+
+    async def _resume_leases(self, endpoint_id: str) -> None:
+        """Return once the log says that leases on an endpoint may be extended."""
+        self._scheduler.resume_leases(endpoint_id)
+        self._dispatch()
+        await self._writer.wait_committed(self._writer.mark())
+
     @property
     def organisations_above_share(self) -> int:
         """Organisations that took more than their fair share at the latest plan."""
@@ -313,12 +364,17 @@
     ) -> None:
         if earlier_session is None:
             expiry_ms = self._earlier_leases_expiry_ms_of(info.id)
+            unlisted_expiry_ms = self._earlier_unlisted_expiry_ms_of(info.id)
+            table = self._follower.table
+            are_leases_ending = info.id in table.leases_end_by_endpoint_id
             observed = self._follower.table.incarnation_by_endpoint_id.get(info.id)
             known_started_wall_ms = observed.started_wall_ms if observed else 0
             are_earlier_calls_fenced = True
         else:
             # The endpoint may run on under the leases of that session.
             expiry_ms = earlier_session.unlisted_leases_expiry_ms
+            unlisted_expiry_ms = expiry_ms
+            are_leases_ending = earlier_session.are_leases_ending
             known_started_wall_ms = earlier_session.started_wall_ms
             are_earlier_calls_fenced = earlier_session.are_earlier_calls_fenced
         # Not below that of any session of this term.
@@ -330,6 +386,8 @@
             on_listing=self._listing_received,
             on_unreachable=self._endpoint_unreachable,
             on_lease_expired=self._endpoint_lease_expired,
+            on_leases_ending=self._leases_ending,
+            resume_leases=self._resume_leases,
             on_fenced=lambda _: self._end("an endpoint has seen a later term"),
             may_order=self._may_order_endpoints,
             may_extend_lease=self._may_extend_leases,
@@ -338,6 +396,8 @@
             next_token=self._writer.wait_for_higher_token,
             token=token,
             earlier_leases_expiry_ms=expiry_ms,
+            earlier_unlisted_expiry_ms=unlisted_expiry_ms,
+            are_leases_ending=are_leases_ending,
             known_started_wall_ms=known_started_wall_ms,
             are_earlier_calls_fenced=are_earlier_calls_fenced,
         )
@@ -441,7 +501,7 @@
             expiry_ms = (
                 session.unlisted_leases_expiry_ms
                 if session
-                else self._earlier_leases_expiry_ms_of(endpoint_id)
+                else self._earlier_unlisted_expiry_ms_of(endpoint_id)
             )
             leases_ms[endpoint_id] = expiry_ms - now_ms
         return leases_ms
@@ -588,3 +648,8 @@
             entries, timeout_ms=self._settings.log_call_timeout_ms
         )
         return isinstance(outcome, Appended)
+
+
+def _local_ms(time_boot_ms: int) -> int:
+    """Return the local time by which a time has come that counts suspensions."""
+    return monotonic_ms() + time_boot_ms - boot_ms()
--- a/ragwortshelf/scheduler/log_follower.py
+++ b/ragwortshelf/scheduler/log_follower.py
@@ -3,22 +3,32 @@
 from __future__ import annotations
 
 from collections.abc import Callable
+from dataclasses import dataclass
 
 import trio
 
 from ..core.scheduling.incarnations import IncarnationTimes
 from ..core.scheduling.job_table import JobTable
 from ..core.scheduling.lease_grants import LeaseGrants
-from ..core.scheduling.record_codec import decode_record, job_id_of, submission_key
+from ..core.scheduling.record_codec import (
+    decode_record,
+    job_id_of,
+    leases_key,
+    submission_key,
+)
 from ..core.scheduling.records import (
     EndpointForgotten,
     EndpointObserved,
     JobForgotten,
+    LeasesEnd,
+    LeasesResumed,
     Record,
+    TermClock,
     TermHeld,
     UnitCrashes,
     UnitRecord,
 )
+from ..core.scheduling.term_clock import TermClockReader
 from ..daemon.logs import log_event, log_failure
 from .clock import boot_ms
 from .interfaces import Entry, KeyedLog, LogGap, LogPage
@@ -26,12 +36,31 @@
 from .newest_records import NewestReader, NewestRecords
 from .settings import SchedulingSettings
 
-__all__ = ["LogFollower"]
+__all__ = ["LogFollower", "NotedLeases"]
 
-SCHEDULER_RECORDS = (EndpointForgotten, EndpointObserved, UnitCrashes, UnitRecord)
+SCHEDULER_RECORDS = (
+    EndpointForgotten,
+    EndpointObserved,
+    LeasesEnd,
+    LeasesResumed,
+    UnitCrashes,
+    UnitRecord,
+)
 """Records that only the scheduler writes, which applies them to the table itself."""
 
 
+@dataclass(frozen=True, slots=True)
+class NotedLeases:
+    """By when leases on an endpoint have expired, as the newest term noted.
+
+    The times count suspensions; the first is for the known incarnation, the second for
+    any.
+    """
+
+    end_boot_ms: int
+    any_end_boot_ms: int
+
+
 class LogFollower:
     """Keeps a ``JobTable`` a few hundred milliseconds behind an answering log.
 
@@ -57,6 +86,7 @@
         self.term_activity_boot_ms: int | None = None
         self.lease_grants = LeaseGrants(settings.lease_grant_max_ms)
         self.incarnations = IncarnationTimes()
+        self._term_clock = TermClockReader()
         self.own_term: int | None = None
         self.is_waiting_for_records = False
         self.on_job_changed: Callable[[str], None] = lambda job_id: None
@@ -149,6 +179,22 @@
             return True
         return False
 
+    def noted_leases(self) -> dict[str, NotedLeases]:
+        """Return when leases end, by endpoint, where the newest term has noted that.
+
+        Notes of earlier terms are void, as the holder after them may not know them.
+        """
+        newest = self.table.term
+        noted = {}
+        for endpoint_id, record in self.table.leases_end_by_endpoint_id.items():
+            if newest is None or record.term != newest.term:
+                continue
+            end_ms = self._term_clock.to_local_ms(record.term, record.end_ms)
+            any_end_ms = self._term_clock.to_local_ms(record.term, record.any_end_ms)
+            if end_ms is not None and any_end_ms is not None:
+                noted[endpoint_id] = NotedLeases(end_ms, any_end_ms)
+        return noted
+
     def wake(self) -> None:
         """Read the log again without waiting for the next interval."""
         self._wake_event.set()
@@ -228,7 +274,7 @@
         if self._newest_reader is not reader:
             # Restarted while loading: the new table lacks the records of earlier pages.
             return False
-        self._forget_unlisted_jobs()
+        self._forget_unlisted()
         self.lease_grants.loaded(self.table.term, boot_ms())
         self._begin_load()
         self._needs_reload = False
@@ -246,11 +292,14 @@
         self._newest_reader = NewestReader(self._log)
         self._listed_keys: set[str] = set()
 
-    def _forget_unlisted_jobs(self) -> None:
-        """Forget the jobs that were deleted by records that could not be read."""
+    def _forget_unlisted(self) -> None:
+        """Forget what was deleted by records that could not be read."""
         for job_id in list(self.table.job_by_id):
             if submission_key(job_id) not in self._listed_keys:
                 self._apply(JobForgotten(job_id))
+        for endpoint_id in list(self.table.leases_end_by_endpoint_id):
+            if leases_key(endpoint_id) not in self._listed_keys:
+                self._apply(LeasesResumed(endpoint_id))
 
     def _apply_entries(self, entries: tuple[Entry, ...]) -> None:
         for key, value in entries:
@@ -271,6 +320,8 @@
                 self.incarnations.observed(incarnation, boot_ms())
             case EndpointForgotten(endpoint_id):
                 self.incarnations.forgotten(endpoint_id)
+            case TermClock():
+                self._term_clock.clock_read(record, boot_ms())
         if isinstance(record, SCHEDULER_RECORDS) and self.own_term is not None:
             # Already applied by this scheduler, or written in an earlier term.
             return
--- a/ragwortshelf/scheduler/term_writer.py
+++ b/ragwortshelf/scheduler/term_writer.py
@@ -10,7 +10,7 @@
 from ..core.scheduling.job_table import JobTable
 from ..core.scheduling.model import UnitKey, UnitPhase
 from ..core.scheduling.record_codec import encode_record
-from ..core.scheduling.records import Record, TermHeld, UnitCrashes
+from ..core.scheduling.records import Record, TermClock, TermHeld, UnitCrashes
 from ..daemon.logs import log_event, log_failure
 from .clock import boot_ms, wall_ms
 from .interfaces import (
@@ -77,6 +77,7 @@
         # The number of newest decisions on a unit that could not be written.
         self._unwritten_by_unit: dict[UnitKey, int] = {}
         self._is_renewal_due = False
+        self._claimed_boot_ms = claimed_boot_ms
         self.confirmed_boot_ms = claimed_boot_ms
         self.committed_end = claim.term
         self.may_have_resigned = False
@@ -102,6 +103,10 @@
         """
         return boot_ms() - self.confirmed_boot_ms
 
+    def clock_ms(self) -> int:
+        """Return the time on the term's clock, which starts when the claim is sent."""
+        return boot_ms() - self._claimed_boot_ms
+
     def mark(self) -> int:
         """Return how many actions were added so far, for ``wait_committed``."""
         return self._added_count
@@ -136,7 +141,7 @@
             is_last = self._is_resigning and not self._waiting
             due_entries = map(_encode, self._due_records())
             entries.extend(entry for entry in due_entries if entry is not None)
-            entries.append(self._renewal(is_last))
+            entries.extend(self._renewal(is_last))
             deposed = await self._append(entries, is_last)
             if deposed is not None:
                 return f"deposed: {deposed.detail}"
@@ -152,7 +157,7 @@
         Returns their number, those of them that are not left out, and their entries. A
         decision that is larger than an append should be is alone.
         """
-        size = entry_bytes(self._renewal(is_last=True))
+        size = sum(map(entry_bytes, self._renewal(is_last=True)))
         bytes_max = self._settings.append_bytes_max()
         entries: list[Entry] = []
         actions: list[PersistEvidence | PersistUnit | StartTask] = []
@@ -187,9 +192,11 @@
         else:
             self._unwritten_by_unit[key] = self._unwritten_by_unit.get(key, 0) + 1
 
-    def _renewal(self, is_last: bool) -> Entry:
+    def _renewal(self, is_last: bool) -> list[Entry]:
         claim = self._claim
-        return encode_record(TermHeld(claim.term, claim.holder, wall_ms(), is_last))
+        clock = TermClock(claim.term, self.clock_ms())
+        renewal = TermHeld(claim.term, claim.holder, wall_ms(), is_last)
+        return [encode_record(clock), encode_record(renewal)]
 
     def _finish(
         self, count: int, actions, on_start: Callable[[StartTask], None]
