--- a/ragwortshelf/core/scheduling/lifecycle.py
+++ b/ragwortshelf/core/scheduling/lifecycle.py
@@ -357,7 +357,7 @@
         self.resume_leases(endpoint_id)
 
     def resume_leases(self, endpoint_id: str) -> None:
-        """Note that leases on an endpoint may be extended again, or that it has left."""
+        """Note that an endpoint left, or that its leases may be extended again."""
         if endpoint_id in self.table.leases_end_by_endpoint_id:
             self._persist_evidence(LeasesResumed(endpoint_id), "leases resumed")
 
--- a/ragwortshelf/core/scheduling/term_clock.py
+++ b/ragwortshelf/core/scheduling/term_clock.py
@@ -1,9 +1,9 @@
 """Converts times on the clock of a term to the clock of an instance.
 
 The holder of the scheduler's role writes the reading of its term's clock with each
-append, taken before the first attempt at it. So the clock shows that much, or more, when
-the record is read, and a time on it has come at the latest when the rest has passed
-since the read. No time of day is used; steady clocks are taken to run at one rate.
+append, taken before the first attempt at it. So the clock shows that much, or more,
+when the record is read, and a time on it has come at the latest when the rest has
+passed since the read. No time of day is used; steady clocks are taken to run at one rate.
 """
 
 from __future__ import annotations
@@ -29,7 +29,7 @@
         self._read_ms = 0
 
     def clock_read(self, record: TermClock, now_ms: int) -> None:
-        """Note a reading that was read from the log; those of earlier terms are void."""
+        """Note a reading from the log; those of earlier terms are void."""
         if self._newest is None or record.term >= self._newest.term:
             self._newest, self._read_ms = record, now_ms
 
