Send no start to an endpoint that is out of contact

Cause: a start was sent while the session had a deadline for it, whether the endpoint answered or not.

Change: it is refused as unhealthy, and as it was never sent its unit is placed elsewhere at once.

Evidence: test_nothing_is_started_on_an_endpoint_that_is_out_of_contact failed before and passes.

Conclusion: only starts that were on their way at the loss wait for the longest lease.

--- a/ragwortshelf/scheduler/endpoint_session.py
+++ b/ragwortshelf/scheduler/endpoint_session.py
@@ -201,8 +201,9 @@
     async def start(self, order: StartTask) -> StartResult:
         """Start a task, retrying while no answer arrives.
 
-        An endpoint that is lost meanwhile may have crashed by the first attempt, and is
-        not sent another. Nor is one whose run was stopped or is listed meanwhile.
+        An endpoint that is out of contact is sent none. One that is lost meanwhile may
+        have crashed by the first attempt, and is not sent another. Nor is one whose run
+        was stopped or is listed meanwhile.
         """
         was_unanswered = False
         losses = self._loss_count
@@ -212,7 +213,7 @@
                 return StartResult(StartOutcome.ABANDONED, was_unanswered)
             if was_unanswered and self._loss_count != losses:
                 return StartResult(StartOutcome.UNANSWERED, was_unanswered)
-            if self._deadline_ms is None:
+            if self._deadline_ms is None or not self._is_reachable:
                 return StartResult(StartOutcome.UNHEALTHY, was_unanswered)
             self._record_call(timeout_ms)
             clock, started_wall_ms = self._clock, self.started_wall_ms
