Count the longest lease from the end of a call, not from its time limit

Cause: a call was counted as if it could be carried out until its time limit, 0.4 to 1.4 s after it was sent, also once it had been answered or its connection had broken.

Change: it counts until it ends.

--- a/ragwortshelf/scheduler/endpoint_session.py
+++ b/ragwortshelf/scheduler/endpoint_session.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from collections.abc import Awaitable, Callable
+from contextlib import contextmanager, nullcontext
 from dataclasses import dataclass
 
 import trio
@@ -159,6 +160,7 @@
         self._earlier_leases_expiry_ms = earlier_leases_expiry_ms
         self._deadline_expiry_ms = 0
         self._call_expiry_ms = earlier_unlisted_expiry_ms
+        self._open_calls_latest_ms: list[int] = []
         self._deadline_ms: int | None = None
         self._clock: _ClockReading | None = None
         self.started_wall_ms = known_started_wall_ms
@@ -182,7 +184,8 @@
     @property
     def unlisted_leases_expiry_ms(self) -> int:
         """Local time by which leases have expired, whichever incarnation has them."""
-        return max(self.lease_expiry_ms, self._call_expiry_ms)
+        open_calls = map(self._longest_lease_expiry_ms, self._open_calls_latest_ms)
+        return max(self.lease_expiry_ms, self._call_expiry_ms, *open_calls)
 
     async def run(self) -> None:
         """Renew the lease and list tasks until cancelled."""
@@ -215,17 +218,17 @@
                 return StartResult(StartOutcome.UNANSWERED, was_unanswered)
             if self._deadline_ms is None or not self._is_reachable:
                 return StartResult(StartOutcome.UNHEALTHY, was_unanswered)
-            self._record_call(timeout_ms)
             clock, started_wall_ms = self._clock, self.started_wall_ms
-            answer = await self._client.start(
-                order.task,
-                order.run,
-                order.text,
-                order.checkpoint,
-                order.ticket,
-                self._start_until_ms(),
-                timeout_ms,
-            )
+            with self._counted_call(timeout_ms):
+                answer = await self._client.start(
+                    order.task,
+                    order.run,
+                    order.text,
+                    order.checkpoint,
+                    order.ticket,
+                    self._start_until_ms(),
+                    timeout_ms,
+                )
             if answer.outcome is not StartOutcome.UNANSWERED:
                 is_known = (
                     not was_unanswered
@@ -302,13 +305,13 @@
         timeout_ms = wait_ms + self._settings.endpoint_timeout_ms
         if until_ms is not None:
             self._record_sent_deadline(until_ms)
-            self._record_call(timeout_ms)
-        answer = await self._client.renew(
-            until_ms=until_ms,
-            ack_number=self._ack_number,
-            wait_ms=wait_ms,
-            timeout_ms=timeout_ms,
-        )
+        with nullcontext() if until_ms is None else self._counted_call(timeout_ms):
+            answer = await self._client.renew(
+                until_ms=until_ms,
+                ack_number=self._ack_number,
+                wait_ms=wait_ms,
+                timeout_ms=timeout_ms,
+            )
         if isinstance(answer, EndpointAnswer):
             await self._handle_answer(answer, sent_ms, until_ms)
             return
@@ -374,11 +377,20 @@
         self._deadline_ms = until_ms
         self._deadline_expiry_ms = self._local_expiry_ms(until_ms)
 
-    def _record_call(self, timeout_ms: int) -> None:
-        """Record that a call with a deadline may reach an incarnation not known yet."""
+    @contextmanager
+    def _counted_call(self, timeout_ms: int):
+        """Count a call with a deadline, which may reach an incarnation not known yet.
+
+        It may be carried out until it is answered, fails or times out.
+        """
         latest_ms = monotonic_ms() + timeout_ms
-        expiry_ms = self._longest_lease_expiry_ms(latest_ms)
-        self._call_expiry_ms = max(self._call_expiry_ms, expiry_ms)
+        self._open_calls_latest_ms.append(latest_ms)
+        try:
+            yield
+        finally:
+            self._open_calls_latest_ms.remove(latest_ms)
+            expiry_ms = self._longest_lease_expiry_ms(min(latest_ms, monotonic_ms()))
+            self._call_expiry_ms = max(self._call_expiry_ms, expiry_ms)
 
     def _longest_lease_expiry_ms(self, granted_ms: int) -> int:
         return granted_ms + max_local_duration_ms(self._settings.lease_max_ms)
