Expect the reading of the term's clock in each append

Change: the expected lists have that key; nothing is left out of them.

Evidence: tests/scheduler/test_term.py passes.

--- a/tests/scheduler/test_term.py
+++ b/tests/scheduler/test_term.py
@@ -442,7 +442,7 @@
     writer.resign()
     assert await writer.run(lambda action: None) == "resigned"
     keys = [key.partition("/")[0] for key, _ in platform.jobs.entries]
-    assert keys == ["u", "term"] * 3
+    assert keys == ["u", "clock", "term"] * 3
 
 
 _LONG_NAME = "x" * 300
@@ -470,7 +470,7 @@
     assert await writer.run(started.append) == "resigned"
     await writer.wait_committed(writer.mark())
     keys = [key.partition("/")[0] for key, _ in platform.jobs.entries]
-    assert keys == ["u", "u", "term"]
+    assert keys == ["u", "u", "clock", "term"]
     assert len(started) == 1
     assert not writer.uncommitted_jobs
 
@@ -483,7 +483,7 @@
     writer.resign()
     assert await writer.run(lambda action: None) == "resigned"
     keys = [key for key, _ in platform.jobs.entries]
-    assert keys == ["f/pool", "f/other", "term"]
+    assert keys == ["f/pool", "f/other", "clock", "term"]
 
 
 # Guards against a run that a successor does not know of, because the decision that
