Notice the end of a lost endpoint's leases without waiting for a call

Cause: a session looked at its bounds between two calls, and a call to a silent endpoint takes 0.4 s.

Change: a task of the session watches the bounds while leases end there.

--- a/ragwortshelf/scheduler/endpoint_session.py
+++ b/ragwortshelf/scheduler/endpoint_session.py
@@ -172,8 +172,6 @@
         self._failures = 0
         # How often the endpoint was lost, or was found to have started anew.
         self._loss_count = 0
-        self._has_lease_expired = False
-        self._have_unlisted_leases_expired = False
         self.scope = trio.CancelScope()
 
     @property
@@ -191,8 +189,11 @@
         """Renew the lease and list tasks until cancelled."""
         with self.scope:
             try:
-                while True:
-                    await self._renew_or_pause()
+                async with trio.open_nursery() as self._nursery:
+                    if self.are_leases_ending:
+                        self._nursery.start_soon(self._watch_lease_expiry)
+                    while True:
+                        await self._renew_or_pause()
             finally:
                 with trio.CancelScope(shield=True):
                     await self._client.aclose()
@@ -324,17 +325,8 @@
             if not self.are_leases_ending:
                 self.are_leases_ending = True
                 self._on_leases_ending(self)
-            self._check_lease_expiry()
-            await self._pause()
-
-    async def _pause(self) -> None:
-        """Wait before the next renewal, and notice meanwhile that leases expire."""
-        end_ms = monotonic_ms() + self._pause_ms()
-        for expiry_ms in (self.lease_expiry_ms, self.unlisted_leases_expiry_ms):
-            if monotonic_ms() <= expiry_ms < end_ms:
-                await trio.sleep((expiry_ms + 1 - monotonic_ms()) / 1000)
-                self._check_lease_expiry()
-        await trio.sleep(max(0, end_ms - monotonic_ms()) / 1000)
+                self._nursery.start_soon(self._watch_lease_expiry)
+            await trio.sleep(self._pause_ms() / 1000)
 
     def _has_time_to_start(self, now_ms: int) -> bool:
         """Whether the lease leaves enough time for a start that is sent now."""
@@ -435,8 +427,6 @@
                 born=answer.started_wall_ms,
             )
         self._is_reachable = True
-        self._has_lease_expired = False
-        self._have_unlisted_leases_expired = False
         listing = EndpointListing(
             self.info.id,
             answer.started_wall_ms,
@@ -509,12 +499,32 @@
             )
             self._on_unreachable(self.info.id)
 
-    def _check_lease_expiry(self) -> None:
-        now_ms = monotonic_ms()
-        if not self._has_lease_expired and now_ms > self.lease_expiry_ms:
-            self._has_lease_expired = True
-            self._on_lease_expired(self.info.id, False)
-        has_expired = now_ms > self.unlisted_leases_expiry_ms
-        if not self._have_unlisted_leases_expired and has_expired:
-            self._have_unlisted_leases_expired = True
-            self._on_lease_expired(self.info.id, True)
+    async def _watch_lease_expiry(self) -> None:
+        """Report when leases have expired that nobody extends any more.
+
+        Calls that time out do not delay it.
+        """
+        # Whether leases in the known incarnation are left to expire, or only others.
+        is_known_left = True
+        while self.are_leases_ending:
+            due_ms = self.unlisted_leases_expiry_ms
+            if is_known_left:
+                due_ms = self.lease_expiry_ms
+            now_ms = monotonic_ms()
+            if now_ms <= due_ms:
+                await trio.sleep((due_ms + 1 - now_ms) / 1000)
+            elif await self._report_lease_expiry(not is_known_left):
+                if not is_known_left:
+                    return
+                is_known_left = False
+
+    async def _report_lease_expiry(self, is_any_incarnation: bool) -> bool:
+        """Report that leases have expired; returns whether that succeeded."""
+        try:
+            self._on_lease_expired(self.info.id, is_any_incarnation)
+            await trio.lowlevel.checkpoint()
+            return True
+        except Exception:
+            log_failure("endpoint_failed", endpoint=self.info.id)
+            await trio.sleep(RETRY_MAX_MS / 1000)
+            return False
