Record the end of a unit's runs on each of its endpoints

Cause: of the runs of one unit only the first end was written to the log, so the newest record named all the other endpoints until the unit was placed again, and a successor took its runs to be there.

Change: the record is written whenever the unit occupies one endpoint less.

Conclusion: what a term has released stays released; a gang's end costs a record for each endpoint.

--- a/ragwortshelf/core/scheduling/lifecycle.py
+++ b/ragwortshelf/core/scheduling/lifecycle.py
@@ -563,7 +563,11 @@
             self._end_job(unit.job, now_ms)
             return
         unit.phase = UnitPhase.ENDING
-        if is_first_end or is_failure or has_new_checkpoint:
+        # A successor would wait for an endpoint that the newest record still names.
+        is_endpoint_free = all(
+            other.endpoint_id != placement.endpoint_id for other in unit.placements
+        )
+        if is_first_end or is_failure or has_new_checkpoint or is_endpoint_free:
             self._persist_phase(
                 unit, UnitPhase.ENDING, wall_ms, end.value, placement.endpoint_id
             )
--- /dev/null
+++ b/tests/core/scheduling/test_lifecycle.py
@@ -0,0 +1,52 @@
+"""What a term leaves behind of units whose runs end one after the other."""
+
+from harness import SMALL, Harness
+
+from ragwortshelf.core.scheduling import Scheduler
+from ragwortshelf.core.scheduling.listings import RunEnd
+
+
+def _make_gang(tasks=4, endpoints=2):
+    """Return a scheduler on which a gang runs, the same number on each endpoint."""
+    harness = Harness(endpoints=endpoints, gpus=tasks // endpoints)
+    harness.submit("g", count=tasks, is_gang=True, request=SMALL)
+    assert len(harness.accept_starts()) == tasks
+    return harness
+
+
+def _adopted_endpoint_ids(harness):
+    """Return the endpoints on which a successor takes the gang's runs to be."""
+    successor = Scheduler(2, harness.table, harness.scheduler.configuration)
+    successor.adopt(harness.now, harness.now)
+    (unit,) = successor.unit_by_key.values()
+    return {placement.endpoint_id for placement in unit.placements}
+
+
+# Guards against a gang that waits for leases that an earlier term knew to have expired,
+# as only the first end of its runs was in the log.
+def test_a_successor_does_not_wait_for_members_that_an_earlier_term_saw_lapse():
+    harness = _make_gang(endpoints=2)
+    harness.scheduler.endpoint_lease_expired("e0", harness.now, harness.now)
+    assert _adopted_endpoint_ids(harness) == {"e1"}
+    harness.scheduler.endpoint_lease_expired("e1", harness.now, harness.now)
+    assert _adopted_endpoint_ids(harness) == set()
+
+
+# Guards against the same for members whose ends were listed before their endpoint left.
+def test_a_successor_does_not_wait_for_members_whose_ends_were_listed():
+    harness = _make_gang(endpoints=2)
+    harness.end("e0", "g.0.0.0", RunEnd.BROKEN)
+    assert _adopted_endpoint_ids(harness) == {"e0", "e1"}
+    harness.end("e0", "g.0.0.1", RunEnd.BROKEN)
+    assert _adopted_endpoint_ids(harness) == {"e1"}
+
+
+# Guards against records of a gang's end that grow with the number of its members.
+def test_a_gangs_end_is_recorded_once_an_endpoint():
+    harness = _make_gang(tasks=8, endpoints=2)
+    harness.records.clear()
+    for endpoint_id in ("e0", "e1"):
+        for task in list(harness.running[endpoint_id]):
+            harness.end(endpoint_id, task, RunEnd.BROKEN)
+    ended = [record for record in harness.records if record.run == 1]
+    assert len(ended) <= 3
