Do not take a restarted endpoint for the one before after a suspension

Cause: the time since the endpoint's clock was read was taken from a clock that stops in a suspension, so the new clock was ahead of it and seemed to be the old one.

Change: that time counts suspensions. The tests of which notes to believe move to `test_noted_leases.py`.

Evidence: test_a_restart_during_a_suspension_of_the_holder_is_not_ruled_out failed before and passes.

--- a/ragwortshelf/scheduler/endpoint_session.py
+++ b/ragwortshelf/scheduler/endpoint_session.py
@@ -11,7 +11,7 @@
 from ..core.scheduling.actions import PaceTask, StartTask, StopTask
 from ..core.scheduling.listings import EndpointInfo, EndpointListing, StartOutcome
 from ..daemon.logs import log_event, log_failure
-from .clock import monotonic_ms
+from .clock import boot_ms, monotonic_ms
 from .interfaces import EndpointAnswer, EndpointClient
 from .settings import SchedulingSettings
 from .start_gate import StartGate
@@ -67,18 +67,21 @@
 
 @dataclass(frozen=True, slots=True)
 class _ClockReading:
-    """An endpoint's clock, and when the call was sent and answered that showed it."""
+    """An endpoint's clock, and when the call was sent and answered that showed it.
+
+    ``sent_boot_ms`` counts suspensions of this instance.
+    """
 
     clock_ms: int
-    sent_ms: int
+    sent_boot_ms: int
     read_ms: int
 
-    def rules_out_restart(self, clock_ms: int | None, now_ms: int) -> bool:
+    def rules_out_restart(self, clock_ms: int | None) -> bool:
         """Whether a clock that is shown now is not that of a later incarnation.
 
         That one began after the call was sent, and its clock began at zero.
         """
-        return clock_ms is not None and clock_ms > now_ms - self.sent_ms
+        return clock_ms is not None and clock_ms > boot_ms() - self.sent_boot_ms
 
 
 class EndpointSession:
@@ -234,7 +237,7 @@
                 is_known = (
                     not was_unanswered
                     and started_wall_ms == self.started_wall_ms
-                    and clock.rules_out_restart(answer.clock_ms, monotonic_ms())
+                    and clock.rules_out_restart(answer.clock_ms)
                 )
                 return StartResult(answer.outcome, was_unanswered, is_known)
             was_unanswered = True
@@ -298,7 +301,7 @@
             await self._resume_leases(self.info.id)
             self.are_leases_ending = False
         await self._wait_for_role()
-        sent_ms = monotonic_ms()
+        sent_ms, sent_boot_ms = monotonic_ms(), boot_ms()
         needs_lease = not self._has_time_to_start(sent_ms) and self._may_extend_lease()
         is_urgent = self._failures > 0 or needs_lease
         wait_ms = 0 if is_urgent else self.listing_wait_ms
@@ -314,7 +317,7 @@
                 timeout_ms=timeout_ms,
             )
         if isinstance(answer, EndpointAnswer):
-            await self._handle_answer(answer, sent_ms, until_ms)
+            await self._handle_answer(answer, sent_ms, sent_boot_ms, until_ms)
             return
         if answer.is_fenced:
             self._on_fenced(self.info.id)
@@ -397,7 +400,9 @@
         extra_failures = self._failures - FAILURES_BEFORE_UNREACHABLE
         return min(RETRY_MAX_MS, RETRY_MS * (1 + extra_failures))
 
-    async def _handle_answer(self, answer: EndpointAnswer, sent_ms, until_ms) -> None:
+    async def _handle_answer(
+        self, answer: EndpointAnswer, sent_ms, sent_boot_ms, until_ms
+    ) -> None:
         now_ms = monotonic_ms()
         self._failures = 0
         is_same_incarnation = answer.started_wall_ms == self.started_wall_ms
@@ -407,7 +412,7 @@
             # Calls sent before the restart may have been carried out until now.
             self.are_earlier_calls_fenced = True
             self._bound_earlier_leases(now_ms)
-        self._clock = _ClockReading(answer.clock_ms, sent_ms, now_ms)
+        self._clock = _ClockReading(answer.clock_ms, sent_boot_ms, now_ms)
         if until_ms is not None and is_same_incarnation:
             self._record_deadline(until_ms)
         if self.are_leases_ending:
--- a/tests/scheduler/test_review_noted_leases.py
+++ b/tests/scheduler/test_noted_leases.py
@@ -1,4 +1,4 @@
-"""Protections of noted ends of leases that no other test guards; these pass."""
+"""Which notes of the ends of leases in the log a successor may believe."""
 
 import pytest
 import trio
@@ -66,8 +66,8 @@
         nursery.cancel_scope.cancel()
 
 
-# Guards against a task that runs twice: a start without an answer reached an incarnation
-# that nobody knows, and a successor released its run with those that had been listed.
+# Guards against a task that runs twice: a start without an answer reached an unknown
+# incarnation, and a successor released its run with those that had been listed.
 @pytest.mark.parametrize("takeovers", [1, 2])
 async def test_a_successor_knows_which_runs_may_be_in_an_unknown_incarnation(
     autojump_clock, takeovers
--- a/tests/scheduler/test_restarted_endpoints.py
+++ b/tests/scheduler/test_restarted_endpoints.py
@@ -340,3 +340,28 @@
         await trio.sleep(1)
         await fleet.place_second_job()
         nursery.cancel_scope.cancel()
+
+
+# Guards against a task that runs twice: a suspension of the holder, which its steady
+# clock does not count, made an endpoint's new clock look like that before its restart.
+async def test_a_restart_during_a_suspension_of_the_holder_is_not_ruled_out(
+    autojump_clock,
+):
+    fleet = _Fleet(instances=1)
+    async with trio.open_nursery() as nursery:
+        await fleet.run(nursery)
+        start = fleet.endpoint.start
+
+        def start_after_suspension(*arguments):
+            fleet.endpoint.start = start
+            fleet.endpoint.crash()
+            # So long ago, while no time passed on the holder's steady clock.
+            fleet.endpoint._clock_offset_ms += 3_000
+            return start(*arguments)
+
+        fleet.endpoint.start = start_after_suspension
+        await fleet.place_second_job()
+        await trio.sleep(0.005)
+        fleet.cut_off()
+        await fleet.assert_started_again_without_overlap()
+        nursery.cancel_scope.cancel()
