Let the test of a suspended holder suspend its clock

Change: the instance's clock that counts suspensions moves too, and the endpoint is cut off with the start.

--- a/tests/scheduler/test_restarted_endpoints.py
+++ b/tests/scheduler/test_restarted_endpoints.py
@@ -11,6 +11,7 @@
 
 from ragwortshelf.core.scheduling import JobSpec, Resources, Step
 from ragwortshelf.core.scheduling.listings import EndpointInfo
+from ragwortshelf.scheduler.clock import monotonic_ms
 
 FIRST_JOB_ID = "a" * 16
 JOB_ID = "b" * 16
@@ -345,23 +346,30 @@
 # Guards against a task that runs twice: a suspension of the holder, which its steady
 # clock does not count, made an endpoint's new clock look like that before its restart.
 async def test_a_restart_during_a_suspension_of_the_holder_is_not_ruled_out(
-    autojump_clock,
+    autojump_clock, monkeypatch
 ):
+    suspended_ms = 0
+    monkeypatch.setattr(
+        "ragwortshelf.scheduler.endpoint_session.boot_ms",
+        lambda: monotonic_ms() + suspended_ms,
+    )
     fleet = _Fleet(instances=1)
     async with trio.open_nursery() as nursery:
         await fleet.run(nursery)
         start = fleet.endpoint.start
 
         def start_after_suspension(*arguments):
+            nonlocal suspended_ms
+            suspended_ms = 3_000
             fleet.endpoint.start = start
             fleet.endpoint.crash()
-            # So long ago, while no time passed on the holder's steady clock.
-            fleet.endpoint._clock_offset_ms += 3_000
-            return start(*arguments)
+            # It began during the suspension.
+            fleet.endpoint._clock_offset_ms += suspended_ms
+            outcome = start(*arguments)
+            fleet.cut_off()
+            return outcome
 
         fleet.endpoint.start = start_after_suspension
         await fleet.place_second_job()
-        await trio.sleep(0.005)
-        fleet.cut_off()
         await fleet.assert_started_again_without_overlap()
         nursery.cancel_scope.cancel()
