Count a call without an answer until its time limit again

Cause: a call counted until its connection broke.

Change: only an answer ends it sooner, as it has been carried out by then.

Evidence: test_a_start_whose_connection_broke_may_still_be_carried_out failed before and passes.

--- a/ragwortshelf/scheduler/endpoint_session.py
+++ b/ragwortshelf/scheduler/endpoint_session.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 from collections.abc import Awaitable, Callable
-from contextlib import contextmanager, nullcontext
+from contextlib import contextmanager
 from dataclasses import dataclass
 
 import trio
@@ -84,6 +84,14 @@
         return clock_ms is not None and clock_ms > boot_ms() - self.sent_boot_ms
 
 
+class _OpenCall:
+    """A call with a deadline, which is carried out by ``latest_ms`` at the latest."""
+
+    def __init__(self, latest_ms: int):
+        self.latest_ms = latest_ms
+        self.is_answered = False
+
+
 class EndpointSession:
     """The scheduler's connection to one endpoint during one term.
 
@@ -163,7 +171,7 @@
         self._earlier_leases_expiry_ms = earlier_leases_expiry_ms
         self._deadline_expiry_ms = 0
         self._call_expiry_ms = earlier_unlisted_expiry_ms
-        self._open_calls_latest_ms: list[int] = []
+        self._open_calls: list[_OpenCall] = []
         self._deadline_ms: int | None = None
         self._clock: _ClockReading | None = None
         self.started_wall_ms = known_started_wall_ms
@@ -185,7 +193,9 @@
     @property
     def unlisted_leases_expiry_ms(self) -> int:
         """Local time by which leases have expired, whichever incarnation has them."""
-        open_calls = map(self._longest_lease_expiry_ms, self._open_calls_latest_ms)
+        open_calls = (
+            self._longest_lease_expiry_ms(call.latest_ms) for call in self._open_calls
+        )
         return max(self.lease_expiry_ms, self._call_expiry_ms, *open_calls)
 
     async def run(self) -> None:
@@ -223,7 +233,7 @@
             if self._deadline_ms is None or not self._is_reachable:
                 return StartResult(StartOutcome.UNHEALTHY, was_unanswered)
             clock, started_wall_ms = self._clock, self.started_wall_ms
-            with self._counted_call(timeout_ms):
+            with self._counted_call(timeout_ms) as call:
                 answer = await self._client.start(
                     order.task,
                     order.run,
@@ -233,6 +243,7 @@
                     self._start_until_ms(),
                     timeout_ms,
                 )
+                call.is_answered = answer.outcome is not StartOutcome.UNANSWERED
             if answer.outcome is not StartOutcome.UNANSWERED:
                 is_known = (
                     not was_unanswered
@@ -309,13 +320,14 @@
         timeout_ms = wait_ms + self._settings.endpoint_timeout_ms
         if until_ms is not None:
             self._record_sent_deadline(until_ms)
-        with nullcontext() if until_ms is None else self._counted_call(timeout_ms):
+        with self._counted_call(timeout_ms, until_ms is not None) as call:
             answer = await self._client.renew(
                 until_ms=until_ms,
                 ack_number=self._ack_number,
                 wait_ms=wait_ms,
                 timeout_ms=timeout_ms,
             )
+            call.is_answered = isinstance(answer, EndpointAnswer)
         if isinstance(answer, EndpointAnswer):
             await self._handle_answer(answer, sent_ms, sent_boot_ms, until_ms)
             return
@@ -373,18 +385,22 @@
         self._deadline_expiry_ms = self._local_expiry_ms(until_ms)
 
     @contextmanager
-    def _counted_call(self, timeout_ms: int):
+    def _counted_call(self, timeout_ms: int, has_deadline: bool = True):
         """Count a call with a deadline, which may reach an incarnation not known yet.
 
-        It may be carried out until it is answered, fails or times out.
+        Without an answer it may be carried out until its time limit.
         """
-        latest_ms = monotonic_ms() + timeout_ms
-        self._open_calls_latest_ms.append(latest_ms)
+        call = _OpenCall(monotonic_ms() + timeout_ms)
+        if not has_deadline:
+            yield call
+            return
+        self._open_calls.append(call)
         try:
-            yield
+            yield call
         finally:
-            self._open_calls_latest_ms.remove(latest_ms)
-            expiry_ms = self._longest_lease_expiry_ms(min(latest_ms, monotonic_ms()))
+            self._open_calls.remove(call)
+            end_ms = monotonic_ms() if call.is_answered else call.latest_ms
+            expiry_ms = self._longest_lease_expiry_ms(end_ms)
             self._call_expiry_ms = max(self._call_expiry_ms, expiry_ms)
 
     def _longest_lease_expiry_ms(self, granted_ms: int) -> int:
--- a/tests/scheduler/test_restarted_endpoints.py
+++ b/tests/scheduler/test_restarted_endpoints.py
@@ -10,8 +10,9 @@
 from fakes import FakeEndpoint, Platform
 
 from ragwortshelf.core.scheduling import JobSpec, Resources, Step
-from ragwortshelf.core.scheduling.listings import EndpointInfo
+from ragwortshelf.core.scheduling.listings import EndpointInfo, StartOutcome
 from ragwortshelf.scheduler.clock import monotonic_ms
+from ragwortshelf.scheduler.interfaces import StartAnswer
 
 FIRST_JOB_ID = "a" * 16
 JOB_ID = "b" * 16
@@ -373,3 +374,43 @@
         await fleet.place_second_job()
         await fleet.assert_started_again_without_overlap()
         nursery.cancel_scope.cancel()
+
+
+# Guards against a task that runs twice: a start whose connection broke is carried out
+# within its time limit, by an incarnation that began meanwhile.
+async def test_a_start_whose_connection_broke_may_still_be_carried_out(autojump_clock):
+    fleet = _Fleet(instances=1)
+    async with trio.open_nursery() as nursery:
+        await fleet.run(nursery)
+        endpoint = fleet.endpoint
+        endpoint._clock_rate = 0.98
+        await trio.sleep(2.5)
+        leadership = fleet.holder.election.leadership
+        client = leadership._session_by_id[endpoint.info.id]._client
+
+        async def carry_out_late(task, run, until_ms):
+            await trio.sleep(0.05)
+            endpoint.crash()
+            await trio.sleep(0.33)
+            endpoint.start(task, run, until_ms, client._token)
+
+        async def broken_start(
+            task, run, text, checkpoint, ticket, until_ms, timeout_ms
+        ):
+            del client.start
+            endpoint.is_disconnected = True
+            (other_task,) = fleet.other.running
+            fleet.other.finish(other_task)
+            nursery.start_soon(carry_out_late, task, run, until_ms)
+            await trio.sleep(0.005)
+            client.start = refused_start
+            return StartAnswer(StartOutcome.UNANSWERED)
+
+        async def refused_start(*arguments):
+            await trio.sleep(0.001)
+            return StartAnswer(StartOutcome.UNANSWERED)
+
+        client.start = broken_start
+        await submit(fleet.instances[0], _make_job(JOB_ID))
+        await fleet.assert_started_again_without_overlap()
+        nursery.cancel_scope.cancel()
