Watch the end of leases from the first loss, and through an error

An unexpected error while the end is noted left the task waiting without end (review).

Cause: a session with an endpoint that a term had found unlisted released its runs before the first call. The watch was started after the note.

--- a/ragwortshelf/scheduler/endpoint_session.py
+++ b/ragwortshelf/scheduler/endpoint_session.py
@@ -181,6 +181,7 @@
         self.listing_wait_ms = settings.listing_wait_ms
         self._is_reachable = False
         self._failures = 0
+        self._expiry_watch: trio.CancelScope | None = None
         # How often the endpoint was lost, or was found to have started anew.
         self._loss_count = 0
         self.scope = trio.CancelScope()
@@ -203,8 +204,6 @@
         with self.scope:
             try:
                 async with trio.open_nursery() as self._nursery:
-                    if self.are_leases_ending:
-                        self._nursery.start_soon(self._watch_lease_expiry)
                     while True:
                         await self._renew_or_pause()
             finally:
@@ -220,7 +219,7 @@
 
         An endpoint that is out of contact is sent none. One that is lost meanwhile may
         have crashed by the first attempt, and is not sent another. Nor is one whose run
-        was stopped or is listed meanwhile.
+        was stopped or is listed meanwhile, or whose session was replaced.
         """
         was_unanswered = False
         losses = self._loss_count
@@ -228,9 +227,10 @@
             await self._wait_to_start()
             if not self._is_still_ordered(order):
                 return StartResult(StartOutcome.ABANDONED, was_unanswered)
-            if was_unanswered and self._loss_count != losses:
+            has_ended = self.scope.cancel_called
+            if was_unanswered and (has_ended or self._loss_count != losses):
                 return StartResult(StartOutcome.UNANSWERED, was_unanswered)
-            if self._deadline_ms is None or not self._is_reachable:
+            if self._deadline_ms is None or has_ended or not self._is_reachable:
                 return StartResult(StartOutcome.UNHEALTHY, was_unanswered)
             clock, started_wall_ms = self._clock, self.started_wall_ms
             with self._counted_call(timeout_ms) as call:
@@ -311,6 +311,9 @@
         if self.are_leases_ending and self._clock is not None and not self._failures:
             await self._resume_leases(self.info.id)
             self.are_leases_ending = False
+            if self._expiry_watch is not None:
+                self._expiry_watch.cancel()
+                self._expiry_watch = None
         await self._wait_for_role()
         sent_ms, sent_boot_ms = monotonic_ms(), boot_ms()
         needs_lease = not self._has_time_to_start(sent_ms) and self._may_extend_lease()
@@ -337,10 +340,12 @@
         self._record_unanswered_deadline(until_ms)
         if self._failures >= FAILURES_BEFORE_UNREACHABLE:
             self._mark_unreachable(answer.detail)
+            if self._expiry_watch is None:
+                self._expiry_watch = trio.CancelScope()
+                self._nursery.start_soon(self._watch_expiry, self._expiry_watch)
             if not self.are_leases_ending:
                 self.are_leases_ending = True
                 self._on_leases_ending(self)
-                self._nursery.start_soon(self._watch_lease_expiry)
             await trio.sleep(self._pause_ms() / 1000)
 
     def _has_time_to_start(self, now_ms: int) -> bool:
@@ -520,32 +525,30 @@
             )
             self._on_unreachable(self.info.id)
 
-    async def _watch_lease_expiry(self) -> None:
-        """Report when leases have expired that nobody extends any more.
+    async def _watch_expiry(self, scope: trio.CancelScope) -> None:
+        """Report when leases have expired, until they are extended again.
 
         Calls that time out do not delay it.
         """
-        # Whether leases in the known incarnation are left to expire, or only others.
-        is_known_left = True
-        while self.are_leases_ending:
-            due_ms = self.unlisted_leases_expiry_ms
-            if is_known_left:
-                due_ms = self.lease_expiry_ms
-            now_ms = monotonic_ms()
-            if now_ms <= due_ms:
-                await trio.sleep((due_ms + 1 - now_ms) / 1000)
-            elif await self._report_lease_expiry(not is_known_left):
-                if not is_known_left:
-                    return
-                is_known_left = False
-
-    async def _report_lease_expiry(self, is_any_incarnation: bool) -> bool:
+        with scope:
+            await self._report_expiry_after(lambda: self.lease_expiry_ms, False)
+            await self._report_expiry_after(
+                lambda: self.unlisted_leases_expiry_ms, True
+            )
+
+    async def _report_expiry_after(
+        self, expiry_ms: Callable[[], int], is_any_incarnation: bool
+    ) -> None:
+        while (left_ms := expiry_ms() - monotonic_ms()) >= 0:
+            await trio.sleep((left_ms + 1) / 1000)
+        while not self._report_lease_expiry(is_any_incarnation):
+            await trio.sleep(RETRY_MAX_MS / 1000)
+
+    def _report_lease_expiry(self, is_any_incarnation: bool) -> bool:
         """Report that leases have expired; returns whether that succeeded."""
         try:
             self._on_lease_expired(self.info.id, is_any_incarnation)
-            await trio.lowlevel.checkpoint()
             return True
         except Exception:
             log_failure("endpoint_failed", endpoint=self.info.id)
-            await trio.sleep(RETRY_MAX_MS / 1000)
             return False
