Test that a replaced session repeats no start, and who believes notes

Further tests of the review guard which notes a successor believes.

Evidence: with the mend taken out, test_a_session_that_was_replaced_repeats_no_start fails.

--- a/tests/scheduler/test_noted_leases.py
+++ b/tests/scheduler/test_noted_leases.py
@@ -4,6 +4,7 @@
 import trio
 from cluster import holders, wait_until
 from fakes import FakeLog, Faults
+from test_leases_across_takeovers import _Loss
 from test_restarted_endpoints import _Fleet
 
 from ragwortshelf.core.scheduling.record_codec import encode_record
@@ -66,8 +67,8 @@
         nursery.cancel_scope.cancel()
 
 
-# Guards against a task that runs twice: a start without an answer reached an unknown
-# incarnation, and a successor released its run with those that had been listed.
+# Guards against a task that runs twice: a start without an answer reached a new
+# incarnation that nobody knows, and a successor released its run with listed ones.
 @pytest.mark.parametrize("takeovers", [1, 2])
 async def test_a_successor_knows_which_runs_may_be_in_an_unknown_incarnation(
     autojump_clock, takeovers
@@ -86,3 +87,32 @@
             await wait_until(lambda: holders(fleet.instances))
         await fleet.assert_started_again_without_overlap()
         nursery.cancel_scope.cancel()
+
+
+# Guards against a task that runs twice: a successor, or the session with an endpoint at
+# another address, extends leases that the log still says to end.
+@pytest.mark.parametrize("change", ["takeover", "address"])
+async def test_leases_are_extended_again_only_after_the_note_is_withdrawn(
+    autojump_clock, change
+):
+    cluster = _Loss()
+    async with trio.open_nursery() as nursery:
+        await cluster.run(nursery)
+        await cluster.lose()
+        if change == "takeover":
+            await cluster.take_over("followers")
+        else:
+            cluster.platform.move(cluster.lost.info.id, "elsewhere")
+            leadership = cluster.holder.election.leadership
+            before = leadership._session_by_id[cluster.lost.info.id]
+            await wait_until(
+                lambda: leadership._session_by_id[cluster.lost.info.id] is not before
+            )
+        cluster.lost.is_disconnected = False
+        await trio.sleep(5)
+        assert len(cluster.starts()) == 1
+        cluster.lost.is_disconnected = True
+        await cluster.take_over("followers")
+        await trio.sleep(25)
+        assert cluster.has_restarted_only_after_the_first_run()
+        nursery.cancel_scope.cancel()
--- a/tests/scheduler/test_restarted_endpoints.py
+++ b/tests/scheduler/test_restarted_endpoints.py
@@ -414,3 +414,33 @@
         await submit(fleet.instances[0], _make_job(JOB_ID))
         await fleet.assert_started_again_without_overlap()
         nursery.cancel_scope.cancel()
+
+
+# Guards against a task that runs twice: the session with an endpoint at an earlier
+# address repeated a start, which the present session did not count.
+async def test_a_session_that_was_replaced_repeats_no_start(autojump_clock):
+    fleet = _Fleet(instances=1)
+    async with trio.open_nursery() as nursery:
+        await fleet.run(nursery)
+        endpoint = fleet.endpoint
+        endpoint._clock_rate = 0.98
+        await trio.sleep(1.5)
+        leadership = fleet.holder.election.leadership
+        client = leadership._session_by_id[endpoint.info.id]._client
+        attempts = []
+
+        async def start(task, run, text, checkpoint, ticket, until_ms, timeout_ms):
+            attempts.append(trio.current_time())
+            if len(attempts) == 1:
+                endpoint.is_disconnected = True
+                fleet.platform.move(endpoint.info.id, "elsewhere")
+                (other_task,) = fleet.other.running
+                fleet.other.finish(other_task)
+            await trio.sleep(timeout_ms / 1000)
+            return StartAnswer(StartOutcome.UNANSWERED)
+
+        client.start = start
+        await submit(fleet.instances[0], _make_job(JOB_ID))
+        await trio.sleep(4)
+        assert len(attempts) == 1
+        nursery.cancel_scope.cancel()
