Let the claim of the role hold the notes of the holder before

Cause: a claim made all notes of earlier terms void, and the first append wrote them anew.

Change: they are part of the claim, on the clock of the new term, as far as one append holds them.

--- a/ragwortshelf/scheduler/election.py
+++ b/ragwortshelf/scheduler/election.py
@@ -3,17 +3,24 @@
 from __future__ import annotations
 
 import random
+from collections.abc import Mapping
 
 import trio
 
 from ..core.scheduling.record_codec import encode_record
-from ..core.scheduling.records import TermHeld
+from ..core.scheduling.records import TermClock, TermHeld
 from ..daemon.logs import log_event, log_failure
 from .clock import boot_ms, wall_ms
 from .configuration_follower import ConfigurationFollower
-from .interfaces import Appended, PlatformAdapter, ProducerFence
+from .interfaces import (
+    Appended,
+    Entry,
+    PlatformAdapter,
+    ProducerFence,
+    entry_bytes,
+)
 from .leadership import Leadership
-from .log_follower import LogFollower
+from .log_follower import LogFollower, NotedLeases
 from .log_topics import LogTopics
 from .settings import SchedulingSettings
 from .term_writer import PRODUCER
@@ -143,7 +150,7 @@
         sequence = random.randrange(FIRST_SEQUENCE_MAX)
         claimed_boot_ms = boot_ms()
         outcome = await self._logs.jobs.append(
-            [encode_record(claim)],
+            self._claim_entries(claim, claimed_boot_ms, noted_leases),
             timeout_ms=self.settings.log_call_timeout_ms,
             at=offset,
             fence=ProducerFence(PRODUCER, claim.term, sequence),
@@ -186,6 +193,28 @@
             self.leadership = None
             follower.restart()
 
+    def _claim_entries(
+        self,
+        claim: TermHeld,
+        claimed_boot_ms: int,
+        noted_leases: Mapping[str, NotedLeases],
+    ) -> list[Entry]:
+        """Return the records of a claim, and with it the notes of the holder before.
+
+        So they hold from the claim on, although it may be the last record of its term.
+        Those that do not fit are written by the first append.
+        """
+        entries = [encode_record(claim), encode_record(TermClock(claim.term, 0))]
+        size = sum(map(entry_bytes, entries))
+        for endpoint_id, noted in noted_leases.items():
+            record = noted.record(endpoint_id, claim.term, claimed_boot_ms)
+            entry = encode_record(record)
+            size += entry_bytes(entry)
+            if size > self.settings.append_bytes_max():
+                break
+            entries.append(entry)
+        return entries
+
     def _note_failed_term(self, claim: TermHeld) -> None:
         """Log an unexpected error that ended a term, and pause before the next claim.
 
--- a/ragwortshelf/scheduler/leadership.py
+++ b/ragwortshelf/scheduler/leadership.py
@@ -268,17 +268,20 @@
         return max(bound_ms, _local_ms(noted.any_end_boot_ms))
 
     def _adopt_noted_leases(self) -> None:
-        """Note the ends of leases anew on the clock of this term.
+        """Note the ends of leases anew where the claim does not hold them.
 
-        Those that only earlier terms have noted are void, and are withdrawn.
+        Those that only earlier terms have noted are void, and are withdrawn. Leases
+        that have ended are released at once.
         """
-        for endpoint_id in list(self._follower.table.leases_end_by_endpoint_id):
+        noted_by_id = self._follower.table.leases_end_by_endpoint_id
+        for endpoint_id, record in list(noted_by_id.items()):
             if endpoint_id not in self._noted_leases_by_id:
                 self._scheduler.resume_leases(endpoint_id)
                 continue
             end_ms = self._earlier_leases_expiry_ms_of(endpoint_id)
             any_end_ms = self._earlier_unlisted_expiry_ms_of(endpoint_id)
-            self._note_leases_end(endpoint_id, end_ms, any_end_ms)
+            if record.term != self.claim.term:
+                self._note_leases_end(endpoint_id, end_ms, any_end_ms)
             if monotonic_ms() > end_ms:
                 is_any_incarnation = monotonic_ms() > any_end_ms
                 self._endpoint_lease_expired(endpoint_id, is_any_incarnation)
--- a/ragwortshelf/scheduler/log_follower.py
+++ b/ragwortshelf/scheduler/log_follower.py
@@ -54,11 +54,22 @@
     """By when leases on an endpoint have expired, as the newest term noted.
 
     The times count suspensions; the first is for the known incarnation, the second for
-    any.
+    any. Runs in ``unlocated_runs`` may be in another than the known one.
     """
 
     end_boot_ms: int
     any_end_boot_ms: int
+    unlocated_runs: tuple[tuple[str, int], ...] = ()
+
+    def record(self, endpoint_id: str, term: int, claimed_boot_ms: int) -> LeasesEnd:
+        """Return the note on the clock of a term that was claimed at that time."""
+        return LeasesEnd(
+            endpoint_id,
+            term,
+            self.end_boot_ms - claimed_boot_ms,
+            self.any_end_boot_ms - claimed_boot_ms,
+            self.unlocated_runs,
+        )
 
 
 class LogFollower:
@@ -192,7 +203,9 @@
             end_ms = self._term_clock.to_local_ms(record.term, record.end_ms)
             any_end_ms = self._term_clock.to_local_ms(record.term, record.any_end_ms)
             if end_ms is not None and any_end_ms is not None:
-                noted[endpoint_id] = NotedLeases(end_ms, any_end_ms)
+                noted[endpoint_id] = NotedLeases(
+                    end_ms, any_end_ms, record.unlocated_runs
+                )
         return noted
 
     def wake(self) -> None:
