Extend leases at once if their end was never written

Cause: the session waited until the log had taken the note back, although the note had not been sent.

Change: a note that is still queued is withdrawn, and nothing is waited for.

Evidence: test_a_moment_without_contact_in_an_outage_of_the_log_costs_no_run failed before and passes.

--- a/ragwortshelf/scheduler/leadership.py
+++ b/ragwortshelf/scheduler/leadership.py
@@ -308,10 +308,12 @@
         self._dispatch()
 
     async def _resume_leases(self, endpoint_id: str) -> None:
-        """Return once the log says that leases on an endpoint may be extended."""
+        """Return once the log doesn't say that leases on an endpoint end."""
+        was_unsent = self._writer.withdraw_leases_end(endpoint_id)
         self._scheduler.resume_leases(endpoint_id)
         self._dispatch()
-        await self._writer.wait_committed(self._writer.mark())
+        if not was_unsent:
+            await self._writer.wait_committed(self._writer.mark())
 
     @property
     def organisations_above_share(self) -> int:
--- a/ragwortshelf/scheduler/term_writer.py
+++ b/ragwortshelf/scheduler/term_writer.py
@@ -10,7 +10,14 @@
 from ..core.scheduling.job_table import JobTable
 from ..core.scheduling.model import UnitKey, UnitPhase
 from ..core.scheduling.record_codec import encode_record
-from ..core.scheduling.records import Record, TermClock, TermHeld, UnitCrashes
+from ..core.scheduling.records import (
+    LeasesEnd,
+    LeasesResumed,
+    Record,
+    TermClock,
+    TermHeld,
+    UnitCrashes,
+)
 from ..daemon.logs import log_event, log_failure
 from .clock import boot_ms, wall_ms
 from .interfaces import (
@@ -91,6 +98,21 @@
         self._added_count += 1
         self._wake_event.set()
 
+    def withdraw_leases_end(self, endpoint_id: str) -> bool:
+        """Withdraw the note of the end of leases on an endpoint if it was not sent.
+
+        Returns whether it was queued; the log is not needed then.
+        """
+        is_queued = False
+        for index, action in enumerate(self._waiting):
+            match action:
+                case PersistEvidence(LeasesEnd(endpoint_id=noted_id)):
+                    if noted_id == endpoint_id:
+                        resumed = PersistEvidence(LeasesResumed(noted_id), "withdrawn")
+                        self._waiting[index] = resumed
+                        is_queued = True
+        return is_queued
+
     def resign(self) -> None:
         """Write the queued actions and, in the last append, the resignation."""
         self._is_resigning = True
--- a/tests/scheduler/test_leases_across_takeovers.py
+++ b/tests/scheduler/test_leases_across_takeovers.py
@@ -329,3 +329,23 @@
         await cluster.lose()
         await cluster.wait_for_second_start(LIMIT_MS)
         nursery.cancel_scope.cancel()
+
+
+# Guards against leases that run out in an outage of the log: a session that lost contact
+# for a moment meanwhile waited for the log before it extended them.
+async def test_a_moment_without_contact_in_an_outage_of_the_log_costs_no_run(
+    autojump_clock,
+):
+    cluster = _Loss(instances=1)
+    async with trio.open_nursery() as nursery:
+        await cluster.run(nursery)
+        holder = cluster.holder
+        faults_of(holder).store = "silent"
+        await trio.sleep(0.5)
+        await cluster.lose()
+        cluster.lost.is_disconnected = False
+        await trio.sleep(6)
+        faults_of(holder).store = ""
+        await trio.sleep(8)
+        assert len(cluster.starts()) == 1
+        nursery.cancel_scope.cancel()
