Name the bound of leases in any incarnation by what it bounds

Cause: 'unlisted' stood for endpoints that are missing from the endpoint log and for runs that no list has shown.

Change: any_leases_expiry_ms, earlier_any_expiry_ms, and any_lease_ms in the log line endpoint_lost.

Conclusion: no decision changes.

--- a/ragwortshelf/scheduler/endpoint_session.py
+++ b/ragwortshelf/scheduler/endpoint_session.py
@@ -98,7 +98,7 @@
     The session records the latest lease deadline that it has sent, on the endpoint's
     clock, and in ``lease_expiry_ms`` the local time by which all leases of the known
     incarnation have certainly expired. ``earlier_leases_expiry_ms`` and, in whichever
-    incarnation, ``earlier_unlisted_expiry_ms`` (local times) bound the leases granted
+    incarnation, ``earlier_any_expiry_ms`` (local times) bound the leases granted
     in earlier terms, or by an earlier session.
     ``known_started_wall_ms`` is the incarnation that those knew, 0 if none, and
     ``are_earlier_calls_fenced`` whether it refuses calls sent to one before it.
@@ -110,7 +110,7 @@
     lease. So the session raises its fencing token above those sent before, to what
     ``next_token`` returns, and uses the endpoint once an answer shows that it refuses
     the lower ones. An incarnation that is not known yet may even have received the
-    newest calls; ``unlisted_leases_expiry_ms`` bounds leases there.
+    newest calls; ``any_leases_expiry_ms`` bounds leases there.
 
     While ``may_order`` returns False nothing is sent: a process that was paused may
     have lost the role meanwhile. While ``may_extend_lease`` returns False, renewals
@@ -146,7 +146,7 @@
         next_token: Callable[[int], Awaitable[int]],
         token: int,
         earlier_leases_expiry_ms: int,
-        earlier_unlisted_expiry_ms: int,
+        earlier_any_expiry_ms: int,
         are_leases_ending: bool,
         known_started_wall_ms: int,
         are_earlier_calls_fenced: bool,
@@ -170,7 +170,7 @@
         # Bounds leases that are not due to a deadline on the present clock.
         self._earlier_leases_expiry_ms = earlier_leases_expiry_ms
         self._deadline_expiry_ms = 0
-        self._call_expiry_ms = earlier_unlisted_expiry_ms
+        self._call_expiry_ms = earlier_any_expiry_ms
         self._open_calls: list[_OpenCall] = []
         self._deadline_ms: int | None = None
         self._clock: _ClockReading | None = None
@@ -192,7 +192,7 @@
         return max(self._earlier_leases_expiry_ms, self._deadline_expiry_ms)
 
     @property
-    def unlisted_leases_expiry_ms(self) -> int:
+    def any_leases_expiry_ms(self) -> int:
         """Local time by which leases have expired, whichever incarnation has them."""
         open_calls = (
             self._longest_lease_expiry_ms(call.latest_ms) for call in self._open_calls
@@ -521,7 +521,7 @@
                 endpoint=self.info.id,
                 detail=detail,
                 lease_ms=self.lease_expiry_ms - now_ms,
-                unlisted_lease_ms=self.unlisted_leases_expiry_ms - now_ms,
+                any_lease_ms=self.any_leases_expiry_ms - now_ms,
             )
             self._on_unreachable(self.info.id)
 
@@ -532,9 +532,7 @@
         """
         with scope:
             await self._report_expiry_after(lambda: self.lease_expiry_ms, False)
-            await self._report_expiry_after(
-                lambda: self.unlisted_leases_expiry_ms, True
-            )
+            await self._report_expiry_after(lambda: self.any_leases_expiry_ms, True)
 
     async def _report_expiry_after(
         self, expiry_ms: Callable[[], int], is_any_incarnation: bool
--- a/ragwortshelf/scheduler/leadership.py
+++ b/ragwortshelf/scheduler/leadership.py
@@ -255,7 +255,7 @@
         expiry_ms = monotonic_ms() + observed_boot_ms + longest_ms - boot_ms()
         return max(self._earlier_leases_expiry_ms, expiry_ms)
 
-    def _earlier_unlisted_expiry_ms_of(self, endpoint_id: str) -> int:
+    def _earlier_any_expiry_ms_of(self, endpoint_id: str) -> int:
         """Return the same for leases in any incarnation, which run on for longer.
 
         A start that was on its way may be carried out late, by an incarnation that the
@@ -279,7 +279,7 @@
                 self._scheduler.resume_leases(endpoint_id)
                 continue
             end_ms = self._earlier_leases_expiry_ms_of(endpoint_id)
-            any_end_ms = self._earlier_unlisted_expiry_ms_of(endpoint_id)
+            any_end_ms = self._earlier_any_expiry_ms_of(endpoint_id)
             if record.term != self.claim.term:
                 self._note_leases_end(endpoint_id, end_ms, any_end_ms)
             if monotonic_ms() > end_ms:
@@ -303,7 +303,7 @@
 
     def _leases_ending(self, session: EndpointSession) -> None:
         self._note_leases_end(
-            session.info.id, session.lease_expiry_ms, session.unlisted_leases_expiry_ms
+            session.info.id, session.lease_expiry_ms, session.any_leases_expiry_ms
         )
         self._dispatch()
 
@@ -380,7 +380,7 @@
     ) -> None:
         if earlier_session is None:
             expiry_ms = self._earlier_leases_expiry_ms_of(info.id)
-            unlisted_expiry_ms = self._earlier_unlisted_expiry_ms_of(info.id)
+            unlisted_expiry_ms = self._earlier_any_expiry_ms_of(info.id)
             table = self._follower.table
             are_leases_ending = info.id in table.leases_end_by_endpoint_id
             observed = self._follower.table.incarnation_by_endpoint_id.get(info.id)
@@ -388,7 +388,7 @@
             are_earlier_calls_fenced = True
         else:
             # The endpoint may run on under the leases of that session.
-            expiry_ms = earlier_session.unlisted_leases_expiry_ms
+            expiry_ms = earlier_session.any_leases_expiry_ms
             unlisted_expiry_ms = expiry_ms
             are_leases_ending = earlier_session.are_leases_ending
             known_started_wall_ms = earlier_session.started_wall_ms
@@ -412,7 +412,7 @@
             next_token=self._writer.wait_for_higher_token,
             token=token,
             earlier_leases_expiry_ms=expiry_ms,
-            earlier_unlisted_expiry_ms=unlisted_expiry_ms,
+            earlier_any_expiry_ms=unlisted_expiry_ms,
             are_leases_ending=are_leases_ending,
             known_started_wall_ms=known_started_wall_ms,
             are_earlier_calls_fenced=are_earlier_calls_fenced,
@@ -522,7 +522,7 @@
                 self._note_leases_end(
                     endpoint_id,
                     self._earlier_leases_expiry_ms_of(endpoint_id),
-                    self._earlier_unlisted_expiry_ms_of(endpoint_id),
+                    self._earlier_any_expiry_ms_of(endpoint_id),
                 )
         self._dispatch()
         log_event(
@@ -540,7 +540,7 @@
         The first is for those in its known incarnation, the second for the others.
         """
         end_ms = self._earlier_leases_expiry_ms_of(endpoint_id)
-        any_end_ms = self._earlier_unlisted_expiry_ms_of(endpoint_id)
+        any_end_ms = self._earlier_any_expiry_ms_of(endpoint_id)
         if endpoint_id in self._noted_leases_by_id:
             return end_ms, any_end_ms
         return max(end_ms, relisted_ms), max(any_end_ms, relisted_ms)
@@ -552,9 +552,9 @@
         for endpoint_id in endpoint_ids:
             session = self._session_by_id.get(endpoint_id)
             expiry_ms = (
-                session.unlisted_leases_expiry_ms
+                session.any_leases_expiry_ms
                 if session
-                else self._earlier_unlisted_expiry_ms_of(endpoint_id)
+                else self._earlier_any_expiry_ms_of(endpoint_id)
             )
             leases_ms[endpoint_id] = expiry_ms - now_ms
         return leases_ms
--- a/tests/scheduler/test_leases_across_takeovers.py
+++ b/tests/scheduler/test_leases_across_takeovers.py
@@ -331,8 +331,8 @@
         nursery.cancel_scope.cancel()
 
 
-# Guards against leases that run out in an outage of the log: a session that lost contact
-# for a moment meanwhile waited for the log before it extended them.
+# Guards against leases that run out in an outage of the log: a session that lost
+# contact for a moment meanwhile waited for the log before it extended them.
 async def test_a_moment_without_contact_in_an_outage_of_the_log_costs_no_run(
     autojump_clock,
 ):
--- a/tests/scheduler/test_observability.py
+++ b/tests/scheduler/test_observability.py
@@ -276,7 +276,7 @@
         lost.is_disconnected = True
         await trio.sleep(15)
     (row,) = lines.named("endpoint_lost")
-    assert 0 < row["lease_ms"] < row["unlisted_lease_ms"] < 11_000
+    assert 0 < row["lease_ms"] < row["any_lease_ms"] < 11_000
     first, last = lines.named("endpoint_lapsed")
     assert not first["is_any_incarnation"]
     assert (first["released"], first["kept"]) == (0, ["a" * 16 + ".0.0.0/1"])
