Believe an earlier term about whom it suspects of an endpoint's loss

Cause: whether a run had settled was lost with the holder. A successor took all that was placed within 15 s for fresh, so that it might have crashed the endpoint.

Change: a term writes whom it suspects before it notes the end of leases on an endpoint, so its successor suspects no others of that loss. Endpoints that a term finds unlisted are noted once they would be listed again.

--- a/ragwortshelf/core/scheduling/endpoint_tracking.py
+++ b/ragwortshelf/core/scheduling/endpoint_tracking.py
@@ -147,16 +147,25 @@
         if not endpoint.is_in_store and not endpoint.placement_by_task:
             self._drop_endpoint(endpoint_id)
 
-    def leases_ended(self, endpoint_id: str, end_ms: int, any_end_ms: int) -> None:
+    def leases_ended(
+        self,
+        endpoint_id: str,
+        end_ms: int,
+        any_end_ms: int,
+        now_ms: int,
+        wall_ms: int,
+    ) -> None:
         """Note that no lease is extended on an endpoint that is out of contact.
 
         Leases in its known incarnation have expired by ``end_ms``, and those in any
         incarnation by ``any_end_ms``, on the clock of the term. A successor counts from
-        there, and not from its own begin.
+        there, and not from its own begin. Nor does it suspect other units of the loss
+        than are suspected now.
         """
         endpoint = self.endpoint_by_id.get(endpoint_id)
         if endpoint is None:
             return
+        self._contact_lost(endpoint, now_ms, wall_ms)
         unlocated_runs = tuple(
             (placement.task, placement.run)
             for placement in endpoint.placements()
--- a/ragwortshelf/core/scheduling/lifecycle.py
+++ b/ragwortshelf/core/scheduling/lifecycle.py
@@ -319,11 +319,25 @@
                     # endpoint may leave for the reason of the stop.
                     is_ending = record.phase is UnitPhase.ENDING
                     placement.is_settled = (
-                        is_ending or age_ms > ADOPTED_FRESH_MS or not is_known
+                        is_ending
+                        or age_ms > ADOPTED_FRESH_MS
+                        or not is_known
+                        or self._was_loss_judged(endpoint, unit)
                     )
             if not unit.placements:
                 self._requeue(unit, now_ms, wall_ms)
 
+    def _was_loss_judged(self, endpoint: Endpoint, unit: Unit) -> bool:
+        """Whether an earlier term lost an endpoint and does not suspect a unit of that.
+
+        The term wrote which units it suspects before it noted the end of leases there.
+        """
+        leases_end = self.table.leases_end_by_endpoint_id.get(endpoint.id)
+        if leases_end is None or leases_end.term != self.term:
+            return False
+        suspected = {suspicion.incarnation for suspicion in unit.crashes.suspected}
+        return endpoint.incarnation not in suspected
+
     def _is_unlocated(self, placement: TaskPlacement) -> bool:
         """Whether an earlier term could not tell in which incarnation a run may be."""
         leases_end = self.table.leases_end_by_endpoint_id.get(placement.endpoint_id)
--- a/ragwortshelf/scheduler/leadership.py
+++ b/ragwortshelf/scheduler/leadership.py
@@ -298,7 +298,11 @@
         """Write to the log when leases end (local times) that nobody extends now."""
         term_start_ms = monotonic_ms() - self._writer.clock_ms()
         self._scheduler.leases_ended(
-            endpoint_id, end_ms - term_start_ms, any_end_ms - term_start_ms
+            endpoint_id,
+            end_ms - term_start_ms,
+            any_end_ms - term_start_ms,
+            monotonic_ms(),
+            wall_ms(),
         )
 
     def _leases_ending(self, session: EndpointSession) -> None:
@@ -492,11 +496,15 @@
         while self._directory.age_ms() is None:
             await trio.sleep(DIRECTORY_CHECK_INTERVAL_MS / 1000)
         relisted_ms = monotonic_ms() + RELISTED_MS
-        self._note_unlisted_leases()
+        self._report_unlisted_endpoints()
+        are_leases_noted = False
         # The endpoints of which leases in the known incarnation have expired.
         lapsed_ids: set[str] = set()
         while monotonic_ms() <= relisted_ms or self._unlisted_endpoint_ids():
             now_ms = monotonic_ms()
+            if now_ms > relisted_ms and not are_leases_noted:
+                are_leases_noted = True
+                self._note_unlisted_leases()
             due_ms = [now_ms + PLAN_INTERVAL_MS]
             for endpoint_id in self._unlisted_endpoint_ids():
                 end_ms, any_end_ms = self._unlisted_leases_end_ms(
@@ -514,10 +522,7 @@
 
     def _note_unlisted_leases(self) -> None:
         """Note when leases end on endpoints that have left, which nobody extends."""
-        unlisted_ids = self._unlisted_endpoint_ids()
-        if not unlisted_ids:
-            return
-        for endpoint_id in unlisted_ids:
+        for endpoint_id in self._unlisted_endpoint_ids():
             if endpoint_id not in self._noted_leases_by_id:
                 self._note_leases_end(
                     endpoint_id,
@@ -525,6 +530,11 @@
                     self._earlier_any_expiry_ms_of(endpoint_id),
                 )
         self._dispatch()
+
+    def _report_unlisted_endpoints(self) -> None:
+        unlisted_ids = self._unlisted_endpoint_ids()
+        if not unlisted_ids:
+            return
         log_event(
             "endpoints_unlisted",
             endpoints=unlisted_ids[:RUNS_LOGGED_MAX],
--- a/tests/core/scheduling/test_lifecycle.py
+++ b/tests/core/scheduling/test_lifecycle.py
@@ -1,5 +1,7 @@
 """What a term leaves behind of units whose runs end one after the other."""
 
+from dataclasses import replace
+
 from harness import SMALL, Harness
 
 from ragwortshelf.core.scheduling import Scheduler
@@ -50,3 +52,42 @@
             harness.end(endpoint_id, task, RunEnd.BROKEN)
     ended = [record for record in harness.records if record.run == 1]
     assert len(ended) <= 3
+
+
+def _succeed_after_loss(harness, endpoint_id):
+    """Lose an endpoint, note that, and return a successor that has seen its leases end.
+
+    The claim of the role holds the note on the clock of the successor's term.
+    """
+    now = harness.now
+    harness.scheduler.endpoint_unreachable(endpoint_id, now, now)
+    harness.scheduler.leases_ended(endpoint_id, 7_000, 11_000, now, now)
+    note = harness.table.leases_end_by_endpoint_id[endpoint_id]
+    harness.table.apply(replace(note, term=2))
+    successor = Scheduler(2, harness.table, harness.scheduler.configuration)
+    successor.adopt(now + 1_000, now + 1_000)
+    successor.endpoint_lease_expired(endpoint_id, now + 7_000, now + 7_000)
+    return successor
+
+
+# Guards against tasks that start one after the other, up to 21 s after the loss of
+# their endpoint: a successor suspected runs that an earlier term had seen settle.
+def test_a_successor_does_not_suspect_what_an_earlier_term_had_seen_settle():
+    harness = Harness(endpoints=1)
+    harness.submit("t", count=4)
+    harness.accept_starts()
+    harness.list("e0")
+    harness.advance(2_000)
+    harness.list("e0")
+    successor = _succeed_after_loss(harness, "e0")
+    assert len(successor.waiting) == 4
+    assert not successor.crashes.suspect_by_key
+
+
+# Guards against crashes that nobody counts: who was suspected stays so.
+def test_a_successor_suspects_what_an_earlier_term_suspected():
+    harness = Harness(endpoints=1)
+    harness.submit("t", count=2)
+    harness.accept_starts()
+    successor = _succeed_after_loss(harness, "e0")
+    assert len(successor.crashes.suspect_by_key) == 2
