Guard two more protections of leases that end

Change: tests that a start ordered again is not located, and that an endpoint is not used while the log says that its leases end.

--- a/tests/core/scheduling/test_lifecycle.py
+++ b/tests/core/scheduling/test_lifecycle.py
@@ -5,7 +5,8 @@
 from harness import SMALL, Harness
 
 from ragwortshelf.core.scheduling import Scheduler
-from ragwortshelf.core.scheduling.listings import RunEnd
+from ragwortshelf.core.scheduling.actions import StartTask
+from ragwortshelf.core.scheduling.listings import EndpointListing, RunEnd
 
 
 def _make_gang(tasks=4, endpoints=2):
@@ -91,3 +92,22 @@
     harness.accept_starts()
     successor = _succeed_after_loss(harness, "e0")
     assert len(successor.crashes.suspect_by_key) == 2
+
+
+# Guards against a task that runs twice: a successor orders a start again, which may
+# reach an incarnation that nobody knows, and takes its run for located.
+def test_a_start_that_a_successor_orders_again_is_not_located():
+    harness = Harness(endpoints=1)
+    harness.submit("t")
+    successor = Scheduler(2, harness.table, harness.scheduler.configuration)
+    successor.adopt(harness.now, harness.now)
+    endpoint = harness.scheduler.endpoint_by_id["e0"]
+    successor.endpoint_updated(endpoint.info, harness.now)
+    successor.listing_received(
+        EndpointListing("e0", 1, harness.now, (), ()), harness.now, harness.now
+    )
+    assert any(isinstance(a, StartTask) for a in successor.take_actions())
+    successor.endpoint_lease_expired("e0", harness.now, harness.now, False)
+    assert not successor.waiting
+    successor.endpoint_lease_expired("e0", harness.now, harness.now, True)
+    assert len(successor.waiting) == 1
--- a/tests/scheduler/test_leases_across_takeovers.py
+++ b/tests/scheduler/test_leases_across_takeovers.py
@@ -349,3 +349,25 @@
         await trio.sleep(8)
         assert len(cluster.starts()) == 1
         nursery.cancel_scope.cancel()
+
+
+# Guards against runs of which a successor does not know that they may be in another
+# incarnation: they were started while the log still said that leases end there.
+async def test_an_endpoint_is_not_used_while_the_log_says_that_its_leases_end(
+    autojump_clock,
+):
+    cluster = _Loss(instances=1)
+    async with trio.open_nursery() as nursery:
+        await cluster.run(nursery)
+        await cluster.lose()
+        holder = cluster.holder
+        faults_of(holder).store = "silent"
+        cluster.lost.is_disconnected = False
+        scheduler = holder.election.leadership._scheduler
+        endpoint = scheduler.endpoint_by_id[cluster.lost.info.id]
+        await trio.sleep(3)
+        assert not endpoint.is_reachable
+        faults_of(holder).store = ""
+        await trio.sleep(2)
+        assert endpoint.is_reachable
+        nursery.cancel_scope.cancel()
