Say whose reservations keep a unit out, and since when its service is idle

`unit_waits` lines with the cause `reserved` did not say which units hold the room, for how long, and whether it is theirs alone, nor since when the scheduler counts the service as idle. So a wait for one gang could not be told from waits for several in series, nor from a clock that begins anew.

The line now has `idle_ms`, `reserved_ms_by_unit` (the five that end last) and `exclusive_to`. No decision changes.

--- a/ragwortshelf/core/scheduling/actions.py
+++ b/ragwortshelf/core/scheduling/actions.py
@@ -216,18 +216,30 @@
     STOPPING = "stopping"
 
 
+@dataclass(frozen=True, slots=True)
+class ReservationHold:
+    """A reservation that denies its room to another unit until ``until_ms``."""
+
+    holder: UnitKey
+    until_ms: int
+    is_exclusive: bool
+
+
 @dataclass(frozen=True, slots=True)
 class ReportIdleWait:
     """Report that a unit has waited for ``waited_ms`` on a service that is mostly idle.
 
     It stands for all units of its step that wait. ``endpoint_ids`` are the endpoints of
-    its runs that do not answer.
+    its runs that do not answer, and ``reserved_by`` what keeps it out of reserved room.
+    ``idle_since_ms`` is since when the service counts as idle, if it does.
     """
 
     unit_key: UnitKey
     cause: WaitCause
     waited_ms: int
     endpoint_ids: tuple[str, ...] = ()
+    reserved_by: tuple[ReservationHold, ...] = ()
+    idle_since_ms: int | None = None
 
 
 Action = (
--- a/ragwortshelf/core/scheduling/endpoint_selection.py
+++ b/ragwortshelf/core/scheduling/endpoint_selection.py
@@ -4,7 +4,7 @@
 
 from collections.abc import Callable
 
-from .actions import WaitCause
+from .actions import ReservationHold, WaitCause
 from .endpoint import Endpoint
 from .free_room import FreeRoom
 from .idle_services import IDLE_WAIT_MAX_MS, IdleServices
@@ -225,11 +225,19 @@
 
     def is_closed_idle_service(self, unit: Unit) -> bool:
         """Whether a unit's service is idle, and its reserved room is not open now."""
-        service = self._scheduler.service_of(unit)
-        if self._idle_services.since_ms(service) is None:
+        if self.idle_since_ms(unit) is None:
             return False
+        service = self._scheduler.service_of(unit)
         return not self._idle_services.is_open(service, self._now_ms)
 
+    def idle_since_ms(self, unit: Unit) -> int | None:
+        """Return since when a unit's service counts as idle; None if it does not."""
+        return self._idle_services.since_ms(self._scheduler.service_of(unit))
+
+    def holds_against(self, unit: Unit) -> tuple[ReservationHold, ...]:
+        """Return the reservations that keep a unit out of reserved room."""
+        return self._reservations.holds_against(unit)
+
     def _allowed(self, unit: Unit, candidates: list[Endpoint]) -> list[Endpoint]:
         """Return the candidates that the policy service has approved."""
         return self._scheduler.advice.with_ticket(unit, candidates, self._now_ms)
@@ -345,7 +353,7 @@
         if unit.step.is_long_running:
             # The platform judges its waits alike however full the service is.
             return waited_ms >= IDLE_WAIT_MAX_MS
-        idle_since_ms = self._idle_services.since_ms(self._scheduler.service_of(unit))
+        idle_since_ms = self.idle_since_ms(unit)
         if idle_since_ms is not None:
             idle_ms = self._now_ms - idle_since_ms
             if min(waited_ms, idle_ms) >= IDLE_WAIT_MAX_MS:
--- a/ragwortshelf/core/scheduling/idle_waits.py
+++ b/ragwortshelf/core/scheduling/idle_waits.py
@@ -32,6 +32,9 @@
 FITS_MIN = 2
 """How many times a unit must fit into the free room to count as able to run."""
 
+HOLDS_REPORTED_MAX = 5
+"""Number of reservations that a report names; those that end last."""
+
 _UNENDED_PHASES = (UnitPhase.WAITING, UnitPhase.PLACED, UnitPhase.ENDING)
 
 _StepKey = tuple[str, int, int]
@@ -75,8 +78,19 @@
                 self._report_due_ms_by_step[step_key] = now_ms + REPORT_INTERVAL_MS
                 cause = self._cause(unit, now_ms)
                 waited_ms = now_ms - since_ms
-                lost_ids = self._lost_endpoint_ids(unit)
-                reports.append(ReportIdleWait(unit.key, cause, waited_ms, lost_ids))
+                holds = ()
+                if cause is WaitCause.RESERVED:
+                    holds = self._selector.holds_against(unit)[:HOLDS_REPORTED_MAX]
+                reports.append(
+                    ReportIdleWait(
+                        unit.key,
+                        cause,
+                        waited_ms,
+                        endpoint_ids=self._lost_endpoint_ids(unit),
+                        reserved_by=holds,
+                        idle_since_ms=self._selector.idle_since_ms(unit),
+                    )
+                )
         return reports
 
     def _waiting_on_idle_services(self) -> dict[_StepKey, Unit]:
--- a/ragwortshelf/core/scheduling/reservations.py
+++ b/ragwortshelf/core/scheduling/reservations.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from .actions import ReservationHold
 from .endpoint import Endpoint
 from .idle_services import IDLE_WAIT_MAX_MS, IdleServices
 from .model import Resources, UnitKey, UnitPhase
@@ -182,6 +183,17 @@
                 room = room.plus(reservation.resources_by_id[endpoint.id], -1)
         return room
 
+    def holds_against(self, unit: Unit) -> tuple[ReservationHold, ...]:
+        """Return the reservations that keep a unit out, those that end last first."""
+        holds = [
+            ReservationHold(
+                key, reservation.until_ms, self._now_ms < reservation.exclusive_until_ms
+            )
+            for key, reservation in self._reservation_by_key.items()
+            if key != unit.key and self._excludes(reservation, unit)
+        ]
+        return tuple(sorted(holds, key=lambda hold: -hold.until_ms))
+
     def _excludes(self, reservation: _Reservation, unit: Unit) -> bool:
         """Whether a unit may not use reserved room.
 
--- a/ragwortshelf/scheduler/leadership.py
+++ b/ragwortshelf/scheduler/leadership.py
@@ -588,6 +588,30 @@
             with trio.move_on_after(self._plan_wait_ms() / 1000):
                 await self._plan_event.wait()
 
+    def _report_idle_wait(self, wait: ReportIdleWait) -> None:
+        self._metrics.count("idle_waits_total", cause=wait.cause.value)
+        idle_ms = None
+        if wait.idle_since_ms is not None:
+            idle_ms = monotonic_ms() - wait.idle_since_ms
+        log_event(
+            "unit_waits",
+            job=wait.unit_key.job_id,
+            unit="/".join(map(str, wait.unit_key[1:])),
+            cause=wait.cause.value,
+            waited_ms=wait.waited_ms,
+            leases_ms_by_endpoint=self._leases_ms_by_endpoint(wait.endpoint_ids),
+            idle_ms=idle_ms,
+            reserved_ms_by_unit={
+                "/".join(map(str, hold.holder)): hold.until_ms - monotonic_ms()
+                for hold in wait.reserved_by
+            },
+            exclusive_to=[
+                "/".join(map(str, hold.holder))
+                for hold in wait.reserved_by
+                if hold.is_exclusive
+            ],
+        )
+
     def _plan_wait_ms(self) -> int:
         due = self._scheduler.next_due_wall_ms
         if due is None:
@@ -627,17 +651,7 @@
                         suspects=["/".join(map(str, key)) for key in action.suspects],
                     )
                 case ReportIdleWait():
-                    self._metrics.count("idle_waits_total", cause=action.cause.value)
-                    log_event(
-                        "unit_waits",
-                        job=action.unit_key.job_id,
-                        unit="/".join(map(str, action.unit_key[1:])),
-                        cause=action.cause.value,
-                        waited_ms=action.waited_ms,
-                        leases_ms_by_endpoint=self._leases_ms_by_endpoint(
-                            action.endpoint_ids
-                        ),
-                    )
+                    self._report_idle_wait(action)
                 case ReportSpeed():
                     log_event(
                         "speed_learned",
--- a/tests/core/scheduling/test_idle_waits.py
+++ b/tests/core/scheduling/test_idle_waits.py
@@ -32,6 +32,10 @@
     unit = next(u for u in harness.scheduler.waiting.values() if u.priority == 2)
     selector = harness.scheduler._planner._selector
     assert selector.misfit_cause(unit) is WaitCause.RESERVED
+    (hold,) = selector.holds_against(unit)
+    assert (hold.holder.job_id, hold.is_exclusive) == ("b", False)
+    assert harness.now < hold.until_ms <= harness.now + 2_000
+    assert selector.idle_since_ms(unit) <= harness.now - 1_000
     # Reservations end before the wait is long enough for a report.
     harness.wait(2_000)
     assert [start.unit_key.job_id for start in harness.starts] == ["d"]
--- a/tests/scheduler/test_observability.py
+++ b/tests/scheduler/test_observability.py
@@ -284,6 +284,8 @@
     wait = lines.named("unit_waits")[0]
     assert wait["cause"] == "out_of_contact"
     assert list(wait["leases_ms_by_endpoint"]) == [lost.info.id]
+    assert wait["idle_ms"] >= wait["waited_ms"]
+    assert (wait["reserved_ms_by_unit"], wait["exclusive_to"]) == ({}, [])
 
 
 async def test_the_wait_for_leases_of_earlier_terms_is_reported(autojump_clock, lines):
