--- a/tests/core/scheduling/harness.py
+++ b/tests/core/scheduling/harness.py
@@ -182,3 +182,29 @@
     def advance(self, ms):
         self.now += ms
         self.plan()
+
+
+class Fleet(Harness):
+    """Lists all endpoints and carries out stops while time passes."""
+
+    def wait(self, ms, interval_ms=250):
+        for _ in range(ms // interval_ms):
+            self.now += interval_ms
+            for endpoint_id, endpoint in self.scheduler.endpoint_by_id.items():
+                percent = {
+                    task: (self.now - placement.ordered_ms) / 600
+                    for task, placement in endpoint.placement_by_task.items()
+                }
+                self.list(endpoint_id, percent=percent)
+            self.obey_stops()
+
+    def end_runs_of(self, length_ms):
+        """End the runs that have taken this long."""
+        for endpoint_id, endpoint in self.scheduler.endpoint_by_id.items():
+            for task, placement in list(endpoint.placement_by_task.items()):
+                is_over = self.now - placement.ordered_ms >= length_ms
+                if is_over and task in self.running[endpoint_id]:
+                    self.end(endpoint_id, task)
+
+    def started_jobs(self):
+        return {order.unit_key.job_id for order in self.starts}
--- a/tests/core/scheduling/test_reservations.py
+++ b/tests/core/scheduling/test_reservations.py
@@ -5,7 +5,7 @@
 from unittest import mock
 
 import pytest
-from harness import SMALL, Harness
+from harness import SMALL, Fleet
 from hypothesis import Phase, given, settings
 from hypothesis import strategies as st
 
@@ -22,37 +22,11 @@
 """Longest wait on an idle service that the platform allows."""
 
 
-class _Fleet(Harness):
-    """Lists all endpoints while time passes."""
-
-    def wait(self, ms, interval_ms=250):
-        for _ in range(ms // interval_ms):
-            self.now += interval_ms
-            for endpoint_id, endpoint in self.scheduler.endpoint_by_id.items():
-                percent = {
-                    task: (self.now - placement.ordered_ms) / 600
-                    for task, placement in endpoint.placement_by_task.items()
-                }
-                self.list(endpoint_id, percent=percent)
-            self.obey_stops()
-
-    def end_runs_of(self, length_ms):
-        """End the runs that have taken this long."""
-        for endpoint_id, endpoint in self.scheduler.endpoint_by_id.items():
-            for task, placement in list(endpoint.placement_by_task.items()):
-                is_over = self.now - placement.ordered_ms >= length_ms
-                if is_over and task in self.running[endpoint_id]:
-                    self.end(endpoint_id, task)
-
-    def started_jobs(self):
-        return {order.unit_key.job_id for order in self.starts}
-
-
 # Guards against small work that waits on an idle service for as long as the last run
 # takes that is in the way of a gang.
 @pytest.mark.parametrize("queue", ["p1", "p2"])
 def test_small_work_waits_no_longer_than_allowed_behind_a_reservation(queue):
-    fleet = _Fleet(endpoints=4, guaranteed=0)
+    fleet = Fleet(endpoints=4, guaranteed=0)
     fleet.submit("last", "p1", estimate_ms=60_000)
     fleet.accept_starts()
     fleet.submit("gang", "p1", "b", count=4, request=WHOLE, is_gang=True)
@@ -64,7 +38,7 @@
 # Guards against reservations that expire one after the other, so that at no time enough
 # of the room is open.
 def test_all_reservations_of_an_idle_service_are_open_at_the_same_time():
-    fleet = _Fleet(endpoints=6, racks=2, guaranteed=0)
+    fleet = Fleet(endpoints=6, racks=2, guaranteed=0)
     for rack in ("r0", "r1"):
         fleet.submit(f"last-{rack}", required_label=rack, estimate_ms=60_000)
     fleet.accept_starts()
@@ -83,7 +57,7 @@
 # Guards against room that is reserved for a gang although lasting work keeps the rest
 # of it for good, which shut out all later work (case 5 of the review).
 def test_room_that_lasting_work_occupies_is_not_awaited():
-    fleet = _Fleet(endpoints=4, guaranteed=0)
+    fleet = Fleet(endpoints=4, guaranteed=0)
     three = Resources(3_000, 1_000, 3)
     fleet.submit(
         "lasting",
@@ -103,7 +77,7 @@
 # Guards against lasting work that waits behind a reservation on a service that is more
 # than half in use, where its wait counts as well.
 def test_lasting_work_does_not_wait_behind_a_reservation_on_a_busy_service():
-    fleet = _Fleet(endpoints=4, guaranteed=0)
+    fleet = Fleet(endpoints=4, guaranteed=0)
     fleet.submit("long", count=3, request=WHOLE, is_gang=True, estimate_ms=60_000)
     fleet.accept_starts()
     fleet.submit("gang", "p1", "b", count=4, request=WHOLE, is_gang=True)
@@ -118,7 +92,7 @@
 # Guards against room that stays exclusive to a guaranteed gang for as long as a run
 # that is being stopped does not end.
 def test_room_is_exclusive_to_a_guaranteed_unit_for_a_short_time_only():
-    fleet = _Fleet(endpoints=3, guaranteed=24)
+    fleet = Fleet(endpoints=3, guaranteed=24)
     fleet.submit("last", "p2", "b", request=WHOLE, estimate_ms=60_000)
     fleet.accept_starts()
     gang = {"count": 3, "request": WHOLE, "is_gang": True}
@@ -136,7 +110,7 @@
 
 # Guards against a gang that waits for a rack although the fleet is idle.
 def test_a_gang_leaves_its_rack_where_the_wait_would_be_too_long():
-    fleet = _Fleet(endpoints=8, racks=4, guaranteed=0)
+    fleet = Fleet(endpoints=8, racks=4, guaranteed=0)
     for n in range(4):
         fleet.submit(f"last{n}", required_label=f"r{n}", estimate_ms=60_000)
     fleet.accept_starts()
@@ -153,7 +127,7 @@
 @pytest.mark.parametrize("queue", ["p1", "p2"])
 @pytest.mark.parametrize("small_ms", [700, 10_000])
 def test_a_large_gang_starts_in_the_end_on_an_idle_service(queue, small_ms):
-    fleet = _Fleet(endpoints=4, guaranteed=0)
+    fleet = Fleet(endpoints=4, guaranteed=0)
     fleet.now = 10_000
     fleet.submit("s", "p2", "c", fleet.now, estimate_ms=small_ms)
     fleet.accept_starts()
