Bound all waits of work that could run on an idle service together

Each wait had an end of its own, and the next began after it: for one rack, for the next opening of reserved room, and all of them anew each time half of the service is in use for a moment.

`StartDeadlines` holds one deadline for each step that could run on an idle service while nothing of its job runs: 2 s from when `IdleWaitMonitor` first sees it wait, whatever it waits for, and also if the service is not idle for less than 1 s in between. An overdue unit waits for no rack, and reservations that are not exclusive do not keep it out. Of a step of single tasks one starts so; the others may wait.

Openings stay as they are: they let most of those who wait in earlier, and the room of a large gang may gather between them. What is overdue has missed them.

--- a/ragwortshelf/core/scheduling/endpoint_selection.py
+++ b/ragwortshelf/core/scheduling/endpoint_selection.py
@@ -13,6 +13,7 @@
 from .reservations import UnitReservations
 from .speed_belief import SpeedClass
 from .speed_needs import is_too_slow, preferred_classes, speed_class, speed_needed
+from .start_deadlines import StartDeadlines
 from .unit import Unit
 
 __all__ = ["EndpointSelector"]
@@ -36,10 +37,12 @@
         scheduler: UnitLifecycle,
         reservations: UnitReservations,
         idle_services: IdleServices,
+        deadlines: StartDeadlines,
     ):
         self._scheduler = scheduler
         self._reservations = reservations
         self._idle_services = idle_services
+        self._deadlines = deadlines
         self.usable: list[Endpoint] = []
         self._free_room = FreeRoom(())
         self._eligible_by_need: dict[tuple[str, str], list[Endpoint]] = {}
@@ -142,6 +145,7 @@
             frozenset(unit.avoided_ids),
             self._needs_proof(unit),
             needs_rack and self._has_waited_for_rack(unit),
+            self._is_overdue(unit),
         )
 
     def find_free_room(
@@ -348,7 +352,12 @@
         can_fail = unit.step.is_long_running or self._scheduler.attempts_left(unit) > 1
         return unit.count == 1 and can_fail and not endpoint.is_on_trial()
 
+    def _is_overdue(self, unit: Unit) -> bool:
+        return self._deadlines.is_overdue(unit, self._scheduler.service_of(unit))
+
     def _has_waited_for_rack(self, unit: Unit) -> bool:
+        if self._is_overdue(unit):
+            return True
         waited_ms = self._now_ms - unit.waiting_since_ms
         if unit.step.is_long_running:
             # The platform judges its waits alike however full the service is.
--- a/ragwortshelf/core/scheduling/idle_waits.py
+++ b/ragwortshelf/core/scheduling/idle_waits.py
@@ -15,6 +15,7 @@
 from .idle_services import find_idle_services
 from .lifecycle import UnitLifecycle
 from .model import UnitPhase
+from .start_deadlines import StartDeadlines
 from .task_placement import RunStage
 from .unit import Unit
 
@@ -41,15 +42,21 @@
 
 
 class IdleWaitMonitor:
-    """Notes since when steps wait on an idle service.
+    """Notes since when steps wait on an idle service, and by when they are to start.
 
     Only jobs of which nothing runs count, so that a step whose tasks start one after
     the other is not reported.
     """
 
-    def __init__(self, scheduler: UnitLifecycle, selector: EndpointSelector):
+    def __init__(
+        self,
+        scheduler: UnitLifecycle,
+        selector: EndpointSelector,
+        deadlines: StartDeadlines,
+    ):
         self._scheduler = scheduler
         self._selector = selector
+        self._deadlines = deadlines
         self._since_ms_by_step: dict[_StepKey, int] = {}
         self._report_due_ms_by_step: dict[_StepKey, int] = {}
         self._next_check_ms = 0
@@ -65,6 +72,7 @@
             return []
         self._next_check_ms = now_ms + CHECK_INTERVAL_MS
         unit_by_step = self._waiting_on_idle_services()
+        self._deadlines.note_waiting(unit_by_step, now_ms)
         for step_key in self._since_ms_by_step.keys() - unit_by_step.keys():
             del self._since_ms_by_step[step_key]
             self._report_due_ms_by_step.pop(step_key, None)
--- a/ragwortshelf/core/scheduling/planning.py
+++ b/ragwortshelf/core/scheduling/planning.py
@@ -15,6 +15,7 @@
 from .reservations import UnitReservations
 from .room_reserving import RoomReserver
 from .share_accounts import ShareAccounts
+from .start_deadlines import StartDeadlines
 from .stop_costs import StopCosts
 from .stragglers import StragglerMover
 from .unit import Unit
@@ -30,9 +31,10 @@
     def __init__(self, scheduler: UnitLifecycle):
         self._scheduler = scheduler
         self._idle_services = IdleServices()
-        self._reservations = UnitReservations(self._idle_services)
+        self._deadlines = StartDeadlines(self._idle_services)
+        self._reservations = UnitReservations(self._idle_services, self._deadlines)
         self._selector = EndpointSelector(
-            scheduler, self._reservations, self._idle_services
+            scheduler, self._reservations, self._idle_services, self._deadlines
         )
         self._accounts = ShareAccounts()
         self._costs = StopCosts(self._accounts)
@@ -43,7 +45,7 @@
         )
         self._reserver = RoomReserver(*common, self._accounts)
         self._had_misfit = False
-        self.idle_waits = IdleWaitMonitor(scheduler, self._selector)
+        self.idle_waits = IdleWaitMonitor(scheduler, self._selector, self._deadlines)
         self.straggler_mover = StragglerMover(scheduler, self._selector)
         self._evacuation_mover = EvacuationMover(
             scheduler, self._reservations, self._selector
@@ -67,6 +69,7 @@
         ]
         self._scheduler.suspicion.lapse(usable, now_ms)
         self._idle_services.begin(self._scheduler.endpoint_by_id.values(), now_ms)
+        self._deadlines.begin(now_ms)
         self._reservations.begin(now_ms)
         self._selector.begin(usable, now_ms, wall_ms)
         self._evacuation_mover.begin(now_ms)
@@ -179,6 +182,7 @@
             self._scheduler.place(
                 unit, endpoints, self._now_ms, self._wall_ms, standing
             )
+            self._deadlines.unit_placed(unit)
             self._selector.room_changed(endpoints)
             return
         unplaceable_shapes.add(shape)
--- a/ragwortshelf/core/scheduling/reservations.py
+++ b/ragwortshelf/core/scheduling/reservations.py
@@ -7,6 +7,7 @@
 from .idle_services import IDLE_WAIT_MAX_MS, IdleServices
 from .model import Resources, UnitKey, UnitPhase
 from .reclaim import EndpointReclaimPlan
+from .start_deadlines import StartDeadlines
 from .unit import Unit
 
 __all__ = ["UnitReservations"]
@@ -62,13 +63,14 @@
     """At most one reservation for each unit, in force until its own deadline.
 
     On an idle service they end at the next opening (see `IdleServices`), and exclusive
-    ones for good once they are no longer exclusive. A long-running unit is kept out for
-    a short time only however full the service is, as the platform judges its waits
-    alike.
+    ones for good once they are no longer exclusive. Those that are not exclusive keep
+    no overdue unit out (see `StartDeadlines`). A long-running unit is kept out for a
+    short time only however full the service is, as the platform judges its waits alike.
     """
 
-    def __init__(self, idle_services: IdleServices) -> None:
+    def __init__(self, idle_services: IdleServices, deadlines: StartDeadlines) -> None:
         self._idle_services = idle_services
+        self._deadlines = deadlines
         self._reservation_by_key: dict[UnitKey, _Reservation] = {}
         self._by_endpoint_id: dict[str, dict[UnitKey, _Reservation]] = {}
         self._now_ms = 0
@@ -208,4 +210,6 @@
         waited_ms = self._now_ms - unit.waiting_since_ms
         if unit.step.is_long_running and waited_ms >= IDLE_WAIT_MAX_MS:
             return False
+        if self._deadlines.is_overdue(unit, reservation.service):
+            return False
         return reservation.unit.order_key <= unit.order_key
--- a/tests/core/scheduling/test_idle_room.py
+++ b/tests/core/scheduling/test_idle_room.py
@@ -60,8 +60,8 @@
     assert fleet.now - begin_ms <= RULE_WAIT_MAX_MS
 
 
-# Guards against accepted work that is LOST because its wait for reserved room begins anew
-# when half of the service is in use for a moment.
+# Guards against accepted work that is LOST because its wait for room begins anew
+# each time half of the service is in use for a moment.
 def test_a_wait_goes_on_after_a_moment_in_which_the_service_is_not_idle():
     fleet = Fleet(endpoints=4, guaranteed=0)
     fleet.submit("last", "p0", estimate_ms=60_000)
