Do not stop urgent work for long-running work that is less urgent

An urgent gang beyond its guarantee may stop a long-running unit of a lower priority.

Room is now reclaimed from urgent work beyond its guarantee for units of priority 0 alone, so who may stop whom has an order. The long-running unit waits until the gang is done, or for other room.

--- a/ragwortshelf/core/scheduling/reclaiming.py
+++ b/ragwortshelf/core/scheduling/reclaiming.py
@@ -42,7 +42,9 @@
         """Stop borrowers, those on endpoints that are fast enough if there are any."""
         if self._is_planned(unit, URGENT_RETRY_MS):
             return True
-        over_guarantee = self._find_over_guarantee()
+        # Urgent units may stop long-running ones that are less urgent. If these could
+        # stop them in turn, both would begin again and again.
+        over_guarantee = self._find_over_guarantee() if unit.priority == 0 else set()
         candidates = self._selector.reclaim_candidates(unit)
         less_urgent = partial(self._less_urgent_holder, claimant=unit)
 
