Report runs that take far longer than expected

Change: ReportOverdueRun, the line run_overdue and the gauge overdue_runs. A run is reported at three times its estimate (2 s at least) and again when its age has doubled, 8 at most in half a second. The harness of the core's tests collects the reports; no existing test or check changes.

--- a/ragwortshelf/core/scheduling/__init__.py
+++ b/ragwortshelf/core/scheduling/__init__.py
@@ -13,6 +13,7 @@
   ``room_reserving``, by the search in ``reclaim`` and the costs in ``stop_costs``;
 - ``reservations`` and ``idle_services``: for how long room is kept free for a unit;
 - ``idle_waits``: reports of work that waits although most of its service is idle;
+- ``overdue_runs``: reports of runs that take far longer than expected;
 - ``evacuation_moves`` and ``stragglers``: moves of units that run;
 - ``speed``, ``calibration``, ``stalls``, ``suspicion`` and ``crashes``: what is learned
   of endpoints, estimates and tasks;
--- a/ragwortshelf/core/scheduling/actions.py
+++ b/ragwortshelf/core/scheduling/actions.py
@@ -15,6 +15,7 @@
     UnitCrashes,
     UnitRecord,
 )
+from .task_placement import RunStage
 
 __all__ = [
     "Action",
@@ -22,6 +23,7 @@
     "EvacuationChange",
     "ReportEvacuation",
     "ReportExclusion",
+    "ReportOverdueRun",
     "ReportPlanningFault",
     "PaceTask",
     "PersistEvidence",
@@ -230,6 +232,33 @@
     endpoint_ids: tuple[str, ...] = ()
 
 
+@dataclass(frozen=True, slots=True)
+class ReportOverdueRun:
+    """Report a run that takes far longer than expected, and what is known of it.
+
+    Its start was ordered ``age_ms`` ago, and ``estimate_ms`` were expected;
+    ``is_resumed`` is set if it had a checkpoint to resume from. ``is_listed`` is set if
+    the endpoint's latest listing, which is ``listing_age_ms`` old, shows it as running;
+    None if there is none in this term. ``progress_percent`` is its progress as listed
+    last, which the listings have shown unchanged for ``without_progress_ms``, and
+    ``remaining_ms`` is how much longer it is expected to run.
+    """
+
+    endpoint_id: str
+    task: str
+    run: int
+    stage: RunStage
+    age_ms: int
+    estimate_ms: int
+    is_resumed: bool
+    is_reachable: bool
+    is_listed: bool
+    listing_age_ms: int | None
+    progress_percent: float
+    without_progress_ms: int
+    remaining_ms: int
+
+
 Action = (
     AskAdvice
     | PersistEvidence
@@ -237,6 +266,7 @@
     | ReportEvacuation
     | ReportExclusion
     | ReportIdleWait
+    | ReportOverdueRun
     | ReportPlanningFault
     | ReportSpeed
     | PaceTask
--- a/ragwortshelf/core/scheduling/endpoint.py
+++ b/ragwortshelf/core/scheduling/endpoint.py
@@ -34,6 +34,7 @@
     Nothing new is placed on a cordoned endpoint, nor on one whose data centre is
     evacuated. It is cold, and slow for that reason, until ``warm_at_ms``.
     ``departure_ms`` is the earliest time at which a draining endpoint may leave.
+    ``listed_ms`` is when its latest listing of this term arrived, None before that.
     ``failed_job_ids`` holds the jobs whose runs failed here since a run was last done.
 
     ``accuser_ids`` holds the jobs whose runs failed here as soon as they started, since
@@ -58,6 +59,7 @@
         "is_evacuated",
         "is_in_store",
         "is_reachable",
+        "listed_ms",
         "placement_by_task",
         "proven_start_ms",
         "quick_failure_count",
@@ -78,6 +80,7 @@
         self.is_in_store = True
         self.is_cordoned = False
         self.is_evacuated = False
+        self.listed_ms: int | None = None
         self.warm_at_ms = 0
         self.departure_ms: int | None = None
         self.excluded_until_ms = 0
--- a/ragwortshelf/core/scheduling/endpoint_tracking.py
+++ b/ragwortshelf/core/scheduling/endpoint_tracking.py
@@ -211,6 +211,7 @@
         if endpoint.speed_belief.listed_ms is None:
             self.speed_recorder.restore(endpoint, now_ms, wall_ms)
         endpoint.is_reachable = True
+        endpoint.listed_ms = now_ms
         seen = set()
         for row in listing.finished:
             seen.add((row.task, row.run))
--- a/ragwortshelf/core/scheduling/planning.py
+++ b/ragwortshelf/core/scheduling/planning.py
@@ -11,6 +11,7 @@
 from .idle_waits import IdleWaitMonitor
 from .lifecycle import UnitLifecycle
 from .model import UnitPhase
+from .overdue_runs import OverdueRunMonitor
 from .reclaiming import GuaranteeReclaimer
 from .reservations import UnitReservations
 from .room_reserving import RoomReserver
@@ -44,6 +45,7 @@
         self._reserver = RoomReserver(*common, self._accounts)
         self._had_misfit = False
         self.idle_waits = IdleWaitMonitor(scheduler, self._selector)
+        self.overdue_runs = OverdueRunMonitor(scheduler)
         self.straggler_mover = StragglerMover(scheduler, self._selector)
         self._evacuation_mover = EvacuationMover(
             scheduler, self._reservations, self._selector
--- a/ragwortshelf/core/scheduling/scheduler.py
+++ b/ragwortshelf/core/scheduling/scheduler.py
@@ -76,6 +76,7 @@
         self._planner.run(now_ms, wall_ms)
         self._find_next_due(wall_ms)
         self._actions.extend(self._planner.idle_waits.check(now_ms))
+        self._actions.extend(self._planner.overdue_runs.check(now_ms))
         endpoints = self.endpoint_by_id.values()
         self._actions.extend(self.evacuations.check_empty(endpoints, now_ms))
         for record in self.speed_recorder.records_due(endpoints, now_ms, wall_ms):
@@ -91,6 +92,11 @@
         """Steps that wait although most of their service is idle."""
         return self._planner.idle_waits.waiting_step_count
 
+    @property
+    def overdue_run_count(self) -> int:
+        """Runs that take far longer than expected."""
+        return self._planner.overdue_runs.overdue_count
+
     def start_answered(
         self,
         endpoint_id: str,
--- a/ragwortshelf/scheduler/instance.py
+++ b/ragwortshelf/scheduler/instance.py
@@ -108,6 +108,7 @@
         gauge("log_lines_left_out", dropped_line_count)
         gauge("organisations_above_share", self._organisations_above_share)
         gauge("idle_waits", self._idle_wait_count)
+        gauge("overdue_runs", self._overdue_run_count)
         gauge("evacuated_data_centres", lambda: len(self.configuration.evacuations()))
         gauge("evacuated_endpoints_busy", self._busy_evacuated_count)
         gauge("evacuation_age_ms", self._evacuation_age_ms)
@@ -116,6 +117,10 @@
         leadership = self.election.leadership
         return leadership.idle_wait_count if leadership else 0
 
+    def _overdue_run_count(self) -> int:
+        leadership = self.election.leadership
+        return leadership.overdue_run_count if leadership else 0
+
     def _busy_evacuated_count(self) -> int:
         leadership = self.election.leadership
         return leadership.busy_evacuated_count() if leadership else 0
--- a/ragwortshelf/scheduler/leadership.py
+++ b/ragwortshelf/scheduler/leadership.py
@@ -16,6 +16,7 @@
     ReportEvacuation,
     ReportExclusion,
     ReportIdleWait,
+    ReportOverdueRun,
     ReportPlanningFault,
     ReportSpeed,
     StopTask,
@@ -329,6 +330,11 @@
         """Steps that wait although most of their service is idle."""
         return self._scheduler.idle_wait_count
 
+    @property
+    def overdue_run_count(self) -> int:
+        """Runs that take far longer than expected."""
+        return self._scheduler.overdue_run_count
+
     # Changes of the log and the configuration.
 
     def _job_changed(self, job_id: str) -> None:
@@ -638,6 +644,23 @@
                             action.endpoint_ids
                         ),
                     )
+                case ReportOverdueRun():
+                    log_event(
+                        "run_overdue",
+                        task=action.task,
+                        run=action.run,
+                        endpoint=action.endpoint_id,
+                        stage=action.stage.value,
+                        age_ms=action.age_ms,
+                        estimate_ms=action.estimate_ms,
+                        is_resumed=action.is_resumed,
+                        is_reachable=action.is_reachable,
+                        is_listed=action.is_listed,
+                        listing_age_ms=action.listing_age_ms,
+                        progress_percent=action.progress_percent,
+                        without_progress_ms=action.without_progress_ms,
+                        remaining_ms=action.remaining_ms,
+                    )
                 case ReportSpeed():
                     log_event(
                         "speed_learned",
--- a/tests/core/scheduling/harness.py
+++ b/tests/core/scheduling/harness.py
@@ -11,6 +11,7 @@
 from ragwortshelf.core.scheduling.actions import (
     PersistUnit,
     ReportIdleWait,
+    ReportOverdueRun,
     StartTask,
     StopTask,
 )
@@ -61,6 +62,7 @@
         self.stops = []
         self.records = []
         self.idle_waits = []
+        self.overdue_runs = []
         for n in range(endpoints):
             self.add_endpoint(f"e{n}", f"r{n % racks}", gpus)
 
@@ -118,6 +120,8 @@
                 self.records.append(action.record)
             elif isinstance(action, ReportIdleWait):
                 self.idle_waits.append(action)
+            elif isinstance(action, ReportOverdueRun):
+                self.overdue_runs.append(action)
 
     def accept_starts(self):
         """Confirm all ordered starts."""
--- a/tests/scheduler/test_observability.py
+++ b/tests/scheduler/test_observability.py
@@ -286,6 +286,24 @@
     assert list(wait["leases_ms_by_endpoint"]) == [lost.info.id]
 
 
+async def test_an_overdue_run_is_reported_and_counted(autojump_clock, lines):
+    platform = make_platform(1)
+    (instance,) = make_instances(platform, 1)
+    platform.endpoint_by_id["e0"].work_ms = 60_000
+    async with running(instance):
+        await trio.sleep(1)
+        await submit(instance, make_job("a" * 16, count=1))
+        await trio.sleep(4)
+        gauge = "ragwortshelf_overdue_runs"
+        assert _samples(instance.metrics.text(), "overdue_runs") == [f"{gauge} 1"]
+    row = lines.named("run_overdue")[0]
+    assert (row["task"], row["run"]) == ("a" * 16 + ".0.0.0", 1)
+    assert row["age_ms"] >= 3 * row["estimate_ms"] > 0
+    assert row["stage"] == "running"
+    assert row["is_reachable"]
+    assert row["is_listed"]
+
+
 async def test_the_wait_for_leases_of_earlier_terms_is_reported(autojump_clock, lines):
     platform = make_platform(2)
     instances = make_instances(platform, 1)
