Name the ends that a holder had not in the log when its term ended

Change: term_ended has the number of units that are done by what the holder had read and that may not be in the log, and names some.

--- a/ragwortshelf/scheduler/leadership.py
+++ b/ragwortshelf/scheduler/leadership.py
@@ -188,7 +188,14 @@
             self._follower.is_waiting_for_records = False
             self._configuration.on_change = lambda newest: None
             self._configuration.on_evacuations_change = lambda: None
-        log_event("term_ended", term=self.claim.term, reason=self.end_reason)
+        unlogged = self._writer.unconfirmed_ends()
+        log_event(
+            "term_ended",
+            term=self.claim.term,
+            reason=self.end_reason,
+            unconfirmed_ends=len(unlogged),
+            ended=[_unit_name(record.key) for record in unlogged[:RUNS_LOGGED_MAX]],
+        )
         return self.end_reason
 
     def resign(self) -> None:
@@ -713,6 +720,10 @@
         return isinstance(outcome, Appended)
 
 
+def _unit_name(key: UnitKey) -> str:
+    return "/".join(map(str, key))
+
+
 def _local_ms(time_boot_ms: int) -> int:
     """Return the local time by which a time has come that counts suspensions."""
     return monotonic_ms() + time_boot_ms - boot_ms()
--- a/ragwortshelf/scheduler/term_writer.py
+++ b/ragwortshelf/scheduler/term_writer.py
@@ -17,6 +17,7 @@
     TermClock,
     TermHeld,
     UnitCrashes,
+    UnitRecord,
 )
 from ..daemon.logs import log_event, log_failure
 from .clock import boot_ms, wall_ms
@@ -76,6 +77,8 @@
         self._table = table
         self._due_records = due_records
         self._waiting: list[PersistEvidence | PersistUnit | StartTask] = []
+        # Taken for an append that is not answered yet.
+        self._sent: list[PersistEvidence | PersistUnit | StartTask] = []
         self._wake_event = trio.Event()
         self._committed = trio.Event()
         self._added_count = 0
@@ -113,6 +116,14 @@
                         is_queued = True
         return is_queued
 
+    def unconfirmed_ends(self) -> list[UnitRecord]:
+        """Return the last records of units that are done, if they may not be logged."""
+        return [
+            action.record
+            for action in (*self._sent, *self._waiting)
+            if isinstance(action, PersistUnit) and action.record.phase is UnitPhase.DONE
+        ]
+
     def resign(self) -> None:
         """Write the queued actions and, in the last append, the resignation."""
         self._is_resigning = True
@@ -160,6 +171,7 @@
                     await self._wake_event.wait()
             self._wake_event = trio.Event()
             count, actions, entries = self._take_actions()
+            self._sent = actions
             is_last = self._is_resigning and not self._waiting
             due_entries = map(_encode, self._due_records())
             entries.extend(entry for entry in due_entries if entry is not None)
@@ -167,6 +179,7 @@
             deposed = await self._append(entries, is_last)
             if deposed is not None:
                 return f"deposed: {deposed.detail}"
+            self._sent = []
             self._finish(count, actions, on_start)
             if is_last:
                 return "resigned"
