Report when the leases of a deposed holder end

Cause: a successor counts 4 s of extensions after the last record of the holder before it, and a lease from there. The holder was deposed 1.3 s after that record and extended nothing since. It knew so, was alive, and said nothing.

Change: an instance whose term was ended without a resignation appends a report as soon as the log answers: how long the leases that it extended may last, and on which endpoints less, as of a moment before the sending. It is computed once all sessions have ended. Where a run may be in an incarnation that is not known, leases in any count. Followers keep a bound for each term, which a report can only shorten; a load of the log tells nothing of earlier terms, so the worst case remains. The holder of the role shortens its bounds, and its notes, when it reads a report. term_started and earlier_leases_shortened name the term that sets the bound.

Conclusion: the wait now ends with the lease that was given.

--- a/ragwortshelf/core/scheduling/endpoint_tracking.py
+++ b/ragwortshelf/core/scheduling/endpoint_tracking.py
@@ -166,13 +166,25 @@
         if endpoint is None:
             return
         self._contact_lost(endpoint, now_ms, wall_ms)
-        unlocated_runs = tuple(
+        unlocated_runs = self.unlocated_runs(endpoint_id)
+        record = LeasesEnd(endpoint_id, self.term, end_ms, any_end_ms, unlocated_runs)
+        self._persist_evidence(record, "out of contact")
+
+    def unlocated_runs(self, endpoint_id: str) -> tuple[tuple[str, int], ...]:
+        """Return the runs that may be in an incarnation that is not known.
+
+        They are given as task and run number.
+        """
+        return tuple(
             (placement.task, placement.run)
-            for placement in endpoint.placements()
+            for placement in self.endpoint_by_id[endpoint_id].placements()
             if placement.is_sent and not placement.is_located
         )
-        record = LeasesEnd(endpoint_id, self.term, end_ms, any_end_ms, unlocated_runs)
-        self._persist_evidence(record, "out of contact")
+
+    def busy_endpoint_ids(self) -> list[str]:
+        """Return the endpoints on which runs are placed."""
+        endpoints = self.endpoint_by_id.values()
+        return [endpoint.id for endpoint in endpoints if endpoint.placement_by_task]
 
     def listing_need(self, endpoint_id: str, now_ms: int) -> ListingNeed:
         """Return how often an endpoint's runs have to be listed.
--- a/ragwortshelf/core/scheduling/record_codec.py
+++ b/ragwortshelf/core/scheduling/record_codec.py
@@ -27,6 +27,7 @@
     TaskCrashes,
     TermClock,
     TermHeld,
+    TermReport,
     UnitCrashes,
     UnitRecord,
     UpkeepRecord,
@@ -85,6 +86,8 @@
             return leases_key(endpoint_id), cbor2.dumps(astuple(record)[1:])
         case LeasesResumed(endpoint_id):
             return leases_key(endpoint_id), b""
+        case TermReport(holder):
+            return f"t/{holder}", cbor2.dumps(astuple(record)[1:])
         case EndpointSpeeds(part, wall_ms, speeds):
             rows = [astuple(speed) for speed in speeds]
             return f"s/{part}", cbor2.dumps((wall_ms, rows))
@@ -141,6 +144,12 @@
                 return LeasesEnd(
                     rest, int(term), int(end_ms), int(any_end_ms), unlocated_runs
                 )
+            case "t":
+                term, left_ms, rows, *_ = fields
+                left_by_endpoint = tuple(
+                    (str(id_), int(left)) for id_, left, *_ in rows
+                )
+                return TermReport(rest, int(term), int(left_ms), left_by_endpoint)
             case "s":
                 wall_ms, rows, *_ = fields
                 speeds = tuple(
--- a/ragwortshelf/core/scheduling/records.py
+++ b/ragwortshelf/core/scheduling/records.py
@@ -47,6 +47,7 @@
     "TaskCrashes",
     "TermClock",
     "TermHeld",
+    "TermReport",
     "UnitCrashes",
     "UnitRecord",
     "UpkeepRecord",
@@ -129,6 +130,22 @@
     unlocated_runs: tuple[tuple[str, int], ...] = ()
 
 
+@dataclass(frozen=True, slots=True)
+class TermReport:
+    """A holder whose term has ended extends no lease, and knows when those expire.
+
+    All leases extended in the term have expired ``left_ms`` after this record was
+    encoded, and so after any read of it. ``left_ms_by_endpoint`` has those endpoints
+    on which that is sooner, as id and time left. A later record of the same holder
+    takes the place of this one.
+    """
+
+    holder: str
+    term: int
+    left_ms: int
+    left_ms_by_endpoint: tuple[tuple[str, int], ...] = ()
+
+
 @dataclass(frozen=True, slots=True)
 class LeasesResumed:
     """The holder of the role may extend leases on an endpoint again."""
@@ -269,6 +286,7 @@
     | ServiceCapacity
     | TermClock
     | TermHeld
+    | TermReport
     | UnitCrashes
     | UnitRecord
     | UpkeepRecord
--- a/ragwortshelf/scheduler/election.py
+++ b/ragwortshelf/scheduler/election.py
@@ -23,7 +23,8 @@
 from .log_follower import LogFollower, NotedLeases
 from .log_topics import LogTopics
 from .settings import SchedulingSettings
-from .term_writer import PRODUCER
+from .term_reports import TermReporter
+from .term_writer import PRODUCER, RESIGNED
 
 __all__ = ["Election"]
 
@@ -66,12 +67,14 @@
         settings: SchedulingSettings,
         follower: LogFollower,
         configuration: ConfigurationFollower,
+        term_reporter: TermReporter,
     ):
         self._adapter = adapter
         self._logs = logs
         self.settings = settings
         self._follower = follower
         self._configuration = configuration
+        self._term_reporter = term_reporter
         self._metrics = logs.metrics
         self.leadership: Leadership | None = None
         self.is_stopping = False
@@ -141,7 +144,6 @@
         follower = self._follower
         previous = follower.table.term
         # The claim succeeds only if no record has followed those that were read.
-        grants_end_boot_ms = follower.lease_grants.end_ms
         noted_leases = follower.noted_leases()
         offset = follower.next_offset
         claim = TermHeld(offset + 1, self.settings.instance, wall_ms())
@@ -179,16 +181,18 @@
             self.settings,
             follower,
             self._configuration,
-            grants_end_boot_ms,
             noted_leases,
             sequence,
         )
         try:
-            await self.leadership.run()
+            reason = await self.leadership.run()
         except Exception:
             self._note_failed_term(claim)
+            self._report_term()
         else:
             self._failed_term_count = 0
+            if reason != RESIGNED:
+                self._report_term()
         finally:
             self.leadership = None
             follower.restart()
@@ -215,6 +219,14 @@
             entries.append(entry)
         return entries
 
+    def _report_term(self) -> None:
+        """Let successors know when the leases end of the term that ended just now."""
+        try:
+            self._term_reporter.add(self.leadership.ended_term())
+        except Exception:
+            # Costs waits for leases: a successor counts as long as they can last.
+            log_failure("term_not_reported")
+
     def _note_failed_term(self, claim: TermHeld) -> None:
         """Log an unexpected error that ended a term, and pause before the next claim.
 
--- a/ragwortshelf/scheduler/endpoint_session.py
+++ b/ragwortshelf/scheduler/endpoint_session.py
@@ -167,10 +167,12 @@
         self._is_still_ordered = is_still_ordered
         self._next_token = next_token
         self._token = token
-        # Bounds leases that are not due to a deadline on the present clock.
+        # These bound leases that are not due to a deadline on the present clock.
         self._earlier_leases_expiry_ms = earlier_leases_expiry_ms
+        self._earlier_any_expiry_ms = earlier_any_expiry_ms
+        self._restart_expiry_ms = 0
         self._deadline_expiry_ms = 0
-        self._call_expiry_ms = earlier_any_expiry_ms
+        self._call_expiry_ms = 0
         self._open_calls: list[_OpenCall] = []
         self._deadline_ms: int | None = None
         self._clock: _ClockReading | None = None
@@ -182,6 +184,7 @@
         self._is_reachable = False
         self._failures = 0
         self._expiry_watch: trio.CancelScope | None = None
+        self._expiry_changed = trio.Event()
         # How often the endpoint was lost, or was found to have started anew.
         self._loss_count = 0
         self.scope = trio.CancelScope()
@@ -189,7 +192,11 @@
     @property
     def lease_expiry_ms(self) -> int:
         """Local time by which leases of the known incarnation have expired."""
-        return max(self._earlier_leases_expiry_ms, self._deadline_expiry_ms)
+        return max(
+            self._earlier_leases_expiry_ms,
+            self._restart_expiry_ms,
+            self._deadline_expiry_ms,
+        )
 
     @property
     def any_leases_expiry_ms(self) -> int:
@@ -197,7 +204,22 @@
         open_calls = (
             self._longest_lease_expiry_ms(call.latest_ms) for call in self._open_calls
         )
-        return max(self.lease_expiry_ms, self._call_expiry_ms, *open_calls)
+        return max(
+            self.lease_expiry_ms,
+            self._earlier_any_expiry_ms,
+            self._call_expiry_ms,
+            *open_calls,
+        )
+
+    def shorten_earlier_leases(self, expiry_ms: int, any_expiry_ms: int) -> None:
+        """Note that leases of earlier terms expire by then, where that is sooner.
+
+        The first time is for leases in the known incarnation, the second for any.
+        """
+        self._earlier_leases_expiry_ms = min(self._earlier_leases_expiry_ms, expiry_ms)
+        self._earlier_any_expiry_ms = min(self._earlier_any_expiry_ms, any_expiry_ms)
+        self._expiry_changed.set()
+        self._expiry_changed = trio.Event()
 
     async def run(self) -> None:
         """Renew the lease and list tasks until cancelled."""
@@ -485,7 +507,7 @@
     def _bound_earlier_leases(self, now_ms: int) -> None:
         """Allow for the longest lease by a call that was carried out by now."""
         expiry_ms = self._longest_lease_expiry_ms(now_ms)
-        self._earlier_leases_expiry_ms = max(self._earlier_leases_expiry_ms, expiry_ms)
+        self._restart_expiry_ms = max(self._restart_expiry_ms, expiry_ms)
 
     async def _raise_token(self) -> None:
         """Raise the fencing token above all that were sent before."""
@@ -538,7 +560,8 @@
         self, expiry_ms: Callable[[], int], is_any_incarnation: bool
     ) -> None:
         while (left_ms := expiry_ms() - monotonic_ms()) >= 0:
-            await trio.sleep((left_ms + 1) / 1000)
+            with trio.move_on_after((left_ms + 1) / 1000):
+                await self._expiry_changed.wait()
         while not self._report_lease_expiry(is_any_incarnation):
             await trio.sleep(RETRY_MAX_MS / 1000)
 
--- a/ragwortshelf/scheduler/instance.py
+++ b/ragwortshelf/scheduler/instance.py
@@ -19,6 +19,7 @@
 from .peer_readiness import PeerReadiness
 from .settings import SchedulingSettings
 from .supervision import run_supervised
+from .term_reports import TermReporter
 
 __all__ = ["Instance"]
 
@@ -36,8 +37,14 @@
         self.follower = LogFollower(logs.jobs, settings)
         self.writer = GroupWriter(logs.jobs, settings)
         self.configuration = ConfigurationFollower(adapter, logs.operator, settings)
+        self.term_reporter = TermReporter(logs.jobs, settings, self.follower)
         self.election = Election(
-            adapter, logs, settings, self.follower, self.configuration
+            adapter,
+            logs,
+            settings,
+            self.follower,
+            self.configuration,
+            self.term_reporter,
         )
         self.peer_readiness = PeerReadiness(
             adapter,
@@ -66,6 +73,7 @@
                 ("group writer", self.writer),
                 ("configuration", self.configuration),
                 ("election", self.election),
+                ("term reports", self.term_reporter),
                 ("peer readiness", self.peer_readiness),
             ):
                 nursery.start_soon(run_supervised, name, component.run)
@@ -78,6 +86,7 @@
             self.writer,
             self.configuration,
             self.election,
+            self.term_reporter,
             self.peer_readiness,
             self.gateway,
         ):
--- a/ragwortshelf/scheduler/leadership.py
+++ b/ragwortshelf/scheduler/leadership.py
@@ -38,6 +38,7 @@
 from .settings import SchedulingSettings
 from .start_gate import StartGate
 from .supervision import run_supervised
+from .term_reports import EndedTerm
 from .term_writer import TermWriter
 from .upkeep import UpkeepRunner
 
@@ -83,8 +84,8 @@
 
     Connects the decisions of ``Scheduler`` to the log, the endpoints and the policy
     service. ``claim`` was sent at ``claimed_boot_ms``, with ``sequence`` as its number.
-    No earlier term extends leases after ``earlier_grants_end_boot_ms``; None if there
-    was none. Those in ``noted_leases``, by endpoint, end as the last holder noted.
+    The leases in ``noted_leases``, by endpoint, end as the last holder noted. Those of
+    earlier terms on other endpoints last as long as they can by the log.
     """
 
     def __init__(
@@ -96,7 +97,6 @@
         settings: SchedulingSettings,
         follower: LogFollower,
         configuration: ConfigurationFollower,
-        earlier_grants_end_boot_ms: int | None,
         noted_leases: Mapping[str, NotedLeases],
         sequence: int,
     ):
@@ -148,10 +148,14 @@
         )
         self._plan_event = trio.Event()
         self._nursery: trio.Nursery | None = None
-        self._earlier_leases_expiry_ms = self._compute_earlier_leases_expiry_ms(
-            earlier_grants_end_boot_ms
-        )
         self._noted_leases_by_id = noted_leases
+        self._earlier_leases_expiry_ms = self._compute_earlier_leases_expiry_ms()
+        # Where that is sooner, as the holders of earlier terms reported.
+        self._earlier_leases_expiry_ms_by_id = self._compute_earlier_expiry_by_id()
+        # Endpoints whose sessions follow earlier ones of this term, and the time by
+        # which the leases of sessions without a successor have expired.
+        self._moved_ids: set[str] = set()
+        self._ended_sessions_expiry_ms = 0
         self.end_reason = ""
 
     async def run(self) -> str:
@@ -160,8 +164,10 @@
             "term_started",
             term=self.claim.term,
             earlier_leases_ms=self._earlier_leases_expiry_ms - monotonic_ms(),
+            leases_of_term=self._longest_earlier_term(),
         )
         self._follower.on_job_changed = self._job_changed
+        self._follower.on_term_report = self._earlier_term_reported
         self._follower.is_waiting_for_records = True
         self._follower.wake()
         self._configuration.on_change = self._configuration_changed
@@ -185,6 +191,7 @@
                 nursery.start_soon(self._watch_confirmation)
         finally:
             self._follower.on_job_changed = lambda job_id: None
+            self._follower.on_term_report = lambda: None
             self._follower.is_waiting_for_records = False
             self._configuration.on_change = lambda newest: None
             self._configuration.on_evacuations_change = lambda: None
@@ -239,13 +246,123 @@
             self.end_reason = reason
             self._nursery.cancel_scope.cancel()
 
-    def _compute_earlier_leases_expiry_ms(self, grants_end_boot_ms: int | None) -> int:
-        """Return the local time by which all leases of earlier terms have expired."""
-        now = monotonic_ms()
-        if grants_end_boot_ms is None:
-            return now
+    def _compute_earlier_leases_expiry_ms(self, endpoint_id: str | None = None) -> int:
+        """Return the local time by which leases of earlier terms have expired.
+
+        Those on all endpoints count, or those on one.
+        """
+        end_boot_ms = self._follower.lease_grants.leases_end_ms(
+            max_local_duration_ms(self._settings.lease_ms),
+            self.claim.term,
+            endpoint_id,
+        )
+        if end_boot_ms is None:
+            return monotonic_ms()
+        return max(monotonic_ms(), _local_ms(end_boot_ms))
+
+    def _compute_earlier_expiry_by_id(self) -> dict[str, int]:
+        return {
+            endpoint_id: self._compute_earlier_leases_expiry_ms(endpoint_id)
+            for endpoint_id in self._follower.lease_grants.endpoint_ids_with_report()
+        }
+
+    def _longest_earlier_term(self) -> int | None:
+        """Return the term whose leases last longest, 0 if it is not known."""
         lease_ms = max_local_duration_ms(self._settings.lease_ms)
-        return now + max(0, grants_end_boot_ms + lease_ms - boot_ms())
+        return self._follower.lease_grants.longest_term(lease_ms, self.claim.term)
+
+    def _earlier_bound_ms(self, endpoint_id: str) -> int:
+        """Return the local time by which leases that earlier terms extended expire."""
+        bound_ms = self._earlier_leases_expiry_ms
+        return self._earlier_leases_expiry_ms_by_id.get(endpoint_id, bound_ms)
+
+    def _earlier_term_reported(self) -> None:
+        try:
+            self._shorten_earlier_leases()
+        except Exception:
+            # Costs waits for leases, which last as long as without the report.
+            log_failure("earlier_leases_failed")
+
+    def _shorten_earlier_leases(self) -> None:
+        """Take into account when leases end that the holder of an earlier term gave."""
+        before_ms = self._earlier_leases_expiry_ms
+        expiry_ms = min(before_ms, self._compute_earlier_leases_expiry_ms())
+        self._earlier_leases_expiry_ms_by_id = {
+            endpoint_id: min(end_ms, expiry_ms, self._earlier_bound_ms(endpoint_id))
+            for endpoint_id, end_ms in (
+                self._earlier_leases_expiry_ms_by_id
+                | self._compute_earlier_expiry_by_id()
+            ).items()
+        }
+        self._earlier_leases_expiry_ms = expiry_ms
+        log_event(
+            "earlier_leases_shortened",
+            earlier_leases_ms=expiry_ms - monotonic_ms(),
+            sooner_by_ms=before_ms - expiry_ms,
+            leases_of_term=self._longest_earlier_term(),
+        )
+        for endpoint_id, session in self._session_by_id.items():
+            if endpoint_id not in self._moved_ids:
+                session.shorten_earlier_leases(
+                    self._earlier_leases_expiry_ms_of(endpoint_id),
+                    self._earlier_any_expiry_ms_of(endpoint_id),
+                )
+        self._shorten_noted_leases()
+        self._dispatch()
+
+    def _shorten_noted_leases(self) -> None:
+        """Write the notes of this term anew whose leases end sooner than they say."""
+        term_start_ms = monotonic_ms() - self._writer.clock_ms()
+        noted_by_id = self._follower.table.leases_end_by_endpoint_id
+        for endpoint_id, record in list(noted_by_id.items()):
+            end_ms, any_end_ms = self._leases_expiry_ms_of(endpoint_id)
+            is_own = (
+                record.term == self.claim.term
+                and endpoint_id not in self._noted_leases_by_id
+            )
+            if is_own and end_ms - term_start_ms < record.end_ms:
+                self._note_leases_end(endpoint_id, end_ms, any_end_ms)
+
+    def _leases_expiry_ms_of(self, endpoint_id: str) -> tuple[int, int]:
+        """Return by when leases on an endpoint have expired, of this and earlier terms.
+
+        The first time is for those in the known incarnation, the second for any.
+        """
+        session = self._session_by_id.get(endpoint_id)
+        if session is not None:
+            return session.lease_expiry_ms, session.any_leases_expiry_ms
+        return (
+            self._earlier_leases_expiry_ms_of(endpoint_id),
+            self._earlier_any_expiry_ms_of(endpoint_id),
+        )
+
+    def ended_term(self) -> EndedTerm:
+        """Return when the leases expire, once the term has ended.
+
+        A run that may be in an incarnation that is not known lasts as long as leases in
+        any incarnation.
+        """
+        since_boot_ms = boot_ms() - monotonic_ms()
+        expiry_ms_by_id = {}
+        for endpoint_id in self._scheduler.busy_endpoint_ids():
+            end_ms, any_end_ms = self._leases_expiry_ms_of(endpoint_id)
+            is_located = not self._scheduler.unlocated_runs(endpoint_id)
+            expiry_ms_by_id[endpoint_id] = end_ms if is_located else any_end_ms
+        expiry_ms = max(
+            monotonic_ms(),
+            self._ended_sessions_expiry_ms,
+            *(session.lease_expiry_ms for session in self._session_by_id.values()),
+            *expiry_ms_by_id.values(),
+        )
+        return EndedTerm(
+            self.claim.term,
+            since_boot_ms + expiry_ms,
+            {
+                endpoint_id: since_boot_ms + end_ms
+                for endpoint_id, end_ms in expiry_ms_by_id.items()
+                if end_ms < expiry_ms
+            },
+        )
 
     def _earlier_leases_expiry_ms_of(self, endpoint_id: str) -> int:
         """Return the local time by which an endpoint's earlier leases have expired.
@@ -256,11 +373,12 @@
         if noted is not None:
             return _local_ms(noted.end_boot_ms)
         observed_boot_ms = self._follower.incarnations.since_ms(endpoint_id)
+        bound_ms = self._earlier_bound_ms(endpoint_id)
         if observed_boot_ms is None:
-            return self._earlier_leases_expiry_ms
+            return bound_ms
         longest_ms = max_local_duration_ms(self._settings.lease_max_ms)
         expiry_ms = monotonic_ms() + observed_boot_ms + longest_ms - boot_ms()
-        return max(self._earlier_leases_expiry_ms, expiry_ms)
+        return max(bound_ms, expiry_ms)
 
     def _earlier_any_expiry_ms_of(self, endpoint_id: str) -> int:
         """Return the same for leases in any incarnation, which run on for longer.
@@ -268,7 +386,7 @@
         A start that was on its way may be carried out late, by an incarnation that the
         last holder got to know after its note, so the bound of all its leases counts.
         """
-        bound_ms = self._earlier_leases_expiry_ms
+        bound_ms = self._earlier_bound_ms(endpoint_id)
         noted = self._noted_leases_by_id.get(endpoint_id)
         if noted is None:
             return max(bound_ms, self._earlier_leases_expiry_ms_of(endpoint_id))
@@ -397,7 +515,9 @@
             observed = self._follower.table.incarnation_by_endpoint_id.get(info.id)
             known_started_wall_ms = observed.started_wall_ms if observed else 0
             are_earlier_calls_fenced = True
+            self._moved_ids.discard(info.id)
         else:
+            self._moved_ids.add(info.id)
             # The endpoint may run on under the leases of that session.
             expiry_ms = earlier_session.any_leases_expiry_ms
             unlisted_expiry_ms = expiry_ms
@@ -441,6 +561,9 @@
         if endpoint_id not in self._scheduler.endpoint_by_id:
             session = self._session_by_id.pop(endpoint_id, None)
             if session is not None:
+                self._ended_sessions_expiry_ms = max(
+                    self._ended_sessions_expiry_ms, session.any_leases_expiry_ms
+                )
                 session.end()
 
     def _listing_received(
@@ -567,12 +690,7 @@
         now_ms = monotonic_ms()
         leases_ms = {}
         for endpoint_id in endpoint_ids:
-            session = self._session_by_id.get(endpoint_id)
-            expiry_ms = (
-                session.any_leases_expiry_ms
-                if session
-                else self._earlier_any_expiry_ms_of(endpoint_id)
-            )
+            _, expiry_ms = self._leases_expiry_ms_of(endpoint_id)
             leases_ms[endpoint_id] = expiry_ms - now_ms
         return leases_ms
 
--- a/ragwortshelf/scheduler/log_follower.py
+++ b/ragwortshelf/scheduler/log_follower.py
@@ -25,6 +25,7 @@
     Record,
     TermClock,
     TermHeld,
+    TermReport,
     UnitCrashes,
     UnitRecord,
 )
@@ -101,6 +102,7 @@
         self.own_term: int | None = None
         self.is_waiting_for_records = False
         self.on_job_changed: Callable[[str], None] = lambda job_id: None
+        self.on_term_report: Callable[[], None] = lambda: None
         self._needs_reload = True
         self._begin_load()
         self._loss_reporter = LossReporter("job_log_lost")
@@ -335,6 +337,9 @@
                 self.incarnations.forgotten(endpoint_id)
             case TermClock():
                 self._term_clock.clock_read(record, boot_ms())
+            case TermReport():
+                self._apply_term_report(record)
+                return
         if isinstance(record, SCHEDULER_RECORDS) and self.own_term is not None:
             # Already applied by this scheduler, or written in an earlier term.
             return
@@ -346,6 +351,12 @@
         if isinstance(record, UnitRecord) or self.table.term is not term_before:
             self.term_activity_boot_ms = boot_ms()
 
+    def _apply_term_report(self, record: TermReport) -> None:
+        # A load doesn't tell which other terms there were, so their bound remains.
+        if not self._needs_reload:
+            self.lease_grants.report_read(record, boot_ms())
+            self.on_term_report()
+
     def _record_answer(self, sent_boot_ms: int, reached_end: bool) -> None:
         if self.answering_since_boot_ms is None:
             self.answering_since_boot_ms = sent_boot_ms
--- a/ragwortshelf/scheduler/term_writer.py
+++ b/ragwortshelf/scheduler/term_writer.py
@@ -33,11 +33,14 @@
 from .log_topics import LogTopics
 from .settings import SchedulingSettings
 
-__all__ = ["PRODUCER", "TermWriter"]
+__all__ = ["PRODUCER", "RESIGNED", "TermWriter"]
 
 PRODUCER = "scheduler"
 """Producer name that all instances share, so that the log fences earlier terms."""
 
+RESIGNED = "resigned"
+"""Reason for the end of a term whose resignation is in the log."""
+
 ACTIONS_MAX = 2_000
 """Decisions and starts per append, which bounds how long the starts wait."""
 
@@ -182,7 +185,7 @@
             self._sent = []
             self._finish(count, actions, on_start)
             if is_last:
-                return "resigned"
+                return RESIGNED
 
     def _take_actions(
         self,
--- a/specification/models.py
+++ b/specification/models.py
@@ -9,6 +9,7 @@
 
 from .endpoint_restarts import RESTART_MUTANTS, endpoint_restart_protocol
 from .lease_hand_over import HAND_OVER_MUTANTS, lease_hand_over_protocol
+from .lease_reports import REPORT_MUTANTS, lease_report_protocol
 from .leases import LEASE_MUTANTS, SCENARIOS, lease_protocol
 from .releases import RELEASE_MUTANTS, release_protocol
 from .request_ids import REQUEST_ID_MUTANTS, request_id_protocol
@@ -68,6 +69,7 @@
     *(Model(f"leases/{name}", _leases(name), LEASE_MUTANTS) for name in SCENARIOS),
     Model("endpoint_restarts", endpoint_restart_protocol, RESTART_MUTANTS),
     Model("lease_hand_over", lease_hand_over_protocol, HAND_OVER_MUTANTS),
+    Model("lease_reports", lease_report_protocol, REPORT_MUTANTS),
     Model("releases", release_protocol, RELEASE_MUTANTS),
     Model("request_ids", request_id_protocol, REQUEST_ID_MUTANTS),
 )
--- a/tests/core/scheduling/test_lease_grants.py
+++ b/tests/core/scheduling/test_lease_grants.py
@@ -1,7 +1,7 @@
 """Until when the holders of the role may have extended leases, by the log."""
 
 from ragwortshelf.core.scheduling.lease_grants import LeaseGrants
-from ragwortshelf.core.scheduling.records import TermHeld
+from ragwortshelf.core.scheduling.records import TermHeld, TermReport
 
 GRANT_MAX_MS = 4_000
 
@@ -60,3 +60,36 @@
     grants = make_grants((100, 7, False))
     grants.loaded(TermHeld(7, "i7", 1, is_resigned=True), 9_000)
     assert grants.end_ms == 9_000
+
+
+# Guards against a bound that one holder's report shortens for another one, which is cut
+# off from the log and goes on.
+def test_a_report_bounds_the_leases_of_its_term_alone():
+    grants = make_grants((100, 1, False), (1_500, 9, False), (1_600, 12, False))
+    grants.report_read(TermReport("i9", 9, 2_000), 3_000)
+    assert grants.leases_end_ms(7_000, before_term=12) == 11_100
+    grants.report_read(TermReport("i1", 1, 2_500, (("e", 500),)), 3_000)
+    assert grants.leases_end_ms(7_000, before_term=12) == 5_500
+    assert grants.leases_end_ms(7_000, before_term=12, endpoint_id="e") == 5_000
+
+
+def test_a_report_lengthens_no_bound():
+    grants = make_grants((100, 1, False), (1_500, 9, False))
+    grants.report_read(TermReport("i1", 1, 60_000), 3_000)
+    assert grants.leases_end_ms(7_000, before_term=9) == 11_100
+
+
+# Guards against leases that seem to have ended to an instance that has just loaded the
+# log, and doesn't know which terms there were.
+def test_a_report_of_a_term_that_was_not_read_is_void():
+    grants = LeaseGrants(GRANT_MAX_MS)
+    grants.loaded(TermHeld(9, "i9", 0), 2_000)
+    grants.report_read(TermReport("i1", 1, 0), 2_500)
+    assert grants.leases_end_ms(7_000, before_term=9) == 13_000
+
+
+def test_terms_that_were_joined_keep_their_bound():
+    terms = [(100, 1, False), *((200, n, True) for n in range(2, 60))]
+    grants = make_grants(*terms)
+    grants.report_read(TermReport("i1", 1, 0), 300)
+    assert grants.leases_end_ms(7_000) == 11_100
--- a/tests/specification/test_models.py
+++ b/tests/specification/test_models.py
@@ -9,6 +9,7 @@
 INVARIANTS_BY_PROTOCOL = {
     "endpoint_restarts": {"nothing_runs_once_it_may_start_elsewhere"},
     "lease_hand_over": {"no_lease_once_it_may_start_elsewhere"},
+    "lease_reports": {"no_lease_once_it_may_start_elsewhere"},
     "leases": {
         "non_idempotent_runs_at_most_once",
         "not_run_did_not_run",
