Show further waits on an idle service that follow each other or begin anew

Cause: the review of the deadlines for starts asked where else a wait begins anew by an event that does not end what it measures, or follows another.

Trials of a job are up to 4 s apart and more.

--- a/tests/core/scheduling/test_suspect_waits.py
+++ b/tests/core/scheduling/test_suspect_waits.py
@@ -262,3 +262,17 @@
     fleet.change_scheduler()
     fleet.wait(3_000)
     assert not fleet.scheduler.crashes.suspect_by_key
+
+
+# Guards against a job that is LOST as its tasks are tried ever more slowly on an idle
+# service, while endpoints are lost at their starts for other causes.
+def test_a_job_does_not_stand_still_between_trials_on_an_idle_service():
+    fleet = _Fleet(endpoints=1)
+    fleet.submit("j", count=40)
+    fleet.lose(*set(fleet.start().values()))
+    for n in range(1, 24):
+        fleet.add_endpoint(f"e{n}")
+    fleet.born.update(dict.fromkeys(fleet.running, 1))
+    for _ in range(3):
+        assert fleet.wait_for_start() <= 3_000
+        fleet.lose(*fleet.start().values())
