Count a unit's wait from when nothing of it ran any longer

Callers would see lasting tasks and last attempts that wait too long (LOST), and large gangs that do not start although work is stopped for them.

Cause: `waiting_since_ms` was set at each return to the queue. A start that was refused began all waits anew, and a lease that ended after a loss began them 7.2 s late. Deadlines for starts erred the other way: a unit that had started and was stopped within a check of 0.5 s was overdue at once, and took the room for which it had been stopped.

Change: `waiting_since_ms` is when a confirmed run ended, for a lapsed one when it was listed last, and refused starts leave it alone. A unit is overdue only if it has waited for 2 s by that time as well.

--- a/ragwortshelf/core/scheduling/lifecycle.py
+++ b/ragwortshelf/core/scheduling/lifecycle.py
@@ -577,6 +577,10 @@
             self._end_job(unit.job, now_ms)
             return
         unit.phase = UnitPhase.ENDING
+        if placement.confirmed_ms is not None:
+            is_lapsed = end is RunEnd.LAPSED
+            ended_ms = placement.listed_ms if is_lapsed else now_ms
+            unit.waiting_since_ms = max(unit.waiting_since_ms, ended_ms)
         # A successor would wait for an endpoint that the newest record still names.
         is_endpoint_free = all(
             other.endpoint_id != placement.endpoint_id for other in unit.placements
@@ -609,7 +613,6 @@
 
     def _requeue(self, unit: Unit, now_ms: int, wall_ms: int) -> None:
         unit.phase = UnitPhase.WAITING
-        unit.waiting_since_ms = now_ms
         unit.starving_from_ms = None
         self.crashes.hold(unit, now_ms, wall_ms)
         self._add_waiting(unit)
--- a/ragwortshelf/core/scheduling/start_deadlines.py
+++ b/ragwortshelf/core/scheduling/start_deadlines.py
@@ -61,6 +61,9 @@
         due_ms = self._due_ms_by_step.get(unit.key[:3])
         if due_ms is None or self._now_ms < due_ms:
             return False
+        if self._now_ms - unit.waiting_since_ms < IDLE_WAIT_MAX_MS:
+            # It has run for a moment.
+            return False
         return self._idle_services.since_ms(service) is not None
 
     def unit_placed(self, unit: Unit) -> None:
--- a/ragwortshelf/core/scheduling/unit.py
+++ b/ragwortshelf/core/scheduling/unit.py
@@ -49,6 +49,8 @@
     once. ``quick_failure_count`` counts runs that failed as soon as they started, and
     ``unsteady_run_count`` those of a long-running task that soon failed, in a row.
     A unit that ``has_moved`` from a slow endpoint is not moved again.
+    Nothing of it has run from ``waiting_since_ms`` on: a start that is refused does not
+    change that, and a run that lapsed counts until it was listed last.
 
     ``estimate_ms`` is the expected run time of its tasks: the caller's estimate,
     corrected by earlier runs of the queue.
