Keep the end of exclusive room while there is no plan for a unit

Small work on an idle service would wait without end (LOST) behind two guaranteed gangs while one stop does not end.

Cause: room is exclusive for `EXCLUSIVE_MAX_MS` from the first reservation on, but the reservation that held this end was dropped whenever there was no plan for the unit, as while the other gang's room is exclusive. The next began anew, and the two took turns.

Change: the end is kept for each unit until it is placed, or waits no longer.

--- a/ragwortshelf/core/scheduling/reservations.py
+++ b/ragwortshelf/core/scheduling/reservations.py
@@ -73,6 +73,7 @@
         self._deadlines = deadlines
         self._reservation_by_key: dict[UnitKey, _Reservation] = {}
         self._by_endpoint_id: dict[str, dict[UnitKey, _Reservation]] = {}
+        self._exclusive_until_ms_by_key: dict[UnitKey, int] = {}
         self._now_ms = 0
 
     def __len__(self) -> int:
@@ -101,14 +102,13 @@
         """Reserve the room of a plan for a unit, replacing its earlier reservation.
 
         Room stays exclusive for `EXCLUSIVE_MAX_MS` from the first reservation on,
-        however often that is replaced.
+        however often that is replaced, or dropped while there is no plan for the unit.
         """
         exclusive_until_ms = 0
         if is_exclusive:
-            exclusive_until_ms = self._now_ms + EXCLUSIVE_MAX_MS
-            earlier = self._reservation_by_key.get(unit.key)
-            if earlier is not None and earlier.exclusive_until_ms:
-                exclusive_until_ms = earlier.exclusive_until_ms
+            exclusive_until_ms = self._exclusive_until_ms_by_key.setdefault(
+                unit.key, self._now_ms + EXCLUSIVE_MAX_MS
+            )
         self.drop(unit)
         resources_by_id: dict[str, Resources] = {}
         for endpoint in plan.endpoints:
@@ -131,6 +131,11 @@
         """Drop the reservation of a unit."""
         self._drop(unit.key)
 
+    def forget(self, unit: Unit) -> None:
+        """Drop the reservation of a unit that has been placed, or is done."""
+        self._drop(unit.key)
+        self._exclusive_until_ms_by_key.pop(unit.key, None)
+
     def drop_on(self, endpoint_id: str) -> None:
         """Drop all reservations that include an endpoint."""
         for key in list(self._by_endpoint_id.get(endpoint_id, ())):
--- a/tests/core/scheduling/test_waits_in_series.py
+++ b/tests/core/scheduling/test_waits_in_series.py
@@ -7,6 +7,7 @@
 
 from ragwortshelf.core.scheduling import Resources, Scheduler
 from ragwortshelf.core.scheduling.listings import RunEnd, StartOutcome
+from ragwortshelf.core.scheduling.reservations import EXCLUSIVE_MAX_MS
 from ragwortshelf.core.scheduling.unit import STARVATION_MS
 
 WHOLE = Resources(8_000, 8_000, 8)
@@ -128,8 +129,8 @@
     assert fleet.now - begin_ms <= WAIT_MAX_MS
 
 
-# Guards against work that is LOST behind the exclusive room of several units in turn.
-def test_exclusive_reservations_of_several_units_do_not_follow_each_other():
+def _wait_behind_two_urgent_gangs():
+    """Return how long work waits behind exclusive room, and from when the last is."""
     fleet = _Fleet(endpoints=4, guaranteed=32)
     fleet.submit("last", "p2", "c", estimate_ms=60_000)
     fleet.accept_starts()
@@ -141,8 +142,22 @@
     fleet.wait(2_500)
     assert not fleet.starts
     fleet.submit("urgent2", "p0", "b", fleet.now, **gang)
+    last_ms = fleet.now
     fleet.wait_for("small")
-    assert fleet.now - begin_ms <= WAIT_MAX_MS
+    return fleet.now - begin_ms, fleet.now - last_ms
+
+
+# Guards against work that is LOST behind the exclusive room of several units in turn.
+def test_exclusive_reservations_of_several_units_do_not_follow_each_other():
+    waited_ms, _ = _wait_behind_two_urgent_gangs()
+    assert waited_ms <= WAIT_MAX_MS
+
+
+# Guards against room that is exclusive to two units in turn without end: that of either
+# was dropped while the other had room, and then became exclusive anew.
+def test_room_does_not_become_exclusive_to_two_units_in_turn():
+    _, waited_ms = _wait_behind_two_urgent_gangs()
+    assert waited_ms <= 2 * EXCLUSIVE_MAX_MS
 
 
 # Guards against urgent long-running units beyond their guarantees that stop each other
