--- a/ragwortshelf/core/scheduling/unit.py
+++ b/ragwortshelf/core/scheduling/unit.py
@@ -49,6 +49,8 @@
     once. ``quick_failure_count`` counts runs that failed as soon as they started, and
     ``unsteady_run_count`` those of a long-running task that soon failed, in a row.
     A unit that ``has_moved`` from a slow endpoint is not moved again.
+    Nothing of it has run from ``waiting_since_ms`` on: a start that is refused does not
+    change that, and a run that lapsed counts until it was listed last.
 
     ``estimate_ms`` is the expected run time of its tasks: the caller's estimate,
     corrected by earlier runs of the queue.
@@ -167,6 +169,11 @@
         self.order_key = (self.priority, 0, deadline)
         self.latest_start_wall_ms = deadline - times.paths_ms[self.key.step]
 
+    @property
+    def is_guaranteed(self) -> bool:
+        """Whether the latest plan put the unit before all that are not guaranteed."""
+        return self.order_key[1] < 0
+
     def is_late(self, wall_ms: int) -> bool:
         """Whether the job is unlikely to be on time.
 
