--- a/ragwortshelf/core/scheduling/endpoint_tracking.py
+++ b/ragwortshelf/core/scheduling/endpoint_tracking.py
@@ -181,14 +181,6 @@
             if placement.is_sent and not placement.is_located
         )
 
-    def unlocated_endpoint_ids(self) -> set[str]:
-        """Return the endpoints with runs that may be, or get, where is not known."""
-        return {
-            endpoint.id
-            for endpoint in self.endpoint_by_id.values()
-            if not all(p.is_located for p in endpoint.placement_by_task.values())
-        }
-
     def busy_endpoint_ids(self) -> list[str]:
         """Return the endpoints on which runs are placed."""
         endpoints = self.endpoint_by_id.values()
--- a/ragwortshelf/core/scheduling/incarnations.py
+++ b/ragwortshelf/core/scheduling/incarnations.py
@@ -12,8 +12,7 @@
 
     A holder of the scheduler's role writes an incarnation to the log once the endpoint
     refuses the calls that were sent to the one before it. So the time at which that
-    record was read bounds when such a call was carried out last, and so does a time by
-    which it was written.
+    record was read bounds when such a call was carried out last.
 
     >>> times = IncarnationTimes()
     >>> times.observed(Incarnation("e", "host:1", 1_000), 20)
@@ -21,28 +20,23 @@
     >>> times.observed(Incarnation("e", "host:1", 7_000), 40)
     >>> times.since_ms("e")
     30
-    >>> times.observed(Incarnation("e", "host:1", 7_000), 25)
-    >>> times.since_ms("e")
-    25
     """
 
     def __init__(self):
-        # When each endpoint started by its own clock, and the earliest time by which
-        # that was observed.
+        # When each endpoint started by its own clock, and when that was read first.
         self._times_by_id: dict[str, tuple[int, int]] = {}
 
     def since_ms(self, endpoint_id: str) -> int | None:
-        """Return by when an endpoint's present incarnation was observed, if it was."""
+        """Return when an endpoint's present incarnation was read first, if it was."""
         times = self._times_by_id.get(endpoint_id)
         return times[1] if times else None
 
     def observed(self, incarnation: Incarnation, now_ms: int) -> None:
-        """Note that an endpoint was in this incarnation by a time."""
+        """Note that an endpoint was in this incarnation."""
         times = self._times_by_id.get(incarnation.endpoint_id)
-        if times is not None and times[0] == incarnation.started_wall_ms:
-            now_ms = min(now_ms, times[1])
-        times = (incarnation.started_wall_ms, now_ms)
-        self._times_by_id[incarnation.endpoint_id] = times
+        if times is None or times[0] != incarnation.started_wall_ms:
+            times = (incarnation.started_wall_ms, now_ms)
+            self._times_by_id[incarnation.endpoint_id] = times
 
     def forgotten(self, endpoint_id: str) -> None:
         """Note that an endpoint has left."""
--- a/ragwortshelf/core/scheduling/lease_grants.py
+++ b/ragwortshelf/core/scheduling/lease_grants.py
@@ -9,10 +9,6 @@
 A holder that outlives its term stops earlier than that, and knows when the leases
 expire that it extended. It reports what is left of them, as of a moment before the
 report is sent. So they have expired when that much has passed since a read of it.
-
-An instance that has just loaded the log did not read the earlier records when they were
-written. If the last holder was its own earlier process, that one has ended. And the
-last holder writes for how long those before it may extend leases yet.
 """
 
 from __future__ import annotations
@@ -60,10 +56,6 @@
 
     def __init__(self, grant_max_ms: int):
         self._grant_max_ms = grant_max_ms
-        self._is_loaded = False
-        # The term of this instance's earlier process, and a time by which that ended.
-        self._own_earlier_term: int | None = None
-        self._own_earlier_end_ms = 0
         self._newest: TermHeld | None = None
         self._newest_read_ms = 0
         # Until when the holders before the newest one may have extended leases: those
@@ -87,31 +79,16 @@
         lease_ms: int,
         before_term: int | None = None,
         endpoint_id: str | None = None,
-        is_located: bool = False,
     ) -> int | None:
         """Return the time by which the leases of all terms have expired.
 
         ``lease_ms`` is the longest time for which a lease lasts. With ``before_term``,
-        only earlier terms count; with ``endpoint_id``, only the leases there. If it
-        ``is_located`` in which incarnation runs are, an earlier process of this
-        instance, which has ended, granted them no longer lease. None without a term.
+        only earlier terms count; with ``endpoint_id``, only the leases there. None
+        without a term.
         """
         ends_ms = self._leases_end_ms_by_term(lease_ms, before_term, endpoint_id)
-        if is_located and self._own_earlier_term in ends_ms:
-            # Also if a record that it had sent was read later.
-            end_ms = self._own_earlier_end_ms + lease_ms
-            term = self._own_earlier_term
-            ends_ms[term] = min(ends_ms[term], end_ms)
         return max(ends_ms.values(), default=None)
 
-    def has_own_earlier_term(self) -> bool:
-        """Whether an earlier process of this instance held the role before the load."""
-        return self._own_earlier_term is not None
-
-    def left_ms(self, now_ms: int, before_term: int | None = None) -> int:
-        """Return for how long terms before a given one, or all, may extend leases."""
-        return max(0, (self.leases_end_ms(0, before_term) or now_ms) - now_ms)
-
     def longest_term(self, lease_ms: int, before_term: int | None = None) -> int | None:
         """Return the term whose leases last longest; 0 for one that was not read."""
         ends_ms = self._leases_end_ms_by_term(lease_ms, before_term, None)
@@ -122,16 +99,11 @@
         reports = self._reported_end_by_term.values()
         return {i for report in reports for i in report.end_ms_by_endpoint_id}
 
-    def loaded(
-        self, newest: TermHeld | None, now_ms: int, instance: str | None = None
-    ) -> None:
+    def loaded(self, newest: TermHeld | None, now_ms: int) -> None:
         """Note a load of the newest records, which tells nothing of earlier terms.
 
-        If the newest term was known before the load, no other one has followed it. A
-        term that ``instance``, which loads them, held before its first load was that of
-        an earlier process, which has ended.
+        If the newest term was known before the load, no other one has followed it.
         """
-        is_first, self._is_loaded = not self._is_loaded, True
         if newest is None or newest == self._newest:
             return
         if self._newest is None or newest.term != self._newest.term:
@@ -139,20 +111,6 @@
             self._grants_end_ms_by_term.clear()
             self._reported_end_by_term.clear()
         self._newest, self._newest_read_ms = newest, now_ms
-        if is_first and newest.holder == instance:
-            self._own_earlier_term, self._own_earlier_end_ms = newest.term, now_ms
-
-    def earlier_terms_bounded(self, term: int, end_ms: int) -> None:
-        """Note by when the terms before the newest one extend no lease, by its holder.
-
-        It is void if the term is not the newest one.
-        """
-        if self._newest is None or self._newest.term != term:
-            return
-        for earlier, earlier_ms in self._grants_end_ms_by_term.items():
-            self._grants_end_ms_by_term[earlier] = min(earlier_ms, end_ms)
-        if self._other_grants_end_ms is not None:
-            self._other_grants_end_ms = min(self._other_grants_end_ms, end_ms)
 
     def term_read(self, record: TermHeld, now_ms: int) -> None:
         """Note a claim, renewal or resignation; those of earlier terms are void."""
--- a/ragwortshelf/core/scheduling/record_codec.py
+++ b/ragwortshelf/core/scheduling/record_codec.py
@@ -77,10 +77,8 @@
         case UnitCrashes():
             fields = astuple(record)[1:]
             return _unit_key(record.key, "k"), cbor2.dumps(fields)
-        case EndpointObserved(incarnation, term, clock_ms):
+        case EndpointObserved(incarnation):
             fields = (incarnation.address, incarnation.started_wall_ms)
-            if clock_ms is not None:
-                fields += (term, clock_ms)
             return f"e/{incarnation.endpoint_id}", cbor2.dumps(fields)
         case EndpointForgotten(endpoint_id):
             return f"e/{endpoint_id}", b""
@@ -97,8 +95,8 @@
             return f"s/{part}", cbor2.dumps((wall_ms, rows))
         case TermHeld():
             return TERM_KEY, cbor2.dumps(astuple(record))
-        case TermClock():
-            return CLOCK_KEY, cbor2.dumps(astuple(record))
+        case TermClock(term, clock_ms):
+            return CLOCK_KEY, cbor2.dumps((term, clock_ms))
         case JobForgotten(job_id):
             return f"j/{job_id}", b""
         case UpkeepRecord(wave, begun, is_completed):
@@ -138,9 +136,10 @@
             case "k":
                 return _decode_crashes(rest, fields)
             case "e":
-                address, started_wall_ms, *times = fields
-                incarnation = Incarnation(rest, str(address), int(started_wall_ms))
-                return EndpointObserved(incarnation, *map(int, times[:2]))
+                address, started_wall_ms, *_ = fields
+                return EndpointObserved(
+                    Incarnation(rest, str(address), int(started_wall_ms))
+                )
             case "l":
                 term, end_ms, any_end_ms, runs, *_ = fields
                 unlocated_runs = tuple((str(task), int(run)) for task, run, *_ in runs)
@@ -164,7 +163,8 @@
                 capacity = Resources(cpu_milli, memory_mb, gpus)
                 return ServiceCapacity(rest, term, wall_ms, capacity)
             case "clock":
-                return _decode_clock(fields)
+                term, clock_ms, *_ = fields
+                return TermClock(int(term), int(clock_ms))
             case "term":
                 return TermHeld(*fields)
     except (LookupError, OverflowError, TypeError, ValueError, cbor2.CBORDecodeError):
@@ -172,17 +172,6 @@
     return None
 
 
-def _decode_clock(fields) -> TermClock:
-    term, clock_ms, *rest = fields
-    grants_ms, ids, *_ = *rest, None, None
-    return TermClock(
-        int(term),
-        int(clock_ms),
-        None if grants_ms is None else int(grants_ms),
-        None if ids is None else tuple(map(str, ids)),
-    )
-
-
 def deletion_records(
     job_id: str, units: Iterable[UnitKey], crashed_units: Iterable[UnitKey] = ()
 ) -> list[tuple[str, bytes]]:
--- a/ragwortshelf/core/scheduling/records.py
+++ b/ragwortshelf/core/scheduling/records.py
@@ -101,15 +101,9 @@
 @dataclass(frozen=True, slots=True)
 class EndpointObserved:
     """The incarnation of an endpoint that answered last, so that a successor notices
-    if another one has followed it.
-
-    It was observed in ``term``, by ``clock_ms`` on the term's clock. Holders of an
-    older version write no clock.
-    """
+    if another one has followed it."""
 
     incarnation: Incarnation
-    term: int = 0
-    clock_ms: int | None = None
 
 
 @dataclass(frozen=True, slots=True)
@@ -242,16 +236,11 @@
     """The clock of a term, as it was read before this record was first sent.
 
     It has counted milliseconds since the term's claim was sent, on the holder's clock
-    that counts suspensions. The holders of earlier terms extend no leases once
-    ``earlier_grants_ms`` have passed since then. All runs that may be in an incarnation
-    that is not known are on ``unlocated_ids``. Either is None if the holder does not
-    say so, as one of an older version.
+    that counts suspensions.
     """
 
     term: int
     clock_ms: int
-    earlier_grants_ms: int | None = None
-    unlocated_ids: tuple[str, ...] | None = None
 
 
 @dataclass(frozen=True, slots=True)
--- a/ragwortshelf/core/scheduling/term_clock.py
+++ b/ragwortshelf/core/scheduling/term_clock.py
@@ -42,34 +42,3 @@
         if self._newest is None or self._newest.term != term:
             return None
         return self._read_ms + time_ms - self._newest.clock_ms
-
-    def passed_ms(self, term: int, time_ms: int) -> int | None:
-        """Return a local time by which a time on a term's clock had passed.
-
-        The clock of a term starts after the last record of the terms before was
-        written. None if the clock of that term, or of a later one, was not read.
-        """
-        if self._newest is None or self._newest.term < term:
-            return None
-        if self._newest.term > term:
-            time_ms = 0
-        return self.to_local_ms(self._newest.term, time_ms)
-
-    def unlocated_ids(self, term: int) -> tuple[str, ...] | None:
-        """Return the endpoints on which runs may be in an unknown incarnation.
-
-        None if that is not known for the end of this term.
-        """
-        if self._newest is None or self._newest.term != term:
-            return None
-        return self._newest.unlocated_ids
-
-    def earlier_grants_end_ms(self, term: int) -> int | None:
-        """Return when the holders before a term extend leases no more, if it says so.
-
-        None if the clock of that term is not the newest one that was read.
-        """
-        if self._newest is None or self._newest.term != term:
-            return None
-        left_ms = self._newest.earlier_grants_ms
-        return None if left_ms is None else self._read_ms + left_ms
--- a/ragwortshelf/scheduler/election.py
+++ b/ragwortshelf/scheduler/election.py
@@ -145,7 +145,6 @@
         previous = follower.table.term
         # The claim succeeds only if no record has followed those that were read.
         noted_leases = follower.noted_leases()
-        unlocated_ids = follower.unlocated_ids()
         offset = follower.next_offset
         claim = TermHeld(offset + 1, self.settings.instance, wall_ms())
         # The log answers a repeated sequence number like the original append, so two
@@ -153,7 +152,7 @@
         sequence = random.randrange(FIRST_SEQUENCE_MAX)
         claimed_boot_ms = boot_ms()
         outcome = await self._logs.jobs.append(
-            self._claim_entries(claim, claimed_boot_ms, noted_leases, unlocated_ids),
+            self._claim_entries(claim, claimed_boot_ms, noted_leases),
             timeout_ms=self.settings.log_call_timeout_ms,
             at=offset,
             fence=ProducerFence(PRODUCER, claim.term, sequence),
@@ -183,7 +182,6 @@
             follower,
             self._configuration,
             noted_leases,
-            unlocated_ids,
             sequence,
         )
         try:
@@ -204,16 +202,13 @@
         claim: TermHeld,
         claimed_boot_ms: int,
         noted_leases: Mapping[str, NotedLeases],
-        unlocated_ids: tuple[str, ...] | None,
     ) -> list[Entry]:
         """Return the records of a claim, and with it the notes of the holder before.
 
         So they hold from the claim on, although it may be the last record of its term.
         Those that do not fit are written by the first append.
         """
-        grants_ms = self._follower.lease_grants.left_ms(claimed_boot_ms)
-        clock = TermClock(claim.term, 0, grants_ms, unlocated_ids)
-        entries = [encode_record(claim), encode_record(clock)]
+        entries = [encode_record(claim), encode_record(TermClock(claim.term, 0))]
         size = sum(map(entry_bytes, entries))
         for endpoint_id, noted in noted_leases.items():
             record = noted.record(endpoint_id, claim.term, claimed_boot_ms)
--- a/ragwortshelf/scheduler/leadership.py
+++ b/ragwortshelf/scheduler/leadership.py
@@ -25,12 +25,7 @@
 from ..core.scheduling.listings import EndpointInfo, EndpointListing
 from ..core.scheduling.model import UnitKey
 from ..core.scheduling.record_codec import deletion_records
-from ..core.scheduling.records import (
-    ServiceCapacity,
-    TermClock,
-    TermHeld,
-    TermReport,
-)
+from ..core.scheduling.records import ServiceCapacity, TermHeld, TermReport
 from ..core.scheduling.speed_belief import SpeedClass
 from ..daemon.logs import log_event, log_failure
 from .clock import boot_ms, monotonic_ms, wall_ms
@@ -75,9 +70,6 @@
 RUNS_LOGGED_MAX = 8
 """Runs, or endpoints, that one line of the log names at most."""
 
-UNLOCATED_MAX = 64
-"""Endpoints with runs in an unknown incarnation that each append names at most."""
-
 DELETION_INTERVAL_MS = 5_000
 """Interval between checks for ended jobs whose retention time has passed."""
 
@@ -94,8 +86,7 @@
     Connects the decisions of ``Scheduler`` to the log, the endpoints and the policy
     service. ``claim`` was sent at ``claimed_boot_ms``, with ``sequence`` as its number.
     The leases in ``noted_leases``, by endpoint, end as the last holder noted. Those of
-    earlier terms on other endpoints last as long as they can by the log. Runs of theirs
-    that may be in an unknown incarnation are on ``unlocated_ids``, None if not known.
+    earlier terms on other endpoints last as long as they can by the log.
     """
 
     def __init__(
@@ -108,7 +99,6 @@
         follower: LogFollower,
         configuration: ConfigurationFollower,
         noted_leases: Mapping[str, NotedLeases],
-        unlocated_ids: tuple[str, ...] | None,
         sequence: int,
     ):
         self.claim = claim
@@ -130,7 +120,6 @@
             settings,
             follower.table,
             self._due_capacities,
-            self._make_clock,
         )
         self._upkeep = UpkeepRunner(
             adapter,
@@ -161,7 +150,6 @@
         self._plan_event = trio.Event()
         self._nursery: trio.Nursery | None = None
         self._noted_leases_by_id = noted_leases
-        self._earlier_unlocated_ids = unlocated_ids
         self._earlier_leases_expiry_ms = self._compute_earlier_leases_expiry_ms()
         # Where that is sooner, as the holders of earlier terms reported.
         self._earlier_leases_expiry_ms_by_id = self._compute_earlier_expiry_by_id()
@@ -268,49 +256,17 @@
             max_local_duration_ms(self._settings.lease_ms),
             self.claim.term,
             endpoint_id,
-            self._is_located(endpoint_id),
         )
         if end_boot_ms is None:
             return monotonic_ms()
         return max(monotonic_ms(), _local_ms(end_boot_ms))
 
     def _compute_earlier_expiry_by_id(self) -> dict[str, int]:
-        grants = self._follower.lease_grants
-        endpoint_ids = grants.endpoint_ids_with_report()
-        if grants.has_own_earlier_term():
-            known_ids = self._follower.table.incarnation_by_endpoint_id
-            endpoint_ids.update(filter(self._is_located, known_ids))
         return {
             endpoint_id: self._compute_earlier_leases_expiry_ms(endpoint_id)
-            for endpoint_id in endpoint_ids
+            for endpoint_id in self._follower.lease_grants.endpoint_ids_with_report()
         }
 
-    def _is_located(self, endpoint_id: str | None) -> bool:
-        """Whether earlier terms knew the incarnation of all runs on an endpoint."""
-        unlocated_ids = self._earlier_unlocated_ids
-        if endpoint_id is None or unlocated_ids is None:
-            return False
-        return endpoint_id not in unlocated_ids
-
-    def _make_clock(self, clock_ms: int) -> TermClock:
-        """Return a reading of the term's clock, with what a successor needs to know.
-
-        A start sent in an earlier term may be carried out in an unknown incarnation, so
-        its endpoint is named for as long as leases of that term may last.
-        """
-        ids: set[str] | None = self._scheduler.unlocated_endpoint_ids()
-        lease_ms = max_local_duration_ms(self._settings.lease_ms)
-        if clock_ms < self._settings.lease_grant_max_ms + lease_ms:
-            earlier_ids = self._earlier_unlocated_ids
-            ids = None if earlier_ids is None else ids.union(earlier_ids)
-        is_known = ids is not None and len(ids) <= UNLOCATED_MAX
-        return TermClock(
-            self.claim.term,
-            clock_ms,
-            self._follower.lease_grants.left_ms(boot_ms(), self.claim.term),
-            tuple(ids) if is_known else None,
-        )
-
     def _longest_earlier_term(self) -> int | None:
         """Return the term whose leases last longest, 0 if it is not known."""
         lease_ms = max_local_duration_ms(self._settings.lease_ms)
--- a/ragwortshelf/scheduler/log_follower.py
+++ b/ragwortshelf/scheduler/log_follower.py
@@ -210,14 +210,6 @@
                 )
         return noted
 
-    def unlocated_ids(self) -> tuple[str, ...] | None:
-        """Return the endpoints on which runs may be in an unknown incarnation.
-
-        None if the newest term does not tell.
-        """
-        term = self.table.term
-        return () if term is None else self._term_clock.unlocated_ids(term.term)
-
     def wake(self) -> None:
         """Read the log again without waiting for the next interval."""
         self._wake_event.set()
@@ -298,10 +290,7 @@
             # Restarted while loading: the new table lacks the records of earlier pages.
             return False
         self._forget_unlisted()
-        instance = self.settings.instance
-        self.lease_grants.loaded(self.table.term, boot_ms(), instance)
-        self._bound_earlier_terms()
-        self._date_incarnations()
+        self.lease_grants.loaded(self.table.term, boot_ms())
         self._begin_load()
         self._needs_reload = False
         self.next_offset = outcome.next_offset
@@ -317,23 +306,6 @@
         """Prepare for the next load, which begins at the first page."""
         self._newest_reader = NewestReader(self._log)
         self._listed_keys: set[str] = set()
-        self._loaded_observations: list[EndpointObserved] = []
-
-    def _bound_earlier_terms(self) -> None:
-        """Take into account until when the holders before the last extend leases."""
-        term = self.table.term
-        if term is not None:
-            end_ms = self._term_clock.earlier_grants_end_ms(term.term)
-            if end_ms is not None:
-                self.lease_grants.earlier_terms_bounded(term.term, end_ms)
-
-    def _date_incarnations(self) -> None:
-        """Date the loaded incarnations by the clock, which a later page may hold."""
-        for record in self._loaded_observations:
-            if record.clock_ms is not None:
-                passed_ms = self._term_clock.passed_ms(record.term, record.clock_ms)
-                if passed_ms is not None:
-                    self.incarnations.observed(record.incarnation, passed_ms)
 
     def _forget_unlisted(self) -> None:
         """Forget what was deleted by records that could not be read."""
@@ -361,14 +333,10 @@
         match record:
             case EndpointObserved(incarnation):
                 self.incarnations.observed(incarnation, boot_ms())
-                if self._needs_reload:
-                    self._loaded_observations.append(record)
             case EndpointForgotten(endpoint_id):
                 self.incarnations.forgotten(endpoint_id)
             case TermClock():
                 self._term_clock.clock_read(record, boot_ms())
-                if not self._needs_reload:
-                    self._bound_earlier_terms()
             case TermReport():
                 self._apply_term_report(record)
                 return
--- a/ragwortshelf/scheduler/term_writer.py
+++ b/ragwortshelf/scheduler/term_writer.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 from collections.abc import Callable, Iterable
-from functools import partial
 
 import trio
 
@@ -12,7 +11,6 @@
 from ..core.scheduling.model import UnitKey, UnitPhase
 from ..core.scheduling.record_codec import encode_record
 from ..core.scheduling.records import (
-    EndpointObserved,
     LeasesEnd,
     LeasesResumed,
     Record,
@@ -61,7 +59,7 @@
     least the term's number, and lower than the number of any later term.
     ``may_have_resigned`` is set while the resignation may be in the log, so that a
     successor may hold the role already. ``due_records`` returns records that go along
-    with the next append, and ``make_clock`` the record of a reading of the clock.
+    with the next append.
     """
 
     def __init__(
@@ -73,7 +71,6 @@
         settings: SchedulingSettings,
         table: JobTable,
         due_records: Callable[[], Iterable[Record]] = tuple,
-        make_clock: Callable[[int], TermClock] | None = None,
     ):
         self._claim = claim
         self._sequence = sequence
@@ -82,7 +79,6 @@
         self._settings = settings
         self._table = table
         self._due_records = due_records
-        self._make_clock = make_clock or partial(TermClock, claim.term)
         self._waiting: list[PersistEvidence | PersistUnit | StartTask] = []
         # Taken for an append that is not answered yet.
         self._sent: list[PersistEvidence | PersistUnit | StartTask] = []
@@ -209,7 +205,7 @@
                 if action.unit_key not in self._unwritten_by_unit:
                     actions.append(action)
             else:
-                entry = _encode(self._with_clock(action.record))
+                entry = _encode(action.record)
                 if entry is not None:
                     size += entry_bytes(entry)
                     if entries and size > bytes_max:
@@ -234,17 +230,9 @@
         else:
             self._unwritten_by_unit[key] = self._unwritten_by_unit.get(key, 0) + 1
 
-    def _with_clock(self, record: Record) -> Record:
-        """Return a record of an incarnation with the time by which it was observed."""
-        if isinstance(record, EndpointObserved):
-            return EndpointObserved(
-                record.incarnation, self._claim.term, self.clock_ms()
-            )
-        return record
-
     def _renewal(self, is_last: bool) -> list[Entry]:
         claim = self._claim
-        clock = self._make_clock(self.clock_ms())
+        clock = TermClock(claim.term, self.clock_ms())
         renewal = TermHeld(claim.term, claim.holder, wall_ms(), is_last)
         return [encode_record(clock), encode_record(renewal)]
 
