--- a/ragwortshelf/scheduler/configuration_follower.py
+++ b/ragwortshelf/scheduler/configuration_follower.py
@@ -118,8 +118,7 @@
         # Records that took long to arrive are confirmed without waiting for more.
         is_due = self._is_confirmation_due
         wait_ms, timeout_ms = self.settings.read_times_ms(
-            0 if is_due else self.settings.configuration_wait_ms,
-            self._loss_reporter.failed_calls,
+            0 if is_due else self.settings.configuration_wait_ms, self.is_log_answering
         )
         page = await self._log.read(
             self._next_offset, wait_ms=wait_ms, timeout_ms=timeout_ms
--- a/ragwortshelf/scheduler/log_follower.py
+++ b/ragwortshelf/scheduler/log_follower.py
@@ -248,7 +248,7 @@
         sent = boot_ms()
         offset = self.next_offset
         wait_ms, timeout_ms = self.settings.read_times_ms(
-            wait_ms, self._loss_reporter.failed_calls
+            wait_ms, self.is_log_answering
         )
         page = await self._log.read(offset, wait_ms=wait_ms, timeout_ms=timeout_ms)
         if self._needs_reload:
--- a/ragwortshelf/scheduler/settings.py
+++ b/ragwortshelf/scheduler/settings.py
@@ -83,28 +83,23 @@
     log_call_timeout_ms: int = 700
     log_retry_ms: int = 100
 
-    # Timeout of every other read while the log does not answer. It is shorter, so that
-    # recovery is detected quickly: a call sent during a silent outage is never
-    # answered. The reads in between also reach a log that is slow.
+    # Timeout of reads while the log does not answer. It is shorter, so that recovery is
+    # detected quickly: a call sent during a silent outage is never answered.
     log_probe_timeout_ms: int = 400
 
     # Calls to an endpoint cross one link of at most 3 ms latency. A lost answer costs
     # the whole timeout.
     endpoint_timeout_ms: int = 400
 
-    def read_times_ms(self, wait_ms: int, failed_calls: int) -> tuple[int, int]:
+    def read_times_ms(self, wait_ms: int, is_log_answering: bool) -> tuple[int, int]:
         """Return the wait time and the timeout of a read of the log.
 
-        ``failed_calls`` is the number of calls that failed since the last answer.
-
-        >>> settings = SchedulingSettings("i")
-        >>> [settings.read_times_ms(1_000, failed_calls) for failed_calls in range(3)]
-        [(1000, 1700), (0, 400), (0, 700)]
+        >>> SchedulingSettings("i").read_times_ms(1_000, is_log_answering=True)
+        (1000, 1700)
         """
-        if failed_calls == 0:
-            return wait_ms, wait_ms + self.log_call_timeout_ms
-        is_probe = failed_calls % 2 == 1
-        return 0, self.log_probe_timeout_ms if is_probe else self.log_call_timeout_ms
+        if not is_log_answering:
+            return 0, self.log_probe_timeout_ms
+        return wait_ms, wait_ms + self.log_call_timeout_ms
 
     def listing_wait_for(self, need: ListingNeed) -> int:
         """Return how long a renewal waits that lists an endpoint with this need.
