--- a/ragwortshelf/core/scheduling/planning.py
+++ b/ragwortshelf/core/scheduling/planning.py
@@ -150,7 +150,7 @@
             self._scheduler.report_planning_fault(unit, error, self._now_ms)
 
     def drop_reservation(self, unit: Unit) -> None:
-        """Drop the reservation of a unit that has been placed, or waits no longer."""
+        """Drop the reservation of a unit that is not to wait for room any longer."""
         self._reservations.forget(unit)
 
     def _plan_unit(self, unit, gpus_in_use, unplaceable_shapes) -> None:
--- a/ragwortshelf/core/scheduling/reservations.py
+++ b/ragwortshelf/core/scheduling/reservations.py
@@ -132,7 +132,11 @@
         self._drop(unit.key)
 
     def forget(self, unit: Unit) -> None:
-        """Drop the reservation of a unit that has been placed, or is done."""
+        """Drop the reservation of a unit, and when its room stops being exclusive.
+
+        This is for units that are placed, done, or held back. A later reservation of
+        the unit counts anew.
+        """
         self._drop(unit.key)
         self._exclusive_until_ms_by_key.pop(unit.key, None)
 
