--- a/review/7/case.py
+++ b/review/7/case.py
@@ -1,69 +1,68 @@
-"""A task that lasts is away for 11 s after its minion and the leader are lost."""
+"""A job never starts, as each ticket counts as expired when it arrives."""
 
 import asyncio
-import signal
 import sys
 from pathlib import Path
 
 FOLDER = Path(__file__).resolve().parent
 sys.path.insert(0, str(FOLDER.parent / "standins2"))
 
-from world import now_ms, request, run_script  # noqa: E402
+from world import ADVICE, now_ms, run_script  # noqa: E402
 
-LASTING = "00000000000000a1"
-RESTART_S = 0.3
-CONTACT_S = 3.0
-COUNTED_FROM_MS = max(6_000, int(1000 * (RESTART_S + CONTACT_S + 4)))
-"""The rule holds from 6 s after the last run, if the 4 s before are calm as well. The
-last disruption is the start of the killed instance; all machines are in touch again
-``contact_ms`` after it."""
+QUICK = "00000000000000e0"
+JOB = "00000000000000e1"
+SLOWER = {"decision_ms": 200, "per_worker_ms": 100, "valid_ms": 3000}
+"""24 minions take 2.6 s. Each ticket is valid for 3 s from its answer on."""
 
+TENANTS = [{"name": "one", "api_keys": ["key-one"], "guaranteed": {"gpu": 0}}]
 NOTHING_MS = 3_000
+WATCHED_S = 30
 
 
-async def find_leader(world) -> str:
-    """Return the instance whose metrics say that it schedules."""
-    for name, ip in world.ips.items():
-        text = await request(f"{ip}:9102", "GET", "/metrics", is_json=False)
-        if "is_scheduler 1" in text:
-            return name
-    return ""
+def routes(advice: dict) -> list[dict]:
+    """Return the one route, with the figures of its policy service."""
+    return [
+        {
+            "name": "policed",
+            "path_prefix": "/policed/",
+            "priority": 1,
+            "advice": dict(advice),
+        }
+    ]
+
+
+async def start_of(world, job_id: str, body: dict) -> int | None:
+    """Hand a job in; returns after how many milliseconds its task was started."""
+    world.advised_ids.add(job_id)
+    if not await world.submit(job_id, "key-one", body, prefix="/policed/"):
+        return None
+    began_ms = now_ms()
+    while now_ms() < began_ms + 1000 * WATCHED_S:
+        await asyncio.sleep(0.02)
+        if any(run["task"][:16] == job_id for m in world.minions for run in m.history):
+            break
+    return now_ms() - began_ms
 
 
 async def main(world, has_trouble: bool) -> int:
-    """Lose a minion for good, and kill the leader at the same moment."""
-    await world.open(
-        ["a"] * 8,
-        [{"name": "serve", "path_prefix": "/serve/", "priority": 1}],
-        [{"name": "one", "api_keys": ["key-one"], "guaranteed": {"gpu": 0}}],
-    )
-    step = {"count": 1, "cpu": 8000, "mem_mb": 1000, "gpu": 4, "long_running": True}
-    body = {"spec": "startup=500", "steps": [step]}
-    if not await world.submit(LASTING, "key-one", body, prefix="/serve/"):
+    """Let a configuration say that the policy service takes longer for each minion."""
+    await world.open(["a"] * 24, routes(ADVICE), TENANTS)
+    task = {"count": 1, "cpu": 8000, "mem_mb": 1000, "gpu": 4, "estimated_ms": 1000}
+    body = {"spec": "work=1000", "steps": [task]}
+    waited_ms = await start_of(world, QUICK, body)
+    world.note("judged", job=QUICK, nothing_ran_ms=waited_ms)
+    if waited_ms is None or waited_ms >= NOTHING_MS:
         return 2
-    await asyncio.sleep(5)
-    leader = await find_leader(world)
-    used = [minion for minion in world.minions if minion.running]
-    if not leader or len(used) != 1:
-        return 2
-    lost_ms = now_ms()
     if has_trouble:
-        world.signal(leader, signal.SIGKILL)
-        await used[0].crash()
-        await asyncio.sleep(RESTART_S)
-        world.start_instance(leader)
-    worst_ms = 0
-    since_ms = None
-    while now_ms() < lost_ms + 20_000:
-        await asyncio.sleep(0.02)
-        is_running = any(minion.running for minion in world.minions if minion.is_up)
-        if is_running or now_ms() < lost_ms + COUNTED_FROM_MS:
-            since_ms = None
-            continue
-        since_ms = since_ms or now_ms()
-        worst_ms = max(worst_ms, now_ms() - since_ms)
-    world.note("judged", nothing_ran_ms=worst_ms, counted_from_ms=COUNTED_FROM_MS)
-    return 1 if worst_ms >= NOTHING_MS else 0
+        ADVICE.update(SLOWER)
+    world.configure(2, routes(ADVICE), TENANTS)
+    world.note("configured", version=2, **ADVICE)
+    await asyncio.sleep(2)
+    waited_ms = await start_of(world, JOB, body)
+    if waited_ms is None:
+        return 2
+    world.note("judged", job=JOB, nothing_ran_ms=waited_ms)
+    return 1 if waited_ms >= 1000 * WATCHED_S else 0
 
 
 run_script(FOLDER, main)
