Log how long a question to the policy service waits and takes

Cause: the `advice` line had the number of approvals alone. It could not tell a service that approves nothing from one whose tickets are out of use when they arrive, nor a slow answer from a question that waits for its turn.

Change: the line has `wait_ms`, `answer_ms` and `valid_ms`; a histogram `advice_answer_ms`.

--- a/ragwortshelf/scheduler/orders.py
+++ b/ragwortshelf/scheduler/orders.py
@@ -182,17 +182,23 @@
     async def _ask_advice(self, question: AskAdvice) -> None:
         # The service handles one call per instance at a time. The lock prevents further
         # calls from filling its queue.
+        ordered_ms = monotonic_ms()
         async with self._advice_lock:
             asked_ms = monotonic_ms()
             answer = await self._adapter.ask_advice(
                 question.step, question.endpoint_ids
             )
+        answer_ms = monotonic_ms() - asked_ms
         log_event(
             "advice",
             step=question.step,
             asked=len(question.endpoint_ids),
             approved=len(answer.ticket_by_id) if answer else None,
+            wait_ms=asked_ms - ordered_ms,
+            answer_ms=answer_ms,
+            valid_ms=answer.valid_ms if answer else None,
         )
+        self._metrics.observe_ms("advice_answer_ms", answer_ms)
         if answer is None:
             retry_ms = monotonic_ms() + ADVICE_RETRY_MS
             self._scheduler.advice.allow_retry(question.step, retry_ms)
