--- /dev/null
+++ b/ragwortshelf/core/advice/decisions.py
@@ -0,0 +1,168 @@
+"""The policy service's answers: lasting decisions, and tickets that expire."""
+
+from __future__ import annotations
+
+from collections.abc import Mapping
+from dataclasses import dataclass, replace
+
+from .terms import start_margin_ms
+
+__all__ = ["Decision", "PolicyDecisions", "Ticket"]
+
+FIRST_USE_MS = 100
+"""Time after its arrival for which a ticket is used, however long the answer took. Its
+time may count from the answer, and a refusal costs another question."""
+
+
+@dataclass(frozen=True, slots=True)
+class Ticket:
+    """A ticket for all tasks of a step on one incarnation of an endpoint.
+
+    The service counts its time from a moment between the question and the answer. A
+    start may be decided with it until ``asked_until_ms`` if that is the question, and
+    until ``answered_until_ms`` if it is the answer; and in any case until
+    ``first_use_until_ms``.
+    """
+
+    text: str
+    asked_until_ms: int
+    answered_until_ms: int
+    first_use_until_ms: int
+
+    @classmethod
+    def from_answer(
+        cls, text: str, valid_ms: int, asked_ms: int, answered_ms: int
+    ) -> Ticket:
+        """Return the ticket of an answer, with the times of both messages.
+
+        >>> Ticket.from_answer("t", 3_000, 1_000, 2_000).answered_until_ms
+        4500
+        """
+        usable_ms = valid_ms - start_margin_ms(valid_ms)
+        return cls(
+            text,
+            asked_ms + usable_ms,
+            answered_ms + usable_ms,
+            answered_ms + FIRST_USE_MS,
+        )
+
+
+@dataclass(frozen=True, slots=True)
+class Decision:
+    """Whether a step may run on one incarnation of an endpoint.
+
+    ``started_wall_ms`` is when that incarnation started. ``ticket`` is the newest one,
+    or None if there is none or an endpoint has refused it.
+    """
+
+    started_wall_ms: int
+    is_approved: bool
+    ticket: Ticket | None = None
+
+
+class PolicyDecisions:
+    """The decisions about the steps of jobs that have not ended.
+
+    Steps are identified by the names that the service knows them by, and endpoints by
+    their ids and the starts of their incarnations, in milliseconds of wall-clock time.
+    Other times are in milliseconds of the caller's clock.
+
+    The time of a ticket is counted from its answer, until an endpoint refuses one that
+    is older than its time from the question. From then on it is counted from there.
+    """
+
+    def __init__(self):
+        self._by_id_by_step: dict[str, dict[str, Decision]] = {}
+        self._steps_by_job_id: dict[str, set[str]] = {}
+        self._is_counted_from_question = False
+
+    def track(self, job_id: str, step: str) -> None:
+        """Keep decisions about a step from now on, until its job or it is forgotten."""
+        if step not in self._by_id_by_step:
+            self._by_id_by_step[step] = {}
+            self._steps_by_job_id.setdefault(job_id, set()).add(step)
+
+    def is_approved(
+        self, step: str, endpoint_id: str, started_wall_ms: int
+    ) -> bool | None:
+        """Return whether an endpoint may run a step; None if that is not known."""
+        decision = self._find(step, endpoint_id, started_wall_ms)
+        return None if decision is None else decision.is_approved
+
+    def ticket(self, step: str, endpoint_id: str, started_wall_ms: int) -> str:
+        """Return the newest ticket, valid or not; empty if there is none."""
+        decision = self._find(step, endpoint_id, started_wall_ms)
+        if decision is None or decision.ticket is None:
+            return ""
+        return decision.ticket.text
+
+    def has_ticket(
+        self, step: str, endpoint_id: str, started_wall_ms: int, at_ms: int
+    ) -> bool:
+        """Whether a start that is decided at ``at_ms`` can be sent with a ticket."""
+        decision = self._find(step, endpoint_id, started_wall_ms)
+        if decision is None or decision.ticket is None:
+            return False
+        return at_ms <= self._usable_until_ms(decision.ticket)
+
+    def record_answer(
+        self,
+        step: str,
+        started_wall_ms_by_id: Mapping[str, int],
+        ticket_by_id: Mapping[str, str],
+        valid_ms: int,
+        asked_ms: int,
+        answered_ms: int,
+    ) -> None:
+        """Store an answer about a step; it is dropped if the step has been forgotten.
+
+        ``started_wall_ms_by_id`` holds the endpoints of the question in the
+        incarnations that were known then; those without a ticket are denied.
+        """
+        by_id = self._by_id_by_step.get(step)
+        if by_id is None:
+            return
+        for endpoint_id, started_wall_ms in started_wall_ms_by_id.items():
+            text = ticket_by_id.get(endpoint_id)
+            if text is None:
+                by_id[endpoint_id] = Decision(started_wall_ms, False)
+                continue
+            ticket = Ticket.from_answer(text, valid_ms, asked_ms, answered_ms)
+            by_id[endpoint_id] = Decision(started_wall_ms, True, ticket)
+
+    def ticket_refused(self, step: str, endpoint_id: str, now_ms: int) -> None:
+        """Note that an endpoint refused its ticket; its approval remains."""
+        by_id = self._by_id_by_step.get(step, {})
+        decision = by_id.get(endpoint_id)
+        if decision is None or decision.ticket is None:
+            return
+        if decision.ticket.asked_until_ms < now_ms:
+            self._is_counted_from_question = True
+        by_id[endpoint_id] = replace(decision, ticket=None)
+
+    def forget_step(self, job_id: str, step: str) -> None:
+        """Drop the decisions about a step."""
+        self._by_id_by_step.pop(step, None)
+        steps = self._steps_by_job_id.get(job_id)
+        if steps is not None:
+            steps.discard(step)
+            if not steps:
+                del self._steps_by_job_id[job_id]
+
+    def forget_job(self, job_id: str) -> None:
+        """Drop the decisions about all steps of a job."""
+        for step in self._steps_by_job_id.pop(job_id, ()):
+            self._by_id_by_step.pop(step, None)
+
+    def _find(
+        self, step: str, endpoint_id: str, started_wall_ms: int
+    ) -> Decision | None:
+        decision = self._by_id_by_step.get(step, {}).get(endpoint_id)
+        if decision is None or decision.started_wall_ms != started_wall_ms:
+            return None
+        return decision
+
+    def _usable_until_ms(self, ticket: Ticket) -> int:
+        if self._is_counted_from_question:
+            return max(ticket.asked_until_ms, ticket.first_use_until_ms)
+        return max(ticket.answered_until_ms, ticket.first_use_until_ms)
--- a/ragwortshelf/core/scheduling/actions.py
+++ b/ragwortshelf/core/scheduling/actions.py
@@ -5,6 +5,7 @@
 import enum
 from dataclasses import dataclass
 
+from ..advice import OpenQuestion
 from .model import UnitKey
 from .records import (
     EndpointForgotten,
@@ -120,10 +121,9 @@
 
 @dataclass(frozen=True, slots=True)
 class AskAdvice:
-    """Ask the policy service which of these endpoints may run a step."""
+    """Put a question to the policy service."""
 
-    step: str
-    endpoint_ids: tuple[str, ...]
+    question: OpenQuestion
 
 
 @dataclass(frozen=True, slots=True)
@@ -199,13 +199,17 @@
     It is DELAYED after a refusal or a quick failure. It waits because it or another
     unit of its job is suspected of crashing endpoints (CRASH_SUSPECTED), for the end of
     a run that is being stopped (STOPPING) or on an endpoint that does not answer
-    (OUT_OF_CONTACT), for the answer to a start (STARTING), or for the policy service
-    (ADVICE). Or it would fit if the room were not reserved for others (RESERVED), if it
-    did not wait for one rack (RACK), or if no endpoint were suspected (ENDPOINTS). A
-    unit that would be placed by the next plan is READY.
+    (OUT_OF_CONTACT), for the answer to a start (STARTING), or for an answer of the
+    policy service (ADVICE). That service may allow the step on no endpoint
+    (ADVICE_DENIED), or take longer to answer than its tickets are valid (ADVICE_LATE).
+    Or the unit would fit if the room were not reserved for others (RESERVED), if it did
+    not wait for one rack (RACK), or if no endpoint were suspected (ENDPOINTS). A unit
+    that would be placed by the next plan is READY.
     """
 
     ADVICE = "advice"
+    ADVICE_DENIED = "advice_denied"
+    ADVICE_LATE = "advice_late"
     CRASH_SUSPECTED = "crash_suspected"
     DELAYED = "delayed"
     ENDPOINTS = "endpoints"
--- a/ragwortshelf/core/scheduling/configuration.py
+++ b/ragwortshelf/core/scheduling/configuration.py
@@ -9,6 +9,8 @@
 from dataclasses import dataclass, field
 from functools import cached_property
 
+from ..advice import AdviceTerms
+
 __all__ = [
     "EndpointService",
     "GuaranteedOrganisation",
@@ -22,9 +24,9 @@
     """A queue that accepts jobs under a host and a path prefix.
 
     A job is on time if it ends within ``slack_factor`` times its critical path plus
-    ``target_latency_ms``. Priority 0 is the most urgent. With ``needs_advice``, the
-    policy service must approve each endpoint that runs a step. A public queue accepts
-    jobs without an organisation's API key.
+    ``target_latency_ms``. Priority 0 is the most urgent. With ``advice``, the policy
+    service must approve each endpoint that runs a step. A public queue accepts jobs
+    without an organisation's API key.
     """
 
     name: str
@@ -36,7 +38,7 @@
     slack_factor: float = 1.0
     target_latency_ms: int = 0
     is_public: bool = False
-    needs_advice: bool = False
+    advice: AdviceTerms | None = None
 
 
 @dataclass(frozen=True, slots=True)
--- a/ragwortshelf/core/scheduling/endpoint_selection.py
+++ b/ragwortshelf/core/scheduling/endpoint_selection.py
@@ -9,6 +9,7 @@
 from .free_room import FreeRoom
 from .idle_services import IDLE_WAIT_MAX_MS, IdleServices
 from .lifecycle import UnitLifecycle
+from .model import step_name
 from .packing import find_endpoints, is_eligible, rack_could_hold
 from .reservations import UnitReservations
 from .speed_belief import SpeedClass
@@ -26,6 +27,10 @@
 idle service nothing proves them, and work may stand still there for 3 s at most."""
 
 
+TICKET_WAIT_SLACK_MS = 500
+"""Time for which room is kept free for a start beyond the time that an answer takes."""
+
+
 class EndpointSelector:
     """Finds room for units during one plan, which ``begin`` starts.
 
@@ -46,6 +51,7 @@
         self.usable: list[Endpoint] = []
         self._free_room = FreeRoom(())
         self._eligible_by_need: dict[tuple[str, str], list[Endpoint]] = {}
+        self._by_decision_by_step: dict[str, dict[bool | None, list[Endpoint]]] = {}
         self._by_classes: dict[tuple, tuple[list[Endpoint], list[Endpoint]]] = {}
         self._now_ms = 0
         self._wall_ms = 0
@@ -58,6 +64,7 @@
         self.usable = usable
         self._free_room = FreeRoom(usable)
         self._eligible_by_need.clear()
+        self._by_decision_by_step.clear()
 
     def room_changed(self, endpoints: list[Endpoint]) -> None:
         """Note that the free room of these endpoints has changed during the plan."""
@@ -67,38 +74,62 @@
         """Return an endpoint for each task of the unit, or None if they do not fit.
 
         Endpoints that are too slow for an urgent unit come last; without ``on_slow``
-        they are left out.
+        they are left out. Where the policy service must approve the endpoints, they
+        are approved, and those come first whose tickets are valid or asked for.
         """
         if not self._free_room.may_hold(unit.step, unit.count):
             return None
-        candidates = self._candidates(unit)
-        if self._needs_advice(unit):
-            allowed = self._allowed(unit, candidates)
-            if len(allowed) < len(candidates) and not self._find_endpoints(
-                unit, allowed
-            ):
-                self._scheduler.ask_advice(unit, candidates, self._now_ms)
-            candidates = allowed
+        if self._scheduler.advice_terms_of(unit) is None:
+            return self._choose_warm(unit, self._candidates(unit), on_slow)
+        approved = self.approved(unit)
+        eligible = approved + self.undecided(unit)
+        with_ticket = [e for e in approved if self._has_ticket(unit, e)]
+        asked_ids = self._scheduler.advice_desk.asked_ids(step_name(unit.key))
+        asked = [e for e in approved if e.id in asked_ids or e in with_ticket]
+        for group in (with_ticket, asked, approved):
+            if group:
+                endpoints = self._choose_warm(unit, group, on_slow, eligible)
+                if endpoints is not None:
+                    return endpoints
+        return None
+
+    def _choose_warm(
+        self,
+        unit: Unit,
+        candidates: list[Endpoint],
+        on_slow: bool,
+        eligible: list[Endpoint] | None = None,
+    ) -> list[Endpoint] | None:
         if unit.priority == 0:
             warm = [e for e in candidates if not e.is_cold(self._now_ms)]
             if len(warm) < len(candidates):
-                endpoints = self._choose(unit, warm, on_slow)
+                endpoints = self._choose(unit, warm, on_slow, eligible)
                 if endpoints is not None:
                     return endpoints
-        return self._choose(unit, candidates, on_slow)
+        return self._choose(unit, candidates, on_slow, eligible)
 
     def _choose(
-        self, unit: Unit, candidates: list[Endpoint], on_slow: bool
+        self,
+        unit: Unit,
+        candidates: list[Endpoint],
+        on_slow: bool,
+        eligible: list[Endpoint] | None = None,
     ) -> list[Endpoint] | None:
+        """Return the best of the candidates on which the unit fits, or None.
+
+        ``eligible`` are the endpoints by which it is judged whether a rack could hold
+        the unit, if these are not the candidates.
+        """
+        judged = eligible or candidates
         endpoints = None
         if unit.is_suspect:
             # Its start may cost the runs of others.
             empty = [e for e in candidates if not e.placement_by_task]
-            return self._find_endpoints(
-                unit, empty, candidates
-            ) or self._find_endpoints(unit, candidates)
+            return self._find_endpoints(unit, empty, judged) or self._find_endpoints(
+                unit, candidates, eligible
+            )
         if self._needs_proof(unit):
-            return self._find_endpoints(unit, self._proven(candidates), candidates)
+            return self._find_endpoints(unit, self._proven(candidates), judged)
         preference = preferred_classes(unit, self._wall_ms)[:-1]
         fast_enough = self.fast_enough(unit, candidates)
         if len(fast_enough) < len(candidates):
@@ -109,16 +140,16 @@
                 for e in self._of_classes(fast_enough, candidates, classes)
                 if e.id not in unit.avoided_ids
             ]
-            endpoints = self._find_endpoints(unit, alike, candidates)
+            endpoints = self._find_endpoints(unit, alike, judged)
             if endpoints is not None:
                 return endpoints
         if not on_slow and len(fast_enough) < len(candidates):
             return None
         if unit.avoided_ids:
             preferred = [e for e in candidates if e.id not in unit.avoided_ids]
-            endpoints = self._find_endpoints(unit, preferred)
+            endpoints = self._find_endpoints(unit, preferred, eligible)
         if endpoints is None:
-            endpoints = self._find_endpoints(unit, candidates)
+            endpoints = self._find_endpoints(unit, candidates, eligible)
         return endpoints
 
     def shape(self, unit: Unit) -> tuple:
@@ -129,12 +160,13 @@
         """
         step = unit.step
         is_counted_by_step = bool(step.tasks_per_endpoint_max)
+        needs_advice = self._scheduler.advice_terms_of(unit) is not None
         is_alone = unit.is_suspect or self._reservations.is_held_by(unit)
         needs_rack = bool(step.preferred_rack) or step.is_rack_sensitive
         return (
             unit.job.spec.queue,
             unit.key if is_alone else None,
-            unit.key[:3] if is_counted_by_step or self._needs_advice(unit) else None,
+            unit.key[:3] if is_counted_by_step or needs_advice else None,
             step.occupied,
             unit.count,
             step.required_label,
@@ -242,21 +274,72 @@
         """Return the reservations that keep a unit out of reserved room."""
         return self._reservations.holds_against(unit)
 
-    def _allowed(self, unit: Unit, candidates: list[Endpoint]) -> list[Endpoint]:
-        """Return the candidates that the policy service has approved."""
-        return self._scheduler.advice.with_ticket(unit, candidates, self._now_ms)
+    def approved(self, unit: Unit) -> list[Endpoint]:
+        """Return the usable endpoints that the policy service allows the unit."""
+        return self._by_decision(unit)[True]
+
+    def undecided(self, unit: Unit) -> list[Endpoint]:
+        """Return the usable endpoints about which the policy service was not asked."""
+        return self._by_decision(unit)[None]
+
+    def _by_decision(self, unit: Unit) -> dict[bool | None, list[Endpoint]]:
+        """Return the candidates of a step that are approved, denied and undecided."""
+        step = step_name(unit.key)
+        by_decision = self._by_decision_by_step.get(step)
+        if by_decision is None:
+            by_decision = {True: [], False: [], None: []}
+            is_approved = self._scheduler.decisions.is_approved
+            for endpoint in self._candidates(unit):
+                decision = is_approved(step, endpoint.id, endpoint.started_wall_ms)
+                by_decision[decision].append(endpoint)
+            self._by_decision_by_step[step] = by_decision
+        return by_decision
+
+    def may_fit_if_approved(self, unit: Unit) -> bool:
+        """Whether a unit may fit into free room, were all undecided endpoints approved.
+
+        Racks and reservations are not considered.
+        """
+        if not self._free_room.may_hold(unit.step, unit.count):
+            return False
+        undecided = self.undecided(unit)
+        if not undecided:
+            return False
+        needed = unit.step.occupied
+        tasks_left = unit.count
+        for endpoint in (*undecided, *self.approved(unit)):
+            tasks_left -= endpoint.slots(needed)
+            if tasks_left <= 0:
+                return True
+        return False
+
+    def has_tickets(self, unit: Unit, endpoints: list[Endpoint]) -> bool:
+        """Whether a unit may be started on these endpoints now."""
+        if self._scheduler.advice_terms_of(unit) is None:
+            return True
+        return all(self._has_ticket(unit, endpoint) for endpoint in endpoints)
+
+    def ticket_wait_ms(self, unit: Unit, endpoints: list[Endpoint]) -> int:
+        """Return how long a question about these endpoints and their start take."""
+        terms = self._scheduler.advice_terms_of(unit)
+        answer_ms = terms.answer_ms(len(set(endpoints))) if terms else 0
+        return answer_ms + TICKET_WAIT_SLACK_MS
+
+    def _has_ticket(self, unit: Unit, endpoint: Endpoint) -> bool:
+        return self._scheduler.decisions.has_ticket(
+            step_name(unit.key), endpoint.id, endpoint.started_wall_ms, self._now_ms
+        )
 
     def reclaim_candidates(self, unit: Unit) -> list[Endpoint]:
-        """Return the endpoints on which room may be made for a unit."""
-        candidates = [e for e in self._candidates(unit) if not e.is_suspected]
-        if not self._needs_advice(unit):
-            return candidates
-        return self._allowed(unit, candidates)
+        """Return the endpoints on which room may be made for a unit.
 
-    def _needs_advice(self, unit: Unit) -> bool:
-        queues = self._scheduler.configuration.queue_by_name
-        queue = queues.get(unit.job.spec.queue)
-        return queue is not None and queue.needs_advice
+        An approval is enough, as tickets are asked for once there is room.
+        """
+        if self._scheduler.advice_terms_of(unit) is None:
+            candidates = self._candidates(unit)
+        else:
+            candidates = self.approved(unit)
+        return [e for e in candidates if not e.is_suspected]
 
     def _find_endpoints(
         self,
@@ -290,6 +373,10 @@
             may_leave_rack=may_leave,
         )
 
+    def slots(self, unit: Unit, endpoint: Endpoint) -> int:
+        """Return how many tasks of a unit may be placed on an endpoint now."""
+        return self._slots(unit, endpoint)
+
     def _slots(
         self,
         unit: Unit,
@@ -324,12 +411,18 @@
         The rules are left out one after the other until the unit fits.
         """
         candidates = self._candidates(unit)
-        if self._needs_advice(unit):
-            candidates = self._allowed(unit, candidates)
+        terms = self._scheduler.advice_terms_of(unit)
+        if terms is not None:
+            candidates = self.approved(unit)
             if not candidates:
-                return WaitCause.ADVICE
-        if self._find_endpoints(unit, candidates) is not None:
-            return WaitCause.READY
+                is_denied = not self.undecided(unit)
+                return WaitCause.ADVICE_DENIED if is_denied else WaitCause.ADVICE
+        endpoints = self._find_endpoints(unit, candidates)
+        if endpoints is not None:
+            if self.has_tickets(unit, endpoints):
+                return WaitCause.READY
+            is_late = terms.is_too_slow_for(len(set(endpoints)))
+            return WaitCause.ADVICE_LATE if is_late else WaitCause.ADVICE
         heeded = {"heeds_suspicions": True, "heeds_reservations": True}
         if self._fits_on_any_rack(unit, candidates, **heeded):
             return WaitCause.RACK
--- a/ragwortshelf/core/scheduling/evacuation_moves.py
+++ b/ragwortshelf/core/scheduling/evacuation_moves.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from .advice_questions import AdviceQuestioner
 from .availability import is_available
 from .endpoint import Endpoint
 from .endpoint_selection import EndpointSelector
@@ -26,10 +27,12 @@
         scheduler: UnitLifecycle,
         reservations: UnitReservations,
         selector: EndpointSelector,
+        questioner: AdviceQuestioner,
     ):
         self._scheduler = scheduler
         self._reservations = reservations
         self._selector = selector
+        self._questioner = questioner
         self._evacuated: list[Endpoint] = []
         self._now_ms = 0
 
@@ -84,6 +87,7 @@
         endpoints = self._selector.find_room(unit)
         if endpoints is None:
             unplaceable_shapes.add(shape)
+            self._questioner.need_approvals(unit)
         else:
             plan = EndpointReclaimPlan(tuple(endpoints), ())
             self._reservations.reserve(unit, plan, self._now_ms, is_exclusive=True)
--- a/ragwortshelf/core/scheduling/lifecycle.py
+++ b/ragwortshelf/core/scheduling/lifecycle.py
@@ -9,6 +9,7 @@
 from collections import Counter
 from dataclasses import replace
 
+from ..advice import AdviceTerms, PolicyDecisions, QuestionDesk
 from .actions import (
     Action,
     AskAdvice,
@@ -18,14 +19,13 @@
     StartTask,
     StopTask,
 )
-from .advice import AdviceCache, step_name
 from .configuration import ServiceConfiguration
 from .crashes import CrashTracker
 from .endpoint import Endpoint
 from .evacuation import Evacuations
 from .job_table import Job, JobTable
 from .listings import EndpointInfo, RunEnd
-from .model import Resources, UnitKey, UnitPhase
+from .model import Resources, UnitKey, UnitPhase, step_name
 from .records import EndpointForgotten, LeasesResumed, TermReport
 from .speed import SpeedTracker
 from .speed_records import SpeedRecorder
@@ -79,7 +79,8 @@
         self.unit_by_key: dict[UnitKey, Unit] = {}
         self.waiting: dict[UnitKey, Unit] = {}
         self.next_due_wall_ms: int | None = None
-        self.advice = AdviceCache()
+        self.decisions = PolicyDecisions()
+        self.advice_desk = QuestionDesk()
         self._units_by_job_id: dict[str, dict[UnitKey, Unit]] = {}
         self.suspicion = SuspicionTracker(self.endpoint_by_id, self._units_by_job_id)
         self.speeds = SpeedTracker()
@@ -180,7 +181,7 @@
             placement = self._add_placement(unit, index, endpoint, now_ms)
             placement.stage = RunStage.ORDERED
             if first_index is None or index == first_index:
-                self._order_start(unit, placement, self._ticket(placement, now_ms))
+                self._order_start(unit, placement)
             else:
                 self._held_by_key.setdefault(unit.key, []).append(placement)
 
@@ -204,11 +205,24 @@
         unit.not_before_ms = now_ms + PLANNING_FAULT_DELAY_MS
         self._actions.append(ReportPlanningFault(unit.key, error))
 
-    def ask_advice(self, unit: Unit, endpoints: list[Endpoint], now_ms: int) -> None:
-        """Ask which of these endpoints may run a unit, unless a question is open."""
-        endpoint_ids = self.advice.open_question(unit, endpoints, now_ms)
-        if endpoint_ids:
-            self._actions.append(AskAdvice(step_name(unit), endpoint_ids))
+    def ask_advice(
+        self, unit: Unit, endpoints: list[Endpoint], terms: AdviceTerms, now_ms: int
+    ) -> None:
+        """Ask the policy service which of these endpoints may run a unit's step."""
+        step = step_name(unit.key)
+        self.decisions.track(unit.key.job_id, step)
+        started_wall_ms_by_id = {e.id: e.started_wall_ms for e in endpoints}
+        question = self.advice_desk.open(step, started_wall_ms_by_id, terms, now_ms)
+        self._actions.append(AskAdvice(question))
+
+    def advice_terms_of(self, unit: Unit) -> AdviceTerms | None:
+        """Return the figures of a unit's policy service; None if it needs no advice."""
+        queue = self.configuration.queue_by_name.get(unit.job.spec.queue)
+        return queue.advice if queue else None
+
+    def waiting_count(self, job_id: str) -> int:
+        """Return how many units of a job wait to be placed."""
+        return self._waiting_count_by_job_id[job_id]
 
     def service_of(self, unit: Unit) -> str:
         """Return the service on whose endpoints a unit runs."""
@@ -317,7 +331,6 @@
 
     def _end_job(self, job: Job, now_ms: int) -> None:
         job_id = job.spec.id
-        self.advice.forget(job_id)
         self._forget_job(job_id, now_ms)
         state = job.state.value
         for unit in list(self._units_by_job_id.get(job_id, {}).values()):
@@ -437,9 +450,11 @@
         unit.placements.append(placement)
         return placement
 
-    def _order_start(
-        self, unit: Unit, placement: TaskPlacement, ticket: str = ""
-    ) -> None:
+    def _order_start(self, unit: Unit, placement: TaskPlacement) -> None:
+        endpoint = self.endpoint_by_id[placement.endpoint_id]
+        ticket = self.decisions.ticket(
+            step_name(unit.key), endpoint.id, endpoint.started_wall_ms
+        )
         self._actions.append(
             StartTask(
                 placement.endpoint_id,
@@ -452,11 +467,6 @@
             )
         )
 
-    def _ticket(self, placement: TaskPlacement, now_ms: int) -> str:
-        unit = self.unit_by_key[placement.unit_key]
-        endpoint = self.endpoint_by_id[placement.endpoint_id]
-        return self.advice.ticket(unit, endpoint, now_ms) or ""
-
     def _release_held_starts(self, now_ms: int, wall_ms: int) -> None:
         """Order the other starts of gangs whose first member has not crashed."""
         for key, held in list(self._held_by_key.items()):
@@ -474,7 +484,7 @@
             if all(self._has_passed_trial(placement, now_ms) for placement in tried):
                 del self._held_by_key[key]
                 for placement in held:
-                    self._order_start(unit, placement, self._ticket(placement, now_ms))
+                    self._order_start(unit, placement)
 
     def _has_passed_trial(self, placement: TaskPlacement, now_ms: int) -> bool:
         if placement.stage is not RunStage.RUNNING or placement.confirmed_ms is None:
@@ -572,6 +582,7 @@
         if not unit.job.is_active:
             self._forget_job(unit.job.spec.id, now_ms)
         elif is_step_done and opening is not None:
+            self.decisions.forget_step(unit.key.job_id, step_name(unit.key))
             opening.step_done(unit.key.occurrence, unit.key.step)
             self._open_units(unit.job, now_ms, wall_ms)
         if is_step_done:
@@ -619,6 +630,7 @@
 
     def _forget_job(self, job_id: str, now_ms: int) -> None:
         self._forget_opening(job_id)
+        self.decisions.forget_job(job_id)
         self.suspicion.forget_job(job_id)
         self.crashes.forget_job(job_id)
         self.speeds.forget_job(job_id, now_ms)
--- a/ragwortshelf/core/scheduling/model.py
+++ b/ragwortshelf/core/scheduling/model.py
@@ -16,6 +16,7 @@
     "Step",
     "UnitKey",
     "UnitPhase",
+    "step_name",
     "task_name",
 ]
 
@@ -219,3 +220,12 @@
     """
     member = index if key.member == GANG else key.member
     return f"{key.job_id}.{key.occurrence}.{key.step}.{member}"
+
+
+def step_name(key: UnitKey) -> str:
+    """Return the name on the wire of a step in one occurrence.
+
+    >>> step_name(UnitKey("5c0e7a21d94b36f8", 0, 1, GANG))
+    '5c0e7a21d94b36f8.0.1'
+    """
+    return f"{key.job_id}.{key.occurrence}.{key.step}"
--- a/ragwortshelf/core/scheduling/planning.py
+++ b/ragwortshelf/core/scheduling/planning.py
@@ -4,6 +4,8 @@
 
 from collections import defaultdict
 
+from .advice_questions import AdviceQuestioner
+from .endpoint import Endpoint
 from .endpoint_selection import EndpointSelector
 from .evacuation_moves import EvacuationMover
 from .fast_room import FastRoomMaker
@@ -37,6 +39,7 @@
         self._selector = EndpointSelector(
             scheduler, self._reservations, self._idle_services, self._deadlines
         )
+        self._questioner = AdviceQuestioner(scheduler, self._selector)
         self._accounts = ShareAccounts()
         self._costs = StopCosts(self._accounts)
         common = (scheduler, self._reservations, self._selector, self._costs)
@@ -50,7 +53,7 @@
         self.overdue_runs = OverdueRunMonitor(scheduler)
         self.straggler_mover = StragglerMover(scheduler, self._selector)
         self._evacuation_mover = EvacuationMover(
-            scheduler, self._reservations, self._selector
+            scheduler, self._reservations, self._selector, self._questioner
         )
         self._now_ms = 0
         self._wall_ms = 0
@@ -74,6 +77,7 @@
         self._deadlines.begin(now_ms)
         self._reservations.begin(now_ms)
         self._selector.begin(usable, now_ms, wall_ms)
+        self._questioner.begin(now_ms)
         self._evacuation_mover.begin(now_ms)
         self._costs.begin(now_ms, wall_ms)
         for room_maker in (self._fast_room_maker, self._reclaimer, self._reserver):
@@ -97,6 +101,7 @@
                 self._try_unit(unit, True, gpus_in_use, unplaceable_shapes)
         self._evacuation_mover.run()
         self.straggler_mover.run(now_ms, wall_ms)
+        self._questioner.ask()
 
     @property
     def organisations_above_share(self) -> int:
@@ -135,7 +140,7 @@
         return (
             self._accounts.is_above(unit)
             and not unit.is_starving(self._now_ms)
-            and not _must_restart(unit)
+            and not unit.must_restart
             and not self._is_guaranteed(unit, gpus_in_use)
         )
 
@@ -175,6 +180,12 @@
                 # Its room counts for its organisation from now on.
                 gpus_in_use[organisation] += unit.gpus
                 return
+        if endpoints is not None and not self._selector.has_tickets(unit, endpoints):
+            unplaceable_shapes.add(shape)
+            if is_guaranteed:
+                gpus_in_use[organisation] += unit.gpus
+            self._await_tickets(unit, endpoints, is_guaranteed)
+            return
         if endpoints is not None:
             self.drop_reservation(unit)
             if unit.priority == 0:
@@ -185,21 +196,37 @@
                 unit, endpoints, self._now_ms, self._wall_ms, standing
             )
             self._deadlines.unit_placed(unit)
+            self._questioner.unit_placed(unit)
             self._selector.room_changed(endpoints)
             return
         unplaceable_shapes.add(shape)
+        self._questioner.need_approvals(unit)
         self._had_misfit = True
         if not self._accounts.is_computed:
             self._compute_shares()
         if is_guaranteed:
             gpus_in_use[organisation] += unit.gpus
-        if is_guaranteed or _must_restart(unit):
+        if is_guaranteed or unit.must_restart:
             self._reclaimer.make_room(unit)
         elif _needs_reservation(unit):
             self._reserver.make_room(unit)
         if self._reservations.is_held_by(unit):
             self._accounts.charge(unit)
 
+    def _await_tickets(
+        self, unit: Unit, endpoints: list[Endpoint], is_guaranteed: bool
+    ) -> None:
+        """Ask for the tickets of the endpoints on which a unit is to start.
+
+        The room of gangs and of guaranteed units is kept free meanwhile.
+        """
+        self._questioner.need_tickets(unit, endpoints)
+        if is_guaranteed or unit.count > 1:
+            until_ms = self._now_ms + self._selector.ticket_wait_ms(unit, endpoints)
+            self._reserver.hold(unit, endpoints, until_ms, is_guaranteed)
+        if self._reservations.is_held_by(unit):
+            self._accounts.charge(unit)
+
     def _urgent_gpus_in_use(self) -> defaultdict[str, int]:
         """Return the accelerators that each organisation's priority-0 units occupy."""
         gpus_in_use: defaultdict[str, int] = defaultdict(int)
@@ -230,11 +257,6 @@
         return names
 
 
-def _must_restart(unit: Unit) -> bool:
-    """Whether a long-running unit has run before, so that room is reclaimed for it."""
-    return unit.step.is_long_running and unit.record.run > 0
-
-
 def _needs_reservation(unit: Unit) -> bool:
     """Whether smaller units would keep taking the room that the unit waits for."""
     return unit.count > 1 or unit.gpus > 1
--- a/ragwortshelf/core/scheduling/room_reserving.py
+++ b/ragwortshelf/core/scheduling/room_reserving.py
@@ -84,6 +84,24 @@
         self._stop_cheap_victims(unit, plan)
         return True
 
+    def hold(
+        self,
+        unit: Unit,
+        endpoints: list[Endpoint],
+        until_ms: int,
+        is_guaranteed: bool,
+    ) -> None:
+        """Reserve free room in which a unit starts as soon as it is allowed to.
+
+        The room of a guaranteed unit is exclusive, as if it had been reclaimed. Other
+        units get none if enough units wait with a reservation.
+        """
+        self._reservations.drop(unit)
+        count = 0 if is_guaranteed else self._count_reservations(unit)
+        if count < WAITING_RESERVATIONS_MAX:
+            plan = EndpointReclaimPlan(tuple(endpoints), ())
+            self._reservations.reserve(unit, plan, until_ms, is_guaranteed)
+
     def _preempt_lasting(self, unit: Unit, candidates: list[Endpoint]) -> bool:
         """Preempt for a unit in the way of which is lasting work, if that loses little.
 
--- a/ragwortshelf/core/scheduling/scheduler.py
+++ b/ragwortshelf/core/scheduling/scheduler.py
@@ -10,6 +10,7 @@
 
 from collections.abc import Mapping
 
+from ..advice import OpenQuestion
 from .actions import PaceTask, StartTask
 from .availability import may_be_stopped
 from .configuration import ServiceConfiguration
@@ -22,6 +23,7 @@
     RunEnd,
     StartOutcome,
 )
+from .model import step_name
 from .pacing import FULL_PERCENT
 from .planning import Planner
 from .task_placement import RunStage
@@ -129,7 +131,7 @@
         self._note_refusal(endpoint_id, outcome, now_ms)
         unit = self.unit_by_key.get(placement.unit_key)
         if unit is not None and outcome is StartOutcome.NO_TICKET:
-            self.advice.drop_ticket(unit, endpoint_id)
+            self.decisions.ticket_refused(step_name(unit.key), endpoint_id, now_ms)
         if unit is not None:
             unit.not_before_ms = now_ms + REPLAN_DELAY_MS
             unit.avoided_ids.add(endpoint_id)
@@ -188,20 +190,30 @@
 
     def advice_received(
         self,
-        step: str,
-        asked_ids: tuple[str, ...],
-        ticket_by_id: dict[str, str],
-        expires_ms: int,
+        question: OpenQuestion,
+        ticket_by_id: Mapping[str, str],
+        valid_ms: int,
+        asked_ms: int,
+        now_ms: int,
     ) -> None:
-        """Store the policy service's answer about a step."""
-        started_wall_ms_by_id = {
-            endpoint_id: endpoint.started_wall_ms
-            for endpoint_id, endpoint in self.endpoint_by_id.items()
-        }
-        self.advice.record_answer(
-            step, asked_ids, ticket_by_id, started_wall_ms_by_id, expires_ms
+        """Store the policy service's answer to a question that was put at a time.
+
+        Endpoints without a ticket in ``ticket_by_id`` are denied.
+        """
+        self.advice_desk.close(now_ms, is_answered=True)
+        self.decisions.record_answer(
+            question.step,
+            question.started_wall_ms_by_id,
+            ticket_by_id,
+            valid_ms,
+            asked_ms,
+            now_ms,
         )
 
+    def advice_unanswered(self, now_ms: int) -> None:
+        """Note that the policy service has not answered the open question."""
+        self.advice_desk.close(now_ms, is_answered=False)
+
     def pace_unconfirmed(self, order: PaceTask) -> None:
         """Reset an unconfirmed pace, so that it is ordered again."""
         placement = self._find_placement(order.endpoint_id, order.task, order.run)
--- a/ragwortshelf/core/scheduling/unit.py
+++ b/ragwortshelf/core/scheduling/unit.py
@@ -174,6 +174,11 @@
         """Whether the latest plan put the unit before all that are not guaranteed."""
         return self.order_key[1] < 0
 
+    @property
+    def must_restart(self) -> bool:
+        """Whether a long-running unit has run before, so that room is reclaimed."""
+        return self.step.is_long_running and self.record.run > 0
+
     def is_late(self, wall_ms: int) -> bool:
         """Whether the job is unlikely to be on time.
 
--- a/ragwortshelf/scheduler/interfaces.py
+++ b/ragwortshelf/scheduler/interfaces.py
@@ -311,7 +311,7 @@
 
     @abc.abstractmethod
     async def ask_advice(
-        self, step: str, endpoint_ids: tuple[str, ...]
+        self, step: str, endpoint_ids: tuple[str, ...], *, timeout_ms: int
     ) -> Advice | None:
         """Ask the policy service which endpoints may run a step; None if unanswered."""
 
--- a/ragwortshelf/scheduler/orders.py
+++ b/ragwortshelf/scheduler/orders.py
@@ -7,6 +7,7 @@
 
 import trio
 
+from ..core.advice import OpenQuestion
 from ..core.scheduling import Scheduler
 from ..core.scheduling.actions import AskAdvice, PaceTask, StartTask, StopTask
 from ..core.scheduling.listings import StartOutcome
@@ -26,9 +27,6 @@
 CAPACITY_CHECK_INTERVAL_MS = 50
 """Interval between checks whether the reports have been read again."""
 
-ADVICE_RETRY_MS = 300
-"""Delay before repeating a request that the policy service did not answer."""
-
 
 class OrderSender:
     """Carries out individual actions; each method runs as a separate task.
@@ -55,7 +53,6 @@
         self._reports_age_ms = reports_age_ms
         self._start_gate = start_gate
         self._on_outcome = on_outcome
-        self._advice_lock = trio.Lock()
 
     async def start(self, order: StartTask) -> None:
         """Start a task, unless its run was abandoned while its record was written."""
@@ -76,10 +73,14 @@
         with self._boundary(order):
             await self._pace(order)
 
-    async def ask_advice(self, question: AskAdvice) -> None:
-        """Ask the policy service which endpoints may run a step."""
-        with self._boundary(question):
-            await self._ask_advice(question)
+    async def ask_advice(self, order: AskAdvice) -> None:
+        """Put a question to the policy service and report its answer."""
+        is_reported = False
+        with self._boundary(order):
+            is_reported = await self._ask_advice(order.question)
+        if not is_reported:
+            self._scheduler.advice_unanswered(monotonic_ms())
+            self._on_outcome(False)
 
     @contextmanager
     def _boundary(self, order: StartTask | StopTask | PaceTask | AskAdvice):
@@ -179,34 +180,43 @@
         outcome = "confirmed" if is_confirmed else "unconfirmed"
         self._metrics.count("orders_total", order=order, outcome=outcome)
 
-    async def _ask_advice(self, question: AskAdvice) -> None:
-        # The service handles one call per instance at a time. The lock prevents further
-        # calls from filling its queue.
-        ordered_ms = monotonic_ms()
-        async with self._advice_lock:
-            asked_ms = monotonic_ms()
-            answer = await self._adapter.ask_advice(
-                question.step, question.endpoint_ids
+    async def _ask_advice(self, question: OpenQuestion) -> bool:
+        """Put a question; returns whether an answer was reported to the scheduler."""
+        endpoint_ids = tuple(question.started_wall_ms_by_id)
+        terms = question.terms
+        figures = {
+            "step": question.step,
+            "asked": len(endpoint_ids),
+            "expected_ms": terms.answer_ms(len(endpoint_ids)),
+        }
+        if terms.is_too_slow_for(len(endpoint_ids)):
+            self._metrics.count("advice_late_total")
+            log_event(
+                "advice_late",
+                **figures,
+                decision_ms=terms.decision_ms,
+                per_endpoint_ms=terms.per_endpoint_ms,
+                valid_ms=terms.valid_ms,
             )
-        answer_ms = monotonic_ms() - asked_ms
+        asked_ms = monotonic_ms()
+        answer = await self._adapter.ask_advice(
+            question.step,
+            endpoint_ids,
+            timeout_ms=max(1, question.deadline_ms - asked_ms),
+        )
+        now_ms = monotonic_ms()
         log_event(
             "advice",
-            step=question.step,
-            asked=len(question.endpoint_ids),
+            **figures,
             approved=len(answer.ticket_by_id) if answer else None,
-            wait_ms=asked_ms - ordered_ms,
-            answer_ms=answer_ms,
+            answer_ms=now_ms - asked_ms,
             valid_ms=answer.valid_ms if answer else None,
         )
-        self._metrics.observe_ms("advice_answer_ms", answer_ms)
+        self._metrics.observe_ms("advice_answer_ms", now_ms - asked_ms)
         if answer is None:
-            retry_ms = monotonic_ms() + ADVICE_RETRY_MS
-            self._scheduler.advice.allow_retry(question.step, retry_ms)
-            return
+            return False
         self._scheduler.advice_received(
-            question.step,
-            question.endpoint_ids,
-            answer.ticket_by_id,
-            asked_ms + answer.valid_ms,
+            question, answer.ticket_by_id, answer.valid_ms, asked_ms, now_ms
         )
         self._on_outcome(True)
+        return True
--- a/tests/core/scheduling/harness.py
+++ b/tests/core/scheduling/harness.py
@@ -9,6 +9,7 @@
     Step,
 )
 from ragwortshelf.core.scheduling.actions import (
+    AskAdvice,
     PersistUnit,
     ReportIdleWait,
     ReportOverdueRun,
@@ -63,6 +64,8 @@
         self.records = []
         self.idle_waits = []
         self.overdue_runs = []
+        # When each question to the policy service was put, and the question.
+        self.questions = []
         for n in range(endpoints):
             self.add_endpoint(f"e{n}", f"r{n % racks}", gpus)
 
@@ -122,6 +125,8 @@
                 self.idle_waits.append(action)
             elif isinstance(action, ReportOverdueRun):
                 self.overdue_runs.append(action)
+            elif isinstance(action, AskAdvice):
+                self.questions.append((self.now, action.question))
 
     def accept_starts(self):
         """Confirm all ordered starts."""
@@ -194,14 +199,18 @@
     def wait(self, ms, interval_ms=250):
         for _ in range(ms // interval_ms):
             self.now += interval_ms
-            for endpoint_id, endpoint in self.scheduler.endpoint_by_id.items():
-                percent = {
-                    task: (self.now - placement.ordered_ms) / 600
-                    for task, placement in endpoint.placement_by_task.items()
-                }
-                self.list(endpoint_id, percent=percent)
+            self.list_progress()
             self.obey_stops()
 
+    def list_progress(self):
+        """List all endpoints, with runs that make progress."""
+        for endpoint_id, endpoint in self.scheduler.endpoint_by_id.items():
+            percent = {
+                task: (self.now - placement.ordered_ms) / 600
+                for task, placement in endpoint.placement_by_task.items()
+            }
+            self.list(endpoint_id, percent=percent)
+
     def end_runs_of(self, length_ms):
         """End the runs that have taken this long."""
         for endpoint_id, endpoint in self.scheduler.endpoint_by_id.items():
--- a/tests/core/scheduling/test_advice.py
+++ b/tests/core/scheduling/test_advice.py
@@ -1,87 +1,308 @@
 """Steps for which a policy service must approve each endpoint."""
 
-from dataclasses import replace
+import pytest
+from advice_harness import AdvisedFleet
 
-from harness import Harness, configuration
+from ragwortshelf.core.advice import AdviceTerms
+from ragwortshelf.core.scheduling import Resources
+from ragwortshelf.core.scheduling.actions import WaitCause
 
-from ragwortshelf.core.scheduling.actions import AskAdvice, StartTask
-from ragwortshelf.core.scheduling.listings import StartOutcome
+QUICK = AdviceTerms(decision_ms=20, per_endpoint_ms=2, valid_ms=5_000)
+SLOW = AdviceTerms(decision_ms=200, per_endpoint_ms=100, valid_ms=3_000)
+WHOLE = Resources(8_000, 8_000, 8)
 
+NOTHING_RUNS_MAX_MS = 3_000
+RECLAIM_MAX_MS = 2_900
+"""Bounds of the platform's specification."""
 
-def _harness(endpoints=3):
-    harness = Harness(endpoints=endpoints)
-    plain = configuration()
-    queues = tuple(replace(queue, needs_advice=True) for queue in plain.queues)
-    harness.scheduler.configure(replace(plain, queues=queues))
-    return harness
 
+def _play(fleet, limit_ms, is_over):
+    """Answer questions, obey stops and let time pass; returns when ``is_over`` holds.
 
-def _record_questions(harness):
-    """Replace the harness's collection of actions by one that keeps questions."""
-    questions = []
+    None if it does not hold within the limit.
+    """
+    begin_ms = fleet.now
+    while not is_over():
+        if fleet.now - begin_ms > limit_ms:
+            return None
+        if fleet.questions:
+            fleet.answer()
+        else:
+            fleet.wait_until(fleet.now + 50)
+        fleet.obey_stops()
+    return fleet.now - begin_ms
 
-    def collect():
-        for action in harness.scheduler.take_actions():
-            if isinstance(action, AskAdvice):
-                questions.append(action)
-            elif isinstance(action, StartTask):
-                harness.starts.append(action)
 
-    harness.collect = collect
-    return questions
+def test_a_step_starts_only_on_approved_endpoints_and_with_its_ticket():
+    fleet = AdvisedFleet(QUICK, endpoints=3)
+    fleet.submit("j", count=2)
+    assert not fleet.starts
+    allowed, *fleet.denied_ids = fleet.asked_ids()
+    fleet.answer()
+    assert {s.endpoint_id for s in fleet.starts} == {allowed}
+    assert {s.ticket for s in fleet.starts} == {f"j.0.0@{allowed}"}
 
 
-def test_a_step_starts_only_on_approved_endpoints_and_with_its_ticket():
-    harness = _harness()
-    questions = _record_questions(harness)
-    harness.submit("j", count=2)
-    assert not harness.starts
-    (question,) = questions
+def test_an_expired_ticket_is_requested_again_for_the_approved_endpoint():
+    fleet = AdvisedFleet(QUICK, endpoints=2)
+    fleet.submit("other", "p2", request=WHOLE, estimate_ms=60_000)
+    fleet.answer()
+    ((endpoint_id, task),) = [(s.endpoint_id, s.task) for s in fleet.accept_starts()]
+    fleet.submit("j")
+    fleet.denied_ids = {"e0", "e1"} - {endpoint_id}
+    fleet.answer()
+    assert not fleet.starts
+    fleet.wait_until(fleet.now + QUICK.valid_ms)
+    fleet.end(endpoint_id, task)
+    assert not fleet.starts
+    assert fleet.answer() == (endpoint_id,)
+    assert [start.endpoint_id for start in fleet.starts] == [endpoint_id]
+
+
+def test_one_question_is_open_at_a_time():
+    fleet = AdvisedFleet(QUICK, endpoints=3)
+    fleet.submit("j")
+    fleet.submit("k")
+    fleet.wait_until(fleet.now + 1_000)
+    ((_, question),) = fleet.questions
     assert question.step == "j.0.0"
-    allowed = question.endpoint_ids[0]
-    harness.scheduler.advice_received(
-        question.step, question.endpoint_ids, {allowed: "t"}, harness.now + 3_000
-    )
-    harness.plan()
-    assert {s.endpoint_id for s in harness.starts} == {allowed}
-    assert {s.ticket for s in harness.starts} == {"t"}
+    fleet.answer()
+    ((_, question),) = fleet.questions
+    assert question.step == "k.0.0"
 
 
-def test_an_expired_ticket_is_requested_again_for_the_approved_endpoint():
-    harness = _harness()
-    questions = _record_questions(harness)
-    harness.submit("j")
-    (question,) = questions
-    allowed = question.endpoint_ids[-1]
-    harness.scheduler.advice_received(
-        question.step, question.endpoint_ids, {allowed: "t"}, harness.now + 100
-    )
-    harness.plan()
-    assert not harness.starts
-    assert questions[1].endpoint_ids == (allowed,)
-
-
-def test_a_step_has_one_open_question_at_a_time():
-    harness = _harness()
-    questions = _record_questions(harness)
-    harness.submit("j")
-    harness.advance(1_000)
-    assert len(questions) == 1
-    harness.scheduler.advice.allow_retry("j.0.0", harness.now)
-    harness.advance(10)
-    assert len(questions) == 2
+def test_an_unanswered_question_is_put_again():
+    fleet = AdvisedFleet(QUICK, endpoints=3)
+    fleet.submit("j")
+    fleet.questions.clear()
+    fleet.scheduler.advice_unanswered(fleet.now)
+    fleet.wait_until(fleet.now + 1_000)
+    assert fleet.asked_ids() == ("e0", "e1", "e2")
 
 
 def test_a_rejected_ticket_is_not_used_again():
-    harness = _harness(endpoints=1)
-    questions = _record_questions(harness)
-    harness.submit("j")
-    assert len(questions) == 1
-    harness.scheduler.advice_received(
-        "j.0.0", ("e0",), {"e0": "old"}, harness.now + 9_000
-    )
-    harness.plan()
-    harness.refuse_start(StartOutcome.NO_TICKET)
-    harness.advance(500)
-    assert not harness.starts
-    assert len(questions) == 2
+    fleet = AdvisedFleet(QUICK, endpoints=1)
+    fleet.submit("j")
+    fleet.answer()
+    fleet.refuse_ticket()
+    fleet.wait_until(fleet.now + 500)
+    assert not fleet.starts
+    assert fleet.answer() == ("e0",)
+    assert len(fleet.starts) == 1
+
+
+# Guards against tickets that are out of use when they arrive, as the service takes
+# nearly their whole time for all endpoints (case 7 of the second review).
+@pytest.mark.parametrize(
+    ("terms", "endpoints"),
+    [
+        (SLOW, 24),
+        (AdviceTerms(200, 100, 5_000), 40),
+        (AdviceTerms(900, 300, 3_000), 24),
+        (AdviceTerms(20, 2, 100), 24),
+    ],
+)
+def test_a_task_starts_soon_however_slow_the_service_is(terms, endpoints):
+    fleet = AdvisedFleet(terms, endpoints=endpoints)
+    fleet.submit("j", request=WHOLE)
+    waited_ms = _play(fleet, NOTHING_RUNS_MAX_MS, lambda: fleet.starts)
+    assert waited_ms is not None
+
+
+# Guards against a gang whose first tickets are out of use before the last ones arrive.
+def test_the_tickets_of_a_gang_are_valid_together():
+    fleet = AdvisedFleet(AdviceTerms(200, 60, 3_000), endpoints=44)
+    fleet.submit("gang", count=36, request=WHOLE, is_gang=True)
+    waited_ms = _play(fleet, NOTHING_RUNS_MAX_MS, lambda: fleet.starts)
+    assert waited_ms is not None
+    assert len({start.endpoint_id for start in fleet.starts}) == 36
+
+
+# Guards against a gang of more endpoints than a question may name, whose first tickets
+# are asked for again and again.
+def test_a_gang_of_more_endpoints_than_a_question_may_name_starts():
+    fleet = AdvisedFleet(AdviceTerms(200, 25, 3_000), endpoints=125)
+    fleet.submit("gang", count=120, request=WHOLE, is_gang=True)
+    assert _play(fleet, 8_000, lambda: fleet.starts) is not None
+
+
+# The same where some endpoints are denied, and the service counts from the question.
+def test_a_gang_starts_on_the_endpoints_that_are_approved():
+    fleet = AdvisedFleet(AdviceTerms(200, 50, 3_000), endpoints=44)
+    fleet.denied_ids = {f"e{n}" for n in range(7)}
+    fleet.submit("gang", count=36, request=WHOLE, is_gang=True)
+
+    def has_started():
+        asked_ms = tickets_asked_ms()
+        late = [s for s in fleet.starts if fleet.now > asked_ms[s.endpoint_id] + 3_000]
+        if late:
+            fleet.refuse_ticket()
+            fleet.obey_stops()
+            fleet.starts.clear()
+        return len(fleet.starts) == 36
+
+    last_asked_ms = {}
+
+    def tickets_asked_ms():
+        return last_asked_ms
+
+    answer = fleet.answer
+
+    def answer_and_note():
+        ((asked_ms, _),) = fleet.questions
+        last_asked_ms.update(dict.fromkeys(fleet.asked_ids(), asked_ms))
+        return answer()
+
+    fleet.answer = answer_and_note
+    assert _play(fleet, 8_000, has_started) is not None
+    assert not fleet.denied_ids & {start.endpoint_id for start in fleet.starts}
+
+
+# Guards against a question that is put although its step has ended or its job has been
+# cancelled while another question was open.
+def test_questions_of_ended_jobs_are_not_put():
+    fleet = AdvisedFleet(SLOW, endpoints=8)
+    for n in range(5):
+        fleet.submit(f"j{n}")
+    for n in range(1, 4):
+        fleet.cancel(f"j{n}")
+    fleet.answer()
+    ((_, question),) = fleet.questions
+    assert question.step == "j4.0.0"
+
+
+def test_urgent_questions_come_first():
+    fleet = AdvisedFleet(SLOW, endpoints=8)
+    for n, queue in enumerate(("p2", "p2", "p1", "p0")):
+        fleet.submit(f"j{n}", queue)
+    fleet.answer()
+    ((_, question),) = fleet.questions
+    assert question.step == "j3.0.0"
+
+
+# Guards against a step that is denied nearly everywhere and keeps others from asking.
+def test_steps_take_turns():
+    fleet = AdvisedFleet(SLOW, endpoints=40)
+    fleet.denied_ids = {f"e{n}" for n in range(40)}
+    fleet.submit("j")
+    fleet.submit("k")
+    steps = []
+    for _ in range(6):
+        steps.append(fleet.questions[0][1].step)
+        fleet.answer()
+    assert steps.count("j.0.0") == steps.count("k.0.0") == 3
+
+
+# Guards against a ticket that is given up while it is good.
+def test_a_ticket_is_used_until_it_expires_counted_from_the_answer():
+    fleet = AdvisedFleet(SLOW, endpoints=8)
+    fleet.submit("j", count=9, request=WHOLE)
+    fleet.answer()
+    started = fleet.accept_starts()
+    fleet.wait_until(fleet.now + 2_200)
+    fleet.end(started[0].endpoint_id, started[0].task)
+    assert len(fleet.starts) == 1
+
+
+# Guards against tickets that are refused one after the other.
+def test_after_a_refusal_tickets_are_counted_from_the_question():
+    fleet = AdvisedFleet(SLOW, endpoints=8)
+    fleet.submit("j", count=9, request=WHOLE)
+    fleet.answer()
+    started = fleet.accept_starts()
+    fleet.wait_until(fleet.now + 2_200)
+    fleet.end(started[0].endpoint_id, started[0].task)
+    fleet.refuse_ticket()
+    fleet.end(started[1].endpoint_id, started[1].task)
+    fleet.wait_until(fleet.now + 200)
+    assert not fleet.starts
+    assert set(fleet.answer()) <= {started[0].endpoint_id, started[1].endpoint_id}
+    assert len(fleet.starts) == 1
+
+
+# Guards against a denial that outlasts the incarnation of the endpoint.
+def test_an_endpoint_is_asked_about_again_after_a_restart():
+    fleet = AdvisedFleet(QUICK, endpoints=1)
+    fleet.denied_ids = {"e0"}
+    fleet.submit("j")
+    fleet.answer()
+    assert not fleet.questions
+    fleet.denied_ids.clear()
+    fleet.list("e0", started_wall_ms=2)
+    for _ in range(4):
+        fleet.now += 100
+        fleet.list("e0", started_wall_ms=2)
+    fleet.answer = fleet.answer
+    ((asked_ms, question),) = fleet.questions
+    fleet.scheduler.advice_received(question, {"e0": "t"}, 5_000, asked_ms, fleet.now)
+    fleet.plan()
+    assert len(fleet.starts) == 1
+
+
+# Guards against a ticket of an earlier incarnation, which the endpoint would refuse.
+def test_a_ticket_of_an_earlier_incarnation_is_not_used():
+    fleet = AdvisedFleet(QUICK, endpoints=1)
+    fleet.submit("j")
+    ((asked_ms, question),) = fleet.questions
+    fleet.questions.clear()
+    fleet.list("e0", started_wall_ms=2)
+    fleet.scheduler.advice_received(question, {"e0": "t"}, 5_000, asked_ms, fleet.now)
+    fleet.plan()
+    assert not fleet.starts
+    assert fleet.asked_ids() == ("e0",)
+
+
+# Guards against a job that waits without a word on why.
+@pytest.mark.parametrize(
+    ("terms", "denied", "cause"),
+    [
+        (AdviceTerms(60_000, 0, 90_000), (), WaitCause.ADVICE),
+        (QUICK, ("e0", "e1"), WaitCause.ADVICE_DENIED),
+    ],
+)
+def test_the_cause_of_a_wait_names_the_policy_service(terms, denied, cause):
+    fleet = AdvisedFleet(terms, endpoints=2)
+    fleet.denied_ids = set(denied)
+    fleet.submit("j")
+    if denied:
+        fleet.answer()
+    fleet.wait_until(fleet.now + 4_000)
+    assert fleet.idle_waits[0].cause is cause
+
+
+# The same where tickets expire before they arrive, by the service's own figures.
+def test_the_cause_of_a_wait_names_answers_that_are_too_late():
+    fleet = AdvisedFleet(AdviceTerms(2_000, 0, 1_000), endpoints=1)
+    fleet.submit("j")
+    for _ in range(3):
+        fleet.answer()
+        fleet.refuse_ticket()
+        fleet.wait_until(fleet.now + 250)
+    assert WaitCause.ADVICE_LATE in {wait.cause for wait in fleet.idle_waits}
+
+
+# Guards against decisions that are kept for steps that are over.
+def test_the_decisions_about_ended_steps_and_jobs_are_forgotten():
+    fleet = AdvisedFleet(QUICK, endpoints=1)
+    fleet.submit("j")
+    fleet.submit("k")
+    fleet.answer()
+    fleet.cancel("k")
+    fleet.answer()
+    (start,) = fleet.accept_starts()
+    fleet.end("e0", start.task)
+    decisions = fleet.scheduler.decisions
+    assert decisions.is_approved("j.0.0", "e0", 1) is None
+    assert decisions.is_approved("k.0.0", "e0", 1) is None
+
+
+# Guards against the wait of others behind the slow answer for a unit without room.
+def test_a_changed_figure_applies_to_the_next_question():
+    fleet = AdvisedFleet(QUICK, endpoints=24)
+    fleet.submit("j")
+    assert len(fleet.asked_ids()) == 24
+    fleet.answer()
+    fleet.accept_starts()
+    fleet.set_terms(SLOW)
+    fleet.submit("k")
+    assert len(fleet.asked_ids()) == 8
--- a/tests/platform/test_adapter.py
+++ b/tests/platform/test_adapter.py
@@ -129,14 +129,14 @@
 
 async def test_advice_holds_the_tickets_of_approved_endpoints():
     adapter = HttpPlatformAdapter(parse_settings(json.dumps(SETTINGS).encode()))
-    assert await adapter.ask_advice("s", ("i-1",)) is None
+    assert await adapter.ask_advice("s", ("i-1",), timeout_ms=100) is None
     adapter._advice = Client(
         _json(200, {"approved": [["i-1", "t"]], "valid_ms": 3000}), HttpResponse(429)
     )
-    advice = await adapter.ask_advice("s", ("i-1", "i-2"))
+    advice = await adapter.ask_advice("s", ("i-1", "i-2"), timeout_ms=100)
     assert advice.ticket_by_id == {"i-1": "t"}
     assert advice.valid_ms == 3000
-    assert await adapter.ask_advice("s", ("i-1",)) is None
+    assert await adapter.ask_advice("s", ("i-1",), timeout_ms=100) is None
 
 
 async def test_hosts_are_listed_over_all_pages_or_not_at_all():
--- a/tests/platform/test_decoding.py
+++ b/tests/platform/test_decoding.py
@@ -10,6 +10,7 @@
 from platform_adapter.settings import InvalidSettings, parse_settings
 from platform_adapter.store import _encode_entry
 
+from ragwortshelf.core.advice import AdviceTerms
 from ragwortshelf.core.scheduling import Resources
 from ragwortshelf.core.scheduling.configuration import Queue
 from ragwortshelf.core.scheduling.model import Incarnation
@@ -177,6 +178,26 @@
     assert decoded.duration_ms == 20_000
 
 
+@pytest.mark.parametrize(
+    ("advice", "terms"),
+    [
+        (
+            {"decision_ms": 20, "per_worker_ms": 2.5, "valid_ms": 3000},
+            AdviceTerms(20, 3, 3_000),
+        ),
+        ({"decision_ms": 5}, AdviceTerms(5, 0, 0)),
+        ({"valid_ms": -1, "per_worker_ms": 1e15}, AdviceTerms(0, 86_400_000, 0)),
+        ({}, None),
+        (None, None),
+    ],
+)
+def test_the_figures_of_a_policy_service_are_decoded(advice, terms):
+    route = {"name": "q", "host": "h", "path_prefix": "/q/", "service": "pool"}
+    value = json.dumps({"version": 1, "routes": [route | {"advice": advice}]})
+    (queue,) = decode_configuration(value.encode()).queues
+    assert queue.advice == terms
+
+
 ACCESS = Access(Queue("q", "h", "/q/", "pool", attempts_max=4), "org")
 
 
--- a/tests/platform/test_malformed.py
+++ b/tests/platform/test_malformed.py
@@ -2,6 +2,7 @@
 
 import json
 from dataclasses import replace
+from functools import partial
 
 import h11
 import pytest
@@ -589,7 +590,7 @@
     fields = SETTINGS | {"advice": "127.0.0.1:1"}
     adapter = HttpPlatformAdapter(parse_settings(json.dumps(fields).encode()))
     adapter._advice = Client(200, body)
-    trio.run(adapter.ask_advice, "step", ("e",))
+    trio.run(partial(adapter.ask_advice, "step", ("e",), timeout_ms=100))
 
 
 def test_an_advice_address_that_a_reload_adds_is_used():
--- a/tests/scheduler/fakes.py
+++ b/tests/scheduler/fakes.py
@@ -4,6 +4,7 @@
 
 import math
 from dataclasses import replace
+from functools import partial
 
 import trio
 
@@ -11,6 +12,7 @@
 from ragwortshelf.core.scheduling.listings import RunEnd, StartOutcome
 from ragwortshelf.core.scheduling.upkeep import UpkeepOutcome
 from ragwortshelf.scheduler.interfaces import (
+    Advice,
     EndpointAnswer,
     EndpointClient,
     EndpointUnreachable,
@@ -27,6 +29,7 @@
 )
 from ragwortshelf.standins.keyed_topic import KeyedTopic
 from ragwortshelf.standins.platform_endpoint import EndpointState
+from ragwortshelf.standins.policy_service import PolicyService
 
 LOG_CALL_S = 0.004
 LINK_DELAY_S = 0.001
@@ -145,6 +148,7 @@
         self.crashing_tasks = crashing_tasks
         self.downtime_s = 3.4
         self.on_crash = lambda endpoint: None
+        self.takes_ticket = lambda task, ticket: True
         self.crash_times_s = []
 
     @property
@@ -218,6 +222,8 @@
             return StartAnswer(StartOutcome.UNANSWERED)
         if self._endpoint.is_down:
             return StartAnswer(StartOutcome.UNANSWERED)
+        if not self._endpoint.takes_ticket(task, ticket):
+            return StartAnswer(StartOutcome.NO_TICKET, self._endpoint.clock_ms())
         outcome = self._endpoint.start(task, run, until_ms, self._token)
         if self._endpoint.lose_start_answers > 0:
             self._endpoint.lose_start_answers -= 1
@@ -285,13 +291,34 @@
         self.endpoint_by_id = {info.id: FakeEndpoint(info) for info in endpoints}
         self.operator.append([("config", b"1")])
         self.is_ready_by_address = {}
-        self.advice = lambda step, endpoint_ids: None
+        self.policy: PolicyService | None = None
+        # Jobs that need no ticket, and the starts that were refused for want of one.
+        self.unadvised_ids = set()
+        self.refused_tickets = 0
         self.hosts = None
         self.waves = {}
         self.wave_states = []
         for info in endpoints:
             self.reports.append([(info.id, b"1")])
 
+    def add_policy(self, terms, **options):
+        """Let the endpoints start nothing without a ticket of a policy service."""
+
+        def incarnation_of(endpoint_id):
+            endpoint = self.endpoint_by_id.get(endpoint_id)
+            return None if endpoint is None or endpoint.is_down else endpoint.born
+
+        self.policy = PolicyService(terms, incarnation_of, **options)
+        for endpoint in self.endpoint_by_id.values():
+            endpoint.takes_ticket = partial(self._takes_ticket, endpoint.info.id)
+
+    def _takes_ticket(self, endpoint_id, task, ticket):
+        if task.partition(".")[0] in self.unadvised_ids:
+            return True
+        is_valid = self.policy.is_valid(ticket, task, endpoint_id)
+        self.refused_tickets += not is_valid
+        return is_valid
+
     def resize(self, endpoint_id, capacity):
         """Change an endpoint's capacity, and report it."""
         endpoint = self.endpoint_by_id[endpoint_id]
@@ -360,8 +387,16 @@
         endpoint = self.platform.endpoint_by_id[info.id]
         return FakeClient(endpoint, token, self.faults)
 
-    async def ask_advice(self, step, endpoint_ids):
-        return self.platform.advice(step, endpoint_ids)
+    async def ask_advice(self, step, endpoint_ids, *, timeout_ms):
+        policy = self.platform.policy
+        if policy is None:
+            return None
+        answer = None
+        with trio.move_on_after(timeout_ms / 1000):
+            answer = await policy.ask(str(id(self)), step, endpoint_ids)
+        if answer is None:
+            return None
+        return Advice(answer.ticket_by_id, answer.valid_ms)
 
     async def is_instance_ready(self, address, *, timeout_ms):
         await trio.sleep(LINK_DELAY_S)
