Ask the policy service also about units without free room

What callers saw (RECLAIM): an urgent task within its organisation's guarantee, on a queue with advice, waits for as long as a batch job of another organisation takes all endpoints. Nothing is stopped for it, however quick the service is.

Cause: approvals were asked for only where there was free room, and room is reclaimed and reserved only on approved endpoints. So nobody ever asked for a unit that has to make room first.

Change: a unit that finds no room on the approved endpoints needs approvals in any case.

Tests: on these fail, nothing being started in 30 s (through an instance) or 2.9 s: test_guaranteed_room_is_reclaimed (6 cases), the same in the core (4), approvals learned while there is no room, and room kept for a gang. With the change all pass. A lasting task that restarts on a full service passes before as well, as its endpoints are known.

Conclusion: fixed for figures with which an answer, a stop and a start fit into 2.9 s.

--- a/ragwortshelf/core/scheduling/advice_questions.py
+++ b/ragwortshelf/core/scheduling/advice_questions.py
@@ -20,6 +20,9 @@
 """Time within which an answer is expected that may let a unit start. A guaranteed unit
 has about 3 s for a question, the stop of other work and its starts."""
 
+BACKGROUND_ANSWER_MS = 500
+"""The same for units without room. Urgent questions may have to wait for the answer."""
+
 RECHECK_DELAY_MS = 250
 """Delay before the endpoints are looked at again for a step with nothing to ask."""
 
@@ -33,6 +36,8 @@
     MAY_START = 1
     """There is free room on which the unit may be allowed to run."""
 
+    WAITS_FOR_ROOM = 2
+
 
 @dataclass(frozen=True, slots=True)
 class _Need:
@@ -79,8 +84,12 @@
     def need_approvals(self, unit: Unit) -> None:
         """Note that a unit finds no room on the endpoints that are approved so far."""
         terms = self._scheduler.advice_terms_of(unit)
-        if terms is not None and self._selector.may_fit_if_approved(unit):
-            self._add(unit, terms, QuestionRank.MAY_START, {})
+        if terms is None:
+            return
+        rank = QuestionRank.WAITS_FOR_ROOM
+        if self._selector.may_fit_if_approved(unit):
+            rank = QuestionRank.MAY_START
+        self._add(unit, terms, rank, {})
 
     def unit_placed(self, unit: Unit) -> None:
         """Note that a unit is starting, so that its step's questions were of use."""
@@ -148,7 +157,9 @@
         endpoints = self._without_ticket(step, need)
         if endpoints and unit.key.member == GANG:
             return endpoints[:ENDPOINTS_PER_QUESTION_MAX]
-        count = terms.usual_count(USUAL_ANSWER_MS)
+        is_background = need.rank is QuestionRank.WAITS_FOR_ROOM
+        time_ms = BACKGROUND_ANSWER_MS if is_background else USUAL_ANSWER_MS
+        count = terms.usual_count(time_ms)
         if endpoints and len(endpoints) < count:
             endpoints += self._spare(unit, endpoints, count - len(endpoints))
         if need.needs_approvals:
--- a/tests/core/scheduling/test_advice.py
+++ b/tests/core/scheduling/test_advice.py
@@ -2,6 +2,7 @@
 
 import pytest
 from advice_harness import AdvisedFleet
+from harness import SMALL
 
 from ragwortshelf.core.advice import AdviceTerms
 from ragwortshelf.core.scheduling import Resources
@@ -158,6 +159,48 @@
     assert not fleet.denied_ids & {start.endpoint_id for start in fleet.starts}
 
 
+# Guards against a guarantee that cannot be reclaimed, as nobody asks the policy service
+# while there is no free room.
+@pytest.mark.parametrize("terms", [QUICK, AdviceTerms(200, 100, 3_000)])
+@pytest.mark.parametrize("is_gang", [True, False])
+def test_guaranteed_room_is_reclaimed_on_a_queue_with_advice(terms, is_gang):
+    fleet = AdvisedFleet(terms, endpoints=4, guaranteed=16, plain_queues=["p2"])
+    fleet.submit("batch", "p2", "b", count=4, request=WHOLE, estimate_ms=60_000)
+    fleet.accept_starts()
+    fleet.submit("urgent", "p0", count=2, request=WHOLE, is_gang=is_gang)
+    waited_ms = _play(fleet, RECLAIM_MAX_MS, lambda: len(fleet.starts) == 2)
+    assert waited_ms is not None
+    tasks = [task for runs in fleet.running.values() for task in runs]
+    assert len(tasks) == 2
+
+
+# The same for a lasting task that has run before.
+def test_room_is_reclaimed_for_a_lasting_task_that_restarts():
+    fleet = AdvisedFleet(QUICK, endpoints=2, guaranteed=0, plain_queues=["p2"])
+    fleet.submit("lasting", "p0", request=WHOLE, is_long_running=True)
+    fleet.answer()
+    (start,) = fleet.accept_starts()
+    fleet.submit("batch", "p2", "b", count=1, request=WHOLE, estimate_ms=60_000)
+    fleet.accept_starts()
+    fleet.scheduler.endpoint_removed(start.endpoint_id)
+    fleet.running[start.endpoint_id].clear()
+    fleet.scheduler.endpoint_lease_expired(start.endpoint_id, fleet.now, fleet.now)
+    fleet.plan()
+    assert _play(fleet, NOTHING_RUNS_MAX_MS, lambda: fleet.starts) is not None
+
+
+# Guards against gangs that wait for room and never learn where they may run.
+def test_approvals_are_learned_while_there_is_no_room():
+    fleet = AdvisedFleet(SLOW, endpoints=6, guaranteed=0, plain_queues=["p2"])
+    fleet.submit("batch", "p2", "b", count=6, request=WHOLE, estimate_ms=20_000)
+    fleet.accept_starts()
+    fleet.submit("gang", "p1", count=3, request=WHOLE, is_gang=True)
+    asked = []
+    while fleet.questions:
+        asked += fleet.answer()
+    assert sorted(asked) == [f"e{n}" for n in range(6)]
+
+
 # Guards against a question that is put although its step has ended or its job has been
 # cancelled while another question was open.
 def test_questions_of_ended_jobs_are_not_put():
@@ -252,6 +295,27 @@
     assert fleet.asked_ids() == ("e0",)
 
 
+# Guards against a gang that loses its room to small work while it waits for tickets.
+def test_room_is_kept_for_a_gang_while_its_tickets_are_asked_for():
+    terms = AdviceTerms(500, 50, 1_000)
+    fleet = AdvisedFleet(terms, endpoints=4, guaranteed=0, plain_queues=["p2"])
+    fleet.submit("batch", "p2", "b", count=4, request=WHOLE, estimate_ms=5_000)
+    fleet.accept_starts()
+    fleet.submit("gang", "p1", count=4, request=WHOLE, is_gang=True)
+    fleet.answer()
+    assert not fleet.questions
+    fleet.wait_until(fleet.now + 2_000)
+    for endpoint_id, task_by_run in fleet.running.items():
+        (task,) = task_by_run
+        fleet.end(endpoint_id, task)
+    assert len(fleet.asked_ids()) == 4
+    for n in range(8):
+        fleet.submit(f"small{n}", "p2", "c", fleet.now, request=SMALL)
+    assert not fleet.starts
+    fleet.answer()
+    assert {start.unit_key.job_id for start in fleet.starts} == {"gang"}
+
+
 # Guards against a job that waits without a word on why.
 @pytest.mark.parametrize(
     ("terms", "denied", "cause"),
--- a/tests/scheduler/test_advice.py
+++ b/tests/scheduler/test_advice.py
@@ -132,6 +132,22 @@
         assert not _started(platform, JOB) & denied_ids
 
 
+# Guards against a guarantee that is not reclaimed, as the policy service is asked only
+# about endpoints with free room.
+@pytest.mark.parametrize("terms", [QUICK, SLOW])
+@pytest.mark.parametrize("step", [{}, {"count": 2}, {"count": 2, "is_gang": True}])
+async def test_guaranteed_room_is_reclaimed(autojump_clock, terms, step):
+    platform = _platform(terms, 4)
+    platform.unadvised_ids.add(OTHER)
+    async with running(instance := make_instances(platform, 1)[0]):
+        await trio.sleep(1)
+        await submit(instance, _job(OTHER, "plain", "other", count=4))
+        await _wait_until_started(platform, OTHER, 4)
+        await submit(instance, _job(JOB, "urgent", **step))
+        wait_s = await _wait_until_started(platform, JOB, step.get("count", 1))
+        assert wait_s < RECLAIM_MAX_S
+
+
 # Guards against a question that is never put again after the service was out of reach.
 async def test_a_job_starts_once_the_service_answers_again(autojump_clock):
     platform = _platform(SLOW, 8)
