Ask for tickets after a queue with advice is withdrawn

Cause: whether a step needs a ticket was looked up in the present configuration. A queue that is not there counted as one without a policy service, and a start that was refused for want of a ticket led to the same start again, some four times a second.

Change: the figures of a withdrawn queue are kept for as long as it has jobs. Where none are known, as under a successor, a start that is refused for want of a ticket shows that there is a policy service, and its step is asked about from then on.

Tests: a job goes on after its queue is withdrawn, with and without a change of the role; a service that is not in the configuration is asked.

It costs one refused start for each step and successor.

--- a/ragwortshelf/core/advice/__init__.py
+++ b/ragwortshelf/core/advice/__init__.py
@@ -12,10 +12,11 @@
 
 from .decisions import Decision, PolicyDecisions, Ticket
 from .questions import OpenQuestion, QuestionDesk
-from .terms import ENDPOINTS_PER_QUESTION_MAX, AdviceTerms
+from .terms import ENDPOINTS_PER_QUESTION_MAX, UNSTATED_TERMS, AdviceTerms
 
 __all__ = [
     "ENDPOINTS_PER_QUESTION_MAX",
+    "UNSTATED_TERMS",
     "AdviceTerms",
     "Decision",
     "OpenQuestion",
--- a/ragwortshelf/core/advice/decisions.py
+++ b/ragwortshelf/core/advice/decisions.py
@@ -69,9 +69,13 @@
 
     The time of a ticket is counted from its answer, until an endpoint refuses one that
     is older than its time from the question. From then on it is counted from there.
+
+    ``steps_refused_without_ticket`` are those of which a start was refused that had
+    none.
     """
 
     def __init__(self):
+        self.steps_refused_without_ticket: set[str] = set()
         self._by_id_by_step: dict[str, dict[str, Decision]] = {}
         self._steps_by_job_id: dict[str, set[str]] = {}
         self._is_counted_from_question = False
@@ -140,9 +144,14 @@
             self._is_counted_from_question = True
         by_id[endpoint_id] = replace(decision, ticket=None)
 
+    def refused_without_ticket(self, job_id: str, step: str) -> None:
+        """Note that an endpoint refused a start without a ticket."""
+        self.track(job_id, step)
+        self.steps_refused_without_ticket.add(step)
+
     def forget_step(self, job_id: str, step: str) -> None:
-        """Drop the decisions about a step."""
-        self._by_id_by_step.pop(step, None)
+        """Drop what is known of a step."""
+        self._drop(step)
         steps = self._steps_by_job_id.get(job_id)
         if steps is not None:
             steps.discard(step)
@@ -150,9 +159,13 @@
                 del self._steps_by_job_id[job_id]
 
     def forget_job(self, job_id: str) -> None:
-        """Drop the decisions about all steps of a job."""
+        """Drop what is known of all steps of a job."""
         for step in self._steps_by_job_id.pop(job_id, ()):
-            self._by_id_by_step.pop(step, None)
+            self._drop(step)
+
+    def _drop(self, step: str) -> None:
+        self._by_id_by_step.pop(step, None)
+        self.steps_refused_without_ticket.discard(step)
 
     def _find(
         self, step: str, endpoint_id: str, started_wall_ms: int
--- a/ragwortshelf/core/advice/terms.py
+++ b/ragwortshelf/core/advice/terms.py
@@ -4,7 +4,12 @@
 
 from dataclasses import dataclass
 
-__all__ = ["ENDPOINTS_PER_QUESTION_MAX", "AdviceTerms", "start_margin_ms"]
+__all__ = [
+    "ENDPOINTS_PER_QUESTION_MAX",
+    "UNSTATED_TERMS",
+    "AdviceTerms",
+    "start_margin_ms",
+]
 
 ENDPOINTS_PER_QUESTION_MAX = 100
 """Endpoints that the policy service accepts in one question."""
@@ -69,3 +74,8 @@
     (500, 100)
     """
     return min(START_MARGIN_MS, valid_ms // START_MARGIN_DIVISOR)
+
+
+UNSTATED_TERMS = AdviceTerms(decision_ms=500, per_endpoint_ms=50)
+"""Figures assumed of a service whose own are not known, as that of a queue that was
+withdrawn in an earlier term. They allow for a slow one."""
--- a/ragwortshelf/core/scheduling/lifecycle.py
+++ b/ragwortshelf/core/scheduling/lifecycle.py
@@ -9,7 +9,7 @@
 from collections import Counter
 from dataclasses import replace
 
-from ..advice import AdviceTerms, PolicyDecisions, QuestionDesk
+from ..advice import UNSTATED_TERMS, AdviceTerms, PolicyDecisions, QuestionDesk
 from .actions import (
     Action,
     AskAdvice,
@@ -81,6 +81,7 @@
         self.next_due_wall_ms: int | None = None
         self.decisions = PolicyDecisions()
         self.advice_desk = QuestionDesk()
+        self._withdrawn_terms_by_queue: dict[str, AdviceTerms] = {}
         self._units_by_job_id: dict[str, dict[UnitKey, Unit]] = {}
         self.suspicion = SuspicionTracker(self.endpoint_by_id, self._units_by_job_id)
         self.speeds = SpeedTracker()
@@ -141,6 +142,7 @@
 
     def configure(self, configuration: ServiceConfiguration) -> None:
         """Replace the configuration by a newer one."""
+        self._keep_withdrawn_terms(configuration)
         self.configuration = configuration
         for unit_by_key in self._units_by_job_id.values():
             times = None
@@ -148,6 +150,19 @@
                 times = times or self._times_of(unit.job)
                 unit.set_times(times)
 
+    def _keep_withdrawn_terms(self, newer: ServiceConfiguration) -> None:
+        """Keep the figures of policy services whose queues go while they have jobs."""
+        terms_by_queue = self._withdrawn_terms_by_queue
+        for name, queue in self.configuration.queue_by_name.items():
+            if queue.advice is not None:
+                terms_by_queue[name] = queue.advice
+        queues = {job.spec.queue for job in self.table.job_by_id.values()}
+        self._withdrawn_terms_by_queue = {
+            name: terms
+            for name, terms in terms_by_queue.items()
+            if name in queues and name not in newer.queue_by_name
+        }
+
     def place(
         self,
         unit: Unit,
@@ -216,9 +231,22 @@
         self._actions.append(AskAdvice(question))
 
     def advice_terms_of(self, unit: Unit) -> AdviceTerms | None:
-        """Return the figures of a unit's policy service; None if it needs no advice."""
-        queue = self.configuration.queue_by_name.get(unit.job.spec.queue)
-        return queue.advice if queue else None
+        """Return the figures of a unit's policy service; None if it needs no advice.
+
+        The jobs of a queue go on under its policy if the queue is withdrawn, or no
+        longer names a service. Where its figures are not known, the first start that is
+        refused for want of a ticket shows that there is one.
+        """
+        name = unit.job.spec.queue
+        queue = self.configuration.queue_by_name.get(name)
+        if queue is not None and queue.advice is not None:
+            return queue.advice
+        if queue is None and name in self._withdrawn_terms_by_queue:
+            return self._withdrawn_terms_by_queue[name]
+        steps = self.decisions.steps_refused_without_ticket
+        if steps and step_name(unit.key) in steps:
+            return UNSTATED_TERMS
+        return None
 
     def waiting_count(self, job_id: str) -> int:
         """Return how many units of a job wait to be placed."""
--- a/ragwortshelf/core/scheduling/scheduler.py
+++ b/ragwortshelf/core/scheduling/scheduler.py
@@ -131,7 +131,7 @@
         self._note_refusal(endpoint_id, outcome, now_ms)
         unit = self.unit_by_key.get(placement.unit_key)
         if unit is not None and outcome is StartOutcome.NO_TICKET:
-            self.decisions.ticket_refused(step_name(unit.key), endpoint_id, now_ms)
+            self._ticket_refused(unit, endpoint_id, now_ms)
         if unit is not None:
             unit.not_before_ms = now_ms + REPLAN_DELAY_MS
             unit.avoided_ids.add(endpoint_id)
@@ -220,6 +220,13 @@
         if placement is not None:
             placement.pace_percent = FULL_PERCENT
 
+    def _ticket_refused(self, unit: Unit, endpoint_id: str, now_ms: int) -> None:
+        step = step_name(unit.key)
+        if self.advice_terms_of(unit) is None:
+            self.decisions.refused_without_ticket(unit.key.job_id, step)
+        else:
+            self.decisions.ticket_refused(step, endpoint_id, now_ms)
+
     def _withdraw_evacuated_starts(self, now_ms: int, wall_ms: int) -> None:
         """Withdraw unconfirmed starts on evacuated endpoints, each with its whole unit.
 
--- a/tests/scheduler/test_advice.py
+++ b/tests/scheduler/test_advice.py
@@ -243,3 +243,50 @@
         while len(platform.runs()) < 2:
             await trio.sleep(0.01)
         assert trio.current_time() < ended_s + NOTHING_RUNS_MAX_S
+
+
+# Guards against steps that are ordered without a ticket, and refused for good, once the
+# route of their job is removed (case 6 of the second review).
+@pytest.mark.parametrize("takes_over", [False, True])
+async def test_a_job_goes_on_after_its_queue_is_withdrawn(autojump_clock, takes_over):
+    platform = _platform(SLOW, 8)
+    instances = make_instances(platform, 2)
+    for endpoint in platform.endpoint_by_id.values():
+        endpoint.work_ms = 3_000
+    job = _job(JOB)
+    steps = (*job.steps, replace(job.steps[0], depends_on=(0,)))
+    scope_by_name = {}
+
+    async def run(instance):
+        with trio.CancelScope() as scope:
+            scope_by_name[instance.settings.instance] = scope
+            await instance.run()
+
+    async with trio.open_nursery() as nursery:
+        for instance in instances:
+            nursery.start_soon(run, instance)
+        await trio.sleep(1)
+        (holder,) = holders(instances)
+        await submit(holder, replace(job, steps=steps))
+        await _wait_until_started(platform, JOB)
+        _configure(platform, _configuration(SLOW, version=2, queues=()))
+        await trio.sleep(1)
+        if takes_over:
+            scope_by_name[holder.settings.instance].cancel()
+        await trio.sleep(2)
+        while not any(run[0] == f"{JOB}.0.1.0" for run in platform.runs()):
+            await trio.sleep(0.1)
+            assert trio.current_time() < 12, "the second step was not started"
+        assert platform.refused_tickets <= int(takes_over)
+        nursery.cancel_scope.cancel()
+
+
+# Guards against a start without a ticket that is repeated for ever where the
+# configuration names no policy service.
+async def test_a_service_that_is_not_in_the_configuration_is_asked(autojump_clock):
+    platform = _platform(QUICK, 4)
+    async with running(instance := make_instances(platform, 1)[0]):
+        await trio.sleep(1)
+        await submit(instance, _job(JOB, PLAIN_QUEUE.name))
+        assert await _wait_until_started(platform, JOB) < NOTHING_RUNS_MAX_S
+        assert platform.refused_tickets == 1
