Ask a slow policy service about the endpoints that are likely to be needed

Cause: the service handles one call at a time, and each question about a new step took up to 1 s, as it named all endpoints that can be answered in that time. With many steps the service was busy with endpoints that nobody needed. And each plan looked at all endpoints for each waiting step, though a question was open.

Change: a question names as many endpoints as the step is likely to need by the share that was approved lately, and twice as many each time they did not suffice. Needs are collected only while no question is open, and approved endpoints are found by the step's decisions and not by a look at all endpoints. Steps that starve come in their place of the plan. benchmarks/fleet_load.py simulates a policy service.

--- a/benchmarks/fleet_load.py
+++ b/benchmarks/fleet_load.py
@@ -9,7 +9,9 @@
     python -m benchmarks.fleet_load --speeds 0.6 1.0 1.6 --estimate-error urgent=0.2
 
 With ``--heavy-share 0.9`` one organisation sends nine tenths of the jobs. ``--without``
-switches mechanisms of the scheduler off, by their names in `benchmarks.ablation`.
+switches mechanisms of the scheduler off, by their names in `benchmarks.ablation`. With
+``--advice 200 100 3000`` a policy service approves the endpoints of each step. It takes
+200 ms, and 100 ms for each endpoint; its tickets are valid for 3 s from the question.
 """
 
 from __future__ import annotations
@@ -25,6 +27,7 @@
 from collections.abc import Callable, Mapping, Sequence
 from dataclasses import dataclass, replace
 
+from ragwortshelf.core.advice import AdviceTerms, OpenQuestion
 from ragwortshelf.core.scheduling import (
     EndpointInfo,
     JobSpec,
@@ -33,7 +36,7 @@
     Scheduler,
     Step,
 )
-from ragwortshelf.core.scheduling.actions import StartTask, StopTask
+from ragwortshelf.core.scheduling.actions import AskAdvice, StartTask, StopTask
 from ragwortshelf.core.scheduling.configuration import (
     EndpointService,
     GuaranteedOrganisation,
@@ -226,6 +229,49 @@
         self.finished.append(FinishedRun(next(self.ends), task, run.order.run, end, ""))
 
 
+class SimulatedPolicy:
+    """A policy service that allows each step on a share of the endpoints.
+
+    Tickets are valid from the question on.
+    """
+
+    def __init__(self, terms: AdviceTerms, approved_share: float = 1.0):
+        self.terms = terms
+        self._approved_share = approved_share
+        self._question_count = 0
+        self._endpoint_count = 0
+        self._refused_count = 0
+
+    def tickets(self, question: OpenQuestion, asked_ms: int) -> dict[str, str]:
+        """Return the tickets for a question, which hold the time of their end."""
+        self._question_count += 1
+        self._endpoint_count += len(question.started_wall_ms_by_id)
+        ticket = str(asked_ms + question.terms.valid_ms)
+        return {
+            endpoint_id: ticket
+            for endpoint_id in question.started_wall_ms_by_id
+            if self._is_approved(question.step, endpoint_id)
+        }
+
+    def is_valid(self, ticket: str, now_ms: int) -> bool:
+        """Whether an endpoint takes a ticket; counts those that are refused."""
+        is_valid = bool(ticket) and now_ms < int(ticket)
+        self._refused_count += not is_valid
+        return is_valid
+
+    def result(self) -> dict:
+        """Return the questions, the endpoints named, and the refused starts."""
+        return {
+            "questions": self._question_count,
+            "endpoints_asked": self._endpoint_count,
+            "tickets_refused": self._refused_count,
+        }
+
+    def _is_approved(self, step: str, endpoint_id: str) -> bool:
+        draw = random.Random(f"{step}/{endpoint_id}")
+        return draw.random() < self._approved_share
+
+
 class FleetDay:
     """Plays arrivals against a scheduler; ``result`` tells what came of them."""
 
@@ -237,8 +283,10 @@
         make_scheduler: Callable[..., Scheduler] = Scheduler,
         heavy_guarantee: int = 1,
         speeds: Sequence[float] = SPEEDS,
+        policy: SimulatedPolicy | None = None,
     ):
         self.arrivals = arrivals
+        self.policy = policy
         self.speeds = speeds
         self.job_by_id = {job.spec.id: job for job in arrivals}
         self.table = JobTable()
@@ -246,6 +294,7 @@
             Queue(
                 kind.queue, "h", f"/{kind.queue}/", "pool", kind.priority, 4,
                 kind.slack_factor, kind.latency_ms,
+                advice=policy.terms if policy else None,
             )
             for kind in {job.kind.queue: job.kind for job in arrivals}.values()
         )  # fmt: skip
@@ -322,6 +371,20 @@
             elif isinstance(action, StopTask):
                 delay_ms = ORDER_DELAY_MS + self.draw.uniform(*STOP_MS)
                 self.at(self.now_ms + delay_ms, lambda stop=action: self._stop(stop))
+            elif isinstance(action, AskAdvice):
+                self._ask(action.question)
+
+    def _ask(self, question: OpenQuestion) -> None:
+        asked_ms, terms = self.now_ms, question.terms
+        answer_ms = terms.answer_ms(len(question.started_wall_ms_by_id))
+
+        def answer() -> None:
+            ticket_by_id = self.policy.tickets(question, asked_ms)
+            self.scheduler.advice_received(
+                question, ticket_by_id, terms.valid_ms, asked_ms, self.now_ms
+            )
+
+        self.at(asked_ms + answer_ms, answer)
 
     def _submit(self, job: Arrival) -> None:
         self.table.apply(JobSubmitted(job.spec))
@@ -330,6 +393,13 @@
     def _start(self, order: StartTask) -> None:
         if not self.scheduler.is_still_ordered(order):
             return
+        if self.policy and not self.policy.is_valid(order.ticket, self.now_ms):
+            self.scheduler.start_answered(
+                order.endpoint_id, order.task, order.run, StartOutcome.NO_TICKET,
+                False, self.now_ms, self.now_ms,
+            )  # fmt: skip
+            self._carry_out()
+            return
         job = self.job_by_id[order.unit_key.job_id]
         endpoint = self.endpoint_by_id[order.endpoint_id]
         run = endpoint.runs[order.task] = _Run(order, job, self.now_ms, endpoint.speed)
@@ -449,7 +519,7 @@
             ),
             "plan_s": round(self.plan_s, 2),
             "plan_count": self.plan_count,
-        }
+        } | (self.policy.result() if self.policy else {})
 
     @staticmethod
     def _worth(jobs: list[Arrival]) -> float:
@@ -489,6 +559,7 @@
     heavy_guarantee: int = 1,
     speeds: Sequence[float] = SPEEDS,
     kinds: Sequence[Kind] = KINDS,
+    policy: SimulatedPolicy | None = None,
 ) -> FleetDay:
     """Play one day; in its second quarter urgent jobs come ``burst`` times as often."""
     arrivals = draw_arrivals(seed, endpoints, seconds, load, kinds)
@@ -506,7 +577,13 @@
         arrivals.sort(key=lambda job: (job.spec.accepted_wall_ms, job.spec.id))
     if heavy_share is not None:
         give_to_heavy(arrivals, seed, heavy_share)
-    day = FleetDay(arrivals, endpoints, heavy_guarantee=heavy_guarantee, speeds=speeds)
+    day = FleetDay(
+        arrivals,
+        endpoints,
+        heavy_guarantee=heavy_guarantee,
+        speeds=speeds,
+        policy=policy,
+    )
     day.run(seconds + 30)
     return day
 
@@ -548,11 +625,26 @@
         metavar="QUEUE=SHARE",
         help="largest relative error of a queue's estimates, below 1",
     )
+    parser.add_argument(
+        "--advice",
+        type=int,
+        nargs=3,
+        metavar=("DECISION_MS", "PER_ENDPOINT_MS", "VALID_MS"),
+        help="figures of a policy service",
+    )
+    parser.add_argument(
+        "--approved-share", type=float, default=1.0, help="of the endpoints, by step"
+    )
     options = parser.parse_args()
     for name in options.without:
         switch_off(name)
     kinds = kinds_with_errors(dict(options.estimate_error))
     for seed in options.seed:
+        policy = None
+        if options.advice:
+            policy = SimulatedPolicy(
+                AdviceTerms(*options.advice), options.approved_share
+            )
         day = play(
             seed,
             options.endpoints,
@@ -563,6 +655,7 @@
             heavy_guarantee=options.heavy_guarantee,
             speeds=options.speeds,
             kinds=kinds,
+            policy=policy,
         )
         print(json.dumps({"seed": seed} | day.result()))
 
--- a/ragwortshelf/core/advice/decisions.py
+++ b/ragwortshelf/core/advice/decisions.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Mapping
+from collections.abc import Iterator, Mapping
 from dataclasses import dataclass, replace
 
 from .terms import start_margin_ms
@@ -14,6 +14,12 @@
 time may count from the answer, and a refusal costs another question."""
 
 
+SHARE_SAMPLE_SIZE = 30
+SHARE_WEIGHT_MAX = 0.5
+"""The share of approved endpoints is averaged over about so many, but no question
+counts more than all before it."""
+
+
 @dataclass(frozen=True, slots=True)
 class Ticket:
     """A ticket for all tasks of a step on one incarnation of an endpoint.
@@ -71,10 +77,12 @@
     is older than its time from the question. From then on it is counted from there.
 
     ``steps_refused_without_ticket`` are those of which a start was refused that had
-    none.
+    none. ``approved_share`` is the share of endpoints that were approved lately, over
+    all steps.
     """
 
     def __init__(self):
+        self.approved_share = 1.0
         self.steps_refused_without_ticket: set[str] = set()
         self._by_id_by_step: dict[str, dict[str, Decision]] = {}
         self._steps_by_job_id: dict[str, set[str]] = {}
@@ -93,6 +101,12 @@
         decision = self._find(step, endpoint_id, started_wall_ms)
         return None if decision is None else decision.is_approved
 
+    def approved(self, step: str) -> Iterator[tuple[str, int]]:
+        """Return the approved endpoints and the starts of their incarnations."""
+        for endpoint_id, decision in self._by_id_by_step.get(step, {}).items():
+            if decision.is_approved:
+                yield endpoint_id, decision.started_wall_ms
+
     def ticket(self, step: str, endpoint_id: str, started_wall_ms: int) -> str:
         """Return the newest ticket, valid or not; empty if there is none."""
         decision = self._find(step, endpoint_id, started_wall_ms)
@@ -123,6 +137,7 @@
         ``started_wall_ms_by_id`` holds the endpoints of the question in the
         incarnations that were known then; those without a ticket are denied.
         """
+        self._note_share(len(ticket_by_id), len(started_wall_ms_by_id))
         by_id = self._by_id_by_step.get(step)
         if by_id is None:
             return
@@ -167,6 +182,11 @@
         self._by_id_by_step.pop(step, None)
         self.steps_refused_without_ticket.discard(step)
 
+    def _note_share(self, approved: int, asked: int) -> None:
+        weight = min(SHARE_WEIGHT_MAX, asked / SHARE_SAMPLE_SIZE)
+        share = min(1.0, approved / max(1, asked))
+        self.approved_share += weight * (share - self.approved_share)
+
     def _find(
         self, step: str, endpoint_id: str, started_wall_ms: int
     ) -> Decision | None:
--- a/ragwortshelf/core/scheduling/advice_questions.py
+++ b/ragwortshelf/core/scheduling/advice_questions.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import enum
+import math
 from collections import defaultdict
 from collections.abc import Iterable
 from dataclasses import dataclass, replace
@@ -16,6 +17,10 @@
 
 __all__ = ["AdviceQuestioner", "QuestionRank"]
 
+QUICK_ANSWER_MS = 100
+"""A question names further endpoints beyond need if it is answered within this time. A
+choice of endpoints makes for better packing."""
+
 USUAL_ANSWER_MS = 1_000
 """Time within which an answer is expected that may let a unit start. A guaranteed unit
 has about 3 s for a question, the stop of other work and its starts."""
@@ -23,6 +28,10 @@
 BACKGROUND_ANSWER_MS = 500
 """The same for units without room. Urgent questions may have to wait for the answer."""
 
+APPROVED_SHARE_MIN = 0.1
+QUESTION_DOUBLINGS_MAX = 7
+"""Limits of the expected share of approvals, and of how often a question is doubled."""
+
 RECHECK_DELAY_MS = 250
 """Delay before the endpoints are looked at again for a step with nothing to ask."""
 
@@ -56,9 +65,9 @@
 class AdviceQuestioner:
     """Collects what the units of a plan need, and puts the most urgent question.
 
-    ``begin`` starts a plan, and ``ask`` ends it. Among questions of one rank and
-    priority, those of steps come first that have been asked about less often since they
-    last started anything.
+    ``begin`` starts a plan, and ``ask`` ends it. Needs are collected only while no
+    question is open. Among questions of one rank and priority, those of steps come
+    first that have been asked about less often since they last started anything.
     """
 
     def __init__(self, scheduler: UnitLifecycle, selector: EndpointSelector):
@@ -67,27 +76,29 @@
         self._need_by_step: dict[str, _Need] = {}
         self._question_count_by_step: dict[str, int] = {}
         self._recheck_ms_by_step: dict[str, int] = {}
+        self._may_ask = False
         self._now_ms = 0
 
     def begin(self, now_ms: int) -> None:
         """Start a plan."""
         self._now_ms = now_ms
+        self._may_ask = self._scheduler.advice_desk.may_ask(now_ms)
         self._need_by_step.clear()
 
     def need_tickets(self, unit: Unit, endpoints: Iterable[Endpoint]) -> None:
         """Note that a unit would start on these endpoints if it had their tickets."""
-        terms = self._scheduler.advice_terms_of(unit)
+        terms = self._terms_to_ask(unit)
         if terms is not None:
             chosen_by_id = {endpoint.id: endpoint for endpoint in endpoints}
             self._add(unit, terms, QuestionRank.MAY_START, chosen_by_id)
 
     def need_approvals(self, unit: Unit) -> None:
         """Note that a unit finds no room on the endpoints that are approved so far."""
-        terms = self._scheduler.advice_terms_of(unit)
+        terms = self._terms_to_ask(unit)
         if terms is None:
             return
         rank = QuestionRank.WAITS_FOR_ROOM
-        if self._selector.may_fit_if_approved(unit):
+        if self._selector.may_fit(unit):
             rank = QuestionRank.MAY_START
         self._add(unit, terms, rank, {})
 
@@ -97,7 +108,7 @@
 
     def ask(self) -> None:
         """Put the most urgent question, unless one is open."""
-        if not self._scheduler.advice_desk.may_ask(self._now_ms):
+        if not self._may_ask:
             return
         self._prune()
         for step, need in sorted(self._need_by_step.items(), key=self._sort_key):
@@ -114,6 +125,10 @@
                 return
             self._recheck_ms_by_step[step] = self._now_ms + RECHECK_DELAY_MS
 
+    def _terms_to_ask(self, unit: Unit) -> AdviceTerms | None:
+        """Return the figures of a unit's service if a question may be put to it now."""
+        return self._scheduler.advice_terms_of(unit) if self._may_ask else None
+
     def _add(
         self,
         unit: Unit,
@@ -136,10 +151,12 @@
             )
         self._need_by_step[step] = need
 
-    def _sort_key(self, item: tuple[str, _Need]) -> tuple[int, int, int]:
+    def _sort_key(self, item: tuple[str, _Need]) -> tuple:
         step, need = item
         asked_count = self._question_count_by_step.get(step, 0)
-        return need.rank, need.unit.priority, asked_count
+        # The last part of the order is the deadline.
+        *place, _ = need.unit.order_key
+        return need.rank, place, asked_count
 
     def _prune(self) -> None:
         """Forget what is noted of steps that need nothing any more."""
@@ -165,7 +182,8 @@
         if need.needs_approvals:
             undecided = self._undecided(unit)
             if not endpoints:
-                count = max(count, self._needed_count(unit, terms, undecided))
+                asked_count = self._question_count_by_step.get(step, 0)
+                count = self._approval_count(need, undecided, count, asked_count)
             endpoints += undecided[: max(0, count - len(endpoints))]
         return endpoints[: min(count, ENDPOINTS_PER_QUESTION_MAX)]
 
@@ -245,16 +263,36 @@
                 gpus += placement.occupied.gpus
         return gpus
 
-    def _needed_count(
-        self, unit: Unit, terms: AdviceTerms, undecided: list[Endpoint]
+    def _approval_count(
+        self,
+        need: _Need,
+        undecided: list[Endpoint],
+        usual_count: int,
+        asked_count: int,
     ) -> int:
-        """Return how many undecided endpoints a unit needs at least, if all approve.
+        """Return how many undecided endpoints to ask about at a time.
 
-        0 if tickets of so many would expire before the answer, so that asking in parts
-        takes no longer. All tasks of a guaranteed step are to start together.
+        These are as many as are likely to be needed, by the share that was approved
+        lately, and twice as many after each question that did not suffice. They are no
+        more than usual unless all tasks are to start together; asking about those in
+        parts takes no longer where their tickets would expire.
         """
+        unit, terms = need.unit, need.terms
+        needed_count = self._needed_count(unit, undecided)
+        share = max(self._scheduler.decisions.approved_share, APPROVED_SHARE_MIN)
+        doublings = min(asked_count, QUESTION_DOUBLINGS_MAX)
+        likely_count = math.ceil(needed_count / share) << doublings
+        quick_count = terms.usual_count(QUICK_ANSWER_MS)
+        count = min(usual_count, max(likely_count, quick_count))
+        start_together = unit.key.member == GANG or unit.is_guaranteed
+        if start_together and not terms.is_too_slow_for(needed_count):
+            count = max(count, needed_count)
+        return count
+
+    def _needed_count(self, unit: Unit, undecided: list[Endpoint]) -> int:
+        """Return how many undecided endpoints the step needs if all are approved."""
         tasks = unit.count
-        if unit.is_guaranteed and unit.key.member != GANG:
+        if unit.key.member != GANG:
             tasks = self._scheduler.waiting_count(unit.key.job_id)
         for endpoint in self._selector.approved(unit):
             tasks -= self._slots_if_empty(unit, endpoint)
@@ -264,7 +302,7 @@
                 break
             count += 1
             tasks -= self._slots_if_empty(unit, endpoint)
-        return 0 if terms.is_too_slow_for(count) else count
+        return max(1, count)
 
     @staticmethod
     def _slots_if_empty(unit: Unit, endpoint: Endpoint) -> int:
--- a/ragwortshelf/core/scheduling/endpoint_selection.py
+++ b/ragwortshelf/core/scheduling/endpoint_selection.py
@@ -51,7 +51,8 @@
         self.usable: list[Endpoint] = []
         self._free_room = FreeRoom(())
         self._eligible_by_need: dict[tuple[str, str], list[Endpoint]] = {}
-        self._by_decision_by_step: dict[str, dict[bool | None, list[Endpoint]]] = {}
+        self._candidate_by_id_by_need: dict[tuple[str, str], dict[str, Endpoint]] = {}
+        self._approved_by_step: dict[str, list[Endpoint]] = {}
         self._by_classes: dict[tuple, tuple[list[Endpoint], list[Endpoint]]] = {}
         self._now_ms = 0
         self._wall_ms = 0
@@ -64,7 +65,8 @@
         self.usable = usable
         self._free_room = FreeRoom(usable)
         self._eligible_by_need.clear()
-        self._by_decision_by_step.clear()
+        self._candidate_by_id_by_need.clear()
+        self._approved_by_step.clear()
 
     def room_changed(self, endpoints: list[Endpoint]) -> None:
         """Note that the free room of these endpoints has changed during the plan."""
@@ -82,7 +84,11 @@
         if self._scheduler.advice_terms_of(unit) is None:
             return self._choose_warm(unit, self._candidates(unit), on_slow)
         approved = self.approved(unit)
-        eligible = approved + self.undecided(unit)
+        if not approved:
+            return None
+        eligible = None
+        if unit.step.preferred_rack or unit.step.is_rack_sensitive:
+            eligible = approved + self.undecided(unit)
         with_ticket = [e for e in approved if self._has_ticket(unit, e)]
         asked_ids = self._scheduler.advice_desk.asked_ids(step_name(unit.key))
         asked = [e for e in approved if e.id in asked_ids or e in with_ticket]
@@ -259,6 +265,14 @@
             self._eligible_by_need[need] = eligible
         return eligible
 
+    def _candidate_by_id(self, unit: Unit) -> dict[str, Endpoint]:
+        need = (self._scheduler.service_of(unit), unit.step.required_label)
+        candidate_by_id = self._candidate_by_id_by_need.get(need)
+        if candidate_by_id is None:
+            candidate_by_id = {e.id: e for e in self._candidates(unit)}
+            self._candidate_by_id_by_need[need] = candidate_by_id
+        return candidate_by_id
+
     def is_closed_idle_service(self, unit: Unit) -> bool:
         """Whether a unit's service is idle, and its reserved room is not open now."""
         if self.idle_since_ms(unit) is None:
@@ -276,42 +290,33 @@
 
     def approved(self, unit: Unit) -> list[Endpoint]:
         """Return the usable endpoints that the policy service allows the unit."""
-        return self._by_decision(unit)[True]
+        step = step_name(unit.key)
+        approved = self._approved_by_step.get(step)
+        if approved is None:
+            candidate_by_id = self._candidate_by_id(unit)
+            approved = []
+            for endpoint_id, started_wall_ms in self._scheduler.decisions.approved(
+                step
+            ):
+                endpoint = candidate_by_id.get(endpoint_id)
+                if endpoint and endpoint.started_wall_ms == started_wall_ms:
+                    approved.append(endpoint)
+            self._approved_by_step[step] = approved
+        return approved
 
     def undecided(self, unit: Unit) -> list[Endpoint]:
         """Return the usable endpoints about which the policy service was not asked."""
-        return self._by_decision(unit)[None]
-
-    def _by_decision(self, unit: Unit) -> dict[bool | None, list[Endpoint]]:
-        """Return the candidates of a step that are approved, denied and undecided."""
         step = step_name(unit.key)
-        by_decision = self._by_decision_by_step.get(step)
-        if by_decision is None:
-            by_decision = {True: [], False: [], None: []}
-            is_approved = self._scheduler.decisions.is_approved
-            for endpoint in self._candidates(unit):
-                decision = is_approved(step, endpoint.id, endpoint.started_wall_ms)
-                by_decision[decision].append(endpoint)
-            self._by_decision_by_step[step] = by_decision
-        return by_decision
-
-    def may_fit_if_approved(self, unit: Unit) -> bool:
-        """Whether a unit may fit into free room, were all undecided endpoints approved.
-
-        Racks and reservations are not considered.
-        """
-        if not self._free_room.may_hold(unit.step, unit.count):
-            return False
-        undecided = self.undecided(unit)
-        if not undecided:
-            return False
-        needed = unit.step.occupied
-        tasks_left = unit.count
-        for endpoint in (*undecided, *self.approved(unit)):
-            tasks_left -= endpoint.slots(needed)
-            if tasks_left <= 0:
-                return True
-        return False
+        is_approved = self._scheduler.decisions.is_approved
+        return [
+            e
+            for e in self._candidates(unit)
+            if is_approved(step, e.id, e.started_wall_ms) is None
+        ]
+
+    def may_fit(self, unit: Unit) -> bool:
+        """Whether a unit may fit into free room, wherever it is allowed to run."""
+        return self._free_room.may_hold(unit.step, unit.count)
 
     def has_tickets(self, unit: Unit, endpoints: list[Endpoint]) -> bool:
         """Whether a unit may be started on these endpoints now."""
