Soak with a policy service

Configurations change the figures or withdraw the queue, answers take longer than stated, and the links to the service are cut, slow or reset, all beside the other faults, whose sequence for a seed stays the same. Odd seeds count tickets from the question, even ones from the answer.

--- a/soak/callers.py
+++ b/soak/callers.py
@@ -11,14 +11,20 @@
 from ragwortshelf.core.model import Unreachable
 from ragwortshelf.net.http_client import HttpClient
 
-__all__ = ["Callers", "JobRecord"]
+__all__ = ["Callers", "JobRecord", "is_advised"]
 
 API_KEY = "soak-key"
 PATH_PREFIX = "/jobs/"
+ADVISED_PATH_PREFIX = "/advised/"
 MAX_TRIES = 5
 TIMEOUT_MS = 3_000
 
 
+def is_advised(job_id: str) -> bool:
+    """Whether a job goes to the queue with a policy service, as one in four does."""
+    return job_id[-1] in "048c"
+
+
 @dataclass(slots=True)
 class JobRecord:
     """The answers that callers received about one job.
@@ -116,4 +122,5 @@
             ("authorization", f"Bearer {API_KEY}"),
             ("x-deadline-ms", str(TIMEOUT_MS)),
         )
-        return await client.call(method, PATH_PREFIX + job_id, body, headers)
+        prefix = ADVISED_PATH_PREFIX if is_advised(job_id) else PATH_PREFIX
+        return await client.call(method, prefix + job_id, body, headers)
--- a/soak/platform_server.py
+++ b/soak/platform_server.py
@@ -8,6 +8,7 @@
 import base64
 import json
 import struct
+from collections.abc import Callable
 
 import trio
 
@@ -16,8 +17,9 @@
 from ragwortshelf.scheduler.interfaces import Appended, Moved, ProducerFence
 from ragwortshelf.standins.keyed_topic import KeyedTopic
 from ragwortshelf.standins.platform_endpoint import EndpointState
+from ragwortshelf.standins.policy_service import PolicyService
 
-__all__ = ["EndpointServer", "StoreServer", "is_deadly"]
+__all__ = ["EndpointServer", "PolicyServer", "StoreServer", "is_deadly"]
 
 READ_KB_MAX = 1024
 """Size of the records that a read returns if the request gives none."""
@@ -90,12 +92,42 @@
     return task.startswith("d") and task.endswith(".0.0.0")
 
 
+class PolicyServer:
+    """Serves the HTTP interface of the policy service.
+
+    ``is_advised`` says whether the tasks of a job need a ticket.
+    """
+
+    def __init__(self, policy: PolicyService, is_advised: Callable[[str], bool]):
+        self.policy = policy
+        self._is_advised = is_advised
+
+    async def handle(self, caller: str, request: HttpRequest) -> HttpResponse:
+        """Handle one request of an instance."""
+        fields = json.loads(request.body)
+        answer = await self.policy.ask(caller, fields["step"], fields["workers"])
+        if answer is None:
+            return HttpResponse(429)
+        rows = [[name, ticket] for name, ticket in answer.ticket_by_id.items()]
+        return json_response(200, {"approved": rows, "valid_ms": answer.valid_ms})
+
+    def takes(self, task: str, ticket: str, endpoint_id: str) -> bool:
+        """Whether an endpoint starts a task with a ticket, which may be empty."""
+        if not self._is_advised(task.partition(".")[0]):
+            return True
+        return self.policy.is_valid(ticket, task, endpoint_id)
+
+
 class EndpointServer:
-    """Serves the HTTP interface of one endpoint stand-in."""
+    """Serves the HTTP interface of one endpoint stand-in.
+
+    ``takes_ticket`` says whether a task may be started with a ticket.
+    """
 
     def __init__(self, state: EndpointState):
         self.state = state
         self.on_crash = lambda: None
+        self.takes_ticket: Callable[[str, str], bool] = lambda task, ticket: True
         self.overfilled: list[str] = []
         self._down_until_s = 0.0
         # When each capacity in accelerators began, which is one for each task.
@@ -115,6 +147,8 @@
             case "/api/hold":
                 return await self._hold(fields, token)
             case "/api/run-start":
+                if not self.takes_ticket(fields["task"], fields.get("ticket", "")):
+                    return self._refusal("ticket")
                 outcome = self.state.start(
                     fields["task"], fields["run"], fields["until_ms"], token
                 )
--- a/soak/run.py
+++ b/soak/run.py
@@ -6,6 +6,7 @@
 import random
 import signal
 from dataclasses import dataclass
+from functools import partial
 from pathlib import Path
 
 import trio
@@ -14,12 +15,15 @@
 from ragwortshelf.core.scheduling.listings import EndpointInfo
 from ragwortshelf.net.http_server import HttpServer
 from ragwortshelf.standins.platform_endpoint import EndpointState
+from ragwortshelf.standins.policy_service import PolicyService
 
-from .callers import API_KEY, PATH_PREFIX, Callers
+from .callers import Callers, is_advised
 from .checks import EVACUATION_BOUND_MS, find_forbidden_starts, find_violations
 from .faults import ZONES, FaultInjector
 from .instances import ProcessSet
-from .platform_server import EndpointServer, StoreServer
+from .operator import Operator
+from .platform_server import EndpointServer, PolicyServer, StoreServer
+from .policy_faults import USUAL_TERMS, PolicyFaults
 from .proxy import Proxy
 
 __all__ = ["SoakResult", "run_soak"]
@@ -35,6 +39,8 @@
 """Endpoint clocks have an arbitrary offset and may run 2% slow, by the platform's
 specification."""
 
+APPROVED_SHARE = 0.6
+
 NETWORK_COUNT = 250
 RESERVATION_PORT = 8520
 READINESS_PORT = 8523
@@ -70,23 +76,34 @@
         )
         network = await _reserve_loopback_network(nursery)
         ips = [f"127.{network}.{n // 200}.{n % 200 + 1}" for n in range(instances)]
-        store.topic("keyed.op").append([("config", _configuration(ips))])
+        policy_server = _open_policy(seed, servers)
+        operator = Operator(store, ips)
+        operator.configure(policy_server.policy.terms)
         processes = ProcessSet(directory)
-        store_proxies, addresses = [], []
+        store_proxies, policy_proxies, addresses = [], [], []
         for number, ip in enumerate(ips):
             proxy = Proxy(store_address)
             store_proxies.append(proxy)
             proxy_address = await _listen(nursery, proxy.serve)
             addresses.append(f"{ip}:{CALLER_PORT}")
             name = f"i{number}"
-            processes.add(name, _settings(name, ip, proxy_address))
+            advice_proxy = Proxy(
+                await _serve(nursery, partial(policy_server.handle, name))
+            )
+            policy_proxies.append(advice_proxy)
+            advice_address = await _listen(nursery, advice_proxy.serve)
+            settings = _settings(name, ip, proxy_address, advice_address)
+            processes.add(name, settings)
             processes.start(name)
         try:
             injector = FaultInjector(
                 seed, processes, store_proxies, servers, endpoint_proxies, store
             )
+            policy_faults = PolicyFaults(
+                seed, policy_server.policy, policy_proxies, operator, injector.log
+            )
             result = await _run_load_and_faults(
-                seed, seconds, processes, injector, servers, addresses
+                seed, seconds, processes, injector, policy_faults, servers, addresses
             )
         finally:
             processes.kill_all()
@@ -95,12 +112,13 @@
 
 
 async def _run_load_and_faults(
-    seed, seconds, processes, injector, servers, addresses
+    seed, seconds, processes, injector, policy_faults, servers, addresses
 ) -> SoakResult:
     callers = Callers(addresses, seed)
     await trio.sleep(START_DELAY_S)
     async with trio.open_nursery() as nursery:
         nursery.start_soon(callers.run)
+        nursery.start_soon(policy_faults.run, seconds)
         await injector.run(seconds)
         callers.is_stopping = True
     for name in processes.names:
@@ -220,26 +238,32 @@
     return listeners[0].socket.getsockname()[:2]
 
 
-def _configuration(hosts: list[str]) -> bytes:
-    # Callers send the address of the called instance as the host: one route for each.
-    routes = [
-        {
-            "name": "jobs",
-            "host": host,
-            "path_prefix": PATH_PREFIX,
-            "service": "pool",
-            "priority": 1,
-            "max_attempts": 4,
-        }
-        for host in hosts
-    ]
-    tenant = {"name": "org", "api_keys": [API_KEY], "guaranteed": {"gpu": 8}}
-    service = {"name": "pool", "admission_control": False}
-    fields = {"version": 1, "routes": routes, "services": [service]}
-    return json.dumps(fields | {"tenants": [tenant]}).encode()
+def _open_policy(seed: int, servers: list[EndpointServer]) -> PolicyServer:
+    """Return a policy service that denies some endpoints, and have them heed it."""
+    state_by_id = {server.state.info.id: server.state for server in servers}
+
+    def may_run(step: str, endpoint_id: str) -> bool:
+        # One endpoint in each data centre may run every step.
+        if endpoint_id in ("e0", "e1"):
+            return True
+        return random.Random(f"{step}/{endpoint_id}").random() < APPROVED_SHARE
+
+    policy = PolicyService(
+        USUAL_TERMS[seed % len(USUAL_TERMS)],
+        lambda endpoint_id: state_by_id[endpoint_id].born,
+        is_counted_from_question=bool(seed % 2),
+        may_run=may_run,
+    )
+    policy_server = PolicyServer(policy, is_advised)
+    for server in servers:
+        endpoint_id = server.state.info.id
+        server.takes_ticket = partial(policy_server.takes, endpoint_id=endpoint_id)
+    return policy_server
 
 
-def _settings(name: str, ip: str, store: tuple[str, int]) -> dict:
+def _settings(
+    name: str, ip: str, store: tuple[str, int], advice: tuple[str, int]
+) -> dict:
     return {
         "node_name": name,
         "ip": ip,
@@ -251,4 +275,5 @@
         "bounds": {"revoke_ms": 5000, "grace_s": 6, "hold_max_ms": 10000}
         | {"evacuation_ms": EVACUATION_BOUND_MS},
         "platform": {"address": f"{store[0]}:{store[1]}"},
+        "advice": f"{advice[0]}:{advice[1]}",
     }
--- a/tests/soak/test_soak.py
+++ b/tests/soak/test_soak.py
@@ -25,6 +25,8 @@
     (2006, 12),
     (2008, 12),
     (2012, 12),
+    # Changes and faults of the policy service; this one has not failed.
+    (8001, 8),
 ]
 
 
