--- a/tests/core/scheduling/test_advice.py
+++ b/tests/core/scheduling/test_advice.py
@@ -246,6 +246,7 @@
     fleet.denied_ids = set()
     for n in range(10):
         fleet.submit(f"k{n}")
+        fleet.submit(f"l{n}")
         fleet.answer()
     assert "j" in fleet.started_jobs()
 
