Split the endpoints of a question from the order of questions

Change: question_endpoints.py names endpoints, advice_questions.py keeps the order. No logic is changed.

--- a/ragwortshelf/core/scheduling/__init__.py
+++ b/ragwortshelf/core/scheduling/__init__.py
@@ -9,6 +9,8 @@
   units, lost endpoints, what endpoints report, orders and the start of a plan;
 - ``planning``: the order of waiting units, by ``shares`` and ``share_accounts``;
 - ``endpoint_selection``: room that is free now, by ``packing`` and ``speed_needs``;
+- ``advice_questions`` and ``question_endpoints``: what the policy service is asked, by
+  the decisions and the open question in ``ragwortshelf.core.advice``;
 - ``room_making``: the ways to make room, which are ``fast_room``, ``reclaiming`` and
   ``room_reserving``, by the search in ``reclaim`` and the costs in ``stop_costs``;
 - ``reservations`` and ``idle_services``: for how long room is kept free for a unit;
--- a/ragwortshelf/core/scheduling/advice_questions.py
+++ b/ragwortshelf/core/scheduling/advice_questions.py
@@ -1,10 +1,11 @@
-"""Choice of the next question to the policy service, by what waiting units need."""
+"""Choice of the next question to the policy service, by what waiting units need.
+
+Which endpoints a question names is decided in ``question_endpoints``.
+"""
 
 from __future__ import annotations
 
 import enum
-import math
-from collections import defaultdict
 from collections.abc import Iterable
 from dataclasses import dataclass, replace
 
@@ -13,14 +14,11 @@
 from .endpoint_selection import EndpointSelector
 from .lifecycle import UnitLifecycle
 from .model import GANG, step_name
+from .question_endpoints import QuestionEndpoints
 from .unit import Unit
 
 __all__ = ["AdviceQuestioner", "QuestionRank"]
 
-QUICK_ANSWER_MS = 100
-"""A question names endpoints beyond need if it is answered within this time, and no
-other step waits for one. A choice of endpoints makes for better packing."""
-
 USUAL_ANSWER_MS = 1_000
 """Time within which an answer is expected that may let a unit start. A guaranteed unit
 has about 3 s for a question, the stop of other work and its starts."""
@@ -28,10 +26,6 @@
 BACKGROUND_ANSWER_MS = 500
 """The same for units without room. Urgent questions may have to wait for the answer."""
 
-APPROVED_SHARE_MIN = 0.1
-QUESTION_DOUBLINGS_MAX = 7
-"""Limits of the expected share of approvals, and of how often a question is doubled."""
-
 RECHECK_DELAY_MS = 250
 """Delay before the endpoints are looked at again for a step with nothing to ask."""
 
@@ -73,6 +67,7 @@
     def __init__(self, scheduler: UnitLifecycle, selector: EndpointSelector):
         self._scheduler = scheduler
         self._selector = selector
+        self._endpoints = QuestionEndpoints(scheduler, selector)
         self._need_by_step: dict[str, _Need] = {}
         # The step of the last question until that is closed, and when others were.
         self._last_step = ""
@@ -182,145 +177,27 @@
         valid at the same time, and nothing else is, so that the answer comes soon.
         """
         unit, terms = need.unit, need.terms
-        endpoints = self._without_ticket(step, need)
+        endpoints = self._endpoints.without_ticket(
+            step, need.chosen_by_id.values(), terms, self._now_ms
+        )
         if endpoints and unit.key.member == GANG:
             return endpoints[:ENDPOINTS_PER_QUESTION_MAX]
         is_background = need.rank is QuestionRank.WAITS_FOR_ROOM
         time_ms = BACKGROUND_ANSWER_MS if is_background else USUAL_ANSWER_MS
         count = terms.usual_count(time_ms)
         if endpoints and len(endpoints) < count:
-            endpoints += self._spare(unit, endpoints, count - len(endpoints))
+            spare_count = count - len(endpoints)
+            endpoints += self._endpoints.spare(unit, endpoints, spare_count)
         if need.needs_approvals:
-            undecided = self._undecided(unit)
+            undecided = self._endpoints.undecided(unit)
             if not endpoints:
-                asked_count = self._question_count_by_step.get(step, 0)
-                count = self._approval_count(need, undecided, count, asked_count)
+                count = self._endpoints.approval_count(
+                    unit,
+                    undecided,
+                    terms,
+                    count,
+                    self._question_count_by_step.get(step, 0),
+                    is_other_waiting=len(self._need_by_step) > 1,
+                )
             endpoints += undecided[: max(0, count - len(endpoints))]
         return endpoints[: min(count, ENDPOINTS_PER_QUESTION_MAX)]
-
-    def _without_ticket(self, step: str, need: _Need) -> list[Endpoint]:
-        """Return the chosen endpoints whose tickets would expire before an answer.
-
-        Those without a ticket come first, in case they are too many for one question.
-        """
-        missing: list[Endpoint] = []
-        left = list(need.chosen_by_id.values())
-        due_ms = self._now_ms
-        while True:
-            expiring = [e for e in left if not self._has_ticket(step, e, due_ms)]
-            if not expiring:
-                return missing
-            missing += expiring
-            left = [e for e in left if e not in expiring]
-            due_ms = self._now_ms + need.terms.answer_ms(len(missing))
-
-    def _has_ticket(self, step: str, endpoint: Endpoint, at_ms: int) -> bool:
-        return self._scheduler.decisions.has_ticket(
-            step, endpoint.id, endpoint.started_wall_ms, at_ms
-        )
-
-    def _spare(
-        self, unit: Unit, chosen: list[Endpoint], count_max: int
-    ) -> list[Endpoint]:
-        """Return further approved endpoints for the other tasks of the step."""
-        tasks_left = self._scheduler.waiting_count(unit.key.job_id)
-        tasks_left -= sum(self._selector.slots(unit, e) for e in chosen)
-        spare = []
-        for endpoint in self._selector.approved(unit):
-            if tasks_left <= 0 or len(spare) >= count_max:
-                break
-            slots = self._selector.slots(unit, endpoint)
-            if slots and endpoint not in chosen:
-                spare.append(endpoint)
-                tasks_left -= slots
-        return spare
-
-    def _undecided(self, unit: Unit) -> list[Endpoint]:
-        """Return the endpoints about which nothing is known, the most useful first.
-
-        Those come first on which the unit could start, and then those on which room can
-        be made for it; where it has to stay on one rack, rack by rack.
-        """
-        step = unit.step
-        undecided = self._selector.undecided(unit)
-        slots_by_id = {e.id: self._selector.slots(unit, e) for e in undecided}
-        slots_by_rack: dict[str, int] = defaultdict(int)
-        if step.is_rack_sensitive and unit.count > 1:
-            for endpoint in (*undecided, *self._selector.approved(unit)):
-                slots_by_rack[endpoint.rack] += self._selector.slots(unit, endpoint)
-
-        def usefulness(endpoint: Endpoint) -> tuple:
-            rack = endpoint.rack
-            return (
-                endpoint.is_suspected or endpoint.id in unit.avoided_ids,
-                bool(step.preferred_rack) and rack != step.preferred_rack,
-                -slots_by_rack.get(rack, 0),
-                rack if slots_by_rack else "",
-                -min(unit.count, slots_by_id[endpoint.id]),
-                -self._reclaimable_gpus(endpoint, unit),
-                -endpoint.free_gpus,
-                endpoint.id,
-            )
-
-        return sorted(undecided, key=usefulness)
-
-    def _reclaimable_gpus(self, endpoint: Endpoint, unit: Unit) -> int:
-        """Return the accelerators of an endpoint that less urgent units occupy."""
-        unit_by_key = self._scheduler.unit_by_key
-        gpus = 0
-        for placement in endpoint.placement_by_task.values():
-            holder = unit_by_key.get(placement.unit_key)
-            if holder is not None and holder.priority > unit.priority:
-                gpus += placement.occupied.gpus
-        return gpus
-
-    def _approval_count(
-        self,
-        need: _Need,
-        undecided: list[Endpoint],
-        usual_count: int,
-        asked_count: int,
-    ) -> int:
-        """Return how many undecided endpoints to ask about at a time.
-
-        These are as many as are likely to be needed, by the share that was approved
-        lately, and twice as many after each question that did not suffice. They are no
-        more than usual unless all tasks are to start together; asking about those in
-        parts takes no longer where their tickets would expire.
-        """
-        unit, terms = need.unit, need.terms
-        needed_count = self._needed_count(unit, undecided)
-        share = max(self._scheduler.decisions.approved_share, APPROVED_SHARE_MIN)
-        doublings = min(asked_count, QUESTION_DOUBLINGS_MAX)
-        likely_count = min(
-            math.ceil(needed_count / share), needed_count * terms.trial_count(share)
-        )
-        likely_count <<= doublings
-        quick_count = 0
-        if len(self._need_by_step) == 1:
-            quick_count = terms.usual_count(QUICK_ANSWER_MS)
-        count = min(usual_count, max(likely_count, quick_count))
-        start_together = unit.key.member == GANG or unit.is_guaranteed
-        if start_together and not terms.is_too_slow_for(needed_count):
-            count = max(count, needed_count)
-        return count
-
-    def _needed_count(self, unit: Unit, undecided: list[Endpoint]) -> int:
-        """Return how many undecided endpoints the step needs if all are approved."""
-        tasks = unit.count
-        if unit.key.member != GANG:
-            tasks = self._scheduler.waiting_count(unit.key.job_id)
-        for endpoint in self._selector.approved(unit):
-            tasks -= self._slots_if_empty(unit, endpoint)
-        count = 0
-        for endpoint in undecided:
-            if tasks <= 0:
-                break
-            count += 1
-            tasks -= self._slots_if_empty(unit, endpoint)
-        return max(1, count)
-
-    @staticmethod
-    def _slots_if_empty(unit: Unit, endpoint: Endpoint) -> int:
-        slots = unit.step.occupied.times_in(endpoint.info.capacity)
-        return min(slots, unit.step.tasks_per_endpoint_max or slots)
