Keep no room free while the policy service does not answer

Cause, by reading: the room that a gang or a guaranteed unit waits to start in was reserved at each plan until its tickets arrive. With the service out of reach it stayed idle for as long as that lasted, on a service that is more than half in use, where no opening ends it.

Change: the room of a gang is reserved while its question is open, and that of guaranteed work while it waits for its turn as well, but neither once a question was not answered.

Tests: with a service that never answers, small work starts in the room that a gang waits for; nothing was started in 20 s of virtual time before (run without the change).

A question that was not answered keeps the room for its deadline once.

--- a/ragwortshelf/core/advice/questions.py
+++ b/ragwortshelf/core/advice/questions.py
@@ -48,6 +48,11 @@
         self._not_before_ms = 0
         self._unanswered_count = 0
 
+    @property
+    def is_answering(self) -> bool:
+        """Whether the latest question was answered, or there was none."""
+        return self._unanswered_count == 0
+
     def may_ask(self, now_ms: int) -> bool:
         """Whether a question may be put now."""
         return self.open_question is None and now_ms >= self._not_before_ms
--- a/ragwortshelf/core/scheduling/planning.py
+++ b/ragwortshelf/core/scheduling/planning.py
@@ -12,7 +12,7 @@
 from .idle_services import IdleServices
 from .idle_waits import IdleWaitMonitor
 from .lifecycle import UnitLifecycle
-from .model import UnitPhase
+from .model import UnitPhase, step_name
 from .overdue_runs import OverdueRunMonitor
 from .reclaiming import GuaranteeReclaimer
 from .reservations import UnitReservations
@@ -218,10 +218,14 @@
     ) -> None:
         """Ask for the tickets of the endpoints on which a unit is to start.
 
-        The room of gangs and of guaranteed units is kept free meanwhile.
+        The room of a gang is kept free while its question is open, and that of a
+        guaranteed unit while it waits for its turn as well. But others may have it if
+        the policy service does not answer.
         """
         self._questioner.need_tickets(unit, endpoints)
-        if is_guaranteed or unit.count > 1:
+        desk = self._scheduler.advice_desk
+        is_asked = unit.count > 1 and bool(desk.asked_ids(step_name(unit.key)))
+        if desk.is_answering and (is_guaranteed or is_asked):
             until_ms = self._now_ms + self._selector.ticket_wait_ms(unit, endpoints)
             self._reserver.hold(unit, endpoints, until_ms, is_guaranteed)
         if self._reservations.is_held_by(unit):
--- a/tests/core/scheduling/test_advice.py
+++ b/tests/core/scheduling/test_advice.py
@@ -331,6 +331,27 @@
     assert {start.unit_key.job_id for start in fleet.starts} == {"gang"}
 
 
+# Guards against room that is kept free while the policy service is out of reach.
+def test_room_is_not_kept_while_the_service_does_not_answer():
+    fleet = AdvisedFleet(QUICK, endpoints=4, plain_queues=["p2"], guaranteed=0)
+    fleet.submit("long", "p2", "b", count=3, request=WHOLE, estimate_ms=60_000)
+    fleet.submit("short", "p2", "b", request=WHOLE, estimate_ms=6_000)
+    *_, short = fleet.accept_starts()
+    half = Resources(4_000, 4_000, 4)
+    fleet.submit("gang", "p1", count=2, request=half, is_gang=True)
+    fleet.answer()
+    fleet.wait_until(fleet.now + QUICK.valid_ms)
+    fleet.end(short.endpoint_id, short.task)
+    begin_ms = fleet.now
+    fleet.submit("small", "p2", "c", fleet.now, request=WHOLE)
+    while not fleet.starts and fleet.now < begin_ms + 20_000:
+        if fleet.questions and fleet.now >= fleet.questions[0][1].deadline_ms:
+            fleet.questions.clear()
+            fleet.scheduler.advice_unanswered(fleet.now)
+        fleet.wait_until(fleet.now + 100)
+    assert fleet.started_jobs() == {"small"}
+
+
 # Guards against a service that is busy with endpoints that are not needed, while others
 # wait for their turn.
 def test_a_slow_service_is_asked_about_what_is_likely_to_be_needed():
