Look for room on a group of endpoints once, and at withdrawn queues only if there are any

Cause, from the last reading: where all approved endpoints have tickets, the same search was made three times for a unit that does not fit. Each change of the configuration passed over all jobs for the figures of withdrawn queues, though none was withdrawn. A wait with no usable endpoint was reported as denied by the policy service. slots wrapped _slots.

Change: a group is searched only if it holds more endpoints than the one before; jobs are passed over only if a queue with advice is gone; advice_denied needs a usable endpoint; one method slots; the rank of questions is private.

--- a/ragwortshelf/core/scheduling/advice_questions.py
+++ b/ragwortshelf/core/scheduling/advice_questions.py
@@ -17,7 +17,7 @@
 from .question_endpoints import QuestionEndpoints
 from .unit import Unit
 
-__all__ = ["AdviceQuestioner", "QuestionRank"]
+__all__ = ["AdviceQuestioner"]
 
 USUAL_ANSWER_MS = 1_000
 """Time within which an answer is expected that may let a unit start. A guaranteed unit
@@ -30,7 +30,7 @@
 """Delay before the endpoints are looked at again for a step with nothing to ask."""
 
 
-class QuestionRank(enum.IntEnum):
+class _QuestionRank(enum.IntEnum):
     """Which questions come first: the lowest rank, and then the lowest priority."""
 
     RECLAIMS = 0
@@ -51,7 +51,7 @@
 
     unit: Unit
     terms: AdviceTerms
-    rank: QuestionRank
+    rank: _QuestionRank
     chosen_by_id: dict[str, Endpoint]
     needs_approvals: bool
 
@@ -88,16 +88,16 @@
         terms = self._terms_to_ask(unit)
         if terms is not None:
             chosen_by_id = {endpoint.id: endpoint for endpoint in endpoints}
-            self._add(unit, terms, QuestionRank.MAY_START, chosen_by_id)
+            self._add(unit, terms, _QuestionRank.MAY_START, chosen_by_id)
 
     def need_approvals(self, unit: Unit) -> None:
         """Note that a unit finds no room on the endpoints that are approved so far."""
         terms = self._terms_to_ask(unit)
         if terms is None:
             return
-        rank = QuestionRank.WAITS_FOR_ROOM
+        rank = _QuestionRank.WAITS_FOR_ROOM
         if self._selector.may_fit(unit):
-            rank = QuestionRank.MAY_START
+            rank = _QuestionRank.MAY_START
         self._add(unit, terms, rank, {})
 
     def unit_placed(self, unit: Unit) -> None:
@@ -135,11 +135,11 @@
         self,
         unit: Unit,
         terms: AdviceTerms,
-        rank: QuestionRank,
+        rank: _QuestionRank,
         chosen_by_id: dict[str, Endpoint],
     ) -> None:
         if unit.is_guaranteed or unit.must_restart:
-            rank = QuestionRank.RECLAIMS
+            rank = _QuestionRank.RECLAIMS
         step = step_name(unit.key)
         need = self._need_by_step.get(step)
         if need is None:
@@ -182,7 +182,7 @@
         )
         if endpoints and unit.key.member == GANG:
             return endpoints[:ENDPOINTS_PER_QUESTION_MAX]
-        is_background = need.rank is QuestionRank.WAITS_FOR_ROOM
+        is_background = need.rank is _QuestionRank.WAITS_FOR_ROOM
         time_ms = BACKGROUND_ANSWER_MS if is_background else USUAL_ANSWER_MS
         count = terms.usual_count(time_ms)
         if endpoints and len(endpoints) < count:
--- a/ragwortshelf/core/scheduling/endpoint_selection.py
+++ b/ragwortshelf/core/scheduling/endpoint_selection.py
@@ -91,9 +91,12 @@
             eligible = approved + self.undecided(unit)
         with_ticket = [e for e in approved if self._has_ticket(unit, e)]
         asked_ids = self._scheduler.advice_desk.asked_ids(step_name(unit.key))
-        asked = [e for e in approved if e.id in asked_ids or e in with_ticket]
+        asked = [e for e in approved if e.id in asked_ids or self._has_ticket(unit, e)]
+        tried_count = 0
         for group in (with_ticket, asked, approved):
-            if group:
+            # Each group holds the one before.
+            if len(group) > tried_count:
+                tried_count = len(group)
                 endpoints = self._choose_warm(unit, group, on_slow, eligible)
                 if endpoints is not None:
                     return endpoints
@@ -360,7 +363,7 @@
         needed = unit.step.occupied
 
         def slots(endpoint: Endpoint) -> int:
-            return self._slots(unit, endpoint)
+            return self.slots(unit, endpoint)
 
         step = unit.step
         may_leave = True
@@ -378,11 +381,7 @@
             may_leave_rack=may_leave,
         )
 
-    def slots(self, unit: Unit, endpoint: Endpoint) -> int:
-        """Return how many tasks of a unit may be placed on an endpoint now."""
-        return self._slots(unit, endpoint)
-
-    def _slots(
+    def slots(
         self,
         unit: Unit,
         endpoint: Endpoint,
@@ -418,10 +417,11 @@
         candidates = self._candidates(unit)
         terms = self._scheduler.advice_terms_of(unit)
         if terms is not None:
-            candidates = self.approved(unit)
-            if not candidates:
+            approved = self.approved(unit)
+            if candidates and not approved:
                 is_denied = not self.undecided(unit)
                 return WaitCause.ADVICE_DENIED if is_denied else WaitCause.ADVICE
+            candidates = approved
         endpoints = self._find_endpoints(unit, candidates)
         if endpoints is not None:
             if self.has_tickets(unit, endpoints):
@@ -442,7 +442,7 @@
     def _fits_on_any_rack(
         self, unit: Unit, candidates: list[Endpoint], **heeded: bool
     ) -> bool:
-        slots = sum(self._slots(unit, endpoint, **heeded) for endpoint in candidates)
+        slots = sum(self.slots(unit, endpoint, **heeded) for endpoint in candidates)
         return slots >= unit.count
 
     def _may_try_out(self, endpoint: Endpoint, unit: Unit) -> bool:
--- a/ragwortshelf/core/scheduling/lifecycle.py
+++ b/ragwortshelf/core/scheduling/lifecycle.py
@@ -152,16 +152,20 @@
 
     def _keep_withdrawn_terms(self, newer: ServiceConfiguration) -> None:
         """Keep the figures of policy services whose queues go while they have jobs."""
-        terms_by_queue = self._withdrawn_terms_by_queue
-        for name, queue in self.configuration.queue_by_name.items():
-            if queue.advice is not None:
-                terms_by_queue[name] = queue.advice
-        queues = {job.spec.queue for job in self.table.job_by_id.values()}
-        self._withdrawn_terms_by_queue = {
+        known = self._withdrawn_terms_by_queue | {
+            queue.name: queue.advice
+            for queue in self.configuration.queues
+            if queue.advice is not None
+        }
+        gone = {
             name: terms
-            for name, terms in terms_by_queue.items()
-            if name in queues and name not in newer.queue_by_name
+            for name, terms in known.items()
+            if name not in newer.queue_by_name
         }
+        if gone:
+            queues = {job.spec.queue for job in self.table.job_by_id.values()}
+            gone = {name: terms for name, terms in gone.items() if name in queues}
+        self._withdrawn_terms_by_queue = gone
 
     def place(
         self,
