Take a refused ticket as evidence only while it may still be valid

Cause, by reading while a soak was traced: a refused ticket whose time from the question had passed switched the whole term to counting from the question. A start that takes longer than its ticket is valid in any case, as behind a slow log with tickets of 150 ms, showed nothing of the kind but switched as well. From then on good tickets were given up.

Change: a refusal counts as evidence from when the time from the question has passed until the time from the answer has. Both are kept as deadlines with the ticket.

Tests: test_a_refusal_after_the_time_from_the_answer_says_nothing_of_other_tickets failed before; its companion guards the evidence that remains.

--- a/ragwortshelf/core/advice/decisions.py
+++ b/ragwortshelf/core/advice/decisions.py
@@ -20,38 +20,61 @@
 counts more than all before it."""
 
 
+@dataclass(frozen=True, slots=True)
+class Validity:
+    """The time of a ticket, counted from one moment.
+
+    A start may be decided until ``use_until_ms``, so that it arrives before the ticket
+    expires at ``expires_ms``.
+    """
+
+    use_until_ms: int
+    expires_ms: int
+
+    @classmethod
+    def counted_from(cls, since_ms: int, valid_ms: int) -> Validity:
+        """Return the time of a ticket that is valid for ``valid_ms``.
+
+        >>> Validity.counted_from(1_000, valid_ms=3_000)
+        Validity(use_until_ms=3500, expires_ms=4000)
+        """
+        expires_ms = since_ms + valid_ms
+        return cls(expires_ms - start_margin_ms(valid_ms), expires_ms)
+
+
 @dataclass(frozen=True, slots=True)
 class Ticket:
     """A ticket for all tasks of a step on one incarnation of an endpoint.
 
-    The service counts its time from a moment between the question and the answer. A
-    start may be decided with it until ``asked_until_ms`` if that is the question, and
-    until ``answered_until_ms`` if it is the answer; and in any case until
-    ``first_use_until_ms``.
+    The service counts its time from a moment between the question and the answer. In
+    any case a start may be decided with it until ``first_use_until_ms``.
     """
 
     text: str
-    asked_until_ms: int
-    answered_until_ms: int
+    from_question: Validity
+    from_answer: Validity
     first_use_until_ms: int
 
     @classmethod
-    def from_answer(
+    def received(
         cls, text: str, valid_ms: int, asked_ms: int, answered_ms: int
     ) -> Ticket:
-        """Return the ticket of an answer, with the times of both messages.
-
-        >>> Ticket.from_answer("t", 3_000, 1_000, 2_000).answered_until_ms
-        4500
-        """
-        usable_ms = valid_ms - start_margin_ms(valid_ms)
+        """Return the ticket of an answer, with the times of both messages."""
         return cls(
             text,
-            asked_ms + usable_ms,
-            answered_ms + usable_ms,
+            Validity.counted_from(asked_ms, valid_ms),
+            Validity.counted_from(answered_ms, valid_ms),
             answered_ms + FIRST_USE_MS,
         )
 
+    def shows_count_from_question(self, refused_ms: int) -> bool:
+        """Whether a refusal shows that the service counts its time from the question.
+
+        One that came after the time from the answer as well shows nothing.
+        """
+        expired_ms = self.from_question.expires_ms
+        return expired_ms < refused_ms <= self.from_answer.expires_ms
+
 
 @dataclass(frozen=True, slots=True)
 class Decision:
@@ -73,8 +96,8 @@
     their ids and the starts of their incarnations, in milliseconds of wall-clock time.
     Other times are in milliseconds of the caller's clock.
 
-    The time of a ticket is counted from its answer, until an endpoint refuses one that
-    is older than its time from the question. From then on it is counted from there.
+    The time of a ticket is counted from its answer, until an endpoint refuses one whose
+    time from the question alone has passed. From then on it is counted from there.
 
     ``steps_refused_without_ticket`` are those of which a start was refused that had
     none. ``approved_share`` is the share of endpoints that were approved lately, over
@@ -146,7 +169,7 @@
             if text is None:
                 by_id[endpoint_id] = Decision(started_wall_ms, False)
                 continue
-            ticket = Ticket.from_answer(text, valid_ms, asked_ms, answered_ms)
+            ticket = Ticket.received(text, valid_ms, asked_ms, answered_ms)
             by_id[endpoint_id] = Decision(started_wall_ms, True, ticket)
 
     def ticket_refused(self, step: str, endpoint_id: str, now_ms: int) -> None:
@@ -155,7 +178,7 @@
         decision = by_id.get(endpoint_id)
         if decision is None or decision.ticket is None:
             return
-        if decision.ticket.asked_until_ms < now_ms:
+        if decision.ticket.shows_count_from_question(now_ms):
             self._is_counted_from_question = True
         by_id[endpoint_id] = replace(decision, ticket=None)
 
@@ -196,6 +219,7 @@
         return decision
 
     def _usable_until_ms(self, ticket: Ticket) -> int:
+        validity = ticket.from_answer
         if self._is_counted_from_question:
-            return max(ticket.asked_until_ms, ticket.first_use_until_ms)
-        return max(ticket.answered_until_ms, ticket.first_use_until_ms)
+            validity = ticket.from_question
+        return max(validity.use_until_ms, ticket.first_use_until_ms)
--- a/tests/core/advice/test_decisions.py
+++ b/tests/core/advice/test_decisions.py
@@ -46,6 +46,21 @@
     assert decisions.is_approved("j.0.0", "f", BORN) is True
 
 
+# Guards against tickets that are given up while they are good, after a start that took
+# longer than its ticket was valid in any case.
+def test_a_refusal_after_the_time_from_the_answer_says_nothing_of_other_tickets():
+    decisions = _decisions({"e": "t", "f": "u"})
+    decisions.ticket_refused("j.0.0", "f", 4_001)
+    assert decisions.has_ticket("j.0.0", "e", BORN, 3_500)
+
+
+def test_a_refusal_between_the_two_times_shows_that_the_question_counts():
+    decisions = _decisions({"e": "t", "f": "u"})
+    decisions.ticket_refused("j.0.0", "f", 4_000)
+    assert decisions.has_ticket("j.0.0", "e", BORN, 2_500)
+    assert not decisions.has_ticket("j.0.0", "e", BORN, 2_501)
+
+
 # Guards against answers about a job that ended meanwhile, which would be kept for good.
 def test_an_answer_about_a_forgotten_step_is_dropped():
     decisions = PolicyDecisions()
