Do not enlarge questions that the policy service left unanswered

Cause, by the log of that run: the links to the service were reset for 4 s, and each step that waited was asked about in turn without an answer. Each such question counted as one that had not sufficed, so the next one named twice as many endpoints: 0.95 s for three instead of 0.45 s for one, for five of the ten steps of the backlog.

Change: only answers that did not suffice enlarge a step's next question.

Test: test_questions_without_an_answer_do_not_enlarge_the_next_one; it failed before.

--- a/ragwortshelf/core/scheduling/advice_questions.py
+++ b/ragwortshelf/core/scheduling/advice_questions.py
@@ -61,7 +61,7 @@
 
     ``begin`` starts a plan, and ``ask`` ends it. Needs are collected only while no
     question is open. Among questions of one rank and priority, the step comes first
-    that has waited longest, since its last answer if there was one.
+    that has waited longest, since its last question if there was one.
     """
 
     def __init__(self, scheduler: UnitLifecycle, selector: EndpointSelector):
@@ -69,10 +69,11 @@
         self._selector = selector
         self._endpoints = QuestionEndpoints(scheduler, selector)
         self._need_by_step: dict[str, _Need] = {}
-        # The step of the last question until that is closed, and when others were.
+        # The step of the last question until that is closed.
         self._last_step = ""
-        self._answered_ms_by_step: dict[str, int] = {}
-        self._question_count_by_step: dict[str, int] = {}
+        self._closed_ms_by_step: dict[str, int] = {}
+        # Answers since a unit of the step was placed, which did not suffice.
+        self._answer_count_by_step: dict[str, int] = {}
         self._recheck_ms_by_step: dict[str, int] = {}
         self._may_ask = False
         self._now_ms = 0
@@ -82,6 +83,7 @@
         self._now_ms = now_ms
         self._may_ask = self._scheduler.advice_desk.may_ask(now_ms)
         self._need_by_step.clear()
+        self._note_closed_question()
 
     def need_tickets(self, unit: Unit, endpoints: Iterable[Endpoint]) -> None:
         """Note that a unit would start on these endpoints if it had their tickets."""
@@ -101,16 +103,13 @@
         self._add(unit, terms, rank, {})
 
     def unit_placed(self, unit: Unit) -> None:
-        """Note that a unit is starting, so that its step's questions were of use."""
-        self._question_count_by_step.pop(step_name(unit.key), None)
+        """Note that a unit is starting, so that answers about its step sufficed."""
+        self._answer_count_by_step.pop(step_name(unit.key), None)
 
     def ask(self) -> None:
         """Put the most urgent question, unless one is open."""
         if not self._may_ask:
             return
-        if self._last_step:
-            self._answered_ms_by_step[self._last_step] = self._now_ms
-            self._last_step = ""
         self._prune()
         for step, need in sorted(self._need_by_step.items(), key=self._sort_key):
             recheck_ms = self._recheck_ms_by_step.get(step, 0)
@@ -118,8 +117,6 @@
                 continue
             endpoints = self._endpoints_to_ask(step, need)
             if endpoints:
-                count = self._question_count_by_step.get(step, 0)
-                self._question_count_by_step[step] = count + 1
                 self._last_step = step
                 self._scheduler.ask_advice(
                     need.unit, endpoints, need.terms, self._now_ms
@@ -127,6 +124,18 @@
                 return
             self._recheck_ms_by_step[step] = self._now_ms + RECHECK_DELAY_MS
 
+    def _note_closed_question(self) -> None:
+        """Note when the last question was closed, and whether it was answered."""
+        desk = self._scheduler.advice_desk
+        step = self._last_step
+        if not step or desk.open_question is not None:
+            return
+        self._last_step = ""
+        self._closed_ms_by_step[step] = self._now_ms
+        if desk.is_answering:
+            count = self._answer_count_by_step.get(step, 0)
+            self._answer_count_by_step[step] = count + 1
+
     def _terms_to_ask(self, unit: Unit) -> AdviceTerms | None:
         """Return the figures of a unit's service if a question may be put to it now."""
         return self._scheduler.advice_terms_of(unit) if self._may_ask else None
@@ -155,7 +164,7 @@
 
     def _sort_key(self, item: tuple[str, _Need]) -> tuple:
         step, need = item
-        since_ms = self._answered_ms_by_step.get(step, need.unit.waiting_since_ms)
+        since_ms = self._closed_ms_by_step.get(step, need.unit.waiting_since_ms)
         # The last part of the order is the deadline.
         *place, _ = need.unit.order_key
         return need.rank, place, since_ms
@@ -163,8 +172,8 @@
     def _prune(self) -> None:
         """Forget what is noted of steps that need nothing any more."""
         for by_step in (
-            self._answered_ms_by_step,
-            self._question_count_by_step,
+            self._closed_ms_by_step,
+            self._answer_count_by_step,
             self._recheck_ms_by_step,
         ):
             for step in [step for step in by_step if step not in self._need_by_step]:
@@ -196,7 +205,7 @@
                     undecided,
                     terms,
                     count,
-                    self._question_count_by_step.get(step, 0),
+                    self._answer_count_by_step.get(step, 0),
                     is_other_waiting=len(self._need_by_step) > 1,
                 )
             endpoints += undecided[: max(0, count - len(endpoints))]
--- a/ragwortshelf/core/scheduling/question_endpoints.py
+++ b/ragwortshelf/core/scheduling/question_endpoints.py
@@ -113,21 +113,21 @@
         undecided: list[Endpoint],
         terms: AdviceTerms,
         usual_count: int,
-        asked_count: int,
+        answer_count: int,
         *,
         is_other_waiting: bool,
     ) -> int:
         """Return how many undecided endpoints to ask about at a time.
 
         These are as many as are likely to be needed, by the share that was approved
-        lately, and twice as many after each of the ``asked_count`` questions that did
+        lately, and twice as many after each of the ``answer_count`` answers that did
         not suffice. They are no more than ``usual_count`` unless all tasks are to start
         together; asking about those in parts takes no longer where their tickets would
         expire before the answer.
         """
         needed_count = self._needed_count(unit, undecided)
         share = max(self._scheduler.decisions.approved_share, APPROVED_SHARE_MIN)
-        doublings = min(asked_count, QUESTION_DOUBLINGS_MAX)
+        doublings = min(answer_count, QUESTION_DOUBLINGS_MAX)
         likely_count = min(
             math.ceil(needed_count / share), needed_count * terms.trial_count(share)
         )
--- a/tests/core/scheduling/test_advice.py
+++ b/tests/core/scheduling/test_advice.py
@@ -367,6 +367,19 @@
     assert len(fleet.asked_ids()) > usual_count
 
 
+# Guards against questions that grow while the service is out of reach, and hold up all
+# others for longer once it answers again (seed 2006 of the soak).
+def test_questions_without_an_answer_do_not_enlarge_the_next_one():
+    fleet = AdvisedFleet(SLOW, endpoints=24)
+    fleet.submit("j")
+    usual_count = len(fleet.asked_ids())
+    for _ in range(3):
+        fleet.questions.clear()
+        fleet.scheduler.advice_unanswered(fleet.now)
+        fleet.wait_until(fleet.now + 1_000)
+        assert len(fleet.asked_ids()) == usual_count
+
+
 # Guards against a job that waits without a word on why.
 @pytest.mark.parametrize(
     ("terms", "denied", "cause"),
