Regain a log whose answers begin late, beside short reads

Cause: reads of a lost log wait 0.4 s, so that the end of a silent outage is noticed soon. One failure made the limit stricter for good.

Change: the short reads go on as they were. Beside them a small one waits 0.7 s, once in 0.7 s at most, and if it is answered, so does the next read. The small read applies nothing, so nothing is read twice on a slow link, and a read that has begun is not cancelled. read_times_ms becomes read_timeout_ms; a read can be brief.

Fakes take the new argument; no check is changed.

It costs at most 1.4 calls a second and log while a log is lost.

--- a/ragwortshelf/scheduler/configuration_follower.py
+++ b/ragwortshelf/scheduler/configuration_follower.py
@@ -10,7 +10,15 @@
 from ..core.scheduling.upkeep import UpkeepWave
 from ..daemon.logs import log_event, log_failure
 from .clock import boot_ms, monotonic_ms
-from .interfaces import Entry, KeyedLog, LogGap, LogPage, PlatformAdapter
+from .interfaces import (
+    Entry,
+    KeyedLog,
+    LogGap,
+    LogPage,
+    PlatformAdapter,
+    ReadOutcome,
+)
+from .log_regaining import regain_log
 from .loss_reporter import LossReporter
 from .newest_records import NewestReader, NewestRecords
 from .settings import SchedulingSettings
@@ -90,14 +98,29 @@
     async def run(self) -> None:
         """Follow the operator's log until cancelled."""
         while True:
-            sent = boot_ms()
             if self._next_offset is None:
-                detail = await self._load(sent)
+                await self._retry_if_lost(await self._load(boot_ms()))
+            elif self.is_log_answering:
+                # Records that took long to arrive are confirmed without waiting.
+                is_due = self._is_confirmation_due
+                wait_ms = 0 if is_due else self.settings.configuration_wait_ms
+                await self._read(wait_ms, self.settings.read_timeout_ms(wait_ms))
             else:
-                detail = await self._read(sent)
-            if detail is not None:
-                self._log_lost(detail)
-                await trio.sleep(self.settings.log_retry_ms / 1000)
+                await regain_log(
+                    self._log,
+                    next_offset=lambda: self._next_offset,
+                    read=lambda timeout_ms: self._read(0, timeout_ms),
+                    is_regained=lambda: (
+                        self.is_log_answering or self._next_offset is None
+                    ),
+                    settings=self.settings,
+                )
+
+    async def _retry_if_lost(self, detail: str | None) -> None:
+        """Report a failed call, if there is a detail, and wait before the next one."""
+        if detail is not None:
+            self._log_lost(detail)
+            await trio.sleep(self.settings.log_retry_ms / 1000)
 
     async def _load(self, sent_boot_ms: int) -> str | None:
         load = self._load_in_progress or _Load(self._log, sent_boot_ms)
@@ -114,15 +137,15 @@
         self._confirm(load.sent_boot_ms)
         return None
 
-    async def _read(self, sent_boot_ms: int) -> str | None:
-        # Records that took long to arrive are confirmed without waiting for more.
-        is_due = self._is_confirmation_due
-        wait_ms, timeout_ms = self.settings.read_times_ms(
-            0 if is_due else self.settings.configuration_wait_ms, self.is_log_answering
-        )
+    async def _read(self, wait_ms: int, timeout_ms: int) -> None:
+        sent_boot_ms = boot_ms()
         page = await self._log.read(
             self._next_offset, wait_ms=wait_ms, timeout_ms=timeout_ms
         )
+        await self._retry_if_lost(self._apply_page(page, sent_boot_ms))
+
+    def _apply_page(self, page: ReadOutcome, sent_boot_ms: int) -> str | None:
+        """Apply the outcome of a read; returns what failed, or None."""
         match page:
             case LogPage() if page.end < self._next_offset:
                 # The log has lost records, or another one took its place.
--- a/ragwortshelf/scheduler/interfaces.py
+++ b/ragwortshelf/scheduler/interfaces.py
@@ -182,8 +182,13 @@
         """Append all entries or none. With ``at``, only if the log ends there."""
 
     @abc.abstractmethod
-    async def read(self, offset: int, *, wait_ms: int, timeout_ms: int) -> ReadOutcome:
-        """Read from ``offset``, waiting up to ``wait_ms`` for a record to arrive."""
+    async def read(
+        self, offset: int, *, wait_ms: int, timeout_ms: int, is_brief: bool = False
+    ) -> ReadOutcome:
+        """Read from ``offset``, waiting up to ``wait_ms`` for a record to arrive.
+
+        A brief read returns few records, if any.
+        """
 
     @abc.abstractmethod
     async def newest(self, after_key: str | None, *, timeout_ms: int) -> NewestOutcome:
--- a/ragwortshelf/scheduler/log_follower.py
+++ b/ragwortshelf/scheduler/log_follower.py
@@ -33,6 +33,7 @@
 from ..daemon.logs import log_event, log_failure
 from .clock import boot_ms
 from .interfaces import Entry, KeyedLog, LogGap, LogPage
+from .log_regaining import regain_log
 from .loss_reporter import LossReporter
 from .newest_records import NewestReader, NewestRecords
 from .settings import SchedulingSettings
@@ -121,7 +122,10 @@
             if self._needs_reload and not await self._reload():
                 await trio.sleep(self.settings.log_retry_ms / 1000)
                 continue
-            await self._read_once()
+            if self.is_log_answering:
+                await self._read_once()
+            else:
+                await self._regain()
 
     def restart(self) -> None:
         """Discard the table and reload it from the log.
@@ -232,24 +236,34 @@
             await self._refresh_event.wait()
             self._refresh_event = trio.Event()
             if self.is_waiting_for_records and not self._needs_reload:
-                await self._read(wait_ms=0)
+                timeout_ms = self.settings.log_probe_timeout_ms
+                if self.is_log_answering:
+                    timeout_ms = self.settings.read_timeout_ms(0)
+                await self._read(0, timeout_ms)
+
+    async def _regain(self) -> None:
+        """Read the log until it answers again, or has to be loaded anew."""
+        await regain_log(
+            self._log,
+            next_offset=lambda: self.next_offset,
+            read=lambda timeout_ms: self._read(0, timeout_ms),
+            is_regained=lambda: self.is_log_answering or self._needs_reload,
+            settings=self.settings,
+        )
 
     async def _read_once(self) -> None:
         is_waiting = self.is_waiting_for_records
         self._wake_event = trio.Event()
-        reached_end = await self._read(
-            self.settings.term_renewal_ms if is_waiting else 0
-        )
+        wait_ms = self.settings.term_renewal_ms if is_waiting else 0
+        timeout_ms = self.settings.read_timeout_ms(wait_ms)
+        reached_end = await self._read(wait_ms, timeout_ms)
         if reached_end and not is_waiting:
             await self._pause()
 
-    async def _read(self, wait_ms: int) -> bool:
+    async def _read(self, wait_ms: int, timeout_ms: int) -> bool:
         """Read once and apply the records; returns whether that reached the end."""
         sent = boot_ms()
         offset = self.next_offset
-        wait_ms, timeout_ms = self.settings.read_times_ms(
-            wait_ms, self.is_log_answering
-        )
         page = await self._log.read(offset, wait_ms=wait_ms, timeout_ms=timeout_ms)
         if self._needs_reload:
             return False
--- a/ragwortshelf/scheduler/metered_log.py
+++ b/ragwortshelf/scheduler/metered_log.py
@@ -42,9 +42,13 @@
         )
         return self._count_outcome("append", outcome)
 
-    async def read(self, offset: int, *, wait_ms: int, timeout_ms: int):
+    async def read(
+        self, offset: int, *, wait_ms: int, timeout_ms: int, is_brief: bool = False
+    ):
         """See ``KeyedLog.read``."""
-        outcome = await self._log.read(offset, wait_ms=wait_ms, timeout_ms=timeout_ms)
+        outcome = await self._log.read(
+            offset, wait_ms=wait_ms, timeout_ms=timeout_ms, is_brief=is_brief
+        )
         self._count_entries(outcome)
         return self._count_outcome("read", outcome)
 
--- a/ragwortshelf/scheduler/settings.py
+++ b/ragwortshelf/scheduler/settings.py
@@ -91,15 +91,13 @@
     # the whole timeout.
     endpoint_timeout_ms: int = 400
 
-    def read_times_ms(self, wait_ms: int, is_log_answering: bool) -> tuple[int, int]:
-        """Return the wait time and the timeout of a read of the log.
+    def read_timeout_ms(self, wait_ms: int) -> int:
+        """Return the timeout of a read of a log that answers.
 
-        >>> SchedulingSettings("i").read_times_ms(1_000, is_log_answering=True)
-        (1000, 1700)
+        >>> SchedulingSettings("i").read_timeout_ms(wait_ms=1_000)
+        1700
         """
-        if not is_log_answering:
-            return 0, self.log_probe_timeout_ms
-        return wait_ms, wait_ms + self.log_call_timeout_ms
+        return wait_ms + self.log_call_timeout_ms
 
     def listing_wait_for(self, need: ListingNeed) -> int:
         """Return how long a renewal waits that lists an endpoint with this need.
--- a/tests/scheduler/fakes.py
+++ b/tests/scheduler/fakes.py
@@ -69,7 +69,7 @@
             return LogUnanswered("lost")
         return outcome
 
-    async def read(self, offset, *, wait_ms, timeout_ms):
+    async def read(self, offset, *, wait_ms, timeout_ms, is_brief=False):
         await trio.sleep(LOG_CALL_S)
         if self._faults.store == "silent":
             await trio.sleep(timeout_ms / 1000)
--- a/tests/scheduler/test_evacuation.py
+++ b/tests/scheduler/test_evacuation.py
@@ -42,7 +42,7 @@
         self._faults = Faults()
         self._faults.store = store
 
-    async def read(self, offset, *, wait_ms, timeout_ms):
+    async def read(self, offset, *, wait_ms, timeout_ms, is_brief=False):
         page = await super().read(offset, wait_ms=wait_ms, timeout_ms=timeout_ms)
         await trio.sleep(self.answer_delay_s)
         if isinstance(page, LogPage):
--- a/tests/scheduler/test_observability.py
+++ b/tests/scheduler/test_observability.py
@@ -141,7 +141,7 @@
 async def test_bytes_of_incomplete_answers_are_counted(autojump_clock, monkeypatch):
     instance = make_instances(make_platform(), 1)[0]
 
-    async def cut(self, offset, *, wait_ms, timeout_ms):
+    async def cut(self, offset, *, wait_ms, timeout_ms, is_brief=False):
         await trio.sleep(timeout_ms / 1000)
         return LogUnanswered("timeout", received_bytes=400_000)
 
