Let the first task of a step use room that others of its step reserved

In the failing runs a task is not placed for 0.6 s although two accelerators are free that nobody else wants (wait cause `reserved`); in the others it is placed within 12 ms.

Cause: tasks of one step have equal order keys, and a reservation kept out all units of an equal or later one. Once a plan between had let a second task reserve the room that the first one waits for, each kept the other out until a reservation ended, 1.5 s later or more, however much room was free. It concerns all steps with several tasks of more than one accelerator that wait.

Change: units of equal order keys come in the order of their keys, as in the plan.

Test: test_tasks_of_one_step_do_not_keep_each_other_out_of_reserved_room, in virtual time; it failed before.

--- a/ragwortshelf/core/scheduling/reservations.py
+++ b/ragwortshelf/core/scheduling/reservations.py
@@ -158,8 +158,7 @@
     def count_before(self, unit: Unit) -> int:
         """Return the waiting units with room that come before a unit in the order."""
         return sum(
-            reservation.is_awaited(self._now_ms)
-            and reservation.unit.order_key <= unit.order_key
+            reservation.is_awaited(self._now_ms) and reservation.unit.comes_before(unit)
             for reservation in self._reservation_by_key.values()
         )
 
@@ -221,4 +220,4 @@
             return False
         if self._deadlines.is_overdue(unit, reservation.service):
             return False
-        return reservation.unit.order_key <= unit.order_key
+        return reservation.unit.comes_before(unit)
--- a/ragwortshelf/core/scheduling/unit.py
+++ b/ragwortshelf/core/scheduling/unit.py
@@ -187,6 +187,13 @@
         allowance = self.estimate_ms // 2
         return wall_ms > self.latest_start_wall_ms + allowance
 
+    def comes_before(self, other: Unit) -> bool:
+        """Whether the unit comes before another one in the order of the latest plan.
+
+        The tasks of a step have equal order keys, and come in the order of their keys.
+        """
+        return (self.order_key, self.key) < (other.order_key, other.key)
+
     def set_order_key(self, is_above_share: bool, now_ms: int) -> None:
         """Set the place in the order of one plan."""
         if self.is_starving(now_ms):
--- a/tests/core/scheduling/test_waits_in_series.py
+++ b/tests/core/scheduling/test_waits_in_series.py
@@ -237,3 +237,17 @@
             list_one(endpoint_id, **fields)
 
     return list_if_in_contact
+
+
+# Guards against tasks of one step that each reserve the same room and keep each other
+# out of it once it is free (seen as a failure of test_shares_are_reported_while_...).
+def test_tasks_of_one_step_do_not_keep_each_other_out_of_reserved_room():
+    fleet = _Fleet(endpoints=1, guaranteed=0)
+    pair = Resources(1_000, 100, 2)
+    fleet.submit("a", "p1", "a", count=4, request=pair, estimate_ms=60_000)
+    first, *_ = fleet.accept_starts()
+    fleet.submit("b", "p1", "b", fleet.now, count=2, request=pair)
+    fleet.wait(750, 250)
+    assert not fleet.starts
+    fleet.end(first.endpoint_id, first.task)
+    assert fleet.started_jobs() == {"b"}
