Log why a question to the policy service has no answer

Cause: the `advice` line of a question without an answer had `approved` null and no reason, whether the service was out of reach, too late, or refused with 429 or 503.

Change: `advice_unanswered` with the reason; a body that is no JSON is `advice_unreadable`.

--- a/tests/platform/test_adapter.py
+++ b/tests/platform/test_adapter.py
@@ -3,6 +3,7 @@
 import json
 
 import pytest
+from platform_adapter import adapter as adapter_module
 from platform_adapter.adapter import HttpPlatformAdapter
 from platform_adapter.endpoints import MinionClient
 from platform_adapter.hosts import MachineService
@@ -139,6 +140,32 @@
     assert await adapter.ask_advice("s", ("i-1",), timeout_ms=100) is None
 
 
+# Guards against questions that stay without an answer for a reason that no line tells.
+@pytest.mark.parametrize(
+    ("response", "message", "detail"),
+    [
+        (Unreachable("lost"), "advice_unanswered", "lost"),
+        (HttpResponse(429), "advice_unanswered", "status 429"),
+        (HttpResponse(200, (), b"{"), "advice_unreadable", ""),
+        (_json(200, {"approved": [[]]}), "advice_unreadable", "IndexError"),
+    ],
+)
+async def test_the_log_says_why_a_question_has_no_answer(
+    monkeypatch, response, message, detail
+):
+    lines = []
+    monkeypatch.setattr(
+        adapter_module, "log_event", lambda name, **fields: lines.append((name, fields))
+    )
+    adapter = HttpPlatformAdapter(parse_settings(json.dumps(SETTINGS).encode()))
+    adapter._advice = Client(response)
+    assert await adapter.ask_advice("s", ("i-1",), timeout_ms=100) is None
+    ((name, fields),) = lines
+    assert name == message
+    assert fields["step"] == "s"
+    assert detail in fields["detail"]
+
+
 async def test_hosts_are_listed_over_all_pages_or_not_at_all():
     row = {"machine": "m1", "pool": "p", "state": "up", "id": "i-1"}
     pages = (
