Count waits from the log under a successor

Cause: a successor counted the wait of each unit, and since when a service is idle, from its own begin. Class: what is counted is lost with the term.

Change: units that wait when a term begins count from when their last run ended or their job was accepted, as the log says, as their starvation does already. A service that is idle in the first plan that knows it counts as idle for 2 s before; one that becomes idle later counts from then, as before. So a gang that has waited for 2 s leaves its rack at once.

Conclusion: fixed for the first step of a job and for work that has run; steps that follow others count from the term, as the log has no time of that. Deadlines of steps behind reservations still begin with the term.

--- a/ragwortshelf/core/scheduling/idle_services.py
+++ b/ragwortshelf/core/scheduling/idle_services.py
@@ -31,14 +31,19 @@
     def __init__(self) -> None:
         self._since_ms_by_service: dict[str, int] = {}
         self._opening_ms_by_service: dict[str, int] = {}
+        self._known_services: set[str] = set()
 
     def begin(self, endpoints: Iterable[Endpoint], now_ms: int) -> None:
         """Start a plan."""
+        endpoints = list(endpoints)
         before = self._since_ms_by_service
-        self._since_ms_by_service = {
-            service: before.get(service, now_ms)
-            for service in find_idle_services(endpoints)
-        }
+        self._since_ms_by_service = {}
+        for service in find_idle_services(endpoints):
+            # What was idle before the first plan may have been so for long.
+            is_new = service not in self._known_services
+            since_ms = now_ms - IDLE_WAIT_MAX_MS if is_new else now_ms
+            self._since_ms_by_service[service] = before.get(service, since_ms)
+        self._known_services.update(e.info.service for e in endpoints if e.is_reachable)
         self._opening_ms_by_service = {
             service: opening_ms
             for service, opening_ms in self._opening_ms_by_service.items()
--- a/ragwortshelf/core/scheduling/lifecycle.py
+++ b/ragwortshelf/core/scheduling/lifecycle.py
@@ -104,6 +104,8 @@
             self.job_changed(job.spec.id, now_ms, wall_ms)
         for report in self.table.report_by_holder.values():
             self.term_reported(report, now_ms, wall_ms)
+        for unit in self.waiting.values():
+            unit.adopt_wait(now_ms, wall_ms)
 
     def term_reported(
         self, report: TermReport, now_ms: int, wall_ms: int
--- a/ragwortshelf/core/scheduling/unit.py
+++ b/ragwortshelf/core/scheduling/unit.py
@@ -220,7 +220,16 @@
         )
 
     def set_starving_from(self, now_ms: int, wall_ms: int) -> None:
-        """Set when the unit begins to starve, by the log rather than by this term.
+        """Set when the unit begins to starve, by the log rather than by this term."""
+        waited_ms = self._waited_ms(now_ms, wall_ms)
+        self.starving_from_ms = now_ms - waited_ms + STARVATION_MS
+
+    def adopt_wait(self, now_ms: int, wall_ms: int) -> None:
+        """Count the wait of a unit that nothing runs of from before this term."""
+        self.waiting_since_ms = now_ms - self._waited_ms(now_ms, wall_ms)
+
+    def _waited_ms(self, now_ms: int, wall_ms: int) -> int:
+        """Return how long the unit has waited by the log.
 
         Steps that follow others count from when this term opened them, since the log
         has no single record of that time.
@@ -233,7 +242,7 @@
             due_ms = spec.due_wall_ms(self.key.occurrence)
             begin_ms = max(spec.accepted_wall_ms, due_ms)
             waited_ms = max(waited_ms, wall_ms - begin_ms)
-        self.starving_from_ms = now_ms - waited_ms + STARVATION_MS
+        return waited_ms
 
     def task(self, index: int) -> str:
         """Return the name of the task with this index on the wire."""
