Let a successor count deadlines of steps from when they began to wait

Cause: the deadline that bounds all waits of a step began with the term.

The follower of the configuration gets a method for regaining its log, as the other has.

Conclusion: fixed on idle services; in its first 2 s a successor may let small work into room that a gang would have reserved.

--- a/ragwortshelf/core/scheduling/idle_waits.py
+++ b/ragwortshelf/core/scheduling/idle_waits.py
@@ -72,7 +72,9 @@
             return []
         self._next_check_ms = now_ms + CHECK_INTERVAL_MS
         unit_by_step = self._waiting_on_idle_services()
-        self._deadlines.note_waiting(unit_by_step, now_ms)
+        self._deadlines.note_waiting(
+            {key: unit.waiting_since_ms for key, unit in unit_by_step.items()}, now_ms
+        )
         for step_key in self._since_ms_by_step.keys() - unit_by_step.keys():
             del self._since_ms_by_step[step_key]
             self._report_due_ms_by_step.pop(step_key, None)
--- a/ragwortshelf/core/scheduling/start_deadlines.py
+++ b/ragwortshelf/core/scheduling/start_deadlines.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Iterable
+from collections.abc import Mapping
 
 from .idle_services import IDLE_WAIT_MAX_MS, IdleServices
 from .model import GANG
@@ -31,25 +31,34 @@
     are short, keep it out of free room.
 
     ``note_waiting`` is called at intervals with the steps that could run, of jobs of
-    which nothing runs.
+    which nothing runs. A successor does not know when its predecessor first saw a step
+    waiting. Deadlines that begin soon after its own first call therefore count from
+    when the step began to wait.
     """
 
     def __init__(self, idle_services: IdleServices):
         self._idle_services = idle_services
         self._due_ms_by_step: dict[_StepKey, int] = {}
         self._forget_ms_by_step: dict[_StepKey, int] = {}
+        self._adopts_until_ms: int | None = None
         self._now_ms = 0
 
     def begin(self, now_ms: int) -> None:
         """Start a plan, after that of the idle services."""
         self._now_ms = now_ms
 
-    def note_waiting(self, step_keys: Iterable[_StepKey], now_ms: int) -> None:
+    def note_waiting(
+        self, waiting_since_ms_by_step: Mapping[_StepKey, int], now_ms: int
+    ) -> None:
         """Replace the steps that wait; deadlines outlast short interruptions."""
-        due_ms = now_ms + IDLE_WAIT_MAX_MS
+        if self._adopts_until_ms is None:
+            self._adopts_until_ms = now_ms + IDLE_WAIT_MAX_MS
         forget_ms = now_ms + INTERRUPTION_MAX_MS
-        for step_key in step_keys:
-            self._due_ms_by_step.setdefault(step_key, due_ms)
+        for step_key, waiting_since_ms in waiting_since_ms_by_step.items():
+            since_ms = now_ms
+            if now_ms < self._adopts_until_ms:
+                since_ms = min(now_ms, waiting_since_ms)
+            self._due_ms_by_step.setdefault(step_key, since_ms + IDLE_WAIT_MAX_MS)
             self._forget_ms_by_step[step_key] = forget_ms
         for step_key, end_ms in list(self._forget_ms_by_step.items()):
             if now_ms >= end_ms:
--- a/ragwortshelf/scheduler/configuration_follower.py
+++ b/ragwortshelf/scheduler/configuration_follower.py
@@ -106,15 +106,17 @@
                 wait_ms = 0 if is_due else self.settings.configuration_wait_ms
                 await self._read(wait_ms, self.settings.read_timeout_ms(wait_ms))
             else:
-                await regain_log(
-                    self._log,
-                    next_offset=lambda: self._next_offset,
-                    read=lambda timeout_ms: self._read(0, timeout_ms),
-                    is_regained=lambda: (
-                        self.is_log_answering or self._next_offset is None
-                    ),
-                    settings=self.settings,
-                )
+                await self._regain()
+
+    async def _regain(self) -> None:
+        """Read the log until it answers again, or has to be loaded anew."""
+        await regain_log(
+            self._log,
+            next_offset=lambda: self._next_offset,
+            read=lambda timeout_ms: self._read(0, timeout_ms),
+            is_regained=lambda: self.is_log_answering or self._next_offset is None,
+            settings=self.settings,
+        )
 
     async def _retry_if_lost(self, detail: str | None) -> None:
         """Report a failed call, if there is a detail, and wait before the next one."""
--- a/tests/core/scheduling/test_start_deadlines.py
+++ b/tests/core/scheduling/test_start_deadlines.py
@@ -27,7 +27,7 @@
     """Return deadlines after checks at these times, at which the step waited."""
     deadlines = StartDeadlines(_Idle())
     for now_ms in range(0, max(waits_ms) + 1, 500):
-        deadlines.note_waiting([STEP] if now_ms in waits_ms else [], now_ms)
+        deadlines.note_waiting({STEP: now_ms} if now_ms in waits_ms else {}, now_ms)
     return deadlines
 
 
--- a/tests/core/scheduling/test_waits_in_series.py
+++ b/tests/core/scheduling/test_waits_in_series.py
@@ -71,6 +71,24 @@
     assert fleet.now - begin_ms <= WAIT_MAX_MS
 
 
+# The same for work that waits for room that is reserved for a gang.
+@pytest.mark.parametrize("waited_ms", [500, 1_250, 1_750])
+def test_a_wait_for_reserved_room_goes_on_under_a_successor(waited_ms):
+    fleet = _Fleet(endpoints=4, guaranteed=0)
+    fleet.submit("last", "p1", "c", estimate_ms=60_000)
+    fleet.accept_starts()
+    fleet.wait(3_000)
+    gang = {"count": 4, "request": WHOLE, "is_gang": True}
+    fleet.submit("gang", "p1", "c", fleet.now, **gang)
+    fleet.submit("small", "p2", "c", fleet.now, request=SMALL)
+    begin_ms = fleet.now
+    fleet.wait(waited_ms)
+    assert not fleet.starts
+    fleet.change_scheduler()
+    fleet.wait_for("small")
+    assert fleet.now - begin_ms <= WAIT_MAX_MS
+
+
 # Guards against the last attempt of a unit that is LOST as it waits anew for endpoints
 # that are proven after each start that is refused.
 def test_the_wait_for_proven_endpoints_goes_on_after_a_refused_start():
