Show a job whose starts were all refused as one that has not begun

Cause: a job counted as begun from its first placement on, which is in the log before the start is sent. A refusal changed nothing about that.

Change: once all starts of a unit were refused, and none may have been carried out, its record goes back to the phase of a unit that waits, with the number of its last run. A job has begun if a unit's record has another phase. A start without an answer, one that was answered after a lost answer, a listed run and a placement of an earlier term count as begun. The newest record of each unit decides, so a load shows the same.

Weighed against: a further field of the record, which instances of the version before could not read, and would then take the unit for one that never ran. The phase is known to them.

Between the record of a placement and the refusal of its start, some milliseconds, a job is still shown as running.

--- a/ragwortshelf/core/scheduling/job_table.py
+++ b/ragwortshelf/core/scheduling/job_table.py
@@ -46,6 +46,7 @@
 
     __slots__ = (
         "_backlog",
+        "_begun_unit_count",
         "_calibration",
         "_open_unit_count",
         "_open_units_by_occurrence",
@@ -54,7 +55,6 @@
         "ended_wall_ms",
         "failed_unit",
         "first_open_occurrence",
-        "has_started",
         "is_cancelled",
         "occupying_by_key",
         "record_by_key",
@@ -69,7 +69,7 @@
         backlog.open_job(spec)
         self._calibration = calibration
         self.is_cancelled = False
-        self.has_started = False
+        self._begun_unit_count = 0
         self.failed_unit: UnitKey | None = None
         self.ended_wall_ms: int | None = None
         self.record_by_key: dict[UnitKey, UnitRecord] = {}
@@ -81,6 +81,11 @@
         self._open_units_by_occurrence: dict[int, int] = {}
         self._open_units_by_step: dict[tuple[int, int], int] = {}
 
+    @property
+    def has_started(self) -> bool:
+        """Whether a task may have begun to run; not if all starts were refused."""
+        return self._begun_unit_count > 0
+
     @property
     def is_active(self) -> bool:
         """Whether units of the job may still be started."""
@@ -138,8 +143,8 @@
         self._backlog.unit_changed(
             self.spec, record.key.step, phase_before, record.phase
         )
-        if record.run > 0:
-            self.has_started = True
+        was_begun = before is not None and before.has_begun
+        self._begun_unit_count += record.has_begun - was_begun
         if record.phase is UnitPhase.DONE:
             self._count_done(record)
         elif record.phase is UnitPhase.FAILED and self.is_active:
--- a/ragwortshelf/core/scheduling/lifecycle.py
+++ b/ragwortshelf/core/scheduling/lifecycle.py
@@ -588,7 +588,10 @@
         checkpoint: str,
         now_ms: int,
         wall_ms: int,
+        *,
+        may_have_run: bool = True,
     ) -> None:
+        """Release a placement whose run has ended, or was refused and never began."""
         endpoint = self.endpoint_by_id[placement.endpoint_id]
         endpoint.release(placement)
         self.speeds.run_ended(endpoint, placement, end is RunEnd.DONE, now_ms)
@@ -596,6 +599,7 @@
         if unit is None:
             return
         unit.placements.remove(placement)
+        unit.has_begun |= may_have_run and placement.is_sent
         last_checkpoint = checkpoint or placement.checkpoint
         if end is RunEnd.DONE and not unit.step.is_long_running:
             self._unit_done(unit, now_ms, wall_ms)
@@ -656,9 +660,9 @@
             other.endpoint_id != placement.endpoint_id for other in unit.placements
         )
         if is_first_end or is_failure or has_new_checkpoint or is_endpoint_free:
-            self._persist_phase(
-                unit, UnitPhase.ENDING, wall_ms, end.value, placement.endpoint_id
-            )
+            is_unbegun = not unit.placements and not unit.has_begun
+            phase = UnitPhase.WAITING if is_unbegun else UnitPhase.ENDING
+            self._persist_phase(unit, phase, wall_ms, end.value, placement.endpoint_id)
         if not unit.placements and unit.job.is_active:
             self._requeue(unit, now_ms, wall_ms)
 
--- a/ragwortshelf/core/scheduling/records.py
+++ b/ragwortshelf/core/scheduling/records.py
@@ -85,7 +85,8 @@
 
     ``run`` is the number of the latest run, and ``failed_runs`` how many ended as
     failed, whether by the task's or the endpoint's fault. ``endpoints`` has, for each
-    task, the id of the endpoint that it may occupy, or an empty string.
+    task, the id of the endpoint that it may occupy, or an empty string. A unit of which
+    all starts were refused is WAITING, whatever the number of its run.
     """
 
     key: UnitKey
@@ -97,6 +98,11 @@
     checkpoint: str = ""
     changed_wall_ms: int = 0
 
+    @property
+    def has_begun(self) -> bool:
+        """Whether a task of the unit may have begun to run."""
+        return self.phase is not UnitPhase.WAITING
+
 
 @dataclass(frozen=True, slots=True)
 class EndpointObserved:
--- a/ragwortshelf/core/scheduling/scheduler.py
+++ b/ragwortshelf/core/scheduling/scheduler.py
@@ -147,7 +147,9 @@
             self._stop(placement, f"start {outcome.value}", now_ms)
         else:
             self._start_refused(placement)
-            self._placement_ended(placement, RunEnd.STOPPED, "", now_ms, wall_ms)
+            self._placement_ended(
+                placement, RunEnd.STOPPED, "", now_ms, wall_ms, may_have_run=False
+            )
 
     def is_still_ordered(self, order: StartTask) -> bool:
         """Whether a start is still to be sent, as its run neither started nor ended."""
--- a/ragwortshelf/core/scheduling/unit.py
+++ b/ragwortshelf/core/scheduling/unit.py
@@ -48,7 +48,8 @@
     ``last_failed_run`` is the latest run counted as failed, so that a gang's run counts
     once. ``quick_failure_count`` counts runs that failed as soon as they started, and
     ``unsteady_run_count`` those of a long-running task that soon failed, in a row.
-    A unit that ``has_moved`` from a slow endpoint is not moved again.
+    A unit that ``has_moved`` from a slow endpoint is not moved again. It ``has_begun``
+    unless all its starts so far were refused, or never sent.
     Nothing of it has run from ``waiting_since_ms`` on: a start that is refused does not
     change that, and a run that lapsed counts until it was listed last.
 
@@ -66,6 +67,7 @@
         "avoided_ids",
         "crashes",
         "estimate_ms",
+        "has_begun",
         "has_moved",
         "held_until_ms",
         "job",
@@ -101,6 +103,7 @@
         self.quick_failure_count = 0
         self.unsteady_run_count = 0
         self.not_before_ms = 0
+        self.has_begun = self.record.has_begun
         # The log does not tell moves from other stops. A unit that was stopped in an
         # earlier term may have been moved in it.
         was_stopped = self.record.run > 1 or self.record.phase is UnitPhase.ENDING
@@ -238,7 +241,7 @@
         spec = self.job.spec
         if self.record.phase is UnitPhase.ENDING:
             waited_ms = max(waited_ms, wall_ms - self.record.changed_wall_ms)
-        elif self.record.run == 0 and not self.step.depends_on:
+        elif not self.record.has_begun and not self.step.depends_on:
             due_ms = spec.due_wall_ms(self.key.occurrence)
             begin_ms = max(spec.accepted_wall_ms, due_ms)
             waited_ms = max(waited_ms, wall_ms - begin_ms)
