Read the change again: less work in each plan and while a log is lost

Cause, from a second reading. The plan passed over all endpoints twice to know which services are idle and which are known. While a log is lost, callers' demands read it beside reads that follow each other without a pause anyway.

Validity is exported. A service counts as known from its first endpoint in the store, by which it is judged, and not from the first that is reachable.

Tests: no check is changed.

--- a/ragwortshelf/core/advice/__init__.py
+++ b/ragwortshelf/core/advice/__init__.py
@@ -10,7 +10,7 @@
 ``decisions`` what it has answered, and ``questions`` the one that is open.
 """
 
-from .decisions import Decision, PolicyDecisions, Ticket
+from .decisions import Decision, PolicyDecisions, Ticket, Validity
 from .questions import OpenQuestion, QuestionDesk
 from .terms import ENDPOINTS_PER_QUESTION_MAX, UNSTATED_TERMS, AdviceTerms
 
@@ -23,4 +23,5 @@
     "PolicyDecisions",
     "QuestionDesk",
     "Ticket",
+    "Validity",
 ]
--- a/ragwortshelf/core/advice/decisions.py
+++ b/ragwortshelf/core/advice/decisions.py
@@ -7,7 +7,7 @@
 
 from .terms import start_margin_ms
 
-__all__ = ["Decision", "PolicyDecisions", "Ticket"]
+__all__ = ["Decision", "PolicyDecisions", "Ticket", "Validity"]
 
 FIRST_USE_MS = 100
 """Time after its arrival for which a ticket is used, however long the answer took. Its
--- a/ragwortshelf/core/scheduling/idle_services.py
+++ b/ragwortshelf/core/scheduling/idle_services.py
@@ -35,15 +35,16 @@
 
     def begin(self, endpoints: Iterable[Endpoint], now_ms: int) -> None:
         """Start a plan."""
-        endpoints = list(endpoints)
+        endpoints_by_service = _endpoints_by_service(endpoints)
         before = self._since_ms_by_service
         self._since_ms_by_service = {}
-        for service in find_idle_services(endpoints):
-            # What was idle before the first plan may have been so for long.
-            is_new = service not in self._known_services
-            since_ms = now_ms - IDLE_WAIT_MAX_MS if is_new else now_ms
-            self._since_ms_by_service[service] = before.get(service, since_ms)
-        self._known_services.update(e.info.service for e in endpoints if e.is_reachable)
+        for service, its_endpoints in endpoints_by_service.items():
+            if _is_idle(its_endpoints):
+                # What is idle in the first plan may have been so for long.
+                is_new = service not in self._known_services
+                since_ms = now_ms - IDLE_WAIT_MAX_MS if is_new else now_ms
+                self._since_ms_by_service[service] = before.get(service, since_ms)
+        self._known_services.update(endpoints_by_service)
         self._opening_ms_by_service = {
             service: opening_ms
             for service, opening_ms in self._opening_ms_by_service.items()
@@ -72,16 +73,20 @@
 
 def find_idle_services(endpoints: Iterable[Endpoint]) -> dict[str, list[Endpoint]]:
     """Return the endpoints of each service of which less than half is in use."""
+    return {
+        service: its_endpoints
+        for service, its_endpoints in _endpoints_by_service(endpoints).items()
+        if _is_idle(its_endpoints)
+    }
+
+
+def _endpoints_by_service(endpoints: Iterable[Endpoint]) -> dict[str, list[Endpoint]]:
     endpoints_by_service: dict[str, list[Endpoint]] = defaultdict(list)
     for endpoint in endpoints:
         # Room on other endpoints cannot be used, whatever the scheduler decides.
         if endpoint.is_reachable and endpoint.is_in_store:
             endpoints_by_service[endpoint.info.service].append(endpoint)
-    return {
-        service: endpoints
-        for service, endpoints in endpoints_by_service.items()
-        if _is_idle(endpoints)
-    }
+    return endpoints_by_service
 
 
 def _is_idle(endpoints: list[Endpoint]) -> bool:
--- a/ragwortshelf/scheduler/log_follower.py
+++ b/ragwortshelf/scheduler/log_follower.py
@@ -230,16 +230,16 @@
     async def _refresh_on_demand(self) -> None:
         """Read beside a read that waits for new records, whenever callers wait.
 
-        A demand that arrives during such a read is met by another one.
+        A demand that arrives during such a read is met by another one. A log that is
+        lost is read without pauses anyway.
         """
         while True:
             await self._refresh_event.wait()
             self._refresh_event = trio.Event()
-            if self.is_waiting_for_records and not self._needs_reload:
-                timeout_ms = self.settings.log_probe_timeout_ms
-                if self.is_log_answering:
-                    timeout_ms = self.settings.read_timeout_ms(0)
-                await self._read(0, timeout_ms)
+            if not self.is_log_answering or self._needs_reload:
+                continue
+            if self.is_waiting_for_records:
+                await self._read(0, self.settings.read_timeout_ms(0))
 
     async def _regain(self) -> None:
         """Read the log until it answers again, or has to be loaded anew."""
--- a/tests/core/scheduling/harness.py
+++ b/tests/core/scheduling/harness.py
@@ -1,5 +1,7 @@
 """A scheduler with a job table and simulated endpoints, driven step by step."""
 
+from unittest import mock
+
 from ragwortshelf.core.scheduling import (
     EndpointInfo,
     JobSpec,
@@ -219,5 +221,19 @@
                 if is_over and task in self.running[endpoint_id]:
                     self.end(endpoint_id, task)
 
+    def change_scheduler(self):
+        """Let a successor without guarantees take over at once."""
+        self.starts.clear()
+        infos = [e.info for e in self.scheduler.endpoint_by_id.values()]
+        term = self.scheduler.term + 1
+        self.scheduler = Scheduler(term, self.table, configuration(guaranteed=0))
+        self.scheduler.adopt(self.now, self.now)
+        for info in infos:
+            self.scheduler.endpoint_updated(info, self.now)
+        with mock.patch.object(self, "plan"):
+            for info in infos:
+                self.list(info.id)
+        self.plan()
+
     def started_jobs(self):
         return {order.unit_key.job_id for order in self.starts}
--- a/tests/core/scheduling/test_refused_starts.py
+++ b/tests/core/scheduling/test_refused_starts.py
@@ -1,9 +1,8 @@
 """What callers are shown of jobs whose starts were refused."""
 
 import pytest
-from harness import Fleet, configuration
+from harness import Fleet
 
-from ragwortshelf.core.scheduling import Scheduler
 from ragwortshelf.core.scheduling.listings import RunEnd, StartOutcome
 
 REFUSALS = [StartOutcome.NO_ROOM, StartOutcome.UNHEALTHY, StartOutcome.LATE]
@@ -15,20 +14,6 @@
     return job.state.value, fleet.table.pending(job.spec.queue)
 
 
-def _reload(fleet):
-    """Return what a successor shows that has applied the newest records."""
-    fleet.starts.clear()
-    infos = [e.info for e in fleet.scheduler.endpoint_by_id.values()]
-    fleet.scheduler = Scheduler(
-        fleet.scheduler.term + 1, fleet.table, configuration(guaranteed=0)
-    )
-    fleet.scheduler.adopt(fleet.now, fleet.now)
-    for info in infos:
-        fleet.scheduler.endpoint_updated(info, fleet.now)
-        fleet.list(info.id)
-    fleet.plan()
-
-
 # Guards against jobs that are left out of those that have not begun, as a start of
 # theirs was refused (MIXED, refusing_minion.py of the review).
 @pytest.mark.parametrize("outcome", REFUSALS)
@@ -90,7 +75,7 @@
     fleet = Fleet(endpoints=1)
     fleet.submit("j")
     refused = fleet.refuse_start(StartOutcome.NO_ROOM)
-    _reload(fleet)
+    fleet.change_scheduler()
     assert fleet.starts[0].run == refused.run + 1
     fleet.refuse_start(StartOutcome.NO_ROOM)
     assert _shown(fleet) == ("queued", 1)
--- a/tests/core/scheduling/test_waits_in_series.py
+++ b/tests/core/scheduling/test_waits_in_series.py
@@ -3,9 +3,9 @@
 from unittest import mock
 
 import pytest
-from harness import SMALL, Fleet, configuration
+from harness import SMALL, Fleet
 
-from ragwortshelf.core.scheduling import Resources, Scheduler
+from ragwortshelf.core.scheduling import Resources
 from ragwortshelf.core.scheduling.listings import RunEnd, StartOutcome
 from ragwortshelf.core.scheduling.reservations import EXCLUSIVE_MAX_MS
 from ragwortshelf.core.scheduling.unit import STARVATION_MS
@@ -36,20 +36,6 @@
             self.submit(f"last{rack}", "p0", required_label=label, estimate_ms=60_000)
         self.accept_starts()
 
-    def change_scheduler(self):
-        """Let a successor take over at once."""
-        self.starts.clear()
-        infos = [e.info for e in self.scheduler.endpoint_by_id.values()]
-        term = self.scheduler.term + 1
-        self.scheduler = Scheduler(term, self.table, configuration(guaranteed=0))
-        self.scheduler.adopt(self.now, self.now)
-        for info in infos:
-            self.scheduler.endpoint_updated(info, self.now)
-        with mock.patch.object(self, "plan"):
-            for info in infos:
-                self.list(info.id)
-        self.plan()
-
 
 def _submit_rack_gang(fleet):
     fleet.submit(
@@ -258,7 +244,7 @@
 
 
 # Guards against tasks of one step that each reserve the same room and keep each other
-# out of it once it is free (seen as a failure of test_shares_are_reported_while_...).
+# out of it once it is free.
 def test_tasks_of_one_step_do_not_keep_each_other_out_of_reserved_room():
     fleet = _Fleet(endpoints=1, guaranteed=0)
     pair = Resources(1_000, 100, 2)
