--- a/ragwortshelf/scheduler/gateway.py
+++ b/ragwortshelf/scheduler/gateway.py
@@ -21,7 +21,16 @@
 from .settings import SchedulingSettings
 from .uncertain_submissions import UncertainSubmissions
 
-__all__ = ["Accepted", "Access", "Declined", "Gateway", "Reason", "Shown", "Uncertain"]
+__all__ = [
+    "Abandoned",
+    "Accepted",
+    "Access",
+    "Declined",
+    "Gateway",
+    "Reason",
+    "Shown",
+    "Uncertain",
+]
 
 STATE_AGE_MAX_MS = 150
 """Maximum age of a job's state that is returned without reading the log again."""
@@ -33,6 +42,10 @@
 """Retry delay given to callers while no instance can serve them. Outages of the log
 last 4 to 6 s and callers make five attempts, so some remain when it recovers."""
 
+SLOW_QUERY_MS = 150
+"""Duration from which a successful query is logged. One that reads the log takes 10 ms
+in calm."""
+
 APPEND_TRIES_MS = 900
 """Time in which the append of a submission may be tried. A caller who is then told that
 the outcome is uncertain can still retry at another instance within its deadline. An
@@ -75,6 +88,11 @@
     detail: str
 
 
+@dataclass(frozen=True, slots=True)
+class Abandoned:
+    """The caller disconnected, or the process stopped, before there was an outcome."""
+
+
 @dataclass(frozen=True, slots=True)
 class Accepted:
     """The submission or cancellation is in the log."""
@@ -275,15 +293,15 @@
     ) -> None:
         """Record a call in the metrics and, with its outcome and reason, in the log.
 
-        Successful queries for a state or a count are recorded in the metrics only. The
-        outcome's class name is its metric label and log value.
+        Successful queries for a state or a count that are not slow are recorded in the
+        metrics only. The outcome's class name is its metric label and log value.
         """
         took_ms = monotonic_ms() - began_ms
         name = type(outcome).__name__.lower()
         reason = getattr(outcome, "reason", "")
         self._metrics.count("calls_total", call=method, outcome=name, reason=reason)
         self._metrics.observe_ms("call_ms", took_ms, call=method, outcome=name)
-        if isinstance(outcome, (int, Shown)):
+        if isinstance(outcome, (int, Shown)) and took_ms < SLOW_QUERY_MS:
             return
         current = self._configuration.current
         log_event(
--- a/ragwortshelf/scheduler/instance.py
+++ b/ragwortshelf/scheduler/instance.py
@@ -16,6 +16,7 @@
 from .log_follower import LogFollower
 from .log_topics import open_logs
 from .log_writer import GroupWriter
+from .loop_monitor import LoopMonitor
 from .peer_readiness import PeerReadiness
 from .settings import SchedulingSettings
 from .supervision import run_supervised
@@ -62,6 +63,7 @@
             self.peer_readiness,
             self.metrics,
         )
+        self._loop_monitor = LoopMonitor(self.metrics)
         self.is_draining = False
         self._add_gauges()
 
@@ -75,6 +77,7 @@
                 ("election", self.election),
                 ("term reports", self.term_reporter),
                 ("peer readiness", self.peer_readiness),
+                ("loop monitor", self._loop_monitor),
             ):
                 nursery.start_soon(run_supervised, name, component.run)
 
--- a/tests/platform/test_callers.py
+++ b/tests/platform/test_callers.py
@@ -92,6 +92,18 @@
         assert (await call("POST", f"/q/{ID}", body=JOB))[0] == 200
 
 
+async def test_a_call_whose_caller_leaves_is_recorded(monkeypatch, autojump_clock):
+    platform = make_platform()
+    (instance,) = make_instances(platform, 1)
+    call = Caller(CallerApi(instance.gateway))
+    async with running(instance):
+        await trio.sleep(1)
+        monkeypatch.setattr(Gateway, "state", lambda self, job_id: trio.sleep_forever())
+        with trio.move_on_after(1):
+            await call("GET", f"/q/{ID}")
+    assert 'outcome="abandoned"' in instance.metrics.text()
+
+
 def _refuse_appends(monkeypatch, status):
     """Let the store answer all appends with a status, and reads as usual."""
 
--- a/tests/scheduler/test_observability.py
+++ b/tests/scheduler/test_observability.py
@@ -4,6 +4,7 @@
 import re
 from dataclasses import replace
 
+import fakes
 import pytest
 import trio
 from absl import logging
@@ -12,7 +13,7 @@
 
 from ragwortshelf.core.scheduling.listings import RunEnd
 from ragwortshelf.scheduler.clock import monotonic_ms
-from ragwortshelf.scheduler.gateway import Declined, Reason
+from ragwortshelf.scheduler.gateway import SLOW_QUERY_MS, Declined, Reason
 from ragwortshelf.scheduler.interfaces import LogUnanswered
 
 
@@ -52,6 +53,8 @@
         outcome = await gateway.submit(make_job(job_id), began_ms + 2_700)
     elif method == "DELETE":
         outcome = await gateway.cancel(job_id, began_ms + 2_700)
+    elif method == "GET":
+        outcome = await gateway.state(job_id)
     gateway.record_call(method, job_id, outcome, access, began_ms)
 
 
@@ -85,6 +88,22 @@
         assert row["configuration_age_ms"] >= 0
 
 
+# Guards against queries that cannot be told apart afterwards: quick ones, and those
+# that waited for the log.
+async def test_only_slow_queries_are_logged(autojump_clock, lines, monkeypatch):
+    instance = make_instances(make_platform(), 1)[0]
+    async with running(instance):
+        await trio.sleep(1)
+        await _call(instance)
+        await _call(instance, method="GET")
+        monkeypatch.setattr(fakes, "LOG_CALL_S", 0.25)
+        await trio.sleep(1)
+        await _call(instance, method="GET")
+    rows = [row for row in lines.named("call") if row["call"] == "GET"]
+    assert [row["outcome"] for row in rows] == ["shown"]
+    assert rows[0]["took_ms"] >= SLOW_QUERY_MS
+
+
 async def test_each_state_change_is_logged(autojump_clock, lines):
     platform = make_platform(2)
     instance = make_instances(platform, 1)[0]
