Count the age of a state from the call that asks for it

While each read of the log took more than 150 ms, no state was ever as recent as wanted, because its age was taken after the read and counts from when the read was sent. So every query waited for 600 ms, and a job that the instance did not know was answered 503 with a Retry-After for as long as the log was slow, instead of 410, or 200 once a read had shown it.

The age now counts from the call: a read that was sent at most 150 ms before it is recent enough. Class of fault: a bound that is compared with a later time than the one that it was meant for. The other callers of refresh, the election and the length of a queue, get the same; a claim is conditional on the offset that was read, and a length may be 2 s old.

Evidence: both new tests fail on the code before (600 ms for a state, 503 for an unknown job), with a read of 240 ms.

--- a/ragwortshelf/scheduler/log_follower.py
+++ b/ragwortshelf/scheduler/log_follower.py
@@ -155,16 +155,20 @@
         return boot_ms() - self.confirmed_boot_ms
 
     async def refresh(self, age_max_ms: int, timeout_ms: int) -> bool:
-        """Read the log until the state is at most ``age_max_ms`` old.
+        """Read the log until the state was at most ``age_max_ms`` old at this call.
 
-        Returns False if ``timeout_ms`` passes first.
+        The age counts from the call, because a read of a slow log may take longer than
+        ``age_max_ms``. Returns False if ``timeout_ms`` passes first.
         """
+        oldest_boot_ms = boot_ms() - age_max_ms
         with trio.move_on_after(timeout_ms / 1000):
-            while True:
-                age = self.age_ms()
-                if age is not None and age <= age_max_ms:
-                    return True
+            while (
+                self.next_offset is None
+                or self.confirmed_boot_ms is None
+                or self.confirmed_boot_ms < oldest_boot_ms
+            ):
                 await self._wait_for_answer()
+            return True
         return False
 
     async def wait_for_later_read(self, since_boot_ms: int, timeout_ms: int) -> bool:
--- a/tests/scheduler/test_gateway.py
+++ b/tests/scheduler/test_gateway.py
@@ -8,6 +8,7 @@
     faults_of,
     make_instances,
     make_job,
+    make_lasting_job,
     make_platform,
     running,
     submit,
@@ -249,12 +250,53 @@
         assert isinstance(outcome, Uncertain)
 
 
+def _slow_down_log(monkeypatch):
+    """Let each call to the log take as long as in a slow phase of the platform."""
+    monkeypatch.setattr(fakes, "LOG_CALL_S", 0.24)
+
+
 async def _timed_state(instance, job_id):
     began = monotonic_ms()
     outcome = await instance.gateway.state(job_id)
     return outcome, monotonic_ms() - began
 
 
+# Guards against queries that wait for their whole time limit on a slow log, because no
+# read can be as recent as wanted once it has been answered.
+async def test_a_state_is_recent_after_the_next_reads_of_a_slow_log(
+    autojump_clock, monkeypatch
+):
+    platform = make_platform()
+    instance, other = make_instances(platform, 2)
+    async with running(instance, other):
+        await trio.sleep(1)
+        await submit(other, make_lasting_job("a" * 16))
+        await trio.sleep(1)
+        _slow_down_log(monkeypatch)
+        await trio.sleep(2)
+        for pause_s in (0.01, 0.1, 0.2, 0.3):
+            await trio.sleep(pause_s)
+            outcome, took_ms = await _timed_state(instance, "a" * 16)
+            assert outcome == Shown(JobState.RUNNING)
+            assert took_ms <= 2 * 240 + 10
+
+
+# Guards against an unknown job that is reported as unavailable for as long as the log
+# is slow: the caller would ask again and again.
+async def test_an_unknown_job_is_reported_as_such_on_a_slow_log(
+    autojump_clock, monkeypatch
+):
+    platform = make_platform()
+    instance = make_instances(platform, 1)[0]
+    async with running(instance):
+        await trio.sleep(1)
+        _slow_down_log(monkeypatch)
+        await trio.sleep(2)
+        outcome, _ = await _timed_state(instance, "f" * 16)
+    assert isinstance(outcome, Declined)
+    assert outcome.reason is Reason.NO_JOB
+
+
 # Guards against states that cannot change any more and still wait for the log.
 async def test_the_state_of_an_ended_job_is_given_without_a_read(autojump_clock):
     platform = make_platform()
