Accept a cancellation that is in the log, read back or not

Only the answer for an unknown id depends on the read.

The wait stays, so that a state asked for afterwards shows the cancellation; at its end a known job is accepted.

--- a/ragwortshelf/scheduler/gateway.py
+++ b/ragwortshelf/scheduler/gateway.py
@@ -200,11 +200,12 @@
         if not isinstance(outcome, Committed):
             return Uncertain(outcome.detail)
         remaining_ms = max(0, deadline_ms - monotonic_ms())
-        if not await self._follower.wait_for_offset(outcome.end, remaining_ms):
+        was_read = await self._follower.wait_for_offset(outcome.end, remaining_ms)
+        if job_id in self._follower.table.job_by_id:
+            return Accepted()
+        if not was_read:
             return Uncertain("the cancellation is in the log but not yet read back")
-        if job_id not in self._follower.table.job_by_id:
-            return Declined(Reason.NO_JOB)
-        return Accepted()
+        return Declined(Reason.NO_JOB)
 
     async def state(self, job_id: str) -> Shown | Declined:
         """Return a job's state, reading the log first if it may have changed."""
--- a/tests/scheduler/test_gateway.py
+++ b/tests/scheduler/test_gateway.py
@@ -14,6 +14,7 @@
     running,
     submit,
 )
+from fakes import FakeLog
 
 from ragwortshelf.core.scheduling import JobState
 from ragwortshelf.scheduler.clock import monotonic_ms
@@ -24,6 +25,7 @@
     Shown,
     Uncertain,
 )
+from ragwortshelf.scheduler.interfaces import LogUnanswered
 from ragwortshelf.scheduler.uncertain_submissions import UncertainSubmissions
 
 
@@ -332,3 +334,29 @@
         outcome, took_ms = await _timed_state(instance, "a" * 16)
     assert outcome == Shown(JobState.RUNNING)
     assert took_ms <= (10 if store else 260)
+
+
+# Guards against cancellations that are in the log and are reported as uncertain, since
+# the log takes appends and does not answer reads.
+async def test_a_cancellation_in_the_log_is_accepted_without_reading_it_back(
+    autojump_clock, monkeypatch
+):
+    platform = make_platform()
+    instance = make_instances(platform, 1)[0]
+
+    async def read_in_vain(log, offset, *, wait_ms, timeout_ms, is_brief=False):
+        await trio.sleep(timeout_ms / 1000)
+        return LogUnanswered("lost")
+
+    async with running(instance):
+        await trio.sleep(1)
+        await submit(instance, make_lasting_job("a" * 16))
+        await trio.sleep(1)
+        monkeypatch.setattr(FakeLog, "read", read_in_vain)
+        # Reads that were under way are still answered.
+        await trio.sleep(1.5)
+        deadline_ms = monotonic_ms() + 2_700
+        assert await instance.gateway.cancel("a" * 16, deadline_ms) == Accepted()
+        assert isinstance(
+            await instance.gateway.cancel("f" * 16, monotonic_ms() + 2_700), Uncertain
+        )
