Leave a term that cannot be set up to another instance

An error in the constructor of a term's Leadership was outside of the block that ends a failed term: its instance claimed the role again after a second, each time, so that no other instance could, and skipped the scheduler's records meanwhile. Nothing was scheduled anywhere.

Such an error now ends the term like any other: the instance pauses, its table is loaded anew, and another one takes over. The new test fails on the code before: no instance holds the role.

--- a/ragwortshelf/scheduler/election.py
+++ b/ragwortshelf/scheduler/election.py
@@ -173,22 +173,23 @@
         ):
             return
         follower.own_term = claim.term
-        self.leadership = Leadership(
-            claim,
-            claimed_boot_ms,
-            self._adapter,
-            self._logs,
-            self.settings,
-            follower,
-            self._configuration,
-            noted_leases,
-            sequence,
-        )
         try:
+            self.leadership = Leadership(
+                claim,
+                claimed_boot_ms,
+                self._adapter,
+                self._logs,
+                self.settings,
+                follower,
+                self._configuration,
+                noted_leases,
+                sequence,
+            )
             reason = await self.leadership.run()
         except Exception:
             self._note_failed_term(claim)
-            self._report_term()
+            if self.leadership is not None:
+                self._report_term()
         else:
             self._failed_term_count = 0
             if reason != RESIGNED:
--- a/tests/scheduler/test_unexpected_errors.py
+++ b/tests/scheduler/test_unexpected_errors.py
@@ -179,3 +179,29 @@
         }
         assert 1 < len(claims) < 100
         assert instances[0].gateway.is_ready()
+
+
+# Guards against a term that fails before it begins, whose instance claims the role
+# again and again while no other one can.
+async def test_a_term_that_cannot_be_set_up_is_left_to_another_instance(
+    monkeypatch, autojump_clock
+):
+    platform = make_platform()
+    first, second = make_instances(platform, 2)
+    create = Leadership.__init__
+
+    def fail_on_first(self, claim, *arguments):
+        if claim.holder == first.settings.instance:
+            raise RuntimeError("injected into the constructor")
+        create(self, claim, *arguments)
+
+    monkeypatch.setattr(Leadership, "__init__", fail_on_first)
+    async with running(first):
+        await trio.sleep(0.5)
+        async with running(second):
+            await trio.sleep(1)
+            await submit(second, make_job(SOUND))
+            await trio.sleep(10)
+            assert holders([first, second]) == [second]
+            assert await state_of(second, SOUND) is JobState.COMPLETED
+            assert await state_of(first, SOUND) is JobState.COMPLETED
