Bound the memory and connections of requests per process

Cause: limits held for one connection alone (1 MB of body, 3,000 connections of callers and 1,024 of each other listener). Nothing bounded what all of them hold, or related them to the memory and the descriptors of the machine. A body was kept as a list of its parts, an object for each chunk, and all chunks of a read were decoded before any other task ran. Requests pipelined behind one in progress were buffered with a limit for each request instead of one for the connection, and an idle connection kept its last request.

Change: ReceiveBudget bounds the bytes of requests of all servers of a process. Beyond it the connection that holds most of an unfinished request is answered 503 with Retry-After, whichever one is receiving, and its buffers are dropped at once. ProcessLimits derives the budget and the connections of each listener from memory_mb and max_fds of the settings file. At its limit of connections a server closes an idle one, then an unfinished request, for a new one. Bodies are kept in blocks, their framing is bounded, readiness and metrics take 1 KB. Refusals are logged and counted by reason.

test_connections_beyond_the_limit_are_closed asked that the newest of five idle connections is closed. It is replaced by three tests: the one idle for longest is closed, then the unfinished request that has been arriving for longest, and the newest only while all others have requests in progress; each checks that no more than four are open.

Open: answers that are not read, decoded JSON and the outgoing calls are not part of the budget.

--- a/ragwortshelf/daemon/main.py
+++ b/ragwortshelf/daemon/main.py
@@ -51,7 +51,14 @@
         read_timeout_ms=settings.caller_read_timeout_ms,
         connections=settings.caller_connections,
     )
-    server = HttpServer(make_router(node).handle, limits)
+
+    def observe_refusal(reason: str) -> None:
+        node.metrics.count("refusals_total", listener="api", reason=reason)
+        log_event("connection_refused", listener="api", reason=reason)
+
+    server = HttpServer(
+        make_router(node).handle, limits, observe_refusal=observe_refusal
+    )
     host, port = split_address(settings.api_address)
     try:
         listeners = await trio.open_tcp_listeners(port, host=host)
--- a/ragwortshelf/net/http_messages.py
+++ b/ragwortshelf/net/http_messages.py
@@ -30,6 +30,8 @@
     ``read_timeout_ms`` bounds the reading of a request's headers, and the time without
     progress while its body is read or a response is sent, both of which also have a
     minimum rate. ``idle_timeout_ms`` bounds the wait for the next request.
+    ``held_bytes`` bounds what the requests of all connections occupy together, for
+    servers that share no budget with others.
     """
 
     header_bytes: int = 16 * 1024
@@ -37,6 +39,7 @@
     read_timeout_ms: int = 10_000
     idle_timeout_ms: int = 60_000
     connections: int = 1024
+    held_bytes: int = 64 * 1024 * 1024
 
 
 @dataclass(frozen=True, slots=True)
--- a/tests/platform/test_daemon.py
+++ b/tests/platform/test_daemon.py
@@ -4,8 +4,15 @@
 from types import SimpleNamespace
 
 import pytest
+import trio
 from platform_adapter.adapter import HttpPlatformAdapter
-from platform_adapter.daemon import METRICS_PATH, READY_PATH, _MetricsPage, _Reloader
+from platform_adapter.daemon import (
+    METRICS_PATH,
+    READY_PATH,
+    _MetricsPage,
+    _Reloader,
+    _ServerFactory,
+)
 from platform_adapter.daemon import _Readiness as Readiness
 from platform_adapter.settings import parse_settings
 from test_decoding import SETTINGS
@@ -23,7 +30,11 @@
     instance = Instance(adapter, settings.scheduling)
     reloader = _Reloader(path, settings, adapter, instance)
     return SimpleNamespace(
-        path=path, adapter=adapter, instance=instance, reloader=reloader
+        path=path,
+        settings=settings,
+        adapter=adapter,
+        instance=instance,
+        reloader=reloader,
     )
 
 
@@ -63,3 +74,29 @@
     response = await page.handle(HttpRequest("GET", METRICS_PATH))
     assert response.status == 200
     assert b"ragwortshelf_is_scheduler 0" in response.body
+
+
+# Guards against clients that are refused without a trace.
+async def test_a_refusal_is_counted_by_its_listener_and_reason(process):
+    limits = process.settings.limits
+    factory = _ServerFactory(process.instance, limits)
+    page = _MetricsPage(process.instance)
+    server = factory.make("metrics", page.handle, limits.metrics)
+    listeners = await trio.open_tcp_listeners(0, host="127.0.0.1")
+    head = b"GET /metrics HTTP/1.1\r\nhost: h\r\n"
+    async with trio.open_nursery() as nursery:
+        nursery.start_soon(server.serve, listeners)
+        answers = []
+        for length in (b"1025", b"0"):
+            stream = await trio.open_tcp_stream(*listeners[0].socket.getsockname())
+            async with stream:
+                await stream.send_all(head + b"content-length: " + length)
+                await stream.send_all(b"\r\n\r\n")
+                with trio.fail_after(20):
+                    answers.append(await stream.receive_some(65536))
+        nursery.cancel_scope.cancel()
+    assert answers[0].startswith(b"HTTP/1.1 413")
+    assert answers[1].startswith(b"HTTP/1.1 200")
+    response = await page.handle(HttpRequest("GET", METRICS_PATH))
+    series = b'ragwortshelf_refusals_total{listener="metrics",reason="body_size"} 1'
+    assert series in response.body
--- a/tests/platform/test_decoding.py
+++ b/tests/platform/test_decoding.py
@@ -7,6 +7,7 @@
 from platform_adapter.configuration import decode_configuration
 from platform_adapter.endpoints import decode_minion
 from platform_adapter.hosts import decode_waves
+from platform_adapter.process_limits import ProcessLimits
 from platform_adapter.settings import InvalidSettings, parse_settings
 from platform_adapter.store import _encode_entry
 
@@ -317,3 +318,20 @@
         "readiness",
     ]
     assert isinstance(parse_settings(b"{"), InvalidSettings)
+
+
+# Guards against limits of the machine that are ignored, or that stop a process of a
+# deployment that states none.
+def test_the_limits_of_the_machine_are_optional_and_checked():
+    assert parse_settings(_bytes(SETTINGS)).limits == ProcessLimits()
+    stated = SETTINGS | {"limits": {"memory_mb": 160, "max_fds": 1638}}
+    assert parse_settings(_bytes(stated)).limits == ProcessLimits(160, 1638)
+    for broken in (0, -1, "160", True, [], None):
+        stated = SETTINGS | {"limits": {"memory_mb": broken, "max_fds": broken}}
+        assert parse_settings(_bytes(stated)).faults == (
+            f"memory_mb: must be a positive number, not {broken!r}",
+            f"max_fds: must be a positive number, not {broken!r}",
+        )
+    assert parse_settings(_bytes(SETTINGS | {"limits": 3})).faults == (
+        "limits: must be a JSON object",
+    )
