Bound the connections to all endpoints by the descriptors

An operator of a process with many endpoints could see it run out of descriptors: each client of an endpoint keeps up to 8 connections, so 176 endpoints take 1,408, on machines with 1,438 for all sockets, those of callers included.

Cause: as with requests, a limit for each client without a bound on the number of clients.

Change: the clients of endpoints share a ConnectionLimit of what ProcessLimits leaves them, 1,071 on the smallest machine. At the limit the idle connection that was used longest ago is closed for a new one. If all are in use, a call waits within its time limit, as it does for the limit of its own client; nothing was sent then, and the result says so.

With max_fds 200, of which 100 are for sockets, 160 calls to 20 endpoints opened 160 connections before; now they stay within 100 and all are answered (tests/platform/test_adapter.py).

Open: more endpoints than the limit, each with a long poll, would wait for each other; the smallest machine has room for 1,071.

--- a/ragwortshelf/net/http_client.py
+++ b/ragwortshelf/net/http_client.py
@@ -6,6 +6,7 @@
 import trio
 
 from ..core.model import Unreachable
+from .connection_limit import ClientConnection, ConnectionLimit, split_address
 from .http_messages import HttpResponse
 from .transfer_deadline import TransferDeadline
 
@@ -19,16 +20,6 @@
 slowest supported link, of 5 Mbit/s."""
 
 
-def split_address(address: str) -> tuple[str, int]:
-    """Split ``IP:port`` into host and port; IPv6 addresses are in brackets.
-
-    >>> split_address("127.0.0.1:80")
-    ('127.0.0.1', 80)
-    """
-    host, _, port = address.rpartition(":")
-    return host.strip("[]"), int(port)
-
-
 class HttpClient:
     """Client of one server that makes at most ``connections`` calls at a time.
 
@@ -36,12 +27,23 @@
     answer is: an answer may be larger than a slow link carries within the timeout, and
     a repeated call would start over. A connection returns to the pool only after a
     complete response; otherwise it is closed.
+
+    Clients may share a ``limit`` of their open connections. A call at this limit waits
+    within its timeout unless an idle connection can be closed.
     """
 
-    def __init__(self, address: str, *, connections: int = 8, timeout_ms: int = 5_000):
+    def __init__(
+        self,
+        address: str,
+        *,
+        connections: int = 8,
+        timeout_ms: int = 5_000,
+        limit: ConnectionLimit | None = None,
+    ):
         self.address = address
         self._timeout_ms = timeout_ms
-        self._idle: list[tuple[trio.SocketStream, h11.Connection]] = []
+        self._idle: list[ClientConnection] = []
+        self._limit = limit or ConnectionLimit()
         self._limiter = trio.CapacityLimiter(connections)
 
     async def call(
@@ -74,44 +76,40 @@
         # fails on one is repeated once on a new connection. Other methods are not
         # repeated, because the server may have acted on the first request.
         if self._idle:
-            stream, connection = self._idle.pop()
-            connection.start_next_cycle()
+            connection = self._idle.pop()
+            self._limit.set_in_use(connection)
+            connection.protocol.start_next_cycle()
             answer = await self._exchange(
-                address, stream, connection, method, target, body, headers, progress
+                address, connection, method, target, body, headers, progress
             )
             if not isinstance(answer, Unreachable) or method != "GET":
                 return answer
         try:
-            stream = await trio.open_tcp_stream(*split_address(address))
+            connection = await self._limit.open(address)
         except (OSError, ValueError, OverflowError) as error:
             # The last two are of an address that is none, and of one whose host cannot
             # be encoded.
             return progress.unreachable(f"{address}: {error}")
         return await self._exchange(
-            address,
-            stream,
-            h11.Connection(h11.CLIENT),
-            method,
-            target,
-            body,
-            headers,
-            progress,
+            address, connection, method, target, body, headers, progress
         )
 
     async def _exchange(
-        self, address, stream, connection, method, target, body, headers, progress
+        self, address, connection, method, target, body, headers, progress
     ):
         is_reusable = False
+        stream, protocol = connection.stream, connection.protocol
         try:
-            data = _encode(connection, address, method, target, body, headers)
+            data = _encode(protocol, address, method, target, body, headers)
             progress.has_sent = True
             await stream.send_all(data)
-            response = await _read_response(stream, connection, progress)
+            response = await _read_response(stream, protocol, progress)
             # The address may have been changed during the call.
             is_reusable = (
                 address == self.address
-                and connection.our_state is h11.DONE
-                and connection.their_state is h11.DONE
+                and protocol.our_state is h11.DONE
+                and protocol.their_state is h11.DONE
+                and not self._limit.is_waited_for
             )
         except (
             trio.BrokenResourceError,
@@ -124,22 +122,23 @@
             return progress.unreachable(f"{address}: {error}")
         finally:
             if is_reusable:
-                self._idle.append((stream, connection))
+                self._idle.append(connection)
+                self._limit.set_idle(connection, lambda: self._idle.remove(connection))
             else:
-                await trio.aclose_forcefully(stream)
+                await self._limit.close(connection)
         return response
 
     def set_address(self, address: str) -> None:
         """Use another address for further calls and drop the idle connections."""
         if address != self.address:
             self.address = address
-            self._idle.clear()
+            while self._idle:
+                self._limit.drop(self._idle.pop())
 
     async def aclose(self) -> None:
         """Close the idle connections."""
         while self._idle:
-            stream, _ = self._idle.pop()
-            await trio.aclose_forcefully(stream)
+            await self._limit.close(self._idle.pop())
 
 
 class _Progress:
--- a/tests/platform/test_adapter.py
+++ b/tests/platform/test_adapter.py
@@ -3,6 +3,7 @@
 import json
 
 import pytest
+import trio
 from platform_adapter import adapter as adapter_module
 from platform_adapter.adapter import HttpPlatformAdapter
 from platform_adapter.endpoints import MinionClient
@@ -16,6 +17,7 @@
 from ragwortshelf.core.scheduling.listings import EndpointInfo, RunEnd, StartOutcome
 from ragwortshelf.core.scheduling.upkeep import HostState, UpkeepOutcome
 from ragwortshelf.net.http_messages import HttpResponse
+from ragwortshelf.net.http_server import HttpServer
 from ragwortshelf.scheduler.interfaces import EndpointUnreachable
 
 
@@ -214,3 +216,37 @@
     assert json.loads(body) == {"machine": "m1", "wave": 3}
     assert service._client.headers["x-lease-holder"] == "holder"
     assert service._client.headers["x-fencing-token"] == "7"
+
+
+# Guards against calls to many endpoints that use up the descriptors of the process.
+async def test_connections_to_all_endpoints_stay_within_the_descriptors():
+    answering = trio.Event()
+
+    async def answer(request):
+        await answering.wait()
+        return _json(200, {})
+
+    settings = SETTINGS | {"limits": {"max_fds": 200}}
+    adapter = HttpPlatformAdapter(parse_settings(json.dumps(settings).encode()))
+    listeners = await trio.open_tcp_listeners(0, host="127.0.0.1")
+    host, port = listeners[0].socket.getsockname()
+    server = HttpServer(answer)
+    outcomes = []
+
+    async def start(client):
+        outcomes.append((await _start(client, timeout_ms=60_000)).outcome)
+
+    async with trio.open_nursery() as serving:
+        serving.start_soon(server.serve, listeners)
+        clients = []
+        for number in range(20):
+            info = EndpointInfo(f"i-{number}", "p", f"{host}:{port}", "", Resources())
+            clients.append(adapter.endpoint_client(info, 7))
+        async with trio.open_nursery() as nursery:
+            for client in clients * 8:
+                nursery.start_soon(start, client)
+            await trio.testing.wait_all_tasks_blocked(0.2)
+            answering.set()
+        assert server.connections_max <= 100
+        assert outcomes == [StartOutcome.STARTED] * 160
+        serving.cancel_scope.cancel()
--- a/tests/platform/test_process_limits.py
+++ b/tests/platform/test_process_limits.py
@@ -11,6 +11,7 @@
     assert limits.callers.connections == 287
     assert limits.readiness.connections == 32
     assert limits.metrics.connections == 16
+    assert limits.endpoint_connections == 1_071
 
 
 def test_large_machines_have_no_more_callers_than_one_process_serves():
@@ -28,6 +29,7 @@
     connections = sum(server.connections for server in servers)
     assert all(server.connections >= 1 for server in servers)
     assert connections <= max(3, limits.sockets // 2)
+    assert 1 <= limits.endpoint_connections <= max(1, limits.sockets - connections)
     assert max_fds - limits.sockets >= min(200, max_fds / 2)
     # Large requests may pin three quarters of the budget.
     assert limits.requests_bytes * 3 / 4 > limits.callers.body_bytes * 2
