--- a/ragwortshelf/net/http_server.py
+++ b/ragwortshelf/net/http_server.py
@@ -39,11 +39,11 @@
 _EVENTS_PER_TURN = 16
 """Events decoded until other tasks get their turn."""
 
-_REQUEST_PARTS_MAX = 2
-"""Bytes of a request, with the framing of its chunks, relative to its largest body."""
+_REQUEST_BODIES_MAX = 2
+"""Largest request, with the framing of its chunks, in bodies of the largest size."""
 
-_BUDGET_PARTS_MIN = 3
-"""Least size of a budget relative to the largest body; must admit a whole request."""
+_BUDGET_BODIES_MIN = 3
+"""Smallest budget, in bodies of the largest size; it must admit a whole request."""
 
 _RETRY_AFTER_S = 1
 
@@ -216,7 +216,7 @@
 
 
 def _default_budget(limits: HttpLimits) -> ReceiveBudget:
-    held_bytes = max(limits.held_bytes, _BUDGET_PARTS_MIN * limits.body_bytes)
+    held_bytes = max(limits.held_bytes, _BUDGET_BODIES_MIN * limits.body_bytes)
     return ReceiveBudget(held_bytes, limits.header_bytes)
 
 
@@ -442,7 +442,7 @@
             part = bytes(self._received[:_DECODE_BYTES])
             del self._received[:_DECODE_BYTES]
             self._request_bytes += len(part)
-            limit_bytes = _REQUEST_PARTS_MAX * self._limits.body_bytes
+            limit_bytes = _REQUEST_BODIES_MAX * self._limits.body_bytes
             # The part may have the head before the body, and a request after it.
             if self._request_bytes > limit_bytes + 2 * _DECODE_BYTES:
                 raise _RequestError(413, f"the request exceeds {limit_bytes} bytes")
--- a/ragwortshelf/net/receive_budget.py
+++ b/ragwortshelf/net/receive_budget.py
@@ -6,8 +6,8 @@
 
 __all__ = ["BudgetShare", "ReceiveBudget"]
 
-_PINNED_PARTS = 3
-_ALL_PARTS = 4
+_PINNED_SHARE_MAX = 3 / 4
+"""Share of the budget that large requests in their handlers may hold."""
 
 
 class ReceiveBudget:
@@ -54,7 +54,7 @@
         """Whether a request of ``size_bytes`` may be handed to its handler."""
         if size_bytes <= self.small_bytes:
             return True
-        limit_bytes = self.limit_bytes * _PINNED_PARTS // _ALL_PARTS
+        limit_bytes = self.limit_bytes * _PINNED_SHARE_MAX
         return self.pinned_bytes + size_bytes <= limit_bytes
 
     def evict_excess(self) -> None:
