--- a/ragwortshelf/standins/launcher.py
+++ b/ragwortshelf/standins/launcher.py
@@ -5,8 +5,10 @@
 
 from __future__ import annotations
 
+import contextlib
 import json
 import os
+import random
 import signal
 import socket
 import subprocess
@@ -22,6 +24,10 @@
 _STOP_TIMEOUT_S = 40.0
 _POLL_INTERVAL_S = 0.05
 
+_PORTS = range(15_000, 30_000)
+"""Ports of processes that are started. Systems take the ports of outgoing connections
+from 32,768 on, and any of those may be taken before a process listens on it."""
+
 
 def call(
     address: str, method: str, path: str, fields: dict | None = None, *, token: str = ""
@@ -51,14 +57,16 @@
 
 def free_ports(count: int) -> list[int]:
     """Return ports of the loopback address that are unused at the moment."""
-    sockets = [socket.socket() for _ in range(count)]
-    try:
-        for sock in sockets:
-            sock.bind(("127.0.0.1", 0))
-        return [sock.getsockname()[1] for sock in sockets]
-    finally:
-        for sock in sockets:
-            sock.close()
+    ports: list[int] = []
+    with contextlib.ExitStack() as reserved:
+        for port in random.SystemRandom().sample(_PORTS, len(_PORTS)):
+            if len(ports) == count:
+                break
+            sock = reserved.enter_context(socket.socket())
+            with contextlib.suppress(OSError):
+                sock.bind(("127.0.0.1", port))
+                ports.append(port)
+    return ports
 
 
 class Launcher:
