--- a/tests/scheduler/test_observability.py
+++ b/tests/scheduler/test_observability.py
@@ -104,8 +104,9 @@
         await trio.sleep(1)
         await submit(instance, make_lasting_job("a" * 16))
         await _call(instance, method="GET")
-        monkeypatch.setattr(fakes, "LOG_CALL_S", 0.25)
-        await trio.sleep(1)
+        # Longer than a query waits, whatever read is under way when it comes.
+        monkeypatch.setattr(fakes, "LOG_CALL_S", 0.6)
+        await trio.sleep(2)
         await _call(instance, method="GET")
     rows = [row for row in lines.named("call") if row["call"] == "GET"]
     assert [row["outcome"] for row in rows] == ["shown"]
