--- a/review/standins3/deployment.py
+++ b/review/standins3/deployment.py
@@ -243,11 +243,13 @@
         listeners = await trio.open_tcp_listeners(port, host="127.0.0.1")
         minion.address = f"127.0.0.1:{listeners[0].socket.getsockname()[1]}"
         scope = trio.CancelScope()
+        server = HttpServer(minion.handle)
         minion.close_port = scope.cancel
+        minion.newest_serial = lambda: server.accepted
 
         async def serve() -> None:
             with scope:
-                await HttpServer(minion.handle).serve(listeners)
+                await server.serve(listeners)
 
         self._nursery.start_soon(serve)
 
--- a/review/standins3/minion.py
+++ b/review/standins3/minion.py
@@ -87,6 +87,9 @@
         self._sequence = 0
         # Ends the server of the minion's port, so that the port refuses connections.
         self.close_port: Callable[[], None] = lambda: None
+        # Connections up to this serial number have gone silent.
+        self._silent_serial = 0
+        self.newest_serial: Callable[[], int] = lambda: 0
         self._begin_life()
 
     def _begin_life(self) -> None:
@@ -102,6 +105,10 @@
 
     # What a script does to it.
 
+    def silence_connections(self) -> None:
+        """Let all open connections go silent, without a reset; new ones work."""
+        self._silent_serial = self.newest_serial()
+
     def die(self) -> None:
         """Lose power: all runs end, and nothing answers from now on."""
         self.is_down = True
@@ -184,14 +191,19 @@
 
     async def handle(self, request: HttpRequest) -> HttpResponse:
         """Handle one request; without a path to its sender there is no answer."""
-        if self.is_cut or self.is_down:
-            await trio.sleep_forever()
         born = self.born
+        if not self._reaches(request):
+            await trio.sleep_forever()
         response = await self._answer(request)
-        if self.is_cut or self.is_down or born != self.born:
+        if not self._reaches(request) or born != self.born:
             await trio.sleep_forever()
         return response
 
+    def _reaches(self, request: HttpRequest) -> bool:
+        """Whether a request's connection carries anything now."""
+        is_silent = request.connection <= self._silent_serial
+        return not (self.is_cut or self.is_down or is_silent)
+
     async def _answer(self, request: HttpRequest) -> HttpResponse:
         if request.header("x-expected-instance") not in ("", self.id):
             return json_response(421, {"clock_ms": self.clock_ms()})
